Workspace of packages with the interfaces between them

The borders come first so that the packages can grow side by side: events and actions of the pure policy crate, trait objects towards the platform and the backend servers, types of the operators' configuration. No behaviour yet; the router refuses nothing and serves nothing.

Checked: formatter, clippy, rustdoc and tests pass on the empty packages.

--- /dev/null
+++ b/crates/config/src/model.rs
@@ -0,0 +1,26 @@
+//! Models and their versions.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A model that engines load and serve.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Version of the weights; cache entries of other versions don't count.
+    pub weights_version: u64,
+    /// Estimate of the time that an engine takes to compute 1,000 prompt tokens, in milliseconds.
+    #[serde(default = "default_prefill")]
+    pub prefill_ms_per_1000_tokens: f64,
+    /// Size of the KV cache of one token, in bytes.
+    #[serde(default = "default_kv_bytes")]
+    pub kv_bytes_per_token: u64,
+}
+
+fn default_prefill() -> f64 {
+    40.0
+}
+
+fn default_kv_bytes() -> u64 {
+    2_000
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,18 @@
+//! The platform's key-value service and membership list.
+
+mod error;
+mod key_value;
+mod membership;
+
+pub use crate::error::Error;
+pub use crate::error::Result;
+pub use crate::key_value::Change;
+pub use crate::key_value::KeyValue;
+pub use crate::key_value::LeaseId;
+pub use crate::key_value::Swap;
+pub use crate::key_value::Version;
+pub use crate::key_value::Versioned;
+pub use crate::membership::Member;
+pub use crate::membership::Members;
+pub use crate::membership::MembershipList;
+pub use crate::membership::Role;
--- /dev/null
+++ b/crates/policy/src/store.rs
@@ -0,0 +1,48 @@
+//! Calls to the platform's key-value service.
+
+/// A call to the key-value service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreRequest {
+    /// Read a key.
+    Get {
+        /// Key.
+        key: String,
+    },
+    /// Write a key if its version is `expected` (0: absent).
+    CompareAndSwap {
+        /// Key.
+        key: String,
+        /// Version that the key must have.
+        expected: u64,
+        /// Value to write.
+        value: Vec<u8>,
+    },
+}
+
+/// Result of a call to the key-value service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreResult {
+    /// The key holds this.
+    Value {
+        /// Version of the key.
+        version: u64,
+        /// Value of the key.
+        value: Vec<u8>,
+    },
+    /// The key is absent.
+    Absent,
+    /// The value was written under this version.
+    Written {
+        /// Version of the key.
+        version: u64,
+    },
+    /// The key had another version; this is what it holds, none if absent.
+    Conflict {
+        /// Version and value of the key.
+        held: Option<(u64, Vec<u8>)>,
+    },
+    /// The call may have taken effect, but its answer was lost.
+    AnswerLost,
+    /// The call did not take effect.
+    Unavailable,
+}
