Stream order, resumed streams, and the records that routers and operators share

The head record names files by hash: at 1,500 workspaces the whole configuration passes the megabyte that a value may have, a manifest doesn't.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend_server;
 mod config;
 mod limits;
+mod manifest;
 mod model;
 mod priority;
 mod service;
@@ -14,6 +15,10 @@
 pub use crate::backend_server::BackendServer;
 pub use crate::config::Config;
 pub use crate::limits::Limits;
+pub use crate::manifest::FileEntry;
+pub use crate::manifest::Manifest;
+pub use crate::manifest::FILE_PREFIX;
+pub use crate::manifest::HEAD_KEY;
 pub use crate::model::Model;
 pub use crate::priority::Priority;
 pub use crate::service::Call;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 mod error;
 mod key_value;
 mod membership;
+mod router_status;
 
 pub use crate::error::Error;
 pub use crate::error::Result;
@@ -16,3 +17,5 @@
 pub use crate::membership::Members;
 pub use crate::membership::MembershipList;
 pub use crate::membership::Role;
+pub use crate::router_status::RouterStatus;
+pub use crate::router_status::ROUTER_STATUS_PREFIX;
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -7,6 +7,7 @@
 
 use crate::CallId;
 use crate::ContentHash;
+use crate::Incarnation;
 use crate::Time;
 
 /// A request as it came from a caller.
@@ -31,6 +32,8 @@
 pub enum Work {
     /// A completion by a model engine.
     Generate(Generate),
+    /// The rest of a stream that an engine still holds.
+    Resume(Resume),
     /// A call of a plain service.
     Service(ServiceCall),
 }
@@ -48,6 +51,19 @@
     pub max_tokens: u32,
 }
 
+/// The rest of a stream that an engine still holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resume {
+    /// Workspace that the stream's id names.
+    pub workspace: String,
+    /// Backend server.
+    pub server: String,
+    /// Incarnation of its engine.
+    pub incarnation: Incarnation,
+    /// Tokens that the caller has.
+    pub delivered: u32,
+}
+
 /// A call of a plain service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceCall {
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -69,6 +69,8 @@
     EarlierAttemptUnknown,
     /// The call ran, but its answer was not kept.
     AnswerNotKept,
+    /// The engine that held the stream is gone.
+    StreamGone,
     /// The router has no configuration yet.
     NotConfigured,
     /// The router is shutting down.
@@ -98,6 +100,7 @@
             Reason::InProgress => "in_progress",
             Reason::EarlierAttemptUnknown => "earlier_attempt_unknown",
             Reason::AnswerNotKept => "answer_not_kept",
+            Reason::StreamGone => "stream_gone",
             Reason::NotConfigured => "not_configured",
             Reason::ShuttingDown => "shutting_down",
         }
