A thin state machine of one router: calls, claims, retries, gossip

Completions go to the engine that rendezvous hashing and load name, broken ones go on elsewhere after the delivered tokens; bookings are claimed by compare-and-swap before they are sent, and a lost answer is settled by reading the nonce back. A refusal can only say not_run by giving up the proof that nothing was sent.

--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -27,3 +27,12 @@
     /// Whether the call may be repeated without harm.
     pub idempotent: bool,
 }
+
+impl Service {
+    /// Returns the first declared call that a request matches.
+    pub fn find_call(&self, method: &str, path: &str) -> Option<&Call> {
+        self.calls
+            .iter()
+            .find(|call| call.method == method && path.starts_with(&call.path_prefix))
+    }
+}
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -44,7 +44,12 @@
         failure: Failure,
     },
     /// Count a message that was dropped: a late answer of an earlier attempt.
-    LateAnswer(Attempt),
+    LateAnswer {
+        /// Call.
+        call: CallId,
+        /// Attempt that spoke.
+        attempt: AttemptId,
+    },
     /// Call the key-value service.
     Store {
         /// Name under which the result is to be handed in.
--- /dev/null
+++ b/crates/policy/src/gossip.rs
@@ -0,0 +1,153 @@
+//! Messages to and from other routers.
+
+use rand::Rng;
+
+use crate::timers::Timer;
+use crate::Action;
+use crate::Node;
+use crate::PeerMessage;
+use crate::ServerMark;
+use crate::Snapshot;
+use crate::Strike;
+use crate::Time;
+
+/// Pause between two rounds of gossip, in milliseconds.
+const GOSSIP_MS: u64 = 1_000;
+
+/// Routers that are told the version in force in one round.
+const GOSSIP_WIDTH: usize = 3;
+
+impl Node {
+    /// Takes a message of another router in.
+    pub(crate) fn on_peer(
+        &mut self,
+        now: Time,
+        from: &str,
+        message: PeerMessage,
+        out: &mut Vec<Action>,
+    ) {
+        match message {
+            PeerMessage::Config { version, config } => self.on_config(version, &config, out),
+            PeerMessage::Version(version) => self.on_peer_version(from, version, out),
+            PeerMessage::Leaving(marks) => self.on_leaving_marks(&marks, out),
+            PeerMessage::Strikes(strikes) => self.on_strikes(&strikes),
+            PeerMessage::SnapshotRequest => self.give_snapshot(from, out),
+            PeerMessage::Snapshot(snapshot) => self.on_snapshot(now, *snapshot, out),
+            PeerMessage::CellLoad(_) | PeerMessage::Place(_) | PeerMessage::Placed(_) => {}
+        }
+    }
+
+    /// Sends a message to all other routers.
+    pub(crate) fn tell_all(&self, message: &PeerMessage, out: &mut Vec<Action>) {
+        for (vm, router) in self.routers.iter() {
+            out.push(Action::SendPeer {
+                to: vm.clone(),
+                address: router.address,
+                message: message.clone(),
+            });
+        }
+    }
+
+    /// Sends a message to the router on `vm`, if it is on the membership list.
+    pub(crate) fn tell(&self, vm: &str, message: PeerMessage, out: &mut Vec<Action>) {
+        let Some(router) = self.routers.get(vm) else {
+            return;
+        };
+        out.push(Action::SendPeer {
+            to: vm.to_owned(),
+            address: router.address,
+            message,
+        });
+    }
+
+    /// Runs a round of gossip.
+    pub(crate) fn on_gossip(&mut self, now: Time, out: &mut Vec<Action>) {
+        let jitter_ms = self.rng.random_range(0..GOSSIP_MS / 10);
+        self.timers
+            .add(now.plus_millis(GOSSIP_MS + jitter_ms), Timer::Gossip);
+        self.strikes.expire(now);
+        let version = PeerMessage::Version(self.rollout.version());
+        for vm in self.some_routers() {
+            self.tell(&vm, version.clone(), out);
+        }
+    }
+
+    /// Asks another router for what it knows, once.
+    pub(crate) fn ask_for_snapshot(&mut self, out: &mut Vec<Action>) {
+        if self.snapshot_asked || self.routers.len() == 0 {
+            return;
+        }
+        self.snapshot_asked = true;
+        for vm in self.some_routers() {
+            self.tell(&vm, PeerMessage::SnapshotRequest, out);
+        }
+    }
+
+    fn some_routers(&mut self) -> Vec<String> {
+        let vms: Vec<String> = self.routers.iter().map(|(vm, _)| vm.clone()).collect();
+        if vms.is_empty() {
+            return vms;
+        }
+        let start = self.rng.random_range(0..vms.len());
+        vms.iter()
+            .cycle()
+            .skip(start)
+            .take(GOSSIP_WIDTH.min(vms.len()))
+            .cloned()
+            .collect()
+    }
+
+    fn on_peer_version(&mut self, from: &str, version: u64, out: &mut Vec<Action>) {
+        let own = self.rollout.version();
+        if version > own {
+            self.tell(from, PeerMessage::Version(own), out);
+            return;
+        }
+        if version == own {
+            return;
+        }
+        if let Some(config) = self.rollout.config().cloned() {
+            let message = PeerMessage::Config {
+                version: own,
+                config,
+            };
+            self.tell(from, message, out);
+        }
+    }
+
+    fn on_leaving_marks(&mut self, marks: &[ServerMark], out: &mut Vec<Action>) {
+        for mark in marks {
+            if let Some(server) = self.fleet.find(&mark.server) {
+                self.learn_leaving(server, mark.incarnation, out);
+            }
+        }
+    }
+
+    fn on_strikes(&mut self, strikes: &[Strike]) {
+        for strike in strikes {
+            self.strikes.add(strike);
+        }
+    }
+
+    fn give_snapshot(&mut self, from: &str, out: &mut Vec<Action>) {
+        let config = self
+            .rollout
+            .config()
+            .map(|cfg| (self.rollout.version(), cfg.clone()));
+        let snapshot = Snapshot {
+            config,
+            leaving: self.fleet.leaving_marks(),
+            strikes: self.strikes.all(),
+            cells: Vec::new(),
+        };
+        self.tell(from, PeerMessage::Snapshot(Box::new(snapshot)), out);
+    }
+
+    fn on_snapshot(&mut self, _now: Time, snapshot: Snapshot, out: &mut Vec<Action>) {
+        if let Some((version, cfg)) = snapshot.config {
+            self.on_config(version, &cfg, out);
+        }
+        self.on_leaving_marks(&snapshot.leaving, out);
+        self.on_strikes(&snapshot.strikes);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/interner.rs
@@ -0,0 +1,34 @@
+//! Small keys for names.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Small key of a name; a name keeps its key for as long as the interner lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct NameKey(pub(crate) u32);
+
+/// Gives each name a small key.
+#[derive(Debug, Default)]
+pub(crate) struct Interner {
+    names: Vec<Arc<str>>,
+    keys: HashMap<Arc<str>, NameKey>,
+}
+
+impl Interner {
+    /// Returns the key of `name`, a new one if it has none yet.
+    pub(crate) fn intern(&mut self, name: &str) -> NameKey {
+        if let Some(key) = self.keys.get(name) {
+            return *key;
+        }
+        let key = NameKey(u32::try_from(self.names.len()).expect("fewer than 2^32 names"));
+        let name: Arc<str> = name.into();
+        self.names.push(name.clone());
+        self.keys.insert(name, key);
+        key
+    }
+
+    /// Returns the name of `key`.
+    pub(crate) fn name(&self, key: NameKey) -> &Arc<str> {
+        &self.names[key.0 as usize]
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,16 +4,34 @@
 //! whole interface. Nothing here reads a clock, opens a socket or spawns a task.
 
 mod action;
+mod admission;
+mod arrive;
 mod call;
+mod call_table;
+mod claim;
 mod event;
+mod fleet;
+mod gossip;
 mod ids;
+mod interner;
+mod learn;
 mod node;
+mod once;
 mod outcome;
 mod peer_message;
 mod piece;
+mod placement;
 mod relay;
+mod report;
+mod retry_budget;
+mod rollout;
+mod route;
+mod routers;
 mod store;
+mod store_ops;
+mod strikes;
 mod time;
+mod timers;
 
 pub use crate::action::Action;
 pub use crate::action::Attempt;
@@ -40,10 +58,11 @@
 pub use crate::ids::ServerKey;
 pub use crate::node::Identity;
 pub use crate::node::Node;
+pub use crate::outcome::InFlight;
 pub use crate::outcome::Outcome;
+pub use crate::outcome::Progress;
 pub use crate::outcome::Reason;
 pub use crate::outcome::Refusal;
-pub use crate::outcome::Sent;
 pub use crate::outcome::Unsent;
 pub use crate::peer_message::CellLoad;
 pub use crate::peer_message::PeerMessage;
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -1,7 +1,26 @@
 //! The state machine of one router.
 
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use config::Config;
+
+use crate::admission::Admission;
+use crate::call_table::CallTable;
+use crate::fleet::Fleet;
+use crate::placement::Placement;
+use crate::retry_budget::RetryBudget;
+use crate::rollout::Rollout;
+use crate::routers::Routers;
+use crate::store_ops::StoreOps;
+use crate::strikes::Strikes;
+use crate::timers::Timer;
+use crate::timers::Timers;
 use crate::Action;
 use crate::Event;
+use crate::ServerKey;
 use crate::Time;
 
 /// What a router knows of itself.
@@ -19,14 +38,45 @@
 
 /// The state machine of one router.
 pub struct Node {
-    identity: Identity,
-    seed: u64,
+    pub(crate) identity: Identity,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) rollout: Rollout,
+    pub(crate) fleet: Fleet,
+    pub(crate) routers: Routers,
+    pub(crate) placement: Placement,
+    pub(crate) strikes: Strikes,
+    pub(crate) admission: Admission,
+    pub(crate) budget: RetryBudget,
+    pub(crate) calls: CallTable,
+    pub(crate) store_ops: StoreOps,
+    pub(crate) timers: Timers,
+    pub(crate) snapshot_asked: bool,
+    pub(crate) shutting_down: bool,
+    pub(crate) stopped: bool,
 }
 
 impl Node {
     /// Creates a router that knows nothing yet but itself.
     pub fn new(identity: Identity, seed: u64) -> Node {
-        Node { identity, seed }
+        let mut timers = Timers::default();
+        timers.add(Time::default(), Timer::Gossip);
+        Node {
+            identity,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            rollout: Rollout::default(),
+            fleet: Fleet::default(),
+            routers: Routers::default(),
+            placement: Placement::default(),
+            strikes: Strikes::default(),
+            admission: Admission::default(),
+            budget: RetryBudget::default(),
+            calls: CallTable::default(),
+            store_ops: StoreOps::default(),
+            timers,
+            snapshot_asked: false,
+            shutting_down: false,
+            stopped: false,
+        }
     }
 
     /// Returns what the router knows of itself.
@@ -34,13 +84,71 @@
         &self.identity
     }
 
-    /// Takes in one event and adds what is to be done to `out`.
-    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
-        let _ = (now, event, out, self.seed);
+    /// Returns the version of the configuration in force, 0 for none.
+    pub fn config_version(&self) -> u64 {
+        self.rollout.version()
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.rollout.config()
+    }
+
+    /// Returns name and address of a server.
+    pub fn server_address(&self, key: ServerKey) -> (&str, std::net::SocketAddr) {
+        let server = self.fleet.server(key);
+        (&server.name, server.address)
     }
 
     /// Returns the time at which [`Event::Tick`] is to be handed in, if nothing happens before.
     pub fn next_deadline(&self) -> Option<Time> {
-        None
+        self.timers.next()
+    }
+
+    /// Takes in one event and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Call(req) => self.on_call(now, *req, out),
+            Event::CallerGone(call) => self.on_caller_gone(call, out),
+            Event::Backend {
+                call,
+                attempt,
+                report,
+            } => self.on_report(now, call, attempt, report, out),
+            Event::Load(report) => self.on_load(now, &report, out),
+            Event::Cache(report) => self.on_cache(&report),
+            Event::Members(members) => self.on_members(&members, out),
+            Event::Config { version, config } => self.on_config(version, &config, out),
+            Event::Peer { from, message } => self.on_peer(now, &from, message, out),
+            Event::Store { op, result } => self.on_store(now, op, result, out),
+            Event::Shutdown { deadline } => self.on_shutdown(deadline),
+            Event::Tick => {}
+        }
+        self.run_timers(now, out);
+        self.stop_if_idle(out);
+    }
+
+    fn run_timers(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                Timer::Call(call) => self.on_call_deadline(now, call, out),
+                Timer::Store(op) => self.on_store_retry(op, out),
+                Timer::Gossip => self.on_gossip(now, out),
+                Timer::Shutdown => self.on_shutdown_deadline(out),
+            }
+        }
+    }
+
+    fn on_shutdown(&mut self, deadline: Time) {
+        self.shutting_down = true;
+        self.timers.add(deadline, Timer::Shutdown);
+    }
+
+    fn stop_if_idle(&mut self, out: &mut Vec<Action>) {
+        let idle = self.calls.is_empty() && self.store_ops.is_empty();
+        if self.shutting_down && idle && !self.stopped {
+            self.stopped = true;
+            out.push(Action::Stopped);
+        }
     }
 }
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -111,32 +111,68 @@
 #[derive(Debug)]
 pub struct Unsent(());
 
-/// Mark of a call of which bytes may have been sent.
+/// Mark of a call whose first attempt is with a backend server.
 #[derive(Debug)]
-pub struct Sent(());
+pub struct InFlight(());
+
+/// What is known of a call's attempts so far.
+#[derive(Debug)]
+pub enum Progress {
+    /// Nothing was sent.
+    Unsent(Unsent),
+    /// One attempt is in flight, and none went before it that may have run.
+    InFlight(InFlight),
+    /// An attempt may have run.
+    MayHaveRun,
+}
 
-#[expect(dead_code, reason = "used by the call table")]
 impl Unsent {
-    /// Starts a call that has just arrived; only the call table does this.
-    pub(crate) fn arrived() -> Unsent {
+    /// Starts a call of which nothing was sent, now or earlier.
+    pub(crate) fn new() -> Unsent {
         Unsent(())
     }
 
     /// Gives the proof up for sending.
-    pub(crate) fn send(self) -> Sent {
-        Sent(())
+    pub(crate) fn send(self) -> InFlight {
+        InFlight(())
     }
 }
 
-#[expect(dead_code, reason = "used by the call table")]
-impl Sent {
-    /// Wins the proof back: the only attempt ended before a connection was
-    /// made, or was refused by the server before it ran anything.
+impl InFlight {
+    /// Wins the proof back: the attempt ended before a connection was made, or
+    /// was refused by the server before it ran anything.
     pub(crate) fn never_ran(self) -> Unsent {
         Unsent(())
     }
 }
 
+impl Progress {
+    /// Returns what is known once an attempt is sent.
+    pub(crate) fn sent(self) -> Progress {
+        match self {
+            Progress::Unsent(proof) => Progress::InFlight(proof.send()),
+            Progress::InFlight(_) | Progress::MayHaveRun => Progress::MayHaveRun,
+        }
+    }
+
+    /// Returns what is known once the attempt in flight has failed.
+    pub(crate) fn failed(self, never_ran: bool) -> Progress {
+        match self {
+            Progress::InFlight(attempt) if never_ran => Progress::Unsent(attempt.never_ran()),
+            Progress::Unsent(proof) => Progress::Unsent(proof),
+            Progress::InFlight(_) | Progress::MayHaveRun => Progress::MayHaveRun,
+        }
+    }
+
+    /// Builds the truest refusal.
+    pub(crate) fn refuse(self, reason: Reason, retry_at: Option<Time>) -> Refusal {
+        match self {
+            Progress::Unsent(proof) => Refusal::not_run(proof, reason, retry_at),
+            Progress::InFlight(_) | Progress::MayHaveRun => Refusal::unknown(reason, retry_at),
+        }
+    }
+}
+
 /// The final answer to a call that is not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -145,7 +181,6 @@
     retry_at: Option<Time>,
 }
 
-#[expect(dead_code, reason = "used by the call table")]
 impl Refusal {
     /// Refuses a call that was not sent.
     pub(crate) fn not_run(proof: Unsent, reason: Reason, retry_at: Option<Time>) -> Refusal {
--- /dev/null
+++ b/crates/policy/src/report.rs
@@ -0,0 +1,282 @@
+//! Reports of attempts, retries and final answers.
+
+use crate::arrive::COME_BACK_MS;
+use crate::call_table::Call;
+use crate::call_table::Stage;
+use crate::call_table::Target;
+use crate::once::RecordState;
+use crate::Action;
+use crate::Attempt;
+use crate::AttemptId;
+use crate::BackendReport;
+use crate::CallId;
+use crate::Failure;
+use crate::Incarnation;
+use crate::Node;
+use crate::PeerMessage;
+use crate::Reason;
+use crate::ServerKey;
+use crate::ServerMark;
+use crate::StoredAnswer;
+use crate::Strike;
+use crate::Time;
+
+/// Attempts of one call at most.
+const ATTEMPTS: u32 = 5;
+
+/// Time for which a server that could not be reached is used last, in milliseconds.
+const SUSPECT_MS: u64 = 2_000;
+
+impl Node {
+    /// Takes in what became of an attempt.
+    pub(crate) fn on_report(
+        &mut self,
+        now: Time,
+        id: CallId,
+        attempt: AttemptId,
+        report: BackendReport,
+        out: &mut Vec<Action>,
+    ) {
+        let running = self.calls.get(id).filter(|call| call.attempt == attempt);
+        let Some(server) = running.and_then(Call::server) else {
+            out.push(Action::LateAnswer { call: id, attempt });
+            return;
+        };
+        match report {
+            BackendReport::Started { incarnation, .. } => self.on_started(server, incarnation),
+            BackendReport::FirstToken => self.on_first_token(id, server),
+            BackendReport::Finished { .. } => self.end(id),
+            BackendReport::Answered(answer) => self.on_answer(now, id, answer, out),
+            BackendReport::Failed { failure, delivered } => {
+                self.on_failed(now, id, server, failure, delivered, out);
+            }
+        }
+    }
+
+    fn on_started(&mut self, server: ServerKey, incarnation: Incarnation) {
+        if self.fleet.on_incarnation(server, incarnation) {
+            self.placement.on_reset(server);
+        }
+    }
+
+    fn on_first_token(&mut self, id: CallId, server: ServerKey) {
+        self.leave_queue(id);
+        let call = self.calls.get_mut(id).expect("it was found before");
+        call.stage = Stage::Running {
+            server,
+            started: true,
+        };
+    }
+
+    fn on_answer(&mut self, now: Time, id: CallId, answer: StoredAnswer, out: &mut Vec<Action>) {
+        let call = self.calls.get_mut(id).expect("it was found before");
+        if call.claim.is_some() {
+            call.stage = Stage::Recording(answer);
+            self.record_answer(now, id, out);
+            return;
+        }
+        self.end(id);
+        out.push(Action::Answer {
+            call: id,
+            answer,
+            repeat: false,
+        });
+    }
+
+    fn on_failed(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        failure: Failure,
+        delivered: u32,
+        out: &mut Vec<Action>,
+    ) {
+        self.leave_queue(id);
+        let incarnation = self.fleet.server(server).incarnation;
+        let call = self.calls.get_mut(id).expect("it was found before");
+        call.progress = call.take_progress().failed(failure.never_ran());
+        call.delivered = delivered;
+        call.failed_at.push(server);
+        match failure {
+            Failure::Leaving => self.learn_leaving(server, incarnation, out),
+            Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
+            Failure::Broken => self.strike(now, id, server, out),
+            Failure::StaleIncarnation => self.placement.on_reset(server),
+            Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
+        }
+        self.retry_or_refuse(now, id, failure, out);
+    }
+
+    fn strike(&mut self, now: Time, id: CallId, server: ServerKey, out: &mut Vec<Action>) {
+        self.fleet.suspect(server, now.plus_millis(SUSPECT_MS));
+        let call = self.calls.get(id).expect("it was found before");
+        if !matches!(call.target, Target::Engine(_)) {
+            return;
+        }
+        let strike = Strike {
+            fingerprint: call.fingerprint,
+            mark: ServerMark {
+                server: self.fleet.server(server).name.clone(),
+                incarnation: self.fleet.server(server).incarnation,
+            },
+            at_ms: now.as_millis(),
+        };
+        if self.strikes.add(&strike) {
+            self.tell_all(&PeerMessage::Strikes(vec![strike]), out);
+        }
+    }
+
+    fn retry_or_refuse(&mut self, now: Time, id: CallId, failure: Failure, out: &mut Vec<Action>) {
+        if let Some((reason, retry_at)) = self.reason_to_give_up(now, id, failure) {
+            self.refuse(id, reason, retry_at, out);
+            return;
+        }
+        out.push(Action::Retried { call: id, failure });
+        self.route(now, id, out);
+    }
+
+    fn reason_to_give_up(
+        &mut self,
+        now: Time,
+        id: CallId,
+        failure: Failure,
+    ) -> Option<(Reason, Option<Time>)> {
+        let limits = self.rollout.config()?.limits;
+        let call = self.calls.get(id)?;
+        let soon = Some(now.plus_millis(COME_BACK_MS));
+        if self.strikes.count(now, call.fingerprint) >= limits.crashes_per_request {
+            let forgiven_at = self.strikes.forgiven_at(call.fingerprint);
+            return Some((Reason::CrashedRunners, forgiven_at));
+        }
+        if call.claim.is_some() && !failure.never_ran() {
+            return Some((Reason::AttemptsFailed, None));
+        }
+        if matches!(call.target, Target::Stream { .. }) {
+            return Some((Reason::StreamGone, None));
+        }
+        if now >= call.deadline && call.delivered == 0 {
+            return Some((Reason::DeadlinePassed, soon));
+        }
+        if call.attempt.0 >= ATTEMPTS {
+            return Some((Reason::AttemptsFailed, soon));
+        }
+        let free = call.delivered > 0;
+        if !free && !self.budget.spend(call.workspace) {
+            return Some((Reason::RetryBudgetSpent, soon));
+        }
+        None
+    }
+
+    /// Gives a call's final answer when it is not served.
+    pub(crate) fn refuse(
+        &mut self,
+        id: CallId,
+        reason: Reason,
+        retry_at: Option<Time>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut call) = self.take_out(id) else {
+            return;
+        };
+        let progress = call.take_progress();
+        self.close_record(id, &call, &progress, out);
+        let refusal = progress.refuse(reason, retry_at);
+        if !call.answered {
+            out.push(Action::Refuse { call: id, refusal });
+        }
+    }
+
+    /// Takes in that a caller has gone away.
+    pub(crate) fn on_caller_gone(&mut self, id: CallId, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        if call.claim.is_some() {
+            call.answered = true;
+            return;
+        }
+        if let Some(server) = call.server() {
+            out.push(Action::Cancel(Attempt {
+                call: id,
+                attempt: call.attempt,
+                server,
+            }));
+        }
+        self.end(id);
+    }
+
+    /// Looks at a call whose deadline has come.
+    pub(crate) fn on_call_deadline(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let streaming = matches!(call.stage, Stage::Running { started: true, .. });
+        let resumed = matches!(call.target, Target::Stream { .. });
+        if streaming || resumed || call.answered {
+            return;
+        }
+        let soon = Some(now.plus_millis(COME_BACK_MS));
+        if call.claim.is_some() && !matches!(call.stage, Stage::Claiming) {
+            call.answered = true;
+            let refusal = crate::Progress::MayHaveRun.refuse(Reason::DeadlinePassed, soon);
+            out.push(Action::Refuse { call: id, refusal });
+            return;
+        }
+        if let Some(server) = call.server() {
+            out.push(Action::Cancel(Attempt {
+                call: id,
+                attempt: call.attempt,
+                server,
+            }));
+        }
+        self.refuse(id, Reason::DeadlinePassed, soon, out);
+    }
+
+    /// Gives up what is still in flight when the VM must stop.
+    pub(crate) fn on_shutdown_deadline(&mut self, out: &mut Vec<Action>) {
+        for id in self.calls.ids() {
+            self.refuse(id, Reason::ShuttingDown, None, out);
+        }
+    }
+
+    /// Ends a call that has its answer.
+    pub(crate) fn end(&mut self, id: CallId) {
+        self.take_out(id);
+    }
+
+    fn take_out(&mut self, id: CallId) -> Option<Call> {
+        self.leave_queue(id);
+        let call = self.calls.remove(id)?;
+        self.admission.release(call.workspace, call.tokens);
+        Some(call)
+    }
+
+    fn leave_queue(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(id) else {
+            return;
+        };
+        if let (Target::Engine(ask), Some(server), true) =
+            (&call.target, call.server(), call.is_queued())
+        {
+            self.placement.on_left_queue(server, ask);
+        }
+    }
+
+    fn close_record(
+        &mut self,
+        id: CallId,
+        call: &Call,
+        progress: &crate::Progress,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(claim) = call.claim.clone().filter(|claim| claim.version > 0) else {
+            return;
+        };
+        let state = match progress {
+            crate::Progress::Unsent(_) => RecordState::Released,
+            crate::Progress::InFlight(_) | crate::Progress::MayHaveRun => RecordState::Unknown,
+        };
+        self.finish_record(call.deadline, id, claim, state, out);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route.rs
@@ -0,0 +1,134 @@
+//! Choice of a server for a call, and its dispatch.
+
+use crate::action::FetchFrom;
+use crate::arrive::COME_BACK_MS;
+use crate::call_table::Stage;
+use crate::call_table::Target;
+use crate::placement::Ask;
+use crate::placement::Choice;
+use crate::Action;
+use crate::Attempt;
+use crate::CallId;
+use crate::Dispatch;
+use crate::Incarnation;
+use crate::Node;
+use crate::Reason;
+use crate::ServerKey;
+use crate::Time;
+
+/// Where an attempt goes and what it relies on.
+struct Aim {
+    server: ServerKey,
+    incarnation: Incarnation,
+    weights_version: u64,
+    fetch_from: Option<FetchFrom>,
+    expected_cached_tokens: u64,
+}
+
+impl Node {
+    /// Sends a call to the best server, or refuses it.
+    pub(crate) fn route(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let call = self.calls.get(id).expect("only live calls are routed");
+        let aim = match &call.target {
+            Target::Engine(ask) => self.aim_at_engine(now, call.deadline, ask, &call.failed_at),
+            Target::Stream {
+                server,
+                incarnation,
+            } => Ok(Aim::plain(*server, *incarnation)),
+            Target::Service(service) => self.aim_at_replica(service, &call.failed_at),
+        };
+        match aim {
+            Ok(aim) => self.dispatch(id, aim, out),
+            Err((reason, retry_at)) => self.refuse(id, reason, retry_at, out),
+        }
+    }
+
+    fn aim_at_engine(
+        &self,
+        now: Time,
+        deadline: Time,
+        ask: &Ask,
+        failed_at: &[ServerKey],
+    ) -> Result<Aim, (Reason, Option<Time>)> {
+        let mut candidates = self.fleet.engines(ask.workspace, ask.model);
+        candidates.retain(|key| !failed_at.contains(key));
+        let Some(choice) = self.placement.choose(now, ask, &candidates, &self.fleet) else {
+            return Err((Reason::NoBackendServer, Some(now.plus_millis(COME_BACK_MS))));
+        };
+        if choice.first_token_at > deadline {
+            let late_by = choice.first_token_at.micros_since(deadline);
+            let retry_at = now.plus_micros(late_by).plus_millis(1);
+            return Err((Reason::DeadlineTooClose, Some(retry_at)));
+        }
+        Ok(self.aim_of(choice, ask))
+    }
+
+    fn aim_of(&self, choice: Choice, ask: &Ask) -> Aim {
+        let fetch_from = choice.fetch_from.map(|key| FetchFrom {
+            address: self.fleet.server(key).address,
+            incarnation: self.fleet.server(key).incarnation,
+        });
+        Aim {
+            server: choice.server,
+            incarnation: self.fleet.server(choice.server).incarnation,
+            weights_version: ask.weights_version,
+            fetch_from,
+            expected_cached_tokens: choice.expected_cached_tokens,
+        }
+    }
+
+    fn aim_at_replica(
+        &self,
+        service: &str,
+        failed_at: &[ServerKey],
+    ) -> Result<Aim, (Reason, Option<Time>)> {
+        let replicas = self.fleet.replicas(service);
+        let fresh = replicas.iter().filter(|key| !failed_at.contains(key));
+        let server = fresh
+            .min_by_key(|key| (self.fleet.server(**key).suspect_until, **key))
+            .ok_or((Reason::NoBackendServer, None))?;
+        Ok(Aim::plain(*server, Incarnation::default()))
+    }
+
+    fn dispatch(&mut self, id: CallId, aim: Aim, out: &mut Vec<Action>) {
+        let call = self.calls.get_mut(id).expect("only live calls are sent");
+        call.progress = call.take_progress().sent();
+        call.attempt.0 += 1;
+        call.stage = Stage::Running {
+            server: aim.server,
+            started: false,
+        };
+        if let Target::Engine(ask) = &call.target {
+            self.placement.on_sent(aim.server, ask);
+        }
+        let server = self.fleet.server(aim.server);
+        out.push(Action::Dispatch(Dispatch {
+            at: Attempt {
+                call: id,
+                attempt: call.attempt,
+                server: aim.server,
+            },
+            server_name: server.name.clone(),
+            address: server.address,
+            incarnation: aim.incarnation,
+            weights_version: aim.weights_version,
+            workspace: self.fleet.workspaces.name(call.workspace).to_string(),
+            rank: call.rank,
+            resume_after: call.delivered,
+            fetch_from: aim.fetch_from,
+            expected_cached_tokens: aim.expected_cached_tokens,
+        }));
+    }
+}
+
+impl Aim {
+    fn plain(server: ServerKey, incarnation: Incarnation) -> Aim {
+        Aim {
+            server,
+            incarnation,
+            weights_version: 0,
+            fetch_from: None,
+            expected_cached_tokens: 0,
+        }
+    }
+}
--- a/crates/policy/src/store.rs
+++ b/crates/policy/src/store.rs
@@ -1,5 +1,7 @@
 //! Calls to the platform's key-value service.
 
+use crate::Time;
+
 /// A call to the key-value service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreRequest {
@@ -16,6 +18,11 @@
         expected: u64,
         /// Value to write.
         value: Vec<u8>,
+        /// Time after which the service may drop the key; none to keep it.
+        ///
+        /// Few distinct times are asked for, so that all keys of one time can
+        /// hang on one lease that is granted once and never renewed.
+        expires: Option<Time>,
     },
 }
 
--- /dev/null
+++ b/crates/policy/src/strikes.rs
@@ -0,0 +1,67 @@
+//! Requests that break the runners that run them.
+
+use std::collections::BTreeMap;
+
+use crate::ServerMark;
+use crate::Strike;
+use crate::Time;
+
+/// Time for which a strike counts, in milliseconds.
+const STRIKE_LIFE_MS: u64 = 600_000;
+
+/// Runners that broke, by the fingerprint of a request that they ran.
+#[derive(Debug, Default)]
+pub(crate) struct Strikes {
+    by_fingerprint: BTreeMap<u64, BTreeMap<ServerMark, u64>>,
+}
+
+impl Strikes {
+    /// Adds a strike; tells whether this is news.
+    pub(crate) fn add(&mut self, strike: &Strike) -> bool {
+        let marks = self.by_fingerprint.entry(strike.fingerprint).or_default();
+        let news = !marks.contains_key(&strike.mark);
+        marks.entry(strike.mark.clone()).or_insert(strike.at_ms);
+        news
+    }
+
+    /// Returns how many runners a request has broken lately.
+    pub(crate) fn count(&self, now: Time, fingerprint: u64) -> u32 {
+        let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
+            return 0;
+        };
+        let live = marks.values().filter(|at| lives(now, **at)).count();
+        u32::try_from(live).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the time at which the last strike of a request no longer counts.
+    pub(crate) fn forgiven_at(&self, fingerprint: u64) -> Option<Time> {
+        let last = self.by_fingerprint.get(&fingerprint)?.values().max()?;
+        Some(Time::from_millis(last + STRIKE_LIFE_MS))
+    }
+
+    /// Drops strikes that no longer count.
+    pub(crate) fn expire(&mut self, now: Time) {
+        for marks in self.by_fingerprint.values_mut() {
+            marks.retain(|_, at| lives(now, *at));
+        }
+        self.by_fingerprint.retain(|_, marks| !marks.is_empty());
+    }
+
+    /// Returns all strikes.
+    pub(crate) fn all(&self) -> Vec<Strike> {
+        self.by_fingerprint
+            .iter()
+            .flat_map(|(fingerprint, marks)| {
+                marks.iter().map(|(mark, at_ms)| Strike {
+                    fingerprint: *fingerprint,
+                    mark: mark.clone(),
+                    at_ms: *at_ms,
+                })
+            })
+            .collect()
+    }
+}
+
+fn lives(now: Time, at_ms: u64) -> bool {
+    now.as_millis() < at_ms + STRIKE_LIFE_MS
+}
--- /dev/null
+++ b/crates/policy/tests/calls.rs
@@ -0,0 +1,202 @@
+//! Calls from arrival to their final answer.
+
+mod common;
+
+use std::sync::Arc;
+
+use policy::Action;
+use policy::AttemptId;
+use policy::BackendReport;
+use policy::CallId;
+use policy::Dispatch;
+use policy::Event;
+use policy::Failure;
+use policy::OpId;
+use policy::Outcome;
+use policy::Reason;
+use policy::Refusal;
+use policy::StoreRequest;
+use policy::StoreResult;
+use policy::StoredAnswer;
+
+use crate::common::booking;
+use crate::common::completion;
+use crate::common::config;
+use crate::common::node;
+use crate::common::step;
+use crate::common::KEY;
+use crate::common::START;
+
+fn dispatched(actions: &[Action]) -> &Dispatch {
+    actions
+        .iter()
+        .find_map(|action| match action {
+            Action::Dispatch(dispatch) => Some(dispatch),
+            _ => None,
+        })
+        .unwrap_or_else(|| panic!("nothing was dispatched: {actions:?}"))
+}
+
+fn refused(actions: &[Action]) -> Refusal {
+    actions
+        .iter()
+        .find_map(|action| match action {
+            Action::Refuse { refusal, .. } => Some(*refusal),
+            _ => None,
+        })
+        .unwrap_or_else(|| panic!("nothing was refused: {actions:?}"))
+}
+
+fn store_op(actions: &[Action]) -> (OpId, StoreRequest) {
+    actions
+        .iter()
+        .find_map(|action| match action {
+            Action::Store { op, request } => Some((*op, request.clone())),
+            _ => None,
+        })
+        .unwrap_or_else(|| panic!("the store was not called: {actions:?}"))
+}
+
+fn failed(call: u64, attempt: u32, failure: Failure, delivered: u32) -> Event {
+    Event::Backend {
+        call: CallId(call),
+        attempt: AttemptId(attempt),
+        report: BackendReport::Failed { failure, delivered },
+    }
+}
+
+fn answer() -> StoredAnswer {
+    StoredAnswer {
+        status: 201,
+        content_type: None,
+        body: Arc::new(b"booked".to_vec()),
+    }
+}
+
+#[test]
+fn a_broken_stream_goes_on_elsewhere_after_the_delivered_tokens() {
+    let mut node = node(&config(3));
+    let first = step(&mut node, START, completion(1));
+    let first = dispatched(&first).clone();
+
+    let second = step(&mut node, START, failed(1, 1, Failure::Broken, 5));
+
+    let second = dispatched(&second);
+    assert_ne!(second.at.server, first.at.server);
+    assert_eq!(second.resume_after, 5);
+}
+
+#[test]
+fn a_call_that_never_ran_anywhere_is_refused_as_not_run() {
+    let mut node = node(&config(1));
+    step(&mut node, START, completion(1));
+
+    let actions = step(&mut node, START, failed(1, 1, Failure::NotConnected, 0));
+
+    assert_eq!(refused(&actions).outcome(), Outcome::NotRun);
+}
+
+#[test]
+fn a_call_that_may_have_run_once_is_never_refused_as_not_run() {
+    let mut node = node(&config(2));
+    step(&mut node, START, completion(1));
+    step(&mut node, START, failed(1, 1, Failure::Broken, 0));
+
+    let actions = step(&mut node, START, failed(1, 2, Failure::NotConnected, 0));
+
+    assert_eq!(refused(&actions).outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn a_booking_is_sent_only_once_its_claim_is_written() {
+    let mut node = node(&config(1));
+
+    let claim = step(&mut node, START, booking(1, KEY));
+    let (op, request) = store_op(&claim);
+    let sent = step(
+        &mut node,
+        START,
+        Event::Store {
+            op,
+            result: StoreResult::Written { version: 1 },
+        },
+    );
+
+    assert!(matches!(
+        request,
+        StoreRequest::CompareAndSwap { expected: 0, .. }
+    ));
+    assert!(!claim.iter().any(|a| matches!(a, Action::Dispatch(_))));
+    assert_eq!(dispatched(&sent).server_name, "bookings/r1");
+}
+
+#[test]
+fn a_booking_that_may_have_run_is_not_sent_again() {
+    let mut node = node(&config(1));
+    let (op, _) = store_op(&step(&mut node, START, booking(1, KEY)));
+    let result = StoreResult::Written { version: 1 };
+    step(&mut node, START, Event::Store { op, result });
+
+    let actions = step(&mut node, START, failed(1, 1, Failure::Broken, 0));
+
+    assert!(!actions.iter().any(|a| matches!(a, Action::Dispatch(_))));
+    assert_eq!(refused(&actions).outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn a_booking_whose_claim_got_lost_is_settled_by_reading_back() {
+    let mut node = node(&config(1));
+    let (op, request) = store_op(&step(&mut node, START, booking(1, KEY)));
+    let StoreRequest::CompareAndSwap { value, .. } = request else {
+        panic!("a claim is a compare-and-swap");
+    };
+    let result = StoreResult::AnswerLost;
+    let (op, request) = store_op(&step(&mut node, START, Event::Store { op, result }));
+
+    let result = StoreResult::Value { version: 1, value };
+    let sent = step(&mut node, START, Event::Store { op, result });
+
+    assert!(matches!(request, StoreRequest::Get { .. }));
+    assert_eq!(dispatched(&sent).server_name, "bookings/r1");
+}
+
+#[test]
+fn a_repeated_booking_gets_the_first_answer() {
+    let mut first = node(&config(1));
+    let (op, _) = store_op(&step(&mut first, START, booking(1, KEY)));
+    let result = StoreResult::Written { version: 1 };
+    step(&mut first, START, Event::Store { op, result });
+    let answered = Event::Backend {
+        call: CallId(1),
+        attempt: AttemptId(1),
+        report: BackendReport::Answered(answer()),
+    };
+    let (_, request) = store_op(&step(&mut first, START, answered));
+    let StoreRequest::CompareAndSwap { value, .. } = request else {
+        panic!("an answer is recorded by compare-and-swap");
+    };
+
+    let mut second = node(&config(1));
+    let (op, _) = store_op(&step(&mut second, START, booking(9, KEY)));
+    let held = Some((2, value));
+    let result = StoreResult::Conflict { held };
+    let actions = step(&mut second, START, Event::Store { op, result });
+
+    let expected = Action::Answer {
+        call: CallId(9),
+        answer: answer(),
+        repeat: true,
+    };
+    assert_eq!(actions, [expected]);
+}
+
+#[test]
+fn a_booking_without_a_key_is_refused_as_not_run() {
+    let mut node = node(&config(1));
+
+    let actions = step(&mut node, START, booking(1, "no-uuid"));
+
+    let refusal = refused(&actions);
+    assert_eq!(refusal.reason(), Reason::KeyMissing);
+    assert_eq!(refusal.outcome(), Outcome::NotRun);
+}
--- /dev/null
+++ b/crates/policy/tests/common/mod.rs
@@ -0,0 +1,141 @@
+//! Fixtures: a small configuration and requests against it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use config::BackendServer;
+use config::Call;
+use config::Config;
+use config::Model;
+use config::Service;
+use config::Workspace;
+use policy::Action;
+use policy::CallId;
+use policy::CallRequest;
+use policy::ContentHash;
+use policy::Event;
+use policy::Generate;
+use policy::Identity;
+use policy::Node;
+use policy::ServiceCall;
+use policy::Time;
+use policy::Work;
+
+/// Time at which all tests begin.
+pub const START: Time = Time::from_millis(1_800_000_000_000);
+
+/// Token hash of the one workspace.
+pub const TOKEN: &str = "token-hash";
+
+/// Idempotency key that was made at [`START`].
+pub const KEY: &str = "01a3185c-5000-7000-8000-000000000001";
+
+/// A configuration with this many engines and two replicas of a service.
+pub fn config(engines: u16) -> Arc<Config> {
+    let workspace = Workspace {
+        token_sha256: TOKEN.to_owned(),
+        share: 1,
+        quota: Default::default(),
+        weights: Default::default(),
+    };
+    let model = Model {
+        weights_version: 1,
+        prefill_ms_per_1000_tokens: 40.0,
+        kv_bytes_per_token: 2_000,
+    };
+    let service = Service {
+        replicas: BTreeMap::from([
+            ("r1".to_owned(), address(9_001)),
+            ("r2".to_owned(), address(9_002)),
+        ]),
+        calls: vec![call("GET", "/", true), call("POST", "/", false)],
+    };
+    Arc::new(Config {
+        workspaces: BTreeMap::from([("trust".to_owned(), workspace)]),
+        models: BTreeMap::from([("long".to_owned(), model)]),
+        backend_servers: (1..=engines).map(engine).collect(),
+        services: BTreeMap::from([("bookings".to_owned(), service)]),
+        ..Config::default()
+    })
+}
+
+/// A router that has this configuration in force.
+pub fn node(cfg: &Arc<Config>) -> Node {
+    let identity = Identity {
+        vm: "vm1".to_owned(),
+        region: "east".to_owned(),
+        failure_domain: "east-1".to_owned(),
+        incarnation: 1,
+    };
+    let mut node = Node::new(identity, 1);
+    let event = Event::Config {
+        version: 1,
+        config: cfg.clone(),
+    };
+    step(&mut node, START, event);
+    node
+}
+
+/// Hands one event in and returns the actions.
+pub fn step(node: &mut Node, now: Time, event: Event) -> Vec<Action> {
+    let mut out = Vec::new();
+    node.handle(now, event, &mut out);
+    out
+}
+
+/// A request for a completion.
+pub fn completion(call: u64) -> Event {
+    let work = Work::Generate(Generate {
+        model: "long".to_owned(),
+        pieces: vec![ContentHash(1), ContentHash(2)],
+        prompt_tokens: 5_000,
+        max_tokens: 100,
+    });
+    request(call, work)
+}
+
+/// A request for a booking, under an idempotency key.
+pub fn booking(call: u64, key: &str) -> Event {
+    let work = Work::Service(ServiceCall {
+        service: "bookings".to_owned(),
+        method: "POST".to_owned(),
+        path: "/blocks".to_owned(),
+        key: Some(key.to_owned()),
+    });
+    request(call, work)
+}
+
+fn request(call: u64, work: Work) -> Event {
+    Event::Call(Box::new(CallRequest {
+        call: CallId(call),
+        token_sha256: TOKEN.to_owned(),
+        priority: None,
+        deadline: None,
+        fingerprint: 7,
+        work,
+    }))
+}
+
+fn call(method: &str, path_prefix: &str, idempotent: bool) -> Call {
+    Call {
+        method: method.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        idempotent,
+    }
+}
+
+fn engine(i: u16) -> (String, BackendServer) {
+    let server = BackendServer {
+        address: address(8_000 + i),
+        region: "east".to_owned(),
+        failure_domain: "east-1".to_owned(),
+        models: vec!["long".to_owned()],
+        workspaces: Vec::new(),
+        checks_fencing: true,
+    };
+    (format!("engine{i}"), server)
+}
+
+fn address(port: u16) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
