Admission by the expected wait, with ranks and fair shares

Under overload a queue that takes everything computes prompts whose callers have given up. The wait before a prompt is begun must fit into a part of the time left that shrinks with a lower rank and with use beyond the workspace's share; an engine without a queue takes any request. Not measured yet.

--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -7,6 +7,7 @@
 use crate::once::RecordState;
 use crate::outcome::Progress;
 use crate::outcome::Unsent;
+use crate::overload::NotNow;
 use crate::store_ops::OpKind;
 use crate::store_ops::StoreOp;
 use crate::timers::Timer;
@@ -152,20 +153,20 @@
         (version, value): (u64, Vec<u8>),
         out: &mut Vec<Action>,
     ) {
-        let soon = Some(now.plus_millis(COME_BACK_MS));
+        let soon = now.plus_millis(COME_BACK_MS);
         let id = op.call;
         match op.claim.read(&value) {
             Found::Own => self.on_claimed(now, op, version, out),
             Found::Free => self.try_later(now, op, OpKind::Claim { over: version }, out),
             Found::Done(answer) => self.repeat_answer(id, answer, out),
             Found::AnswerNotKept => self.refuse_done(id, Reason::AnswerNotKept, out),
-            Found::Claimed => self.refuse(id, Reason::InProgress, soon, out),
-            Found::Unknown => self.refuse(id, Reason::EarlierAttemptUnknown, None, out),
+            Found::Claimed => self.refuse(id, NotNow::until(soon, Reason::InProgress), out),
+            Found::Unknown => self.refuse(id, NotNow::for_good(Reason::EarlierAttemptUnknown), out),
             Found::OtherRequest => {
                 if let Some(call) = self.calls.get_mut(id) {
                     call.progress = Progress::Unsent(Unsent::new());
                 }
-                self.refuse(id, Reason::KeyReused, None, out);
+                self.refuse(id, NotNow::for_good(Reason::KeyReused), out);
             }
         }
     }
@@ -184,8 +185,8 @@
         call.claim = Some(claim);
         call.progress = Progress::Unsent(Unsent::new());
         if now >= call.deadline {
-            let soon = Some(now.plus_millis(COME_BACK_MS));
-            self.refuse(op.call, Reason::DeadlinePassed, soon, out);
+            let soon = now.plus_millis(COME_BACK_MS);
+            self.refuse(op.call, NotNow::until(soon, Reason::DeadlinePassed), out);
             return;
         }
         self.route(now, op.call, out);
@@ -258,8 +259,12 @@
             ..op
         };
         if now >= next.give_up_at {
-            let soon = Some(now.plus_millis(COME_BACK_MS));
-            self.refuse(next.call, Reason::PlatformUnavailable, soon, out);
+            let soon = now.plus_millis(COME_BACK_MS);
+            self.refuse(
+                next.call,
+                NotNow::until(soon, Reason::PlatformUnavailable),
+                out,
+            );
             return;
         }
         if next.tries == 1 {
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -66,6 +66,7 @@
         self.timers
             .add(now.plus_millis(GOSSIP_MS + jitter_ms), Timer::Gossip);
         self.strikes.expire(now);
+        self.shares.expire(now);
         let version = PeerMessage::Version(self.rollout.version());
         for vm in self.some_routers() {
             self.tell(&vm, version.clone(), out);
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -14,6 +14,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::rollout::Rollout;
 use crate::routers::Routers;
+use crate::shares::Shares;
 use crate::store_ops::StoreOps;
 use crate::strikes::Strikes;
 use crate::timers::Timer;
@@ -46,6 +47,7 @@
     pub(crate) placement: Placement,
     pub(crate) strikes: Strikes,
     pub(crate) admission: Admission,
+    pub(crate) shares: Shares,
     pub(crate) budget: RetryBudget,
     pub(crate) calls: CallTable,
     pub(crate) store_ops: StoreOps,
@@ -69,6 +71,7 @@
             placement: Placement::default(),
             strikes: Strikes::default(),
             admission: Admission::default(),
+            shares: Shares::default(),
             budget: RetryBudget::default(),
             calls: CallTable::default(),
             store_ops: StoreOps::default(),
--- /dev/null
+++ b/crates/policy/src/overload.rs
@@ -0,0 +1,99 @@
+//! Admission by the wait that is expected.
+//!
+//! A request is admitted if the first token is expected before its deadline,
+//! and if the wait before its prompt is begun fits into a part of the time left.
+//! The part shrinks with a lower rank and with use beyond the workspace's fair
+//! share. Under overload the queues settle where the lowest class is refused, so
+//! higher ones find room, and no engine computes prompts whose callers have
+//! given up. An engine without a queue takes any request.
+
+use crate::call_table::Call;
+use crate::placement::Choice;
+use crate::CallId;
+use crate::Node;
+use crate::Reason;
+use crate::Time;
+
+/// Part of the time left that the highest rank may wait in a queue.
+const TOP_PART: f64 = 0.9;
+
+/// Part of the time left that the lowest rank may wait in a queue.
+const BOTTOM_PART: f64 = 0.5;
+
+/// Why a call is not served now, and when it may come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NotNow {
+    pub(crate) reason: Reason,
+    pub(crate) retry_at: Option<Time>,
+}
+
+impl NotNow {
+    /// A refusal that coming back at `retry_at` may avoid.
+    pub(crate) fn until(retry_at: Time, reason: Reason) -> NotNow {
+        NotNow {
+            reason,
+            retry_at: Some(retry_at),
+        }
+    }
+
+    /// A refusal that coming back does not avoid.
+    pub(crate) fn for_good(reason: Reason) -> NotNow {
+        NotNow {
+            reason,
+            retry_at: None,
+        }
+    }
+}
+
+impl Node {
+    /// Tells whether the expected wait lets a call in.
+    pub(crate) fn admits(&self, now: Time, call: &Call, choice: &Choice) -> Result<(), NotNow> {
+        if call.delivered > 0 {
+            return Ok(());
+        }
+        if choice.first_token_at > call.deadline {
+            let late_us = choice.first_token_at.micros_since(call.deadline);
+            return Err(NotNow::until(
+                now.plus_micros(late_us),
+                Reason::DeadlineTooClose,
+            ));
+        }
+        let latest = self.latest_begin(now, call);
+        if choice.begins_at > latest {
+            let late_us = choice.begins_at.micros_since(latest);
+            return Err(NotNow::until(now.plus_micros(late_us), Reason::Overloaded));
+        }
+        Ok(())
+    }
+
+    /// Returns the time by which an engine must be expected to begin with a call.
+    fn latest_begin(&self, now: Time, call: &Call) -> Time {
+        let left_us = call.deadline.micros_since(now) as f64;
+        let by_rank = BOTTOM_PART + (TOP_PART - BOTTOM_PART) * self.relative_rank(call.rank);
+        let part_used = self.shares.part_used(now, call.workspace).max(1.0);
+        let by_share = 1.0 / (part_used * part_used);
+        now.plus_micros((left_us * by_rank * by_share) as u64)
+    }
+
+    /// Takes in that a call is sent, which counts for its workspace's share once.
+    pub(crate) fn on_admitted(&mut self, now: Time, id: CallId) {
+        let Some(call) = self.calls.get(id).filter(|call| call.attempt.0 == 0) else {
+            return;
+        };
+        let name = self.fleet.workspaces.name(call.workspace);
+        let share = self
+            .rollout
+            .config()
+            .and_then(|cfg| cfg.workspaces.get(&**name))
+            .map_or(1, |workspace| workspace.share);
+        self.shares.add(now, call.workspace, share, call.tokens);
+    }
+
+    /// Returns 1 for the highest rank that the configuration declares, 0 for the lowest.
+    fn relative_rank(&self, rank: u8) -> f64 {
+        match self.rollout.top_rank() {
+            0 => 1.0,
+            top => f64::from(rank.min(top)) / f64::from(top),
+        }
+    }
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -36,6 +36,8 @@
     pub(crate) server: ServerKey,
     pub(crate) expected_cached_tokens: u64,
     pub(crate) fetch_from: Option<ServerKey>,
+    /// Time at which the engine is expected to begin with the prompt.
+    pub(crate) begins_at: Time,
     /// Time at which the first token is expected.
     pub(crate) first_token_at: Time,
 }
@@ -99,13 +101,15 @@
             .enumerate()
             .min_by_key(|(place, (suspect, _, key))| (*suspect, self.queued(*key), *place))?
             .1;
-        let wait_tokens = self.queued(server) + ask.prompt_tokens;
-        let wait_us = wait_tokens as f64 * ask.prefill_us_per_token;
+        let wait_us = self.queued(server) as f64 * ask.prefill_us_per_token;
+        let prefill_us = ask.prompt_tokens as f64 * ask.prefill_us_per_token;
+        let begins_at = now.plus_micros(wait_us as u64);
         Some(Choice {
             server,
             expected_cached_tokens: 0,
             fetch_from: None,
-            first_token_at: now.plus_micros(wait_us as u64),
+            begins_at,
+            first_token_at: begins_at.plus_micros(prefill_us as u64),
         })
     }
 
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -5,6 +5,8 @@
 use crate::call_table::Stage;
 use crate::call_table::Target;
 use crate::once::RecordState;
+use crate::outcome::Progress;
+use crate::overload::NotNow;
 use crate::Action;
 use crate::Attempt;
 use crate::AttemptId;
@@ -128,60 +130,51 @@
     }
 
     fn retry_or_refuse(&mut self, now: Time, id: CallId, failure: Failure, out: &mut Vec<Action>) {
-        if let Some((reason, retry_at)) = self.reason_to_give_up(now, id, failure) {
-            self.refuse(id, reason, retry_at, out);
+        if let Some(not_now) = self.reason_to_give_up(now, id, failure) {
+            self.refuse(id, not_now, out);
             return;
         }
         out.push(Action::Retried { call: id, failure });
         self.route(now, id, out);
     }
 
-    fn reason_to_give_up(
-        &mut self,
-        now: Time,
-        id: CallId,
-        failure: Failure,
-    ) -> Option<(Reason, Option<Time>)> {
+    fn reason_to_give_up(&mut self, now: Time, id: CallId, failure: Failure) -> Option<NotNow> {
         let limits = self.rollout.config()?.limits;
         let call = self.calls.get(id)?;
-        let soon = Some(now.plus_millis(COME_BACK_MS));
+        let soon = now.plus_millis(COME_BACK_MS);
         if self.strikes.count(now, call.fingerprint) >= limits.crashes_per_request {
-            let forgiven_at = self.strikes.forgiven_at(call.fingerprint);
-            return Some((Reason::CrashedRunners, forgiven_at));
+            return Some(NotNow {
+                reason: Reason::CrashedRunners,
+                retry_at: self.strikes.forgiven_at(call.fingerprint),
+            });
         }
         if call.claim.is_some() && !failure.never_ran() {
-            return Some((Reason::AttemptsFailed, None));
+            return Some(NotNow::for_good(Reason::AttemptsFailed));
         }
         if matches!(call.target, Target::Stream { .. }) {
-            return Some((Reason::StreamGone, None));
+            return Some(NotNow::for_good(Reason::StreamGone));
         }
         if now >= call.deadline && call.delivered == 0 {
-            return Some((Reason::DeadlinePassed, soon));
+            return Some(NotNow::until(soon, Reason::DeadlinePassed));
         }
         if call.attempt.0 >= ATTEMPTS {
-            return Some((Reason::AttemptsFailed, soon));
+            return Some(NotNow::until(soon, Reason::AttemptsFailed));
         }
         let free = call.delivered > 0;
         if !free && !self.budget.spend(call.workspace) {
-            return Some((Reason::RetryBudgetSpent, soon));
+            return Some(NotNow::until(soon, Reason::RetryBudgetSpent));
         }
         None
     }
 
     /// Gives a call's final answer when it is not served.
-    pub(crate) fn refuse(
-        &mut self,
-        id: CallId,
-        reason: Reason,
-        retry_at: Option<Time>,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn refuse(&mut self, id: CallId, not_now: NotNow, out: &mut Vec<Action>) {
         let Some(mut call) = self.take_out(id) else {
             return;
         };
         let progress = call.take_progress();
         self.close_record(id, &call, &progress, out);
-        let refusal = progress.refuse(reason, retry_at);
+        let refusal = progress.refuse(not_now.reason, not_now.retry_at);
         if !call.answered {
             out.push(Action::Refuse { call: id, refusal });
         }
@@ -216,10 +209,10 @@
         if streaming || resumed || call.answered {
             return;
         }
-        let soon = Some(now.plus_millis(COME_BACK_MS));
+        let not_now = NotNow::until(now.plus_millis(COME_BACK_MS), Reason::DeadlinePassed);
         if call.claim.is_some() && !matches!(call.stage, Stage::Claiming) {
             call.answered = true;
-            let refusal = crate::Progress::MayHaveRun.refuse(Reason::DeadlinePassed, soon);
+            let refusal = Progress::MayHaveRun.refuse(not_now.reason, not_now.retry_at);
             out.push(Action::Refuse { call: id, refusal });
             return;
         }
@@ -230,13 +223,13 @@
                 server,
             }));
         }
-        self.refuse(id, Reason::DeadlinePassed, soon, out);
+        self.refuse(id, not_now, out);
     }
 
     /// Gives up what is still in flight when the VM must stop.
     pub(crate) fn on_shutdown_deadline(&mut self, out: &mut Vec<Action>) {
         for id in self.calls.ids() {
-            self.refuse(id, Reason::ShuttingDown, None, out);
+            self.refuse(id, NotNow::for_good(Reason::ShuttingDown), out);
         }
     }
 
@@ -267,15 +260,15 @@
         &mut self,
         id: CallId,
         call: &Call,
-        progress: &crate::Progress,
+        progress: &Progress,
         out: &mut Vec<Action>,
     ) {
         let Some(claim) = call.claim.clone().filter(|claim| claim.version > 0) else {
             return;
         };
         let state = match progress {
-            crate::Progress::Unsent(_) => RecordState::Released,
-            crate::Progress::InFlight(_) | crate::Progress::MayHaveRun => RecordState::Unknown,
+            Progress::Unsent(_) => RecordState::Released,
+            Progress::InFlight(_) | Progress::MayHaveRun => RecordState::Unknown,
         };
         self.finish_record(call.deadline, id, claim, state, out);
     }
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -12,6 +12,7 @@
     version: u64,
     cfg: Option<Arc<Config>>,
     by_token: HashMap<String, String>,
+    top_rank: u8,
 }
 
 impl Rollout {
@@ -26,6 +27,8 @@
             .iter()
             .map(|(name, workspace)| (workspace.token_sha256.clone(), name.clone()))
             .collect();
+        let ranks = cfg.priorities.values().map(|class| class.rank);
+        self.top_rank = ranks.max().unwrap_or(0);
         self.cfg = Some(cfg.clone());
         true
     }
@@ -40,6 +43,11 @@
         self.cfg.as_ref()
     }
 
+    /// Returns the highest rank of a priority class.
+    pub(crate) fn top_rank(&self) -> u8 {
+        self.top_rank
+    }
+
     /// Returns the workspace that a token belongs to.
     pub(crate) fn workspace(&self, token_sha256: &str) -> Option<(&str, &Workspace)> {
         let name = self.by_token.get(token_sha256)?;
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -2,8 +2,10 @@
 
 use crate::action::FetchFrom;
 use crate::arrive::COME_BACK_MS;
+use crate::call_table::Call;
 use crate::call_table::Stage;
 use crate::call_table::Target;
+use crate::overload::NotNow;
 use crate::placement::Ask;
 use crate::placement::Choice;
 use crate::Action;
@@ -30,7 +32,7 @@
     pub(crate) fn route(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let call = self.calls.get(id).expect("only live calls are routed");
         let aim = match &call.target {
-            Target::Engine(ask) => self.aim_at_engine(now, call.deadline, ask, &call.failed_at),
+            Target::Engine(ask) => self.aim_at_engine(now, call, ask),
             Target::Stream {
                 server,
                 incarnation,
@@ -38,28 +40,20 @@
             Target::Service(service) => self.aim_at_replica(service, &call.failed_at),
         };
         match aim {
-            Ok(aim) => self.dispatch(id, aim, out),
-            Err((reason, retry_at)) => self.refuse(id, reason, retry_at, out),
+            Ok(aim) => self.dispatch(now, id, aim, out),
+            Err(not_now) => self.refuse(id, not_now, out),
         }
     }
 
-    fn aim_at_engine(
-        &self,
-        now: Time,
-        deadline: Time,
-        ask: &Ask,
-        failed_at: &[ServerKey],
-    ) -> Result<Aim, (Reason, Option<Time>)> {
+    fn aim_at_engine(&self, now: Time, call: &Call, ask: &Ask) -> Result<Aim, NotNow> {
         let mut candidates = self.fleet.engines(ask.workspace, ask.model);
-        candidates.retain(|key| !failed_at.contains(key));
-        let Some(choice) = self.placement.choose(now, ask, &candidates, &self.fleet) else {
-            return Err((Reason::NoBackendServer, Some(now.plus_millis(COME_BACK_MS))));
-        };
-        if choice.first_token_at > deadline {
-            let late_by = choice.first_token_at.micros_since(deadline);
-            let retry_at = now.plus_micros(late_by).plus_millis(1);
-            return Err((Reason::DeadlineTooClose, Some(retry_at)));
-        }
+        candidates.retain(|key| !call.failed_at.contains(key));
+        let soon = now.plus_millis(COME_BACK_MS);
+        let choice = self
+            .placement
+            .choose(now, ask, &candidates, &self.fleet)
+            .ok_or(NotNow::until(soon, Reason::NoBackendServer))?;
+        self.admits(now, call, &choice)?;
         Ok(self.aim_of(choice, ask))
     }
 
@@ -77,20 +71,17 @@
         }
     }
 
-    fn aim_at_replica(
-        &self,
-        service: &str,
-        failed_at: &[ServerKey],
-    ) -> Result<Aim, (Reason, Option<Time>)> {
+    fn aim_at_replica(&self, service: &str, failed_at: &[ServerKey]) -> Result<Aim, NotNow> {
         let replicas = self.fleet.replicas(service);
         let fresh = replicas.iter().filter(|key| !failed_at.contains(key));
         let server = fresh
             .min_by_key(|key| (self.fleet.server(**key).suspect_until, **key))
-            .ok_or((Reason::NoBackendServer, None))?;
+            .ok_or(NotNow::for_good(Reason::NoBackendServer))?;
         Ok(Aim::plain(*server, Incarnation::default()))
     }
 
-    fn dispatch(&mut self, id: CallId, aim: Aim, out: &mut Vec<Action>) {
+    fn dispatch(&mut self, now: Time, id: CallId, aim: Aim, out: &mut Vec<Action>) {
+        self.on_admitted(now, id);
         let call = self.calls.get_mut(id).expect("only live calls are sent");
         call.progress = call.take_progress().sent();
         call.attempt.0 += 1;
--- /dev/null
+++ b/crates/policy/src/shares.rs
@@ -0,0 +1,84 @@
+//! Shares of the capacity that workspaces have used lately.
+
+use std::collections::BTreeMap;
+
+use crate::interner::NameKey;
+use crate::Time;
+
+/// Time in which use counts half, in milliseconds.
+const HALF_LIFE_MS: f64 = 5_000.0;
+
+/// Part of the whole use below which a workspace counts as idle.
+const IDLE_PART: f64 = 0.001;
+
+/// An amount that fades with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fading {
+    amount: f64,
+    as_of: Time,
+}
+
+/// Use of one workspace.
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    tokens: Fading,
+    share: u32,
+}
+
+/// Tokens that each workspace has been admitted with lately.
+#[derive(Debug, Default)]
+pub(crate) struct Shares {
+    by_workspace: BTreeMap<NameKey, Use>,
+    total: Fading,
+    /// Sum of the shares of workspaces that aren't idle.
+    active_shares: u32,
+}
+
+impl Shares {
+    /// Takes in that a request was admitted.
+    pub(crate) fn add(&mut self, now: Time, workspace: NameKey, share: u32, tokens: u64) {
+        let tokens = tokens as f64;
+        let share = share.max(1);
+        let used = self.by_workspace.entry(workspace).or_default();
+        if used.share == 0 {
+            self.active_shares += share;
+        }
+        used.share = share;
+        used.tokens.add(now, tokens);
+        self.total.add(now, tokens);
+    }
+
+    /// Returns the part of its fair share that a workspace has used: 1 when it
+    /// has used just its share, more when it has used more.
+    pub(crate) fn part_used(&self, now: Time, workspace: NameKey) -> f64 {
+        let Some(used) = self.by_workspace.get(&workspace) else {
+            return 0.0;
+        };
+        let total = self.total.at(now);
+        if total <= 0.0 {
+            return 0.0;
+        }
+        let fair = f64::from(used.share) / f64::from(self.active_shares.max(used.share));
+        used.tokens.at(now) / total / fair
+    }
+
+    /// Forgets workspaces that have become idle.
+    pub(crate) fn expire(&mut self, now: Time) {
+        let least = self.total.at(now) * IDLE_PART;
+        self.by_workspace
+            .retain(|_, used| used.tokens.at(now) > least);
+        self.active_shares = self.by_workspace.values().map(|used| used.share).sum();
+    }
+}
+
+impl Fading {
+    fn at(&self, now: Time) -> f64 {
+        let ms = now.micros_since(self.as_of) as f64 / 1_000.0;
+        self.amount * (-ms / HALF_LIFE_MS).exp2()
+    }
+
+    fn add(&mut self, now: Time, amount: f64) {
+        self.amount = self.at(now) + amount;
+        self.as_of = now;
+    }
+}
