--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Fixtures: a small configuration and requests against it.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
