Read, merge and check a folder; assemble a configuration from a manifest

serde stops at the first error, so a folder with ten faults would take ten runs to mend. A schema of the files is walked by hand instead: every fault of form is collected with its file, field and what was expected. Entries whose form is right are then merged and checked for references, duplicates and calls that an earlier one covers.

Of entries with the same name the later file's holds; an error was weighed, but the order of names would then mean nothing. Replaced entries are listed. A name that stands twice within one file is an error, for the first value would be lost without a word.

assemble() verifies contents against the hashes of a manifest and applies the same checks, so a router takes nothing that check would refuse.

--- /dev/null
+++ b/crates/config/src/assemble.rs
@@ -0,0 +1,103 @@
+//! Assembles the configuration that a manifest names.
+
+use std::collections::BTreeMap;
+
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::check;
+use crate::sha256_hex;
+use crate::Config;
+use crate::FileEntry;
+use crate::Folder;
+use crate::Manifest;
+use crate::Problems;
+
+/// A manifest whose configuration can't be assembled.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AssembleError {
+    /// The content of a file isn't there.
+    #[snafu(display("{file}: content {sha256} is missing"))]
+    Missing {
+        /// Name of the file.
+        file: String,
+        /// SHA-256 that the manifest names.
+        sha256: String,
+    },
+    /// The content of a file doesn't have the hash that the manifest names.
+    #[snafu(display("{file}: expected content {sha256}, found {found}"))]
+    Altered {
+        /// Name of the file.
+        file: String,
+        /// SHA-256 that the manifest names.
+        sha256: String,
+        /// SHA-256 of the content.
+        found: String,
+    },
+    /// The content of a file isn't UTF-8.
+    #[snafu(display("{file}: expected UTF-8 text"))]
+    NotText {
+        /// Name of the file.
+        file: String,
+    },
+    /// The merged files have faults.
+    #[snafu(display("version {version}: {source}"))]
+    Faulty {
+        /// Version of the manifest.
+        version: u64,
+        /// The faults.
+        source: Problems,
+    },
+}
+
+/// Verifies `contents`, by SHA-256, against the manifest and merges them.
+pub fn assemble<C>(
+    manifest: &Manifest,
+    contents: &BTreeMap<String, C>,
+) -> Result<Config, AssembleError>
+where
+    C: AsRef<[u8]>,
+{
+    let folder = folder_of(manifest, contents)?;
+    let checked = check(&folder).context(FaultySnafu {
+        version: manifest.version,
+    })?;
+    Ok(checked.config)
+}
+
+/// Verifies `contents`, by SHA-256, and returns them under the manifest's names.
+pub fn folder_of<C>(
+    manifest: &Manifest,
+    contents: &BTreeMap<String, C>,
+) -> Result<Folder, AssembleError>
+where
+    C: AsRef<[u8]>,
+{
+    let mut folder = Folder::default();
+    for (file, entry) in &manifest.files {
+        let content = contents.get(&entry.sha256).context(MissingSnafu {
+            file,
+            sha256: &entry.sha256,
+        })?;
+        let text = verify(file, entry, content.as_ref())?;
+        folder.files.insert(file.clone(), text);
+    }
+    Ok(folder)
+}
+
+fn verify(file: &str, entry: &FileEntry, content: &[u8]) -> Result<String, AssembleError> {
+    let found = sha256_hex(content);
+    if found != entry.sha256 {
+        return AlteredSnafu {
+            file,
+            sha256: &entry.sha256,
+            found,
+        }
+        .fail();
+    }
+    match std::str::from_utf8(content) {
+        Ok(text) => Ok(text.to_owned()),
+        Err(_) => NotTextSnafu { file }.fail(),
+    }
+}
--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,79 @@
+//! Checks a folder and collects all faults at once.
+
+use serde::Serialize;
+
+use crate::merge;
+use crate::references;
+use crate::Config;
+use crate::Folder;
+use crate::Problem;
+use crate::Problems;
+
+/// Largest content of a file, in bytes; the platform holds values up to a megabyte.
+pub const MAX_FILE_BYTES: usize = 1_000_000;
+
+/// A folder without faults.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Checked {
+    /// The merged configuration.
+    pub config: Config,
+    /// Entries of which a later file's holds.
+    pub overrides: Vec<Override>,
+}
+
+/// An entry that two files declare; the later file's holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Override {
+    /// Path of the entry or limit.
+    pub field: String,
+    /// File whose entry holds.
+    pub file: String,
+    /// File whose entry is replaced.
+    pub replaced_file: String,
+}
+
+/// Merges the files of a folder and checks the result.
+pub fn check(folder: &Folder) -> Result<Checked, Problems> {
+    let merged = merge::merge(folder);
+    let mut problems = merged.problems.clone();
+    problems.extend(oversized(folder));
+    let config = match serde_json::from_value::<Config>(merged.to_value()) {
+        Ok(config) => config,
+        Err(e) => {
+            problems.push(unmergeable(&e));
+            Config::default()
+        }
+    };
+    references::check(&config, &merged, &mut problems);
+    problems.sort();
+    problems.dedup();
+    match problems.is_empty() {
+        true => Ok(Checked {
+            config,
+            overrides: merged.overrides,
+        }),
+        false => Err(Problems { problems }),
+    }
+}
+
+fn oversized(folder: &Folder) -> impl Iterator<Item = Problem> + '_ {
+    folder
+        .files
+        .iter()
+        .filter(|(_, content)| content.len() > MAX_FILE_BYTES)
+        .map(|(file, content)| Problem {
+            file: file.clone(),
+            field: String::new(),
+            expected: format!("at most {MAX_FILE_BYTES} bytes"),
+            found: format!("{} bytes", content.len()),
+        })
+}
+
+fn unmergeable(e: &serde_json::Error) -> Problem {
+    Problem {
+        file: "merged configuration".into(),
+        field: String::new(),
+        expected: "a configuration".into(),
+        found: e.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/config/src/merge.rs
@@ -0,0 +1,129 @@
+//! Merges the files of a folder in the order of their names.
+
+use std::collections::BTreeMap;
+
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::form;
+use crate::schema;
+use crate::strict_json;
+use crate::Folder;
+use crate::Override;
+use crate::Problem;
+
+/// An entry of a section, or a single limit.
+pub(crate) struct Entry {
+    /// File that declares it last.
+    pub(crate) file: String,
+    /// Its value, none if its form is wrong.
+    pub(crate) value: Option<Value>,
+}
+
+/// Entries of a section by name.
+pub(crate) type Section = BTreeMap<String, Entry>;
+
+/// The files of a folder, merged.
+#[derive(Default)]
+pub(crate) struct Merged {
+    /// Sections by name.
+    pub(crate) sections: BTreeMap<String, Section>,
+    /// Entries that a later file replaced.
+    pub(crate) overrides: Vec<Override>,
+    /// Faults in the form of the files.
+    pub(crate) problems: Vec<Problem>,
+}
+
+/// Merges the files of `folder`; of entries with the same name the last file's holds.
+pub(crate) fn merge(folder: &Folder) -> Merged {
+    let mut merged = Merged::default();
+    for (file, content) in &folder.files {
+        match strict_json::parse(content) {
+            Ok(Value::Object(sections)) => merged.add_file(file, sections),
+            Ok(other) => merged.not_an_object(file, form::shown(&other)),
+            Err(e) => merged.not_json(file, &e),
+        }
+    }
+    merged
+}
+
+impl Merged {
+    /// Returns the entries whose form is right, as the JSON of a configuration.
+    pub(crate) fn to_value(&self) -> Value {
+        let sections = self.sections.iter().map(|(name, section)| {
+            let entries = section
+                .iter()
+                .filter_map(|(name, entry)| Some((name.clone(), entry.value.clone()?)));
+            (name.clone(), Value::Object(entries.collect()))
+        });
+        Value::Object(sections.collect())
+    }
+
+    fn add_file(&mut self, file: &str, sections: Map<String, Value>) {
+        for (name, value) in sections {
+            self.add_section(file, name, value);
+        }
+    }
+
+    fn add_section(&mut self, file: &str, section: String, value: Value) {
+        let whole = Value::Object(Map::from_iter([(section.clone(), value)]));
+        let before = self.problems.len();
+        form::compare(&schema::FILE, &whole, file, "", &mut self.problems);
+        let faults = self.problems[before..].to_vec();
+        let Value::Object(mut whole) = whole else {
+            return;
+        };
+        let Some(Value::Object(entries)) = whole.remove(&section) else {
+            return;
+        };
+        if faults.iter().any(|fault| fault.field == section) {
+            return;
+        }
+        for (name, value) in entries {
+            let path = form::join(&section, &name);
+            let wrong = faults.iter().any(|fault| is_within(&fault.field, &path));
+            let value = (!wrong).then_some(value);
+            self.add_entry(file, &section, name, value);
+        }
+    }
+
+    fn add_entry(&mut self, file: &str, section: &str, name: String, value: Option<Value>) {
+        let entry = Entry {
+            file: file.to_owned(),
+            value,
+        };
+        let field = form::join(section, &name);
+        let entries = self.sections.entry(section.to_owned()).or_default();
+        if let Some(replaced) = entries.insert(name, entry) {
+            self.overrides.push(Override {
+                field,
+                file: file.to_owned(),
+                replaced_file: replaced.file,
+            });
+        }
+    }
+
+    fn not_an_object(&mut self, file: &str, found: String) {
+        self.problems.push(Problem {
+            file: file.to_owned(),
+            field: String::new(),
+            expected: "a JSON object".into(),
+            found,
+        });
+    }
+
+    fn not_json(&mut self, file: &str, e: &serde_json::Error) {
+        self.problems.push(Problem {
+            file: file.to_owned(),
+            field: String::new(),
+            expected: "JSON text".into(),
+            found: e.to_string(),
+        });
+    }
+}
+
+fn is_within(field: &str, path: &str) -> bool {
+    field
+        .strip_prefix(path)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
+}
--- /dev/null
+++ b/crates/config/src/references.rs
@@ -0,0 +1,133 @@
+//! Checks that span several entries: references, duplicates and unreachable calls.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::merge::Merged;
+use crate::Call;
+use crate::Config;
+use crate::Problem;
+
+/// Checks `config`, the part of `merged` whose form is right; faults are added to `out`.
+pub(crate) fn check(config: &Config, merged: &Merged, out: &mut Vec<Problem>) {
+    let mut references = References { merged, out };
+    references.token_hashes(config);
+    references.names(config);
+    references.addresses(config);
+    references.calls(config);
+}
+
+struct References<'a> {
+    merged: &'a Merged,
+    out: &'a mut Vec<Problem>,
+}
+
+impl References<'_> {
+    fn token_hashes(&mut self, config: &Config) {
+        let mut first = BTreeMap::new();
+        for (name, workspace) in &config.workspaces {
+            match first.get(&workspace.token_sha256) {
+                None => {
+                    first.insert(&workspace.token_sha256, name);
+                }
+                Some(other) => self.problem(
+                    "workspaces",
+                    name,
+                    ".token_sha256",
+                    "a token of its own".into(),
+                    format!("the token of workspace {other:?}"),
+                ),
+            }
+        }
+    }
+
+    fn names(&mut self, config: &Config) {
+        for (name, server) in &config.backend_servers {
+            self.declared(name, "models", &server.models);
+            self.declared(name, "workspaces", &server.workspaces);
+        }
+    }
+
+    fn declared(&mut self, server: &str, section: &str, names: &[String]) {
+        let entries = self.merged.sections.get(section);
+        for (i, name) in names.iter().enumerate() {
+            if entries.is_some_and(|entries| entries.contains_key(name)) {
+                continue;
+            }
+            self.problem(
+                "backend_servers",
+                server,
+                &format!(".{section}[{i}]"),
+                format!("a name that {section} declares"),
+                format!("{name:?}"),
+            );
+        }
+    }
+
+    fn addresses(&mut self, config: &Config) {
+        let mut first = BTreeMap::new();
+        for (name, server) in &config.backend_servers {
+            let field = ".address".to_owned();
+            self.address(&mut first, server.address, "backend_servers", name, field);
+        }
+        for (name, service) in &config.services {
+            for (replica, address) in &service.replicas {
+                let field = format!(".replicas.{replica}");
+                self.address(&mut first, *address, "services", name, field);
+            }
+        }
+    }
+
+    fn address(
+        &mut self,
+        first: &mut BTreeMap<SocketAddr, String>,
+        address: SocketAddr,
+        section: &str,
+        name: &str,
+        field: String,
+    ) {
+        let path = format!("{section}.{name}{field}");
+        match first.get(&address) {
+            None => {
+                first.insert(address, path);
+            }
+            Some(other) => {
+                let expected = "an address of its own".into();
+                let found = format!("{address}, the address of {other}");
+                self.problem(section, name, &field, expected, found);
+            }
+        }
+    }
+
+    fn calls(&mut self, config: &Config) {
+        for (name, service) in &config.services {
+            for (i, call) in service.calls.iter().enumerate() {
+                let earlier = &service.calls[..i];
+                let Some(j) = earlier.iter().position(|other| covers(other, call)) else {
+                    continue;
+                };
+                self.problem(
+                    "services",
+                    name,
+                    &format!(".calls[{i}]"),
+                    "a call that no earlier one covers".into(),
+                    format!("calls[{j}] covers it, and the first match decides"),
+                );
+            }
+        }
+    }
+
+    fn problem(&mut self, section: &str, name: &str, field: &str, expected: String, found: String) {
+        let entry = self.merged.sections.get(section).and_then(|s| s.get(name));
+        self.out.push(Problem {
+            file: entry.map(|entry| entry.file.clone()).unwrap_or_default(),
+            field: format!("{section}.{name}{field}"),
+            expected,
+            found,
+        });
+    }
+}
+
+fn covers(earlier: &Call, later: &Call) -> bool {
+    earlier.method == later.method && later.path_prefix.starts_with(&earlier.path_prefix)
+}
--- /dev/null
+++ b/crates/config/src/schema.rs
@@ -0,0 +1,190 @@
+//! The form of a file: fields, types and ranges.
+
+/// Largest count that is held in 32 bits.
+const MAX_SMALL_COUNT: u64 = 1_000_000_000;
+
+/// Largest count that is held in 64 bits.
+const MAX_COUNT: u64 = 1_000_000_000_000;
+
+/// Longest deadline that a priority may set, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Largest estimate or price, in milliseconds.
+const MAX_PRICE_MS: f64 = 1_000_000.0;
+
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: u64 = 64 << 20;
+
+/// Largest stored answer, in bytes; with its record it fits the platform's largest value.
+const MAX_STORED_ANSWER_BYTES: u64 = 512 << 10;
+
+/// Form of a value.
+pub(crate) enum Kind {
+    /// `true` or `false`.
+    Flag,
+    /// Integer from `min` to `max`.
+    Integer { min: u64, max: u64 },
+    /// Number from `min` to `max`.
+    Number { min: f64, max: f64 },
+    /// Text that isn't empty.
+    Text,
+    /// Socket address to which a connection can be opened.
+    Address,
+    /// SHA-256 in lower-case hexadecimal.
+    Sha256,
+    /// HTTP method.
+    Method,
+    /// Path that starts with a slash.
+    Path,
+    /// List of at least `min` values, none twice.
+    List { min: usize, values: &'static Kind },
+    /// Object with at least `min` named values.
+    Map {
+        min: usize,
+        names: Names,
+        values: &'static Kind,
+    },
+    /// Object with fixed fields.
+    Record(&'static [Field]),
+}
+
+/// Names that a map allows.
+#[derive(Clone, Copy)]
+pub(crate) enum Names {
+    /// Letters, digits, `-`, `_` and `.`.
+    Plain,
+    /// Also `/` and `:`, as in names of published models.
+    Model,
+}
+
+/// A field of a record.
+pub(crate) struct Field {
+    pub(crate) name: &'static str,
+    pub(crate) required: bool,
+    pub(crate) kind: Kind,
+}
+
+const fn required(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        required: true,
+        kind,
+    }
+}
+
+const fn optional(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        required: false,
+        kind,
+    }
+}
+
+const fn integer(min: u64, max: u64) -> Kind {
+    Kind::Integer { min, max }
+}
+
+const fn price() -> Kind {
+    Kind::Number {
+        min: 0.0,
+        max: MAX_PRICE_MS,
+    }
+}
+
+const fn list(min: usize, values: &'static Kind) -> Kind {
+    Kind::List { min, values }
+}
+
+const fn map(min: usize, values: &'static Kind) -> Kind {
+    Kind::Map {
+        min,
+        names: Names::Plain,
+        values,
+    }
+}
+
+/// Form of a file; every part may be missing.
+pub(crate) static FILE: Kind = Kind::Record(&[
+    optional("workspaces", map(0, &WORKSPACE)),
+    optional(
+        "models",
+        Kind::Map {
+            min: 0,
+            names: Names::Model,
+            values: &MODEL,
+        },
+    ),
+    optional("priorities", map(0, &PRIORITY)),
+    optional("backend_servers", map(0, &BACKEND_SERVER)),
+    optional("services", map(0, &SERVICE)),
+    optional("limits", LIMITS),
+]);
+
+static WORKSPACE: Kind = Kind::Record(&[
+    required("token_sha256", Kind::Sha256),
+    optional("share", integer(1, 1_000_000)),
+    optional(
+        "quota",
+        Kind::Record(&[
+            optional("requests_in_flight", integer(1, MAX_SMALL_COUNT)),
+            optional("prompt_tokens_in_flight", integer(1, MAX_COUNT)),
+        ]),
+    ),
+    optional(
+        "weights",
+        Kind::Record(&[
+            optional("recompute_ms_per_1000_tokens", price()),
+            optional("cross_region_ms_per_mb", price()),
+        ]),
+    ),
+]);
+
+static MODEL: Kind = Kind::Record(&[
+    required("weights_version", integer(0, u64::MAX)),
+    optional(
+        "prefill_ms_per_1000_tokens",
+        Kind::Number {
+            min: 0.001,
+            max: MAX_PRICE_MS,
+        },
+    ),
+    optional("kv_bytes_per_token", integer(1, MAX_COUNT)),
+]);
+
+static PRIORITY: Kind = Kind::Record(&[
+    required("rank", integer(0, 255)),
+    required("default_deadline_ms", integer(1, MAX_DEADLINE_MS)),
+]);
+
+static BACKEND_SERVER: Kind = Kind::Record(&[
+    required("address", Kind::Address),
+    required("region", Kind::Text),
+    required("failure_domain", Kind::Text),
+    required("models", list(1, &Kind::Text)),
+    optional("workspaces", list(0, &Kind::Text)),
+    optional("checks_fencing", Kind::Flag),
+]);
+
+static SERVICE: Kind = Kind::Record(&[
+    required("replicas", map(1, &Kind::Address)),
+    required("calls", list(1, &CALL)),
+]);
+
+static CALL: Kind = Kind::Record(&[
+    required("method", Kind::Method),
+    required("path_prefix", Kind::Path),
+    required("idempotent", Kind::Flag),
+]);
+
+const LIMITS: Kind = Kind::Record(&[
+    optional("loads_at_once", integer(1, 1_000)),
+    optional("retries_per_100_requests", integer(0, 100)),
+    optional("crashes_per_request", integer(1, 16)),
+    optional("body_bytes", integer(1 << 10, MAX_BODY_BYTES)),
+    optional(
+        "stored_answer_bytes",
+        integer(1 << 10, MAX_STORED_ANSWER_BYTES),
+    ),
+    optional("record_hours", integer(1, 720)),
+    optional("cell_size", integer(1, 1_024)),
+]);
--- /dev/null
+++ b/crates/config/tests/assemble.rs
@@ -0,0 +1,43 @@
+//! Assembly of a configuration from a manifest.
+
+mod folders;
+
+use std::collections::BTreeMap;
+
+use config::assemble;
+use config::sha256_hex;
+use config::AssembleError;
+
+use crate::folders::folder;
+use crate::folders::manifest;
+use crate::folders::SOUND;
+
+#[test]
+fn contents_under_their_hashes_give_the_configuration() {
+    let folder = folder(&[("10-all.json", SOUND)]);
+    let contents = BTreeMap::from([(sha256_hex(SOUND.as_bytes()), SOUND)]);
+
+    let config = assemble(&manifest(3, "ann", &folder), &contents).expect("assemble");
+
+    assert!(config.workspaces.contains_key("w"));
+}
+
+#[test]
+fn missing_altered_and_faulty_contents_are_refused() {
+    let folder = folder(&[("10-all.json", "{\"x\": 1}")]);
+    let manifest = manifest(3, "ann", &folder);
+    let sha256 = folder.sha256("10-all.json").expect("the file is there");
+    let missing: BTreeMap<String, String> = BTreeMap::new();
+    let altered = BTreeMap::from([(sha256.clone(), "{}")]);
+    let faulty = BTreeMap::from([(sha256, "{\"x\": 1}")]);
+
+    let errors = [
+        assemble(&manifest, &missing),
+        assemble(&manifest, &altered),
+        assemble(&manifest, &faulty),
+    ];
+
+    assert!(matches!(errors[0], Err(AssembleError::Missing { .. })));
+    assert!(matches!(errors[1], Err(AssembleError::Altered { .. })));
+    assert!(matches!(errors[2], Err(AssembleError::Faulty { .. })));
+}
