Differences between configurations, and changes rebased by file

A change is compared with its base, file by file and by content hash: a file that one side changed takes that side's content, a file that both changed to different contents is refused with both authors and versions. A folder without a base can only add files, so a stale folder overwrites and removes nothing. The next base names, for each file of the folder, the last version that the folder agreed with; a file that others brought meanwhile is not in it, so it is not taken for one that the operator removed.

--- /dev/null
+++ b/crates/config/src/diff.rs
@@ -0,0 +1,79 @@
+//! Differences between two configurations, by field.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::form;
+use crate::Config;
+
+/// A field that differs between two configurations.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Difference {
+    /// Path of the field, or of a whole entry that only one configuration has.
+    pub field: String,
+    /// Value before, none if added.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub from: Option<Value>,
+    /// Value after, none if removed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub to: Option<Value>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let field = &self.field;
+        match (&self.from, &self.to) {
+            (Some(from), Some(to)) => write!(f, "~ {field}: {from} -> {to}"),
+            (None, Some(to)) => write!(f, "+ {field}: {to}"),
+            (Some(from), None) => write!(f, "- {field}: {from}"),
+            (None, None) => write!(f, "  {field}"),
+        }
+    }
+}
+
+/// Returns what differs between two configurations, defaults filled in.
+pub fn diff(from: &Config, to: &Config) -> Vec<Difference> {
+    let mut out = Vec::new();
+    compare("", &to_value(from), &to_value(to), &mut out);
+    out
+}
+
+fn to_value(config: &Config) -> Value {
+    serde_json::to_value(config).expect("a configuration has string keys and finite numbers")
+}
+
+fn compare(path: &str, from: &Value, to: &Value, out: &mut Vec<Difference>) {
+    match (from, to) {
+        (Value::Object(from), Value::Object(to)) => compare_objects(path, from, to, out),
+        _ if from == to => {}
+        _ => out.push(Difference {
+            field: path.to_owned(),
+            from: Some(from.clone()),
+            to: Some(to.clone()),
+        }),
+    }
+}
+
+fn compare_objects(
+    path: &str,
+    from: &Map<String, Value>,
+    to: &Map<String, Value>,
+    out: &mut Vec<Difference>,
+) {
+    let names: BTreeSet<&String> = from.keys().chain(to.keys()).collect();
+    for name in names {
+        let field = form::join(path, name);
+        match (from.get(name), to.get(name)) {
+            (Some(from), Some(to)) => compare(&field, from, to, out),
+            (from, to) => out.push(Difference {
+                field,
+                from: from.cloned(),
+                to: to.cloned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/rebase.rs
@@ -0,0 +1,200 @@
+//! Rebases a change of a folder onto the configuration in force.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+use snafu::Snafu;
+
+use crate::FileEntry;
+use crate::Folder;
+use crate::Manifest;
+
+/// What a change does to the files of the current manifest.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Rebased {
+    /// Files that the change adds or alters.
+    pub put: BTreeSet<String>,
+    /// Files that the change removes.
+    pub removed: BTreeSet<String>,
+    /// Files that others changed since the base; theirs stay as they are.
+    pub kept: BTreeSet<String>,
+}
+
+/// Who makes a change, and when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Maker {
+    /// Name of the operator.
+    pub author: String,
+    /// Time of the change, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Name of the change, unique among all changes.
+    pub nonce: String,
+}
+
+/// A file that the change and another operator's change both touch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Conflict {
+    /// Name of the file.
+    pub file: String,
+    /// Who makes the change.
+    pub author: String,
+    /// Version on whose content of the file the change is based, 0 for none.
+    pub base_version: u64,
+    /// Who made the change in force; of a removal, the author of the current version.
+    pub current_author: String,
+    /// Version that brought the change in force; of a removal, the current version.
+    pub current_version: u64,
+    /// Whether the change in force removed the file.
+    pub removed: bool,
+}
+
+/// All files that keep a change from being rebased.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Snafu)]
+#[snafu(display("{}", lines(conflicts)))]
+#[serde(transparent)]
+pub struct Conflicts {
+    /// The files; never empty.
+    pub conflicts: Vec<Conflict>,
+}
+
+impl fmt::Display for Conflict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}'s change is based on ", self.file, self.author)?;
+        match self.base_version {
+            0 => write!(f, "no version")?,
+            version => write!(f, "version {version}")?,
+        }
+        let (author, version) = (&self.current_author, self.current_version);
+        match self.removed {
+            true => write!(
+                f,
+                ", but the file was removed by version {version} of {author}"
+            ),
+            false => write!(f, ", but the file holds version {version} of {author}"),
+        }
+    }
+}
+
+fn lines(conflicts: &[Conflict]) -> String {
+    let lines: Vec<String> = conflicts.iter().map(Conflict::to_string).collect();
+    lines.join("\n")
+}
+
+/// Rebases the change from `base` to `own` onto `current`.
+///
+/// A file that only one side changed takes that side's content. A file that
+/// both changed to different contents is a conflict.
+pub fn rebase(
+    base: &Manifest,
+    own: &Folder,
+    current: &Manifest,
+    author: &str,
+) -> Result<Rebased, Conflicts> {
+    let mut rebased = Rebased::default();
+    let mut conflicts = Vec::new();
+    for file in file_names(base, own, current) {
+        let own_hash = own.sha256(file);
+        let base_hash = hash(base.files.get(file));
+        let current_hash = hash(current.files.get(file));
+        if own_hash.as_deref() == current_hash {
+            continue;
+        }
+        let own_changed = own_hash.as_deref() != base_hash;
+        let current_changed = current_hash != base_hash;
+        if own_changed && current_changed {
+            conflicts.push(conflict(file, base, current, author));
+            continue;
+        }
+        let files = match (own_changed, own_hash) {
+            (true, Some(_)) => &mut rebased.put,
+            (true, None) => &mut rebased.removed,
+            (false, _) => &mut rebased.kept,
+        };
+        files.insert(file.clone());
+    }
+    match conflicts.is_empty() {
+        true => Ok(rebased),
+        false => Err(Conflicts { conflicts }),
+    }
+}
+
+/// Returns the base of the folder's next change, once `accepted` is in the platform.
+///
+/// It names, for each file of the folder, the last version that the folder's
+/// content agreed with; a file that others brought and the folder lacks is left out.
+pub fn next_base(base: &Manifest, own: &Folder, accepted: &Manifest) -> Manifest {
+    let entry_of = |file: &String| {
+        let own_hash = own.sha256(file);
+        let entries = [accepted.files.get(file), base.files.get(file)];
+        let same = entries
+            .into_iter()
+            .flatten()
+            .find(|entry| Some(&entry.sha256) == own_hash.as_ref())?;
+        Some((file.clone(), same.clone()))
+    };
+    Manifest {
+        files: own.files.keys().filter_map(entry_of).collect(),
+        ..accepted.clone()
+    }
+}
+
+impl Rebased {
+    /// Tells whether the change leaves the current manifest as it is.
+    pub fn is_empty(&self) -> bool {
+        self.put.is_empty() && self.removed.is_empty()
+    }
+
+    /// Returns the manifest that follows `current` once the change is accepted.
+    pub fn manifest(&self, own: &Folder, current: &Manifest, maker: &Maker) -> Manifest {
+        let version = current.version + 1;
+        let mut files = current.files.clone();
+        files.retain(|file, _| !self.removed.contains(file));
+        for file in &self.put {
+            let Some(sha256) = own.sha256(file) else {
+                continue;
+            };
+            let entry = FileEntry {
+                sha256,
+                version,
+                author: maker.author.clone(),
+            };
+            files.insert(file.clone(), entry);
+        }
+        Manifest {
+            version,
+            author: maker.author.clone(),
+            at_ms: maker.at_ms,
+            nonce: maker.nonce.clone(),
+            files,
+        }
+    }
+}
+
+fn file_names<'a>(
+    base: &'a Manifest,
+    own: &'a Folder,
+    current: &'a Manifest,
+) -> BTreeSet<&'a String> {
+    base.files
+        .keys()
+        .chain(own.files.keys())
+        .chain(current.files.keys())
+        .collect()
+}
+
+fn hash(entry: Option<&FileEntry>) -> Option<&str> {
+    entry.map(|entry| entry.sha256.as_str())
+}
+
+fn conflict(file: &str, base: &Manifest, current: &Manifest, author: &str) -> Conflict {
+    let held = current.files.get(file);
+    Conflict {
+        file: file.to_owned(),
+        author: author.to_owned(),
+        base_version: base.files.get(file).map_or(0, |entry| entry.version),
+        current_author: held.map_or(&current.author, |entry| &entry.author).clone(),
+        current_version: held.map_or(current.version, |entry| entry.version),
+        removed: held.is_none(),
+    }
+}
