Platform stand-in in memory and over HTTP, with its adapters

Routers and tests need the key-value service and the membership list before anything can run. The stand-in keeps both in memory behind the platform's traits and serves them over HTTP as plain JSON, so one implementation stands behind unit tests and separate processes alike. Outage, slowness, lost answers and the list's lag are switched by tests.

A write whose connection breaks is reported as AnswerLost; a read has no effect to lose and is reported as Unreached.

Ruled out: values in base64, which needs one more library; text stays text, other bytes are hexadecimal.

--- /dev/null
+++ b/crates/standins/src/member_store.rs
@@ -0,0 +1,84 @@
+//! State of the membership stand-in; time is handed in.
+
+use std::collections::BTreeMap;
+
+use platform::Member;
+use platform::Members;
+
+/// Members with the list's history, so that readers can be shown an old one.
+/// All times are in milliseconds.
+#[derive(Clone, Debug, Default)]
+pub struct MemberStore {
+    entries: BTreeMap<String, Entry>,
+    history: Vec<(u64, Members)>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    member: Member,
+    expires_at: u64,
+}
+
+impl MemberStore {
+    /// Enters or updates a member that goes away at `expires_at`.
+    pub fn announce(&mut self, now: u64, member: Member, expires_at: u64) {
+        self.expire(now);
+        let name = member.name.clone();
+        let entry = Entry { member, expires_at };
+        let old = self.entries.get(&name).map(|old| &old.member);
+        let changed = old != Some(&entry.member);
+        self.entries.insert(name, entry);
+        if changed {
+            self.record(now);
+        }
+    }
+
+    /// Takes a member off the list.
+    pub fn remove(&mut self, now: u64, name: &str) {
+        if self.entries.remove(name).is_some() {
+            self.record(now);
+        }
+    }
+
+    /// Takes members off that were not announced again in time.
+    pub fn expire(&mut self, now: u64) {
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| entry.expires_at > now);
+        if self.entries.len() != before {
+            self.record(now);
+        }
+    }
+
+    /// Returns the list as it stood `lag_ms` ago.
+    pub fn members(&mut self, now: u64, lag_ms: u64) -> Members {
+        self.expire(now);
+        self.history
+            .iter()
+            .rev()
+            .find(|(at, _)| at + lag_ms <= now)
+            .map_or_else(Members::default, |(_, members)| members.clone())
+    }
+
+    /// Returns the next time at which readers see something new without a call.
+    pub fn next_change(&self, now: u64, lag_ms: u64) -> Option<u64> {
+        let lagging = self.history.iter().map(|(at, _)| at + lag_ms);
+        let expiring = self.entries.values().map(|entry| entry.expires_at);
+        lagging.chain(expiring).filter(|at| *at > now).min()
+    }
+
+    fn record(&mut self, now: u64) {
+        let version = self.history.last().map_or(0, |(_, last)| last.version) + 1;
+        let members = self.entries.values().map(|entry| entry.member.clone());
+        let members = Members {
+            version,
+            members: members.collect(),
+        };
+        self.history.push((now, members));
+        if self.history.len() > MAX_HISTORY {
+            self.history.remove(0);
+        }
+    }
+}
+
+/// Old lists that are kept.
+const MAX_HISTORY: usize = 1_000;
--- /dev/null
+++ b/crates/standins/tests/platform.rs
@@ -0,0 +1,218 @@
+//! The platform stand-in through the HTTP adapters.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use platform::Error;
+use platform::HttpKeyValue;
+use platform::HttpMembershipList;
+use platform::KeyValue;
+use platform::Member;
+use platform::MembershipList;
+use platform::Role;
+use platform::Swap;
+use platform::Versioned;
+use standins::CallKind;
+use standins::Platform;
+use standins::PlatformServer;
+
+const LONG_WAIT_MS: u64 = 10_000;
+
+struct Fixture {
+    platform: Platform,
+    server: PlatformServer,
+    store: HttpKeyValue,
+    list: HttpMembershipList,
+}
+
+async fn fixture() -> Fixture {
+    let platform = Platform::new();
+    let server = PlatformServer::start(loopback(), platform.clone())
+        .await
+        .expect("starts");
+    let store = HttpKeyValue::new(server.address());
+    let list = HttpMembershipList::new(server.address());
+    Fixture {
+        platform,
+        server,
+        store,
+        list,
+    }
+}
+
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.to_owned(),
+        role: Role::BackendServer,
+        address: loopback(),
+        region: "west".to_owned(),
+        failure_domain: "west-1".to_owned(),
+        incarnation: 1,
+        leaving: false,
+    }
+}
+
+async fn write(store: &HttpKeyValue, key: &str, value: &[u8]) -> u64 {
+    let value = Bytes::copy_from_slice(value);
+    match store.compare_and_swap(key, 0, value, None).await {
+        Ok(Swap::Written(version)) => version,
+        other => panic!("not written: {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn a_second_writer_is_told_what_the_key_holds() {
+    let f = fixture().await;
+    let version = write(&f.store, "a", b"first").await;
+
+    let swap = f
+        .store
+        .compare_and_swap("a", 0, Bytes::from("second"), None)
+        .await;
+
+    let held = Versioned {
+        version,
+        value: Bytes::from("first"),
+    };
+    assert_eq!(swap, Ok(Swap::Conflict(Some(held))));
+}
+
+#[tokio::test]
+async fn a_megabyte_of_any_bytes_comes_back_whole() {
+    let f = fixture().await;
+    let value: Vec<u8> = (0..1 << 20).map(|i: u32| i.to_le_bytes()[0]).collect();
+
+    write(&f.store, "large", &value).await;
+
+    let held = f.store.get("large").await.expect("answers").expect("held");
+    assert_eq!(held.value.as_ref(), value.as_slice());
+}
+
+#[tokio::test]
+async fn a_prefix_is_listed_in_order() {
+    let f = fixture().await;
+    for key in ["b/2", "b/1", "c/1", "a/1"] {
+        write(&f.store, key, b"x").await;
+    }
+
+    let listed = f.store.list("b/").await.expect("answers");
+
+    let keys: Vec<&str> = listed.iter().map(|(key, _)| key.as_str()).collect();
+    assert_eq!(keys, ["b/1", "b/2"]);
+}
+
+#[tokio::test]
+async fn a_watch_sees_the_key_of_a_lapsed_lease_go() {
+    let f = fixture().await;
+    let lease = f.store.grant(50).await.expect("granted");
+    let swap = f
+        .store
+        .compare_and_swap("leased", 0, Bytes::from("x"), Some(lease))
+        .await;
+    let Ok(Swap::Written(version)) = swap else {
+        panic!("not written: {swap:?}");
+    };
+
+    let change = f.store.watch("leased", version, LONG_WAIT_MS).await;
+
+    assert_eq!(change.expect("answers").value, None);
+    assert_eq!(f.store.renew(lease).await, Ok(false));
+}
+
+#[tokio::test]
+async fn a_watch_sees_a_write_and_a_deletion() {
+    let f = fixture().await;
+    let (written, seen) = tokio::join!(
+        write(&f.store, "a", b"x"),
+        f.store.watch("a", 0, LONG_WAIT_MS)
+    );
+    assert_eq!(
+        seen.expect("answers").value.map(|held| held.version),
+        Some(written)
+    );
+
+    let (deleted, seen) = tokio::join!(
+        f.store.delete("a", written),
+        f.store.watch("a", written, LONG_WAIT_MS)
+    );
+
+    assert_eq!(deleted, Ok(Swap::Written(0)));
+    assert_eq!(seen.expect("answers").value, None);
+}
+
+#[tokio::test]
+async fn a_write_takes_effect_though_its_answer_is_lost() {
+    let f = fixture().await;
+    f.platform.lose_answers(1);
+
+    let swap = f
+        .store
+        .compare_and_swap("a", 0, Bytes::from("x"), None)
+        .await;
+
+    assert!(matches!(swap, Err(Error::AnswerLost { .. })), "{swap:?}");
+    let held = f.store.get("a").await.expect("answers").expect("held");
+    assert_eq!(held.value, Bytes::from("x"));
+}
+
+#[tokio::test]
+async fn an_outage_refuses_before_any_effect() {
+    let f = fixture().await;
+    f.platform.set_outage(true);
+
+    let swap = f
+        .store
+        .compare_and_swap("a", 0, Bytes::from("x"), None)
+        .await;
+
+    let refused = Error::Refused {
+        step: "compare_and_swap",
+        peer: f.server.address().to_string(),
+        status: 503,
+    };
+    assert_eq!(swap, Err(refused));
+    f.platform.set_outage(false);
+    assert_eq!(f.store.get("a").await, Ok(None));
+}
+
+#[tokio::test]
+async fn a_stopped_platform_is_not_reached() {
+    let f = fixture().await;
+    f.server.stop().await;
+
+    let swap = f
+        .store
+        .compare_and_swap("a", 0, Bytes::from("x"), None)
+        .await;
+
+    assert!(matches!(swap, Err(Error::Unreached { .. })), "{swap:?}");
+}
+
+#[tokio::test]
+async fn members_show_up_once_the_lag_has_gone_by() {
+    let f = fixture().await;
+    f.platform.set_membership_lag_ms(30);
+    f.list.announce(member("engine-1")).await.expect("entered");
+
+    let members = f.list.members(0, LONG_WAIT_MS).await.expect("answers");
+
+    assert_eq!(members.members, [member("engine-1")]);
+}
+
+#[tokio::test]
+async fn calls_are_counted_by_kind() {
+    let f = fixture().await;
+    write(&f.store, "a", b"x").await;
+    f.store.get("a").await.expect("answers");
+    f.store.get("b").await.expect("answers");
+
+    let counts = [CallKind::CompareAndSwap, CallKind::Get, CallKind::Watch]
+        .map(|kind| f.platform.calls(kind));
+
+    assert_eq!(counts, [1, 2, 0]);
+}
