HTTP adapters for model engines and plain services

The router needs to tell three failures apart, because a refusal that says 'not run' rests on them. Only an answer that names its reason in a header is a refusal. A request counts as not connected only when no connection was made or hyper gives it back unwritten; then it is safe on another connection. All else is broken. Nothing is ever sent twice.

hyper-util's pooled client was ruled out here: it doesn't hand unsent requests back, so a stale pooled connection would turn calls into unknown outcomes. Calls that may not be repeated get a connection of their own.

A fetch of KV cache names the holder's incarnation, so that a restarted holder refuses it.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -29,7 +29,16 @@
     /// Text of the tokens already delivered by another engine, which go before the first new one.
     pub delivered: Vec<String>,
     /// Server from which the engine may fetch the KV cache of missing pieces.
-    pub fetch_from: Option<SocketAddr>,
+    pub fetch_from: Option<FetchFrom>,
+}
+
+/// A server that holds pieces another one lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FetchFrom {
+    /// Address of the holder.
+    pub address: SocketAddr,
+    /// Incarnation of the holder, which refuses to export under another.
+    pub incarnation: u64,
 }
 
 /// What an engine says when a generation starts.
@@ -54,7 +63,8 @@
     pub last: bool,
 }
 
-/// A running generation; dropping it cancels it.
+/// A running generation; dropping it breaks the connection, and the engine cancels
+/// the generation unless it is resumed within the engine's period of grace.
 pub struct Generation {
     /// What the engine said at the start.
     pub started: Started,
--- /dev/null
+++ b/crates/backend/src/event_reader.rs
@@ -0,0 +1,57 @@
+//! Server-sent events out of a body that comes in arbitrary parts.
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// End of an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Field that carries an event's data.
+const DATA_FIELD: &[u8] = b"data: ";
+
+/// Splits a body into the data of its events.
+#[derive(Debug, Default)]
+pub(crate) struct EventReader {
+    buf: BytesMut,
+    searched: usize,
+}
+
+impl EventReader {
+    /// Takes a part of the body in; `false` once an event is too large.
+    pub(crate) fn push(&mut self, part: &Bytes) -> bool {
+        self.buf.extend_from_slice(part);
+        self.buf.len() <= MAX_EVENT_BYTES + part.len()
+    }
+
+    /// Returns the data of the next whole event.
+    pub(crate) fn next_data(&mut self) -> Option<Bytes> {
+        loop {
+            let event = self.next_event()?;
+            if event.starts_with(DATA_FIELD) {
+                return Some(event.slice(DATA_FIELD.len()..));
+            }
+        }
+    }
+
+    fn next_event(&mut self) -> Option<Bytes> {
+        let Some(end) = self.find_end() else {
+            self.searched = self.buf.len().saturating_sub(EVENT_END.len() - 1);
+            return None;
+        };
+        let event = self.buf.split_to(end).freeze();
+        self.buf.advance(EVENT_END.len());
+        self.searched = 0;
+        Some(event)
+    }
+
+    fn find_end(&self) -> Option<usize> {
+        self.buf[self.searched..]
+            .windows(EVENT_END.len())
+            .position(|window| window == EVENT_END)
+            .map(|at| self.searched + at)
+    }
+}
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,13 +1,21 @@
 //! Model engines and plain services behind the router.
 
+mod connections;
 mod engine;
 mod error;
+mod event_reader;
+mod http_engine;
+mod http_plain_service;
+mod peer_step;
 mod service;
+mod token_stream;
+pub mod wire;
 
 pub use crate::engine::CacheEvent;
 pub use crate::engine::CacheEvents;
 pub use crate::engine::Chunk;
 pub use crate::engine::Engine;
+pub use crate::engine::FetchFrom;
 pub use crate::engine::GenerateRequest;
 pub use crate::engine::Generation;
 pub use crate::engine::Load;
@@ -16,6 +24,8 @@
 pub use crate::engine::Started;
 pub use crate::error::Error;
 pub use crate::error::Result;
+pub use crate::http_engine::HttpEngine;
+pub use crate::http_plain_service::HttpPlainService;
 pub use crate::service::PlainService;
 pub use crate::service::ServiceAnswer;
 pub use crate::service::ServiceRequest;
--- /dev/null
+++ b/crates/backend/src/peer_step.rs
@@ -0,0 +1,50 @@
+//! Step and peer that errors name.
+
+use std::net::SocketAddr;
+
+use crate::Error;
+
+/// Step and peer that errors name.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerStep {
+    /// Name of the step.
+    pub step: &'static str,
+    /// Address of the backend server.
+    pub peer: SocketAddr,
+}
+
+impl PeerStep {
+    /// Returns the error of a request of which no byte was sent.
+    pub(crate) fn not_connected<R>(self, reason: R) -> Error
+    where
+        R: ToString,
+    {
+        Error::NotConnected {
+            step: self.step,
+            peer: self.peer.to_string(),
+            reason: reason.to_string(),
+        }
+    }
+
+    /// Returns the error of a request of which bytes may have been sent.
+    pub(crate) fn broken<R>(self, reason: R) -> Error
+    where
+        R: ToString,
+    {
+        Error::Broken {
+            step: self.step,
+            peer: self.peer.to_string(),
+            reason: reason.to_string(),
+        }
+    }
+
+    /// Returns the error of a request that the backend server refused.
+    pub(crate) fn refused(self, status: u16, reason: &str) -> Error {
+        Error::Refused {
+            step: self.step,
+            peer: self.peer.to_string(),
+            status,
+            reason: reason.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/backend/src/token_stream.rs
@@ -0,0 +1,100 @@
+//! The tokens of a generation, read from its connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use futures::StreamExt;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::connections::ConnectionLease;
+use crate::connections::Exchange;
+use crate::event_reader::EventReader;
+use crate::peer_step::PeerStep;
+use crate::wire::StreamEvent;
+use crate::Chunk;
+use crate::Generation;
+use crate::Result;
+
+/// Time within which the body must end after the last token, for its connection to be reused.
+const END_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Reads the events of a generation; dropping it closes the connection.
+#[derive(Debug)]
+pub(crate) struct TokenStream {
+    at: PeerStep,
+    body: Incoming,
+    events: EventReader,
+    lease: ConnectionLease,
+}
+
+impl TokenStream {
+    /// Takes an answer over.
+    pub(crate) fn new(at: PeerStep, exchange: Exchange) -> TokenStream {
+        TokenStream {
+            at,
+            body: exchange.answer.into_body(),
+            events: EventReader::default(),
+            lease: exchange.lease,
+        }
+    }
+
+    /// Waits until the generation runs.
+    pub(crate) async fn start(mut self) -> Result<Generation> {
+        match self.next_event().await? {
+            StreamEvent::Started(started) => Ok(Generation {
+                started: started.into(),
+                chunks: stream::unfold(Some(self), next_item).boxed(),
+            }),
+            StreamEvent::Token(_) => Err(self.at.broken("token before the start")),
+        }
+    }
+
+    async fn next_chunk(&mut self) -> Result<Chunk> {
+        match self.next_event().await? {
+            StreamEvent::Token(token) => Ok(token.into()),
+            StreamEvent::Started(_) => Err(self.at.broken("second start")),
+        }
+    }
+
+    async fn next_event(&mut self) -> Result<StreamEvent> {
+        loop {
+            if let Some(data) = self.events.next_data() {
+                return serde_json::from_slice(&data).map_err(|e| self.at.broken(e));
+            }
+            let part = self.next_part().await?;
+            if !self.events.push(&part) {
+                return Err(self.at.broken("event too large"));
+            }
+        }
+    }
+
+    async fn next_part(&mut self) -> Result<Bytes> {
+        match self.body.frame().await {
+            Some(Ok(frame)) => Ok(frame.into_data().unwrap_or_default()),
+            Some(Err(e)) => Err(self.at.broken(e)),
+            None => Err(self.at.broken("ended before the last token")),
+        }
+    }
+
+    /// Gives the connection back once the body has ended.
+    async fn finish(mut self) {
+        if let Ok(None) = timeout(END_TIMEOUT, self.body.frame()).await {
+            self.lease.give_back();
+        }
+    }
+}
+
+/// Reads the next token; the stream ends after the last one or an error.
+async fn next_item(tokens: Option<TokenStream>) -> Option<(Result<Chunk>, Option<TokenStream>)> {
+    let mut tokens = tokens?;
+    let item = tokens.next_chunk().await;
+    match &item {
+        Ok(chunk) if !chunk.last => return Some((item, Some(tokens))),
+        Ok(_) => drop(tokio::spawn(tokens.finish())),
+        Err(_) => drop(tokens),
+    }
+    Some((item, None))
+}
