Weight loads through slots of one record, each a lease with its fencing number

The router that hears an engine's reports sees to its weights: it takes one of the configured number of slots by compare-and-swap, gives an absolute order, and drops the slot once a report shows the weights. No holder for the whole fleet is needed, and the limit holds across take-overs because a lapsed slot still counts.

A model's new weights need not be everywhere before it is served: after an engine refuses for its weights, the call goes to whichever weights are there, relying on no cache entry.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -4,6 +4,8 @@
 
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::Result;
 
@@ -16,7 +18,7 @@
     pub workspace: String,
     /// Model.
     pub model: String,
-    /// Version of the weights that must serve it; the engine refuses another.
+    /// Version of the weights that must serve it; the engine refuses another. 0 for any.
     pub weights_version: u64,
     /// Incarnation that the router relies on; the engine refuses another. 0 for any.
     pub incarnation: u64,
@@ -72,8 +74,17 @@
     pub chunks: BoxStream<'static, Result<Chunk>>,
 }
 
+/// Weights that an engine holds and serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldWeights {
+    /// Model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u64,
+}
+
 /// Load of an engine, reported with a lag.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Incarnation of the engine.
     pub incarnation: u64,
@@ -83,6 +94,8 @@
     pub running: u32,
     /// Whether the engine is leaving.
     pub leaving: bool,
+    /// Weights that it holds and serves.
+    pub weights: Vec<HeldWeights>,
 }
 
 /// A change of an engine's cache.
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -18,6 +18,7 @@
 pub use crate::engine::FetchFrom;
 pub use crate::engine::GenerateRequest;
 pub use crate::engine::Generation;
+pub use crate::engine::HeldWeights;
 pub use crate::engine::Load;
 pub use crate::engine::Order;
 pub use crate::engine::OrderAnswer;
--- a/crates/backend/src/wire.rs
+++ b/crates/backend/src/wire.rs
@@ -14,6 +14,7 @@
 use crate::Chunk;
 use crate::FetchFrom;
 use crate::GenerateRequest;
+use crate::HeldWeights;
 use crate::Load;
 use crate::Order;
 use crate::OrderAnswer;
@@ -128,7 +129,7 @@
 }
 
 /// Load of an engine.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LoadAnswer {
     /// Incarnation of the engine.
     pub incarnation: u64,
@@ -138,6 +139,9 @@
     pub running: u32,
     /// Whether the engine is leaving.
     pub leaving: bool,
+    /// Weights that it holds and serves.
+    #[serde(default)]
+    pub weights: Vec<HeldWeights>,
 }
 
 /// Asks for cache events.
@@ -326,6 +330,7 @@
             queued_tokens: load.queued_tokens,
             running: load.running,
             leaving: load.leaving,
+            weights: load.weights,
         }
     }
 }
@@ -337,6 +342,7 @@
             queued_tokens: answer.queued_tokens,
             running: answer.running,
             leaving: answer.leaving,
+            weights: answer.weights,
         }
     }
 }
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -12,6 +12,7 @@
 use crate::ServerKey;
 use crate::StoreRequest;
 use crate::StoredAnswer;
+use crate::Time;
 
 /// Something to do, from [`crate::Node::handle`].
 #[derive(Clone, Debug, PartialEq)]
@@ -73,10 +74,29 @@
     },
     /// Watch the load and cache events of these engines, and of no others.
     Watch(Vec<ServerKey>),
+    /// Give an order to an engine.
+    Order(Order),
     /// All calls have ended; the VM may stop.
     Stopped,
 }
 
+/// An absolute order to an engine, safe to repeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Name of the backend server.
+    pub server: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Fencing number under which the order is given.
+    pub fencing: u64,
+    /// Model that the engine shall serve.
+    pub model: String,
+    /// Weights that it shall hold.
+    pub weights_version: u64,
+    /// Time after which the order must not be sent any more.
+    pub deadline: Time,
+}
+
 /// An attempt of a call at a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Attempt {
@@ -99,7 +119,8 @@
     pub address: SocketAddr,
     /// Incarnation that the decision relies on; the engine refuses another. 0 for any.
     pub incarnation: Incarnation,
-    /// Weights that must serve it; 0 for a plain service.
+    /// Weights that must serve it; the engine refuses others. 0 for any, and
+    /// for a plain service.
     pub weights_version: u64,
     /// Workspace, by its name.
     pub workspace: String,
--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -99,6 +99,7 @@
             attempt: AttemptId(0),
             failed_at: Vec::new(),
             delivered: delivered_before(&req.work),
+            any_weights: false,
             answered: false,
         };
         self.calls.insert(req.call, call);
--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -56,6 +56,8 @@
     pub(crate) failed_at: Vec<ServerKey>,
     /// Tokens that the caller has.
     pub(crate) delivered: u32,
+    /// Whether an engine refused it for its weights, so that any may serve it.
+    pub(crate) any_weights: bool,
     /// Whether the caller has its final answer, or has gone away; the call goes
     /// on for the sake of its record.
     pub(crate) answered: bool,
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -96,6 +96,9 @@
         result: StoreResult,
         out: &mut Vec<Action>,
     ) {
+        if self.on_loads_result(now, id, &result, out) {
+            return;
+        }
         let Some(op) = self.store_ops.take(id) else {
             return;
         };
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -59,6 +59,15 @@
         /// Its result.
         result: StoreResult,
     },
+    /// An engine answered an order.
+    OrderAnswered {
+        /// Name of the backend server.
+        server: String,
+        /// Fencing number of the order.
+        fencing: u64,
+        /// Its answer.
+        answer: OrderAnswer,
+    },
     /// The VM is to stop by this time.
     Shutdown {
         /// Time by which calls in flight must have ended.
@@ -150,6 +159,35 @@
     pub running: u32,
     /// Whether the engine is leaving.
     pub leaving: bool,
+    /// Weights that it holds and serves; empty if it doesn't say.
+    pub weights: Vec<HeldWeights>,
+}
+
+impl LoadReport {
+    /// Tells whether the engine holds these weights.
+    pub fn holds(&self, model: &str, version: u64) -> bool {
+        self.weights
+            .iter()
+            .any(|held| held.model == model && held.version == version)
+    }
+}
+
+/// Weights that an engine holds and serves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldWeights {
+    /// Model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u64,
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// Taken; the engine is loading, or holds the weights already.
+    Taken,
+    /// Refused: it has seen this higher fencing number.
+    StaleFencing(u64),
 }
 
 /// Changes of an engine's cache.
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -41,7 +41,7 @@
     }
 
     /// Takes a load report in.
-    pub(crate) fn on_load(&mut self, _now: Time, report: &LoadReport, out: &mut Vec<Action>) {
+    pub(crate) fn on_load(&mut self, now: Time, report: &LoadReport, out: &mut Vec<Action>) {
         let Some(server) = self.fleet.find(&report.server) else {
             return;
         };
@@ -55,6 +55,7 @@
             self.learn_leaving(server, report.incarnation, out);
         }
         self.placement.on_load(server, report.queued_tokens);
+        self.on_weights(now, server, report);
     }
 
     /// Takes changes of an engine's cache in.
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -10,6 +10,7 @@
 use crate::admission::Admission;
 use crate::call_table::CallTable;
 use crate::fleet::Fleet;
+use crate::loads::Loads;
 use crate::placement::Placement;
 use crate::retry_budget::RetryBudget;
 use crate::rollout::Rollout;
@@ -51,6 +52,7 @@
     pub(crate) budget: RetryBudget,
     pub(crate) calls: CallTable,
     pub(crate) store_ops: StoreOps,
+    pub(crate) loads: Loads,
     pub(crate) timers: Timers,
     pub(crate) snapshot_asked: bool,
     pub(crate) shutting_down: bool,
@@ -75,6 +77,7 @@
             budget: RetryBudget::default(),
             calls: CallTable::default(),
             store_ops: StoreOps::default(),
+            loads: Loads::default(),
             timers,
             snapshot_asked: false,
             shutting_down: false,
@@ -124,6 +127,11 @@
             Event::Config { version, config } => self.on_config(version, &config, out),
             Event::Peer { from, message } => self.on_peer(now, &from, message, out),
             Event::Store { op, result } => self.on_store(now, op, result, out),
+            Event::OrderAnswered {
+                server,
+                fencing,
+                answer,
+            } => self.on_order_answer(now, &server, fencing, answer),
             Event::Shutdown { deadline } => self.on_shutdown(deadline),
             Event::Tick => {}
         }
@@ -136,6 +144,7 @@
             match timer {
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
+                Timer::Loads => self.on_loads_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
             }
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -99,7 +99,11 @@
         let call = self.calls.get_mut(id).expect("it was found before");
         call.progress = call.take_progress().failed(failure.never_ran());
         call.delivered = delivered;
-        call.failed_at.push(server);
+        if failure == Failure::StaleWeights {
+            call.any_weights = true;
+        } else {
+            call.failed_at.push(server);
+        }
         match failure {
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
@@ -160,7 +164,7 @@
         if call.attempt.0 >= ATTEMPTS {
             return Some(NotNow::until(soon, Reason::AttemptsFailed));
         }
-        let free = call.delivered > 0;
+        let free = call.delivered > 0 || failure == Failure::StaleWeights;
         if !free && !self.budget.spend(call.workspace) {
             return Some(NotNow::until(soon, Reason::RetryBudgetSpent));
         }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -54,7 +54,12 @@
             .choose(now, ask, &candidates, &self.fleet)
             .ok_or(NotNow::until(soon, Reason::NoBackendServer))?;
         self.admits(now, call, &choice)?;
-        Ok(self.aim_of(choice, ask))
+        let aim = self.aim_of(choice, ask);
+        Ok(if call.any_weights {
+            aim.with_any_weights()
+        } else {
+            aim
+        })
     }
 
     fn aim_of(&self, choice: Choice, ask: &Ask) -> Aim {
@@ -113,6 +118,16 @@
 }
 
 impl Aim {
+    /// Has whatever weights the engine holds serve it, relying on no cache entry.
+    fn with_any_weights(self) -> Aim {
+        Aim {
+            weights_version: 0,
+            fetch_from: None,
+            expected_cached_tokens: 0,
+            ..self
+        }
+    }
+
     fn plain(server: ServerKey, incarnation: Incarnation) -> Aim {
         Aim {
             server,
--- a/crates/policy/src/store_ops.rs
+++ b/crates/policy/src/store_ops.rs
@@ -39,10 +39,15 @@
 }
 
 impl StoreOps {
+    /// Returns a name for a call that is kept elsewhere.
+    pub(crate) fn name(&mut self) -> OpId {
+        self.next += 1;
+        OpId(self.next)
+    }
+
     /// Adds a call and gives it a name.
     pub(crate) fn add(&mut self, op: StoreOp) -> OpId {
-        self.next += 1;
-        let id = OpId(self.next);
+        let id = self.name();
         self.ops.insert(id, op);
         id
     }
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -13,6 +13,8 @@
     Call(CallId),
     /// A call to the key-value service is to be tried again.
     Store(OpId),
+    /// The loads of weights are to be looked at.
+    Loads,
     /// Other routers are to be told what is new.
     Gossip,
     /// Calls in flight must have ended.
--- /dev/null
+++ b/crates/policy/tests/orders.rs
@@ -0,0 +1,406 @@
+//! Weight loads under lost answers, late orders and routers that pause.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use config::Config;
+use policy::Action;
+use policy::Event;
+use policy::HeldWeights;
+use policy::Identity;
+use policy::Incarnation;
+use policy::LoadReport;
+use policy::Node;
+use policy::Order;
+use policy::OrderAnswer;
+use policy::StoreRequest;
+use policy::StoreResult;
+use policy::Time;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::common::config;
+use crate::common::step;
+use crate::common::START;
+
+const SEEDS: u64 = 60;
+const ENGINES: u16 = 8;
+const ROUTERS: usize = 3;
+const LIMIT: usize = 2;
+const LAST_VERSION: u64 = 9;
+const LOAD_MS: u64 = 500;
+const REPORT_EVERY_MS: u64 = 300;
+
+/// Longest time that a message is on its way, in milliseconds.
+const FLIGHT_MS: u64 = 1_900;
+
+/// An engine that may or may not look at fencing numbers.
+struct Engine {
+    checks_fencing: bool,
+    fencing: u64,
+    held: u64,
+    loading: Option<(u64, u64)>,
+}
+
+/// Something on its way, with the time of its arrival.
+enum Message {
+    Order(usize, Order),
+    Event(usize, Event),
+    Store(usize, policy::OpId, StoreRequest),
+}
+
+struct Run {
+    now_ms: u64,
+    rng: ChaCha8Rng,
+    nodes: Vec<Node>,
+    paused_until_ms: Vec<u64>,
+    engines: Vec<Engine>,
+    store: BTreeMap<String, (u64, Vec<u8>)>,
+    messages: BTreeMap<(u64, u64), Message>,
+    sent: u64,
+    most_loads: usize,
+    stale_refused: u32,
+}
+
+fn config_with_weights(version: u64) -> Arc<Config> {
+    let mut cfg = Arc::unwrap_or_clone(config(ENGINES));
+    cfg.limits.loads_at_once = LIMIT as u32;
+    cfg.models
+        .get_mut("long")
+        .expect("it is declared")
+        .weights_version = version;
+    for (i, server) in cfg.backend_servers.values_mut().enumerate() {
+        server.checks_fencing = i % 2 == 0;
+    }
+    Arc::new(cfg)
+}
+
+fn router(i: usize) -> Node {
+    let identity = Identity {
+        vm: format!("vm{i}"),
+        region: "east".to_owned(),
+        failure_domain: "east-1".to_owned(),
+        incarnation: 1,
+    };
+    Node::new(identity, i as u64)
+}
+
+impl Run {
+    /// Changes the weights a few times while routers pause for up to `pause_ms`.
+    fn with_pauses(pause_ms: u64, seed: u64) -> Run {
+        let mut run = Run {
+            now_ms: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            nodes: (0..ROUTERS).map(router).collect(),
+            paused_until_ms: vec![0; ROUTERS],
+            engines: (0..ENGINES).map(|i| Engine::new(i % 2 == 0)).collect(),
+            store: BTreeMap::new(),
+            messages: BTreeMap::new(),
+            sent: 0,
+            most_loads: 0,
+            stale_refused: 0,
+        };
+        for version in 2..=LAST_VERSION {
+            run.configure(version);
+            run.go_on(4_000, pause_ms);
+        }
+        run.go_on(90_000, 0);
+        run
+    }
+
+    fn configure(&mut self, version: u64) {
+        for router in 0..ROUTERS {
+            let event = Event::Config {
+                version,
+                config: config_with_weights(version),
+            };
+            self.send(Message::Event(router, event), 1_000);
+        }
+    }
+
+    fn go_on(&mut self, ms: u64, pause_ms: u64) {
+        for _ in 0..ms {
+            self.now_ms += 1;
+            self.engines_step();
+            self.deliver();
+            if self.now_ms.is_multiple_of(REPORT_EVERY_MS) {
+                self.report();
+            }
+            if pause_ms > 0 && self.rng.random_bool(0.0004) {
+                let router = self.rng.random_range(0..ROUTERS);
+                let pause = self.rng.random_range(0..pause_ms);
+                self.paused_until_ms[router] = self.now_ms + pause;
+            }
+            self.tick();
+        }
+    }
+
+    fn now(&self) -> Time {
+        START.plus_millis(self.now_ms)
+    }
+
+    fn send(&mut self, message: Message, most_ms: u64) {
+        let at = self.now_ms + self.rng.random_range(1..most_ms);
+        self.send_at(message, at);
+    }
+
+    fn send_at(&mut self, message: Message, at: u64) {
+        self.sent += 1;
+        self.messages.insert((at, self.sent), message);
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now_ms {
+                return;
+            }
+            match entry.remove() {
+                Message::Order(router, order) => self.take_order(router, order),
+                Message::Event(router, event) => self.hand_in(router, event),
+                Message::Store(router, op, request) => self.call_store(router, op, request),
+            }
+        }
+    }
+
+    /// Hands an event in, or keeps it until a paused router goes on.
+    fn hand_in(&mut self, router: usize, event: Event) {
+        let until = self.paused_until_ms[router];
+        if until > self.now_ms {
+            self.send_at(Message::Event(router, event), until);
+            return;
+        }
+        let now = self.now();
+        let actions = step(&mut self.nodes[router], now, event);
+        for action in actions {
+            match action {
+                Action::Order(order) => self.send(Message::Order(router, order), FLIGHT_MS),
+                Action::Store { op, request } => {
+                    self.send(Message::Store(router, op, request), 20);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn take_order(&mut self, router: usize, order: Order) {
+        let i = usize::from(order.address.port()) - 8_001;
+        let answer = self.engines[i].take(self.now_ms, &order);
+        self.stale_refused += u32::from(answer != OrderAnswer::Taken);
+        let loading = self.engines.iter().filter(|e| e.loading.is_some()).count();
+        self.most_loads = self.most_loads.max(loading);
+        if self.rng.random_bool(0.8) {
+            let event = Event::OrderAnswered {
+                server: order.server,
+                fencing: order.fencing,
+                answer,
+            };
+            self.send(Message::Event(router, event), 20);
+        }
+    }
+
+    fn call_store(&mut self, router: usize, op: policy::OpId, request: StoreRequest) {
+        let result = match request {
+            StoreRequest::Get { key } => match self.store.get(&key).cloned() {
+                Some((version, value)) => StoreResult::Value { version, value },
+                None => StoreResult::Absent,
+            },
+            StoreRequest::CompareAndSwap {
+                key,
+                expected,
+                value,
+                ..
+            } => {
+                let held = self.store.get(&key).cloned();
+                if held.as_ref().map_or(0, |(version, _)| *version) == expected {
+                    self.store.insert(key, (expected + 1, value));
+                    StoreResult::Written {
+                        version: expected + 1,
+                    }
+                } else {
+                    StoreResult::Conflict { held }
+                }
+            }
+        };
+        let result = match self.rng.random_range(0..20) {
+            0 => StoreResult::AnswerLost,
+            _ => result,
+        };
+        self.send(Message::Event(router, Event::Store { op, result }), 20);
+    }
+
+    fn engines_step(&mut self) {
+        for engine in &mut self.engines {
+            if let Some((version, until_ms)) = engine.loading {
+                if until_ms <= self.now_ms {
+                    engine.held = version;
+                    engine.loading = None;
+                }
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for i in 0..usize::from(ENGINES) {
+            let report = LoadReport {
+                server: format!("engine{}", i + 1),
+                incarnation: Incarnation(1),
+                at: self.now(),
+                queued_tokens: 0,
+                running: 0,
+                leaving: false,
+                weights: vec![HeldWeights {
+                    model: "long".to_owned(),
+                    version: self.engines[i].held,
+                }],
+            };
+            for router in 0..ROUTERS {
+                let event = Event::Load(report.clone());
+                self.send(Message::Event(router, event), 50);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        for router in 0..ROUTERS {
+            let due = self.nodes[router].next_deadline();
+            if due.is_some_and(|at| at <= now) && self.paused_until_ms[router] <= self.now_ms {
+                self.hand_in(router, Event::Tick);
+            }
+        }
+    }
+}
+
+impl Engine {
+    fn new(checks_fencing: bool) -> Engine {
+        Engine {
+            checks_fencing,
+            fencing: 0,
+            held: 1,
+            loading: None,
+        }
+    }
+
+    fn take(&mut self, now_ms: u64, order: &Order) -> OrderAnswer {
+        if self.checks_fencing && order.fencing < self.fencing {
+            return OrderAnswer::StaleFencing(self.fencing);
+        }
+        self.fencing = order.fencing;
+        let target = self.loading.map_or(self.held, |(version, _)| version);
+        if target != order.weights_version {
+            self.loading = Some((order.weights_version, now_ms + LOAD_MS));
+        }
+        OrderAnswer::Taken
+    }
+}
+
+#[test]
+fn all_engines_end_with_the_last_weights() {
+    for seed in 0..SEEDS {
+        let run = Run::with_pauses(0, seed);
+
+        assert!(
+            run.engines.iter().all(|e| e.held == LAST_VERSION),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn loads_at_once_stay_within_the_limit_while_routers_pause() {
+    for seed in 0..SEEDS {
+        let run = Run::with_pauses(12_000, seed);
+
+        assert!(run.most_loads <= LIMIT, "seed {seed}: {}", run.most_loads);
+        assert!(
+            run.engines.iter().all(|e| e.held == LAST_VERSION),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn an_engine_that_checks_refuses_the_order_of_a_paused_holder() {
+    let refused: u32 = (0..SEEDS)
+        .map(|seed| Run::with_pauses(12_000, seed).stale_refused)
+        .sum();
+
+    assert!(refused > 0);
+}
+
+/// Has one router take a slot for `engine` and pause for good, and returns
+/// after how many milliseconds another one takes the slot over.
+fn taken_over_after_ms(engine: &str) -> u64 {
+    let mut store: (u64, Vec<u8>) = (0, Vec::new());
+    let mut first = router(1);
+    let mut second = router(2);
+    run_alone(&mut first, engine, 0..1_000, &mut store);
+    let taken = store.clone();
+    run_alone(&mut second, engine, 1_000..10_000, &mut store);
+    assert_ne!(taken, store, "nobody took the slot over");
+    let text = String::from_utf8(store.1).expect("the record is JSON");
+    let record: serde_json::Value = serde_json::from_str(&text).expect("the record is JSON");
+    let until = record["slots"][0]["until"].as_u64().expect("it has a time");
+    until / 1_000 - START.as_millis()
+}
+
+/// Runs a router until it has written the record once.
+fn run_alone(
+    node: &mut Node,
+    engine: &str,
+    span_ms: std::ops::Range<u64>,
+    store: &mut (u64, Vec<u8>),
+) {
+    let event = Event::Config {
+        version: 2,
+        config: config_with_weights(2),
+    };
+    step(node, START.plus_millis(span_ms.start), event);
+    for ms in span_ms {
+        let now = START.plus_millis(ms);
+        let report = LoadReport {
+            server: engine.to_owned(),
+            incarnation: Incarnation(1),
+            at: now,
+            queued_tokens: 0,
+            running: 0,
+            leaving: false,
+            weights: vec![HeldWeights {
+                model: "long".to_owned(),
+                version: 1,
+            }],
+        };
+        for action in step(node, now, Event::Load(report)) {
+            let Action::Store { op, request } = action else {
+                continue;
+            };
+            let result = match request {
+                StoreRequest::Get { .. } if store.0 == 0 => StoreResult::Absent,
+                StoreRequest::Get { .. } => StoreResult::Value {
+                    version: store.0,
+                    value: store.1.clone(),
+                },
+                StoreRequest::CompareAndSwap { value, .. } => {
+                    *store = (store.0 + 1, value);
+                    return;
+                }
+            };
+            step(node, now, Event::Store { op, result });
+        }
+    }
+}
+
+#[test]
+fn a_slot_is_taken_over_only_once_no_order_of_its_holder_can_land() {
+    let first_until_ms = 3_000;
+    let slot_ms = 3_000;
+
+    let checking = taken_over_after_ms("engine1") - slot_ms;
+    let unchecking = taken_over_after_ms("engine2") - slot_ms;
+
+    assert!(checking >= first_until_ms, "{checking}");
+    assert!(unchecking >= first_until_ms + FLIGHT_MS, "{unchecking}");
+}
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -126,7 +126,7 @@
         let mut next_call = 0;
         for ms in 0..RUN_MS {
             run.engines_step(ms);
-            if ms % REPORT_EVERY_MS == 0 {
+            if ms.is_multiple_of(REPORT_EVERY_MS) {
                 run.report_loads(ms);
             }
             if rng.random_bool((load * CAPACITY / 1_000.0).min(1.0)) {
@@ -249,6 +249,7 @@
                 queued_tokens: queued + left_ms * PROMPT_TOKENS / PREFILL_MS,
                 running: u32::from(engine.running.is_some()),
                 leaving: false,
+                weights: Vec::new(),
             };
             for router in 0..ROUTERS {
                 let event = Event::Load(report.clone());
