turmerichollowctl: check, diff, apply, status, history and rollback

A change is published by compare-and-swap of the head record. The former manifest goes into the history before the head is replaced, so the history has no gaps, whoever stops where. After a lost answer the head is read back: its nonce, or that of the history's manifest of the same version, tells whether the change was accepted. If the head is still the old one, the same write is repeated under the same expected version, so that a late first write and its repeat can't both take effect. Where neither can be read, the command says that it isn't known and claims nothing.

The history keeps 100 versions, pruned at each 50th; contents that only pruned versions named are deleted with them.

apply waits until each live router publishes the version, and exits with 3 and the names of those that lag at the deadline.

--- /dev/null
+++ b/crates/ctl/src/apply_command.rs
@@ -0,0 +1,161 @@
+//! `apply`: makes a folder the configuration in force.
+
+use std::fmt;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use config::next_base;
+use config::rebase;
+use config::Folder;
+use config::Maker;
+use config::Manifest;
+use config::Override;
+use config::Rebased;
+use serde::Serialize;
+use snafu::ResultExt;
+use tokio::time::Instant;
+
+use crate::author;
+use crate::base_file::BaseFile;
+use crate::declared;
+use crate::declared::Declared;
+use crate::error::ConflictingSnafu;
+use crate::prune;
+use crate::publish::publish;
+use crate::publish::Published;
+use crate::rollout;
+use crate::rollout::Progress;
+use crate::rollout::Rollout;
+use crate::ConfigStore;
+use crate::Error;
+use crate::Outcome;
+use crate::Result;
+
+/// Time that the command waits for the routers unless told otherwise, in seconds.
+pub(crate) const DEFAULT_WAIT_S: u64 = 10;
+
+/// Applies a folder and waits until it is in force on every live router.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyCommand {
+    /// folder of configuration files
+    #[argh(positional)]
+    pub dir: PathBuf,
+    /// version on which the folder is based, instead of its base file
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// name of the operator, instead of USER
+    #[argh(option)]
+    pub author: Option<String>,
+    /// seconds to wait for the routers
+    #[argh(option, default = "DEFAULT_WAIT_S")]
+    pub wait_s: u64,
+}
+
+/// What a change did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ApplyReport {
+    /// Version in force once the command has ended.
+    pub version: u64,
+    /// Whether the change was accepted; `false` if there was nothing to change.
+    pub accepted: bool,
+    /// Files that it changed, and those of others that it kept.
+    #[serde(flatten)]
+    pub files: Rebased,
+    /// Entries of the folder that a later file replaces.
+    pub overrides: Vec<Override>,
+    /// How far the version has come.
+    pub rollout: Rollout,
+}
+
+impl ApplyCommand {
+    /// Runs the command.
+    pub async fn run(self, store: &ConfigStore, progress: &Progress) -> Result<Outcome> {
+        let maker = author::maker(self.author.clone())?;
+        let declared = Declared::read(&self.dir)?;
+        let identity = store.ensure_identity().await?;
+        let (manifest, files, base) = self.submit(store, &declared.folder, &maker).await?;
+        let accepted = !files.is_empty();
+        if accepted {
+            progress(&format!("version {}: accepted", manifest.version));
+        }
+        let base = BaseFile {
+            identity,
+            manifest: next_base(&base, &declared.folder, &manifest),
+        };
+        if let Err(e) = base.write(&self.dir) {
+            progress(&format!("the base file can't be written: {e}"));
+        }
+        if accepted {
+            if let Err(e) = prune::prune(store, &manifest).await {
+                progress(&format!("the history can't be pruned: {e}"));
+            }
+        }
+        let deadline = Instant::now() + Duration::from_secs(self.wait_s);
+        let rollout = rollout::wait(store, manifest.version, deadline, progress).await;
+        let code = rollout.exit_code();
+        let report = ApplyReport {
+            version: manifest.version,
+            accepted,
+            files,
+            overrides: declared.checked.overrides,
+            rollout,
+        };
+        Ok(Outcome::new(&report, code))
+    }
+
+    /// Rebases the change until it is accepted, refused or has nothing to change.
+    async fn submit(
+        &self,
+        store: &ConfigStore,
+        own: &Folder,
+        maker: &Maker,
+    ) -> Result<(Manifest, Rebased, Manifest)> {
+        let mut head = store.head().await?;
+        let base = declared::base(store, &head, &self.dir, self.base).await?;
+        loop {
+            let current = &head.manifest;
+            let files = rebase(&base, own, current, &maker.author).context(ConflictingSnafu)?;
+            if files.is_empty() {
+                return Ok((head.manifest, files, base));
+            }
+            let next = files.manifest(own, current, maker);
+            match publish(store, &head, &next, own).await? {
+                Published::Accepted => return Ok((next, files, base)),
+                Published::Raced => head = store.head().await?,
+            }
+            if Instant::now() > store.client().deadline() {
+                let version = head.manifest.version;
+                return Err(Error::Outrun { version });
+            }
+        }
+    }
+}
+
+impl fmt::Display for ApplyReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.accepted {
+            true => write!(f, "version {}: accepted", self.version)?,
+            false => write!(f, "version {}: nothing to change", self.version)?,
+        }
+        for file in &self.files.put {
+            write!(f, "\nput {file}")?;
+        }
+        for file in &self.files.removed {
+            write!(f, "\nremoved {file}")?;
+        }
+        for file in &self.files.kept {
+            write!(f, "\nkept {file}, which others changed")?;
+        }
+        for Override {
+            field,
+            file,
+            replaced_file,
+        } in &self.overrides
+        {
+            write!(f, "\n{field}: {file} replaces {replaced_file}")?;
+        }
+        write!(f, "\n{}", self.rollout)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/arguments.rs
@@ -0,0 +1,150 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use snafu::ensure;
+
+use crate::error::ArgumentSnafu;
+use crate::rollout::Progress;
+use crate::ApplyCommand;
+use crate::CheckCommand;
+use crate::ConfigStore;
+use crate::DiffCommand;
+use crate::ExitCode;
+use crate::HistoryCommand;
+use crate::Outcome;
+use crate::PlatformClient;
+use crate::Result;
+use crate::RollbackCommand;
+use crate::StatusCommand;
+
+/// Name of the option that names the platform.
+const PLATFORM: &str = "--platform";
+
+/// Options before the command that take no value.
+const SWITCHES: [&str; 2] = ["--json", "--version"];
+
+/// Checks, changes and shows the configuration of turmerichollow.
+#[derive(Debug, FromArgs)]
+pub struct Arguments {
+    /// addresses of the platform's key-value service, separated by commas
+    #[argh(option, default = "Addresses::default()")]
+    pub platform: Addresses,
+    /// print one JSON document
+    #[argh(switch)]
+    pub json: bool,
+    /// print the version of the program
+    #[argh(switch)]
+    pub version: bool,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// A command with its arguments.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Checks a folder.
+    Check(CheckCommand),
+    /// Shows what applying a folder would change.
+    Diff(DiffCommand),
+    /// Applies a folder.
+    Apply(ApplyCommand),
+    /// Shows routers, versions in force, backend servers and leases.
+    Status(StatusCommand),
+    /// Lists former versions.
+    History(HistoryCommand),
+    /// Brings a former version back as a new one.
+    Rollback(RollbackCommand),
+}
+
+/// Addresses of the platform.
+#[derive(Clone, Debug, Default)]
+pub struct Addresses(Vec<SocketAddr>);
+
+impl std::str::FromStr for Addresses {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Addresses, String> {
+        let addresses = text.split(',').map(|addr| {
+            addr.parse()
+                .map_err(|_| format!("expected an IP address with a port, found {addr:?}"))
+        });
+        addresses
+            .collect::<std::result::Result<_, String>>()
+            .map(Addresses)
+    }
+}
+
+impl Arguments {
+    /// Runs the command and prints its outcome.
+    pub async fn run(self) -> ExitCode {
+        if self.version {
+            println!("turmerichollowctl {}", env!("CARGO_PKG_VERSION"));
+            return ExitCode::Ok;
+        }
+        let json = self.json;
+        let outcome = self.outcome().await.unwrap_or_else(Outcome::from);
+        outcome.print(json);
+        outcome.code
+    }
+
+    async fn outcome(self) -> Result<Outcome> {
+        let progress = |line: &str| eprintln!("{line}");
+        match self.command {
+            Some(command) => command.run(&self.platform, &progress).await,
+            None => ArgumentSnafu {
+                argument: "command",
+                expected: "one of check, diff, apply, status, history, rollback; see --help",
+            }
+            .fail(),
+        }
+    }
+}
+
+impl Command {
+    async fn run(self, platform: &Addresses, progress: &Progress) -> Result<Outcome> {
+        match self {
+            Command::Check(command) => command.run(),
+            Command::Diff(command) => command.run(&platform.store()?).await,
+            Command::Apply(command) => command.run(&platform.store()?, progress).await,
+            Command::Status(command) => command.run(&platform.store()?).await,
+            Command::History(command) => command.run(&platform.store()?).await,
+            Command::Rollback(command) => command.run(&platform.store()?, progress).await,
+        }
+    }
+}
+
+impl Addresses {
+    fn store(&self) -> Result<ConfigStore> {
+        ensure!(
+            !self.0.is_empty(),
+            ArgumentSnafu {
+                argument: PLATFORM,
+                expected: "an IP address with a port, such as 10.0.0.1:7000",
+            }
+        );
+        Ok(ConfigStore::new(PlatformClient::connect(&self.0)))
+    }
+}
+
+/// Moves the options that every command takes before the command.
+pub fn globals_first(args: Vec<String>) -> Vec<String> {
+    let mut globals = Vec::new();
+    let mut others = Vec::new();
+    let mut args = args.into_iter();
+    while let Some(arg) = args.next() {
+        match arg.as_str() {
+            PLATFORM => {
+                globals.push(arg);
+                globals.extend(args.next());
+            }
+            switch if SWITCHES.contains(&switch) => globals.push(arg),
+            _ => others.push(arg),
+        }
+    }
+    globals.extend(others);
+    globals
+}
--- /dev/null
+++ b/crates/ctl/src/declared.rs
@@ -0,0 +1,59 @@
+//! The operator's folder and the version on which it is based.
+
+use std::path::Path;
+
+use config::check;
+use config::Checked;
+use config::Folder;
+use config::Manifest;
+use snafu::ensure;
+use snafu::ResultExt;
+
+use crate::base_file::BaseFile;
+use crate::config_store::Head;
+use crate::error::EmptyFolderSnafu;
+use crate::error::FaultySnafu;
+use crate::error::ReadFolderSnafu;
+use crate::ConfigStore;
+use crate::Result;
+
+/// A folder that passed all checks.
+pub(crate) struct Declared {
+    /// The files.
+    pub(crate) folder: Folder,
+    /// What they declare.
+    pub(crate) checked: Checked,
+}
+
+impl Declared {
+    /// Reads and checks a folder.
+    pub(crate) fn read(dir: &Path) -> Result<Declared> {
+        let folder = Folder::read(dir).context(ReadFolderSnafu)?;
+        ensure!(!folder.files.is_empty(), EmptyFolderSnafu { dir });
+        let checked = check(&folder).context(FaultySnafu)?;
+        Ok(Declared { folder, checked })
+    }
+}
+
+/// Returns the manifest on which a folder is based.
+///
+/// It is that of `version` if given, else that of the folder's base file, else
+/// an empty one, under which the folder can add files but replaces none.
+pub(crate) async fn base(
+    store: &ConfigStore,
+    head: &Head,
+    dir: &Path,
+    version: Option<u64>,
+) -> Result<Manifest> {
+    if let Some(version) = version {
+        return store.manifest_at(version, head).await;
+    }
+    let Some(base) = BaseFile::read(dir)? else {
+        return Ok(Manifest::default());
+    };
+    let identity = store.identity().await?;
+    match identity == Some(base.identity) {
+        true => Ok(base.manifest),
+        false => Ok(Manifest::default()),
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,41 @@
-//! Placeholder.
+//! The operators' command line, `turmerichollowctl`.
+//!
+//! Each command reads or changes the configuration in the platform's key-value
+//! service and gives a report, as text for people or as JSON for machines.
+
+mod apply_command;
+mod arguments;
+mod author;
+mod base_file;
+mod check_command;
+mod config_store;
+mod declared;
+mod diff_command;
+mod error;
+mod fleet;
+mod history_command;
+mod outcome;
+mod platform_client;
+mod prune;
+mod publish;
+mod rollback_command;
+mod rollout;
+mod status_command;
+
+pub use crate::apply_command::ApplyCommand;
+pub use crate::apply_command::ApplyReport;
+pub use crate::arguments::globals_first;
+pub use crate::arguments::Arguments;
+pub use crate::arguments::Command;
+pub use crate::base_file::BASE_FILE;
+pub use crate::check_command::CheckCommand;
+pub use crate::config_store::ConfigStore;
+pub use crate::diff_command::DiffCommand;
+pub use crate::error::Error;
+pub use crate::error::Result;
+pub use crate::history_command::HistoryCommand;
+pub use crate::outcome::ExitCode;
+pub use crate::outcome::Outcome;
+pub use crate::platform_client::PlatformClient;
+pub use crate::rollback_command::RollbackCommand;
+pub use crate::status_command::StatusCommand;
--- /dev/null
+++ b/crates/ctl/src/rollout.rs
@@ -0,0 +1,108 @@
+//! Waits until a version is in force on every live router.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::sleep;
+use tokio::time::Instant;
+
+use crate::fleet;
+use crate::fleet::LiveRouter;
+use crate::ConfigStore;
+use crate::ExitCode;
+use crate::Result;
+
+/// Pause between two looks at the routers.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Prints a line while a command waits.
+pub type Progress = dyn Fn(&str) + Send + Sync;
+
+/// How far a version has come.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Rollout {
+    /// Live routers on which it is in force.
+    pub in_force: Vec<LiveRouter>,
+    /// Live routers that lag.
+    pub lagging: Vec<LiveRouter>,
+    /// Why the routers can't be seen, if they can't.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub unseen: Option<String>,
+}
+
+impl Rollout {
+    /// Tells whether the version is in force on every live router.
+    pub fn is_complete(&self) -> bool {
+        self.lagging.is_empty() && self.unseen.is_none()
+    }
+
+    /// Returns the exit code of a command whose change was accepted.
+    pub fn exit_code(&self) -> ExitCode {
+        match self.is_complete() {
+            true => ExitCode::Ok,
+            false => ExitCode::Lagging,
+        }
+    }
+}
+
+impl fmt::Display for Rollout {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(reason) = &self.unseen {
+            return write!(f, "routers can't be seen: {reason}");
+        }
+        let live = self.in_force.len() + self.lagging.len();
+        match live {
+            0 => return write!(f, "no live router"),
+            _ => write!(
+                f,
+                "in force on {} of {live} live routers",
+                self.in_force.len()
+            )?,
+        }
+        if self.lagging.is_empty() {
+            return Ok(());
+        }
+        let lagging: Vec<String> = self.lagging.iter().map(LiveRouter::to_string).collect();
+        write!(f, "; lagging: {}", lagging.join(", "))
+    }
+}
+
+/// Waits until `version` is in force on every live router, or until the deadline.
+pub(crate) async fn wait(
+    store: &ConfigStore,
+    version: u64,
+    deadline: Instant,
+    progress: &Progress,
+) -> Rollout {
+    let store = ConfigStore::new(store.client().until(deadline));
+    let mut last = None;
+    loop {
+        let rollout = look(&store, version).await.unwrap_or_else(|e| Rollout {
+            unseen: Some(e.to_string()),
+            ..Rollout::default()
+        });
+        if rollout.is_complete() || Instant::now() + LOOK_PAUSE > deadline {
+            return rollout;
+        }
+        if last.as_ref() != Some(&rollout) {
+            progress(&format!("version {version}: {rollout}"));
+            last = Some(rollout);
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+async fn look(store: &ConfigStore, version: u64) -> Result<Rollout> {
+    let members = fleet::members(store).await?;
+    let statuses = fleet::statuses(store).await?;
+    let live = fleet::live_routers(&members, &statuses);
+    let (in_force, lagging) = live
+        .into_iter()
+        .partition(|router| router.version.is_some_and(|held| held >= version));
+    Ok(Rollout {
+        in_force,
+        lagging,
+        unseen: None,
+    })
+}
