--- a/crates/ctl/src/config_store.rs
+++ b/crates/ctl/src/config_store.rs
@@ -122,11 +122,12 @@
         own: &Folder,
     ) -> Result<BTreeMap<String, Bytes>> {
         let mut contents = contents_of(own);
-        let wanted: BTreeSet<&String> = manifest
+        let wanted: BTreeSet<String> = manifest
             .files
             .values()
             .map(|entry| &entry.sha256)
             .filter(|sha256| !contents.contains_key(*sha256))
+            .cloned()
             .collect();
         let read: Vec<Option<(String, Bytes)>> = stream::iter(wanted)
             .map(|sha256| self.content(sha256))
@@ -214,9 +215,9 @@
         self.ensure("write a file", &key, value).await
     }
 
-    async fn content(&self, sha256: &str) -> Result<Option<(String, Bytes)>> {
-        let held = self.get("read a file", &content_key(sha256)).await?;
-        Ok(held.map(|held| (sha256.to_owned(), held.value)))
+    async fn content(&self, sha256: String) -> Result<Option<(String, Bytes)>> {
+        let held = self.get("read a file", &content_key(&sha256)).await?;
+        Ok(held.map(|held| (sha256, held.value)))
     }
 
     /// Brings a key to a value that doesn't depend on who writes it.
--- a/crates/ctl/tests/operator/mod.rs
+++ b/crates/ctl/tests/operator/mod.rs
@@ -3,7 +3,8 @@
 
 use std::fs;
 
-use config::assemble;
+use config::check;
+use config::folder_of;
 use config::Config;
 use config::Folder;
 use config::Manifest;
@@ -62,6 +63,18 @@
         fs::remove_file(self.dir.path().join(file)).expect("remove a file");
     }
 
+    /// Brings the folder to the version in force and returns that version.
+    pub async fn check_out(&self, platform: &Platform) -> u64 {
+        let (manifest, folder) = files_in_force(platform).await;
+        for file in Folder::read(self.dir.path()).expect("read").files.keys() {
+            self.remove(file);
+        }
+        for (file, content) in &folder.files {
+            self.write(file, content);
+        }
+        manifest.version
+    }
+
     pub async fn apply<P>(&self, platform: &P) -> Result<Outcome, Error>
     where
         P: KeyValue + MembershipList + Clone + 'static,
@@ -107,15 +120,21 @@
         .manifest
 }
 
-/// Reads the configuration in force, as a router does.
-pub async fn in_force(platform: &Platform) -> Config {
+pub async fn files_in_force(platform: &Platform) -> (Manifest, Folder) {
     let store = store(platform);
-    let head = store.head().await.expect("read the head").manifest;
+    let manifest = store.head().await.expect("read the head").manifest;
     let contents = store
-        .contents(&head, &Folder::default())
+        .contents(&manifest, &Folder::default())
         .await
         .expect("read the files");
-    assemble(&head, &contents).expect("assemble")
+    let folder = folder_of(&manifest, &contents).expect("contents match their hashes");
+    (manifest, folder)
+}
+
+/// Returns the configuration in force, as a router sees it.
+pub async fn in_force(platform: &Platform) -> Config {
+    let (_, folder) = files_in_force(platform).await;
+    check(&folder).expect("sound").config
 }
 
 pub async fn list_router(platform: &Platform, vm: &str) {
