Model-engine stand-in over HTTP

Streams, caches and refusals need something that behaves like an engine: it takes the time for prompts and tokens, keeps a bounded cache of pieces, and crashes on a marked prompt. Its tokens depend on prompt and position alone, so that a stream continued elsewhere can be compared with the whole. The ledger of what really ran outlives crashes.

A stream whose reader goes away lives on for a period of grace, which is what lets another router resume it.

--- /dev/null
+++ b/crates/standins/src/engine_run.rs
@@ -0,0 +1,476 @@
+//! One incarnation of the engine stand-in.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use backend::wire::ExportAnswer;
+use backend::wire::ExportMessage;
+use backend::CacheEvents;
+use backend::FetchFrom;
+use backend::GenerateRequest;
+use backend::Load;
+use backend::Order;
+use backend::OrderAnswer;
+use backend::Started;
+use policy::content_chain;
+use policy::PieceSeed;
+use policy::BYTES_PER_TOKEN;
+use policy::PIECE_TOKENS;
+use tokio::sync::watch;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::engine_refusal::EngineRefusal;
+use crate::engine_stream::EngineStream;
+use crate::engine_stream::StreamReader;
+use crate::EngineRecord;
+use crate::EngineSettings;
+use crate::PieceCache;
+use crate::PromptHash;
+use crate::WeightStore;
+
+/// What outlives a crash.
+#[derive(Debug, Default)]
+pub(crate) struct Lasting {
+    /// What was really done.
+    pub ledger: Mutex<Vec<EngineRecord>>,
+    /// Highest fencing number seen.
+    pub fencing: Mutex<u64>,
+}
+
+impl Lasting {
+    /// Enters a record in the ledger.
+    pub(crate) fn record(&self, record: EngineRecord) {
+        lock(&self.ledger).push(record);
+    }
+}
+
+/// One incarnation of the engine stand-in.
+#[derive(Debug)]
+pub(crate) struct EngineRun {
+    /// Settings.
+    pub settings: Arc<EngineSettings>,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// What outlives it.
+    pub lasting: Arc<Lasting>,
+    /// Wakes the worker that computes prompts.
+    pub prefill_wake: Notify,
+    /// Wakes the worker that generates tokens.
+    pub decode_wake: Notify,
+    weight_store: WeightStore,
+    cache_changed: watch::Sender<()>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    cache: PieceCache,
+    queue: BTreeMap<(Reverse<u8>, u64), Job>,
+    last_job: u64,
+    computing_tokens: u64,
+    streams: HashMap<String, Arc<EngineStream>>,
+    running: Vec<Arc<EngineStream>>,
+    weights: BTreeMap<String, u64>,
+    ordered: BTreeMap<String, u64>,
+    leaving: bool,
+}
+
+/// A prompt that waits for its computation.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// Stream.
+    pub stream: Arc<EngineStream>,
+    /// Workspace.
+    pub workspace: String,
+    /// Model.
+    pub model: String,
+    /// Weights.
+    pub weights_version: u64,
+    /// Keys of the prompt's pieces.
+    pub chain: Vec<u64>,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Tokens that had to be computed when it came in.
+    pub missing_tokens: u64,
+    /// Server that holds missing pieces.
+    pub fetch_from: Option<FetchFrom>,
+    /// Whether it crashes the engine.
+    pub crashes: bool,
+}
+
+impl EngineRun {
+    /// Creates an incarnation with an empty cache.
+    pub(crate) fn new(
+        settings: Arc<EngineSettings>,
+        incarnation: u64,
+        lasting: Arc<Lasting>,
+        weight_store: WeightStore,
+    ) -> EngineRun {
+        let state = State {
+            cache: PieceCache::new(settings.cache_pieces, settings.lose_event_every),
+            queue: BTreeMap::new(),
+            last_job: 0,
+            computing_tokens: 0,
+            streams: HashMap::new(),
+            running: Vec::new(),
+            weights: settings.models.clone(),
+            ordered: settings.models.clone(),
+            leaving: false,
+        };
+        EngineRun {
+            settings,
+            incarnation,
+            lasting,
+            prefill_wake: Notify::new(),
+            decode_wake: Notify::new(),
+            weight_store,
+            cache_changed: watch::Sender::new(()),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Takes a generation in, or refuses it.
+    pub(crate) fn generate(&self, req: GenerateRequest) -> Result<StreamReader, EngineRefusal> {
+        let name = req.stream.clone();
+        let admitted = self.admit(req);
+        if let Err(refusal) = &admitted {
+            self.lasting.record(EngineRecord::Refused {
+                stream: name,
+                reason: refusal.reason(),
+            });
+        }
+        admitted
+    }
+
+    fn admit(&self, req: GenerateRequest) -> Result<StreamReader, EngineRefusal> {
+        let mut state = self.state();
+        state.check(self.incarnation, &req)?;
+        let prompt = PromptHash::new(&req.prompt);
+        let position = check_delivered(prompt, &req.delivered)?;
+        let chain = piece_keys(&req);
+        let prompt_tokens = tokens_of(&req.prompt);
+        let held = state.cache.held_prefix(&chain);
+        let missing_tokens = prompt_tokens - tokens_in(held);
+        if state.queued_tokens() + missing_tokens > self.settings.max_queued_tokens {
+            return Err(EngineRefusal::Overloaded);
+        }
+        let grace = Duration::from_millis(self.settings.grace_ms);
+        let stream = EngineStream::new(req.stream, prompt, position, req.max_tokens, grace);
+        let stream = Arc::new(stream);
+        let reader = stream.read();
+        state.sweep();
+        state
+            .streams
+            .insert(stream.name.clone(), Arc::clone(&stream));
+        let marker = self.settings.crash_marker.as_deref();
+        let job = Job {
+            stream,
+            workspace: req.workspace,
+            model: req.model,
+            weights_version: req.weights_version,
+            chain,
+            prompt_tokens,
+            missing_tokens,
+            fetch_from: req.fetch_from,
+            crashes: marker.is_some_and(|marker| req.prompt.contains(marker)),
+        };
+        state.enqueue(req.priority, job);
+        self.prefill_wake.notify_one();
+        Ok(reader)
+    }
+
+    /// Finds a stream whose reader has come back.
+    pub(crate) fn resume(
+        &self,
+        stream: &str,
+        incarnation: u64,
+    ) -> Result<StreamReader, EngineRefusal> {
+        if incarnation != self.incarnation {
+            return Err(EngineRefusal::StaleIncarnation);
+        }
+        let state = self.state();
+        match state.streams.get(stream) {
+            Some(stream) if !stream.progress().cancelled => Ok(stream.read()),
+            _ => Err(EngineRefusal::StreamGone),
+        }
+    }
+
+    /// Gives a stream up.
+    pub(crate) fn cancel(&self, stream: &str) {
+        let stream = self.state().streams.get(stream).cloned();
+        if let Some(stream) = stream.filter(|stream| !stream.has_ended()) {
+            self.give_up(&stream);
+        }
+    }
+
+    /// Gives a stream up and records it.
+    pub(crate) fn give_up(&self, stream: &EngineStream) {
+        stream.cancel();
+        self.lasting.record(EngineRecord::Cancelled {
+            stream: stream.name.clone(),
+        });
+    }
+
+    /// Takes the next prompt to compute, if there is one and room to run it.
+    pub(crate) fn next_job(&self) -> Option<Job> {
+        let mut state = self.state();
+        if state.running.len() >= self.settings.max_running {
+            return None;
+        }
+        let (_, job) = state.queue.pop_first()?;
+        state.computing_tokens = job.missing_tokens;
+        Some(job)
+    }
+
+    /// Returns the pieces of a prompt that are missing from the cache.
+    pub(crate) fn missing(&self, job: &Job) -> Vec<u64> {
+        let state = self.state();
+        job.chain[state.cache.held_prefix(&job.chain)..].to_vec()
+    }
+
+    /// Stores pieces in the cache.
+    pub(crate) fn store(&self, chain: &[u64]) {
+        self.state().cache.store(chain);
+        self.cache_changed.send_replace(());
+    }
+
+    /// Begins a prompt's computation and returns the number of tokens to compute.
+    pub(crate) fn begin(&self, job: &Job) -> u64 {
+        let held = self.state().cache.use_prefix(&job.chain);
+        let cached_tokens = tokens_in(held);
+        let first_position = job.stream.progress().produced;
+        self.lasting.record(EngineRecord::Ran {
+            incarnation: self.incarnation,
+            stream: job.stream.name.clone(),
+            workspace: job.workspace.clone(),
+            model: job.model.clone(),
+            weights_version: job.weights_version,
+            prompt_tokens: job.prompt_tokens,
+            cached_tokens,
+            first_position,
+        });
+        job.stream.start(Started {
+            incarnation: self.incarnation,
+            prompt_tokens: job.prompt_tokens,
+            cached_tokens,
+        });
+        job.prompt_tokens - cached_tokens
+    }
+
+    /// Ends a prompt's computation and lets its stream run.
+    pub(crate) fn run(&self, job: Job) {
+        self.store(&job.chain);
+        let mut state = self.state();
+        state.computing_tokens = 0;
+        state.running.push(job.stream);
+        self.decode_wake.notify_one();
+    }
+
+    /// Ends a prompt's computation without running it.
+    pub(crate) fn skip(&self, job: &Job) {
+        self.state().computing_tokens = 0;
+        if !job.stream.has_ended() {
+            self.give_up(&job.stream);
+        }
+    }
+
+    /// Produces one token of each running stream; `false` when none runs.
+    pub(crate) fn decode(&self) -> bool {
+        let mut state = self.state();
+        let before = state.running.len();
+        state.running.retain(|stream| self.step(stream));
+        if state.running.len() != before {
+            self.prefill_wake.notify_one();
+        }
+        !state.running.is_empty()
+    }
+
+    /// Produces one token; `false` when the stream runs no more.
+    fn step(&self, stream: &EngineStream) -> bool {
+        if stream.has_ended() {
+            return false;
+        }
+        if stream.is_abandoned() {
+            self.give_up(stream);
+            return false;
+        }
+        if !stream.produce() {
+            return true;
+        }
+        self.lasting.record(EngineRecord::Finished {
+            stream: stream.name.clone(),
+        });
+        false
+    }
+
+    /// Returns the load.
+    pub(crate) fn load(&self) -> Load {
+        let state = self.state();
+        Load {
+            incarnation: self.incarnation,
+            queued_tokens: state.queued_tokens(),
+            running: u32::try_from(state.running.len()).unwrap_or(u32::MAX),
+            leaving: state.leaving,
+        }
+    }
+
+    /// Makes it leave: it finishes what it has and takes nothing new.
+    pub(crate) fn leave(&self) {
+        self.state().leaving = true;
+    }
+
+    /// Waits for cache events from `sequence` on.
+    pub(crate) async fn cache_events(
+        &self,
+        incarnation: u64,
+        sequence: u64,
+        wait_ms: u64,
+    ) -> CacheEvents {
+        let sequence = match incarnation == self.incarnation {
+            true => sequence.max(1),
+            false => 1,
+        };
+        let mut changed = self.cache_changed.subscribe();
+        let wait = changed.wait_for(|()| !self.events_from(sequence).events.is_empty());
+        // Without an event in time the answer is empty.
+        let _ = timeout(Duration::from_millis(wait_ms), wait).await;
+        self.events_from(sequence)
+    }
+
+    fn events_from(&self, sequence: u64) -> CacheEvents {
+        let (first_sequence, events) = self.state().cache.events_from(sequence);
+        CacheEvents {
+            incarnation: self.incarnation,
+            first_sequence,
+            events,
+        }
+    }
+
+    /// Takes an order, or refuses it for its fencing number.
+    pub(crate) fn order(self: &Arc<EngineRun>, order: Order) -> OrderAnswer {
+        let mut highest = lock(&self.lasting.fencing);
+        if self.settings.checks_fencing && order.fencing < *highest {
+            return OrderAnswer::StaleFencing(*highest);
+        }
+        *highest = order.fencing.max(*highest);
+        drop(highest);
+        self.lasting.record(EngineRecord::Ordered {
+            fencing: order.fencing,
+            model: order.model.clone(),
+            weights_version: order.weights_version,
+        });
+        self.switch_weights(order.model, order.weights_version);
+        OrderAnswer::Taken
+    }
+
+    fn switch_weights(self: &Arc<EngineRun>, model: String, weights_version: u64) {
+        let mut state = self.state();
+        if state.ordered.get(&model) == Some(&weights_version) {
+            return;
+        }
+        state.weights.remove(&model);
+        state.ordered.insert(model.clone(), weights_version);
+        let run = Arc::clone(self);
+        tokio::spawn(async move {
+            run.weight_store.load().await;
+            run.state().finish_load(model, weights_version);
+        });
+    }
+
+    /// Exports those of the wanted pieces that it holds.
+    pub(crate) fn export(&self, message: &ExportMessage) -> Result<ExportAnswer, EngineRefusal> {
+        if message.incarnation != self.incarnation {
+            return Err(EngineRefusal::StaleIncarnation);
+        }
+        let state = self.state();
+        if state.weights.get(&message.model) != Some(&message.weights_version) {
+            return Err(EngineRefusal::StaleWeights);
+        }
+        let held = message.keys.iter().filter(|key| state.cache.holds(**key));
+        Ok(ExportAnswer {
+            incarnation: self.incarnation,
+            keys: held.copied().collect(),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+impl State {
+    fn check(&self, incarnation: u64, req: &GenerateRequest) -> Result<(), EngineRefusal> {
+        if self.leaving {
+            return Err(EngineRefusal::Leaving);
+        }
+        if req.incarnation != 0 && req.incarnation != incarnation {
+            return Err(EngineRefusal::StaleIncarnation);
+        }
+        if self.weights.get(&req.model) != Some(&req.weights_version) {
+            return Err(EngineRefusal::StaleWeights);
+        }
+        Ok(())
+    }
+
+    fn queued_tokens(&self) -> u64 {
+        let waiting = self.queue.values().map(|job| job.missing_tokens);
+        waiting.sum::<u64>() + self.computing_tokens
+    }
+
+    fn enqueue(&mut self, priority: u8, job: Job) {
+        self.last_job += 1;
+        self.queue.insert((Reverse(priority), self.last_job), job);
+    }
+
+    /// Serves loaded weights, unless others were ordered in the meantime.
+    fn finish_load(&mut self, model: String, weights_version: u64) {
+        if self.ordered.get(&model) == Some(&weights_version) {
+            self.weights.insert(model, weights_version);
+        }
+    }
+
+    /// Forgets streams that have ended and that nobody has read for a while.
+    fn sweep(&mut self) {
+        self.streams
+            .retain(|_, stream| !stream.has_ended() || !stream.is_abandoned());
+    }
+}
+
+fn check_delivered(prompt: PromptHash, delivered: &[String]) -> Result<u32, EngineRefusal> {
+    let mut position = 0;
+    for text in delivered {
+        if *text != prompt.token(position) {
+            return Err(EngineRefusal::BadDelivered);
+        }
+        position += 1;
+    }
+    Ok(position)
+}
+
+fn piece_keys(req: &GenerateRequest) -> Vec<u64> {
+    let seed = PieceSeed::new(&req.workspace, &req.model, req.weights_version);
+    content_chain(req.prompt.as_bytes())
+        .into_iter()
+        .map(|content| seed.key(content).0)
+        .collect()
+}
+
+fn tokens_of(prompt: &str) -> u64 {
+    let bytes = u64::try_from(prompt.len()).unwrap_or(u64::MAX);
+    bytes.div_ceil(BYTES_PER_TOKEN)
+}
+
+fn tokens_in(pieces: usize) -> u64 {
+    u64::try_from(pieces).unwrap_or(u64::MAX) * PIECE_TOKENS
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -9,7 +9,7 @@
 use futures::future::BoxFuture;
 use http::Request;
 use http::Response;
-use http_body_util::combinators::BoxBody;
+use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,7 +21,7 @@
 use tokio::task::JoinSet;
 
 /// Body of an answer.
-pub(crate) type Body = BoxBody<Bytes, Infallible>;
+pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
 
 /// Closes the connection instead of giving an answer.
 #[derive(Clone, Copy, Debug, Snafu)]
--- a/crates/standins/src/json_body.rs
+++ b/crates/standins/src/json_body.rs
@@ -52,7 +52,7 @@
 
 /// Builds an answer.
 pub(crate) fn answer(status: StatusCode, content_type: &str, body: Bytes) -> Response<Body> {
-    let mut answer = Response::new(Full::new(body).boxed());
+    let mut answer = Response::new(Full::new(body).boxed_unsync());
     *answer.status_mut() = status;
     if let Ok(content_type) = content_type.parse() {
         answer.headers_mut().insert(CONTENT_TYPE, content_type);
--- /dev/null
+++ b/crates/standins/src/piece_cache.rs
@@ -0,0 +1,113 @@
+//! The engine stand-in's cache of pieces, with the log of its changes.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use backend::CacheEvent;
+
+/// Events that are kept for readers that come late.
+const MAX_EVENTS: usize = 10_000;
+
+/// Pieces in the order of their last use, bounded in number.
+#[derive(Clone, Debug)]
+pub struct PieceCache {
+    capacity: usize,
+    lose_event_every: u64,
+    used_at: HashMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    uses: u64,
+    events: VecDeque<(u64, CacheEvent)>,
+    next_sequence: u64,
+}
+
+impl PieceCache {
+    /// Creates an empty cache that loses each event whose sequence number
+    /// `lose_event_every` divides, none for 0.
+    pub fn new(capacity: usize, lose_event_every: u64) -> PieceCache {
+        PieceCache {
+            capacity,
+            lose_event_every,
+            used_at: HashMap::new(),
+            by_use: BTreeMap::new(),
+            uses: 0,
+            events: VecDeque::new(),
+            next_sequence: 1,
+        }
+    }
+
+    /// Returns how many of the first pieces of `chain` are held, and marks them as used.
+    pub fn use_prefix(&mut self, chain: &[u64]) -> usize {
+        let held = self.held_prefix(chain);
+        for key in chain[..held].iter().rev() {
+            self.touch(*key);
+        }
+        held
+    }
+
+    /// Returns how many of the first pieces of `chain` are held.
+    pub fn held_prefix(&self, chain: &[u64]) -> usize {
+        chain.iter().take_while(|key| self.holds(**key)).count()
+    }
+
+    /// Tells whether a piece is held.
+    pub fn holds(&self, key: u64) -> bool {
+        self.used_at.contains_key(&key)
+    }
+
+    /// Stores all pieces of `chain`; the last ones are evicted first.
+    pub fn store(&mut self, chain: &[u64]) {
+        let kept = &chain[..chain.len().min(self.capacity)];
+        for key in kept.iter().rev() {
+            self.touch(*key);
+        }
+        while self.used_at.len() > self.capacity {
+            self.evict_oldest();
+        }
+    }
+
+    /// Returns the events without a gap that follow `sequence`, with the number of the first.
+    pub fn events_from(&self, sequence: u64) -> (u64, Vec<CacheEvent>) {
+        let start = self
+            .events
+            .partition_point(|(number, _)| *number < sequence);
+        let first = self
+            .events
+            .get(start)
+            .map_or(sequence, |(number, _)| *number);
+        let events = self.events.range(start..);
+        let events = events
+            .zip(first..)
+            .take_while(|((number, _), expected)| number == expected)
+            .map(|((_, event), _)| *event);
+        (first, events.collect())
+    }
+
+    fn touch(&mut self, key: u64) {
+        self.uses += 1;
+        self.by_use.insert(self.uses, key);
+        match self.used_at.insert(key, self.uses) {
+            Some(before) => drop(self.by_use.remove(&before)),
+            None => self.log(CacheEvent::Stored(key)),
+        }
+    }
+
+    fn evict_oldest(&mut self) {
+        if let Some((_, key)) = self.by_use.pop_first() {
+            self.used_at.remove(&key);
+            self.log(CacheEvent::Evicted(key));
+        }
+    }
+
+    fn log(&mut self, event: CacheEvent) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        if self.lose_event_every > 0 && sequence.is_multiple_of(self.lose_event_every) {
+            return;
+        }
+        self.events.push_back((sequence, event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/weight_store.rs
@@ -0,0 +1,76 @@
+//! The store from which engines load weights.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+/// The weight store, which slows down when too many engines load at once.
+///
+/// Clones share its state.
+#[derive(Clone, Debug)]
+pub struct WeightStore {
+    load_ms: u64,
+    loads_at_once: u32,
+    loads: Arc<Mutex<Loads>>,
+}
+
+#[derive(Debug, Default)]
+struct Loads {
+    current: u32,
+    highest: u32,
+}
+
+impl WeightStore {
+    /// Creates a store from which a load takes `load_ms`, and proportionally
+    /// longer when more than `loads_at_once` engines load.
+    pub fn new(load_ms: u64, loads_at_once: u32) -> WeightStore {
+        WeightStore {
+            load_ms,
+            loads_at_once: loads_at_once.max(1),
+            loads: Arc::default(),
+        }
+    }
+
+    /// Returns the largest number of engines that were loading at once.
+    pub fn highest_loads(&self) -> u32 {
+        self.loads().highest
+    }
+
+    /// Loads weights.
+    pub(crate) async fn load(&self) {
+        let load = Load::begin(self);
+        let crowd = load.current.div_ceil(self.loads_at_once);
+        sleep(Duration::from_millis(self.load_ms * u64::from(crowd))).await;
+    }
+
+    fn loads(&self) -> MutexGuard<'_, Loads> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Load<'a> {
+    store: &'a WeightStore,
+    current: u32,
+}
+
+impl Load<'_> {
+    fn begin(store: &WeightStore) -> Load<'_> {
+        let mut loads = store.loads();
+        loads.current += 1;
+        loads.highest = loads.highest.max(loads.current);
+        Load {
+            store,
+            current: loads.current,
+        }
+    }
+}
+
+impl Drop for Load<'_> {
+    fn drop(&mut self) {
+        self.store.loads().current -= 1;
+    }
+}
