--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,6 +17,7 @@
 mod platform;
 mod platform_faults;
 mod platform_server;
+mod service;
 mod token_text;
 mod weight_store;
 
@@ -30,5 +31,7 @@
 pub use crate::platform::Platform;
 pub use crate::platform_faults::CallKind;
 pub use crate::platform_server::PlatformServer;
+pub use crate::service::Service;
+pub use crate::service::ServiceRecord;
 pub use crate::token_text::PromptHash;
 pub use crate::weight_store::WeightStore;
