--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -33,5 +33,6 @@
 pub use crate::platform_server::PlatformServer;
 pub use crate::service::Service;
 pub use crate::service::ServiceRecord;
+pub use crate::service::ServiceSettings;
 pub use crate::token_text::PromptHash;
 pub use crate::weight_store::WeightStore;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -18,6 +18,9 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
+use platform::Member;
+use platform::MembershipList;
+use platform::Role;
 use serde::Serialize;
 use tokio::time::sleep;
 
@@ -28,10 +31,14 @@
 use crate::json_body::answer;
 use crate::json_body::read_body;
 use crate::json_body::text;
+use crate::Announcer;
 
 /// Header that carries the idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
 
+/// Incarnation of a service, which keeps no state that depends on it.
+const FIRST_INCARNATION: u64 = 1;
+
 /// A call that the stand-in really ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceRecord {
@@ -45,11 +52,33 @@
     pub body: Bytes,
 }
 
+/// Settings of the plain-service stand-in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceSettings {
+    /// Name of its VM.
+    pub name: String,
+    /// Region.
+    pub region: String,
+    /// Failure domain.
+    pub failure_domain: String,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> ServiceSettings {
+        ServiceSettings {
+            name: "service-1".to_owned(),
+            region: "west".to_owned(),
+            failure_domain: "west-1".to_owned(),
+        }
+    }
+}
+
 /// A plain service: lookups by `GET`, all else is an entry that must not be repeated.
 ///
 /// It is stopped when dropped.
 #[derive(Debug)]
 pub struct Service {
+    settings: ServiceSettings,
     shared: Arc<Shared>,
     server: HttpServer,
 }
@@ -78,13 +107,17 @@
 
 impl Service {
     /// Starts a service on `address`, where port 0 takes any free port.
-    pub async fn start(address: SocketAddr) -> io::Result<Service> {
+    pub async fn start(address: SocketAddr, settings: ServiceSettings) -> io::Result<Service> {
         let shared = Arc::new(Shared::default());
         let handler = ServiceHandler {
             shared: Arc::clone(&shared),
         };
         let server = HttpServer::start(address, handler).await?;
-        Ok(Service { shared, server })
+        Ok(Service {
+            settings,
+            shared,
+            server,
+        })
     }
 
     /// Returns the address that it listens on.
@@ -107,6 +140,26 @@
         self.shared.state().leaving = true;
     }
 
+    /// Keeps it on the membership list.
+    pub fn announce(&self, list: Arc<dyn MembershipList>) -> Announcer {
+        let shared = Arc::clone(&self.shared);
+        let member = Member {
+            name: self.settings.name.clone(),
+            role: Role::BackendServer,
+            address: self.address(),
+            region: self.settings.region.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            incarnation: FIRST_INCARNATION,
+            leaving: false,
+        };
+        Announcer::start(list, move || {
+            Some(Member {
+                leaving: shared.state().leaving,
+                ..member.clone()
+            })
+        })
+    }
+
     /// Returns what it really ran.
     pub fn ledger(&self) -> Vec<ServiceRecord> {
         self.shared.state().ledger.clone()
--- a/crates/standins/tests/service.rs
+++ b/crates/standins/tests/service.rs
@@ -10,6 +10,7 @@
 use backend::ServiceRequest;
 use bytes::Bytes;
 use standins::Service;
+use standins::ServiceSettings;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -18,7 +19,9 @@
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
 async fn service() -> Service {
-    Service::start(loopback()).await.expect("starts")
+    Service::start(loopback(), ServiceSettings::default())
+        .await
+        .expect("starts")
 }
 
 fn loopback() -> SocketAddr {
@@ -47,10 +50,16 @@
 
 /// Answers the first request of a connection and closes it on the second.
 async fn close_on_second_request(mut stream: TcpStream) -> io::Result<()> {
-    let mut buf = [0; 4_096];
-    stream.read(&mut buf).await?;
+    read_head(&mut stream).await?;
     stream.write_all(ANSWER).await?;
-    stream.read(&mut buf).await?;
+    read_head(&mut stream).await
+}
+
+async fn read_head(stream: &mut TcpStream) -> io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
     Ok(())
 }
 
