--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,8 @@
 //! Small stand-ins for the outside systems, never shipped.
 
 mod announcer;
+mod caller;
+mod caller_error;
 mod engine;
 mod engine_handler;
 mod engine_record;
@@ -17,11 +19,18 @@
 mod platform;
 mod platform_faults;
 mod platform_server;
+mod publish;
 mod service;
+mod token_events;
 mod token_text;
 mod weight_store;
 
 pub use crate::announcer::Announcer;
+pub use crate::caller::Call;
+pub use crate::caller::CallAnswer;
+pub use crate::caller::Caller;
+pub use crate::caller::Completion;
+pub use crate::caller_error::CallerError;
 pub use crate::engine::Engine;
 pub use crate::engine_record::EngineRecord;
 pub use crate::engine_settings::EngineSettings;
@@ -31,8 +40,12 @@
 pub use crate::platform::Platform;
 pub use crate::platform_faults::CallKind;
 pub use crate::platform_server::PlatformServer;
+pub use crate::publish::publish;
 pub use crate::service::Service;
 pub use crate::service::ServiceRecord;
 pub use crate::service::ServiceSettings;
+pub use crate::token_events::Received;
+pub use crate::token_events::TokenEvent;
+pub use crate::token_events::TokenEvents;
 pub use crate::token_text::PromptHash;
 pub use crate::weight_store::WeightStore;
