--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,131 @@
+//! The connection to one other router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use policy::PeerMessage;
+use snafu::ResultExt;
+use tarpc::client;
+use tarpc::context;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::counted_io::CountedIo;
+use crate::error::CallSnafu;
+use crate::error::IoSnafu;
+use crate::error::TimedOutSnafu;
+use crate::handshake;
+use crate::queue::Queue;
+use crate::service::client_transport;
+use crate::service::PeerClient;
+use crate::Observer;
+use crate::Result;
+use crate::Secret;
+
+/// Time to connect and to prove who one is.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time for a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Shortest wait after a connection that failed, in milliseconds.
+const MIN_BACKOFF_MS: u64 = 100;
+
+/// Longest wait after a connection that failed, in milliseconds.
+const MAX_BACKOFF_MS: u64 = 5_000;
+
+/// The connection to one other router.
+pub struct Link {
+    /// Address of its peers' port.
+    pub address: SocketAddr,
+    /// Messages that wait.
+    pub queue: Arc<Queue>,
+    /// The shared secret.
+    pub secret: Secret,
+    /// Name of this VM.
+    pub vm: Arc<str>,
+    /// Counts what passes.
+    pub observer: Arc<dyn Observer>,
+}
+
+impl Link {
+    /// Sends messages as they come, and connects again after each failure.
+    pub async fn run(self) {
+        let mut backoff_ms = MIN_BACKOFF_MS;
+        loop {
+            self.queue.filled().await;
+            let mut delivered = false;
+            if let Err(e) = self.connect_and_send(&mut delivered).await {
+                log::debug!("event=peer_link_failed reason={:?}", e.to_string());
+            }
+            if delivered {
+                backoff_ms = MIN_BACKOFF_MS;
+            }
+            let jitter_ms = rand::random_range(0..=backoff_ms / 2);
+            sleep(Duration::from_millis(backoff_ms / 2 + jitter_ms)).await;
+            backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+        }
+    }
+
+    async fn connect_and_send(&self, delivered: &mut bool) -> Result<()> {
+        let peer = self.address.to_string();
+        let io = match timeout(CONNECT_TIMEOUT, self.connect(&peer)).await {
+            Ok(connected) => connected?,
+            Err(_) => {
+                return TimedOutSnafu {
+                    step: "connect",
+                    peer,
+                }
+                .fail()
+            }
+        };
+        let transport = client_transport(CountedIo::new(io, Arc::clone(&self.observer)));
+        let client = PeerClient::new(client::Config::default(), transport);
+        tokio::select! {
+            _ = client.dispatch => Ok(()),
+            result = self.send(&client.client, &peer, delivered) => result,
+        }
+    }
+
+    async fn connect(&self, peer: &str) -> Result<TcpStream> {
+        let mut io = TcpStream::connect(self.address).await.context(IoSnafu {
+            step: "connect",
+            peer,
+        })?;
+        io.set_nodelay(true).context(IoSnafu {
+            step: "connect",
+            peer,
+        })?;
+        handshake::connect(&mut io, peer, &self.secret, &self.vm).await?;
+        Ok(io)
+    }
+
+    async fn send(&self, client: &PeerClient, peer: &str, delivered: &mut bool) -> Result<()> {
+        loop {
+            let batch = self.queue.pop_batch().await;
+            let count = u64::try_from(batch.len()).unwrap_or(u64::MAX);
+            let result = deliver(client, batch).await;
+            if result.is_err() {
+                self.observer.on_dropped(count);
+            }
+            result.context(CallSnafu {
+                step: "deliver",
+                peer,
+            })?;
+            *delivered = true;
+        }
+    }
+}
+
+async fn deliver(
+    client: &PeerClient,
+    batch: Vec<PeerMessage>,
+) -> std::result::Result<u32, client::RpcError> {
+    let messages = batch.iter().map(From::from).collect();
+    let mut cx = context::current();
+    cx.deadline = Instant::now() + CALL_TIMEOUT;
+    client.deliver(cx, messages).await
+}
--- /dev/null
+++ b/crates/peer/src/links.rs
@@ -0,0 +1,105 @@
+//! Connections to other routers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use policy::PeerMessage;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
+
+use crate::link::Link;
+use crate::queue::Queue;
+use crate::Observer;
+use crate::Secret;
+
+/// Connections to other routers, made when there is something to send.
+pub struct Links {
+    vm: Arc<str>,
+    secret: Secret,
+    observer: Arc<dyn Observer>,
+    open: Mutex<OpenLinks>,
+}
+
+#[derive(Default)]
+struct OpenLinks {
+    by_vm: HashMap<String, OpenLink>,
+    tasks: JoinSet<()>,
+}
+
+struct OpenLink {
+    address: SocketAddr,
+    queue: Arc<Queue>,
+    task: AbortHandle,
+}
+
+impl Links {
+    /// Creates no connections yet, for the router on `vm`.
+    pub fn new(vm: &str, secret: Secret, observer: Arc<dyn Observer>) -> Links {
+        Links {
+            vm: vm.into(),
+            secret,
+            observer,
+            open: Mutex::default(),
+        }
+    }
+
+    /// Sends a message to the router on VM `to`, or drops it if that can't be reached.
+    pub fn send(&self, to: &str, address: SocketAddr, message: PeerMessage) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let dropped = self.queue(&mut open, to, address).push(message);
+        self.observer.on_dropped(dropped);
+    }
+
+    /// Closes the connections to all routers but those for which `keep` holds.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.by_vm.retain(|vm, link| {
+            let kept = keep(vm);
+            if !kept {
+                link.task.abort();
+            }
+            kept
+        });
+    }
+
+    fn queue<'a>(&self, open: &'a mut OpenLinks, to: &str, address: SocketAddr) -> &'a Queue {
+        let moved = open
+            .by_vm
+            .get(to)
+            .is_some_and(|link| link.address != address);
+        if moved {
+            if let Some(link) = open.by_vm.remove(to) {
+                link.task.abort();
+            }
+        }
+        if !open.by_vm.contains_key(to) {
+            let link = self.start(&mut open.tasks, address);
+            open.by_vm.insert(to.to_owned(), link);
+        }
+        &open.by_vm[to].queue
+    }
+
+    fn start(&self, tasks: &mut JoinSet<()>, address: SocketAddr) -> OpenLink {
+        // Ended tasks are of no more use.
+        while tasks.try_join_next().is_some() {}
+        let queue = Arc::new(Queue::default());
+        let link = Link {
+            address,
+            queue: Arc::clone(&queue),
+            secret: self.secret.clone(),
+            vm: Arc::clone(&self.vm),
+            observer: Arc::clone(&self.observer),
+        };
+        OpenLink {
+            address,
+            queue,
+            task: tasks.spawn(link.run()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/secret.rs
@@ -0,0 +1,45 @@
+//! The secret that routers share.
+
+use std::fmt;
+
+use hmac::Hmac;
+use hmac::Mac;
+use sha2::Sha256;
+
+/// Bytes of an authentication code.
+pub const CODE_BYTES: usize = 32;
+
+/// The secret that routers share.
+#[derive(Clone)]
+pub struct Secret(Hmac<Sha256>);
+
+impl Secret {
+    /// Takes a secret of any length.
+    pub fn new(secret: &[u8]) -> Secret {
+        Secret(Hmac::new_from_slice(secret).expect("HMAC takes a key of any length"))
+    }
+
+    /// Returns the authentication code of `parts`.
+    pub(crate) fn code(&self, parts: &[&[u8]]) -> [u8; CODE_BYTES] {
+        self.mac(parts).finalize().into_bytes().into()
+    }
+
+    /// Tells, in constant time, whether `code` is the one of `parts`.
+    pub(crate) fn verify(&self, parts: &[&[u8]], code: &[u8]) -> bool {
+        self.mac(parts).verify_slice(code).is_ok()
+    }
+
+    fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let mut mac = self.0.clone();
+        for part in parts {
+            mac.update(part);
+        }
+        mac
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret")
+    }
+}
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,328 @@
+//! Messages in the form in which they pass between routers.
+
+use std::sync::Arc;
+
+use config::Config;
+use policy::CellLoad;
+use policy::Incarnation;
+use policy::PeerMessage;
+use policy::PieceKey;
+use policy::PlaceRequest;
+use policy::Placed;
+use policy::ServerMark;
+use policy::Snapshot;
+use policy::Strike;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+/// A message that is not well formed.
+#[derive(Debug, Snafu)]
+pub enum BadMessage {
+    /// The configuration in it is not JSON of the expected form.
+    #[snafu(display("configuration version {version}: {source}"))]
+    Config {
+        /// Version that it claims.
+        version: u64,
+        /// What was wrong.
+        source: serde_json::Error,
+    },
+}
+
+/// A [`PeerMessage`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum WireMessage {
+    /// A configuration in force.
+    Config(WireConfig),
+    /// The version in force.
+    Version(u64),
+    /// Servers that are leaving.
+    Leaving(Vec<WireMark>),
+    /// Runners that broke.
+    Strikes(Vec<WireStrike>),
+    /// Loads of cells.
+    CellLoad(Vec<WireCellLoad>),
+    /// Asks for a runner.
+    Place(WirePlaceRequest),
+    /// Names a runner.
+    Placed(WirePlaced),
+    /// Asks for a snapshot.
+    SnapshotRequest,
+    /// A snapshot.
+    Snapshot(WireSnapshot),
+}
+
+/// A configuration with its version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireConfig {
+    version: u64,
+    json: Vec<u8>,
+}
+
+/// A [`ServerMark`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireMark {
+    server: String,
+    incarnation: u64,
+}
+
+/// A [`Strike`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireStrike {
+    fingerprint: u64,
+    mark: WireMark,
+    at_ms: u64,
+}
+
+/// A [`CellLoad`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireCellLoad {
+    cell: u64,
+    queued_tokens: u32,
+    least_queued_tokens: u32,
+}
+
+/// A [`PlaceRequest`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WirePlaceRequest {
+    ticket: u64,
+    cell: u64,
+    pieces: Vec<u64>,
+    prompt_tokens: u32,
+    rank: u8,
+    fingerprint: u64,
+    workspace: String,
+    model: String,
+    avoid: Vec<String>,
+}
+
+/// A [`Placed`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WirePlaced {
+    ticket: u64,
+    server: Option<WireMark>,
+    fetch_from: Option<WireMark>,
+    expected_cached_tokens: u32,
+    expected_wait_ms: u32,
+}
+
+/// A [`Snapshot`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireSnapshot {
+    config: Option<WireConfig>,
+    leaving: Vec<WireMark>,
+    strikes: Vec<WireStrike>,
+    cells: Vec<WireCellLoad>,
+}
+
+impl From<&PeerMessage> for WireMessage {
+    fn from(message: &PeerMessage) -> WireMessage {
+        match message {
+            PeerMessage::Config { version, config } => {
+                WireMessage::Config(WireConfig::new(*version, config))
+            }
+            PeerMessage::Version(version) => WireMessage::Version(*version),
+            PeerMessage::Leaving(marks) => WireMessage::Leaving(list(marks)),
+            PeerMessage::Strikes(strikes) => WireMessage::Strikes(list(strikes)),
+            PeerMessage::CellLoad(loads) => WireMessage::CellLoad(list(loads)),
+            PeerMessage::Place(req) => WireMessage::Place(req.into()),
+            PeerMessage::Placed(placed) => WireMessage::Placed(placed.into()),
+            PeerMessage::SnapshotRequest => WireMessage::SnapshotRequest,
+            PeerMessage::Snapshot(snapshot) => WireMessage::Snapshot(snapshot.as_ref().into()),
+        }
+    }
+}
+
+impl TryFrom<WireMessage> for PeerMessage {
+    type Error = BadMessage;
+
+    fn try_from(message: WireMessage) -> Result<PeerMessage, BadMessage> {
+        Ok(match message {
+            WireMessage::Config(config) => PeerMessage::Config {
+                version: config.version,
+                config: config.parse()?,
+            },
+            WireMessage::Version(version) => PeerMessage::Version(version),
+            WireMessage::Leaving(marks) => PeerMessage::Leaving(list_of(marks)),
+            WireMessage::Strikes(strikes) => PeerMessage::Strikes(list_of(strikes)),
+            WireMessage::CellLoad(loads) => PeerMessage::CellLoad(list_of(loads)),
+            WireMessage::Place(req) => PeerMessage::Place(req.into()),
+            WireMessage::Placed(placed) => PeerMessage::Placed(placed.into()),
+            WireMessage::SnapshotRequest => PeerMessage::SnapshotRequest,
+            WireMessage::Snapshot(snapshot) => {
+                PeerMessage::Snapshot(Box::new(snapshot.try_into()?))
+            }
+        })
+    }
+}
+
+impl WireConfig {
+    fn new(version: u64, config: &Config) -> WireConfig {
+        let json = serde_json::to_vec(config).expect("a configuration is plain JSON");
+        WireConfig { version, json }
+    }
+
+    fn parse(&self) -> Result<Arc<Config>, BadMessage> {
+        let version = self.version;
+        let config = serde_json::from_slice(&self.json).context(ConfigSnafu { version })?;
+        Ok(Arc::new(config))
+    }
+}
+
+impl From<&ServerMark> for WireMark {
+    fn from(mark: &ServerMark) -> WireMark {
+        WireMark {
+            server: mark.server.clone(),
+            incarnation: mark.incarnation.0,
+        }
+    }
+}
+
+impl From<WireMark> for ServerMark {
+    fn from(mark: WireMark) -> ServerMark {
+        ServerMark {
+            server: mark.server,
+            incarnation: Incarnation(mark.incarnation),
+        }
+    }
+}
+
+impl From<&Strike> for WireStrike {
+    fn from(strike: &Strike) -> WireStrike {
+        WireStrike {
+            fingerprint: strike.fingerprint,
+            mark: (&strike.mark).into(),
+            at_ms: strike.at_ms,
+        }
+    }
+}
+
+impl From<WireStrike> for Strike {
+    fn from(strike: WireStrike) -> Strike {
+        Strike {
+            fingerprint: strike.fingerprint,
+            mark: strike.mark.into(),
+            at_ms: strike.at_ms,
+        }
+    }
+}
+
+impl From<&CellLoad> for WireCellLoad {
+    fn from(load: &CellLoad) -> WireCellLoad {
+        WireCellLoad {
+            cell: load.cell,
+            queued_tokens: load.queued_tokens,
+            least_queued_tokens: load.least_queued_tokens,
+        }
+    }
+}
+
+impl From<WireCellLoad> for CellLoad {
+    fn from(load: WireCellLoad) -> CellLoad {
+        CellLoad {
+            cell: load.cell,
+            queued_tokens: load.queued_tokens,
+            least_queued_tokens: load.least_queued_tokens,
+        }
+    }
+}
+
+impl From<&PlaceRequest> for WirePlaceRequest {
+    fn from(req: &PlaceRequest) -> WirePlaceRequest {
+        WirePlaceRequest {
+            ticket: req.ticket,
+            cell: req.cell,
+            pieces: req.pieces.iter().map(|piece| piece.0).collect(),
+            prompt_tokens: req.prompt_tokens,
+            rank: req.rank,
+            fingerprint: req.fingerprint,
+            workspace: req.workspace.clone(),
+            model: req.model.clone(),
+            avoid: req.avoid.clone(),
+        }
+    }
+}
+
+impl From<WirePlaceRequest> for PlaceRequest {
+    fn from(req: WirePlaceRequest) -> PlaceRequest {
+        PlaceRequest {
+            ticket: req.ticket,
+            cell: req.cell,
+            pieces: req.pieces.into_iter().map(PieceKey).collect(),
+            prompt_tokens: req.prompt_tokens,
+            rank: req.rank,
+            fingerprint: req.fingerprint,
+            workspace: req.workspace,
+            model: req.model,
+            avoid: req.avoid,
+        }
+    }
+}
+
+impl From<&Placed> for WirePlaced {
+    fn from(placed: &Placed) -> WirePlaced {
+        WirePlaced {
+            ticket: placed.ticket,
+            server: placed.server.as_ref().map(From::from),
+            fetch_from: placed.fetch_from.as_ref().map(From::from),
+            expected_cached_tokens: placed.expected_cached_tokens,
+            expected_wait_ms: placed.expected_wait_ms,
+        }
+    }
+}
+
+impl From<WirePlaced> for Placed {
+    fn from(placed: WirePlaced) -> Placed {
+        Placed {
+            ticket: placed.ticket,
+            server: placed.server.map(From::from),
+            fetch_from: placed.fetch_from.map(From::from),
+            expected_cached_tokens: placed.expected_cached_tokens,
+            expected_wait_ms: placed.expected_wait_ms,
+        }
+    }
+}
+
+impl From<&Snapshot> for WireSnapshot {
+    fn from(snapshot: &Snapshot) -> WireSnapshot {
+        let config = snapshot.config.as_ref();
+        WireSnapshot {
+            config: config.map(|(version, config)| WireConfig::new(*version, config)),
+            leaving: list(&snapshot.leaving),
+            strikes: list(&snapshot.strikes),
+            cells: list(&snapshot.cells),
+        }
+    }
+}
+
+impl TryFrom<WireSnapshot> for Snapshot {
+    type Error = BadMessage;
+
+    fn try_from(snapshot: WireSnapshot) -> Result<Snapshot, BadMessage> {
+        let config = match snapshot.config {
+            Some(config) => Some((config.version, config.parse()?)),
+            None => None,
+        };
+        Ok(Snapshot {
+            config,
+            leaving: list_of(snapshot.leaving),
+            strikes: list_of(snapshot.strikes),
+            cells: list_of(snapshot.cells),
+        })
+    }
+}
+
+fn list<'a, T, W>(items: &'a [T]) -> Vec<W>
+where
+    W: From<&'a T>,
+{
+    items.iter().map(From::from).collect()
+}
+
+fn list_of<W, T>(items: Vec<W>) -> Vec<T>
+where
+    T: From<W>,
+{
+    items.into_iter().map(From::from).collect()
+}
--- /dev/null
+++ b/crates/router/src/call_headers.rs
@@ -0,0 +1,117 @@
+//! Headers that callers steer a request with.
+
+use http::HeaderMap;
+use http::HeaderValue;
+use policy::Time;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::clock;
+use crate::hex;
+use crate::Rejection;
+
+/// Longest time that a caller may name for an answer, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 24 * 3_600 * 1_000;
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Longest name of a priority class, in bytes.
+const MAX_PRIORITY_BYTES: usize = 64;
+
+const AUTHORIZATION: &str = "authorization";
+const DEADLINE: &str = "x-deadline-ms";
+const PRIORITY: &str = "x-priority";
+const KEY: &str = "idempotency-key";
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Headers that callers steer a request with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallHeaders {
+    /// SHA-256 of the bearer token, in lower-case hexadecimal.
+    pub token_sha256: String,
+    /// Priority class.
+    pub priority: Option<String>,
+    /// Time by which the caller wants the answer.
+    pub deadline: Option<Time>,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Id of the last event that the caller has.
+    pub last_event_id: Option<String>,
+}
+
+impl CallHeaders {
+    /// Reads the headers of a request.
+    pub fn parse(headers: &HeaderMap) -> Result<CallHeaders, Rejection> {
+        Ok(CallHeaders {
+            token_sha256: token(headers)?,
+            priority: word(headers, PRIORITY, MAX_PRIORITY_BYTES)?,
+            deadline: deadline(headers)?,
+            key: word(headers, KEY, MAX_KEY_BYTES)?,
+            last_event_id: text(headers, LAST_EVENT_ID)?.map(str::to_owned),
+        })
+    }
+}
+
+fn token(headers: &HeaderMap) -> Result<String, Rejection> {
+    let text = text(headers, AUTHORIZATION)?.ok_or(Rejection::NoToken)?;
+    let (scheme, token) = text.split_once(' ').ok_or(Rejection::NoToken)?;
+    let token = token.trim();
+    if !scheme.eq_ignore_ascii_case("bearer") || token.is_empty() {
+        return Err(Rejection::NoToken);
+    }
+    Ok(hex::encode(&Sha256::digest(token)))
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Time>, Rejection> {
+    let Some(text) = text(headers, DEADLINE)? else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(ms @ 1..=MAX_DEADLINE_MS) => Ok(Some(clock::now().plus_millis(ms))),
+        _ => Err(Rejection::BadHeader {
+            name: DEADLINE,
+            expected: "expected milliseconds from now, 1 to 86400000",
+        }),
+    }
+}
+
+fn word(
+    headers: &HeaderMap,
+    name: &'static str,
+    max_bytes: usize,
+) -> Result<Option<String>, Rejection> {
+    let Some(text) = text(headers, name)? else {
+        return Ok(None);
+    };
+    let valid = !text.is_empty()
+        && text.len() <= max_bytes
+        && text.bytes().all(|byte| byte.is_ascii_graphic());
+    if !valid {
+        return Err(Rejection::BadHeader {
+            name,
+            expected: "expected one short word of printable ASCII",
+        });
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Rejection> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Rejection::BadHeader {
+            name,
+            expected: "expected once",
+        });
+    }
+    match HeaderValue::to_str(value) {
+        Ok(text) => Ok(Some(text.trim())),
+        Err(_) => Err(Rejection::BadHeader {
+            name,
+            expected: "expected visible ASCII",
+        }),
+    }
+}
--- /dev/null
+++ b/crates/router/src/completion_request.rs
@@ -0,0 +1,146 @@
+//! Bodies of completions and chat completions.
+
+use serde::Deserialize;
+
+use crate::Rejection;
+
+/// Tokens that are generated at most when the caller names no number.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Largest number of tokens that a caller may ask for.
+const MAX_MAX_TOKENS: u32 = 1_000_000;
+
+/// Longest name of a model, in bytes.
+const MAX_MODEL_BYTES: usize = 256;
+
+/// Which of the two shapes a caller speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// `/v1/completions`.
+    Completion,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+impl Shape {
+    /// Returns what ids of its answers begin with.
+    pub fn id_prefix(self) -> &'static str {
+        match self {
+            Shape::Completion => "cmpl",
+            Shape::Chat => "chatcmpl",
+        }
+    }
+}
+
+/// What a caller asks an engine for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompletionRequest {
+    /// Shape of request and answer.
+    pub shape: Shape,
+    /// Model.
+    pub model: String,
+    /// Prompt text, chat messages rendered.
+    pub prompt: String,
+    /// Tokens to generate at most.
+    pub max_tokens: u32,
+    /// Whether the answer is to be streamed.
+    pub stream: bool,
+}
+
+#[derive(Deserialize)]
+struct WireCompletion {
+    model: String,
+    prompt: String,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct WireChat {
+    model: String,
+    messages: Vec<WireMessage>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct WireMessage {
+    role: String,
+    content: String,
+}
+
+impl CompletionRequest {
+    /// Reads a body. Fields that the router has no use for are ignored.
+    pub fn parse(shape: Shape, body: &[u8]) -> Result<CompletionRequest, Rejection> {
+        let req = match shape {
+            Shape::Completion => parse_json::<WireCompletion>(body)?.into(),
+            Shape::Chat => parse_json::<WireChat>(body)?.into(),
+        };
+        check(&req)?;
+        Ok(req)
+    }
+}
+
+impl From<WireCompletion> for CompletionRequest {
+    fn from(wire: WireCompletion) -> CompletionRequest {
+        CompletionRequest {
+            shape: Shape::Completion,
+            model: wire.model,
+            prompt: wire.prompt,
+            max_tokens: wire.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+            stream: wire.stream,
+        }
+    }
+}
+
+impl From<WireChat> for CompletionRequest {
+    fn from(wire: WireChat) -> CompletionRequest {
+        let max_tokens = wire.max_completion_tokens.or(wire.max_tokens);
+        CompletionRequest {
+            shape: Shape::Chat,
+            model: wire.model,
+            prompt: render(&wire.messages),
+            max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+            stream: wire.stream,
+        }
+    }
+}
+
+fn parse_json<'a, T>(body: &'a [u8]) -> Result<T, Rejection>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(body).map_err(|e| Rejection::BadBody {
+        reason: e.to_string(),
+    })
+}
+
+fn check(req: &CompletionRequest) -> Result<(), Rejection> {
+    let reason = match req {
+        req if req.prompt.is_empty() => "the prompt is empty",
+        req if req.model.is_empty() => "field `model` is empty",
+        req if req.model.len() > MAX_MODEL_BYTES => "field `model` is too long",
+        req if req.max_tokens == 0 => "field `max_tokens` is 0",
+        req if req.max_tokens > MAX_MAX_TOKENS => "field `max_tokens` is over 1000000",
+        _ => return Ok(()),
+    };
+    Err(Rejection::BadBody {
+        reason: reason.to_owned(),
+    })
+}
+
+/// Renders messages so that a longer conversation begins with the shorter one's text.
+fn render(messages: &[WireMessage]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str("<|");
+        prompt.push_str(&message.role);
+        prompt.push_str("|>\n");
+        prompt.push_str(&message.content);
+        prompt.push('\n');
+    }
+    prompt
+}
--- /dev/null
+++ b/crates/router/src/completion_writer.rs
@@ -0,0 +1,166 @@
+//! Answers to completions and chat completions.
+
+use serde::Serialize;
+
+use crate::Shape;
+use crate::Token;
+
+/// Writes answers in the shape that the caller speaks.
+#[derive(Clone, Debug)]
+pub struct CompletionWriter {
+    shape: Shape,
+    id: String,
+    created: u64,
+    model: String,
+}
+
+/// Tokens that an answer took.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+    /// Sum of both.
+    pub total_tokens: u64,
+    /// More on the prompt's tokens.
+    pub prompt_tokens_details: PromptTokensDetails,
+}
+
+/// More on the prompt's tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct PromptTokensDetails {
+    /// Tokens that the engine found in its cache.
+    pub cached_tokens: u64,
+}
+
+#[derive(Serialize)]
+struct Envelope<'a, T> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [T; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct TextChoice<'a> {
+    index: u32,
+    text: &'a str,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct DeltaChoice<'a> {
+    index: u32,
+    delta: Delta<'a>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Delta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    content: &'a str,
+}
+
+#[derive(Serialize)]
+struct MessageChoice<'a> {
+    index: u32,
+    message: Message<'a>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+const ASSISTANT: &str = "assistant";
+const STOP: &str = "stop";
+
+impl CompletionWriter {
+    /// Creates a writer; `created` is in seconds since the epoch.
+    pub fn new(shape: Shape, id: String, created: u64, model: String) -> CompletionWriter {
+        CompletionWriter {
+            shape,
+            id,
+            created,
+            model,
+        }
+    }
+
+    /// Adds the JSON of one streamed token to `buf`.
+    pub fn chunk(&self, token: &Token, buf: &mut Vec<u8>) {
+        let finish_reason = token.last.then_some(STOP);
+        match self.shape {
+            Shape::Completion => {
+                let choice = TextChoice {
+                    index: 0,
+                    text: &token.text,
+                    finish_reason,
+                };
+                self.write("text_completion", choice, None, buf);
+            }
+            Shape::Chat => {
+                let delta = Delta {
+                    role: (token.position == 0).then_some(ASSISTANT),
+                    content: &token.text,
+                };
+                let choice = DeltaChoice {
+                    index: 0,
+                    delta,
+                    finish_reason,
+                };
+                self.write("chat.completion.chunk", choice, None, buf);
+            }
+        }
+    }
+
+    /// Returns the JSON of a whole answer.
+    pub fn whole(&self, text: &str, usage: Usage) -> Vec<u8> {
+        let mut buf = Vec::new();
+        let finish_reason = Some(STOP);
+        match self.shape {
+            Shape::Completion => {
+                let choice = TextChoice {
+                    index: 0,
+                    text,
+                    finish_reason,
+                };
+                self.write("text_completion", choice, Some(usage), &mut buf);
+            }
+            Shape::Chat => {
+                let message = Message {
+                    role: ASSISTANT,
+                    content: text,
+                };
+                let choice = MessageChoice {
+                    index: 0,
+                    message,
+                    finish_reason,
+                };
+                self.write("chat.completion", choice, Some(usage), &mut buf);
+            }
+        }
+        buf
+    }
+
+    fn write<T>(&self, object: &'static str, choice: T, usage: Option<Usage>, buf: &mut Vec<u8>)
+    where
+        T: Serialize,
+    {
+        let envelope = Envelope {
+            id: &self.id,
+            object,
+            created: self.created,
+            model: &self.model,
+            choices: [choice],
+            usage,
+        };
+        serde_json::to_writer(buf, &envelope).expect("an answer is plain JSON");
+    }
+}
--- /dev/null
+++ b/crates/router/src/config_task.rs
@@ -0,0 +1,149 @@
+//! Follows the configuration on the platform.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::assemble;
+use config::AssembleError;
+use config::Config;
+use config::Manifest;
+use config::FILE_PREFIX;
+use config::HEAD_KEY;
+use platform::KeyValue;
+use platform::Version;
+use platform::Versioned;
+use policy::Event;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::jitter;
+use crate::NodeHandle;
+use crate::RouterState;
+
+/// Time for which the platform holds a watch, in milliseconds.
+const WATCH_MS: u64 = 20_000;
+
+/// Time after which a watch is given up.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+
+/// Time after which a read is given up.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Mean time between two tries while the platform can't be read, in milliseconds.
+const RETRY_MS: u64 = 1_500;
+
+/// Follows the configuration on the platform and hands each version in.
+pub struct ConfigTask {
+    /// The platform's key-value service.
+    pub key_value: Arc<dyn KeyValue>,
+    /// Way to the node.
+    pub node: NodeHandle,
+    /// State of the router.
+    pub state: watch::Receiver<RouterState>,
+}
+
+#[derive(Debug, Snafu)]
+enum ConfigError {
+    #[snafu(display("{source}"))]
+    Platform { source: platform::Error },
+    #[snafu(display("no answer for {step} in time"))]
+    TimedOut { step: &'static str },
+    #[snafu(display("{HEAD_KEY}: {source}"))]
+    Head { source: serde_json::Error },
+    #[snafu(display("{key} is absent"))]
+    Absent { key: String },
+    #[snafu(display("{source}"))]
+    Assemble { source: AssembleError },
+}
+
+impl ConfigTask {
+    /// Runs until the router is cut.
+    pub async fn run(self) {
+        let mut files = BTreeMap::new();
+        let mut seen = None;
+        loop {
+            let step = match seen {
+                None => self.read_head().await,
+                Some(version) => self.watch_head(version).await,
+            };
+            let step = match step {
+                Ok(head) => self.take_in(head, &mut files).await,
+                Err(e) => Err(e),
+            };
+            match step {
+                Ok(version) => seen = Some(version),
+                Err(e) => {
+                    log::warn!("event=config_not_read reason={:?}", e.to_string());
+                    seen = None;
+                    sleep(jitter::around(RETRY_MS)).await;
+                }
+            }
+        }
+    }
+
+    async fn read_head(&self) -> Result<Option<Versioned>, ConfigError> {
+        self.read(HEAD_KEY).await
+    }
+
+    async fn watch_head(&self, seen: Version) -> Result<Option<Versioned>, ConfigError> {
+        let watch = self.key_value.watch(HEAD_KEY, seen, WATCH_MS);
+        match timeout(WATCH_TIMEOUT, watch).await {
+            Ok(result) => Ok(result.context(PlatformSnafu)?.value),
+            Err(_) => TimedOutSnafu { step: "watch" }.fail(),
+        }
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<Versioned>, ConfigError> {
+        match timeout(READ_TIMEOUT, self.key_value.get(key)).await {
+            Ok(result) => result.context(PlatformSnafu),
+            Err(_) => TimedOutSnafu { step: "get" }.fail(),
+        }
+    }
+
+    /// Hands the configuration in that `head` names, and returns the version of the key.
+    async fn take_in(
+        &self,
+        head: Option<Versioned>,
+        files: &mut BTreeMap<String, Bytes>,
+    ) -> Result<Version, ConfigError> {
+        let Some(head) = head else {
+            return Ok(0);
+        };
+        let manifest: Manifest = serde_json::from_slice(&head.value).context(HeadSnafu)?;
+        if manifest.version > self.state.borrow().version {
+            let config = self.fetch(&manifest, files).await?;
+            self.node.event(Event::Config {
+                version: manifest.version,
+                config: Arc::new(config),
+            });
+        }
+        Ok(head.version)
+    }
+
+    async fn fetch(
+        &self,
+        manifest: &Manifest,
+        files: &mut BTreeMap<String, Bytes>,
+    ) -> Result<Config, ConfigError> {
+        files.retain(|sha256, _| manifest.files.values().any(|file| file.sha256 == *sha256));
+        for file in manifest.files.values() {
+            if !files.contains_key(&file.sha256) {
+                let content = self.fetch_file(&file.sha256).await?;
+                files.insert(file.sha256.clone(), content);
+            }
+        }
+        assemble(manifest, files).context(AssembleSnafu)
+    }
+
+    async fn fetch_file(&self, sha256: &str) -> Result<Bytes, ConfigError> {
+        let key = format!("{FILE_PREFIX}{sha256}");
+        let held = self.read(&key).await?;
+        Ok(held.context(AbsentSnafu { key })?.value)
+    }
+}
--- /dev/null
+++ b/crates/router/src/counted_membership.rs
@@ -0,0 +1,40 @@
+//! Counts calls of the membership list.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use futures::FutureExt;
+use platform::Member;
+use platform::Members;
+use platform::MembershipList;
+use platform::Result;
+
+use crate::counted_key_value::word;
+use crate::Metrics;
+
+/// A membership list whose calls are counted by kind and result.
+pub struct CountedMembership {
+    inner: Arc<dyn MembershipList>,
+    metrics: Arc<Metrics>,
+}
+
+impl CountedMembership {
+    /// Counts the calls of `inner`.
+    pub fn new(inner: Arc<dyn MembershipList>, metrics: Arc<Metrics>) -> CountedMembership {
+        CountedMembership { inner, metrics }
+    }
+}
+
+impl MembershipList for CountedMembership {
+    fn members(&self, seen: u64, wait_ms: u64) -> BoxFuture<'_, Result<Members>> {
+        let call = self.inner.members(seen, wait_ms);
+        call.inspect(|result| self.metrics.on_platform_call("members", word(result)))
+            .boxed()
+    }
+
+    fn announce(&self, member: Member) -> BoxFuture<'_, Result<()>> {
+        let call = self.inner.announce(member);
+        call.inspect(|result| self.metrics.on_platform_call("announce", word(result)))
+            .boxed()
+    }
+}
--- /dev/null
+++ b/crates/router/src/deadline_io.rs
@@ -0,0 +1,101 @@
+//! Connections whose writes have a deadline.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::time::sleep;
+use tokio::time::Sleep;
+
+/// A connection that fails once a write has made no progress for too long.
+pub struct DeadlineIo<T> {
+    inner: T,
+    allowance: Duration,
+    deadline: Option<Pin<Box<Sleep>>>,
+}
+
+impl<T> DeadlineIo<T> {
+    /// Allows each write of `inner` so much time.
+    pub fn new(inner: T, allowance: Duration) -> DeadlineIo<T> {
+        DeadlineIo {
+            inner,
+            allowance,
+            deadline: None,
+        }
+    }
+
+    fn check<R>(
+        &mut self,
+        cx: &mut Context<'_>,
+        write: Poll<io::Result<R>>,
+    ) -> Poll<io::Result<R>> {
+        if write.is_ready() {
+            self.deadline = None;
+            return write;
+        }
+        let allowance = self.allowance;
+        let deadline = self
+            .deadline
+            .get_or_insert_with(|| Box::pin(sleep(allowance)));
+        match deadline.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl<T> AsyncRead for DeadlineIo<T>
+where
+    T: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<T> AsyncWrite for DeadlineIo<T>
+where
+    T: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let write = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.check(cx, write)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flush = Pin::new(&mut self.inner).poll_flush(cx);
+        self.check(cx, flush)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shutdown = Pin::new(&mut self.inner).poll_shutdown(cx);
+        self.check(cx, shutdown)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let write = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.check(cx, write)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/router/src/engine_attempt.rs
@@ -0,0 +1,171 @@
+//! One attempt of a generation at an engine.
+
+use std::sync::Arc;
+
+use backend::Chunk;
+use backend::Engine;
+use backend::FetchFrom;
+use backend::GenerateRequest;
+use backend::Generation;
+use backend::Started;
+use futures::StreamExt;
+use policy::BackendReport;
+use policy::Dispatch;
+use policy::Failure;
+use policy::Incarnation;
+use policy::Relay;
+use policy::RelayStep;
+use tokio::sync::mpsc::Sender;
+use uuid::Uuid;
+
+use crate::failure;
+use crate::CompletionRequest;
+use crate::EventIds;
+use crate::GenerationItem;
+use crate::GenerationSource;
+use crate::Metrics;
+use crate::NodeHandle;
+use crate::SignedOrigin;
+use crate::Token;
+
+/// One attempt of a generation at an engine; dropping it cancels it.
+pub struct EngineAttempt<'a> {
+    /// What the node asked for.
+    pub dispatch: Dispatch,
+    /// What is generated.
+    pub source: &'a mut GenerationSource,
+    /// Way to the caller's side.
+    pub tx: &'a Sender<GenerationItem>,
+    /// Way to the node.
+    pub node: &'a NodeHandle,
+    /// Way to engines.
+    pub engine: &'a dyn Engine,
+    /// Maker of event ids.
+    pub event_ids: &'a EventIds,
+    /// Counters.
+    pub metrics: &'a Metrics,
+}
+
+impl EngineAttempt<'_> {
+    /// Relays tokens until the last one and returns their number.
+    pub async fn run(mut self) -> Result<u32, Failure> {
+        let stream = Uuid::from_u128(rand::random()).simple().to_string();
+        let generation = self.start(&stream).await?;
+        let started = generation.started;
+        let origin = self
+            .source
+            .origin(&self.dispatch, started.incarnation, stream);
+        self.on_started(started).await;
+        let origin = Arc::new(self.event_ids.sign(&origin));
+        self.relay(generation, origin).await
+    }
+
+    async fn start(&self, stream: &str) -> Result<Generation, Failure> {
+        let peer = self.dispatch.address;
+        let result = match &*self.source {
+            GenerationSource::Prompt { req, delivered } => {
+                let req = self.request(stream, req, delivered);
+                self.engine.generate(peer, req).await
+            }
+            GenerationSource::Stream { origin, delivered } => {
+                self.engine
+                    .resume(peer, &origin.stream, origin.incarnation, *delivered)
+                    .await
+            }
+        };
+        result.map_err(|e| failure::of_backend(&e))
+    }
+
+    fn request(
+        &self,
+        stream: &str,
+        req: &CompletionRequest,
+        delivered: &[String],
+    ) -> GenerateRequest {
+        GenerateRequest {
+            stream: stream.to_owned(),
+            workspace: self.dispatch.workspace.clone(),
+            model: req.model.clone(),
+            weights_version: self.dispatch.weights_version,
+            incarnation: self.dispatch.incarnation.0,
+            prompt: req.prompt.clone(),
+            max_tokens: req.max_tokens,
+            priority: self.dispatch.rank,
+            delivered: delivered.to_vec(),
+            fetch_from: self.dispatch.fetch_from.map(fetch_from),
+        }
+    }
+
+    async fn on_started(&self, started: Started) {
+        self.metrics
+            .on_started(started.prompt_tokens, started.cached_tokens);
+        self.report(BackendReport::Started {
+            incarnation: Incarnation(started.incarnation),
+            cached_tokens: started.cached_tokens,
+        });
+        let item = GenerationItem::Started {
+            prompt_tokens: started.prompt_tokens,
+            cached_tokens: started.cached_tokens,
+        };
+        // A caller that has gone away is noticed by the task.
+        let _ = self.tx.send(item).await;
+    }
+
+    async fn relay(
+        &mut self,
+        mut generation: Generation,
+        origin: Arc<SignedOrigin>,
+    ) -> Result<u32, Failure> {
+        let mut relay = Relay::new(self.source.delivered());
+        let mut first = true;
+        while let Some(chunk) = generation.chunks.next().await {
+            let chunk = chunk.map_err(|_| Failure::Broken)?;
+            match relay.on_token(chunk.position, chunk.last) {
+                RelayStep::Forward => self.forward(chunk, &origin).await,
+                RelayStep::Duplicate => {
+                    self.metrics.on_relay_fault("duplicate");
+                    continue;
+                }
+                RelayStep::Gap => {
+                    self.metrics.on_relay_fault("gap");
+                    return Err(Failure::Broken);
+                }
+                RelayStep::AfterEnd => return Ok(relay.delivered()),
+            }
+            if first {
+                first = false;
+                self.report(BackendReport::FirstToken);
+            }
+            if relay.ended() {
+                return Ok(relay.delivered());
+            }
+        }
+        Err(Failure::Broken)
+    }
+
+    async fn forward(&mut self, chunk: Chunk, origin: &Arc<SignedOrigin>) {
+        let Ok(permit) = self.tx.reserve().await else {
+            // The caller has gone away, which the task notices.
+            return std::future::pending().await;
+        };
+        self.source.deliver(&chunk.text);
+        permit.send(GenerationItem::Token(Token {
+            position: chunk.position,
+            text: chunk.text,
+            last: chunk.last,
+            origin: Arc::clone(origin),
+        }));
+    }
+
+    fn report(&self, report: BackendReport) {
+        let at = self.dispatch.at;
+        self.node.report(at.call, at.attempt, report);
+    }
+}
+
+fn fetch_from(from: policy::FetchFrom) -> FetchFrom {
+    FetchFrom {
+        address: from.address,
+        incarnation: from.incarnation.0,
+    }
+}
--- /dev/null
+++ b/crates/router/src/event_body.rs
@@ -0,0 +1,99 @@
+//! A generation as server-sent events.
+
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use tokio::sync::mpsc::Receiver;
+
+use crate::clock;
+use crate::CompletionWriter;
+use crate::GenerationItem;
+use crate::Problem;
+use crate::Token;
+
+/// Bytes that a frame is filled up to before it is handed on.
+const FRAME_BYTES: usize = 16 * 1_024;
+
+/// A generation as server-sent events.
+///
+/// The stream ends with `[DONE]` after the last token, or else with an event
+/// named `error`.
+pub struct EventBody {
+    first: Option<GenerationItem>,
+    rx: Receiver<GenerationItem>,
+    writer: CompletionWriter,
+    ended: bool,
+}
+
+impl EventBody {
+    /// Creates the events of a generation of which `first` was taken from `rx`.
+    pub fn new(
+        first: GenerationItem,
+        rx: Receiver<GenerationItem>,
+        writer: CompletionWriter,
+    ) -> EventBody {
+        EventBody {
+            first: Some(first),
+            rx,
+            writer,
+            ended: false,
+        }
+    }
+
+    /// Returns the next events, all those that are there; none after the end.
+    pub fn poll_events(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let mut buf = Vec::new();
+        if let Some(first) = self.first.take() {
+            self.write(first, &mut buf);
+        }
+        while !self.ended && buf.len() < FRAME_BYTES {
+            match self.rx.poll_recv(cx) {
+                Poll::Ready(Some(item)) => self.write(item, &mut buf),
+                Poll::Ready(None) => self.write_broken(&mut buf),
+                Poll::Pending if buf.is_empty() => return Poll::Pending,
+                Poll::Pending => break,
+            }
+        }
+        Poll::Ready(Some(Bytes::from(buf)))
+    }
+
+    fn write(&mut self, item: GenerationItem, buf: &mut Vec<u8>) {
+        match item {
+            GenerationItem::Started { .. } => {}
+            GenerationItem::Token(token) => self.write_token(&token, buf),
+            GenerationItem::Refused(refusal) => {
+                self.write_error(&Problem::of_refusal(&refusal, clock::now()), buf);
+            }
+        }
+    }
+
+    fn write_token(&mut self, token: &Token, buf: &mut Vec<u8>) {
+        buf.extend_from_slice(b"id: ");
+        buf.extend_from_slice(token.origin.id(token.position, token.last).as_bytes());
+        buf.extend_from_slice(b"\ndata: ");
+        self.writer.chunk(token, buf);
+        buf.extend_from_slice(b"\n\n");
+        if token.last {
+            buf.extend_from_slice(DONE);
+            self.ended = true;
+        }
+    }
+
+    fn write_error(&mut self, problem: &Problem, buf: &mut Vec<u8>) {
+        buf.extend_from_slice(b"event: error\ndata: ");
+        buf.extend_from_slice(&problem.json());
+        buf.extend_from_slice(b"\n\n");
+        self.ended = true;
+    }
+
+    fn write_broken(&mut self, buf: &mut Vec<u8>) {
+        self.write_error(&Problem::interrupted(), buf);
+    }
+}
+
+/// The event that ends a whole stream.
+pub const DONE: &[u8] = b"data: [DONE]\n\n";
--- /dev/null
+++ b/crates/router/src/fingerprint.rs
@@ -0,0 +1,15 @@
+//! Fingerprints of requests.
+
+use http::request::Parts;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the hash of a request's method, target and body.
+pub fn of(head: &Parts, body: &[u8]) -> u64 {
+    let method = xxh3_64_with_seed(head.method.as_str().as_bytes(), 0);
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(head.uri.path(), |target| target.as_str());
+    let target = xxh3_64_with_seed(target.as_bytes(), method);
+    xxh3_64_with_seed(body, target)
+}
--- /dev/null
+++ b/crates/router/src/generation.rs
@@ -0,0 +1,127 @@
+//! The task of one generation.
+
+use std::sync::Arc;
+
+use backend::Engine;
+use policy::BackendReport;
+use policy::CallId;
+use policy::Dispatch;
+use policy::Event;
+use policy::Failure;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::CallCommand;
+use crate::EngineAttempt;
+use crate::EventIds;
+use crate::GenerationItem;
+use crate::GenerationSource;
+use crate::Metrics;
+use crate::NodeHandle;
+
+/// The task of one generation: carries the node's attempts out, and relays
+/// tokens to the caller's side without passing the node.
+pub struct Generation {
+    /// Call.
+    pub call: CallId,
+    /// What is generated.
+    pub source: GenerationSource,
+    /// Commands of the node.
+    pub rx: UnboundedReceiver<CallCommand>,
+    /// Way to the caller's side.
+    pub tx: Sender<GenerationItem>,
+    /// Way to the node.
+    pub node: NodeHandle,
+    /// Way to engines.
+    pub engine: Arc<dyn Engine>,
+    /// Maker of event ids.
+    pub event_ids: Arc<EventIds>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+enum Next {
+    Command(CallCommand),
+    Attempt(Dispatch),
+    Idle,
+    Ended,
+}
+
+impl Generation {
+    /// Runs until the caller has all tokens or a refusal, or has gone away.
+    pub async fn run(mut self) {
+        let mut next = Next::Idle;
+        loop {
+            next = match next {
+                Next::Idle => self.wait().await,
+                Next::Command(command) => self.obey(command).await,
+                Next::Attempt(dispatch) => self.attempt(dispatch).await,
+                Next::Ended => break,
+            };
+        }
+        self.node.ended(self.call);
+    }
+
+    async fn wait(&mut self) -> Next {
+        tokio::select! {
+            command = self.rx.recv() => command.map_or(Next::Ended, Next::Command),
+            () = self.tx.closed() => self.caller_gone(),
+        }
+    }
+
+    async fn obey(&mut self, command: CallCommand) -> Next {
+        match command {
+            CallCommand::Dispatch(dispatch) => Next::Attempt(dispatch),
+            CallCommand::Cancel(_) => Next::Idle,
+            CallCommand::Answer { .. } => Next::Idle,
+            CallCommand::Refuse(refusal) => {
+                // The caller may have gone away in the meantime.
+                let _ = self.tx.send(GenerationItem::Refused(refusal)).await;
+                Next::Ended
+            }
+        }
+    }
+
+    async fn attempt(&mut self, dispatch: Dispatch) -> Next {
+        let at = dispatch.at;
+        let attempt = EngineAttempt {
+            dispatch,
+            source: &mut self.source,
+            tx: &self.tx,
+            node: &self.node,
+            engine: self.engine.as_ref(),
+            event_ids: &self.event_ids,
+            metrics: &self.metrics,
+        };
+        let result = tokio::select! {
+            biased;
+            command = self.rx.recv() => return command.map_or(Next::Ended, Next::Command),
+            () = self.tx.closed() => return self.caller_gone(),
+            result = attempt.run() => result,
+        };
+        match result {
+            Ok(output_tokens) => {
+                let report = BackendReport::Finished { output_tokens };
+                self.node.report(at.call, at.attempt, report);
+                Next::Ended
+            }
+            Err(failure) => {
+                let report = self.failed(failure);
+                self.node.report(at.call, at.attempt, report);
+                Next::Idle
+            }
+        }
+    }
+
+    fn failed(&self, failure: Failure) -> BackendReport {
+        BackendReport::Failed {
+            failure,
+            delivered: self.source.delivered(),
+        }
+    }
+
+    fn caller_gone(&self) -> Next {
+        self.node.event(Event::CallerGone(self.call));
+        Next::Ended
+    }
+}
--- /dev/null
+++ b/crates/router/src/handler.rs
@@ -0,0 +1,151 @@
+//! Answers callers' requests.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use policy::CallId;
+use policy::Outcome;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::body;
+use crate::AnswerBody;
+use crate::EventIds;
+use crate::Limits;
+use crate::Metrics;
+use crate::NodeHandle;
+use crate::Outside;
+use crate::Problem;
+use crate::Rejection;
+use crate::RouterState;
+use crate::Shape;
+use crate::Tasks;
+
+const METRICS_TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+const SERVICES: &str = "/services/";
+
+/// Answers callers' requests.
+pub struct Handler {
+    /// Way to the node.
+    pub node: NodeHandle,
+    /// Ways to backend servers.
+    pub outside: Outside,
+    /// Maker of event ids.
+    pub event_ids: Arc<EventIds>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// State of the router.
+    pub state: watch::Receiver<RouterState>,
+    /// Tasks of calls.
+    pub tasks: Tasks,
+    /// Limits.
+    pub limits: Limits,
+    /// Key of the last call.
+    pub last_call: AtomicU64,
+}
+
+impl Handler {
+    /// Answers a request.
+    pub async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let mut res = match self.route(req).await {
+            Ok(res) => res,
+            Err(rejection) => self.reject(&rejection),
+        };
+        if self.state.borrow().leaving {
+            res.headers_mut().insert(CONNECTION, CLOSE);
+        }
+        res
+    }
+
+    async fn route(&self, req: Request<Incoming>) -> Result<Response<AnswerBody>, Rejection> {
+        let (head, body) = req.into_parts();
+        let path = head.uri.path();
+        match path {
+            "/healthz" => allow(&head, Method::GET, "GET").map(|()| text(StatusCode::OK, "ok\n")),
+            "/readyz" => allow(&head, Method::GET, "GET").map(|()| self.ready()),
+            "/metrics" => allow(&head, Method::GET, "GET").map(|()| self.metrics_text()),
+            "/v1/completions" => self.complete(Shape::Completion, head, body).await,
+            "/v1/chat/completions" => self.complete(Shape::Chat, head, body).await,
+            path if path.starts_with(SERVICES) => self.call_service(head, body).await,
+            path => Err(Rejection::NotFound {
+                path: path.to_owned(),
+            }),
+        }
+    }
+
+    /// Returns a key for a new call.
+    pub(crate) fn next_call(&self) -> CallId {
+        CallId(self.last_call.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
+    /// Reads a body within the limits.
+    pub(crate) async fn read_body(&self, body: Incoming) -> Result<Bytes, Rejection> {
+        let configured = self
+            .state
+            .borrow()
+            .config
+            .as_ref()
+            .map_or(u64::MAX, |config| config.limits.body_bytes);
+        let limit = self.limits.body_bytes.min(configured);
+        let deadline = Instant::now() + self.limits.body_timeout();
+        body::read(body, limit, deadline).await
+    }
+
+    fn reject(&self, rejection: &Rejection) -> Response<AnswerBody> {
+        let outcome = Outcome::NotRun.name();
+        self.metrics.on_refusal(rejection.reason(), outcome);
+        log::info!(
+            "event=rejected reason={} detail={:?}",
+            rejection.reason(),
+            rejection.to_string()
+        );
+        let mut res = Problem::of_rejection(rejection).response();
+        if rejection.leaves_body_unread() {
+            res.headers_mut().insert(CONNECTION, CLOSE);
+        }
+        res
+    }
+
+    fn ready(&self) -> Response<AnswerBody> {
+        if self.state.borrow().is_ready() {
+            text(StatusCode::OK, "ready\n")
+        } else {
+            text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
+    }
+
+    fn metrics_text(&self) -> Response<AnswerBody> {
+        let mut res = Response::new(AnswerBody::whole(self.metrics.text()));
+        res.headers_mut().insert(CONTENT_TYPE, METRICS_TEXT);
+        res
+    }
+}
+
+/// Rejects a request of another method.
+pub(crate) fn allow(head: &Parts, method: Method, expected: &'static str) -> Result<(), Rejection> {
+    if head.method == method {
+        return Ok(());
+    }
+    Err(Rejection::MethodNotAllowed {
+        path: head.uri.path().to_owned(),
+        expected,
+    })
+}
+
+fn text(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+    let mut res = Response::new(AnswerBody::whole(text));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/router/src/hands.rs
@@ -0,0 +1,118 @@
+//! Carries the node's actions out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use config::Config;
+use peer::Links;
+use policy::AttemptId;
+use policy::CallId;
+use policy::Event;
+use policy::Failure;
+use policy::Member;
+use policy::OpId;
+use policy::PeerMessage;
+use policy::Refusal;
+use policy::StoreRequest;
+use policy::Time;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::EngineWatches;
+use crate::Metrics;
+use crate::NodeHandle;
+use crate::RouterState;
+use crate::Store;
+use crate::Tasks;
+use crate::WatchedEngine;
+
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// Carries the node's actions out.
+pub struct Hands {
+    /// Tasks of the router.
+    pub tasks: Tasks,
+    /// The node's calls to the key-value service.
+    pub store: Arc<Store>,
+    /// Ways to other routers.
+    pub links: Arc<Links>,
+    /// Engines whose load and caches are watched.
+    pub watches: EngineWatches,
+    /// State of the router.
+    pub state: Arc<watch::Sender<RouterState>>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Hands {
+    /// Takes in that the node decided on a request that arrived at `start`.
+    pub fn on_decision(&self, start: Time) {
+        let micros = clock::now().micros_since(start);
+        self.metrics.on_decision(micros as f64 / MICROS_PER_SECOND);
+    }
+
+    /// Takes in that a call is refused.
+    pub fn on_refusal(&self, call: CallId, refusal: &Refusal) {
+        let reason = refusal.reason().name();
+        let outcome = refusal.outcome().name();
+        self.metrics.on_refusal(reason, outcome);
+        log::info!(
+            "event=refused call={} reason={reason} outcome={outcome}",
+            call.0
+        );
+    }
+
+    /// Takes in that a call is tried again.
+    pub fn on_retry(&self, call: CallId, failure: Failure) {
+        self.metrics.on_retry(failure);
+        log::info!("event=retried call={} reason={}", call.0, failure.name());
+    }
+
+    /// Takes in that an answer of an earlier attempt came.
+    pub fn on_late_answer(&self, call: CallId, attempt: AttemptId) {
+        self.metrics.on_late_answer();
+        log::info!("event=late_answer call={} attempt={}", call.0, attempt.0);
+    }
+
+    /// Forgets routers that are not on the membership list.
+    pub fn on_members(&self, members: &[Member]) {
+        self.links
+            .retain(|vm| members.iter().any(|member| member.name == vm));
+    }
+
+    /// Calls the key-value service.
+    pub fn store(&self, op: OpId, request: StoreRequest, node: &NodeHandle) {
+        let store = Arc::clone(&self.store);
+        let node = node.clone();
+        self.tasks.spawn(async move {
+            let result = store.run(request).await;
+            node.event(Event::Store { op, result });
+        });
+    }
+
+    /// Sends a message to another router.
+    pub fn send_peer(&self, to: &str, address: SocketAddr, message: PeerMessage) {
+        self.links.send(to, address, message);
+    }
+
+    /// Takes in that a configuration is in force.
+    pub fn on_in_force(&self, version: u64, config: Option<Arc<Config>>) {
+        self.metrics.on_in_force(version);
+        self.state.send_modify(|state| {
+            state.version = version;
+            state.config = config;
+        });
+        log::info!("event=config_in_force version={version}");
+    }
+
+    /// Watches these engines and no others.
+    pub fn watch(&mut self, engines: Vec<WatchedEngine>, node: &NodeHandle) {
+        self.watches.set(engines, node, &self.tasks);
+    }
+
+    /// Takes in that all calls have ended.
+    pub fn on_stopped(&self) {
+        self.state.send_modify(|state| state.stopped = true);
+        log::info!("event=calls_ended");
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,106 @@
-//! Placeholder.
+//! The router process.
+//!
+//! Callers' requests come in over HTTP (`Front`, `Handler`), one actor
+//! (`NodeActor`) owns the decisions and carries them out (`Hands`), and
+//! tokens pass from engine to caller without passing the actor
+//! (`Generation`).
+
+mod answer_body;
+mod body;
+mod call_command;
+mod call_headers;
+mod clock;
+mod completion;
+mod completion_request;
+mod completion_writer;
+mod config_task;
+mod counted_key_value;
+mod counted_membership;
+mod deadline_io;
+mod engine_attempt;
+mod engine_watches;
+mod event_body;
+mod event_id;
+mod failure;
+mod fingerprint;
+mod front;
+mod generation;
+mod generation_item;
+mod generation_source;
+mod handler;
+mod hands;
+mod hex;
+mod jitter;
+mod limits;
+mod membership_task;
+mod metrics;
+mod node_actor;
+mod node_handle;
+mod node_message;
+mod outside;
+mod peer_inbox;
+mod problem;
+mod rejection;
+mod router;
+mod router_state;
+mod service_call;
+mod service_path;
+mod service_task;
+mod settings;
+mod settings_error;
+mod settings_reader;
+mod status_task;
+mod store;
+mod tasks;
+mod ticker;
+
+pub use crate::event_id::BadEventId;
+pub use crate::event_id::EventId;
+pub use crate::event_id::EventIds;
+pub use crate::event_id::Origin;
+pub use crate::event_id::SignedOrigin;
+pub use crate::limits::Limits;
+pub use crate::outside::Outside;
+pub use crate::router::Error;
+pub use crate::router::Router;
+pub use crate::settings::Settings;
+pub use crate::settings_error::SettingsError;
+
+use crate::answer_body::AnswerBody;
+use crate::call_command::CallCommand;
+use crate::call_headers::CallHeaders;
+use crate::completion_request::CompletionRequest;
+use crate::completion_request::Shape;
+use crate::completion_writer::CompletionWriter;
+use crate::completion_writer::Usage;
+use crate::config_task::ConfigTask;
+use crate::counted_key_value::CountedKeyValue;
+use crate::counted_membership::CountedMembership;
+use crate::deadline_io::DeadlineIo;
+use crate::engine_attempt::EngineAttempt;
+use crate::engine_watches::EngineWatches;
+use crate::engine_watches::WatchedEngine;
+use crate::event_body::EventBody;
+use crate::front::Front;
+use crate::generation::Generation;
+use crate::generation_item::GenerationItem;
+use crate::generation_item::Token;
+use crate::generation_source::GenerationSource;
+use crate::handler::Handler;
+use crate::hands::Hands;
+use crate::membership_task::MembershipTask;
+use crate::metrics::Metrics;
+use crate::node_actor::NodeActor;
+use crate::node_actor::NodeArguments;
+use crate::node_handle::NodeHandle;
+use crate::node_message::NodeMessage;
+use crate::peer_inbox::PeerInbox;
+use crate::problem::Problem;
+use crate::rejection::Rejection;
+use crate::router_state::RouterState;
+use crate::service_path::ServicePath;
+use crate::service_task::ServiceOutcome;
+use crate::service_task::ServiceTask;
+use crate::status_task::StatusTask;
+use crate::store::Store;
+use crate::tasks::Tasks;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,3 +1,117 @@
-//! Placeholder.
+//! The router process.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use argh::FromArgs;
+use backend::HttpEngine;
+use backend::HttpPlainService;
+use flexi_logger::DeferredNow;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use flexi_logger::Record;
+use platform::HttpKeyValue;
+use platform::HttpMembershipList;
+use router::Outside;
+use router::Router;
+use router::Settings;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
+
+/// Exit code for settings that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// Exit code for a router that can't run.
+const FAILED: u8 = 1;
+
+/// Router for language-model traffic whose prompts share long prefixes.
+#[derive(FromArgs)]
+struct Arguments {
+    /// file of settings, in JSON
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Arguments = argh::from_env();
+    if args.version {
+        println!("turmerichollow {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = args.settings else {
+        eprintln!("--settings: expected a file");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    let settings = match Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: ok", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let _logger = start_log(&settings)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let outside = Outside {
+        key_value: Arc::new(HttpKeyValue::new(settings.key_value)),
+        membership: Arc::new(HttpMembershipList::new(settings.membership)),
+        engine: Arc::new(HttpEngine::new()),
+        service: Arc::new(HttpPlainService::new()),
+    };
+    let limits = settings.limits;
+    let router = Router::start(settings, outside).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    router.shutdown(limits.shutdown_deadline()).await;
+    Ok(())
+}
+
+fn start_log(settings: &Settings) -> Result<LoggerHandle, Box<dyn std::error::Error>> {
+    let logger = Logger::try_with_str(&settings.log)?
+        .format(line)
+        .log_to_stderr();
+    Ok(logger.start()?)
+}
+
+/// Writes one line of key=value pairs.
+fn line(
+    w: &mut dyn std::io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> std::io::Result<()> {
+    let time = now.format("%Y-%m-%dT%H:%M:%S%.6f%:z");
+    let level = record.level();
+    write!(w, "time={time} level={level} {}", record.args())
+}
--- /dev/null
+++ b/crates/router/src/membership_task.rs
@@ -0,0 +1,130 @@
+//! Follows the membership list and announces this VM on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::Member;
+use platform::Members;
+use platform::MembershipList;
+use platform::Role;
+use policy::Event;
+use policy::Incarnation;
+use policy::MemberRole;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio::time::Instant;
+
+use crate::jitter;
+use crate::NodeHandle;
+use crate::RouterState;
+
+/// Time for which the list is waited on, in milliseconds.
+const WAIT_MS: u64 = 10_000;
+
+/// Time after which a request for the list is given up.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time after which an announcement is given up.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Least time between two announcements of the same state, for the list lags.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(15);
+
+/// Mean time between two tries while the list can't be reached, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
+/// Follows the membership list and announces this VM on it.
+pub struct MembershipTask {
+    /// The membership list.
+    pub membership: Arc<dyn MembershipList>,
+    /// Way to the node.
+    pub node: NodeHandle,
+    /// State of the router.
+    pub state: watch::Receiver<RouterState>,
+    /// This VM.
+    pub member: Member,
+}
+
+impl MembershipTask {
+    /// Runs until the router is cut.
+    pub async fn run(mut self) {
+        let membership = Arc::clone(&self.membership);
+        let mut seen = 0;
+        let mut announced = self.announce().await;
+        loop {
+            tokio::select! {
+                members = read(membership.as_ref(), seen) => match members {
+                    Some(members) => {
+                        seen = members.version;
+                        let listed = self.take_in(members);
+                        if !listed && announced.elapsed() > ANNOUNCE_PAUSE {
+                            announced = self.announce().await;
+                        }
+                    }
+                    None => sleep(jitter::around(RETRY_MS)).await,
+                },
+                () = self.leaving() => announced = self.announce().await,
+            }
+        }
+    }
+
+    /// Waits until the announced state is no longer the router's.
+    async fn leaving(&mut self) {
+        let announced = self.member.leaving;
+        let changed = self
+            .state
+            .wait_for(|state| state.leaving != announced)
+            .await
+            .is_ok();
+        if !changed {
+            std::future::pending().await
+        }
+    }
+
+    /// Announces this VM and returns when it did so.
+    async fn announce(&mut self) -> Instant {
+        self.member.leaving = self.state.borrow().leaving;
+        let announcement = self.membership.announce(self.member.clone());
+        match timeout(ANNOUNCE_TIMEOUT, announcement).await {
+            Ok(Ok(())) => log::info!("event=announced leaving={}", self.member.leaving),
+            Ok(Err(e)) => log::warn!("event=not_announced reason={:?}", e.to_string()),
+            Err(_) => log::warn!("event=not_announced reason=timeout"),
+        }
+        Instant::now()
+    }
+
+    /// Hands the list in and tells whether this VM is on it.
+    fn take_in(&self, members: Members) -> bool {
+        let listed = members.members.contains(&self.member);
+        let members = members.members.into_iter().map(member).collect();
+        self.node.event(Event::Members(members));
+        listed
+    }
+}
+
+async fn read(membership: &dyn MembershipList, seen: u64) -> Option<Members> {
+    match timeout(WAIT_TIMEOUT, membership.members(seen, WAIT_MS)).await {
+        Ok(Ok(members)) => Some(members),
+        Ok(Err(e)) => {
+            log::warn!("event=members_not_read reason={:?}", e.to_string());
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+fn member(member: Member) -> policy::Member {
+    policy::Member {
+        name: member.name,
+        role: match member.role {
+            Role::Router => MemberRole::Router,
+            Role::BackendServer => MemberRole::BackendServer,
+        },
+        address: member.address,
+        region: member.region,
+        failure_domain: member.failure_domain,
+        incarnation: Incarnation(member.incarnation),
+        leaving: member.leaving,
+    }
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,274 @@
+//! Counters and histograms of one router.
+
+use peer::Observer;
+use policy::Failure;
+use prometheus::exponential_buckets;
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Smallest bucket of the time to the first token, in seconds.
+const FIRST_TOKEN_BUCKET: f64 = 0.001;
+
+/// Smallest bucket of the time of a decision, in seconds.
+const DECISION_BUCKET: f64 = 0.000_001;
+
+/// Buckets of a histogram, each twice as wide as the one before.
+const BUCKETS: usize = 18;
+
+/// Counters and histograms of one router, in a registry of its own.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    calls: IntCounterVec,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    late_answers: IntCounter,
+    relay_faults: IntCounterVec,
+    time_to_first_token: Histogram,
+    decision_time: Histogram,
+    prompt_tokens: IntCounter,
+    cached_prompt_tokens: IntCounter,
+    platform_calls: IntCounterVec,
+    connections: IntGauge,
+    connections_refused: IntCounter,
+    config_version: IntGauge,
+    peer_bytes: IntCounterVec,
+    peer_connections_refused: IntCounter,
+    peer_messages_dropped: IntCounter,
+    peer_messages_bad: IntCounter,
+}
+
+/// A connection that is counted as open.
+#[derive(Debug)]
+pub struct OpenConnection(IntGauge);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+impl Metrics {
+    /// Creates the metrics of a router, all at 0.
+    pub fn new() -> prometheus::Result<Metrics> {
+        let registry = Registry::new_custom(Some("turmerichollow".to_owned()), None)?;
+        let r = &registry;
+        Ok(Metrics {
+            calls: counters(r, "calls_total", "Requests by kind.", &["kind"])?,
+            refusals: counters(
+                r,
+                "refusals_total",
+                "Refused requests by reason and outcome.",
+                &["reason", "outcome"],
+            )?,
+            retries: counters(
+                r,
+                "retries_total",
+                "Retries by what failed before.",
+                &["reason"],
+            )?,
+            late_answers: counter(
+                r,
+                "late_answers_total",
+                "Answers of earlier attempts, dropped.",
+            )?,
+            relay_faults: counters(
+                r,
+                "relay_faults_total",
+                "Tokens out of order from engines, never sent on.",
+                &["kind"],
+            )?,
+            time_to_first_token: histogram(
+                r,
+                "time_to_first_token_seconds",
+                "Time from a request's arrival to its first token.",
+                FIRST_TOKEN_BUCKET,
+            )?,
+            decision_time: histogram(
+                r,
+                "decision_seconds",
+                "Time that the node took for a request's arrival.",
+                DECISION_BUCKET,
+            )?,
+            prompt_tokens: counter(r, "prompt_tokens_total", "Prompt tokens of attempts.")?,
+            cached_prompt_tokens: counter(
+                r,
+                "cached_prompt_tokens_total",
+                "Prompt tokens that engines found in their caches.",
+            )?,
+            platform_calls: counters(
+                r,
+                "platform_calls_total",
+                "Calls of the platform by kind and result.",
+                &["call", "result"],
+            )?,
+            connections: gauge(r, "connections", "Open connections of callers.")?,
+            connections_refused: counter(
+                r,
+                "connections_refused_total",
+                "Connections of callers over the limit.",
+            )?,
+            config_version: gauge(r, "config_version", "Configuration in force, 0 for none.")?,
+            peer_bytes: counters(
+                r,
+                "peer_bytes_total",
+                "Control bytes to and from other routers.",
+                &["direction"],
+            )?,
+            peer_connections_refused: counter(
+                r,
+                "peer_connections_refused_total",
+                "Strangers' connections to the port for other routers.",
+            )?,
+            peer_messages_dropped: counter(
+                r,
+                "peer_messages_dropped_total",
+                "Messages to routers that can't be reached or are slow.",
+            )?,
+            peer_messages_bad: counter(
+                r,
+                "peer_messages_bad_total",
+                "Messages of other routers that are not well formed.",
+            )?,
+            registry,
+        })
+    }
+
+    /// Counts a request.
+    pub fn on_call(&self, kind: &str) {
+        self.calls.with_label_values(&[kind]).inc();
+    }
+
+    /// Counts a refusal.
+    pub fn on_refusal(&self, reason: &str, outcome: &str) {
+        self.refusals.with_label_values(&[reason, outcome]).inc();
+    }
+
+    /// Counts a retry.
+    pub fn on_retry(&self, failure: Failure) {
+        self.retries.with_label_values(&[failure.name()]).inc();
+    }
+
+    /// Counts a late answer.
+    pub fn on_late_answer(&self) {
+        self.late_answers.inc();
+    }
+
+    /// Counts a token that came out of order.
+    pub fn on_relay_fault(&self, kind: &str) {
+        self.relay_faults.with_label_values(&[kind]).inc();
+    }
+
+    /// Takes the time to a first token in, in seconds.
+    pub fn on_first_token(&self, seconds: f64) {
+        self.time_to_first_token.observe(seconds);
+    }
+
+    /// Takes the time of a decision in, in seconds.
+    pub fn on_decision(&self, seconds: f64) {
+        self.decision_time.observe(seconds);
+    }
+
+    /// Counts the prompt tokens of an attempt that an engine began.
+    pub fn on_started(&self, prompt_tokens: u64, cached_tokens: u64) {
+        self.prompt_tokens.inc_by(prompt_tokens);
+        self.cached_prompt_tokens.inc_by(cached_tokens);
+    }
+
+    /// Counts a call of the platform.
+    pub fn on_platform_call(&self, call: &str, result: &str) {
+        self.platform_calls.with_label_values(&[call, result]).inc();
+    }
+
+    /// Counts a connection as open until the result is dropped.
+    pub fn open_connection(&self) -> OpenConnection {
+        self.connections.inc();
+        OpenConnection(self.connections.clone())
+    }
+
+    /// Counts a connection over the limit.
+    pub fn on_connection_refused(&self) {
+        self.connections_refused.inc();
+    }
+
+    /// Notes the configuration in force.
+    pub fn on_in_force(&self, version: u64) {
+        self.config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn text(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .expect("registered metrics can be written");
+        buf
+    }
+}
+
+impl Observer for Metrics {
+    fn on_sent(&self, bytes: u64) {
+        self.peer_bytes.with_label_values(&["sent"]).inc_by(bytes);
+    }
+
+    fn on_received(&self, bytes: u64) {
+        self.peer_bytes
+            .with_label_values(&["received"])
+            .inc_by(bytes);
+    }
+
+    fn on_refused(&self) {
+        self.peer_connections_refused.inc();
+    }
+
+    fn on_dropped(&self, messages: u64) {
+        self.peer_messages_dropped.inc_by(messages);
+    }
+
+    fn on_bad_message(&self) {
+        self.peer_messages_bad.inc();
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntCounter> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<IntCounterVec> {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    smallest: f64,
+) -> prometheus::Result<Histogram> {
+    let buckets = exponential_buckets(smallest, 2.0, BUCKETS)?;
+    let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
--- /dev/null
+++ b/crates/router/src/node_actor.rs
@@ -0,0 +1,162 @@
+//! The actor that owns the node.
+
+use std::collections::HashMap;
+
+use policy::Action;
+use policy::CallId;
+use policy::Event;
+use policy::Node;
+use policy::ServerKey;
+use policy::Time;
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::ticker;
+use crate::CallCommand;
+use crate::Hands;
+use crate::NodeHandle;
+use crate::NodeMessage;
+use crate::WatchedEngine;
+
+/// The actor that owns the node: hands events in and carries actions out.
+#[derive(Debug)]
+pub struct NodeActor;
+
+/// What the actor starts with.
+pub struct NodeArguments {
+    /// The node.
+    pub node: Node,
+    /// What carries actions out.
+    pub hands: Hands,
+}
+
+/// State of the actor.
+pub struct NodeState {
+    node: Node,
+    hands: Hands,
+    calls: HashMap<CallId, UnboundedSender<CallCommand>>,
+    actions: Vec<Action>,
+    wake: watch::Sender<Option<Time>>,
+}
+
+impl Actor for NodeActor {
+    type Msg = NodeMessage;
+    type State = NodeState;
+    type Arguments = NodeArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<NodeMessage>,
+        args: NodeArguments,
+    ) -> Result<NodeState, ActorProcessingErr> {
+        let (wake, rx) = watch::channel(None);
+        let handle = NodeHandle::new(myself);
+        args.hands.tasks.spawn(ticker::run(rx, handle));
+        Ok(NodeState {
+            node: args.node,
+            hands: args.hands,
+            calls: HashMap::new(),
+            actions: Vec::new(),
+            wake,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<NodeMessage>,
+        message: NodeMessage,
+        state: &mut NodeState,
+    ) -> Result<(), ActorProcessingErr> {
+        let handle = NodeHandle::new(myself);
+        match message {
+            NodeMessage::Call { req, tx } => {
+                state.calls.insert(req.call, tx);
+                state.decide(Event::Call(req), &handle);
+            }
+            NodeMessage::Ended(call) => {
+                state.calls.remove(&call);
+            }
+            NodeMessage::Event(event) => state.decide(event, &handle),
+        }
+        Ok(())
+    }
+}
+
+impl NodeState {
+    fn decide(&mut self, event: Event, handle: &NodeHandle) {
+        if let Event::Members(members) = &event {
+            self.hands.on_members(members);
+        }
+        let is_call = matches!(event, Event::Call(_));
+        let now = clock::now();
+        self.node.handle(now, event, &mut self.actions);
+        if is_call {
+            self.hands.on_decision(now);
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.carry_out(action, handle);
+        }
+        self.actions = actions;
+        self.wake.send_replace(self.node.next_deadline());
+    }
+
+    fn carry_out(&mut self, action: Action, handle: &NodeHandle) {
+        match action {
+            Action::Dispatch(dispatch) => {
+                let call = dispatch.at.call;
+                self.command(call, CallCommand::Dispatch(dispatch));
+            }
+            Action::Cancel(at) => self.command(at.call, CallCommand::Cancel(at)),
+            Action::Refuse { call, refusal } => {
+                self.hands.on_refusal(call, &refusal);
+                self.command(call, CallCommand::Refuse(refusal));
+                self.calls.remove(&call);
+            }
+            Action::Answer {
+                call,
+                answer,
+                repeat,
+            } => {
+                self.command(call, CallCommand::Answer { answer, repeat });
+                self.calls.remove(&call);
+            }
+            Action::Retried { call, failure } => self.hands.on_retry(call, failure),
+            Action::LateAnswer { call, attempt } => self.hands.on_late_answer(call, attempt),
+            Action::Store { op, request } => self.hands.store(op, request, handle),
+            Action::SendPeer {
+                to,
+                address,
+                message,
+            } => self.hands.send_peer(&to, address, message),
+            Action::InForce { version } => {
+                let config = self.node.config().cloned();
+                self.hands.on_in_force(version, config);
+            }
+            Action::Watch(servers) => {
+                let engines = servers.iter().map(|key| self.watched(*key)).collect();
+                self.hands.watch(engines, handle);
+            }
+            Action::Stopped => self.hands.on_stopped(),
+        }
+    }
+
+    fn watched(&self, key: ServerKey) -> WatchedEngine {
+        let (name, address) = self.node.server_address(key);
+        WatchedEngine {
+            name: name.to_owned(),
+            address,
+        }
+    }
+
+    fn command(&self, call: CallId, command: CallCommand) {
+        // A task that has ended has said so, or is about to.
+        if let Some(tx) = self.calls.get(&call) {
+            let _ = tx.send(command);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/node_handle.rs
@@ -0,0 +1,58 @@
+//! The way to the node.
+
+use policy::AttemptId;
+use policy::BackendReport;
+use policy::CallId;
+use policy::CallRequest;
+use policy::Event;
+use ractor::ActorRef;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::CallCommand;
+use crate::NodeMessage;
+
+/// The way to the node, for all tasks of a router.
+#[derive(Clone, Debug)]
+pub struct NodeHandle {
+    actor: ActorRef<NodeMessage>,
+}
+
+impl NodeHandle {
+    /// Creates the way to an actor.
+    pub fn new(actor: ActorRef<NodeMessage>) -> NodeHandle {
+        NodeHandle { actor }
+    }
+
+    /// Hands a caller's request in and returns what the node says of it.
+    pub fn call(&self, req: CallRequest) -> UnboundedReceiver<CallCommand> {
+        let (tx, rx) = unbounded_channel();
+        let req = Box::new(req);
+        self.send(NodeMessage::Call { req, tx });
+        rx
+    }
+
+    /// Tells what became of an attempt.
+    pub fn report(&self, call: CallId, attempt: AttemptId, report: BackendReport) {
+        self.event(Event::Backend {
+            call,
+            attempt,
+            report,
+        });
+    }
+
+    /// Tells that a call's task has ended.
+    pub fn ended(&self, call: CallId) {
+        self.send(NodeMessage::Ended(call));
+    }
+
+    /// Tells something that happened.
+    pub fn event(&self, event: Event) {
+        self.send(NodeMessage::Event(event));
+    }
+
+    fn send(&self, message: NodeMessage) {
+        // The actor is gone only while the router is being cut.
+        let _ = self.actor.cast(message);
+    }
+}
--- /dev/null
+++ b/crates/router/src/node_message.rs
@@ -0,0 +1,24 @@
+//! Messages to the actor that owns the node.
+
+use policy::CallId;
+use policy::CallRequest;
+use policy::Event;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::CallCommand;
+
+/// A message to the actor that owns the node.
+#[derive(Debug)]
+pub enum NodeMessage {
+    /// A caller's request, with the way back to its task.
+    Call {
+        /// Request.
+        req: Box<CallRequest>,
+        /// Way back to the call's task.
+        tx: UnboundedSender<CallCommand>,
+    },
+    /// A call's task has ended.
+    Ended(CallId),
+    /// Anything else that happened.
+    Event(Event),
+}
--- /dev/null
+++ b/crates/router/src/problem.rs
@@ -0,0 +1,171 @@
+//! Refusals as `application/problem+json`.
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use policy::Outcome;
+use policy::Reason;
+use policy::Refusal;
+use policy::Time;
+use serde::Serialize;
+
+use crate::AnswerBody;
+use crate::Rejection;
+
+const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// A refusal as callers see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Problem {
+    /// Kind of the problem.
+    #[serde(rename = "type")]
+    kind: String,
+    /// Reason in words.
+    title: &'static str,
+    /// HTTP status.
+    status: u16,
+    /// Reason as one word.
+    reason: &'static str,
+    /// What became of the request.
+    outcome: &'static str,
+    /// What is particular to this request.
+    detail: String,
+    /// Seconds after which the caller may come back.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after: Option<u64>,
+}
+
+impl Problem {
+    /// Tells of a refusal by the node.
+    pub fn of_refusal(refusal: &Refusal, now: Time) -> Problem {
+        let reason = refusal.reason();
+        let retry_after = refusal.retry_at().map(|at| seconds_until(at, now));
+        let outcome = refusal.outcome();
+        Problem {
+            kind: kind(reason.name()),
+            title: title(reason),
+            status: status(reason).as_u16(),
+            reason: reason.name(),
+            outcome: outcome.name(),
+            detail: detail(outcome).to_owned(),
+            retry_after,
+        }
+    }
+
+    /// Tells of a request that was rejected before the node saw it.
+    pub fn of_rejection(rejection: &Rejection) -> Problem {
+        Problem {
+            kind: kind(rejection.reason()),
+            title: rejection.title(),
+            status: rejection.status().as_u16(),
+            reason: rejection.reason(),
+            outcome: Outcome::NotRun.name(),
+            detail: rejection.to_string(),
+            retry_after: None,
+        }
+    }
+
+    /// Tells of a request whose router was stopped while it ran.
+    pub fn interrupted() -> Problem {
+        Problem {
+            kind: kind("interrupted"),
+            title: "The router was stopped while the request ran",
+            status: StatusCode::BAD_GATEWAY.as_u16(),
+            reason: "interrupted",
+            outcome: Outcome::Unknown.name(),
+            detail: detail(Outcome::Unknown).to_owned(),
+            retry_after: None,
+        }
+    }
+
+    /// Returns the problem as JSON.
+    pub fn json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a problem is plain JSON")
+    }
+
+    /// Returns the problem as a whole response.
+    pub fn response(&self) -> Response<AnswerBody> {
+        let mut res = Response::new(AnswerBody::whole(Bytes::from(self.json())));
+        *res.status_mut() = StatusCode::from_u16(self.status).expect("statuses are constants");
+        res.headers_mut().insert(CONTENT_TYPE, PROBLEM_JSON);
+        if let Some(seconds) = self.retry_after {
+            res.headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        res
+    }
+}
+
+fn kind(reason: &str) -> String {
+    format!("urn:turmerichollow:refusal:{reason}")
+}
+
+fn seconds_until(at: Time, now: Time) -> u64 {
+    at.micros_since(now).div_ceil(MICROS_PER_SECOND)
+}
+
+fn detail(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::NotRun => "The request did not run and will not.",
+        Outcome::Unknown => "The request may have run.",
+        Outcome::Done => "The request ran.",
+    }
+}
+
+fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::BadToken => StatusCode::UNAUTHORIZED,
+        Reason::UnknownModel => StatusCode::NOT_FOUND,
+        Reason::UnknownService => StatusCode::NOT_FOUND,
+        Reason::UnknownPriority => StatusCode::BAD_REQUEST,
+        Reason::KeyMissing => StatusCode::BAD_REQUEST,
+        Reason::KeyExpired => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::DeadlineTooClose => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        Reason::NoBackendServer => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::RetryBudgetSpent => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::AttemptsFailed => StatusCode::BAD_GATEWAY,
+        Reason::CrashedRunners => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::PlatformUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::InProgress => StatusCode::CONFLICT,
+        Reason::EarlierAttemptUnknown => StatusCode::CONFLICT,
+        Reason::AnswerNotKept => StatusCode::CONFLICT,
+        Reason::StreamGone => StatusCode::GONE,
+        Reason::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn title(reason: Reason) -> &'static str {
+    match reason {
+        Reason::BadToken => "No workspace has this token",
+        Reason::UnknownModel => "No such model",
+        Reason::UnknownService => "No such service, or no such call of it",
+        Reason::UnknownPriority => "No such priority class",
+        Reason::KeyMissing => "This call needs a usable idempotency key",
+        Reason::KeyExpired => "The idempotency key's time is too far from now",
+        Reason::KeyReused => "The idempotency key was used for another request",
+        Reason::QuotaExceeded => "The workspace has too much in flight",
+        Reason::Overloaded => "Too much is in flight",
+        Reason::DeadlineTooClose => "No backend server would answer before the deadline",
+        Reason::DeadlinePassed => "The deadline has passed",
+        Reason::NoBackendServer => "No backend server that may serve the request is live",
+        Reason::RetryBudgetSpent => "The workspace has spent its retries",
+        Reason::AttemptsFailed => "The request failed on all backend servers that were tried",
+        Reason::CrashedRunners => "The request crashed too many runners",
+        Reason::PlatformUnavailable => "The platform can't be reached, and the call needs it",
+        Reason::InProgress => "The same call is running",
+        Reason::EarlierAttemptUnknown => "An earlier attempt of the call may have run",
+        Reason::AnswerNotKept => "The call ran, but its answer was not kept",
+        Reason::StreamGone => "The engine that held the stream is gone",
+        Reason::NotConfigured => "The router has no configuration yet",
+        Reason::ShuttingDown => "The router is shutting down",
+    }
+}
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,305 @@
+//! One router.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+
+use peer::Links;
+use peer::Secret;
+use platform::Member;
+use platform::Role;
+use platform::RouterStatus;
+use policy::Event;
+use policy::Identity;
+use policy::Node;
+use policy::Time;
+use ractor::Actor;
+use ractor::ActorRef;
+use ractor::SpawnErr;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock;
+use crate::ConfigTask;
+use crate::CountedKeyValue;
+use crate::CountedMembership;
+use crate::EngineWatches;
+use crate::EventIds;
+use crate::Front;
+use crate::Handler;
+use crate::Hands;
+use crate::MembershipTask;
+use crate::Metrics;
+use crate::NodeActor;
+use crate::NodeArguments;
+use crate::NodeHandle;
+use crate::NodeMessage;
+use crate::Outside;
+use crate::PeerInbox;
+use crate::RouterState;
+use crate::Settings;
+use crate::StatusTask;
+use crate::Store;
+use crate::Tasks;
+
+/// A router that could not be started.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A port can't be opened.
+    #[snafu(display("bind {address}: {source}"))]
+    Bind {
+        /// Address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Metrics can't be registered.
+    #[snafu(display("register metrics: {source}"))]
+    Metrics {
+        /// What the library said.
+        source: prometheus::Error,
+    },
+    /// The actor can't be started.
+    #[snafu(display("start the node's actor: {source}"))]
+    Start {
+        /// What the library said.
+        source: SpawnErr,
+    },
+}
+
+/// One router, which runs until it is shut down or killed.
+pub struct Router {
+    address: SocketAddr,
+    peer_address: SocketAddr,
+    settings: Settings,
+    actor: ActorRef<NodeMessage>,
+    node: NodeHandle,
+    state: Arc<watch::Sender<RouterState>>,
+    tasks: Tasks,
+    connections: Tasks,
+    drain: CancellationToken,
+}
+
+/// Ports of a router, open but not served yet.
+struct Ports {
+    callers: TcpListener,
+    peers: TcpListener,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+}
+
+impl Router {
+    /// Opens the ports and starts all tasks.
+    pub async fn start(settings: Settings, outside: Outside) -> Result<Router, Error> {
+        let ports = Ports::open(&settings).await?;
+        let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
+        let outside = counted(outside, &metrics);
+        let incarnation = clock::now().0;
+        let (state, _) = watch::channel(RouterState::default());
+        let state = Arc::new(state);
+        let tasks = Tasks::default();
+        let secret = Secret::new(&settings.peer_secret);
+        let hands = Hands {
+            tasks: tasks.clone(),
+            store: Arc::new(Store::new(Arc::clone(&outside.key_value))),
+            links: Arc::new(Links::new(&settings.vm, secret.clone(), metrics.clone())),
+            watches: EngineWatches::new(Arc::clone(&outside.engine)),
+            state: Arc::clone(&state),
+            metrics: Arc::clone(&metrics),
+        };
+        let args = NodeArguments {
+            node: Node::new(identity(&settings, incarnation), rand::random()),
+            hands,
+        };
+        let (actor, _) = Actor::spawn(None, NodeActor, args)
+            .await
+            .context(StartSnafu)?;
+        let router = Router {
+            address: ports.address,
+            peer_address: ports.peer_address,
+            settings,
+            node: NodeHandle::new(actor.clone()),
+            actor,
+            state,
+            tasks,
+            connections: Tasks::default(),
+            drain: CancellationToken::new(),
+        };
+        router.follow_platform(&outside, incarnation);
+        router.serve_peers(ports.peers, secret, Arc::clone(&metrics));
+        router.serve_callers(ports.callers, outside, metrics);
+        log::info!(
+            "event=started vm={} address={} peer_address={} incarnation={incarnation}",
+            router.settings.vm,
+            router.address,
+            router.peer_address
+        );
+        Ok(router)
+    }
+
+    /// Returns the address of the callers' port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the port for other routers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns the version of the configuration in force, 0 for none.
+    pub fn config_version(&self) -> u64 {
+        self.state.borrow().version
+    }
+
+    /// Waits until a configuration of this version or a later one is in force.
+    pub async fn in_force(&self, version: u64) {
+        let mut state = self.state.subscribe();
+        let reached = state.wait_for(|state| state.version >= version).await;
+        reached.expect("the router holds the sender");
+    }
+
+    /// Ends the router without cutting calls in flight, by `deadline` at the latest.
+    ///
+    /// The balancer and the other routers are told first; new calls are
+    /// refused after a while, and those in flight end by themselves.
+    pub async fn shutdown(self, deadline: Time) {
+        log::info!("event=shutdown_began vm={}", self.settings.vm);
+        let cut_at = clock::instant(deadline);
+        self.state.send_modify(|state| state.leaving = true);
+        let notice = self.settings.limits.shutdown_notice();
+        let _ = timeout_at(cut_at, sleep(notice)).await;
+        self.node.event(Event::Shutdown { deadline });
+        let ended = async {
+            let mut state = self.state.subscribe();
+            let _ = state.wait_for(|state| state.stopped).await;
+            self.drain.cancel();
+            self.connections.join().await;
+        };
+        let in_time = timeout_at(cut_at, ended).await.is_ok();
+        log::info!(
+            "event=shutdown_ended vm={} in_time={in_time}",
+            self.settings.vm
+        );
+        self.kill().await;
+    }
+
+    /// Ends the router at once and cuts all connections.
+    pub async fn kill(self) {
+        self.drain.cancel();
+        self.actor.kill();
+        self.connections.cut().await;
+        self.tasks.cut().await;
+    }
+
+    fn follow_platform(&self, outside: &Outside, incarnation: u64) {
+        let settings = &self.settings;
+        let config = ConfigTask {
+            key_value: Arc::clone(&outside.key_value),
+            node: self.node.clone(),
+            state: self.state.subscribe(),
+        };
+        let membership = MembershipTask {
+            membership: Arc::clone(&outside.membership),
+            node: self.node.clone(),
+            state: self.state.subscribe(),
+            member: Member {
+                name: settings.vm.clone(),
+                role: Role::Router,
+                address: self.peer_address,
+                region: settings.region.clone(),
+                failure_domain: settings.failure_domain.clone(),
+                incarnation,
+                leaving: false,
+            },
+        };
+        let status = StatusTask {
+            key_value: Arc::clone(&outside.key_value),
+            state: self.state.subscribe(),
+            status: RouterStatus {
+                vm: settings.vm.clone(),
+                incarnation,
+                address: self.address,
+                version: 0,
+                leaving: false,
+            },
+        };
+        self.tasks.spawn(config.run());
+        self.tasks.spawn(membership.run());
+        self.tasks.spawn(status.run());
+    }
+
+    fn serve_peers(&self, listener: TcpListener, secret: Secret, metrics: Arc<Metrics>) {
+        let server = peer::Server {
+            secret,
+            inbox: Arc::new(PeerInbox(self.node.clone())),
+            observer: metrics,
+        };
+        self.tasks.spawn(server.run(listener));
+    }
+
+    fn serve_callers(&self, listener: TcpListener, outside: Outside, metrics: Arc<Metrics>) {
+        let handler = Handler {
+            node: self.node.clone(),
+            outside,
+            event_ids: Arc::new(EventIds::new(&self.settings.event_secret)),
+            metrics,
+            state: self.state.subscribe(),
+            tasks: self.tasks.clone(),
+            limits: self.settings.limits,
+            last_call: AtomicU64::new(0),
+        };
+        let front = Front {
+            listener,
+            handler: Arc::new(handler),
+            connections: self.connections.clone(),
+            drain: self.drain.clone(),
+        };
+        self.tasks.spawn(front.run());
+    }
+}
+
+impl Ports {
+    async fn open(settings: &Settings) -> Result<Ports, Error> {
+        let (callers, address) = bind(settings.listen).await?;
+        let (peers, peer_address) = bind(settings.peer_listen).await?;
+        Ok(Ports {
+            callers,
+            peers,
+            address,
+            peer_address,
+        })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
+    let listener = TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address })?;
+    let bound = listener.local_addr().context(BindSnafu { address })?;
+    Ok((listener, bound))
+}
+
+fn counted(outside: Outside, metrics: &Arc<Metrics>) -> Outside {
+    let metrics = || Arc::clone(metrics);
+    Outside {
+        key_value: Arc::new(CountedKeyValue::new(outside.key_value, metrics())),
+        membership: Arc::new(CountedMembership::new(outside.membership, metrics())),
+        ..outside
+    }
+}
+
+fn identity(settings: &Settings, incarnation: u64) -> Identity {
+    Identity {
+        vm: settings.vm.clone(),
+        region: settings.region.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        incarnation,
+    }
+}
--- /dev/null
+++ b/crates/router/src/service_path.rs
@@ -0,0 +1,50 @@
+//! Paths of calls of plain services.
+
+use http::Uri;
+
+use crate::Rejection;
+
+const SERVICES: &str = "/services/";
+
+/// Path of a call of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServicePath {
+    /// Name of the service.
+    pub service: String,
+    /// Path after it.
+    pub path: String,
+    /// The same with the query.
+    pub target: String,
+}
+
+impl ServicePath {
+    /// Reads `/services/<name>/<path>`.
+    ///
+    /// A path that a service could read as another one is rejected, because the
+    /// path decides whether a call is idempotent.
+    pub fn parse(uri: &Uri) -> Result<ServicePath, Rejection> {
+        let rest = uri.path().strip_prefix(SERVICES).unwrap_or_default();
+        let (service, path) = match rest.find('/') {
+            Some(at) => rest.split_at(at),
+            None => (rest, "/"),
+        };
+        if service.is_empty() || !path[1..].split('/').all(is_plain) && path != "/" {
+            return Err(Rejection::BadPath);
+        }
+        let target = match uri.query() {
+            Some(query) => format!("{path}?{query}"),
+            None => path.to_owned(),
+        };
+        Ok(ServicePath {
+            service: service.to_owned(),
+            path: path.to_owned(),
+            target,
+        })
+    }
+}
+
+fn is_plain(segment: &str) -> bool {
+    let lower = segment.to_ascii_lowercase();
+    let separators = ["%2e", "%2f", "%5c", "\\", ";"];
+    !matches!(segment, "" | "." | "..") && !separators.iter().any(|text| lower.contains(text))
+}
--- /dev/null
+++ b/crates/router/src/settings_reader.rs
@@ -0,0 +1,117 @@
+//! Reads settings field by field.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::SettingsError;
+
+/// Reads the fields of one JSON object, and knows which were not asked for.
+pub struct SettingsReader {
+    file: String,
+    section: String,
+    fields: Map<String, Value>,
+}
+
+impl SettingsReader {
+    /// Reads the text of a file.
+    pub fn parse(file: &str, text: &[u8]) -> Result<SettingsReader, SettingsError> {
+        let value = serde_json::from_slice(text).map_err(|e| SettingsError::NotJson {
+            file: file.to_owned(),
+            reason: e.to_string(),
+        })?;
+        match value {
+            Value::Object(fields) => Ok(SettingsReader {
+                file: file.to_owned(),
+                section: String::new(),
+                fields,
+            }),
+            _ => Err(SettingsError::NotJson {
+                file: file.to_owned(),
+                reason: "the whole is no object".to_owned(),
+            }),
+        }
+    }
+
+    /// Returns the error of a field.
+    pub fn fault(&self, field: &str, expected: &str) -> SettingsError {
+        SettingsError::Field {
+            file: self.file.clone(),
+            field: format!("{}{field}", self.section),
+            expected: expected.to_owned(),
+        }
+    }
+
+    /// Takes a text out.
+    pub fn text(&mut self, field: &str) -> Result<Option<String>, SettingsError> {
+        match self.fields.remove(field) {
+            None => Ok(None),
+            Some(Value::String(text)) => Ok(Some(text)),
+            Some(_) => Err(self.fault(field, "expected a string")),
+        }
+    }
+
+    /// Takes a text out that must be there.
+    pub fn required_text(&mut self, field: &str) -> Result<String, SettingsError> {
+        match self.text(field)? {
+            Some(text) => Ok(text),
+            None => Err(self.fault(field, "expected this field, found none")),
+        }
+    }
+
+    /// Takes an address out that must be there.
+    pub fn address(&mut self, field: &str) -> Result<SocketAddr, SettingsError> {
+        let text = self.required_text(field)?;
+        match text.parse() {
+            Ok(address) => Ok(address),
+            Err(_) => {
+                let expected = format!("expected an address such as 10.0.0.1:8080, found {text:?}");
+                Err(self.fault(field, &expected))
+            }
+        }
+    }
+
+    /// Takes a number out, or `default` if there is none.
+    pub fn number(
+        &mut self,
+        field: &str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<u64, SettingsError> {
+        let Some(value) = self.fields.remove(field) else {
+            return Ok(default);
+        };
+        match value.as_u64() {
+            Some(number) if range.contains(&number) => Ok(number),
+            _ => {
+                let (start, end) = range.into_inner();
+                let expected =
+                    format!("expected a whole number from {start} to {end}, found {value}");
+                Err(self.fault(field, &expected))
+            }
+        }
+    }
+
+    /// Takes an object of more fields out.
+    pub fn section(&mut self, field: &str) -> Result<Option<SettingsReader>, SettingsError> {
+        match self.fields.remove(field) {
+            None => Ok(None),
+            Some(Value::Object(fields)) => Ok(Some(SettingsReader {
+                file: self.file.clone(),
+                section: format!("{field}."),
+                fields,
+            })),
+            Some(_) => Err(self.fault(field, "expected an object")),
+        }
+    }
+
+    /// Fails if there are fields that nobody asked for.
+    pub fn finish(self) -> Result<(), SettingsError> {
+        match self.fields.keys().next() {
+            None => Ok(()),
+            Some(field) => Err(self.fault(field, "expected no such field")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/ticker.rs
@@ -0,0 +1,38 @@
+//! Wakes the node at the deadlines that it names.
+
+use policy::Event;
+use policy::Time;
+use tokio::sync::watch;
+use tokio::time::sleep_until;
+
+use crate::clock;
+use crate::NodeHandle;
+
+/// Hands a tick in whenever the node's next deadline has come.
+pub async fn run(mut rx: watch::Receiver<Option<Time>>, node: NodeHandle) {
+    loop {
+        let deadline = *rx.borrow_and_update();
+        tokio::select! {
+            changed = rx.changed() => if changed.is_err() {
+                return;
+            },
+            () = wait(deadline) => {
+                node.event(Event::Tick);
+                if rx.changed().await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn wait(deadline: Option<Time>) {
+    match deadline {
+        Some(at) => {
+            while clock::now() < at {
+                sleep_until(clock::instant(at)).await;
+            }
+        }
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/router/tests/common/fake_service.rs
@@ -0,0 +1,71 @@
+//! A plain service in memory.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use backend::Error;
+use backend::PlainService;
+use backend::Result;
+use backend::ServiceAnswer;
+use backend::ServiceRequest;
+use futures::future::BoxFuture;
+use futures::FutureExt;
+use tokio::sync::watch;
+
+/// A plain service that numbers its answers.
+pub struct FakeService {
+    calls: Mutex<Vec<ServiceRequest>>,
+    held: watch::Sender<bool>,
+    broken: Mutex<bool>,
+}
+
+impl FakeService {
+    pub fn new() -> FakeService {
+        FakeService {
+            calls: Mutex::default(),
+            held: watch::channel(false).0,
+            broken: Mutex::default(),
+        }
+    }
+
+    /// Makes answers wait, or lets them go.
+    pub fn hold(&self, held: bool) {
+        self.held.send_replace(held);
+    }
+
+    /// Makes the service break after it ran the next call.
+    pub fn break_next(&self) {
+        *self.broken.lock().unwrap() = true;
+    }
+
+    pub fn calls(&self) -> Vec<ServiceRequest> {
+        self.calls.lock().unwrap().clone()
+    }
+}
+
+impl PlainService for FakeService {
+    fn call(&self, peer: SocketAddr, req: ServiceRequest) -> BoxFuture<'_, Result<ServiceAnswer>> {
+        async move {
+            let number = {
+                let mut calls = self.calls.lock().unwrap();
+                calls.push(req);
+                calls.len()
+            };
+            if std::mem::take(&mut *self.broken.lock().unwrap()) {
+                return Err(Error::Broken {
+                    step: "call",
+                    peer: peer.to_string(),
+                    reason: "died".to_owned(),
+                });
+            }
+            let mut held = self.held.subscribe();
+            held.wait_for(|held| !held).await.unwrap();
+            Ok(ServiceAnswer {
+                status: 201,
+                content_type: Some("text/plain".to_owned()),
+                body: format!("answer {number}").into(),
+            })
+        }
+        .boxed()
+    }
+}
