The whole path through sockets: streams, bookings and the platform's absence

Caller, two routers, engines, a plain service and the platform run as tasks of one process and talk over loopback. Tests break something in the middle of a stream or a booking and check the ledgers of what really ran.

The platform stand-in loses the answers of writes under a named prefix, so that a test of claims doesn't lose the answer of a membership announcement instead.

--- /dev/null
+++ b/crates/standins/examples/relay_bench/load.rs
@@ -0,0 +1,178 @@
+//! Streams that run side by side, and what callers measure of them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use backend::Engine;
+use backend::GenerateRequest;
+use backend::HttpEngine;
+use futures::StreamExt;
+use standins::Caller;
+use standins::Completion;
+use standins::MODEL;
+use standins::WORKSPACES;
+use tokio::task::JoinSet;
+
+/// Prompts that streams share.
+const PROMPTS: usize = 20;
+
+/// Bytes of the part that prompts have in common with others, two pieces.
+const SHARED_BYTES: usize = 16_000;
+
+/// Streams that run side by side.
+#[derive(Clone, Copy)]
+pub struct Load {
+    /// Streams at once.
+    pub streams: usize,
+    /// Tokens of each stream.
+    pub tokens: u32,
+    /// Streams that follow each other in each of the places.
+    pub rounds: u32,
+}
+
+/// Where streams come from.
+#[derive(Clone)]
+pub enum Target {
+    /// What speaks the engines' protocol.
+    Engine(SocketAddr),
+    /// A router.
+    Router(Caller),
+}
+
+/// What callers measured.
+#[derive(Clone, Debug, Default)]
+pub struct Measured {
+    first_tokens: Vec<Duration>,
+    tokens: u64,
+}
+
+impl Load {
+    /// Runs all streams.
+    pub async fn run(&self, target: &Target) -> io::Result<Measured> {
+        let mut places = JoinSet::new();
+        for place in 0..self.streams {
+            places.spawn(run_place(*self, place, target.clone()));
+        }
+        let mut measured = Measured::default();
+        while let Some(place) = places.join_next().await {
+            measured.add(place.map_err(io::Error::other)??);
+        }
+        Ok(measured)
+    }
+}
+
+async fn run_place(load: Load, place: usize, target: Target) -> io::Result<Measured> {
+    let engines = HttpEngine::new();
+    let mut measured = Measured::default();
+    for round in 0..load.rounds {
+        let prompt = prompt(place, round);
+        match &target {
+            Target::Engine(address) => {
+                let name = format!("{place}-{round}");
+                let req = generate_request(name, prompt, load.tokens);
+                from_engine(&engines, *address, req, &mut measured).await?;
+            }
+            Target::Router(caller) => {
+                let completion = Completion {
+                    model: MODEL.to_owned(),
+                    prompt,
+                    max_tokens: load.tokens,
+                    ..Completion::default()
+                };
+                from_router(caller, &completion, &mut measured).await?;
+            }
+        }
+    }
+    Ok(measured)
+}
+
+async fn from_engine(
+    engines: &HttpEngine,
+    address: SocketAddr,
+    req: GenerateRequest,
+    measured: &mut Measured,
+) -> io::Result<()> {
+    let start = Instant::now();
+    let generation = engines.generate(address, req).await;
+    let mut chunks = generation.map_err(io::Error::other)?.chunks;
+    let mut tokens = 0;
+    while let Some(chunk) = chunks.next().await {
+        chunk.map_err(io::Error::other)?;
+        measured.count(start, tokens);
+        tokens += 1;
+    }
+    Ok(())
+}
+
+async fn from_router(
+    caller: &Caller,
+    completion: &Completion,
+    measured: &mut Measured,
+) -> io::Result<()> {
+    let start = Instant::now();
+    let events = caller.complete(completion).await;
+    let mut events = events.map_err(io::Error::other)?;
+    let mut tokens = 0;
+    while let Some(event) = events.next().await {
+        event.map_err(io::Error::other)?;
+        measured.count(start, tokens);
+        tokens += 1;
+    }
+    Ok(())
+}
+
+fn generate_request(stream: String, prompt: String, max_tokens: u32) -> GenerateRequest {
+    GenerateRequest {
+        stream,
+        workspace: WORKSPACES[0].to_owned(),
+        model: MODEL.to_owned(),
+        weights_version: 1,
+        incarnation: 0,
+        prompt,
+        max_tokens,
+        priority: 0,
+        delivered: Vec::new(),
+        fetch_from: None,
+    }
+}
+
+fn prompt(place: usize, round: u32) -> String {
+    let shared = format!("criteria {:03} ", place % PROMPTS);
+    let shared = shared.repeat(SHARED_BYTES / shared.len() + 1);
+    format!("{shared} question {place} {round}")
+}
+
+impl Measured {
+    /// Adds what was measured in another run.
+    pub fn add(&mut self, other: Measured) {
+        self.first_tokens.extend(other.first_tokens);
+        self.tokens += other.tokens;
+    }
+
+    /// Returns the number of streams.
+    pub fn streams(&self) -> usize {
+        self.first_tokens.len()
+    }
+
+    /// Returns the number of tokens.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Returns the time to first token that `percent` of the streams stayed within.
+    pub fn first_token(&self, percent: usize) -> Duration {
+        let mut times = self.first_tokens.clone();
+        times.sort_unstable();
+        let rank = (times.len() * percent).div_ceil(100).max(1);
+        times.get(rank - 1).copied().unwrap_or_default()
+    }
+
+    fn count(&mut self, start: Instant, earlier_tokens: u64) {
+        if earlier_tokens == 0 {
+            self.first_tokens.push(start.elapsed());
+        }
+        self.tokens += 1;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet_settings.rs
@@ -0,0 +1,180 @@
+//! What a fleet on loopback is made of.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use config::sha256_hex;
+use config::BackendServer;
+use config::Call;
+use config::Config;
+use config::Limits;
+use config::Model;
+use config::Priority;
+use config::Service;
+use config::Workspace;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::EngineSettings;
+
+/// Model that all engines of a fleet serve.
+pub const MODEL: &str = "base";
+
+/// Name of the fleet's plain service.
+pub const SERVICE: &str = "bookings";
+
+/// Workspaces of a fleet.
+pub const WORKSPACES: [&str; 2] = ["trust", "school"];
+
+/// Version of the weights that engines hold.
+const WEIGHTS_VERSION: u64 = 1;
+
+/// Milliseconds in which an engine with 1 token a millisecond computes 1,000.
+const MS_PER_1000_TOKENS: f64 = 1_000.0;
+
+/// What a fleet on loopback is made of.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Engines.
+    pub engines: Vec<EngineSettings>,
+    /// Number of routers.
+    pub routers: usize,
+    /// Time between a router's announcement that it stops and its first refusal, in milliseconds.
+    pub shutdown_notice_ms: u64,
+    /// Limits of the configuration.
+    pub limits: Limits,
+}
+
+impl FleetSettings {
+    /// Describes a fleet of alike engines and of routers.
+    pub fn new(engines: usize, routers: usize) -> FleetSettings {
+        let engine = |number| EngineSettings {
+            name: format!("engine-{number}"),
+            ..EngineSettings::default()
+        };
+        FleetSettings {
+            engines: (1..=engines).map(engine).collect(),
+            routers,
+            shutdown_notice_ms: 0,
+            limits: Limits::default(),
+        }
+    }
+
+    /// Changes the settings of all engines.
+    pub fn each_engine<F>(mut self, change: F) -> FleetSettings
+    where
+        F: Fn(&mut EngineSettings),
+    {
+        self.engines.iter_mut().for_each(change);
+        self
+    }
+}
+
+/// Returns the token of a workspace.
+pub fn token_of(workspace: &str) -> String {
+    format!("{workspace}-token")
+}
+
+/// Returns the operators' files for a fleet whose parts have these addresses.
+pub(crate) fn files(
+    settings: &FleetSettings,
+    engines: &[SocketAddr],
+    service: SocketAddr,
+) -> BTreeMap<String, String> {
+    let config = config(settings, engines, service);
+    let file = |name: &str, field: &str, value: serde_json::Value| {
+        (name.to_owned(), json!({ field: value }).to_string())
+    };
+    BTreeMap::from([
+        file("10-workspaces.json", "workspaces", json(&config.workspaces)),
+        file("20-models.json", "models", json(&config.models)),
+        file("30-priorities.json", "priorities", json(&config.priorities)),
+        file(
+            "40-backend-servers.json",
+            "backend_servers",
+            json(&config.backend_servers),
+        ),
+        file("50-services.json", "services", json(&config.services)),
+        file("60-limits.json", "limits", json(&config.limits)),
+    ])
+}
+
+fn json<T>(value: &T) -> serde_json::Value
+where
+    T: Serialize,
+{
+    serde_json::to_value(value).unwrap_or_default()
+}
+
+fn config(settings: &FleetSettings, engines: &[SocketAddr], service: SocketAddr) -> Config {
+    let workspaces = WORKSPACES.map(|name| (name.to_owned(), workspace(name)));
+    let servers = settings.engines.iter().zip(engines);
+    let servers = servers.map(|(engine, address)| backend_server(engine, *address));
+    let service = (SERVICE.to_owned(), plain_service(service));
+    Config {
+        workspaces: BTreeMap::from(workspaces),
+        models: BTreeMap::from([(MODEL.to_owned(), model(settings))]),
+        priorities: BTreeMap::from([
+            ("counter".to_owned(), priority(2)),
+            ("review".to_owned(), priority(1)),
+        ]),
+        backend_servers: servers.collect(),
+        services: BTreeMap::from([service]),
+        limits: settings.limits,
+    }
+}
+
+fn workspace(name: &str) -> Workspace {
+    Workspace {
+        token_sha256: sha256_hex(token_of(name).as_bytes()),
+        share: 1,
+        quota: config::Quota::default(),
+        weights: config::Weights::default(),
+    }
+}
+
+fn model(settings: &FleetSettings) -> Model {
+    let rates = settings.engines.iter();
+    let rates = rates.map(|engine| engine.prefill_tokens_per_ms);
+    let rate = u32::try_from(rates.min().unwrap_or(1)).unwrap_or(u32::MAX);
+    Model {
+        weights_version: WEIGHTS_VERSION,
+        prefill_ms_per_1000_tokens: MS_PER_1000_TOKENS / f64::from(rate.max(1)),
+        kv_bytes_per_token: 2_000,
+    }
+}
+
+fn priority(rank: u8) -> Priority {
+    Priority {
+        rank,
+        default_deadline_ms: 60_000,
+    }
+}
+
+fn backend_server(engine: &EngineSettings, address: SocketAddr) -> (String, BackendServer) {
+    let server = BackendServer {
+        address,
+        region: engine.region.clone(),
+        failure_domain: engine.failure_domain.clone(),
+        models: vec![MODEL.to_owned()],
+        workspaces: Vec::new(),
+        checks_fencing: engine.checks_fencing,
+    };
+    (engine.name.clone(), server)
+}
+
+fn plain_service(address: SocketAddr) -> Service {
+    let call = |method: &str, path_prefix: &str, idempotent| Call {
+        method: method.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        idempotent,
+    };
+    Service {
+        replicas: BTreeMap::from([("service-1".to_owned(), address)]),
+        calls: vec![
+            call("GET", "/", true),
+            call("POST", "/stock", true),
+            call("POST", "/", false),
+        ],
+    }
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -83,9 +83,17 @@
         self.state().faults.delay_ms = delay_ms;
     }
 
-    /// Lets the next `writes` writes take effect and loses their answers.
-    pub fn lose_answers(&self, writes: u32) {
-        self.state().faults.lost_answers = writes;
+    /// Lets the next `writes` writes of keys that start with `prefix` take effect
+    /// and loses their answers. Leases and members count as keys with empty names.
+    pub fn lose_answers(&self, prefix: &str, writes: u32) {
+        let mut state = self.state();
+        state.faults.lost_answers = writes;
+        prefix.clone_into(&mut state.faults.lost_prefix);
+    }
+
+    /// Returns the number of answers that are yet to be lost.
+    pub fn answers_to_lose(&self) -> u32 {
+        self.state().faults.lost_answers
     }
 
     /// Sets the time by which the membership list lags.
@@ -152,7 +160,7 @@
         Ok(read(&mut self.state(), now))
     }
 
-    async fn write<T, F>(&self, kind: CallKind, write: F) -> Result<T>
+    async fn write<T, F>(&self, kind: CallKind, key: &str, write: F) -> Result<T>
     where
         F: FnOnce(&mut State, u64) -> T,
     {
@@ -161,7 +169,7 @@
         let (answer, lost) = {
             let mut state = self.state();
             let answer = write(&mut state, now);
-            (answer, state.faults.loses_answer())
+            (answer, state.faults.loses_answer(key))
         };
         self.notify();
         if !lost {
@@ -206,6 +214,9 @@
 /// Name of the platform in errors.
 const PEER: &str = "platform in memory";
 
+/// Name under which writes without a key lose their answers.
+const NO_KEY: &str = "";
+
 struct Poll<T> {
     value: T,
     satisfied: bool,
@@ -235,31 +246,37 @@
         lease: Option<LeaseId>,
     ) -> BoxFuture<'_, Result<Swap>> {
         let key = key.to_owned();
-        self.write(CallKind::CompareAndSwap, move |state, now| {
-            state
-                .store
-                .compare_and_swap(now, &key, expected, value, lease)
-        })
+        async move {
+            self.write(CallKind::CompareAndSwap, &key, |state, now| {
+                state
+                    .store
+                    .compare_and_swap(now, &key, expected, value, lease)
+            })
+            .await
+        }
         .boxed()
     }
 
     fn delete(&self, key: &str, expected: Version) -> BoxFuture<'_, Result<Swap>> {
         let key = key.to_owned();
-        self.write(CallKind::Delete, move |state, now| {
-            state.store.delete(now, &key, expected)
-        })
+        async move {
+            self.write(CallKind::Delete, &key, |state, now| {
+                state.store.delete(now, &key, expected)
+            })
+            .await
+        }
         .boxed()
     }
 
     fn grant(&self, ttl_ms: u64) -> BoxFuture<'_, Result<LeaseId>> {
-        self.write(CallKind::Grant, move |state, now| {
+        self.write(CallKind::Grant, NO_KEY, move |state, now| {
             state.store.grant(now, ttl_ms)
         })
         .boxed()
     }
 
     fn renew(&self, lease: LeaseId) -> BoxFuture<'_, Result<bool>> {
-        self.write(CallKind::Renew, move |state, now| {
+        self.write(CallKind::Renew, NO_KEY, move |state, now| {
             state.store.renew(now, lease)
         })
         .boxed()
@@ -296,7 +313,7 @@
     }
 
     fn announce(&self, member: Member) -> BoxFuture<'_, Result<()>> {
-        self.write(CallKind::Announce, move |state, now| {
+        self.write(CallKind::Announce, NO_KEY, move |state, now| {
             state.members.announce(now, member, now + MEMBER_TTL_MS);
         })
         .boxed()
--- a/crates/standins/src/platform_faults.rs
+++ b/crates/standins/src/platform_faults.rs
@@ -51,6 +51,8 @@
     pub delay_ms: u64,
     /// Number of writes yet that take effect but lose their answers.
     pub lost_answers: u32,
+    /// Start of the keys whose writes lose their answers.
+    pub lost_prefix: String,
     /// Time by which the membership list lags, in milliseconds.
     pub membership_lag_ms: u64,
     /// Calls by kind, failed ones included.
@@ -63,10 +65,10 @@
         *self.calls.entry(kind).or_default() += 1;
     }
 
-    /// Tells whether the answer of the write just done is to be lost.
-    pub(crate) fn loses_answer(&mut self) -> bool {
-        let loses = self.lost_answers > 0;
-        self.lost_answers = self.lost_answers.saturating_sub(1);
+    /// Tells whether the answer of the write of `key` just done is to be lost.
+    pub(crate) fn loses_answer(&mut self, key: &str) -> bool {
+        let loses = self.lost_answers > 0 && key.starts_with(&self.lost_prefix);
+        self.lost_answers -= u32::from(loses);
         loses
     }
 }
--- /dev/null
+++ b/crates/standins/tests/path.rs
@@ -0,0 +1,297 @@
+//! The whole path through sockets: caller, router, engine or service, platform.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use bytes::Bytes;
+use http::Method;
+use standins::time_after;
+use standins::Call;
+use standins::CallerError;
+use standins::Completion;
+use standins::EngineRecord;
+use standins::Fleet;
+use standins::FleetSettings;
+use standins::PromptHash;
+use standins::Received;
+use standins::MODEL;
+use standins::SERVICE;
+use tokio::time::sleep;
+
+const PROMPT: &str = "Which felt suits a wide brim?";
+const TOKENS: u32 = 40;
+
+/// Start of the keys under which calls are claimed.
+const CLAIMS: &str = "once/";
+
+/// A fleet whose streams last long enough to break something in their middle.
+async fn slow_fleet(engines: usize, routers: usize) -> Fleet {
+    let settings = FleetSettings::new(engines, routers).each_engine(|engine| engine.decode_ms = 20);
+    Fleet::start(settings).await.expect("starts")
+}
+
+async fn fleet(engines: usize, routers: usize) -> Fleet {
+    let settings = FleetSettings::new(engines, routers);
+    Fleet::start(settings).await.expect("starts")
+}
+
+fn completion() -> Completion {
+    Completion {
+        model: MODEL.to_owned(),
+        prompt: PROMPT.to_owned(),
+        max_tokens: TOKENS,
+        ..Completion::default()
+    }
+}
+
+fn booking(key: &str) -> Call {
+    Call {
+        method: Method::POST,
+        path: format!("{SERVICE}/blocks?day=3"),
+        key: Some(key.to_owned()),
+        body: Bytes::from("two blocks"),
+    }
+}
+
+/// Returns an idempotency key, a UUIDv7 of now.
+fn key(number: u8) -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since_epoch.expect("after 1970").as_millis();
+    let ms = u64::try_from(ms).expect("before the year 584 million");
+    let random = [number; 10];
+    uuid::Builder::from_unix_timestamp_millis(ms, &random)
+        .into_uuid()
+        .to_string()
+}
+
+fn whole_text() -> String {
+    PromptHash::new(PROMPT).text(TOKENS)
+}
+
+/// Returns the engine that ran the only stream.
+fn runner(fleet: &Fleet) -> usize {
+    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
+    let engines = fleet.engines.iter();
+    let mut runners = engines.map(|engine| engine.ledger().iter().any(ran));
+    runners.position(|has_run| has_run).expect("has run")
+}
+
+fn finished(fleet: &Fleet) -> usize {
+    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
+    ledgers
+        .filter(|record| matches!(record, EngineRecord::Finished { .. }))
+        .count()
+}
+
+fn outcome<T>(result: Result<T, CallerError>) -> (String, String) {
+    match result {
+        Err(CallerError::Refused {
+            reason, outcome, ..
+        }) => (reason, outcome),
+        Err(e) => panic!("failed otherwise: {e}"),
+        Ok(_) => panic!("not refused"),
+    }
+}
+
+fn words(reason: &str, outcome: &str) -> (String, String) {
+    (reason.to_owned(), outcome.to_owned())
+}
+
+#[tokio::test]
+async fn a_completion_comes_whole_and_in_order() {
+    let fleet = fleet(2, 1).await;
+
+    let received = fleet.caller(0).complete_whole(&completion()).await;
+
+    let received = received.expect("whole");
+    assert_eq!(received.text, whole_text());
+    assert!(received.whole);
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_when_its_engine_dies() {
+    let fleet = slow_fleet(2, 1).await;
+    let events = fleet.caller(0).complete(&completion()).await;
+    let mut events = events.expect("runs");
+    let mut received = Received::default();
+    events.read_until(&mut received, 3).await.expect("goes on");
+
+    fleet.engines[runner(&fleet)].kill().await;
+    events.read_all(&mut received).await.expect("goes on");
+
+    assert_eq!(received.text, whole_text());
+    assert_eq!(finished(&fleet), 1);
+}
+
+#[tokio::test]
+async fn a_graceful_stop_cuts_no_stream() {
+    let mut fleet = slow_fleet(2, 1).await;
+    let events = fleet.caller(0).complete(&completion()).await;
+    let mut events = events.expect("runs");
+    let mut received = Received::default();
+    events.read_until(&mut received, 3).await.expect("goes on");
+
+    let router = fleet.take_router(0);
+    let deadline = time_after(Duration::from_secs(30));
+    let ((), read) = tokio::join!(router.shutdown(deadline), events.read_all(&mut received));
+
+    read.expect("goes on");
+    assert_eq!(received.text, whole_text());
+}
+
+#[tokio::test]
+async fn a_stream_is_resumed_at_another_router() {
+    let mut fleet = slow_fleet(2, 2).await;
+    let events = fleet.caller(0).complete(&completion()).await;
+    let mut events = events.expect("runs");
+    let mut received = Received::default();
+    events.read_until(&mut received, 3).await.expect("goes on");
+
+    fleet.take_router(0).kill().await;
+    let cut = events.read_all(&mut received).await;
+    let resumed = Completion {
+        last_event_id: received.last_id.clone(),
+        ..completion()
+    };
+    let events = fleet.caller(1).complete(&resumed).await;
+    let mut events = events.expect("is resumed");
+    events.read_all(&mut received).await.expect("goes on");
+
+    assert!(cut.is_err());
+    assert_eq!(received.text, whole_text());
+    assert_eq!(finished(&fleet), 1);
+}
+
+#[tokio::test]
+async fn a_stream_cannot_be_resumed_once_its_engine_has_restarted() {
+    let mut fleet = slow_fleet(1, 2).await;
+    let events = fleet.caller(0).complete(&completion()).await;
+    let mut events = events.expect("runs");
+    let mut received = Received::default();
+    events.read_until(&mut received, 3).await.expect("goes on");
+    fleet.take_router(0).kill().await;
+    fleet.engines[0].kill().await;
+    fleet.engines[0].restart().await;
+
+    let resumed = Completion {
+        last_event_id: received.last_id.clone(),
+        ..completion()
+    };
+    let events = fleet.caller(1).complete(&resumed).await;
+
+    assert_eq!(outcome(events).0, "stream_gone");
+}
+
+#[tokio::test]
+async fn a_booking_repeated_at_another_router_runs_once() {
+    let fleet = fleet(1, 2).await;
+    let booking = booking(&key(1));
+
+    let first = fleet.caller(0).call(&booking).await.expect("runs");
+    let again = fleet.caller(1).call(&booking).await.expect("is answered");
+
+    assert_eq!((first.status, first.repeat), (201, false));
+    assert_eq!((again.status, again.repeat), (201, true));
+    assert_eq!(first.body, again.body);
+    assert_eq!(fleet.service.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn a_booking_sent_to_two_routers_at_once_runs_once() {
+    let fleet = fleet(1, 2).await;
+    fleet.service.set_delay_ms(50);
+    let booking = booking(&key(2));
+    let callers = [fleet.caller(0), fleet.caller(1)];
+
+    let (left, right) = tokio::join!(callers[0].call(&booking), callers[1].call(&booking));
+
+    assert_eq!(fleet.service.ledger().len(), 1);
+    let won = [&left, &right]
+        .iter()
+        .filter(|answer| answer.is_ok())
+        .count();
+    assert!(won >= 1, "{left:?} {right:?}");
+}
+
+#[tokio::test]
+async fn a_booking_whose_service_dies_after_running_is_unknown_and_not_run_again() {
+    let fleet = fleet(1, 2).await;
+    fleet.service.die_after_running(1);
+    let booking = booking(&key(3));
+
+    let first = fleet.caller(0).call(&booking).await;
+    let again = fleet.caller(1).call(&booking).await;
+
+    assert_eq!(outcome(first).1, "unknown");
+    assert_eq!(outcome(again).1, "unknown");
+    assert_eq!(fleet.service.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn a_booking_without_a_key_is_not_run() {
+    let fleet = fleet(1, 1).await;
+    let booking = Call {
+        key: None,
+        ..booking("")
+    };
+
+    let refused = fleet.caller(0).call(&booking).await;
+
+    assert_eq!(outcome(refused), words("key_missing", "not_run"));
+    assert_eq!(fleet.service.ledger(), []);
+}
+
+#[tokio::test]
+async fn a_booking_whose_claim_loses_its_answer_runs_once() {
+    let fleet = fleet(1, 2).await;
+    let booking = booking(&key(4));
+    fleet.platform.lose_answers(CLAIMS, 1);
+
+    let first = fleet.caller(0).call(&booking).await;
+    let again = fleet.caller(1).call(&booking).await;
+
+    assert_eq!(first.expect("runs").status, 201);
+    assert!(again.expect("is answered").repeat);
+    assert_eq!(fleet.platform.answers_to_lose(), 0);
+    assert_eq!(fleet.service.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn while_the_platform_is_down_completions_go_on_and_bookings_do_not_run() {
+    let fleet = fleet(2, 2).await;
+    let booking = booking(&key(5));
+    fleet.platform.set_outage(true);
+
+    let completed = fleet.caller(0).complete_whole(&completion()).await;
+    let refused = fleet.caller(0).call(&booking).await;
+    fleet.platform.set_outage(false);
+    let booked = loop {
+        match fleet.caller(1).call(&booking).await {
+            Ok(answer) => break answer,
+            Err(CallerError::Refused { .. }) => sleep(Duration::from_millis(20)).await,
+            Err(e) => panic!("failed otherwise: {e}"),
+        }
+    };
+
+    assert_eq!(completed.expect("whole").text, whole_text());
+    assert_eq!(outcome(refused).0, "platform_unavailable");
+    assert_eq!(booked.status, 201);
+    assert_eq!(fleet.service.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn a_lookup_is_answered_while_the_platform_is_down() {
+    let mut fleet = fleet(1, 1).await;
+    let lookup = Call {
+        method: Method::GET,
+        path: format!("{SERVICE}/stock/felt"),
+        key: None,
+        body: Bytes::new(),
+    };
+    fleet.stop_platform().await;
+
+    let answer = fleet.caller(0).call(&lookup).await;
+
+    assert_eq!(answer.expect("is answered").status, 200);
+}
