--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -82,6 +82,7 @@
                 work,
             },
             source,
+            stream,
         );
         let answer = Answer {
             rx,
@@ -101,19 +102,26 @@
         }
     }
 
-    fn generate(&self, req: CallRequest, source: GenerationSource) -> Receiver<GenerationItem> {
+    fn generate(
+        &self,
+        req: CallRequest,
+        source: GenerationSource,
+        resumable: bool,
+    ) -> Receiver<GenerationItem> {
         self.metrics.on_call(source.kind());
         let (tx, rx) = channel(TOKENS_AHEAD);
         let call = req.call;
         let generation = Generation {
             call,
             source,
+            resumable,
             rx: self.node.call(req),
             tx,
             node: self.node.clone(),
             engine: Arc::clone(&self.outside.engine),
             event_ids: Arc::clone(&self.event_ids),
             metrics: Arc::clone(&self.metrics),
+            tasks: self.tasks.clone(),
         };
         self.tasks.spawn(generation.run());
         rx
@@ -213,7 +221,7 @@
 fn work_and_source(req: CompletionRequest, resumed: Option<EventId>) -> (Work, GenerationSource) {
     match resumed {
         Some(id) => {
-            let delivered = id.position + 1;
+            let delivered = id.position.saturating_add(1);
             let work = Work::Resume(Resume {
                 workspace: id.origin.workspace.clone(),
                 server: id.origin.server.clone(),
--- a/crates/router/src/engine_attempt.rs
+++ b/crates/router/src/engine_attempt.rs
@@ -16,7 +16,6 @@
 use policy::Relay;
 use policy::RelayStep;
 use tokio::sync::mpsc::Sender;
-use uuid::Uuid;
 
 use crate::failure;
 use crate::CompletionRequest;
@@ -32,6 +31,8 @@
 pub struct EngineAttempt<'a> {
     /// What the node asked for.
     pub dispatch: Dispatch,
+    /// Name of the stream, if it is a new one.
+    pub stream: &'a str,
     /// What is generated.
     pub source: &'a mut GenerationSource,
     /// Way to the caller's side.
@@ -49,22 +50,21 @@
 impl EngineAttempt<'_> {
     /// Relays tokens until the last one and returns their number.
     pub async fn run(mut self) -> Result<u32, Failure> {
-        let stream = Uuid::from_u128(rand::random()).simple().to_string();
-        let generation = self.start(&stream).await?;
+        let generation = self.start().await?;
         let started = generation.started;
         let origin = self
             .source
-            .origin(&self.dispatch, started.incarnation, stream);
+            .origin(&self.dispatch, started.incarnation, self.stream);
         self.on_started(started).await;
         let origin = Arc::new(self.event_ids.sign(&origin));
         self.relay(generation, origin).await
     }
 
-    async fn start(&self, stream: &str) -> Result<Generation, Failure> {
+    async fn start(&self) -> Result<Generation, Failure> {
         let peer = self.dispatch.address;
         let result = match &*self.source {
             GenerationSource::Prompt { req, delivered } => {
-                let req = self.request(stream, req, delivered);
+                let req = self.request(req, delivered);
                 self.engine.generate(peer, req).await
             }
             GenerationSource::Stream { origin, delivered } => {
@@ -73,17 +73,12 @@
                     .await
             }
         };
-        result.map_err(|e| failure::of_backend(&e))
+        result.map_err(|e| self.failed(&e))
     }
 
-    fn request(
-        &self,
-        stream: &str,
-        req: &CompletionRequest,
-        delivered: &[String],
-    ) -> GenerateRequest {
+    fn request(&self, req: &CompletionRequest, delivered: &[String]) -> GenerateRequest {
         GenerateRequest {
-            stream: stream.to_owned(),
+            stream: self.stream.to_owned(),
             workspace: self.dispatch.workspace.clone(),
             model: req.model.clone(),
             weights_version: self.dispatch.weights_version,
@@ -119,7 +114,10 @@
         let mut relay = Relay::new(self.source.delivered());
         let mut first = true;
         while let Some(chunk) = generation.chunks.next().await {
-            let chunk = chunk.map_err(|_| Failure::Broken)?;
+            let chunk = chunk.map_err(|e| {
+                self.failed(&e);
+                Failure::Broken
+            })?;
             match relay.on_token(chunk.position, chunk.last) {
                 RelayStep::Forward => self.forward(chunk, &origin).await,
                 RelayStep::Duplicate => {
@@ -157,6 +155,18 @@
         }));
     }
 
+    fn failed(&self, error: &backend::Error) -> Failure {
+        let at = self.dispatch.at;
+        log::warn!(
+            "event=attempt_failed call={} attempt={} server={} reason={:?}",
+            at.call.0,
+            at.attempt.0,
+            self.dispatch.server_name,
+            error.to_string()
+        );
+        failure::of_backend(error)
+    }
+
     fn report(&self, report: BackendReport) {
         let at = self.dispatch.at;
         self.node.report(at.call, at.attempt, report);
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -1,6 +1,8 @@
 //! The task of one generation.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use backend::Engine;
 use policy::BackendReport;
@@ -10,6 +12,8 @@
 use policy::Failure;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout;
+use uuid::Uuid;
 
 use crate::CallCommand;
 use crate::EngineAttempt;
@@ -18,6 +22,7 @@
 use crate::GenerationSource;
 use crate::Metrics;
 use crate::NodeHandle;
+use crate::Tasks;
 
 /// The task of one generation: carries the node's attempts out, and relays
 /// tokens to the caller's side without passing the node.
@@ -26,6 +31,8 @@
     pub call: CallId,
     /// What is generated.
     pub source: GenerationSource,
+    /// Whether the caller can resume the stream after it went away.
+    pub resumable: bool,
     /// Commands of the node.
     pub rx: UnboundedReceiver<CallCommand>,
     /// Way to the caller's side.
@@ -38,8 +45,13 @@
     pub event_ids: Arc<EventIds>,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// Tasks of the router.
+    pub tasks: Tasks,
 }
 
+/// Time for an engine to take the cancellation of a stream.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(5);
+
 enum Next {
     Command(CallCommand),
     Attempt(Dispatch),
@@ -84,8 +96,11 @@
 
     async fn attempt(&mut self, dispatch: Dispatch) -> Next {
         let at = dispatch.at;
+        let peer = dispatch.address;
+        let stream = Uuid::from_u128(rand::random()).simple().to_string();
         let attempt = EngineAttempt {
             dispatch,
+            stream: &stream,
             source: &mut self.source,
             tx: &self.tx,
             node: &self.node,
@@ -95,8 +110,16 @@
         };
         let result = tokio::select! {
             biased;
-            command = self.rx.recv() => return command.map_or(Next::Ended, Next::Command),
-            () = self.tx.closed() => return self.caller_gone(),
+            command = self.rx.recv() => {
+                self.cancel(peer, stream);
+                return command.map_or(Next::Ended, Next::Command);
+            }
+            () = self.tx.closed() => {
+                if !self.resumable || self.source.delivered() == 0 {
+                    self.cancel(peer, stream);
+                }
+                return self.caller_gone();
+            }
             result = attempt.run() => result,
         };
         match result {
@@ -113,6 +136,15 @@
         }
     }
 
+    /// Cancels a stream that nobody will resume; the engine would keep it for a while.
+    fn cancel(&self, peer: SocketAddr, stream: String) {
+        let engine = Arc::clone(&self.engine);
+        self.tasks.spawn(async move {
+            // An engine that can't be reached drops the stream by itself.
+            let _ = timeout(CANCEL_TIMEOUT, engine.cancel(peer, &stream)).await;
+        });
+    }
+
     fn failed(&self, failure: Failure) -> BackendReport {
         BackendReport::Failed {
             failure,
--- a/crates/router/src/generation_source.rs
+++ b/crates/router/src/generation_source.rs
@@ -52,12 +52,12 @@
     }
 
     /// Returns the origin of the tokens of an attempt.
-    pub fn origin(&self, dispatch: &Dispatch, incarnation: u64, stream: String) -> Origin {
+    pub fn origin(&self, dispatch: &Dispatch, incarnation: u64, stream: &str) -> Origin {
         match self {
             GenerationSource::Prompt { .. } => Origin {
                 server: dispatch.server_name.clone(),
                 incarnation,
-                stream,
+                stream: stream.to_owned(),
                 workspace: dispatch.workspace.clone(),
             },
             GenerationSource::Stream { origin, .. } => origin.clone(),
--- a/crates/router/src/hands.rs
+++ b/crates/router/src/hands.rs
@@ -7,6 +7,7 @@
 use peer::Links;
 use policy::AttemptId;
 use policy::CallId;
+use policy::Dispatch;
 use policy::Event;
 use policy::Failure;
 use policy::Member;
@@ -14,10 +15,8 @@
 use policy::PeerMessage;
 use policy::Refusal;
 use policy::StoreRequest;
-use policy::Time;
 use tokio::sync::watch;
 
-use crate::clock;
 use crate::EngineWatches;
 use crate::Metrics;
 use crate::NodeHandle;
@@ -26,8 +25,6 @@
 use crate::Tasks;
 use crate::WatchedEngine;
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
 /// Carries the node's actions out.
 pub struct Hands {
     /// Tasks of the router.
@@ -45,10 +42,15 @@
 }
 
 impl Hands {
-    /// Takes in that the node decided on a request that arrived at `start`.
-    pub fn on_decision(&self, start: Time) {
-        let micros = clock::now().micros_since(start);
-        self.metrics.on_decision(micros as f64 / MICROS_PER_SECOND);
+    /// Takes in that an attempt is sent.
+    pub fn on_dispatch(&self, dispatch: &Dispatch) {
+        log::debug!(
+            "event=dispatched call={} attempt={} server={} workspace={}",
+            dispatch.at.call.0,
+            dispatch.at.attempt.0,
+            dispatch.server_name,
+            dispatch.workspace
+        );
     }
 
     /// Takes in that a call is refused.
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the node.
 
 use std::collections::HashMap;
+use std::time::Instant;
 
 use policy::Action;
 use policy::CallId;
@@ -92,10 +93,12 @@
             self.hands.on_members(members);
         }
         let is_call = matches!(event, Event::Call(_));
-        let now = clock::now();
-        self.node.handle(now, event, &mut self.actions);
+        let start = Instant::now();
+        self.node.handle(clock::now(), event, &mut self.actions);
         if is_call {
-            self.hands.on_decision(now);
+            self.hands
+                .metrics
+                .on_decision(start.elapsed().as_secs_f64());
         }
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
@@ -109,6 +112,7 @@
         match action {
             Action::Dispatch(dispatch) => {
                 let call = dispatch.at.call;
+                self.hands.on_dispatch(&dispatch);
                 self.command(call, CallCommand::Dispatch(dispatch));
             }
             Action::Cancel(at) => self.command(at.call, CallCommand::Cancel(at)),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -73,6 +73,9 @@
     },
 }
 
+/// Time between the refusal of calls still in flight and the end of a shutdown, in microseconds.
+const LAST_WORDS_US: u64 = 500_000;
+
 /// One router, which runs until it is shut down or killed.
 pub struct Router {
     address: SocketAddr,
@@ -83,6 +86,7 @@
     state: Arc<watch::Sender<RouterState>>,
     tasks: Tasks,
     connections: Tasks,
+    status: Tasks,
     drain: CancellationToken,
 }
 
@@ -129,6 +133,7 @@
             state,
             tasks,
             connections: Tasks::default(),
+            status: Tasks::default(),
             drain: CancellationToken::new(),
         };
         router.follow_platform(&outside, incarnation);
@@ -175,12 +180,15 @@
         self.state.send_modify(|state| state.leaving = true);
         let notice = self.settings.limits.shutdown_notice();
         let _ = timeout_at(cut_at, sleep(notice)).await;
-        self.node.event(Event::Shutdown { deadline });
+        self.node.event(Event::Shutdown {
+            deadline: refuse_at(deadline),
+        });
         let ended = async {
             let mut state = self.state.subscribe();
             let _ = state.wait_for(|state| state.stopped).await;
             self.drain.cancel();
             self.connections.join().await;
+            self.status.join().await;
         };
         let in_time = timeout_at(cut_at, ended).await.is_ok();
         log::info!(
@@ -195,6 +203,7 @@
         self.drain.cancel();
         self.actor.kill();
         self.connections.cut().await;
+        self.status.cut().await;
         self.tasks.cut().await;
     }
 
@@ -232,7 +241,7 @@
         };
         self.tasks.spawn(config.run());
         self.tasks.spawn(membership.run());
-        self.tasks.spawn(status.run());
+        self.status.spawn(status.run());
     }
 
     fn serve_peers(&self, listener: TcpListener, secret: Secret, metrics: Arc<Metrics>) {
@@ -278,6 +287,11 @@
     }
 }
 
+/// Returns when calls still in flight are refused, so that their callers hear of it.
+fn refuse_at(deadline: Time) -> Time {
+    Time(deadline.0.saturating_sub(LAST_WORDS_US))
+}
+
 async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
     let listener = TcpListener::bind(address)
         .await
--- a/crates/router/tests/common/fake_engine.rs
+++ b/crates/router/tests/common/fake_engine.rs
@@ -84,7 +84,7 @@
         self.hold_after(u32::MAX);
     }
 
-    /// Makes all engines refuse connections, and forget their streams.
+    /// Makes all engines die: streams break, and connections are refused.
     pub fn kill_all(&self) {
         self.state.send_modify(|state| {
             for engine in state.engines.values_mut() {
@@ -153,20 +153,24 @@
                 return None;
             }
             let mut state = open.0.subscribe();
-            let _ = state.wait_for(|state| position < state.released).await;
-            drop(state);
-            let chunk = match fault {
-                Some(at) if at == position => Err(Error::Broken {
+            let dead = |state: &State| state.engines[&peer].dead;
+            let _ = state
+                .wait_for(|state| position < state.released || dead(state))
+                .await;
+            let broken = fault == Some(position) || dead(&state.borrow());
+            let chunk = match broken {
+                true => Err(Error::Broken {
                     step: "chunk",
                     peer: peer.to_string(),
                     reason: "died".to_owned(),
                 }),
-                _ => Ok(Chunk {
+                false => Ok(Chunk {
                     position,
                     text: format!("t{position} "),
                     last: position + 1 == end,
                 }),
             };
+            drop(state);
             Some((chunk, (position + 1, open)))
         });
         Generation {
--- a/crates/router/tests/common/fake_platform.rs
+++ b/crates/router/tests/common/fake_platform.rs
@@ -55,6 +55,11 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// Loses a key.
+    pub fn forget(&self, key: &str) {
+        self.keys.lock().unwrap().remove(key);
+    }
+
     pub fn held(&self, key: &str) -> Option<Versioned> {
         self.keys.lock().unwrap().get(key).cloned()
     }
--- /dev/null
+++ b/crates/router/tests/event_ids.rs
@@ -0,0 +1,70 @@
+//! Event ids.
+
+use proptest::prelude::*;
+use router::BadEventId;
+use router::EventId;
+use router::EventIds;
+use router::Origin;
+
+fn ids() -> EventIds {
+    EventIds::new(b"a secret of all streams")
+}
+
+prop_compose! {
+    fn an_id()(
+        server in ".{0,20}",
+        incarnation: u64,
+        stream in ".{0,20}",
+        workspace in ".{0,20}",
+        position: u32,
+        last: bool,
+    ) -> EventId {
+        let origin = Origin { server, incarnation, stream, workspace };
+        EventId { origin, position, last }
+    }
+}
+
+proptest! {
+    #[test]
+    fn an_id_says_what_it_was_made_from(id in an_id()) {
+        let text = ids().sign(&id.origin).id(id.position, id.last);
+
+        prop_assert!(text.bytes().all(|byte| byte.is_ascii_graphic()));
+        prop_assert_eq!(ids().open(&text), Ok(id));
+    }
+
+    #[test]
+    fn an_id_that_was_changed_anywhere_is_refused(id in an_id(), at: usize, byte in b'!'..b'~') {
+        let text = ids().sign(&id.origin).id(id.position, id.last);
+        let at = at % text.len();
+        let mut changed = text.clone().into_bytes();
+        changed[at] = byte;
+        let changed = String::from_utf8(changed).unwrap();
+
+        let opened = ids().open(&changed);
+
+        // Upper-case digits of the code say the same.
+        prop_assume!(!changed.eq_ignore_ascii_case(&text));
+        prop_assert!(opened.is_err());
+    }
+
+    #[test]
+    fn any_text_is_refused_without_panic(text in ".{0,200}") {
+        prop_assert!(ids().open(&text).is_err());
+    }
+}
+
+#[test]
+fn an_id_under_another_secret_is_refused() {
+    let origin = Origin {
+        server: "e1".to_owned(),
+        incarnation: 1,
+        stream: "s".to_owned(),
+        workspace: "w".to_owned(),
+    };
+    let other = EventIds::new(b"another secret");
+
+    let opened = ids().open(&other.sign(&origin).id(3, false));
+
+    assert_eq!(opened, Err(BadEventId::NotAuthentic));
+}
--- /dev/null
+++ b/crates/router/tests/services.rs
@@ -0,0 +1,117 @@
+//! Calls of plain services.
+
+mod common;
+
+use http::Method;
+use uuid::Uuid;
+
+use common::caller::Caller;
+use common::system::a_system;
+use common::system::System;
+
+/// Returns an idempotency key of this moment.
+fn a_key() -> String {
+    let ms = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
+    let version_and_variant = (0x7 << 76) | (0b10 << 62);
+    Uuid::from_u128(ms << 80 | version_and_variant | 0x42).to_string()
+}
+
+fn a_booking(system: &System, router: usize, key: &str) -> Caller {
+    Caller::new(system.address(router), "/services/booking/book?day=1")
+        .header("idempotency-key", key)
+        .header("content-type", "text/plain")
+        .body("one block")
+}
+
+#[tokio::test]
+async fn an_idempotent_call_passes_with_path_and_query() {
+    let system = a_system().start().await;
+
+    let answer = Caller::get(system.address(0), "/services/booking/stock/felt?n=2")
+        .send()
+        .await;
+
+    assert_eq!(answer.status, 201);
+    assert_eq!(answer.headers["content-type"], "text/plain");
+    assert_eq!(answer.body, "answer 1");
+    let call = &system.service.calls()[0];
+    assert_eq!(call.method, Method::GET.as_str());
+    assert_eq!(call.path, "/stock/felt?n=2");
+}
+
+#[tokio::test]
+async fn a_booking_without_a_key_is_refused() {
+    let system = a_system().start().await;
+
+    let answer = Caller::new(system.address(0), "/services/booking/book")
+        .send()
+        .await;
+
+    assert_eq!(answer.refusal().1, "key_missing");
+    assert!(system.service.calls().is_empty());
+}
+
+#[tokio::test]
+async fn a_repeated_booking_gets_the_first_answer_from_any_router() {
+    let system = a_system().with_routers(2).start().await;
+    let key = a_key();
+
+    let first = a_booking(&system, 0, &key).send().await;
+    let second = a_booking(&system, 1, &key).send().await;
+
+    assert_eq!(first.body, "answer 1");
+    assert_eq!(second.body, first.body);
+    assert_eq!(second.status, first.status);
+    assert_eq!(second.headers["idempotent-replayed"], "true");
+    assert_eq!(system.service.calls().len(), 1);
+}
+
+#[tokio::test]
+async fn a_booking_whose_service_broke_is_unknown_and_never_runs_again() {
+    let system = a_system().start().await;
+    let key = a_key();
+    system.service.break_next();
+
+    let first = a_booking(&system, 0, &key).send().await;
+    let second = a_booking(&system, 0, &key).send().await;
+
+    assert_eq!(first.refusal().2, "unknown");
+    assert_eq!(second.refusal().2, "unknown");
+    assert_eq!(system.service.calls().len(), 1);
+}
+
+#[tokio::test]
+async fn a_booking_whose_caller_went_away_is_recorded_all_the_same() {
+    let system = a_system().start().await;
+    let key = a_key();
+    system.service.hold(true);
+    let caller = tokio::spawn(a_booking(&system, 0, &key).send());
+    while system.service.calls().is_empty() {
+        tokio::task::yield_now().await;
+    }
+
+    caller.abort();
+    let _ = caller.await;
+    system.service.hold(false);
+    let mut repeat = a_booking(&system, 0, &key).send().await;
+    while repeat.status == 409 {
+        repeat = a_booking(&system, 0, &key).send().await;
+    }
+
+    assert_eq!(repeat.body, "answer 1");
+    assert_eq!(system.service.calls().len(), 1);
+}
+
+#[tokio::test]
+async fn a_booking_with_the_platform_down_is_refused() {
+    let system = a_system().start().await;
+    system.platform.set_down(true);
+
+    let answer = a_booking(&system, 0, &a_key()).send().await;
+
+    assert_eq!(answer.refusal().1, "platform_unavailable");
+    assert!(system.service.calls().is_empty());
+}
--- /dev/null
+++ b/crates/router/tests/settings.rs
@@ -0,0 +1,119 @@
+//! Settings: each fault gives one line with file, field and what was expected.
+
+use std::fs;
+
+use router::Settings;
+use serde_json::json;
+use serde_json::Value;
+
+fn good() -> Value {
+    json!({
+        "vm": "vm1",
+        "region": "west",
+        "failure_domain": "west-1",
+        "listen": "127.0.0.1:8080",
+        "peer_listen": "127.0.0.1:8081",
+        "key_value": "127.0.0.1:9000",
+        "membership": "127.0.0.1:9000",
+        "peer_secret": "0123456789abcdef",
+        "event_secret": "0123456789abcdef",
+    })
+}
+
+fn with(field: &str, value: Value) -> Value {
+    let mut settings = good();
+    settings[field] = value;
+    settings
+}
+
+fn parse(settings: &Value) -> Result<Settings, String> {
+    let text = settings.to_string();
+    Settings::parse("s.json", text.as_bytes()).map_err(|e| e.to_string())
+}
+
+#[test]
+fn good_settings_are_read() {
+    let settings =
+        parse(&with("limits", json!({"body_ms": 500}))).unwrap_or_else(|e| panic!("{e}"));
+
+    assert_eq!(settings.vm, "vm1");
+    assert_eq!(settings.listen.port(), 8080);
+    assert_eq!(settings.limits.body_ms, 500);
+}
+
+#[test]
+fn faults_are_named_in_one_line() {
+    let cases = [
+        (
+            with("more", json!(1)),
+            "s.json: more: expected no such field",
+        ),
+        (
+            with("listen", json!("nowhere")),
+            "s.json: listen: expected an address such as 10.0.0.1:8080, found \"nowhere\"",
+        ),
+        (with("vm", json!(7)), "s.json: vm: expected a string"),
+        (
+            with("vm", json!("")),
+            "s.json: vm: expected a name of 1 to 128 printable ASCII bytes without `/`",
+        ),
+        (
+            with("limits", json!({"connections": 0})),
+            "s.json: limits.connections: expected a whole number from 1 to 1000000, found 0",
+        ),
+        (
+            with("limits", json!({"other": 0})),
+            "s.json: limits.other: expected no such field",
+        ),
+        (
+            with("peer_secret", json!("short")),
+            "s.json: peer_secret: expected a secret of at least 16 bytes",
+        ),
+        (
+            with("peer_secret_file", json!("/x")),
+            "s.json: peer_secret: expected either this field or peer_secret_file",
+        ),
+        (
+            with("log", json!("loud, please=now")),
+            "s.json: log: expected a log specification such as `info` or `warn, router=debug`",
+        ),
+        (json!([]), "s.json: expected JSON: the whole is no object"),
+    ];
+
+    for (settings, expected) in cases {
+        assert_eq!(parse(&settings).err().as_deref(), Some(expected));
+    }
+}
+
+#[test]
+fn a_missing_field_is_named() {
+    let mut settings = good();
+    settings.as_object_mut().unwrap().remove("region");
+
+    let error = parse(&settings).err();
+
+    let expected = "s.json: region: expected this field, found none";
+    assert_eq!(error.as_deref(), Some(expected));
+}
+
+#[test]
+fn a_secret_is_read_from_its_file() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("secret");
+    fs::write(&path, "a secret from a file\n").unwrap();
+    let mut settings = with("event_secret_file", json!(path));
+    settings.as_object_mut().unwrap().remove("event_secret");
+
+    let settings = parse(&settings).unwrap_or_else(|e| panic!("{e}"));
+
+    assert_eq!(settings.event_secret, b"a secret from a file");
+}
+
+#[test]
+fn a_file_that_is_missing_is_named() {
+    let error = Settings::read("/nowhere/s.json".as_ref()).err().unwrap();
+
+    let line = error.to_string();
+    assert!(line.starts_with("/nowhere/s.json: expected a readable file: "));
+    assert!(!line.contains('\n'));
+}
