Orders and held weights through the router, the backend adapter and the stand-in engine

Cause: the policy's orders had no hands yet, and an engine's report did not say which weights it holds. A request with weights 0 is served by whichever are loaded.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -94,8 +94,8 @@
     pub running: u32,
     /// Whether the engine is leaving.
     pub leaving: bool,
-    /// Weights that it holds and serves.
-    pub weights: Vec<HeldWeights>,
+    /// Weights that it holds and serves, none if it doesn't say.
+    pub weights: Option<Vec<HeldWeights>>,
 }
 
 /// A change of an engine's cache.
--- a/crates/backend/src/wire.rs
+++ b/crates/backend/src/wire.rs
@@ -139,9 +139,9 @@
     pub running: u32,
     /// Whether the engine is leaving.
     pub leaving: bool,
-    /// Weights that it holds and serves.
+    /// Weights that it holds and serves, none if it doesn't say.
     #[serde(default)]
-    pub weights: Vec<HeldWeights>,
+    pub weights: Option<Vec<HeldWeights>>,
 }
 
 /// Asks for cache events.
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -134,7 +134,7 @@
     for lost in 1..=8 {
         let platform = Platform::new();
         let ann = Operator::new("ann").with("10-models.json", MODEL);
-        platform.lose_answers(lost);
+        platform.lose_answers("", lost);
 
         let accepted = ann.apply(&platform).await.expect("apply");
 
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -159,8 +159,8 @@
     pub running: u32,
     /// Whether the engine is leaving.
     pub leaving: bool,
-    /// Weights that it holds and serves; empty if it doesn't say.
-    pub weights: Vec<HeldWeights>,
+    /// Weights that it holds and serves, none if it doesn't say.
+    pub weights: Option<Vec<HeldWeights>>,
 }
 
 impl LoadReport {
@@ -168,6 +168,7 @@
     pub fn holds(&self, model: &str, version: u64) -> bool {
         self.weights
             .iter()
+            .flatten()
             .any(|held| held.model == model && held.version == version)
     }
 }
--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -43,7 +43,7 @@
         }
         let held = Held {
             as_of: report.at,
-            weights: report.weights.clone(),
+            weights: report.weights.clone().unwrap_or_default(),
         };
         self.loads.held.insert(server, held);
         match self.lacking(server, report) {
@@ -133,7 +133,7 @@
         let ServerKind::Engine { models, .. } = &entry.kind else {
             return None;
         };
-        let takes_orders = entry.declared && !entry.is_leaving() && !report.weights.is_empty();
+        let takes_orders = entry.declared && !entry.is_leaving() && report.weights.is_some();
         models
             .iter()
             .map(|key| self.fleet.models.name(*key))
--- a/crates/policy/tests/orders.rs
+++ b/crates/policy/tests/orders.rs
@@ -251,10 +251,10 @@
                 queued_tokens: 0,
                 running: 0,
                 leaving: false,
-                weights: vec![HeldWeights {
+                weights: Some(vec![HeldWeights {
                     model: "long".to_owned(),
                     version: self.engines[i].held,
-                }],
+                }]),
             };
             for router in 0..ROUTERS {
                 let event = Event::Load(report.clone());
@@ -368,10 +368,10 @@
             queued_tokens: 0,
             running: 0,
             leaving: false,
-            weights: vec![HeldWeights {
+            weights: Some(vec![HeldWeights {
                 model: "long".to_owned(),
                 version: 1,
-            }],
+            }]),
         };
         for action in step(node, now, Event::Load(report)) {
             let Action::Store { op, request } = action else {
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -249,7 +249,7 @@
                 queued_tokens: queued + left_ms * PROMPT_TOKENS / PREFILL_MS,
                 running: u32::from(engine.running.is_some()),
                 leaving: false,
-                weights: Vec::new(),
+                weights: None,
             };
             for router in 0..ROUTERS {
                 let event = Event::Load(report.clone());
--- a/crates/router/src/engine_watches.rs
+++ b/crates/router/src/engine_watches.rs
@@ -12,6 +12,7 @@
 use policy::CacheChange;
 use policy::CacheReport;
 use policy::Event;
+use policy::HeldWeights;
 use policy::Incarnation;
 use policy::LoadReport;
 use policy::PieceKey;
@@ -143,6 +144,7 @@
             queued_tokens: load.queued_tokens,
             running: load.running,
             leaving: load.leaving,
+            weights: load.weights.map(|all| all.into_iter().map(held).collect()),
         }
     }
 
@@ -159,6 +161,13 @@
     }
 }
 
+fn held(held: backend::HeldWeights) -> HeldWeights {
+    HeldWeights {
+        model: held.model,
+        version: held.version,
+    }
+}
+
 fn next_sequence(events: &CacheEvents) -> u64 {
     let count = u64::try_from(events.events.len()).unwrap_or(u64::MAX);
     events.first_sequence.saturating_add(count)
--- a/crates/router/src/hands.rs
+++ b/crates/router/src/hands.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use backend::Engine;
 use config::Config;
 use peer::Links;
 use policy::AttemptId;
@@ -12,11 +13,13 @@
 use policy::Failure;
 use policy::Member;
 use policy::OpId;
+use policy::Order;
 use policy::PeerMessage;
 use policy::Refusal;
 use policy::StoreRequest;
 use tokio::sync::watch;
 
+use crate::order_task;
 use crate::EngineWatches;
 use crate::Metrics;
 use crate::NodeHandle;
@@ -33,6 +36,8 @@
     pub store: Arc<Store>,
     /// Ways to other routers.
     pub links: Arc<Links>,
+    /// Engines, for orders.
+    pub engine: Arc<dyn Engine>,
     /// Engines whose load and caches are watched.
     pub watches: EngineWatches,
     /// State of the router.
@@ -112,6 +117,13 @@
         self.watches.set(engines, node, &self.tasks);
     }
 
+    /// Gives an order to an engine.
+    pub fn order(&self, order: Order, node: &NodeHandle) {
+        let engine = Arc::clone(&self.engine);
+        self.tasks
+            .spawn(order_task::run(engine, order, node.clone()));
+    }
+
     /// Takes in that all calls have ended.
     pub fn on_stopped(&self) {
         self.state.send_modify(|state| state.stopped = true);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,6 +37,7 @@
 mod node_actor;
 mod node_handle;
 mod node_message;
+mod order_task;
 mod outside;
 mod peer_inbox;
 mod problem;
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -145,6 +145,7 @@
                 let engines = servers.iter().map(|key| self.watched(*key)).collect();
                 self.hands.watch(engines, handle);
             }
+            Action::Order(order) => self.hands.order(order, handle),
             Action::Stopped => self.hands.on_stopped(),
         }
     }
--- /dev/null
+++ b/crates/router/src/order_task.rs
@@ -0,0 +1,58 @@
+//! Orders to engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use backend::Engine;
+use policy::Event;
+use policy::Order;
+use policy::OrderAnswer;
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::NodeHandle;
+
+/// Gives an order and hands the engine's answer in.
+///
+/// An order whose deadline has gone by is not sent: its slot may belong to
+/// another router by now.
+pub async fn run(engine: Arc<dyn Engine>, order: Order, node: NodeHandle) {
+    let left_us = order.deadline.micros_since(clock::now());
+    if left_us == 0 {
+        log::info!("event=order_dropped server={} reason=late", order.server);
+        return;
+    }
+    let sent = engine.order(order.address, wire_order(&order));
+    match timeout(Duration::from_micros(left_us), sent).await {
+        Ok(Ok(answer)) => {
+            log::info!(
+                "event=order_answered server={} model={} weights_version={} answer={answer:?}",
+                order.server,
+                order.model,
+                order.weights_version
+            );
+            node.event(Event::OrderAnswered {
+                server: order.server,
+                fencing: order.fencing,
+                answer: answer_of(answer),
+            });
+        }
+        Ok(Err(e)) => log::info!("event=order_failed server={} reason={e:?}", order.server),
+        Err(_) => log::info!("event=order_failed server={} reason=timeout", order.server),
+    }
+}
+
+fn wire_order(order: &Order) -> backend::Order {
+    backend::Order {
+        fencing: order.fencing,
+        model: order.model.clone(),
+        weights_version: order.weights_version,
+    }
+}
+
+fn answer_of(answer: backend::OrderAnswer) -> OrderAnswer {
+    match answer {
+        backend::OrderAnswer::Taken => OrderAnswer::Taken,
+        backend::OrderAnswer::StaleFencing(highest) => OrderAnswer::StaleFencing(highest),
+    }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -113,6 +113,7 @@
             tasks: tasks.clone(),
             store: Arc::new(Store::new(Arc::clone(&outside.key_value))),
             links: Arc::new(Links::new(&settings.vm, secret.clone(), metrics.clone())),
+            engine: Arc::clone(&outside.engine),
             watches: EngineWatches::new(Arc::clone(&outside.engine)),
             state: Arc::clone(&state),
             metrics: Arc::clone(&metrics),
--- a/crates/standins/src/engine_run.rs
+++ b/crates/standins/src/engine_run.rs
@@ -14,6 +14,7 @@
 use backend::CacheEvents;
 use backend::FetchFrom;
 use backend::GenerateRequest;
+use backend::HeldWeights;
 use backend::Load;
 use backend::Order;
 use backend::OrderAnswer;
@@ -149,9 +150,9 @@
         admitted
     }
 
-    fn admit(&self, req: GenerateRequest) -> Result<StreamReader, EngineRefusal> {
+    fn admit(&self, mut req: GenerateRequest) -> Result<StreamReader, EngineRefusal> {
         let mut state = self.state();
-        state.check(self.incarnation, &req)?;
+        req.weights_version = state.check(self.incarnation, &req)?;
         let prompt = PromptHash::new(&req.prompt);
         let position = check_delivered(prompt, &req.delivered)?;
         let chain = piece_keys(&req);
@@ -318,6 +319,7 @@
             queued_tokens: state.queued_tokens(),
             running: u32::try_from(state.running.len()).unwrap_or(u32::MAX),
             leaving: state.leaving,
+            weights: Some(state.held_weights()),
         }
     }
 
@@ -406,17 +408,28 @@
 }
 
 impl State {
-    fn check(&self, incarnation: u64, req: &GenerateRequest) -> Result<(), EngineRefusal> {
+    /// Returns the version of the weights that will serve a request.
+    fn check(&self, incarnation: u64, req: &GenerateRequest) -> Result<u64, EngineRefusal> {
         if self.leaving {
             return Err(EngineRefusal::Leaving);
         }
         if req.incarnation != 0 && req.incarnation != incarnation {
             return Err(EngineRefusal::StaleIncarnation);
         }
-        if self.weights.get(&req.model) != Some(&req.weights_version) {
-            return Err(EngineRefusal::StaleWeights);
+        match self.weights.get(&req.model) {
+            Some(held) if req.weights_version == 0 || req.weights_version == *held => Ok(*held),
+            _ => Err(EngineRefusal::StaleWeights),
         }
-        Ok(())
+    }
+
+    fn held_weights(&self) -> Vec<HeldWeights> {
+        self.weights
+            .iter()
+            .map(|(model, version)| HeldWeights {
+                model: model.clone(),
+                version: *version,
+            })
+            .collect()
     }
 
     fn queued_tokens(&self) -> u64 {
