--- a/crates/ctl/src/apply_command.rs
+++ b/crates/ctl/src/apply_command.rs
@@ -72,7 +72,7 @@
 impl ApplyCommand {
     /// Runs the command.
     pub async fn run(self, store: &ConfigStore, progress: &Progress) -> Result<Outcome> {
-        let maker = author::maker(self.author.clone())?;
+        let maker = author::maker(self.author.clone());
         let declared = Declared::read(&self.dir)?;
         let identity = store.ensure_identity().await?;
         let (manifest, files, base) = self.submit(store, &declared.folder, &maker).await?;
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -91,7 +91,8 @@
         outcome.code
     }
 
-    async fn outcome(self) -> Result<Outcome> {
+    /// Runs the command and returns its outcome.
+    pub async fn outcome(self) -> Result<Outcome> {
         let progress = |line: &str| eprintln!("{line}");
         match self.command {
             Some(command) => command.run(&self.platform, &progress).await,
--- a/crates/ctl/src/author.rs
+++ b/crates/ctl/src/author.rs
@@ -5,29 +5,27 @@
 use std::time::UNIX_EPOCH;
 
 use config::Maker;
-use snafu::OptionExt;
 use uuid::Uuid;
 
-use crate::error::ArgumentSnafu;
-use crate::Result;
-
 /// Environment variables that name the operator, the first that is set decides.
 const AUTHOR_VARIABLES: [&str; 2] = ["USER", "LOGNAME"];
 
+/// Author of a change that names none.
+const UNKNOWN_AUTHOR: &str = "unknown";
+
 /// Returns the maker of a change that is made now.
-pub(crate) fn maker(author: Option<String>) -> Result<Maker> {
-    let author = author
-        .or_else(|| AUTHOR_VARIABLES.iter().find_map(|name| env::var(name).ok()))
-        .filter(|author| !author.is_empty())
-        .context(ArgumentSnafu {
-            argument: "--author",
-            expected: "the name of the operator, for USER isn't set",
-        })?;
-    Ok(Maker {
-        author,
+pub(crate) fn maker(author: Option<String>) -> Maker {
+    let variables = AUTHOR_VARIABLES
+        .iter()
+        .filter_map(|name| env::var(name).ok());
+    let mut names = author.into_iter().chain(variables);
+    Maker {
+        author: names
+            .find(|name| !name.is_empty())
+            .unwrap_or_else(|| UNKNOWN_AUTHOR.into()),
         at_ms: now_ms(),
         nonce: Uuid::new_v4().to_string(),
-    })
+    }
 }
 
 fn now_ms() -> u64 {
--- a/crates/ctl/src/diff_command.rs
+++ b/crates/ctl/src/diff_command.rs
@@ -52,7 +52,7 @@
     /// Runs the command.
     pub async fn run(self, store: &ConfigStore) -> Result<Outcome> {
         let own = Declared::read(&self.dir)?.folder;
-        let maker = author::maker(self.author)?;
+        let maker = author::maker(self.author);
         let head = store.head().await?;
         let base = declared::base(store, &head, &self.dir, self.base).await?;
         let files = rebase(&base, &own, &head.manifest, &maker.author).context(ConflictingSnafu)?;
--- a/crates/ctl/src/rollback_command.rs
+++ b/crates/ctl/src/rollback_command.rs
@@ -40,7 +40,7 @@
 impl RollbackCommand {
     /// Runs the command; a change that is accepted meanwhile makes it refused.
     pub async fn run(self, store: &ConfigStore, progress: &Progress) -> Result<Outcome> {
-        let maker = author::maker(self.author)?;
+        let maker = author::maker(self.author);
         let head = store.head().await?;
         let former = store.manifest_at(self.version, &head).await?;
         let (next, files) = follow(&head.manifest, &former, &maker);
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -244,3 +244,15 @@
     assert_eq!(files.len(), 102);
     assert_eq!(in_force(&platform).await.limits.cell_size, 200);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_change_of_one_file_costs_four_writes() {
+    let platform = Platform::new();
+    let (ann, _) = two_operators(&platform).await;
+    ann.write("20-limits.json", &limits(4));
+    let before = platform.calls(CallKind::CompareAndSwap);
+
+    ann.apply(&platform).await.expect("apply");
+
+    assert_eq!(platform.calls(CallKind::CompareAndSwap) - before, 4);
+}
