--- a/crates/router/tests/failures.rs
+++ b/crates/router/tests/failures.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use policy::Time;
@@ -144,6 +145,17 @@
     assert_eq!(text(&rest), (tokens(2, 6), true));
 }
 
+/// Sends completions until one is refused: while the balancer is being told,
+/// a router that shuts down still serves.
+async fn first_refusal(address: SocketAddr) -> (u16, String, String) {
+    loop {
+        let answer = Caller::completion(address, 1).send().await;
+        if answer.status != 200 {
+            return answer.refusal();
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_graceful_shutdown_cuts_no_stream() {
     let mut system = a_system().start().await;
@@ -156,7 +168,7 @@
     while Caller::get(address, "/readyz").send().await.status == 200 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    let refused = Caller::completion(address, 1).send().await.refusal();
+    let refused = first_refusal(address).await;
     system.engines.release();
     events.extend(stream.rest().await);
     shutdown.await.unwrap();
