--- a/crates/router/src/completion_request.rs
+++ b/crates/router/src/completion_request.rs
@@ -69,7 +69,20 @@
 #[derive(Deserialize)]
 struct WireMessage {
     role: String,
-    content: String,
+    content: WireContent,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireContent {
+    Text(String),
+    Parts(Vec<WirePart>),
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+enum WirePart {
+    Text { text: String },
 }
 
 impl CompletionRequest {
@@ -109,6 +122,19 @@
     }
 }
 
+impl WireContent {
+    fn render(&self, prompt: &mut String) {
+        match self {
+            WireContent::Text(text) => prompt.push_str(text),
+            WireContent::Parts(parts) => {
+                for WirePart::Text { text } in parts {
+                    prompt.push_str(text);
+                }
+            }
+        }
+    }
+}
+
 fn parse_json<'a, T>(body: &'a [u8]) -> Result<T, Rejection>
 where
     T: Deserialize<'a>,
@@ -139,7 +165,7 @@
         prompt.push_str("<|");
         prompt.push_str(&message.role);
         prompt.push_str("|>\n");
-        prompt.push_str(&message.content);
+        message.content.render(&mut prompt);
         prompt.push('\n');
     }
     prompt
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -4,8 +4,11 @@
 use std::time::Instant;
 
 use policy::Action;
+use policy::BackendReport;
 use policy::CallId;
+use policy::Dispatch;
 use policy::Event;
+use policy::Failure;
 use policy::Node;
 use policy::ServerKey;
 use policy::Time;
@@ -111,15 +114,15 @@
     fn carry_out(&mut self, action: Action, handle: &NodeHandle) {
         match action {
             Action::Dispatch(dispatch) => {
-                let call = dispatch.at.call;
                 self.hands.on_dispatch(&dispatch);
-                self.command(call, CallCommand::Dispatch(dispatch));
+                self.dispatch(dispatch, handle);
+            }
+            Action::Cancel(at) => {
+                self.command(at.call, CallCommand::Cancel(at));
             }
-            Action::Cancel(at) => self.command(at.call, CallCommand::Cancel(at)),
             Action::Refuse { call, refusal } => {
                 self.hands.on_refusal(call, &refusal);
                 self.command(call, CallCommand::Refuse(refusal));
-                self.calls.remove(&call);
             }
             Action::Answer {
                 call,
@@ -127,7 +130,6 @@
                 repeat,
             } => {
                 self.command(call, CallCommand::Answer { answer, repeat });
-                self.calls.remove(&call);
             }
             Action::Retried { call, failure } => self.hands.on_retry(call, failure),
             Action::LateAnswer { call, attempt } => self.hands.on_late_answer(call, attempt),
@@ -157,10 +159,22 @@
         }
     }
 
-    fn command(&self, call: CallId, command: CallCommand) {
-        // A task that has ended has said so, or is about to.
-        if let Some(tx) = self.calls.get(&call) {
-            let _ = tx.send(command);
+    fn dispatch(&self, dispatch: Dispatch, handle: &NodeHandle) {
+        let at = dispatch.at;
+        if !self.command(at.call, CallCommand::Dispatch(dispatch)) {
+            // The task has ended, so nothing was sent.
+            let report = BackendReport::Failed {
+                failure: Failure::NotConnected,
+                delivered: 0,
+            };
+            handle.report(at.call, at.attempt, report);
         }
     }
+
+    /// Tells a call's task something; `false` if the task has ended.
+    fn command(&self, call: CallId, command: CallCommand) -> bool {
+        self.calls
+            .get(&call)
+            .is_some_and(|tx| tx.send(command).is_ok())
+    }
 }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -81,7 +81,7 @@
             call: req.call,
             req: sent,
             rx: self.node.call(req),
-            tx,
+            tx: Some(tx),
             node: self.node.clone(),
             service: Arc::clone(&self.outside.service),
         };
--- a/crates/router/src/service_task.rs
+++ b/crates/router/src/service_task.rs
@@ -1,6 +1,7 @@
 //! The task of one call of a plain service.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use backend::PlainService;
 use backend::ServiceAnswer;
@@ -16,11 +17,15 @@
 use policy::StoredAnswer;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::failure;
 use crate::CallCommand;
 use crate::NodeHandle;
 
+/// Time for which a call without a caller waits for the node to try it again.
+const LINGER: Duration = Duration::from_secs(5);
+
 /// How a call of a plain service ended.
 #[derive(Clone, Debug)]
 pub enum ServiceOutcome {
@@ -37,8 +42,9 @@
 
 /// The task of one call of a plain service.
 ///
-/// It goes on when the caller goes away, until the node ends it: the answer of
-/// a non-idempotent call is still to be recorded.
+/// An attempt that is in flight goes on when the caller goes away or is
+/// refused for its deadline, until the node cancels it: the answer of a
+/// non-idempotent call is still to be recorded.
 pub struct ServiceTask {
     /// Call.
     pub call: CallId,
@@ -46,8 +52,8 @@
     pub req: ServiceRequest,
     /// Commands of the node.
     pub rx: UnboundedReceiver<CallCommand>,
-    /// Way to the caller's side.
-    pub tx: oneshot::Sender<ServiceOutcome>,
+    /// Way to the caller's side, until it has its answer.
+    pub tx: Option<oneshot::Sender<ServiceOutcome>>,
     /// Way to the node.
     pub node: NodeHandle,
     /// Way to services.
@@ -61,41 +67,49 @@
 }
 
 impl ServiceTask {
-    /// Runs until the node has ended the call.
+    /// Runs until the call has ended.
     pub async fn run(mut self) {
         let mut running = None;
-        let mut caller_gone = false;
-        let outcome = loop {
+        loop {
+            let abandoned = self.tx.is_none() && running.is_none();
             tokio::select! {
                 biased;
                 command = self.rx.recv() => match command {
                     Some(CallCommand::Dispatch(dispatch)) => running = Some(self.start(&dispatch)),
                     Some(CallCommand::Cancel(at)) => running = running.filter(|r| r.at != at),
                     Some(CallCommand::Answer { answer, repeat }) => {
-                        break Some(ServiceOutcome::Answer { answer, repeat });
+                        self.end(ServiceOutcome::Answer { answer, repeat });
+                        break;
                     }
                     Some(CallCommand::Refuse(refusal)) => {
-                        break Some(ServiceOutcome::Refused(refusal));
+                        self.end(ServiceOutcome::Refused(refusal));
+                        if running.is_none() {
+                            break;
+                        }
                     }
-                    None => break None,
+                    None => break,
                 },
                 (at, result) = answer(&mut running) => {
                     running = None;
                     self.node.report(at.call, at.attempt, report(result));
                 }
-                () = self.tx.closed(), if !caller_gone => {
-                    caller_gone = true;
+                () = gone(&mut self.tx) => {
+                    self.tx = None;
                     self.node.event(Event::CallerGone(self.call));
                 }
+                () = sleep(LINGER), if abandoned => break,
             }
-        };
-        if let Some(outcome) = outcome {
-            // The caller may have gone away in the meantime.
-            let _ = self.tx.send(outcome);
         }
         self.node.ended(self.call);
     }
 
+    fn end(&mut self, outcome: ServiceOutcome) {
+        if let Some(tx) = self.tx.take() {
+            // The caller may have gone away in the meantime.
+            let _ = tx.send(outcome);
+        }
+    }
+
     fn start(&self, dispatch: &Dispatch) -> Running {
         let service = Arc::clone(&self.service);
         let peer = dispatch.address;
@@ -107,6 +121,13 @@
     }
 }
 
+async fn gone(tx: &mut Option<oneshot::Sender<ServiceOutcome>>) {
+    match tx {
+        Some(tx) => tx.closed().await,
+        None => pending().await,
+    }
+}
+
 async fn answer(running: &mut Option<Running>) -> (Attempt, backend::Result<ServiceAnswer>) {
     match running {
         Some(running) => (running.at, (&mut running.answer).await),
--- a/crates/router/tests/completions.rs
+++ b/crates/router/tests/completions.rs
@@ -38,7 +38,10 @@
     let system = a_system().start().await;
     let body = json!({
         "model": "m",
-        "messages": [{"role": "user", "content": "hello"}],
+        "messages": [
+            {"role": "system", "content": "be kind"},
+            {"role": "user", "content": [{"type": "text", "text": "hello"}]},
+        ],
         "max_completion_tokens": 3,
     });
 
@@ -50,5 +53,6 @@
     let json = answer.json();
     assert_eq!(json["object"], "chat.completion");
     assert_eq!(json["choices"][0]["message"]["content"], tokens(0, 3));
-    assert_eq!(system.engines.requests()[0].prompt, "<|user|>\nhello\n");
+    let prompt = &system.engines.requests()[0].prompt;
+    assert_eq!(prompt, "<|system|>\nbe kind\n<|user|>\nhello\n");
 }
--- a/crates/router/tests/services.rs
+++ b/crates/router/tests/services.rs
@@ -105,6 +105,29 @@
     assert_eq!(system.service.calls().len(), 1);
 }
 
+#[tokio::test]
+async fn a_booking_that_outlives_its_deadline_is_unknown_and_recorded_all_the_same() {
+    let system = a_system().start().await;
+    let key = a_key();
+    system.service.hold(true);
+
+    let first = a_booking(&system, 0, &key)
+        .header("x-deadline-ms", "100")
+        .send()
+        .await;
+    system.service.hold(false);
+    let mut repeat = a_booking(&system, 0, &key).send().await;
+    while repeat.status == 409 {
+        repeat = a_booking(&system, 0, &key).send().await;
+    }
+
+    let (status, reason, outcome) = first.refusal();
+    assert_eq!((status, reason.as_str()), (504, "deadline_passed"));
+    assert_eq!(outcome, "unknown");
+    assert_eq!(repeat.body, "answer 1");
+    assert_eq!(system.service.calls().len(), 1);
+}
+
 #[tokio::test]
 async fn a_booking_with_the_platform_down_is_refused() {
     let system = a_system().start().await;
