A router that is killed or runs out of time leaves its streams to be resumed

Ruled out: the engine's period of grace and the check of incarnations. Change: cancel only on a command, and not on shutting_down when the caller can resume.

--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -10,6 +10,7 @@
 use policy::Dispatch;
 use policy::Event;
 use policy::Failure;
+use policy::Reason;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::timeout;
@@ -111,11 +112,13 @@
         let result = tokio::select! {
             biased;
             command = self.rx.recv() => {
-                self.cancel(peer, stream);
+                if command.as_ref().is_some_and(|command| !self.hands_over(command)) {
+                    self.cancel(peer, stream);
+                }
                 return command.map_or(Next::Ended, Next::Command);
             }
             () = self.tx.closed() => {
-                if !self.resumable || self.source.delivered() == 0 {
+                if !self.may_be_resumed() {
                     self.cancel(peer, stream);
                 }
                 return self.caller_gone();
@@ -136,6 +139,20 @@
         }
     }
 
+    /// Tells whether the caller can have the rest of the stream from any router.
+    fn may_be_resumed(&self) -> bool {
+        self.resumable && self.source.delivered() > 0
+    }
+
+    /// Tells whether a command leaves the stream to another router.
+    fn hands_over(&self, command: &CallCommand) -> bool {
+        let shutting_down = matches!(
+            command,
+            CallCommand::Refuse(refusal) if refusal.reason() == Reason::ShuttingDown
+        );
+        shutting_down && self.may_be_resumed()
+    }
+
     /// Cancels a stream that nobody will resume; the engine would keep it for a while.
     fn cancel(&self, peer: SocketAddr, stream: String) {
         let engine = Arc::clone(&self.engine);
