status shows the leases on weight loads

It reads the record of loads under way, one line for each slot: runner, weights, holder, fencing number and when it lapses. Lost answers of the head record alone are now a case of the test of apply.

--- a/crates/ctl/src/config_store.rs
+++ b/crates/ctl/src/config_store.rs
@@ -86,8 +86,7 @@
     /// Reads a former manifest, none if the history doesn't hold it.
     pub async fn former(&self, version: u64) -> Result<Option<Manifest>> {
         let key = history_key(version);
-        let held = self.get("read the history", &key).await?;
-        held.map(|held| parse(&key, &held.value)).transpose()
+        self.record("read the history", &key).await
     }
 
     /// Reads all former manifests, the oldest first.
@@ -165,9 +164,7 @@
 
     /// Reads the identity of the configuration, none before the first change.
     pub async fn identity(&self) -> Result<Option<String>> {
-        let held = self.get("read the identity", IDENTITY_KEY).await?;
-        held.map(|held| parse(IDENTITY_KEY, &held.value))
-            .transpose()
+        self.record("read the identity", IDENTITY_KEY).await
     }
 
     /// Reads the identity of the configuration, and gives it one if it has none.
@@ -182,6 +179,15 @@
         Ok(self.identity().await?.unwrap_or(identity))
     }
 
+    /// Reads a record, none if the key is absent.
+    pub async fn record<T>(&self, step: &'static str, key: &str) -> Result<Option<T>>
+    where
+        T: DeserializeOwned,
+    {
+        let held = self.get(step, key).await?;
+        held.map(|held| parse(key, &held.value)).transpose()
+    }
+
     /// Reads a key.
     pub async fn get(&self, step: &'static str, key: &str) -> Result<Option<Versioned>> {
         let call = self.client.repeat(|store| store.get(key)).await;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 mod fleet;
 mod history_command;
+mod load_lease;
 mod outcome;
 mod platform_client;
 mod prune;
--- a/crates/ctl/src/status_command.rs
+++ b/crates/ctl/src/status_command.rs
@@ -12,20 +12,18 @@
 use platform::Member;
 use platform::Role;
 use serde::Serialize;
-use serde_json::Value;
 use snafu::ResultExt;
 
 use crate::error::AssembleSnafu;
 use crate::fleet;
 use crate::fleet::LiveRouter;
+use crate::load_lease::load_leases;
+use crate::load_lease::LoadLease;
 use crate::ConfigStore;
 use crate::ExitCode;
 use crate::Outcome;
 use crate::Result;
 
-/// Prefix of the keys that holders of a lease keep.
-const LEASE_PREFIX: &str = "leases/";
-
 /// Shows routers, versions in force, backend servers and leases.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
@@ -39,7 +37,7 @@
     routers: Vec<LiveRouter>,
     leaving_routers: Vec<String>,
     backend_servers: Vec<BackendServerState>,
-    leases: Vec<LeaseState>,
+    leases: Vec<LoadLease>,
 }
 
 /// A backend server, as the configuration and the membership list show it.
@@ -54,12 +52,6 @@
     incarnation: Option<u64>,
 }
 
-#[derive(Serialize)]
-struct LeaseState {
-    key: String,
-    holder: Value,
-}
-
 impl StatusCommand {
     /// Runs the command.
     pub async fn run(self, store: &ConfigStore) -> Result<Outcome> {
@@ -81,7 +73,7 @@
             routers: fleet::live_routers(&members, &statuses),
             leaving_routers: leaving.map(|status| status.vm.clone()).collect(),
             backend_servers: backend_servers(&config, &members),
-            leases: leases(store).await?,
+            leases: load_leases(store).await?,
         };
         Ok(Outcome::new(&report, ExitCode::Ok))
     }
@@ -129,16 +121,6 @@
     config.backend_servers.contains_key(name) || replicas.contains(&name.to_owned())
 }
 
-async fn leases(store: &ConfigStore) -> Result<Vec<LeaseState>> {
-    let entries = store.entries("list the leases", LEASE_PREFIX).await?;
-    let leases = entries.into_iter().map(|(key, held)| LeaseState {
-        holder: serde_json::from_slice(&held.value)
-            .unwrap_or_else(|_| String::from_utf8_lossy(&held.value).into()),
-        key,
-    });
-    Ok(leases.collect())
-}
-
 impl fmt::Display for StatusReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.version {
@@ -164,7 +146,7 @@
             write!(f, "\n{server}")?;
         }
         for lease in &self.leases {
-            write!(f, "\nlease {}: {}", lease.key, lease.holder)?;
+            write!(f, "\n{lease}")?;
         }
         Ok(())
     }
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use config::HEAD_KEY;
 use ctl::Error;
 use ctl::ExitCode;
 use standins::CallKind;
@@ -131,10 +132,13 @@
 
 #[tokio::test(start_paused = true)]
 async fn each_lost_answer_is_settled_by_reading_back() {
-    for lost in 1..=8 {
+    for (prefix, lost) in ["", HEAD_KEY]
+        .into_iter()
+        .flat_map(|p| (1..=8).map(move |n| (p, n)))
+    {
         let platform = Platform::new();
         let ann = Operator::new("ann").with("10-models.json", MODEL);
-        platform.lose_answers("", lost);
+        platform.lose_answers(prefix, lost);
 
         let accepted = ann.apply(&platform).await.expect("apply");
 
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -7,6 +7,7 @@
 use ctl::Arguments;
 use ctl::ExitCode;
 use ctl::Outcome;
+use platform::KeyValue;
 use standins::Platform;
 use standins::PlatformServer;
 
@@ -31,12 +32,22 @@
         .expect("bind")
 }
 
+async fn write_load_record(platform: &Platform) {
+    let record = r#"{"fencing": 4, "slots": [{"server": "b", "incarnation": 1, "model": "m",
+        "weights_version": 1, "holder": "r1/1", "fencing": 4, "until": 5000000, "checks_fencing": true}]}"#;
+    platform
+        .compare_and_swap("orders/loads", 0, record.into(), None)
+        .await
+        .expect("write the record");
+}
+
 #[tokio::test]
 async fn a_change_goes_through_its_life_over_http() {
     let platform = Platform::new();
     let server = serve(&platform).await;
     list_router(&platform, "r1").await;
     publish_status(&platform, "r1", 3).await;
+    write_load_record(&platform).await;
     let ann = Operator::new("ann").with("10-all.json", FILE);
     let dir = ann.dir.path().display();
     let on = format!("--platform {}", server.address());
@@ -65,6 +76,9 @@
         "{}",
         status.text
     );
+    assert!(status.text.ends_with(
+        "lease on b for m weights 1: held by r1/1 under fencing number 4, until_ms=5000"
+    ));
     assert!(status
         .text
         .contains("backend server b at 127.0.0.1:4001 in r, not on the membership list"));
