--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -4,9 +4,12 @@
 
 use std::time::Duration;
 
+use config::sha256_hex;
+use config::FILE_PREFIX;
 use config::HEAD_KEY;
 use ctl::Error;
 use ctl::ExitCode;
+use platform::KeyValue;
 use standins::CallKind;
 use standins::Platform;
 use tokio::time::sleep;
@@ -238,10 +241,7 @@
 
     let store = store(&platform);
     let history = store.history().await.expect("history");
-    let files = store
-        .entries("list", config::FILE_PREFIX)
-        .await
-        .expect("list");
+    let files = store.entries("list", FILE_PREFIX).await.expect("list");
 
     assert_eq!(history[0].version, 100);
     assert_eq!(history.len(), 100);
@@ -260,3 +260,29 @@
 
     assert_eq!(platform.calls(CallKind::CompareAndSwap) - before, 4);
 }
+
+/// Deletes a file's content once, as soon as it is there, as another operator's pruning may.
+async fn delete_once(platform: Platform, content: String) {
+    let key = format!("{FILE_PREFIX}{}", sha256_hex(content.as_bytes()));
+    loop {
+        if let Some(held) = platform.get(&key).await.expect("get") {
+            platform.delete(&key, held.version).await.expect("delete");
+            return;
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_content_that_is_deleted_before_the_head_is_written_is_put_back() {
+    let platform = Platform::new();
+    let (ann, _) = two_operators(&platform).await;
+    ann.write("20-limits.json", &limits(4));
+    platform.set_delay_ms(20);
+
+    let pruning = tokio::spawn(delete_once(platform.clone(), limits(4)));
+    ann.apply(&platform).await.expect("apply");
+    pruning.await.expect("the content is deleted");
+
+    assert_eq!(platform.calls(CallKind::Delete), 1);
+    assert_eq!(in_force(&platform).await.limits.cell_size, 4);
+}
