--- a/crates/router/tests/services.rs
+++ b/crates/router/tests/services.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
+use std::time::Duration;
+
 use http::Method;
+use tokio::time::sleep;
+use tokio::time::timeout;
 use uuid::Uuid;
 
+use common::caller::Answer;
 use common::caller::Caller;
 use common::system::a_system;
 use common::system::System;
@@ -26,6 +31,22 @@
         .body("one block")
 }
 
+/// Repeats a booking until it is no longer in progress.
+async fn a_settled_repeat(system: &System, key: &str) -> Answer {
+    let settled = async {
+        loop {
+            let answer = a_booking(system, 0, key).send().await;
+            if answer.status != 409 {
+                return answer;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), settled)
+        .await
+        .expect("the booking was never recorded")
+}
+
 #[tokio::test]
 async fn an_idempotent_call_passes_with_path_and_query() {
     let system = a_system().start().await;
@@ -96,10 +117,7 @@
     caller.abort();
     let _ = caller.await;
     system.service.hold(false);
-    let mut repeat = a_booking(&system, 0, &key).send().await;
-    while repeat.status == 409 {
-        repeat = a_booking(&system, 0, &key).send().await;
-    }
+    let repeat = a_settled_repeat(&system, &key).await;
 
     assert_eq!(repeat.body, "answer 1");
     assert_eq!(system.service.calls().len(), 1);
@@ -116,10 +134,7 @@
         .send()
         .await;
     system.service.hold(false);
-    let mut repeat = a_booking(&system, 0, &key).send().await;
-    while repeat.status == 409 {
-        repeat = a_booking(&system, 0, &key).send().await;
-    }
+    let repeat = a_settled_repeat(&system, &key).await;
 
     let (status, reason, outcome) = first.refusal();
     assert_eq!((status, reason.as_str()), (504, "deadline_passed"));
