A router whose node has panicked exits; settings name reachable addresses

A panic in a decision ended the actor and left a process that accepted requests and answered none. An address of 0.0.0.0 would have been announced to other VMs as it stands.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -21,6 +21,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
@@ -122,9 +123,10 @@
             node: Node::new(identity(&settings, incarnation), rand::random()),
             hands,
         };
-        let (actor, _) = Actor::spawn(None, NodeActor, args)
+        let (actor, ended) = Actor::spawn(None, NodeActor, args)
             .await
             .context(StartSnafu)?;
+        tasks.spawn(watch_actor(ended, Arc::clone(&state)));
         let router = Router {
             address: ports.address,
             peer_address: ports.peer_address,
@@ -171,6 +173,13 @@
         reached.expect("the router holds the sender");
     }
 
+    /// Waits until the router can't go on, which it can unless a decision has panicked.
+    pub async fn failed(&self) {
+        let mut state = self.state.subscribe();
+        let failed = state.wait_for(|state| state.failed).await;
+        failed.expect("the router holds the sender");
+    }
+
     /// Ends the router without cutting calls in flight, by `deadline` at the latest.
     ///
     /// The balancer and the other routers are told first; new calls are
@@ -202,10 +211,10 @@
     /// Ends the router at once and cuts all connections.
     pub async fn kill(self) {
         self.drain.cancel();
-        self.actor.kill();
         self.connections.cut().await;
         self.status.cut().await;
         self.tasks.cut().await;
+        self.actor.kill();
     }
 
     fn follow_platform(&self, outside: &Outside, incarnation: u64) {
@@ -293,6 +302,16 @@
     Time(deadline.0.saturating_sub(LAST_WORDS_US))
 }
 
+async fn watch_actor(ended: JoinHandle<()>, state: Arc<watch::Sender<RouterState>>) {
+    // The actor is only ever killed together with this task.
+    let _ = ended.await;
+    log::error!("event=node_failed");
+    state.send_modify(|state| {
+        state.failed = true;
+        state.leaving = true;
+    });
+}
+
 async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
     let listener = TcpListener::bind(address)
         .await
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -15,6 +15,8 @@
     pub leaving: bool,
     /// Whether all calls have ended after that.
     pub stopped: bool,
+    /// Whether the node has panicked, so that no call can be decided on.
+    pub failed: bool,
 }
 
 impl RouterState {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -63,8 +63,8 @@
             vm: name(&mut reader, "vm")?,
             region: name(&mut reader, "region")?,
             failure_domain: name(&mut reader, "failure_domain")?,
-            listen: reader.address("listen")?,
-            peer_listen: reader.address("peer_listen")?,
+            listen: own_address(&mut reader, "listen")?,
+            peer_listen: own_address(&mut reader, "peer_listen")?,
             key_value: reader.address("key_value")?,
             membership: reader.address("membership")?,
             peer_secret: secret(&mut reader, "peer_secret", "peer_secret_file")?,
@@ -75,11 +75,28 @@
             },
             log: log(&mut reader)?,
         };
+        let same_port = settings.listen.port() != 0 && settings.listen == settings.peer_listen;
+        if same_port {
+            return Err(reader.fault("peer_listen", "expected another address than listen"));
+        }
         reader.finish()?;
         Ok(settings)
     }
 }
 
+/// Reads an address of this VM, at which others are told to reach it.
+fn own_address(
+    reader: &mut SettingsReader,
+    field: &'static str,
+) -> Result<SocketAddr, SettingsError> {
+    let address = reader.address(field)?;
+    if address.ip().is_unspecified() {
+        let expected = "expected an address at which other VMs reach this one";
+        return Err(reader.fault(field, expected));
+    }
+    Ok(address)
+}
+
 fn name(reader: &mut SettingsReader, field: &'static str) -> Result<String, SettingsError> {
     let name = reader.required_text(field)?;
     let valid = (1..=MAX_NAME_BYTES).contains(&name.len())
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -52,6 +52,14 @@
             with("listen", json!("nowhere")),
             "s.json: listen: expected an address such as 10.0.0.1:8080, found \"nowhere\"",
         ),
+        (
+            with("listen", json!("0.0.0.0:80")),
+            "s.json: listen: expected an address at which other VMs reach this one",
+        ),
+        (
+            with("peer_listen", json!("127.0.0.1:8080")),
+            "s.json: peer_listen: expected another address than listen",
+        ),
         (with("vm", json!(7)), "s.json: vm: expected a string"),
         (
             with("vm", json!("")),
--- a/crates/router/tests/slow_callers.rs
+++ b/crates/router/tests/slow_callers.rs
@@ -62,6 +62,18 @@
     assert!(system.engines.requests().is_empty());
 }
 
+#[tokio::test]
+async fn a_chunked_body_over_the_limit_is_refused_before_its_end() {
+    let system = a_system().with_body_limit(2_000).start().await;
+    let head = HEAD.replace("content-length: 100", "transfer-encoding: chunked");
+    let chunk = format!("3e8\r\n{}\r\n", "x".repeat(1_000));
+
+    let answer = sent(system.address(0), &format!("{head}{}", chunk.repeat(3))).await;
+
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("body_too_large"), "{answer}");
+}
+
 #[tokio::test]
 async fn an_idle_connection_is_cut_after_its_answer() {
     let system = a_system().with_limits(short()).start().await;
