--- a/crates/standins/examples/relay_bench/bare_relay.rs
+++ b/crates/standins/examples/relay_bench/bare_relay.rs
@@ -1,6 +1,7 @@
 //! A relay that does nothing but pass bytes on, by hyper on both sides.
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use http::Request;
@@ -15,6 +16,10 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// A relay that does nothing but pass bytes on.
 pub struct BareRelay {
@@ -26,7 +31,9 @@
 impl BareRelay {
     /// Relays to `target` until its runtime ends.
     pub async fn start(target: SocketAddr) -> io::Result<BareRelay> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let socket = TcpSocket::new_v4()?;
+        socket.bind((Ipv4Addr::LOCALHOST, 0).into())?;
+        let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
--- a/crates/standins/examples/relay_bench/load.rs
+++ b/crates/standins/examples/relay_bench/load.rs
@@ -14,6 +14,7 @@
 use standins::MODEL;
 use standins::WORKSPACES;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 /// Prompts that streams share.
 const PROMPTS: usize = 20;
@@ -21,7 +22,7 @@
 /// Bytes of the part that prompts have in common with others, two pieces.
 const SHARED_BYTES: usize = 16_000;
 
-/// Streams that run side by side.
+/// Streams that run side by side, each begun a little after the one before.
 #[derive(Clone, Copy)]
 pub struct Load {
     /// Streams at once.
@@ -30,13 +31,15 @@
     pub tokens: u32,
     /// Streams that follow each other in each of the places.
     pub rounds: u32,
+    /// Time over which the first streams of all places begin.
+    pub ramp: Duration,
 }
 
 /// Where streams come from.
 #[derive(Clone)]
 pub enum Target {
     /// What speaks the engines' protocol.
-    Engine(SocketAddr),
+    Engine(HttpEngine, SocketAddr),
     /// A router.
     Router(Caller),
 }
@@ -64,15 +67,15 @@
 }
 
 async fn run_place(load: Load, place: usize, target: Target) -> io::Result<Measured> {
-    let engines = HttpEngine::new();
     let mut measured = Measured::default();
+    sleep(load.ramp.mul_f64(place as f64 / load.streams as f64)).await;
     for round in 0..load.rounds {
         let prompt = prompt(place, round);
         match &target {
-            Target::Engine(address) => {
+            Target::Engine(engines, address) => {
                 let name = format!("{place}-{round}");
                 let req = generate_request(name, prompt, load.tokens);
-                from_engine(&engines, *address, req, &mut measured).await?;
+                from_engine(engines, *address, req, &mut measured).await?;
             }
             Target::Router(caller) => {
                 let completion = Completion {
--- a/crates/standins/examples/relay_bench/main.rs
+++ b/crates/standins/examples/relay_bench/main.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use backend::HttpEngine;
 use standins::Fleet;
 use standins::FleetSettings;
 use tokio::runtime::Builder;
@@ -103,9 +104,10 @@
         streams: args.streams,
         tokens: args.tokens,
         rounds: args.rounds,
+        ramp: Duration::from_millis(args.decode_ms * u64::from(args.tokens)),
     };
-    let direct = Target::Engine(engine);
-    let relayed = Target::Engine(relay.address());
+    let direct = Target::Engine(HttpEngine::new(), engine);
+    let relayed = Target::Engine(HttpEngine::new(), relay.address());
     let routed = Target::Router(fleet.caller(0));
     for target in [&direct, &relayed, &routed] {
         load.run(target).await?;
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -16,10 +16,14 @@
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
+/// Connections that may wait to be accepted; callers come in herds.
+const BACKLOG: u32 = 1_024;
+
 /// Body of an answer.
 pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
 
@@ -47,7 +51,7 @@
     where
         H: Handler,
     {
-        let listener = TcpListener::bind(address).await?;
+        let listener = listen(address)?;
         let address = listener.local_addr()?;
         let task = tokio::spawn(accept(listener, handler));
         Ok(HttpServer { address, task })
@@ -71,6 +75,16 @@
     }
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept<H>(listener: TcpListener, handler: H)
 where
     H: Handler,
