--- a/crates/router/src/hands.rs
+++ b/crates/router/src/hands.rs
@@ -3,21 +3,23 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use backend::Engine;
 use config::Config;
 use peer::Links;
 use policy::AttemptId;
 use policy::CallId;
+use policy::Dispatch;
 use policy::Event;
 use policy::Failure;
 use policy::Member;
 use policy::OpId;
+use policy::Order;
 use policy::PeerMessage;
 use policy::Refusal;
 use policy::StoreRequest;
-use policy::Time;
 use tokio::sync::watch;
 
-use crate::clock;
+use crate::order_task;
 use crate::EngineWatches;
 use crate::Metrics;
 use crate::NodeHandle;
@@ -26,8 +28,6 @@
 use crate::Tasks;
 use crate::WatchedEngine;
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
 /// Carries the node's actions out.
 pub struct Hands {
     /// Tasks of the router.
@@ -36,6 +36,8 @@
     pub store: Arc<Store>,
     /// Ways to other routers.
     pub links: Arc<Links>,
+    /// Engines, for orders.
+    pub engine: Arc<dyn Engine>,
     /// Engines whose load and caches are watched.
     pub watches: EngineWatches,
     /// State of the router.
@@ -45,10 +47,15 @@
 }
 
 impl Hands {
-    /// Takes in that the node decided on a request that arrived at `start`.
-    pub fn on_decision(&self, start: Time) {
-        let micros = clock::now().micros_since(start);
-        self.metrics.on_decision(micros as f64 / MICROS_PER_SECOND);
+    /// Takes in that an attempt is sent.
+    pub fn on_dispatch(&self, dispatch: &Dispatch) {
+        log::debug!(
+            "event=dispatched call={} attempt={} server={} workspace={}",
+            dispatch.at.call.0,
+            dispatch.at.attempt.0,
+            dispatch.server_name,
+            dispatch.workspace
+        );
     }
 
     /// Takes in that a call is refused.
@@ -110,6 +117,13 @@
         self.watches.set(engines, node, &self.tasks);
     }
 
+    /// Gives an order to an engine.
+    pub fn order(&self, order: Order, node: &NodeHandle) {
+        let engine = Arc::clone(&self.engine);
+        self.tasks
+            .spawn(order_task::run(engine, order, node.clone()));
+    }
+
     /// Takes in that all calls have ended.
     pub fn on_stopped(&self) {
         self.state.send_modify(|state| state.stopped = true);
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -1,10 +1,14 @@
 //! The actor that owns the node.
 
 use std::collections::HashMap;
+use std::time::Instant;
 
 use policy::Action;
+use policy::BackendReport;
 use policy::CallId;
+use policy::Dispatch;
 use policy::Event;
+use policy::Failure;
 use policy::Node;
 use policy::ServerKey;
 use policy::Time;
@@ -92,10 +96,12 @@
             self.hands.on_members(members);
         }
         let is_call = matches!(event, Event::Call(_));
-        let now = clock::now();
-        self.node.handle(now, event, &mut self.actions);
+        let start = Instant::now();
+        self.node.handle(clock::now(), event, &mut self.actions);
         if is_call {
-            self.hands.on_decision(now);
+            self.hands
+                .metrics
+                .on_decision(start.elapsed().as_secs_f64());
         }
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
@@ -108,14 +114,15 @@
     fn carry_out(&mut self, action: Action, handle: &NodeHandle) {
         match action {
             Action::Dispatch(dispatch) => {
-                let call = dispatch.at.call;
-                self.command(call, CallCommand::Dispatch(dispatch));
+                self.hands.on_dispatch(&dispatch);
+                self.dispatch(dispatch, handle);
+            }
+            Action::Cancel(at) => {
+                self.command(at.call, CallCommand::Cancel(at));
             }
-            Action::Cancel(at) => self.command(at.call, CallCommand::Cancel(at)),
             Action::Refuse { call, refusal } => {
                 self.hands.on_refusal(call, &refusal);
                 self.command(call, CallCommand::Refuse(refusal));
-                self.calls.remove(&call);
             }
             Action::Answer {
                 call,
@@ -123,7 +130,6 @@
                 repeat,
             } => {
                 self.command(call, CallCommand::Answer { answer, repeat });
-                self.calls.remove(&call);
             }
             Action::Retried { call, failure } => self.hands.on_retry(call, failure),
             Action::LateAnswer { call, attempt } => self.hands.on_late_answer(call, attempt),
@@ -141,6 +147,7 @@
                 let engines = servers.iter().map(|key| self.watched(*key)).collect();
                 self.hands.watch(engines, handle);
             }
+            Action::Order(order) => self.hands.order(order, handle),
             Action::Stopped => self.hands.on_stopped(),
         }
     }
@@ -153,10 +160,22 @@
         }
     }
 
-    fn command(&self, call: CallId, command: CallCommand) {
-        // A task that has ended has said so, or is about to.
-        if let Some(tx) = self.calls.get(&call) {
-            let _ = tx.send(command);
+    fn dispatch(&self, dispatch: Dispatch, handle: &NodeHandle) {
+        let at = dispatch.at;
+        if !self.command(at.call, CallCommand::Dispatch(dispatch)) {
+            // The task has ended, so nothing was sent.
+            let report = BackendReport::Failed {
+                failure: Failure::NotConnected,
+                delivered: 0,
+            };
+            handle.report(at.call, at.attempt, report);
         }
     }
+
+    /// Tells a call's task something; `false` if the task has ended.
+    fn command(&self, call: CallId, command: CallCommand) -> bool {
+        self.calls
+            .get(&call)
+            .is_some_and(|tx| tx.send(command).is_ok())
+    }
 }
