Golden files of whole sessions through sockets, and of the node's own

What a caller sees of a failure is many small things at once: statuses, headers, event ids, problem JSON, and what the backend servers and the platform's records say afterwards. Tests of single properties leave most of it unasserted.

Each session is one text, from the first request line to the ledgers. Ports, dates, MACs and names that differ from run to run are replaced by placeholders that keep identity; all else is byte for byte what came over the socket. The engine stand-in can hold all streams before a position, so that a kill in the middle falls between the same two tokens every time; a pause of the engine was ruled out, since the boundary would depend on the machine's load.

A changed line in a golden file fails its test.

--- /dev/null
+++ b/crates/policy/tests/golden.rs
@@ -0,0 +1,230 @@
+//! Sessions of a node against their golden files: events in, actions out.
+
+mod common;
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use insta::assert_snapshot;
+use policy::Action;
+use policy::AttemptId;
+use policy::BackendReport;
+use policy::CallId;
+use policy::Event;
+use policy::Failure;
+use policy::Node;
+use policy::OpId;
+use policy::StoreRequest;
+use policy::StoreResult;
+use policy::StoredAnswer;
+
+use crate::common::booking;
+use crate::common::completion;
+use crate::common::config;
+use crate::common::node;
+use crate::common::step;
+use crate::common::KEY;
+use crate::common::START;
+
+/// A node and all that went in and came out.
+struct Session {
+    node: Node,
+    text: String,
+}
+
+impl Session {
+    fn new(engines: u16) -> Session {
+        Session {
+            node: node(&config(engines)),
+            text: String::new(),
+        }
+    }
+
+    /// Hands an event in, `ms` after the start.
+    fn step(&mut self, ms: u64, what: &str, event: Event) -> Vec<Action> {
+        let actions = step(&mut self.node, START.plus_millis(ms), event);
+        writeln!(self.text, "{ms} ms: {what}").expect("a string takes all");
+        for action in &actions {
+            writeln!(self.text, "  {}", line(action)).expect("a string takes all");
+        }
+        actions
+    }
+
+    /// Hands the result of a call to the key-value service in.
+    fn store(&mut self, ms: u64, op: OpId, result: StoreResult) -> Vec<Action> {
+        let what = format!("result of op {}: {}", op.0, result_line(&result));
+        self.step(ms, &what, Event::Store { op, result })
+    }
+
+    /// Hands a report on an attempt of call 1 in.
+    fn report(&mut self, ms: u64, attempt: u32, report: BackendReport) -> Vec<Action> {
+        let what = format!("attempt {attempt} of call 1: {}", report_line(&report));
+        let event = Event::Backend {
+            call: CallId(1),
+            attempt: AttemptId(attempt),
+            report,
+        };
+        self.step(ms, &what, event)
+    }
+}
+
+fn line(action: &Action) -> String {
+    match action {
+        Action::Store { op, request } => format!("store op {}: {}", op.0, request_line(request)),
+        Action::Answer {
+            call,
+            answer,
+            repeat,
+        } => format!(
+            "answer call {}: {} {}, repeat {repeat}",
+            call.0,
+            answer.status,
+            String::from_utf8_lossy(&answer.body)
+        ),
+        Action::Dispatch(dispatch) => format!(
+            "send attempt {} of call {} to {}, resume after {}",
+            dispatch.at.attempt.0, dispatch.at.call.0, dispatch.server_name, dispatch.resume_after
+        ),
+        Action::Refuse { call, refusal } => {
+            let retry_at = refusal.retry_at();
+            let retry_at = retry_at.map(|at| at.as_millis() - START.as_millis());
+            format!(
+                "refuse call {}: {}, {}{}",
+                call.0,
+                refusal.reason().name(),
+                refusal.outcome().name(),
+                retry_at.map_or(String::new(), |ms| format!(", retry at {ms} ms"))
+            )
+        }
+        other => format!("{other:?}"),
+    }
+}
+
+fn request_line(request: &StoreRequest) -> String {
+    match request {
+        StoreRequest::Get { key } => format!("get {key}"),
+        StoreRequest::CompareAndSwap {
+            key,
+            expected,
+            value,
+            expires,
+        } => format!(
+            "swap {key} over version {expected}, expires {:?}: {}",
+            expires.map(|at| at.as_millis()),
+            String::from_utf8_lossy(value)
+        ),
+    }
+}
+
+fn result_line(result: &StoreResult) -> String {
+    match result {
+        StoreResult::Value { version, value } => {
+            format!("version {version} {}", String::from_utf8_lossy(value))
+        }
+        StoreResult::Conflict {
+            held: Some((version, value)),
+        } => format!(
+            "conflict, version {version} {}",
+            String::from_utf8_lossy(value)
+        ),
+        other => format!("{other:?}"),
+    }
+}
+
+fn report_line(report: &BackendReport) -> String {
+    match report {
+        BackendReport::Answered(answer) => format!(
+            "answered {} {}",
+            answer.status,
+            String::from_utf8_lossy(&answer.body)
+        ),
+        other => format!("{other:?}"),
+    }
+}
+
+fn store_op(actions: &[Action]) -> (OpId, Vec<u8>) {
+    let found = actions.iter().find_map(|action| match action {
+        Action::Store {
+            op,
+            request: StoreRequest::CompareAndSwap { value, .. },
+        } => Some((*op, value.clone())),
+        Action::Store { op, .. } => Some((*op, Vec::new())),
+        _ => None,
+    });
+    found.unwrap_or_else(|| panic!("the store was not called: {actions:?}"))
+}
+
+fn answer() -> BackendReport {
+    BackendReport::Answered(StoredAnswer {
+        status: 201,
+        content_type: None,
+        body: Arc::new(b"booked".to_vec()),
+    })
+}
+
+fn broken(delivered: u32) -> BackendReport {
+    let failure = Failure::Broken;
+    BackendReport::Failed { failure, delivered }
+}
+
+#[test]
+fn claim_whose_answer_is_lost_and_a_repeat() {
+    let mut session = Session::new(1);
+
+    let actions = session.step(0, "call 1 books", booking(1, KEY));
+    let (op, claimed) = store_op(&actions);
+    let actions = session.store(1, op, StoreResult::AnswerLost);
+    let (op, _) = store_op(&actions);
+    let read_back = StoreResult::Value {
+        version: 1,
+        value: claimed,
+    };
+    session.store(2, op, read_back);
+    let actions = session.report(3, 1, answer());
+    let (op, done) = store_op(&actions);
+    session.store(4, op, StoreResult::Written { version: 2 });
+    let actions = session.step(5, "call 2 books the same", booking(2, KEY));
+    let (op, _) = store_op(&actions);
+    let held = Some((2, done));
+    session.store(6, op, StoreResult::Conflict { held });
+
+    assert_snapshot!(session.text);
+}
+
+#[test]
+fn retry_after_a_broken_stream() {
+    let mut session = Session::new(3);
+
+    session.step(0, "call 1 asks for a completion", completion(1));
+    session.report(10, 1, BackendReport::FirstToken);
+    session.report(20, 1, broken(5));
+    session.report(30, 1, broken(6));
+    session.report(40, 2, BackendReport::Finished { output_tokens: 100 });
+
+    assert_snapshot!(session.text);
+}
+
+#[test]
+fn shutdown_with_a_call_in_flight() {
+    let mut session = Session::new(1);
+    let deadline = START.plus_millis(1_000);
+
+    session.step(0, "call 1 asks for a completion", completion(1));
+    session.step(10, "shutdown by 1000 ms", Event::Shutdown { deadline });
+    session.step(20, "call 2 asks for a completion", completion(2));
+    session.report(30, 1, BackendReport::Finished { output_tokens: 100 });
+
+    assert_snapshot!(session.text);
+}
+
+#[test]
+fn shutdown_that_runs_out_of_time() {
+    let mut session = Session::new(1);
+    let deadline = START.plus_millis(1_000);
+
+    session.step(0, "call 1 asks for a completion", completion(1));
+    session.step(10, "shutdown by 1000 ms", Event::Shutdown { deadline });
+    session.step(1_000, "tick", Event::Tick);
+
+    assert_snapshot!(session.text);
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Makes all streams wait before the token at `position`, through all incarnations.
+    pub fn hold_at(&self, position: u32) {
+        *lock(&self.shared.lasting.hold_at) = Some(position);
+    }
+
+    /// Lets streams that wait go on.
+    pub fn release(&self) {
+        *lock(&self.shared.lasting.hold_at) = None;
+    }
+
     /// Returns its load, none while it is down.
     pub fn load(&self) -> Option<Load> {
         self.shared.run().map(|run| run.load())
--- a/crates/standins/src/engine_run.rs
+++ b/crates/standins/src/engine_run.rs
@@ -43,6 +43,8 @@
     pub ledger: Mutex<Vec<EngineRecord>>,
     /// Highest fencing number seen.
     pub fencing: Mutex<u64>,
+    /// Position before which all streams wait, if they do.
+    pub hold_at: Mutex<Option<u32>>,
 }
 
 impl Lasting {
@@ -50,6 +52,10 @@
     pub(crate) fn record(&self, record: EngineRecord) {
         lock(&self.ledger).push(record);
     }
+
+    fn holds(&self, stream: &EngineStream) -> bool {
+        lock(&self.hold_at).is_some_and(|position| stream.progress().produced >= position)
+    }
 }
 
 /// One incarnation of the engine stand-in.
@@ -302,7 +308,7 @@
             self.give_up(stream);
             return false;
         }
-        if !stream.produce() {
+        if self.lasting.holds(stream) || !stream.produce() {
             return true;
         }
         self.lasting.record(EngineRecord::Finished {
--- /dev/null
+++ b/crates/standins/tests/sessions.rs
@@ -0,0 +1,272 @@
+//! Whole sessions against their golden files.
+
+mod transcript;
+
+use std::time::Duration;
+
+use config::Limits;
+use insta::assert_snapshot;
+use platform::KeyValue;
+use standins::time_after;
+use standins::Engine;
+use standins::Fleet;
+use standins::FleetSettings;
+use tokio::time::sleep;
+
+use crate::transcript::key;
+use crate::transcript::Answer;
+use crate::transcript::Request;
+use crate::transcript::Session;
+
+/// Tokens after which engines hold a stream that something is to happen to.
+const HELD_AT: u32 = 3;
+
+/// Pause between two looks at a condition.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
+/// Start of the keys under which calls are claimed.
+const RECORDS: &str = "once/";
+
+/// A session whose streams stop in their middle until they are let go.
+async fn held_session(engines: usize, routers: usize) -> Session {
+    let session = Session::start(engines, routers).await;
+    for engine in &session.fleet.engines {
+        engine.hold_at(HELD_AT);
+    }
+    session
+}
+
+fn release(fleet: &Fleet) {
+    fleet.engines.iter().for_each(Engine::release);
+}
+
+fn runner(fleet: &Fleet) -> &Engine {
+    let mut engines = fleet.engines.iter();
+    engines
+        .find(|engine| !engine.ledger().is_empty())
+        .expect("an engine has run it")
+}
+
+/// Waits until no record is claimed by a call that runs.
+async fn records_are_final(fleet: &Fleet) {
+    loop {
+        let records = fleet.platform.list(RECORDS).await.expect("works");
+        let mut values = records
+            .iter()
+            .map(|(_, held)| String::from_utf8_lossy(&held.value));
+        if values.all(|value| !value.contains(r#""state":"claimed""#)) {
+            return;
+        }
+        sleep(LOOK_AGAIN).await;
+    }
+}
+
+#[tokio::test]
+async fn streamed_completion() {
+    let mut session = Session::start(2, 1).await;
+
+    session.exchange(0, &Request::completion()).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn chat_completion() {
+    let mut session = Session::start(2, 1).await;
+
+    session.exchange(0, &Request::chat()).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn whole_completion() {
+    let mut session = Session::start(2, 1).await;
+    let body = Request::completion().body.replace("true", "false");
+
+    session
+        .exchange(0, &Request::completion().with_body(&body))
+        .await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn engine_dies_mid_stream() {
+    let mut session = held_session(2, 1).await;
+    let mut answer = session.open(0, &Request::completion()).await;
+    session.read(&mut answer, 3).await;
+
+    session.note("the engine is killed");
+    release(&session.fleet);
+    runner(&session.fleet).kill().await;
+    session.read_all(&mut answer).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn router_dies_mid_stream() {
+    let mut session = held_session(2, 2).await;
+    let mut answer = session.open(0, &Request::completion()).await;
+    let last_id = session.read(&mut answer, 3).await;
+
+    session.note("the router is killed");
+    session.fleet.take_router(0).kill().await;
+    session.read_all(&mut answer).await;
+    release(&session.fleet);
+    let resumed = Request::completion().with("last-event-id", &last_id);
+    session.exchange(1, &resumed).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn router_stops_mid_stream() {
+    let mut session = held_session(2, 1).await;
+    let mut answer = session.open(0, &Request::completion()).await;
+    session.read(&mut answer, 3).await;
+    let late = Request::completion().with_body(r#"{"model":"none","prompt":"late"}"#);
+
+    session.note("the router is told to stop; a second request comes late");
+    let router = session.fleet.take_router(0);
+    let address = router.address();
+    let stopped = tokio::spawn(router.shutdown(time_after(Duration::from_secs(60))));
+    let mut refused = Answer::of(address, &late).await;
+    while refused.status() != 503 {
+        sleep(LOOK_AGAIN).await;
+        refused = Answer::of(address, &late).await;
+    }
+    session.record(0, &late, &mut refused).await;
+    session.note("the stream goes on");
+    release(&session.fleet);
+    session.read_all(&mut answer).await;
+    stopped.await.expect("stops");
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn stream_whose_engine_has_restarted() {
+    let mut session = held_session(1, 2).await;
+    let mut answer = session.open(0, &Request::completion()).await;
+    let last_id = session.read(&mut answer, 3).await;
+
+    session.note("the router is killed, and the engine is killed and restarted");
+    session.fleet.take_router(0).kill().await;
+    session.read_all(&mut answer).await;
+    session.fleet.engines[0].kill().await;
+    session.fleet.engines[0].restart().await;
+    let resumed = Request::completion().with("last-event-id", &last_id);
+    session.exchange(1, &resumed).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn booking_and_its_repeat() {
+    let mut session = Session::start(1, 2).await;
+    let booking = Request::booking(&key(0));
+
+    session.exchange(0, &booking).await;
+    session.exchange(1, &booking).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn booking_whose_service_dies_after_running() {
+    let mut session = Session::start(1, 2).await;
+    let booking = Request::booking(&key(0));
+    session.fleet.service.die_after_running(1);
+
+    session.exchange(0, &booking).await;
+    records_are_final(&session.fleet).await;
+    session.exchange(1, &booking).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn booking_while_the_platform_is_down() {
+    let mut session = Session::start(1, 2).await;
+    let booking = Request::booking(&key(0));
+
+    session.note("the platform goes down");
+    session.fleet.platform.set_outage(true);
+    session.exchange(0, &booking).await;
+    session.note("the platform is back");
+    session.fleet.platform.set_outage(false);
+    session.exchange(1, &booking).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn booking_whose_claim_loses_its_answer() {
+    let mut session = Session::start(1, 2).await;
+    let booking = Request::booking(&key(0));
+
+    session.note("the answer to the next claim is lost");
+    session.fleet.platform.lose_answers(RECORDS, 1);
+    session.exchange(0, &booking).await;
+    session.exchange(1, &booking).await;
+
+    assert_eq!(session.fleet.platform.answers_to_lose(), 0);
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn key_reused_for_another_body() {
+    let mut session = Session::start(1, 2).await;
+    let booking = Request::booking(&key(0));
+    let other = booking.clone().with_body(r#"{"blocks":3}"#);
+
+    session.exchange(0, &booking).await;
+    session.exchange(1, &other).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn expired_key() {
+    let mut session = Session::start(1, 1).await;
+
+    session.exchange(0, &Request::booking(&key(10))).await;
+
+    assert_snapshot!(session.end().await);
+}
+
+#[tokio::test]
+async fn refusals_of_the_front() {
+    let mut settings = FleetSettings::new(1, 1);
+    settings.limits = Limits {
+        body_bytes: 1_024,
+        ..Limits::default()
+    };
+    let mut session = Session::start_with(settings).await;
+    let completion = Request::completion();
+    let booking = Request::booking(&key(0));
+    let refused = [
+        completion.clone().with_body("{"),
+        completion.clone().with_body(&"x".repeat(1_025)),
+        completion
+            .clone()
+            .with_body(r#"{"model":"none","prompt":"Which felt?"}"#),
+        completion.clone().with("authorization", "Bearer nobody"),
+        completion.clone().without("authorization"),
+        completion.clone().with("x-deadline-ms", "soon"),
+        completion.clone().with("x-priority", "nobody"),
+        completion.clone().with("last-event-id", "forged"),
+        completion.at("/v1/nothing"),
+        booking.clone().at("/services/none/blocks"),
+        booking.clone().at("/services/bookings/../blocks"),
+        booking.without("idempotency-key"),
+    ];
+
+    for req in &refused {
+        session.exchange(0, req).await;
+    }
+
+    assert_snapshot!(session.end().await);
+}
--- /dev/null
+++ b/crates/standins/tests/transcript/answer.rs
@@ -0,0 +1,112 @@
+//! Answers as callers read them.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::Request;
+
+/// End of a server-sent event.
+const EVENT_END: &str = "\n\n";
+
+/// An answer as its caller reads it, from a connection of its own.
+pub struct Answer {
+    res: Response<Incoming>,
+    buf: String,
+    end: Option<End>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    Whole,
+    Broken,
+}
+
+impl Answer {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn of(router: SocketAddr, req: &Request) -> Answer {
+        let io = TcpStream::connect(router).await.expect("connects");
+        let (mut sender, connection) = handshake(TokioIo::new(io)).await.expect("connects");
+        tokio::spawn(connection);
+        let mut message = http::Request::builder()
+            .method(req.method)
+            .uri(&req.target)
+            .header(HOST, "router");
+        for (name, value) in &req.headers {
+            message = message.header(*name, value);
+        }
+        let body = Full::new(Bytes::from(req.body.clone()));
+        let message = message.body(body).expect("a request");
+        Answer {
+            res: sender.send_request(message).await.expect("is answered"),
+            buf: String::new(),
+            end: None,
+        }
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        self.res.status()
+    }
+
+    /// Returns the headers in the order of their names.
+    pub fn headers(&self) -> Vec<(String, String)> {
+        let headers = self.res.headers().iter();
+        let mut headers: Vec<(String, String)> = headers
+            .map(|(name, value)| (name.to_string(), value.to_str().expect("text").to_owned()))
+            .collect();
+        headers.sort();
+        headers
+    }
+
+    /// Returns the next event, or the whole body if it has no events; none at the end.
+    pub async fn next(&mut self) -> Option<String> {
+        loop {
+            if let Some(event) = self.take_event() {
+                return Some(event);
+            }
+            if self.end.is_some() {
+                let rest = std::mem::take(&mut self.buf);
+                return Some(rest).filter(|rest| !rest.is_empty());
+            }
+            self.fill().await;
+        }
+    }
+
+    /// Tells whether the answer ended as announced.
+    pub fn is_whole(&self) -> bool {
+        self.end == Some(End::Whole)
+    }
+
+    async fn fill(&mut self) {
+        match self.res.body_mut().frame().await {
+            Some(Ok(frame)) => {
+                let data = frame.into_data().unwrap_or_default();
+                self.buf
+                    .push_str(std::str::from_utf8(&data).expect("UTF-8"));
+            }
+            Some(Err(_)) => self.end = Some(End::Broken),
+            None => self.end = Some(End::Whole),
+        }
+    }
+
+    fn take_event(&mut self) -> Option<String> {
+        let content_type = self.res.headers().get(CONTENT_TYPE)?;
+        if content_type != "text/event-stream" {
+            return None;
+        }
+        let end = self.buf.find(EVENT_END)? + EVENT_END.len();
+        let event: String = self.buf.drain(..end).collect();
+        Some(event.trim_end().to_owned())
+    }
+}
