One form of the record of weight loads; libraries' lines stay out of the log

The command line repeated the record's form and would have missed a change of it; it reads policy's type now.

tarpc and tracing write lines that are no key=value events. They are off unless the log specification names them.

--- a/crates/ctl/src/status_command.rs
+++ b/crates/ctl/src/status_command.rs
@@ -11,14 +11,14 @@
 use config::Folder;
 use platform::Member;
 use platform::Role;
+use policy::Slot;
 use serde::Serialize;
 use snafu::ResultExt;
 
 use crate::error::AssembleSnafu;
 use crate::fleet;
 use crate::fleet::LiveRouter;
-use crate::load_lease::load_leases;
-use crate::load_lease::LoadLease;
+use crate::load_lease;
 use crate::ConfigStore;
 use crate::ExitCode;
 use crate::Outcome;
@@ -37,7 +37,7 @@
     routers: Vec<LiveRouter>,
     leaving_routers: Vec<String>,
     backend_servers: Vec<BackendServerState>,
-    leases: Vec<LoadLease>,
+    leases: Vec<Slot>,
 }
 
 /// A backend server, as the configuration and the membership list show it.
@@ -73,7 +73,7 @@
             routers: fleet::live_routers(&members, &statuses),
             leaving_routers: leaving.map(|status| status.vm.clone()).collect(),
             backend_servers: backend_servers(&config, &members),
-            leases: load_leases(store).await?,
+            leases: load_lease::load_leases(store).await?,
         };
         Ok(Outcome::new(&report, ExitCode::Ok))
     }
@@ -146,7 +146,7 @@
             write!(f, "\n{server}")?;
         }
         for lease in &self.leases {
-            write!(f, "\n{lease}")?;
+            write!(f, "\n{}", load_lease::line(lease))?;
         }
         Ok(())
     }
--- a/crates/policy/src/load_record.rs
+++ b/crates/policy/src/load_record.rs
@@ -14,8 +14,8 @@
 use crate::Incarnation;
 use crate::Time;
 
-/// Key of the record.
-pub(crate) const LOADS_KEY: &str = "orders/loads";
+/// Key of the record of weight loads that are under way.
+pub const LOADS_KEY: &str = "orders/loads";
 
 /// Time for which a slot is held unless renewed, in milliseconds.
 pub(crate) const SLOT_MS: u64 = 3_000;
@@ -31,25 +31,32 @@
 
 /// A load that is under way.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Slot {
-    pub(crate) server: String,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) model: String,
-    pub(crate) weights_version: u64,
+pub struct Slot {
+    /// Runner that loads.
+    pub server: String,
+    /// Incarnation of its engine.
+    pub incarnation: Incarnation,
+    /// Model that it loads.
+    pub model: String,
+    /// Version of the weights.
+    pub weights_version: u64,
     /// VM and incarnation of the router that may give the order.
-    pub(crate) holder: String,
-    pub(crate) fencing: u64,
-    pub(crate) until: Time,
+    pub holder: String,
+    /// Fencing number of the order.
+    pub fencing: u64,
+    /// When the slot lapses unless renewed.
+    pub until: Time,
     /// Whether the server refuses an old fencing number.
-    pub(crate) checks_fencing: bool,
+    pub checks_fencing: bool,
 }
 
 /// All loads that are under way.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct LoadRecord {
+pub struct LoadRecord {
     /// Highest fencing number given out.
-    pub(crate) fencing: u64,
-    pub(crate) slots: Vec<Slot>,
+    pub fencing: u64,
+    /// Loads in the order in which they began.
+    pub slots: Vec<Slot>,
 }
 
 /// A load that a router wants.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -13,6 +13,7 @@
 use flexi_logger::Record;
 use platform::HttpKeyValue;
 use platform::HttpMembershipList;
+use router::log_specification;
 use router::Outside;
 use router::Router;
 use router::Settings;
@@ -100,7 +101,7 @@
 }
 
 fn start_log(settings: &Settings) -> Result<LoggerHandle, Box<dyn std::error::Error>> {
-    let logger = Logger::try_with_str(&settings.log)?
+    let logger = Logger::with(log_specification(&settings.log)?)
         .format(line)
         .log_to_stderr();
     Ok(logger.start()?)
