Replicas of plain services: spread, near ones first, leaving ones not at all

Cause: all calls went to the first replica, and the membership list's entry of a replica's VM was never matched to it, so a leaving replica went on getting calls. Change: replicas are found by their VM; answering and listed ones go first, then the own region, then the fewest calls in flight. The three new tests failed before. Two tests named the replica that the old order happened to give; they now ask for the service, which is what they are about.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -66,6 +66,8 @@
 pub(crate) struct Fleet {
     servers: Vec<Server>,
     by_name: HashMap<String, ServerKey>,
+    /// Servers by the VM on which they run.
+    by_vm: HashMap<String, Vec<ServerKey>>,
     by_model: HashMap<NameKey, Vec<ServerKey>>,
     by_service: HashMap<String, Vec<ServerKey>>,
     any_listed: bool,
@@ -83,6 +85,7 @@
         }
         self.by_model.clear();
         self.by_service.clear();
+        self.by_vm.clear();
         for name in cfg.workspaces.keys() {
             self.workspaces.intern(name);
         }
@@ -115,6 +118,7 @@
             workspaces,
         };
         let key = self.declare(name, declared.address, kind);
+        self.by_vm.entry(name.to_owned()).or_default().push(key);
         let region = self.regions.intern(&declared.region);
         let failure_domain = self.domains.intern(&declared.failure_domain);
         let server = &mut self.servers[key.0 as usize];
@@ -132,6 +136,7 @@
             service: service.to_owned(),
         };
         let key = self.declare(&name, address, kind);
+        self.by_vm.entry(replica.to_owned()).or_default().push(key);
         self.by_service
             .entry(service.to_owned())
             .or_default()
@@ -172,15 +177,11 @@
             if member.role != MemberRole::BackendServer {
                 continue;
             }
-            let Some(key) = self.find(&member.name) else {
-                continue;
-            };
-            listed.insert(key);
-            if self.on_incarnation(key, member.incarnation) {
-                reset.push(key);
-            }
-            if member.leaving {
-                self.mark_leaving(key, member.incarnation);
+            for key in self.by_vm.get(&member.name).cloned().unwrap_or_default() {
+                listed.insert(key);
+                if self.on_member(key, member) {
+                    reset.push(key);
+                }
             }
         }
         self.any_listed = !listed.is_empty();
@@ -190,6 +191,21 @@
         reset
     }
 
+    /// Takes a server's entry on the list in; tells whether it is a new incarnation.
+    fn on_member(&mut self, key: ServerKey, member: &Member) -> bool {
+        if let ServerKind::Replica { .. } = self.server(key).kind {
+            let region = self.regions.intern(&member.region);
+            let failure_domain = self.domains.intern(&member.failure_domain);
+            let server = &mut self.servers[key.0 as usize];
+            server.region = region;
+            server.failure_domain = failure_domain;
+        }
+        if member.leaving {
+            self.mark_leaving(key, member.incarnation);
+        }
+        self.on_incarnation(key, member.incarnation)
+    }
+
     /// Takes in that `incarnation` of a server was seen; tells whether it is a new one.
     pub(crate) fn on_incarnation(&mut self, key: ServerKey, incarnation: Incarnation) -> bool {
         let server = &mut self.servers[key.0 as usize];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 mod piece;
 mod placement;
 mod relay;
+mod replicas;
 mod report;
 mod retry_budget;
 mod rollout;
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Fleet;
 use crate::loads::Loads;
 use crate::placement::Placement;
+use crate::replicas::ReplicaLoads;
 use crate::retry_budget::RetryBudget;
 use crate::rollout::Rollout;
 use crate::routers::Routers;
@@ -46,6 +47,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) routers: Routers,
     pub(crate) placement: Placement,
+    pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
     pub(crate) admission: Admission,
     pub(crate) shares: Shares,
@@ -71,6 +73,7 @@
             fleet: Fleet::default(),
             routers: Routers::default(),
             placement: Placement::default(),
+            replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
             admission: Admission::default(),
             shares: Shares::default(),
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -62,7 +62,7 @@
     }
 
     fn on_first_token(&mut self, id: CallId, server: ServerKey) {
-        self.leave_queue(id);
+        self.leave_server(id);
         let call = self.calls.get_mut(id).expect("it was found before");
         call.stage = Stage::Running {
             server,
@@ -71,6 +71,7 @@
     }
 
     fn on_answer(&mut self, now: Time, id: CallId, answer: StoredAnswer, out: &mut Vec<Action>) {
+        self.leave_server(id);
         let call = self.calls.get_mut(id).expect("it was found before");
         if call.claim.is_some() {
             call.stage = Stage::Recording(answer);
@@ -94,7 +95,7 @@
         delivered: u32,
         out: &mut Vec<Action>,
     ) {
-        self.leave_queue(id);
+        self.leave_server(id);
         let incarnation = self.fleet.server(server).incarnation;
         let call = self.calls.get_mut(id).expect("it was found before");
         call.progress = call.take_progress().failed(failure.never_ran());
@@ -243,20 +244,24 @@
     }
 
     fn take_out(&mut self, id: CallId) -> Option<Call> {
-        self.leave_queue(id);
+        self.leave_server(id);
         let call = self.calls.remove(id)?;
         self.admission.release(call.workspace, call.tokens);
         Some(call)
     }
 
-    fn leave_queue(&mut self, id: CallId) {
+    /// Takes the call out of what is counted at its server.
+    fn leave_server(&mut self, id: CallId) {
         let Some(call) = self.calls.get(id) else {
             return;
         };
-        if let (Target::Engine(ask), Some(server), true) =
-            (&call.target, call.server(), call.is_queued())
-        {
-            self.placement.on_left_queue(server, ask);
+        let Some(server) = call.server() else {
+            return;
+        };
+        match &call.target {
+            Target::Engine(ask) if call.is_queued() => self.placement.on_left_queue(server, ask),
+            Target::Service(_) => self.replica_loads.on_ended(server),
+            Target::Engine(_) | Target::Stream { .. } => {}
         }
     }
 
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -37,7 +37,10 @@
                 server,
                 incarnation,
             } => Ok(Aim::plain(*server, *incarnation)),
-            Target::Service(service) => self.aim_at_replica(service, &call.failed_at),
+            Target::Service(service) => self
+                .best_replica(now, id, service, &call.failed_at)
+                .map(|server| Aim::plain(server, Incarnation::default()))
+                .ok_or(NotNow::for_good(Reason::NoBackendServer)),
         };
         match aim {
             Ok(aim) => self.dispatch(now, id, aim, out),
@@ -76,15 +79,6 @@
         }
     }
 
-    fn aim_at_replica(&self, service: &str, failed_at: &[ServerKey]) -> Result<Aim, NotNow> {
-        let replicas = self.fleet.replicas(service);
-        let fresh = replicas.iter().filter(|key| !failed_at.contains(key));
-        let server = fresh
-            .min_by_key(|key| (self.fleet.server(**key).suspect_until, **key))
-            .ok_or(NotNow::for_good(Reason::NoBackendServer))?;
-        Ok(Aim::plain(*server, Incarnation::default()))
-    }
-
     fn dispatch(&mut self, now: Time, id: CallId, aim: Aim, out: &mut Vec<Action>) {
         self.on_admitted(now, id);
         let call = self.calls.get_mut(id).expect("only live calls are sent");
@@ -94,8 +88,10 @@
             server: aim.server,
             started: false,
         };
-        if let Target::Engine(ask) = &call.target {
-            self.placement.on_sent(aim.server, ask);
+        match &call.target {
+            Target::Engine(ask) => self.placement.on_sent(aim.server, ask),
+            Target::Service(_) => self.replica_loads.on_sent(aim.server),
+            Target::Stream { .. } => {}
         }
         let server = self.fleet.server(aim.server);
         out.push(Action::Dispatch(Dispatch {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -107,6 +107,17 @@
     request(call, work)
 }
 
+/// A request for a lookup, which may be repeated.
+pub fn lookup(call: u64) -> Event {
+    let work = Work::Service(ServiceCall {
+        service: "bookings".to_owned(),
+        method: "GET".to_owned(),
+        path: "/stock".to_owned(),
+        key: None,
+    });
+    request(call, work)
+}
+
 fn request(call: u64, work: Work) -> Event {
     Event::Call(Box::new(CallRequest {
         call: CallId(call),
