A router that restarts while the platform is down is configured by its peers

Seen with separate processes: the platform stopped, one of two routers killed and started again stayed at 503 until the platform came back. Its peers told it their version, but it knew the address of none of them, for that comes from the membership list. Routers now introduce themselves in the handshake, and the receiver adds an unknown one to the list it hands to its node, until the platform's list speaks. The longest wait before a link is tried again goes from 5 s to 2 s.

Ruled out: addresses of peers in the settings, which go stale as VMs are replaced. A VM that is new while the platform is down still waits, and so do all when all restart then.

--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -1,6 +1,6 @@
 //! Proof at both ends of a connection that the other knows the secret.
 //!
-//! The connecting router sends a magic number, a nonce and the name of its VM.
+//! The connecting router sends a magic number, a nonce and its introduction.
 //! The other answers with a nonce of its own and an authentication code over
 //! all of it, and takes the connection once it got such a code back.
 
@@ -14,54 +14,71 @@
 use crate::error::IoSnafu;
 use crate::error::StrangerSnafu;
 use crate::secret::CODE_BYTES;
+use crate::Introduction;
 use crate::Result;
 use crate::Secret;
 
 const MAGIC: &[u8; 8] = b"thollow1";
 const NONCE_BYTES: usize = 32;
+
+/// Longest introduction, in bytes.
+const MAX_INTRODUCTION_BYTES: u16 = 2_048;
+
+const LEN_BYTES: usize = size_of::<u16>();
 const STEP: &str = "handshake";
 
 /// What both codes cover, besides the side that makes them.
 struct Transcript {
     client_nonce: [u8; NONCE_BYTES],
     server_nonce: [u8; NONCE_BYTES],
-    vm: Vec<u8>,
+    introduction: Vec<u8>,
 }
 
 impl Transcript {
     fn parts<'a>(&'a self, side: &'a [u8]) -> [&'a [u8]; 4] {
-        [side, &self.client_nonce, &self.server_nonce, &self.vm]
+        [
+            side,
+            &self.client_nonce,
+            &self.server_nonce,
+            &self.introduction,
+        ]
     }
 }
 
 const CLIENT: &[u8] = b"client";
 const SERVER: &[u8] = b"server";
 
-/// Connects as the router on `vm`.
-pub async fn connect<T>(io: &mut T, peer: &str, secret: &Secret, vm: &str) -> Result<()>
+/// Connects as the router that is introduced.
+pub async fn connect<T>(
+    io: &mut T,
+    peer: &str,
+    secret: &Secret,
+    introduction: &Introduction,
+) -> Result<()>
 where
     T: AsyncRead + AsyncWrite + Unpin,
 {
-    let len = u8::try_from(vm.len()).ok();
+    let introduction = serde_json::to_vec(introduction).expect("an introduction is plain JSON");
+    let len = u16::try_from(introduction.len()).unwrap_or(u16::MAX);
     ensure!(
-        len.is_some(),
+        len <= MAX_INTRODUCTION_BYTES,
         StrangerSnafu {
             peer,
-            reason: "the VM's name is too long"
+            reason: "the introduction is too long"
         }
     );
     let client_nonce: [u8; NONCE_BYTES] = rand::random();
     let mut hello = MAGIC.to_vec();
     hello.extend_from_slice(&client_nonce);
-    hello.extend(len);
-    hello.extend_from_slice(vm.as_bytes());
+    hello.extend_from_slice(&len.to_be_bytes());
+    hello.extend_from_slice(&introduction);
     io.write_all(&hello)
         .await
         .context(IoSnafu { step: STEP, peer })?;
     let transcript = Transcript {
         client_nonce,
         server_nonce: read(io, peer).await?,
-        vm: vm.into(),
+        introduction,
     };
     let code: [u8; CODE_BYTES] = read(io, peer).await?;
     ensure!(
@@ -77,8 +94,8 @@
         .context(IoSnafu { step: STEP, peer })
 }
 
-/// Takes a connection and returns the name of the other router's VM.
-pub async fn accept<T>(io: &mut T, peer: &str, secret: &Secret) -> Result<String>
+/// Takes a connection and returns how the other router introduced itself.
+pub async fn accept<T>(io: &mut T, peer: &str, secret: &Secret) -> Result<Introduction>
 where
     T: AsyncRead + AsyncWrite + Unpin,
 {
@@ -91,15 +108,23 @@
         }
     );
     let client_nonce = read(io, peer).await?;
-    let [len] = read(io, peer).await?;
-    let mut vm = vec![0; usize::from(len)];
-    io.read_exact(&mut vm)
+    let len: [u8; LEN_BYTES] = read(io, peer).await?;
+    let len = u16::from_be_bytes(len);
+    ensure!(
+        len <= MAX_INTRODUCTION_BYTES,
+        StrangerSnafu {
+            peer,
+            reason: "its introduction is too long"
+        }
+    );
+    let mut introduction = vec![0; usize::from(len)];
+    io.read_exact(&mut introduction)
         .await
         .context(IoSnafu { step: STEP, peer })?;
     let transcript = Transcript {
         client_nonce,
         server_nonce: rand::random(),
-        vm,
+        introduction,
     };
     let mut answer = transcript.server_nonce.to_vec();
     answer.extend_from_slice(&secret.code(&transcript.parts(SERVER)));
@@ -114,12 +139,11 @@
             reason: "it does not know the secret"
         }
     );
-    let vm = String::from_utf8(transcript.vm).ok();
-    match vm {
-        Some(vm) => Ok(vm),
-        None => StrangerSnafu {
+    match serde_json::from_slice(&transcript.introduction) {
+        Ok(introduction) => Ok(introduction),
+        Err(_) => StrangerSnafu {
             peer,
-            reason: "the VM's name is not UTF-8",
+            reason: "its introduction does not parse",
         }
         .fail(),
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod counted_io;
 mod error;
 mod handshake;
+mod introduction;
 mod link;
 mod links;
 mod observer;
@@ -19,6 +20,7 @@
 pub use crate::error::Error;
 pub use crate::error::Result;
 pub use crate::handshake::connect;
+pub use crate::introduction::Introduction;
 pub use crate::links::Links;
 pub use crate::observer::Observer;
 pub use crate::secret::Secret;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -21,6 +21,7 @@
 use crate::queue::Queue;
 use crate::service::client_transport;
 use crate::service::PeerClient;
+use crate::Introduction;
 use crate::Observer;
 use crate::Result;
 use crate::Secret;
@@ -35,7 +36,7 @@
 const MIN_BACKOFF_MS: u64 = 100;
 
 /// Longest wait after a connection that failed, in milliseconds.
-const MAX_BACKOFF_MS: u64 = 5_000;
+const MAX_BACKOFF_MS: u64 = 2_000;
 
 /// The connection to one other router.
 pub struct Link {
@@ -45,8 +46,8 @@
     pub queue: Arc<Queue>,
     /// The shared secret.
     pub secret: Secret,
-    /// Name of this VM.
-    pub vm: Arc<str>,
+    /// How this router introduces itself.
+    pub introduction: Arc<Introduction>,
     /// Counts what passes.
     pub observer: Arc<dyn Observer>,
 }
@@ -99,7 +100,7 @@
             step: "connect",
             peer,
         })?;
-        handshake::connect(&mut io, peer, &self.secret, &self.vm).await?;
+        handshake::connect(&mut io, peer, &self.secret, &self.introduction).await?;
         Ok(io)
     }
 
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -12,12 +12,13 @@
 
 use crate::link::Link;
 use crate::queue::Queue;
+use crate::Introduction;
 use crate::Observer;
 use crate::Secret;
 
 /// Connections to other routers, made when there is something to send.
 pub struct Links {
-    vm: Arc<str>,
+    introduction: Arc<Introduction>,
     secret: Secret,
     observer: Arc<dyn Observer>,
     open: Mutex<OpenLinks>,
@@ -36,10 +37,10 @@
 }
 
 impl Links {
-    /// Creates no connections yet, for the router on `vm`.
-    pub fn new(vm: &str, secret: Secret, observer: Arc<dyn Observer>) -> Links {
+    /// Creates no connections yet, for the router that is introduced.
+    pub fn new(introduction: Introduction, secret: Secret, observer: Arc<dyn Observer>) -> Links {
         Links {
-            vm: vm.into(),
+            introduction: Arc::new(introduction),
             secret,
             observer,
             open: Mutex::default(),
@@ -93,7 +94,7 @@
             address,
             queue: Arc::clone(&queue),
             secret: self.secret.clone(),
-            vm: Arc::clone(&self.vm),
+            introduction: Arc::clone(&self.introduction),
             observer: Arc::clone(&self.observer),
         };
         OpenLink {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -22,6 +22,7 @@
 use crate::handshake;
 use crate::service::server_transport;
 use crate::service::Peer;
+use crate::Introduction;
 use crate::Observer;
 use crate::Result;
 use crate::Secret;
@@ -41,8 +42,8 @@
 
 /// Takes messages of other routers.
 pub trait Inbox: Send + Sync {
-    /// Takes a message of the router on VM `from`.
-    fn receive(&self, from: &str, message: PeerMessage);
+    /// Takes a message of the router that introduced itself as `from`.
+    fn receive(&self, from: &Introduction, message: PeerMessage);
 }
 
 /// Takes connections of other routers.
@@ -59,7 +60,7 @@
 /// One router's calls.
 #[derive(Clone)]
 struct Calls {
-    from: Arc<str>,
+    from: Arc<Introduction>,
     inbox: Arc<dyn Inbox>,
     observer: Arc<dyn Observer>,
 }
@@ -100,7 +101,7 @@
         match self.admit(&mut io, address).await {
             Ok(from) => {
                 drop(stranger);
-                self.answer(io, &from).await;
+                self.answer(io, from).await;
             }
             Err(e) => {
                 self.observer.on_refused();
@@ -109,7 +110,7 @@
         }
     }
 
-    async fn admit(&self, io: &mut TcpStream, address: SocketAddr) -> Result<String> {
+    async fn admit(&self, io: &mut TcpStream, address: SocketAddr) -> Result<Introduction> {
         let peer = address.to_string();
         match timeout(
             HANDSHAKE_TIMEOUT,
@@ -126,10 +127,10 @@
         }
     }
 
-    async fn answer(&self, io: TcpStream, from: &str) {
+    async fn answer(&self, io: TcpStream, from: Introduction) {
         let transport = server_transport(CountedIo::new(io, Arc::clone(&self.observer)));
         let calls = Calls {
-            from: from.into(),
+            from: Arc::new(from),
             inbox: Arc::clone(&self.inbox),
             observer: Arc::clone(&self.observer),
         };
@@ -154,7 +155,7 @@
                     self.observer.on_bad_message();
                     log::warn!(
                         "event=peer_message_bad vm={} reason={:?}",
-                        self.from,
+                        self.from.vm,
                         e.to_string()
                     );
                 }
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use peer::Inbox;
+use peer::Introduction;
 use peer::Links;
 use peer::Observer;
 use peer::Secret;
@@ -46,18 +47,18 @@
     fn on_bad_message(&self) {}
 }
 
-struct Mailbox(mpsc::UnboundedSender<(String, PeerMessage)>);
+struct Mailbox(mpsc::UnboundedSender<(Introduction, PeerMessage)>);
 
 impl Inbox for Mailbox {
-    fn receive(&self, from: &str, message: PeerMessage) {
-        self.0.send((from.to_owned(), message)).unwrap();
+    fn receive(&self, from: &Introduction, message: PeerMessage) {
+        self.0.send((from.clone(), message)).unwrap();
     }
 }
 
 /// A router that takes messages.
 struct Taker {
     address: SocketAddr,
-    messages: mpsc::UnboundedReceiver<(String, PeerMessage)>,
+    messages: mpsc::UnboundedReceiver<(Introduction, PeerMessage)>,
     counts: Arc<Counts>,
     task: JoinHandle<()>,
 }
@@ -83,9 +84,19 @@
     a_taker_at(([127, 0, 0, 1], 0).into()).await
 }
 
+fn introduction(vm: &str) -> Introduction {
+    Introduction {
+        vm: vm.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        region: "west".to_owned(),
+        failure_domain: "west-1".to_owned(),
+        incarnation: 7,
+    }
+}
+
 fn links(secret: &[u8]) -> (Links, Arc<Counts>) {
     let counts = Arc::new(Counts::default());
-    let links = Links::new("vm1", Secret::new(secret), counts.clone());
+    let links = Links::new(introduction("vm1"), Secret::new(secret), counts.clone());
     (links, counts)
 }
 
@@ -105,7 +116,7 @@
     }
 
     for version in 0..100 {
-        let expected = ("vm1".to_owned(), PeerMessage::Version(version));
+        let expected = (introduction("vm1"), PeerMessage::Version(version));
         assert_eq!(taker.messages.recv().await, Some(expected));
     }
     assert!(counts.sent.load(Ordering::SeqCst) > 0);
@@ -152,8 +163,8 @@
     let mut got = Vec::new();
     io.read_to_end(&mut got).await.unwrap();
 
-    let hello = 8 + 32 + 1 + "vm1".len();
-    assert_eq!(got.len(), hello);
+    let introduction = serde_json::to_vec(&introduction("vm1")).unwrap();
+    assert_eq!(got.len(), 8 + 32 + 2 + introduction.len());
 }
 
 #[tokio::test]
@@ -204,7 +215,7 @@
 
     for frame in [vec![0xff; 40], [0, 0, 0, 4, 1, 2, 3, 4].to_vec()] {
         let mut io = TcpStream::connect(taker.address).await.unwrap();
-        peer::connect(&mut io, "taker", &secret, "vm9")
+        peer::connect(&mut io, "taker", &secret, &introduction("vm9"))
             .await
             .unwrap();
         io.write_all(&frame).await.unwrap();
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -9,7 +9,9 @@
 use policy::Dispatch;
 use policy::Event;
 use policy::Failure;
+use policy::Member;
 use policy::Node;
+use policy::PeerMessage;
 use policy::ServerKey;
 use policy::Time;
 use ractor::Actor;
@@ -43,6 +45,7 @@
     node: Node,
     hands: Hands,
     calls: HashMap<CallId, UnboundedSender<CallCommand>>,
+    members: Vec<Member>,
     actions: Vec<Action>,
     wake: watch::Sender<Option<Time>>,
 }
@@ -64,6 +67,7 @@
             node: args.node,
             hands: args.hands,
             calls: HashMap::new(),
+            members: Vec::new(),
             actions: Vec::new(),
             wake,
         })
@@ -84,6 +88,7 @@
             NodeMessage::Ended(call) => {
                 state.calls.remove(&call);
             }
+            NodeMessage::Peer { from, message } => state.on_peer(from, message, &handle),
             NodeMessage::Event(event) => state.decide(event, &handle),
         }
         Ok(())
@@ -91,9 +96,26 @@
 }
 
 impl NodeState {
+    /// Takes in a message of a router, which may not be on the membership list
+    /// yet, or the list can't be read.
+    fn on_peer(&mut self, from: Member, message: PeerMessage, handle: &NodeHandle) {
+        let name = from.name.clone();
+        if !self.members.iter().any(|member| member.name == name) {
+            let mut members = self.members.clone();
+            members.push(from);
+            self.decide(Event::Members(members), handle);
+        }
+        let event = Event::Peer {
+            from: name,
+            message,
+        };
+        self.decide(event, handle);
+    }
+
     fn decide(&mut self, event: Event, handle: &NodeHandle) {
         if let Event::Members(members) = &event {
             self.hands.on_members(members);
+            self.members.clone_from(members);
         }
         let is_call = matches!(event, Event::Call(_));
         let start = Instant::now();
--- a/crates/router/src/node_handle.rs
+++ b/crates/router/src/node_handle.rs
@@ -5,6 +5,8 @@
 use policy::CallId;
 use policy::CallRequest;
 use policy::Event;
+use policy::Member;
+use policy::PeerMessage;
 use ractor::ActorRef;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -46,6 +48,11 @@
         self.send(NodeMessage::Ended(call));
     }
 
+    /// Hands in a message of another router.
+    pub fn peer(&self, from: Member, message: PeerMessage) {
+        self.send(NodeMessage::Peer { from, message });
+    }
+
     /// Tells something that happened.
     pub fn event(&self, event: Event) {
         self.send(NodeMessage::Event(event));
--- a/crates/router/src/node_message.rs
+++ b/crates/router/src/node_message.rs
@@ -3,6 +3,8 @@
 use policy::CallId;
 use policy::CallRequest;
 use policy::Event;
+use policy::Member;
+use policy::PeerMessage;
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::CallCommand;
@@ -19,6 +21,13 @@
     },
     /// A call's task has ended.
     Ended(CallId),
+    /// A message of another router.
+    Peer {
+        /// The router, as it introduced itself.
+        from: Member,
+        /// Message.
+        message: PeerMessage,
+    },
     /// Anything else that happened.
     Event(Event),
 }
--- a/crates/router/src/peer_inbox.rs
+++ b/crates/router/src/peer_inbox.rs
@@ -1,7 +1,10 @@
 //! Hands messages of other routers to the node.
 
 use peer::Inbox;
-use policy::Event;
+use peer::Introduction;
+use policy::Incarnation;
+use policy::Member;
+use policy::MemberRole;
 use policy::PeerMessage;
 
 use crate::NodeHandle;
@@ -10,10 +13,19 @@
 pub struct PeerInbox(pub NodeHandle);
 
 impl Inbox for PeerInbox {
-    fn receive(&self, from: &str, message: PeerMessage) {
-        self.0.event(Event::Peer {
-            from: from.to_owned(),
-            message,
-        });
+    fn receive(&self, from: &Introduction, message: PeerMessage) {
+        self.0.peer(member(from), message);
+    }
+}
+
+fn member(from: &Introduction) -> Member {
+    Member {
+        name: from.vm.clone(),
+        role: MemberRole::Router,
+        address: from.address,
+        region: from.region.clone(),
+        failure_domain: from.failure_domain.clone(),
+        incarnation: Incarnation(from.incarnation),
+        leaving: false,
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,11 +7,7 @@
 
 use peer::Links;
 use peer::Secret;
-use platform::Member;
-use platform::Role;
-use platform::RouterStatus;
 use policy::Event;
-use policy::Identity;
 use policy::Node;
 use policy::Time;
 use ractor::Actor;
@@ -43,7 +39,9 @@
 use crate::NodeMessage;
 use crate::Outside;
 use crate::PeerInbox;
+use crate::Ports;
 use crate::RouterState;
+use crate::SelfDescription;
 use crate::Settings;
 use crate::StatusTask;
 use crate::Store;
@@ -51,6 +49,7 @@
 
 /// A router that could not be started.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// A port can't be opened.
     #[snafu(display("bind {address}: {source}"))]
@@ -91,21 +90,13 @@
     drain: CancellationToken,
 }
 
-/// Ports of a router, open but not served yet.
-struct Ports {
-    callers: TcpListener,
-    peers: TcpListener,
-    address: SocketAddr,
-    peer_address: SocketAddr,
-}
-
 impl Router {
     /// Opens the ports and starts all tasks.
     pub async fn start(settings: Settings, outside: Outside) -> Result<Router, Error> {
         let ports = Ports::open(&settings).await?;
         let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
         let outside = counted(outside, &metrics);
-        let incarnation = clock::now().0;
+        let own = SelfDescription::new(&settings, &ports);
         let (state, _) = watch::channel(RouterState::default());
         let state = Arc::new(state);
         let tasks = Tasks::default();
@@ -113,14 +104,18 @@
         let hands = Hands {
             tasks: tasks.clone(),
             store: Arc::new(Store::new(Arc::clone(&outside.key_value))),
-            links: Arc::new(Links::new(&settings.vm, secret.clone(), metrics.clone())),
+            links: Arc::new(Links::new(
+                own.introduction(),
+                secret.clone(),
+                metrics.clone(),
+            )),
             engine: Arc::clone(&outside.engine),
             watches: EngineWatches::new(Arc::clone(&outside.engine)),
             state: Arc::clone(&state),
             metrics: Arc::clone(&metrics),
         };
         let args = NodeArguments {
-            node: Node::new(identity(&settings, incarnation), rand::random()),
+            node: Node::new(own.identity(), rand::random()),
             hands,
         };
         let (actor, ended) = Actor::spawn(None, NodeActor, args)
@@ -139,11 +134,11 @@
             status: Tasks::default(),
             drain: CancellationToken::new(),
         };
-        router.follow_platform(&outside, incarnation);
+        router.follow_platform(&outside, &own);
         router.serve_peers(ports.peers, secret, Arc::clone(&metrics));
         router.serve_callers(ports.callers, outside, metrics);
         log::info!(
-            "event=started vm={} address={} peer_address={} incarnation={incarnation}",
+            "event=started vm={} address={} peer_address={}",
             router.settings.vm,
             router.address,
             router.peer_address
@@ -217,8 +212,7 @@
         self.actor.kill();
     }
 
-    fn follow_platform(&self, outside: &Outside, incarnation: u64) {
-        let settings = &self.settings;
+    fn follow_platform(&self, outside: &Outside, own: &SelfDescription) {
         let config = ConfigTask {
             key_value: Arc::clone(&outside.key_value),
             node: self.node.clone(),
@@ -228,26 +222,12 @@
             membership: Arc::clone(&outside.membership),
             node: self.node.clone(),
             state: self.state.subscribe(),
-            member: Member {
-                name: settings.vm.clone(),
-                role: Role::Router,
-                address: self.peer_address,
-                region: settings.region.clone(),
-                failure_domain: settings.failure_domain.clone(),
-                incarnation,
-                leaving: false,
-            },
+            member: own.member(),
         };
         let status = StatusTask {
             key_value: Arc::clone(&outside.key_value),
             state: self.state.subscribe(),
-            status: RouterStatus {
-                vm: settings.vm.clone(),
-                incarnation,
-                address: self.address,
-                version: 0,
-                leaving: false,
-            },
+            status: own.status(),
         };
         self.tasks.spawn(config.run());
         self.tasks.spawn(membership.run());
@@ -284,19 +264,6 @@
     }
 }
 
-impl Ports {
-    async fn open(settings: &Settings) -> Result<Ports, Error> {
-        let (callers, address) = bind(settings.listen).await?;
-        let (peers, peer_address) = bind(settings.peer_listen).await?;
-        Ok(Ports {
-            callers,
-            peers,
-            address,
-            peer_address,
-        })
-    }
-}
-
 /// Returns when calls still in flight are refused, so that their callers hear of it.
 fn refuse_at(deadline: Time) -> Time {
     Time(deadline.0.saturating_sub(LAST_WORDS_US))
@@ -312,14 +279,6 @@
     });
 }
 
-async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
-    let listener = TcpListener::bind(address)
-        .await
-        .context(BindSnafu { address })?;
-    let bound = listener.local_addr().context(BindSnafu { address })?;
-    Ok((listener, bound))
-}
-
 fn counted(outside: Outside, metrics: &Arc<Metrics>) -> Outside {
     let metrics = || Arc::clone(metrics);
     Outside {
@@ -328,12 +287,3 @@
         ..outside
     }
 }
-
-fn identity(settings: &Settings, incarnation: u64) -> Identity {
-    Identity {
-        vm: settings.vm.clone(),
-        region: settings.region.clone(),
-        failure_domain: settings.failure_domain.clone(),
-        incarnation,
-    }
-}
--- a/crates/router/tests/common/system.rs
+++ b/crates/router/tests/common/system.rs
@@ -131,19 +131,33 @@
     /// Starts one more router and returns its address.
     pub async fn add_router(&mut self) -> SocketAddr {
         let vm = format!("vm{}", self.routers.len());
-        let outside = Outside {
-            key_value: self.platform.clone(),
-            membership: self.platform.clone(),
-            engine: self.engines.clone(),
-            service: self.service.clone(),
-        };
         let settings = settings(&vm, self.limits);
-        let router = Router::start(settings, outside).await.unwrap();
+        let router = Router::start(settings, self.outside()).await.unwrap();
         let address = router.address();
         self.routers.push(router);
         address
     }
 
+    /// Kills a router and starts it again on the same ports.
+    pub async fn restart_router(&mut self, number: usize) {
+        let router = self.routers.remove(number);
+        let mut settings = settings(&format!("vm{number}"), self.limits);
+        settings.listen = router.address();
+        settings.peer_listen = router.peer_address();
+        router.kill().await;
+        let router = Router::start(settings, self.outside()).await.unwrap();
+        self.routers.insert(number, router);
+    }
+
+    fn outside(&self) -> Outside {
+        Outside {
+            key_value: self.platform.clone(),
+            membership: self.platform.clone(),
+            engine: self.engines.clone(),
+            service: self.service.clone(),
+        }
+    }
+
     pub fn address(&self, router: usize) -> SocketAddr {
         self.routers[router].address()
     }
--- a/crates/router/tests/platform.rs
+++ b/crates/router/tests/platform.rs
@@ -81,6 +81,19 @@
     assert_eq!(answer.json()["choices"][0]["text"], tokens(0, 4));
 }
 
+#[tokio::test]
+async fn a_router_that_restarts_while_the_platform_is_down_is_found_by_its_peers() {
+    let mut system = a_system().with_routers(2).start().await;
+    system.platform.has_members(2).await;
+    system.platform.set_down(true);
+
+    system.restart_router(0).await;
+    system.routers[0].in_force(1).await;
+
+    let answer = Caller::completion(system.address(0), 4).send().await;
+    assert_eq!(answer.json()["choices"][0]["text"], tokens(0, 4));
+}
+
 #[tokio::test]
 async fn a_shutdown_is_published_and_the_status_taken_back() {
     let mut system = a_system().with_routers(2).start().await;
@@ -101,7 +114,14 @@
 #[tokio::test]
 async fn strangers_at_the_peers_port_are_refused_and_counted() {
     let system = a_system().start().await;
-    let stranger = peer::Links::new("vm9", peer::Secret::new(b"other"), nobody());
+    let introduction = peer::Introduction {
+        vm: "vm9".to_owned(),
+        address: system.address(0),
+        region: String::new(),
+        failure_domain: String::new(),
+        incarnation: 1,
+    };
+    let stranger = peer::Links::new(introduction, peer::Secret::new(b"other"), nobody());
 
     stranger.send(
         "vm0",
