Connections of routers that were lost end after five idle minutes

A VM that is lost leaves its connections half open at every router that it wrote to; nothing closed them, and they count against the limit of connections for as long as the process lives.

--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,7 @@
 //! Connections from other routers.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 /// Connections at most that have not proved who they are.
 const MAX_STRANGERS: usize = 64;
 
+/// Time after which a connection without a call is closed, in milliseconds.
+pub const IDLE_MS: u64 = 300_000;
+
 /// Wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -55,6 +59,8 @@
     pub inbox: Arc<dyn Inbox>,
     /// Counts what passes.
     pub observer: Arc<dyn Observer>,
+    /// Time after which a connection without a call is closed, in milliseconds.
+    pub idle_ms: u64,
 }
 
 /// One router's calls.
@@ -134,11 +140,13 @@
             inbox: Arc::clone(&self.inbox),
             observer: Arc::clone(&self.observer),
         };
+        let requests = BaseChannel::with_defaults(transport).execute(calls.serve());
+        let mut requests = pin!(requests);
+        let idle = Duration::from_millis(self.idle_ms);
         // One at a time, so that messages stay in order.
-        BaseChannel::with_defaults(transport)
-            .execute(calls.serve())
-            .for_each(|call| call)
-            .await;
+        while let Ok(Some(call)) = timeout(idle, requests.next()).await {
+            call.await;
+        }
     }
 }
 
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -11,6 +11,7 @@
 use peer::Observer;
 use peer::Secret;
 use peer::Server;
+use peer::IDLE_MS;
 use policy::PeerMessage;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -64,6 +65,10 @@
 }
 
 async fn a_taker_at(address: SocketAddr) -> Taker {
+    a_taker_that_waits(address, IDLE_MS).await
+}
+
+async fn a_taker_that_waits(address: SocketAddr, idle_ms: u64) -> Taker {
     let listener = TcpListener::bind(address).await.unwrap();
     let (tx, messages) = mpsc::unbounded_channel();
     let counts = Arc::new(Counts::default());
@@ -71,6 +76,7 @@
         secret: Secret::new(b"secret"),
         inbox: Arc::new(Mailbox(tx)),
         observer: counts.clone(),
+        idle_ms,
     };
     Taker {
         address: listener.local_addr().unwrap(),
@@ -227,3 +233,29 @@
     let (_, message) = taker.messages.recv().await.unwrap();
     assert_eq!(message, PeerMessage::Version(2));
 }
+
+#[tokio::test]
+async fn a_half_open_connection_is_closed_and_made_again_when_needed() {
+    let mut taker = a_taker_that_waits(([127, 0, 0, 1], 0).into(), 50).await;
+    let mut io = TcpStream::connect(taker.address).await.unwrap();
+    let secret = Secret::new(b"secret");
+    peer::connect(&mut io, "taker", &secret, &introduction("vm9"))
+        .await
+        .unwrap();
+    let (links, _) = links(b"secret");
+    links.send("vm2", taker.address, PeerMessage::Version(1));
+    taker.messages.recv().await.unwrap();
+
+    let mut rest = Vec::new();
+    io.read_to_end(&mut rest).await.unwrap();
+
+    assert!(rest.is_empty());
+    let message = loop {
+        links.send("vm2", taker.address, PeerMessage::Version(2));
+        tokio::task::yield_now().await;
+        if let Ok((_, message)) = taker.messages.try_recv() {
+            break message;
+        }
+    };
+    assert_eq!(message, PeerMessage::Version(2));
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -239,6 +239,7 @@
             secret,
             inbox: Arc::new(PeerInbox(self.node.clone())),
             observer: metrics,
+            idle_ms: peer::IDLE_MS,
         };
         self.tasks.spawn(server.run(listener));
     }
