--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A whole path on loopback, in one process.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use router::Outside;
 use router::Router;
 use router::Settings;
+use tokio::time::sleep;
 
 use crate::fleet_settings::files;
 use crate::publish;
@@ -31,6 +33,9 @@
 use crate::ServiceSettings;
 use crate::WORKSPACES;
 
+/// Time between two tries to take a port again, in milliseconds.
+const REBIND_MS: u64 = 5;
+
 /// A platform, engines, a plain service and routers, all on loopback and
 /// reached through sockets. What is left of it is stopped when dropped.
 pub struct Fleet {
@@ -43,6 +48,7 @@
     /// Plain service.
     pub service: Service,
     settings: FleetSettings,
+    files: BTreeMap<String, String>,
     version: u64,
     routers: Vec<Option<Router>>,
     _announcers: Vec<Announcer>,
@@ -71,6 +77,7 @@
             engines,
             service,
             settings,
+            files,
             version,
             routers: Vec::new(),
             _announcers: announcers,
@@ -116,6 +123,22 @@
         address
     }
 
+    /// Starts the platform's server again, with what it held.
+    pub async fn start_platform(&mut self, address: SocketAddr) {
+        let server = loop {
+            match PlatformServer::start(address, self.platform.clone()).await {
+                Ok(server) => break server,
+                Err(_) => sleep(Duration::from_millis(REBIND_MS)).await,
+            }
+        };
+        self.platform_server = Some(server);
+    }
+
+    /// Publishes the configuration under a new version.
+    pub async fn publish_again(&self) -> platform::Result<u64> {
+        publish(&self.platform, &self.files).await
+    }
+
     fn router_settings(&self, number: usize) -> Settings {
         let platform = self.platform_server.as_ref().expect("the platform runs");
         Settings {
--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use standins::time_after;
 use standins::Call;
+use standins::CallAnswer;
 use standins::CallerError;
 use standins::Completion;
 use standins::EngineRecord;
@@ -22,6 +23,9 @@
 const PROMPT: &str = "Which felt suits a wide brim?";
 const TOKENS: u32 = 40;
 
+/// Text in a prompt that crashes engines.
+const MARKER: &str = "crash the engine";
+
 /// Start of the keys under which calls are claimed.
 const CLAIMS: &str = "once/";
 
@@ -84,6 +88,17 @@
         .count()
 }
 
+/// Repeats a booking until it isn't refused.
+async fn booked(fleet: &Fleet, router: usize, booking: &Call) -> CallAnswer {
+    loop {
+        match fleet.caller(router).call(booking).await {
+            Ok(answer) => return answer,
+            Err(CallerError::Refused { .. }) => sleep(Duration::from_millis(20)).await,
+            Err(e) => panic!("failed otherwise: {e}"),
+        }
+    }
+}
+
 fn outcome<T>(result: Result<T, CallerError>) -> (String, String) {
     match result {
         Err(CallerError::Refused {
@@ -266,13 +281,7 @@
     let completed = fleet.caller(0).complete_whole(&completion()).await;
     let refused = fleet.caller(0).call(&booking).await;
     fleet.platform.set_outage(false);
-    let booked = loop {
-        match fleet.caller(1).call(&booking).await {
-            Ok(answer) => break answer,
-            Err(CallerError::Refused { .. }) => sleep(Duration::from_millis(20)).await,
-            Err(e) => panic!("failed otherwise: {e}"),
-        }
-    };
+    let booked = booked(&fleet, 1, &booking).await;
 
     assert_eq!(completed.expect("whole").text, whole_text());
     assert_eq!(outcome(refused).0, "platform_unavailable");
@@ -295,3 +304,81 @@
 
     assert_eq!(answer.expect("is answered").status, 200);
 }
+
+#[tokio::test]
+async fn a_leaving_engine_gets_no_new_stream() {
+    let fleet = fleet(2, 1).await;
+    let caller = fleet.caller(0);
+    caller.complete_whole(&completion()).await.expect("whole");
+    let leaving = runner(&fleet);
+
+    fleet.engines[leaving].leave();
+    for _ in 0..5 {
+        let received = caller.complete_whole(&completion()).await;
+        assert_eq!(received.expect("whole").text, whole_text());
+    }
+
+    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
+    let ledgers = fleet.engines.iter().map(|engine| engine.ledger());
+    let runs: Vec<usize> = ledgers
+        .map(|ledger| ledger.iter().filter(|record| ran(record)).count())
+        .collect();
+    assert_eq!((runs[leaving], runs[1 - leaving]), (1, 5));
+}
+
+#[tokio::test]
+async fn a_crashing_request_takes_down_two_engines_and_no_neighbour() {
+    let settings = FleetSettings::new(4, 2).each_engine(|engine| {
+        engine.decode_ms = 20;
+        engine.crash_marker = Some(MARKER.to_owned());
+    });
+    let fleet = Fleet::start(settings).await.expect("starts");
+    let neighbour = fleet.caller(0);
+    let neighbour = tokio::spawn(async move { neighbour.complete_whole(&completion()).await });
+    let crashing = Completion {
+        prompt: format!("please {MARKER} now"),
+        ..completion()
+    };
+
+    let mut reasons = Vec::new();
+    for attempt in 0..6 {
+        let caller = fleet.caller(attempt % 2);
+        reasons.push(outcome(caller.complete_whole(&crashing).await).0);
+    }
+
+    let crashed = |record: &EngineRecord| matches!(record, EngineRecord::Crashed { .. });
+    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
+    let crashes = ledgers.filter(crashed).count();
+    assert!(crashes <= 2, "{crashes} crashes, {reasons:?}");
+    assert_eq!(reasons.last().map(String::as_str), Some("crashed_runners"));
+    let received = neighbour.await.expect("runs").expect("whole");
+    assert_eq!(received.text, whole_text());
+}
+
+#[tokio::test]
+async fn a_new_configuration_is_in_force_on_each_router() {
+    let fleet = fleet(1, 3).await;
+
+    let version = fleet.publish_again().await.expect("published");
+
+    for router in 0..3 {
+        fleet.router(router).in_force(version).await;
+        let received = fleet.caller(router).complete_whole(&completion()).await;
+        assert_eq!(received.expect("whole").text, whole_text());
+    }
+}
+
+#[tokio::test]
+async fn a_restarted_platform_is_used_again() {
+    let mut fleet = fleet(1, 1).await;
+    let address = fleet.stop_platform().await;
+    let booking = booking(&key(6));
+    let refused = fleet.caller(0).call(&booking).await;
+
+    fleet.start_platform(address).await;
+    let booked = booked(&fleet, 0, &booking).await;
+
+    assert_eq!(outcome(refused).0, "platform_unavailable");
+    assert_eq!(booked.status, 201);
+    assert_eq!(fleet.service.ledger().len(), 1);
+}
