Adapter failures answer by answer, and prompts that find their cache after a herd restart

Raw connections give the adapter each kind of broken answer: only one that names its reason is a refusal. All routers restarted at once send eight prompts where they are cached, with nothing learned.

--- /dev/null
+++ b/crates/backend/tests/failures.rs
@@ -0,0 +1,132 @@
+//! What the adapters make of answers that fail in different ways.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use backend::Engine;
+use backend::Error;
+use backend::GenerateRequest;
+use backend::HttpEngine;
+use futures::StreamExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+const STARTED: &str =
+    "data: {\"started\":{\"incarnation\":3,\"prompt_tokens\":9,\"cached_tokens\":0}}\n\n";
+const TOKEN: &str = "data: {\"token\":{\"position\":0,\"text\":\"a\"}}\n\n";
+const LAST_TOKEN: &str = "data: {\"token\":{\"position\":1,\"text\":\"b\",\"last\":true}}\n\n";
+
+/// Serves one connection: reads a whole request, gives `answer` and closes.
+async fn server(answer: String) -> SocketAddr {
+    let address: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
+    let listener = TcpListener::bind(address).await.expect("binds");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(answer_one(listener, answer));
+    address
+}
+
+async fn answer_one(listener: TcpListener, answer: String) -> io::Result<()> {
+    let (mut stream, _) = listener.accept().await?;
+    let mut received = Vec::new();
+    while !received.ends_with(b"}") {
+        received.push(stream.read_u8().await?);
+    }
+    stream.write_all(answer.as_bytes()).await
+}
+
+fn request() -> GenerateRequest {
+    GenerateRequest {
+        stream: "s".to_owned(),
+        workspace: "trust".to_owned(),
+        model: "base".to_owned(),
+        weights_version: 1,
+        incarnation: 3,
+        prompt: "prompt".to_owned(),
+        max_tokens: 2,
+        priority: 0,
+        delivered: Vec::new(),
+        fetch_from: None,
+    }
+}
+
+/// Returns the texts that arrived before the stream ended, and its error.
+async fn generate(answer: &[&str]) -> (String, Option<Error>) {
+    let address = server(answer.concat()).await;
+    let mut generation = match HttpEngine::new().generate(address, request()).await {
+        Ok(generation) => generation,
+        Err(e) => return (String::new(), Some(e)),
+    };
+    let mut text = String::new();
+    while let Some(chunk) = generation.chunks.next().await {
+        match chunk {
+            Ok(chunk) => text.push_str(&chunk.text),
+            Err(e) => return (text, Some(e)),
+        }
+    }
+    (text, None)
+}
+
+fn is_broken(error: &Option<Error>) -> bool {
+    matches!(error, Some(Error::Broken { .. }))
+}
+
+#[tokio::test]
+async fn a_whole_stream_ends_without_an_error() {
+    let (text, error) = generate(&[EVENTS, STARTED, TOKEN, LAST_TOKEN]).await;
+
+    assert_eq!((text.as_str(), error), ("ab", None));
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_before_its_last_token_is_broken() {
+    let (text, error) = generate(&[EVENTS, STARTED, TOKEN]).await;
+
+    assert_eq!(text, "a");
+    assert!(is_broken(&error), "{error:?}");
+}
+
+#[tokio::test]
+async fn an_event_that_is_cut_in_its_middle_is_broken() {
+    let (text, error) = generate(&[EVENTS, STARTED, TOKEN, &LAST_TOKEN[..20]]).await;
+
+    assert_eq!(text, "a");
+    assert!(is_broken(&error), "{error:?}");
+}
+
+#[tokio::test]
+async fn a_token_before_the_start_is_broken() {
+    let (_, error) = generate(&[EVENTS, TOKEN]).await;
+
+    assert!(is_broken(&error), "{error:?}");
+}
+
+#[tokio::test]
+async fn a_closed_connection_without_an_answer_is_broken() {
+    let (_, error) = generate(&[]).await;
+
+    assert!(is_broken(&error), "{error:?}");
+}
+
+#[tokio::test]
+async fn a_failure_without_a_reason_is_broken_for_a_part_may_have_run() {
+    let answer = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+
+    let (_, error) = generate(&[answer]).await;
+
+    assert!(is_broken(&error), "{error:?}");
+}
+
+#[tokio::test]
+async fn a_failure_with_a_reason_is_a_refusal() {
+    let answer = "HTTP/1.1 429 Too Many Requests\r\nx-refused: overloaded\r\n\r\n";
+
+    let (_, error) = generate(&[answer]).await;
+
+    let Some(Error::Refused { status, reason, .. }) = error else {
+        panic!("not refused: {error:?}");
+    };
+    assert_eq!((status, reason.as_str()), (429, "overloaded"));
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -26,6 +26,7 @@
 use crate::Announcer;
 use crate::Caller;
 use crate::Engine;
+use crate::EngineRecord;
 use crate::FleetSettings;
 use crate::Platform;
 use crate::PlatformServer;
@@ -115,6 +116,16 @@
         self.routers[router].take().expect("the router runs")
     }
 
+    /// Returns how many prompts found a part of them in an engine's cache.
+    pub fn hits(&self) -> usize {
+        let is_hit = |record: &EngineRecord| match record {
+            EngineRecord::Ran { cached_tokens, .. } => *cached_tokens > 0,
+            _ => false,
+        };
+        let ledgers = self.engines.iter().flat_map(Engine::ledger);
+        ledgers.filter(is_hit).count()
+    }
+
     /// Stops the platform's server, so that nobody reaches it.
     pub async fn stop_platform(&mut self) -> SocketAddr {
         let server = self.platform_server.take().expect("the platform runs");
--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -382,3 +382,32 @@
     assert_eq!(booked.status, 201);
     assert_eq!(fleet.service.ledger().len(), 1);
 }
+
+#[tokio::test]
+async fn routers_that_all_restart_send_prompts_where_they_are_cached() {
+    let mut fleet = fleet(4, 2).await;
+    let prompts = (0..8).map(|number| format!("book {number} ").repeat(1_200));
+    let completions: Vec<Completion> = prompts
+        .map(|prompt| Completion {
+            prompt,
+            max_tokens: 1,
+            ..completion()
+        })
+        .collect();
+    for completion in &completions {
+        let first = fleet.caller(0).complete_whole(completion).await;
+        first.expect("whole");
+    }
+
+    for router in 0..2 {
+        fleet.take_router(router).kill().await;
+    }
+    let restarted = fleet.start_router().await.expect("starts");
+    let before = fleet.hits();
+    for completion in &completions {
+        let again = fleet.caller(restarted).complete_whole(completion).await;
+        again.expect("whole");
+    }
+
+    assert_eq!(fleet.hits() - before, completions.len());
+}
