Engine stand-in: what an incarnation holds apart from what it does

Its state, the queue's jobs and the arithmetic of pieces are modules of their own now. No behaviour changed.

--- a/crates/standins/src/engine_run.rs
+++ b/crates/standins/src/engine_run.rs
@@ -1,8 +1,5 @@
 //! One incarnation of the engine stand-in.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,27 +9,25 @@
 use backend::wire::ExportAnswer;
 use backend::wire::ExportMessage;
 use backend::CacheEvents;
-use backend::FetchFrom;
 use backend::GenerateRequest;
-use backend::HeldWeights;
 use backend::Load;
 use backend::Order;
 use backend::OrderAnswer;
 use backend::Started;
-use policy::content_chain;
-use policy::PieceSeed;
-use policy::BYTES_PER_TOKEN;
-use policy::PIECE_TOKENS;
 use tokio::sync::watch;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::engine_refusal::EngineRefusal;
+use crate::engine_state::EngineState;
+use crate::engine_state::Job;
 use crate::engine_stream::EngineStream;
 use crate::engine_stream::StreamReader;
+use crate::prompt_pieces::piece_keys;
+use crate::prompt_pieces::tokens_in;
+use crate::prompt_pieces::tokens_of;
 use crate::EngineRecord;
 use crate::EngineSettings;
-use crate::PieceCache;
 use crate::PromptHash;
 use crate::WeightStore;
 
@@ -67,43 +62,7 @@
     pub decode_wake: Notify,
     weight_store: WeightStore,
     cache_changed: watch::Sender<()>,
-    state: Mutex<State>,
-}
-
-#[derive(Debug)]
-struct State {
-    cache: PieceCache,
-    queue: BTreeMap<(Reverse<u8>, u64), Job>,
-    last_job: u64,
-    computing_tokens: u64,
-    streams: HashMap<String, Arc<EngineStream>>,
-    running: Vec<Arc<EngineStream>>,
-    weights: BTreeMap<String, u64>,
-    ordered: BTreeMap<String, u64>,
-    leaving: bool,
-}
-
-/// A prompt that waits for its computation.
-#[derive(Debug)]
-pub(crate) struct Job {
-    /// Stream.
-    pub stream: Arc<EngineStream>,
-    /// Workspace.
-    pub workspace: String,
-    /// Model.
-    pub model: String,
-    /// Weights.
-    pub weights_version: u64,
-    /// Keys of the prompt's pieces.
-    pub chain: Vec<u64>,
-    /// Prompt tokens.
-    pub prompt_tokens: u64,
-    /// Tokens that had to be computed when it came in.
-    pub missing_tokens: u64,
-    /// Server that holds missing pieces.
-    pub fetch_from: Option<FetchFrom>,
-    /// Whether it crashes the engine.
-    pub crashes: bool,
+    state: Mutex<EngineState>,
 }
 
 impl EngineRun {
@@ -114,17 +73,7 @@
         lasting: Arc<Lasting>,
         weight_store: WeightStore,
     ) -> EngineRun {
-        let state = State {
-            cache: PieceCache::new(settings.cache_pieces, settings.lose_event_every),
-            queue: BTreeMap::new(),
-            last_job: 0,
-            computing_tokens: 0,
-            streams: HashMap::new(),
-            running: Vec::new(),
-            weights: settings.models.clone(),
-            ordered: settings.models.clone(),
-            leaving: false,
-        };
+        let state = EngineState::new(&settings);
         EngineRun {
             settings,
             incarnation,
@@ -402,60 +351,11 @@
         })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    fn state(&self) -> MutexGuard<'_, EngineState> {
         lock(&self.state)
     }
 }
 
-impl State {
-    /// Returns the version of the weights that will serve a request.
-    fn check(&self, incarnation: u64, req: &GenerateRequest) -> Result<u64, EngineRefusal> {
-        if self.leaving {
-            return Err(EngineRefusal::Leaving);
-        }
-        if req.incarnation != 0 && req.incarnation != incarnation {
-            return Err(EngineRefusal::StaleIncarnation);
-        }
-        match self.weights.get(&req.model) {
-            Some(held) if req.weights_version == 0 || req.weights_version == *held => Ok(*held),
-            _ => Err(EngineRefusal::StaleWeights),
-        }
-    }
-
-    fn held_weights(&self) -> Vec<HeldWeights> {
-        self.weights
-            .iter()
-            .map(|(model, version)| HeldWeights {
-                model: model.clone(),
-                version: *version,
-            })
-            .collect()
-    }
-
-    fn queued_tokens(&self) -> u64 {
-        let waiting = self.queue.values().map(|job| job.missing_tokens);
-        waiting.sum::<u64>() + self.computing_tokens
-    }
-
-    fn enqueue(&mut self, priority: u8, job: Job) {
-        self.last_job += 1;
-        self.queue.insert((Reverse(priority), self.last_job), job);
-    }
-
-    /// Serves loaded weights, unless others were ordered in the meantime.
-    fn finish_load(&mut self, model: String, weights_version: u64) {
-        if self.ordered.get(&model) == Some(&weights_version) {
-            self.weights.insert(model, weights_version);
-        }
-    }
-
-    /// Forgets streams that have ended and that nobody has read for a while.
-    fn sweep(&mut self) {
-        self.streams
-            .retain(|_, stream| !stream.has_ended() || !stream.is_abandoned());
-    }
-}
-
 fn check_delivered(prompt: PromptHash, delivered: &[String]) -> Result<u32, EngineRefusal> {
     let mut position = 0;
     for text in delivered {
@@ -467,23 +367,6 @@
     Ok(position)
 }
 
-fn piece_keys(req: &GenerateRequest) -> Vec<u64> {
-    let seed = PieceSeed::new(&req.workspace, &req.model, req.weights_version);
-    content_chain(req.prompt.as_bytes())
-        .into_iter()
-        .map(|content| seed.key(content).0)
-        .collect()
-}
-
-fn tokens_of(prompt: &str) -> u64 {
-    let bytes = u64::try_from(prompt.len()).unwrap_or(u64::MAX);
-    bytes.div_ceil(BYTES_PER_TOKEN)
-}
-
-fn tokens_in(pieces: usize) -> u64 {
-    u64::try_from(pieces).unwrap_or(u64::MAX) * PIECE_TOKENS
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standins/src/engine_worker.rs
+++ b/crates/standins/src/engine_worker.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::engine_run::EngineRun;
-use crate::engine_run::Job;
+use crate::engine_state::Job;
 use crate::EngineRecord;
 
 /// Computes prompts one after the other, until one crashes the engine.
