--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,6 +1,5 @@
 //! A whole path on loopback, in one process.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -32,6 +31,7 @@
 use crate::PlatformServer;
 use crate::Service;
 use crate::ServiceSettings;
+use crate::WeightStore;
 use crate::WORKSPACES;
 
 /// Time between two tries to take a port again, in milliseconds.
@@ -48,8 +48,9 @@
     pub engines: Vec<Engine>,
     /// Plain service.
     pub service: Service,
+    /// Store from which engines load weights.
+    pub weight_store: WeightStore,
     settings: FleetSettings,
-    files: BTreeMap<String, String>,
     version: u64,
     routers: Vec<Option<Router>>,
     _announcers: Vec<Announcer>,
@@ -61,9 +62,11 @@
         let platform = Platform::new();
         let server = PlatformServer::start(loopback(), platform.clone()).await?;
         let membership = Arc::new(HttpMembershipList::new(server.address()));
+        let weight_store = WeightStore::new(settings.load_ms, settings.limits.loads_at_once);
         let mut engines = Vec::new();
         for engine in &settings.engines {
-            engines.push(Engine::start(loopback(), engine.clone()).await?);
+            let store = weight_store.clone();
+            engines.push(Engine::start_with(loopback(), engine.clone(), store).await?);
         }
         let service = Service::start(loopback(), ServiceSettings::default()).await?;
         let mut announcers = vec![service.announce(membership.clone())];
@@ -77,8 +80,8 @@
             platform_server: Some(server),
             engines,
             service,
+            weight_store,
             settings,
-            files,
             version,
             routers: Vec::new(),
             _announcers: announcers,
@@ -145,9 +148,13 @@
         self.platform_server = Some(server);
     }
 
-    /// Publishes the configuration under a new version.
-    pub async fn publish_again(&self) -> platform::Result<u64> {
-        publish(&self.platform, &self.files).await
+    /// Publishes a configuration that asks for other weights, and returns its version.
+    pub async fn publish_weights(&mut self, weights_version: u64) -> platform::Result<u64> {
+        self.settings.weights_version = weights_version;
+        let addresses: Vec<SocketAddr> = self.engines.iter().map(Engine::address).collect();
+        let files = files(&self.settings, &addresses, self.service.address());
+        self.version = publish(&self.platform, &files).await?;
+        Ok(self.version)
     }
 
     fn router_settings(&self, number: usize) -> Settings {
--- a/crates/standins/src/fleet_settings.rs
+++ b/crates/standins/src/fleet_settings.rs
@@ -26,9 +26,6 @@
 /// Workspaces of a fleet.
 pub const WORKSPACES: [&str; 2] = ["trust", "school"];
 
-/// Version of the weights that engines hold.
-const WEIGHTS_VERSION: u64 = 1;
-
 /// Milliseconds in which an engine with 1 token a millisecond computes 1,000.
 const MS_PER_1000_TOKENS: f64 = 1_000.0;
 
@@ -39,6 +36,10 @@
     pub engines: Vec<EngineSettings>,
     /// Number of routers.
     pub routers: usize,
+    /// Version of the weights that the configuration asks for.
+    pub weights_version: u64,
+    /// Time in which an engine loads weights, in milliseconds.
+    pub load_ms: u64,
     /// Time between a router's announcement that it stops and its first refusal, in milliseconds.
     pub shutdown_notice_ms: u64,
     /// Limits of the configuration.
@@ -55,6 +56,8 @@
         FleetSettings {
             engines: (1..=engines).map(engine).collect(),
             routers,
+            weights_version: 1,
+            load_ms: 20,
             shutdown_notice_ms: 0,
             limits: Limits::default(),
         }
@@ -138,7 +141,7 @@
     let rates = rates.map(|engine| engine.prefill_tokens_per_ms);
     let rate = u32::try_from(rates.min().unwrap_or(1)).unwrap_or(u32::MAX);
     Model {
-        weights_version: WEIGHTS_VERSION,
+        weights_version: settings.weights_version,
         prefill_ms_per_1000_tokens: MS_PER_1000_TOKENS / f64::from(rate.max(1)),
         kv_bytes_per_token: 2_000,
     }
--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -11,6 +11,7 @@
 use standins::CallAnswer;
 use standins::CallerError;
 use standins::Completion;
+use standins::Engine;
 use standins::EngineRecord;
 use standins::Fleet;
 use standins::FleetSettings;
@@ -81,6 +82,11 @@
     runners.position(|has_run| has_run).expect("has run")
 }
 
+fn holds_new_weights(engine: &Engine) -> bool {
+    let weights = engine.load().and_then(|load| load.weights);
+    weights.is_some_and(|weights| weights.iter().any(|held| held.version == 2))
+}
+
 fn finished(fleet: &Fleet) -> usize {
     let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
     ledgers
@@ -355,11 +361,31 @@
     assert_eq!(received.text, whole_text());
 }
 
+#[tokio::test]
+async fn new_weights_reach_all_engines_and_no_more_than_three_load_at_once() {
+    let mut fleet = fleet(6, 2).await;
+
+    let version = fleet.publish_weights(2).await.expect("published");
+    for router in 0..2 {
+        fleet.router(router).in_force(version).await;
+    }
+    while !fleet.engines.iter().all(holds_new_weights) {
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    assert!(fleet.weight_store.highest_loads() <= 3);
+    let received = fleet.caller(1).complete_whole(&completion()).await;
+    assert_eq!(received.expect("whole").text, whole_text());
+    let served = fleet.engines[runner(&fleet)].ledger();
+    let with_new = |record: &EngineRecord| matches!(record, EngineRecord::Ran { weights_version, .. } if *weights_version == 2);
+    assert!(served.iter().any(with_new), "{served:?}");
+}
+
 #[tokio::test]
 async fn a_new_configuration_is_in_force_on_each_router() {
-    let fleet = fleet(1, 3).await;
+    let mut fleet = fleet(1, 3).await;
 
-    let version = fleet.publish_again().await.expect("published");
+    let version = fleet.publish_weights(1).await.expect("published");
 
     for router in 0..3 {
         fleet.router(router).in_force(version).await;
