--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -109,6 +109,10 @@
 
     fn begin(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let call = self.calls.get(id).expect("it has just arrived");
+        if let Some(not_now) = self.struck_out(now, call.fingerprint) {
+            self.refuse(id, not_now, out);
+            return;
+        }
         match call.claim.clone() {
             Some(claim) => self.claim_record(now, id, claim, out),
             None => self.route(now, id, out),
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -144,14 +144,10 @@
     }
 
     fn reason_to_give_up(&mut self, now: Time, id: CallId, failure: Failure) -> Option<NotNow> {
-        let limits = self.rollout.config()?.limits;
         let call = self.calls.get(id)?;
         let soon = now.plus_millis(COME_BACK_MS);
-        if self.strikes.count(now, call.fingerprint) >= limits.crashes_per_request {
-            return Some(NotNow {
-                reason: Reason::CrashedRunners,
-                retry_at: self.strikes.forgiven_at(call.fingerprint),
-            });
+        if let Some(not_now) = self.struck_out(now, call.fingerprint) {
+            return Some(not_now);
         }
         if call.claim.is_some() && !failure.never_ran() {
             return Some(NotNow::for_good(Reason::AttemptsFailed));
@@ -172,6 +168,18 @@
         None
     }
 
+    /// Tells whether a request has broken too many runners to be run again.
+    pub(crate) fn struck_out(&self, now: Time, fingerprint: u64) -> Option<NotNow> {
+        let limit = self.rollout.config()?.limits.crashes_per_request;
+        if self.strikes.count(now, fingerprint) < limit {
+            return None;
+        }
+        Some(NotNow {
+            reason: Reason::CrashedRunners,
+            retry_at: self.strikes.forgiven_at(fingerprint),
+        })
+    }
+
     /// Gives a call's final answer when it is not served.
     pub(crate) fn refuse(&mut self, id: CallId, not_now: NotNow, out: &mut Vec<Action>) {
         let Some(mut call) = self.take_out(id) else {
