Whole path: innocents beside a crashing request (fails)

The streams that broke with the first engine are retried beside the crashing request, which breaks the second engine under them, so they too reach the bound of two.

--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -19,6 +19,7 @@
 use standins::Received;
 use standins::MODEL;
 use standins::SERVICE;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 const PROMPT: &str = "Which felt suits a wide brim?";
@@ -27,6 +28,9 @@
 /// Text in a prompt that crashes engines.
 const MARKER: &str = "crash the engine";
 
+/// Streams that run beside a crashing request.
+const INNOCENTS: usize = 40;
+
 /// Start of the keys under which calls are claimed.
 const CLAIMS: &str = "once/";
 
@@ -41,6 +45,22 @@
     Fleet::start(settings).await.expect("starts")
 }
 
+async fn crashable_fleet(engines: usize, routers: usize) -> Fleet {
+    let settings = FleetSettings::new(engines, routers).each_engine(|engine| {
+        engine.decode_ms = 20;
+        engine.crash_marker = Some(MARKER.to_owned());
+    });
+    Fleet::start(settings).await.expect("starts")
+}
+
+/// A completion that crashes each engine which runs it.
+fn crashing() -> Completion {
+    Completion {
+        prompt: format!("please {MARKER} now"),
+        ..completion()
+    }
+}
+
 fn completion() -> Completion {
     Completion {
         model: MODEL.to_owned(),
@@ -82,6 +102,13 @@
     runners.position(|has_run| has_run).expect("has run")
 }
 
+/// Returns how many streams engines have begun.
+fn runs(fleet: &Fleet) -> usize {
+    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
+    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
+    ledgers.filter(ran).count()
+}
+
 fn holds_new_weights(engine: &Engine) -> bool {
     let weights = engine.load().and_then(|load| load.weights);
     weights.is_some_and(|weights| weights.iter().any(|held| held.version == 2))
@@ -334,17 +361,10 @@
 
 #[tokio::test]
 async fn a_crashing_request_takes_down_two_engines_and_no_neighbour() {
-    let settings = FleetSettings::new(4, 2).each_engine(|engine| {
-        engine.decode_ms = 20;
-        engine.crash_marker = Some(MARKER.to_owned());
-    });
-    let fleet = Fleet::start(settings).await.expect("starts");
+    let fleet = crashable_fleet(4, 2).await;
     let neighbour = fleet.caller(0);
     let neighbour = tokio::spawn(async move { neighbour.complete_whole(&completion()).await });
-    let crashing = Completion {
-        prompt: format!("please {MARKER} now"),
-        ..completion()
-    };
+    let crashing = crashing();
 
     let mut reasons = Vec::new();
     for attempt in 0..6 {
@@ -437,3 +457,31 @@
 
     assert_eq!(fleet.hits() - before, completions.len());
 }
+
+#[tokio::test]
+async fn innocents_that_share_their_engines_with_a_crashing_request_get_through() {
+    let fleet = crashable_fleet(4, 2).await;
+    let mut innocents = JoinSet::new();
+    for number in 0..INNOCENTS {
+        let caller = fleet.caller(number % 2);
+        let prompt = format!("{PROMPT} ({number})");
+        innocents.spawn(async move {
+            let completion = Completion {
+                prompt: prompt.clone(),
+                ..completion()
+            };
+            let received = caller.complete_whole(&completion).await?;
+            Ok::<bool, CallerError>(received.text == PromptHash::new(&prompt).text(TOKENS))
+        });
+    }
+    while runs(&fleet) < INNOCENTS {
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    let refused = fleet.caller(0).complete_whole(&crashing()).await;
+    let results = innocents.join_all().await;
+
+    assert_eq!(outcome(refused).0, "crashed_runners");
+    let whole = results.iter().filter(|result| **result == Ok(true));
+    assert_eq!(whole.count(), INNOCENTS, "{results:?}");
+}
