A repeat that is rejected before it is read is not said not to have run

Cause: rejections of the front said not_run whatever they rejected. A repeat with the key of a booking that ran, but with a header that doesn't parse, was told so too, and its caller could book anew under another key. Now such a rejection is unknown if it carries a usable key. The new test failed with not_run before.

--- a/crates/router/src/call_headers.rs
+++ b/crates/router/src/call_headers.rs
@@ -22,7 +22,7 @@
 const AUTHORIZATION: &str = "authorization";
 const DEADLINE: &str = "x-deadline-ms";
 const PRIORITY: &str = "x-priority";
-const KEY: &str = "idempotency-key";
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const LAST_EVENT_ID: &str = "last-event-id";
 
 /// Headers that callers steer a request with.
@@ -47,7 +47,7 @@
             token_sha256: token(headers)?,
             priority: word(headers, PRIORITY, MAX_PRIORITY_BYTES)?,
             deadline: deadline(headers)?,
-            key: word(headers, KEY, MAX_KEY_BYTES)?,
+            key: word(headers, IDEMPOTENCY_KEY, MAX_KEY_BYTES)?,
             last_event_id: text(headers, LAST_EVENT_ID)?.map(str::to_owned),
         })
     }
--- a/crates/router/src/handler.rs
+++ b/crates/router/src/handler.rs
@@ -8,6 +8,7 @@
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -18,8 +19,10 @@
 use policy::Outcome;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use uuid::Uuid;
 
 use crate::body;
+use crate::call_headers::IDEMPOTENCY_KEY;
 use crate::AnswerBody;
 use crate::EventIds;
 use crate::Limits;
@@ -59,9 +62,10 @@
 impl Handler {
     /// Answers a request.
     pub async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let outcome = outcome_of_rejection(req.headers());
         let mut res = match self.route(req).await {
             Ok(res) => res,
-            Err(rejection) => self.reject(&rejection),
+            Err(rejection) => self.reject(&rejection, outcome),
         };
         if self.state.borrow().leaving {
             res.headers_mut().insert(CONNECTION, CLOSE);
@@ -103,15 +107,14 @@
         body::read(body, limit, deadline).await
     }
 
-    fn reject(&self, rejection: &Rejection) -> Response<AnswerBody> {
-        let outcome = Outcome::NotRun.name();
-        self.metrics.on_refusal(rejection.reason(), outcome);
+    fn reject(&self, rejection: &Rejection, outcome: Outcome) -> Response<AnswerBody> {
+        self.metrics.on_refusal(rejection.reason(), outcome.name());
         log::info!(
             "event=rejected reason={} detail={:?}",
             rejection.reason(),
             rejection.to_string()
         );
-        let mut res = Problem::of_rejection(rejection).response();
+        let mut res = Problem::of_rejection(rejection, outcome).response();
         if rejection.leaves_body_unread() {
             res.headers_mut().insert(CONNECTION, CLOSE);
         }
@@ -133,6 +136,19 @@
     }
 }
 
+/// Returns what is known of a request that is rejected before the node sees it.
+///
+/// An earlier request with the same idempotency key may have run.
+fn outcome_of_rejection(headers: &HeaderMap) -> Outcome {
+    let key = headers
+        .get(IDEMPOTENCY_KEY)
+        .and_then(|key| key.to_str().ok());
+    match key.map(Uuid::parse_str) {
+        Some(Ok(_)) => Outcome::Unknown,
+        Some(Err(_)) | None => Outcome::NotRun,
+    }
+}
+
 /// Rejects a request of another method.
 pub(crate) fn allow(head: &Parts, method: Method, expected: &'static str) -> Result<(), Rejection> {
     if head.method == method {
--- a/crates/router/src/problem.rs
+++ b/crates/router/src/problem.rs
@@ -57,13 +57,13 @@
     }
 
     /// Tells of a request that was rejected before the node saw it.
-    pub fn of_rejection(rejection: &Rejection) -> Problem {
+    pub fn of_rejection(rejection: &Rejection, outcome: Outcome) -> Problem {
         Problem {
             kind: kind(rejection.reason()),
             title: rejection.title(),
             status: rejection.status().as_u16(),
             reason: rejection.reason(),
-            outcome: Outcome::NotRun.name(),
+            outcome: outcome.name(),
             detail: rejection.to_string(),
             retry_after: None,
         }
--- a/crates/router/tests/rejections.rs
+++ b/crates/router/tests/rejections.rs
@@ -99,6 +99,19 @@
     }
 }
 
+#[tokio::test]
+async fn a_repeat_that_does_not_parse_is_not_said_not_to_have_run() {
+    let system = a_system().start().await;
+    let caller = Caller::completion(system.address(0), 1)
+        .header("idempotency-key", "01a3185c-5000-7000-8000-000000000001")
+        .header("x-deadline-ms", "soon");
+
+    let refusal = a_rejection_of(&system, caller).await;
+
+    let unknown = (400, "bad_header".to_owned(), "unknown".to_owned());
+    assert_eq!(refusal, unknown);
+}
+
 #[tokio::test]
 async fn unknown_paths_and_methods_are_refused() {
     let system = a_system().start().await;
