--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,7 @@
 //! Connections from other routers.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use crate::handshake;
 use crate::service::server_transport;
 use crate::service::Peer;
+use crate::Introduction;
 use crate::Observer;
 use crate::Result;
 use crate::Secret;
@@ -36,13 +38,16 @@
 /// Connections at most that have not proved who they are.
 const MAX_STRANGERS: usize = 64;
 
+/// Time after which a connection without a call is closed, in milliseconds.
+pub const IDLE_MS: u64 = 300_000;
+
 /// Wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Takes messages of other routers.
 pub trait Inbox: Send + Sync {
-    /// Takes a message of the router on VM `from`.
-    fn receive(&self, from: &str, message: PeerMessage);
+    /// Takes a message of the router that introduced itself as `from`.
+    fn receive(&self, from: &Introduction, message: PeerMessage);
 }
 
 /// Takes connections of other routers.
@@ -54,12 +59,14 @@
     pub inbox: Arc<dyn Inbox>,
     /// Counts what passes.
     pub observer: Arc<dyn Observer>,
+    /// Time after which a connection without a call is closed, in milliseconds.
+    pub idle_ms: u64,
 }
 
 /// One router's calls.
 #[derive(Clone)]
 struct Calls {
-    from: Arc<str>,
+    from: Arc<Introduction>,
     inbox: Arc<dyn Inbox>,
     observer: Arc<dyn Observer>,
 }
@@ -100,7 +107,7 @@
         match self.admit(&mut io, address).await {
             Ok(from) => {
                 drop(stranger);
-                self.answer(io, &from).await;
+                self.answer(io, from).await;
             }
             Err(e) => {
                 self.observer.on_refused();
@@ -109,7 +116,7 @@
         }
     }
 
-    async fn admit(&self, io: &mut TcpStream, address: SocketAddr) -> Result<String> {
+    async fn admit(&self, io: &mut TcpStream, address: SocketAddr) -> Result<Introduction> {
         let peer = address.to_string();
         match timeout(
             HANDSHAKE_TIMEOUT,
@@ -126,18 +133,20 @@
         }
     }
 
-    async fn answer(&self, io: TcpStream, from: &str) {
+    async fn answer(&self, io: TcpStream, from: Introduction) {
         let transport = server_transport(CountedIo::new(io, Arc::clone(&self.observer)));
         let calls = Calls {
-            from: from.into(),
+            from: Arc::new(from),
             inbox: Arc::clone(&self.inbox),
             observer: Arc::clone(&self.observer),
         };
+        let requests = BaseChannel::with_defaults(transport).execute(calls.serve());
+        let mut requests = pin!(requests);
+        let idle = Duration::from_millis(self.idle_ms);
         // One at a time, so that messages stay in order.
-        BaseChannel::with_defaults(transport)
-            .execute(calls.serve())
-            .for_each(|call| call)
-            .await;
+        while let Ok(Some(call)) = timeout(idle, requests.next()).await {
+            call.await;
+        }
     }
 }
 
@@ -154,7 +163,7 @@
                     self.observer.on_bad_message();
                     log::warn!(
                         "event=peer_message_bad vm={} reason={:?}",
-                        self.from,
+                        self.from.vm,
                         e.to_string()
                     );
                 }
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -62,7 +62,7 @@
     }
 
     fn on_first_token(&mut self, id: CallId, server: ServerKey) {
-        self.leave_queue(id);
+        self.leave_server(id);
         let call = self.calls.get_mut(id).expect("it was found before");
         call.stage = Stage::Running {
             server,
@@ -71,6 +71,7 @@
     }
 
     fn on_answer(&mut self, now: Time, id: CallId, answer: StoredAnswer, out: &mut Vec<Action>) {
+        self.leave_server(id);
         let call = self.calls.get_mut(id).expect("it was found before");
         if call.claim.is_some() {
             call.stage = Stage::Recording(answer);
@@ -94,7 +95,7 @@
         delivered: u32,
         out: &mut Vec<Action>,
     ) {
-        self.leave_queue(id);
+        self.leave_server(id);
         let incarnation = self.fleet.server(server).incarnation;
         let call = self.calls.get_mut(id).expect("it was found before");
         call.progress = call.take_progress().failed(failure.never_ran());
@@ -143,14 +144,10 @@
     }
 
     fn reason_to_give_up(&mut self, now: Time, id: CallId, failure: Failure) -> Option<NotNow> {
-        let limits = self.rollout.config()?.limits;
         let call = self.calls.get(id)?;
         let soon = now.plus_millis(COME_BACK_MS);
-        if self.strikes.count(now, call.fingerprint) >= limits.crashes_per_request {
-            return Some(NotNow {
-                reason: Reason::CrashedRunners,
-                retry_at: self.strikes.forgiven_at(call.fingerprint),
-            });
+        if let Some(not_now) = self.struck_out(now, call.fingerprint) {
+            return Some(not_now);
         }
         if call.claim.is_some() && !failure.never_ran() {
             return Some(NotNow::for_good(Reason::AttemptsFailed));
@@ -171,6 +168,18 @@
         None
     }
 
+    /// Tells whether a request has broken too many runners to be run again.
+    pub(crate) fn struck_out(&self, now: Time, fingerprint: u64) -> Option<NotNow> {
+        let limit = self.rollout.config()?.limits.crashes_per_request;
+        if self.strikes.count(now, fingerprint) < limit {
+            return None;
+        }
+        Some(NotNow {
+            reason: Reason::CrashedRunners,
+            retry_at: self.strikes.forgiven_at(fingerprint),
+        })
+    }
+
     /// Gives a call's final answer when it is not served.
     pub(crate) fn refuse(&mut self, id: CallId, not_now: NotNow, out: &mut Vec<Action>) {
         let Some(mut call) = self.take_out(id) else {
@@ -243,20 +252,24 @@
     }
 
     fn take_out(&mut self, id: CallId) -> Option<Call> {
-        self.leave_queue(id);
+        self.leave_server(id);
         let call = self.calls.remove(id)?;
         self.admission.release(call.workspace, call.tokens);
         Some(call)
     }
 
-    fn leave_queue(&mut self, id: CallId) {
+    /// Takes the call out of what is counted at its server.
+    fn leave_server(&mut self, id: CallId) {
         let Some(call) = self.calls.get(id) else {
             return;
         };
-        if let (Target::Engine(ask), Some(server), true) =
-            (&call.target, call.server(), call.is_queued())
-        {
-            self.placement.on_left_queue(server, ask);
+        let Some(server) = call.server() else {
+            return;
+        };
+        match &call.target {
+            Target::Engine(ask) if call.is_queued() => self.placement.on_left_queue(server, ask),
+            Target::Service(_) => self.replica_loads.on_ended(server),
+            Target::Engine(_) | Target::Stream { .. } => {}
         }
     }
 
--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -8,8 +8,10 @@
 use http::Method;
 use standins::time_after;
 use standins::Call;
+use standins::CallAnswer;
 use standins::CallerError;
 use standins::Completion;
+use standins::Engine;
 use standins::EngineRecord;
 use standins::Fleet;
 use standins::FleetSettings;
@@ -17,11 +19,18 @@
 use standins::Received;
 use standins::MODEL;
 use standins::SERVICE;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 const PROMPT: &str = "Which felt suits a wide brim?";
 const TOKENS: u32 = 40;
 
+/// Text in a prompt that crashes engines.
+const MARKER: &str = "crash the engine";
+
+/// Streams that run beside a crashing request.
+const INNOCENTS: usize = 40;
+
 /// Start of the keys under which calls are claimed.
 const CLAIMS: &str = "once/";
 
@@ -36,6 +45,22 @@
     Fleet::start(settings).await.expect("starts")
 }
 
+async fn crashable_fleet(engines: usize, routers: usize) -> Fleet {
+    let settings = FleetSettings::new(engines, routers).each_engine(|engine| {
+        engine.decode_ms = 20;
+        engine.crash_marker = Some(MARKER.to_owned());
+    });
+    Fleet::start(settings).await.expect("starts")
+}
+
+/// A completion that crashes each engine which runs it.
+fn crashing() -> Completion {
+    Completion {
+        prompt: format!("please {MARKER} now"),
+        ..completion()
+    }
+}
+
 fn completion() -> Completion {
     Completion {
         model: MODEL.to_owned(),
@@ -77,6 +102,18 @@
     runners.position(|has_run| has_run).expect("has run")
 }
 
+/// Returns how many streams engines have begun.
+fn runs(fleet: &Fleet) -> usize {
+    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
+    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
+    ledgers.filter(ran).count()
+}
+
+fn holds_new_weights(engine: &Engine) -> bool {
+    let weights = engine.load().and_then(|load| load.weights);
+    weights.is_some_and(|weights| weights.iter().any(|held| held.version == 2))
+}
+
 fn finished(fleet: &Fleet) -> usize {
     let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
     ledgers
@@ -84,6 +121,17 @@
         .count()
 }
 
+/// Repeats a booking until it isn't refused.
+async fn booked(fleet: &Fleet, router: usize, booking: &Call) -> CallAnswer {
+    loop {
+        match fleet.caller(router).call(booking).await {
+            Ok(answer) => return answer,
+            Err(CallerError::Refused { .. }) => sleep(Duration::from_millis(20)).await,
+            Err(e) => panic!("failed otherwise: {e}"),
+        }
+    }
+}
+
 fn outcome<T>(result: Result<T, CallerError>) -> (String, String) {
     match result {
         Err(CallerError::Refused {
@@ -266,13 +314,7 @@
     let completed = fleet.caller(0).complete_whole(&completion()).await;
     let refused = fleet.caller(0).call(&booking).await;
     fleet.platform.set_outage(false);
-    let booked = loop {
-        match fleet.caller(1).call(&booking).await {
-            Ok(answer) => break answer,
-            Err(CallerError::Refused { .. }) => sleep(Duration::from_millis(20)).await,
-            Err(e) => panic!("failed otherwise: {e}"),
-        }
-    };
+    let booked = booked(&fleet, 1, &booking).await;
 
     assert_eq!(completed.expect("whole").text, whole_text());
     assert_eq!(outcome(refused).0, "platform_unavailable");
@@ -295,3 +337,151 @@
 
     assert_eq!(answer.expect("is answered").status, 200);
 }
+
+#[tokio::test]
+async fn a_leaving_engine_gets_no_new_stream() {
+    let fleet = fleet(2, 1).await;
+    let caller = fleet.caller(0);
+    caller.complete_whole(&completion()).await.expect("whole");
+    let leaving = runner(&fleet);
+
+    fleet.engines[leaving].leave();
+    for _ in 0..5 {
+        let received = caller.complete_whole(&completion()).await;
+        assert_eq!(received.expect("whole").text, whole_text());
+    }
+
+    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
+    let ledgers = fleet.engines.iter().map(|engine| engine.ledger());
+    let runs: Vec<usize> = ledgers
+        .map(|ledger| ledger.iter().filter(|record| ran(record)).count())
+        .collect();
+    assert_eq!((runs[leaving], runs[1 - leaving]), (1, 5));
+}
+
+#[tokio::test]
+async fn a_crashing_request_takes_down_two_engines_and_no_neighbour() {
+    let fleet = crashable_fleet(4, 2).await;
+    let neighbour = fleet.caller(0);
+    let neighbour = tokio::spawn(async move { neighbour.complete_whole(&completion()).await });
+    let crashing = crashing();
+
+    let mut reasons = Vec::new();
+    for attempt in 0..6 {
+        let caller = fleet.caller(attempt % 2);
+        reasons.push(outcome(caller.complete_whole(&crashing).await).0);
+    }
+
+    let crashed = |record: &EngineRecord| matches!(record, EngineRecord::Crashed { .. });
+    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
+    let crashes = ledgers.filter(crashed).count();
+    assert!(crashes <= 2, "{crashes} crashes, {reasons:?}");
+    assert_eq!(reasons.last().map(String::as_str), Some("crashed_runners"));
+    let received = neighbour.await.expect("runs").expect("whole");
+    assert_eq!(received.text, whole_text());
+}
+
+#[tokio::test]
+async fn new_weights_reach_all_engines_and_no_more_than_three_load_at_once() {
+    let mut fleet = fleet(6, 2).await;
+
+    let version = fleet.publish_weights(2).await.expect("published");
+    for router in 0..2 {
+        fleet.router(router).in_force(version).await;
+    }
+    while !fleet.engines.iter().all(holds_new_weights) {
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    assert!(fleet.weight_store.highest_loads() <= 3);
+    let received = fleet.caller(1).complete_whole(&completion()).await;
+    assert_eq!(received.expect("whole").text, whole_text());
+    let served = fleet.engines[runner(&fleet)].ledger();
+    let with_new = |record: &EngineRecord| matches!(record, EngineRecord::Ran { weights_version, .. } if *weights_version == 2);
+    assert!(served.iter().any(with_new), "{served:?}");
+}
+
+#[tokio::test]
+async fn a_new_configuration_is_in_force_on_each_router() {
+    let mut fleet = fleet(1, 3).await;
+
+    let version = fleet.publish_weights(1).await.expect("published");
+
+    for router in 0..3 {
+        fleet.router(router).in_force(version).await;
+        let received = fleet.caller(router).complete_whole(&completion()).await;
+        assert_eq!(received.expect("whole").text, whole_text());
+    }
+}
+
+#[tokio::test]
+async fn a_restarted_platform_is_used_again() {
+    let mut fleet = fleet(1, 1).await;
+    let address = fleet.stop_platform().await;
+    let booking = booking(&key(6));
+    let refused = fleet.caller(0).call(&booking).await;
+
+    fleet.start_platform(address).await;
+    let booked = booked(&fleet, 0, &booking).await;
+
+    assert_eq!(outcome(refused).0, "platform_unavailable");
+    assert_eq!(booked.status, 201);
+    assert_eq!(fleet.service.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn routers_that_all_restart_send_prompts_where_they_are_cached() {
+    let mut fleet = fleet(4, 2).await;
+    let prompts = (0..8).map(|number| format!("book {number} ").repeat(1_200));
+    let completions: Vec<Completion> = prompts
+        .map(|prompt| Completion {
+            prompt,
+            max_tokens: 1,
+            ..completion()
+        })
+        .collect();
+    for completion in &completions {
+        let first = fleet.caller(0).complete_whole(completion).await;
+        first.expect("whole");
+    }
+
+    for router in 0..2 {
+        fleet.take_router(router).kill().await;
+    }
+    let restarted = fleet.start_router().await.expect("starts");
+    let before = fleet.hits();
+    for completion in &completions {
+        let again = fleet.caller(restarted).complete_whole(completion).await;
+        again.expect("whole");
+    }
+
+    assert_eq!(fleet.hits() - before, completions.len());
+}
+
+#[tokio::test]
+async fn innocents_that_share_their_engines_with_a_crashing_request_get_through() {
+    let fleet = crashable_fleet(4, 2).await;
+    let mut innocents = JoinSet::new();
+    for number in 0..INNOCENTS {
+        let caller = fleet.caller(number % 2);
+        let prompt = format!("{PROMPT} ({number})");
+        innocents.spawn(async move {
+            let completion = Completion {
+                prompt: prompt.clone(),
+                ..completion()
+            };
+            let received = caller.complete_whole(&completion).await?;
+            Ok::<bool, CallerError>(received.text == PromptHash::new(&prompt).text(TOKENS))
+        });
+    }
+    while runs(&fleet) < INNOCENTS {
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    let refused = fleet.caller(0).complete_whole(&crashing()).await;
+    let results = innocents.join_all().await;
+
+    assert_eq!(outcome(refused).0, "crashed_runners");
+    let whole = results.iter().filter(|result| **result == Ok(true));
+    assert_eq!(whole.count(), INNOCENTS, "{results:?}");
+}
