Requests that shared a broken runner run again alone, so that the culprit is known

Cause: all requests of a broken engine were tried again anywhere; those that met the culprit again broke a second engine too and were refused as if they were it. Ruled out: striking only what had begun, for the culprit breaks the engine before it begins. Change: a struck request runs on trial; by a record in the platform no two are on trial at one server, whichever router has them. The one on trial when a runner breaks is to blame, and once it has broken its two, for the earlier one as well; nobody else's strikes on these count. A strike is withdrawn when the same incarnation is seen alive. Without the platform a router keeps only its own trials apart.

The two tests of calls after a broken attempt now answer the record's calls; their assertions stay. A record that several routers change is one type, which the weight loads use as well.

--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -73,6 +73,8 @@
     fingerprint: u64,
     mark: WireMark,
     at_ms: u64,
+    /// Whether the request was on trial there.
+    on_trial: bool,
 }
 
 /// A [`CellLoad`] on the wire.
@@ -194,6 +196,7 @@
             fingerprint: strike.fingerprint,
             mark: (&strike.mark).into(),
             at_ms: strike.at_ms,
+            on_trial: strike.on_trial,
         }
     }
 }
@@ -204,6 +207,7 @@
             fingerprint: strike.fingerprint,
             mark: strike.mark.into(),
             at_ms: strike.at_ms,
+            on_trial: strike.on_trial,
         }
     }
 }
--- a/crates/peer/tests/wire.rs
+++ b/crates/peer/tests/wire.rs
@@ -42,8 +42,8 @@
 }
 
 prop_compose! {
-    fn a_strike()(fingerprint: u64, mark in a_mark(), at_ms: u64) -> Strike {
-        Strike { fingerprint, mark, at_ms }
+    fn a_strike()(fingerprint: u64, mark in a_mark(), at_ms: u64, on_trial: bool) -> Strike {
+        Strike { fingerprint, mark, at_ms, on_trial }
     }
 }
 
--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -32,6 +32,8 @@
 pub(crate) enum Stage {
     /// Its record is being claimed.
     Claiming,
+    /// It may only run on trial, and its turn has not come.
+    AwaitingTrial,
     /// A server is running it.
     Running { server: ServerKey, started: bool },
     /// Its answer is being recorded.
@@ -91,6 +93,12 @@
         self.calls.remove(&id)
     }
 
+    /// Returns how many calls run at a server.
+    pub(crate) fn count_at(&self, server: ServerKey) -> usize {
+        let at = self.calls.values().map(Call::server);
+        at.filter(|at| *at == Some(server)).count()
+    }
+
     /// Tells whether no call is in progress.
     pub(crate) fn is_empty(&self) -> bool {
         self.calls.is_empty()
@@ -107,7 +115,7 @@
     pub(crate) fn server(&self) -> Option<ServerKey> {
         match self.stage {
             Stage::Running { server, .. } => Some(server),
-            Stage::Claiming | Stage::Recording(_) => None,
+            Stage::Claiming | Stage::AwaitingTrial | Stage::Recording(_) => None,
         }
     }
 
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -96,7 +96,9 @@
         result: StoreResult,
         out: &mut Vec<Action>,
     ) {
-        if self.on_loads_result(now, id, &result, out) {
+        if self.on_loads_result(now, id, &result, out)
+            || self.on_trials_result(now, id, &result, out)
+        {
             return;
         }
         let Some(op) = self.store_ops.take(id) else {
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -125,8 +125,9 @@
     }
 
     fn on_strikes(&mut self, strikes: &[Strike]) {
+        let limit = self.crash_limit();
         for strike in strikes {
-            self.strikes.add(strike);
+            self.strikes.add(strike, limit);
         }
     }
 
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -54,6 +54,10 @@
         if report.leaving {
             self.learn_leaving(server, report.incarnation, out);
         }
+        if !self.strikes.is_empty() {
+            self.strikes
+                .withdraw(&report.server, report.incarnation, report.at);
+        }
         self.placement.on_load(server, report.queued_tokens);
         self.on_weights(now, server, report);
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,12 +31,16 @@
 mod rollout;
 mod route;
 mod routers;
+mod shared_record;
 mod shares;
 mod store;
 mod store_ops;
 mod strikes;
 mod time;
 mod timers;
+mod trial;
+mod trial_record;
+mod trials;
 mod weights;
 
 pub use crate::action::Action;
--- a/crates/policy/src/loads.rs
+++ b/crates/policy/src/loads.rs
@@ -4,14 +4,14 @@
 
 use crate::load_record::LoadRecord;
 use crate::load_record::Wanted;
+use crate::load_record::LOADS_KEY;
+use crate::shared_record::SharedRecord;
 use crate::HeldWeights;
-use crate::OpId;
 use crate::ServerKey;
-use crate::StoreRequest;
 use crate::Time;
 
 /// State of the loads that this router sees to.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Loads {
     /// Servers that lack weights, as their last load report says.
     pub(crate) wanted: BTreeMap<ServerKey, Wanted>,
@@ -19,10 +19,8 @@
     pub(crate) held: BTreeMap<ServerKey, Held>,
     /// Last orders that were given, by server.
     pub(crate) given: BTreeMap<String, Given>,
-    /// Record with its version, as last read or written; none when unsure.
-    pub(crate) record: Option<(u64, LoadRecord)>,
-    /// The one call to the key-value service without a result.
-    pub(crate) pending: Option<Pending>,
+    /// Loads that are under way over the whole fleet.
+    pub(crate) record: SharedRecord<LoadRecord>,
     /// Time at which the loads are looked at next; none when nothing is wanted.
     pub(crate) look_at: Option<Time>,
 }
@@ -44,26 +42,15 @@
     pub(crate) repeat_at: Time,
 }
 
-/// A call to the key-value service about the record.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Pending {
-    /// A read.
-    Read(OpId),
-    /// A write of this record.
-    Write(OpId, LoadRecord),
-}
-
 impl Loads {
-    /// Tells whether `op` is the call that has no result yet, and forgets it.
-    pub(crate) fn settle(&mut self, op: OpId) -> Option<Pending> {
-        let ours = match &self.pending {
-            Some(Pending::Read(own) | Pending::Write(own, _)) => *own == op,
-            None => false,
-        };
-        if ours {
-            self.pending.take()
-        } else {
-            None
+    /// Creates a router that sees to no load.
+    pub(crate) fn new() -> Loads {
+        Loads {
+            wanted: BTreeMap::new(),
+            held: BTreeMap::new(),
+            given: BTreeMap::new(),
+            record: SharedRecord::new(LOADS_KEY),
+            look_at: None,
         }
     }
 
@@ -71,18 +58,8 @@
     pub(crate) fn is_idle(&self, holder: &str) -> bool {
         let own = self
             .record
-            .as_ref()
-            .is_some_and(|(_, record)| record.own(holder).next().is_some());
+            .content()
+            .is_some_and(|record| record.own(holder).next().is_some());
         self.wanted.is_empty() && !own
     }
 }
-
-/// Encodes a record for a write over `expected`.
-pub(crate) fn write_request(key: &str, expected: u64, record: &LoadRecord) -> StoreRequest {
-    StoreRequest::CompareAndSwap {
-        key: key.to_owned(),
-        expected,
-        value: serde_json::to_vec(record).expect("a record has a JSON form"),
-        expires: None,
-    }
-}
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -21,6 +21,7 @@
 use crate::strikes::Strikes;
 use crate::timers::Timer;
 use crate::timers::Timers;
+use crate::trials::Trials;
 use crate::Action;
 use crate::Event;
 use crate::ServerKey;
@@ -49,6 +50,7 @@
     pub(crate) placement: Placement,
     pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
+    pub(crate) trials: Trials,
     pub(crate) admission: Admission,
     pub(crate) shares: Shares,
     pub(crate) budget: RetryBudget,
@@ -75,12 +77,13 @@
             placement: Placement::default(),
             replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
+            trials: Trials::new(),
             admission: Admission::default(),
             shares: Shares::default(),
             budget: RetryBudget::default(),
             calls: CallTable::default(),
             store_ops: StoreOps::default(),
-            loads: Loads::default(),
+            loads: Loads::new(),
             timers,
             snapshot_asked: false,
             shutting_down: false,
@@ -148,6 +151,7 @@
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
                 Timer::Loads => self.on_loads_due(now, out),
+                Timer::Trials => self.on_trials_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
             }
--- a/crates/policy/src/peer_message.rs
+++ b/crates/policy/src/peer_message.rs
@@ -53,6 +53,8 @@
     pub mark: ServerMark,
     /// Milliseconds since the epoch.
     pub at_ms: u64,
+    /// Whether the request was on trial there, the only struck one.
+    pub on_trial: bool,
 }
 
 /// Load of a cell of backend servers.
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -46,7 +46,7 @@
         };
         match report {
             BackendReport::Started { incarnation, .. } => self.on_started(server, incarnation),
-            BackendReport::FirstToken => self.on_first_token(id, server),
+            BackendReport::FirstToken => self.on_first_token(now, id, server),
             BackendReport::Finished { .. } => self.end(id),
             BackendReport::Answered(answer) => self.on_answer(now, id, answer, out),
             BackendReport::Failed { failure, delivered } => {
@@ -61,8 +61,9 @@
         }
     }
 
-    fn on_first_token(&mut self, id: CallId, server: ServerKey) {
+    fn on_first_token(&mut self, now: Time, id: CallId, server: ServerKey) {
         self.leave_server(id);
+        self.on_trial_token(now, id);
         let call = self.calls.get_mut(id).expect("it was found before");
         call.stage = Stage::Running {
             server,
@@ -96,6 +97,8 @@
         out: &mut Vec<Action>,
     ) {
         self.leave_server(id);
+        let was_on_trial = self.trials.running.contains_key(&id);
+        self.trials.end(id);
         let incarnation = self.fleet.server(server).incarnation;
         let call = self.calls.get_mut(id).expect("it was found before");
         call.progress = call.take_progress().failed(failure.never_ran());
@@ -108,14 +111,21 @@
         match failure {
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
-            Failure::Broken => self.strike(now, id, server, out),
+            Failure::Broken => self.strike(now, id, server, was_on_trial, out),
             Failure::StaleIncarnation => self.placement.on_reset(server),
             Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
         }
         self.retry_or_refuse(now, id, failure, out);
     }
 
-    fn strike(&mut self, now: Time, id: CallId, server: ServerKey, out: &mut Vec<Action>) {
+    fn strike(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        on_trial: bool,
+        out: &mut Vec<Action>,
+    ) {
         self.fleet.suspect(server, now.plus_millis(SUSPECT_MS));
         let call = self.calls.get(id).expect("it was found before");
         if !matches!(call.target, Target::Engine(_)) {
@@ -128,8 +138,10 @@
                 incarnation: self.fleet.server(server).incarnation,
             },
             at_ms: now.as_millis(),
+            on_trial,
         };
-        if self.strikes.add(&strike) {
+        let limit = self.crash_limit();
+        if self.strikes.add(&strike, limit) {
             self.tell_all(&PeerMessage::Strikes(vec![strike]), out);
         }
     }
@@ -146,9 +158,6 @@
     fn reason_to_give_up(&mut self, now: Time, id: CallId, failure: Failure) -> Option<NotNow> {
         let call = self.calls.get(id)?;
         let soon = now.plus_millis(COME_BACK_MS);
-        if let Some(not_now) = self.struck_out(now, call.fingerprint) {
-            return Some(not_now);
-        }
         if call.claim.is_some() && !failure.never_ran() {
             return Some(NotNow::for_good(Reason::AttemptsFailed));
         }
@@ -168,18 +177,6 @@
         None
     }
 
-    /// Tells whether a request has broken too many runners to be run again.
-    pub(crate) fn struck_out(&self, now: Time, fingerprint: u64) -> Option<NotNow> {
-        let limit = self.rollout.config()?.limits.crashes_per_request;
-        if self.strikes.count(now, fingerprint) < limit {
-            return None;
-        }
-        Some(NotNow {
-            reason: Reason::CrashedRunners,
-            retry_at: self.strikes.forgiven_at(fingerprint),
-        })
-    }
-
     /// Gives a call's final answer when it is not served.
     pub(crate) fn refuse(&mut self, id: CallId, not_now: NotNow, out: &mut Vec<Action>) {
         let Some(mut call) = self.take_out(id) else {
@@ -253,6 +250,7 @@
 
     fn take_out(&mut self, id: CallId) -> Option<Call> {
         self.leave_server(id);
+        self.trials.end(id);
         let call = self.calls.remove(id)?;
         self.admission.release(call.workspace, call.tokens);
         Some(call)
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -30,6 +30,10 @@
 impl Node {
     /// Sends a call to the best server, or refuses it.
     pub(crate) fn route(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        if self.needs_trial(now, id) {
+            self.wait_for_trial(now, id, out);
+            return;
+        }
         let call = self.calls.get(id).expect("only live calls are routed");
         let aim = match &call.target {
             Target::Engine(ask) => self.aim_at_engine(now, call, ask),
@@ -79,6 +83,27 @@
         }
     }
 
+    /// Sends a call to an engine that was chosen for another reason than its load.
+    pub(crate) fn send_to(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        out: &mut Vec<Action>,
+    ) {
+        let call = self.calls.get(id).expect("only live calls are sent");
+        let incarnation = self.fleet.server(server).incarnation;
+        let weights_version = match &call.target {
+            Target::Engine(ask) if !call.any_weights => ask.weights_version,
+            _ => 0,
+        };
+        let aim = Aim {
+            weights_version,
+            ..Aim::plain(server, incarnation)
+        };
+        self.dispatch(now, id, aim, out);
+    }
+
     fn dispatch(&mut self, now: Time, id: CallId, aim: Aim, out: &mut Vec<Action>) {
         self.on_admitted(now, id);
         let call = self.calls.get_mut(id).expect("only live calls are sent");
--- /dev/null
+++ b/crates/policy/src/shared_record.rs
@@ -0,0 +1,124 @@
+//! A record in the key-value service that several routers change.
+//!
+//! The record changes only by compare-and-swap. A router works on the copy that
+//! it last read or wrote, with one call outstanding at a time.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::OpId;
+use crate::StoreRequest;
+use crate::StoreResult;
+
+/// A router's view of a record that several routers change.
+#[derive(Debug)]
+pub(crate) struct SharedRecord<R> {
+    key: &'static str,
+    /// Version and content as last read or written, none when unsure.
+    held: Option<(u64, R)>,
+    pending: Option<Pending<R>>,
+}
+
+/// A call to the key-value service without a result yet.
+#[derive(Debug)]
+enum Pending<R> {
+    Read(OpId),
+    Write(OpId, R),
+}
+
+/// What the result of a call means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Settled {
+    /// The call was not about this record.
+    NotOurs,
+    /// The content is known.
+    Known,
+    /// The content has to be read again.
+    Unsure,
+    /// The service can't be reached.
+    Unavailable,
+}
+
+impl<R> SharedRecord<R>
+where
+    R: Clone + Default + DeserializeOwned + PartialEq + Serialize,
+{
+    /// Creates a view that knows nothing of the record yet.
+    pub(crate) fn new(key: &'static str) -> SharedRecord<R> {
+        SharedRecord {
+            key,
+            held: None,
+            pending: None,
+        }
+    }
+
+    /// Returns the content, if it is known.
+    pub(crate) fn content(&self) -> Option<&R> {
+        self.held.as_ref().map(|(_, content)| content)
+    }
+
+    /// Tells whether a call has no result yet.
+    pub(crate) fn is_pending(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Forgets the content, so that it is read again.
+    pub(crate) fn forget(&mut self) {
+        self.held = None;
+    }
+
+    /// Returns the request that reads the record.
+    pub(crate) fn read(&mut self, op: OpId) -> StoreRequest {
+        self.pending = Some(Pending::Read(op));
+        StoreRequest::Get {
+            key: self.key.to_owned(),
+        }
+    }
+
+    /// Returns the request that writes `next` over the known content.
+    pub(crate) fn write(&mut self, op: OpId, next: R) -> StoreRequest {
+        let value = serde_json::to_vec(&next).expect("a record has a JSON form");
+        self.pending = Some(Pending::Write(op, next));
+        StoreRequest::CompareAndSwap {
+            key: self.key.to_owned(),
+            expected: self.held.as_ref().map_or(0, |(version, _)| *version),
+            value,
+            expires: None,
+        }
+    }
+
+    /// Takes the result of a call in.
+    pub(crate) fn settle(&mut self, op: OpId, result: &StoreResult) -> Settled {
+        let pending = match self.pending.take() {
+            Some(Pending::Read(own)) if own == op => Pending::Read(own),
+            Some(Pending::Write(own, next)) if own == op => Pending::Write(own, next),
+            other => {
+                self.pending = other;
+                return Settled::NotOurs;
+            }
+        };
+        self.held = match (pending, result) {
+            (Pending::Write(_, next), StoreResult::Written { version }) => Some((*version, next)),
+            (_, StoreResult::Value { version, value }) => parse(*version, value),
+            (_, StoreResult::Conflict { held: Some(held) }) => parse(held.0, &held.1),
+            (Pending::Read(_), StoreResult::Absent) => Some((0, R::default())),
+            (_, StoreResult::Unavailable) => {
+                self.held = None;
+                return Settled::Unavailable;
+            }
+            _ => None,
+        };
+        match self.held {
+            Some(_) => Settled::Known,
+            None => Settled::Unsure,
+        }
+    }
+}
+
+fn parse<R>(version: u64, value: &[u8]) -> Option<(u64, R)>
+where
+    R: DeserializeOwned,
+{
+    let content = serde_json::from_slice(value).ok()?;
+    Some((version, content))
+}
--- a/crates/policy/src/strikes.rs
+++ b/crates/policy/src/strikes.rs
@@ -1,7 +1,13 @@
 //! Requests that break the runners that run them.
+//!
+//! All requests that a runner had when it broke are struck. One of them may have
+//! been on trial there, the only struck one: then it alone is to blame, and if it
+//! has broken enough runners, it is to blame for the earlier ones too. Strikes
+//! of the others on these runners no longer count.
 
 use std::collections::BTreeMap;
 
+use crate::Incarnation;
 use crate::ServerMark;
 use crate::Strike;
 use crate::Time;
@@ -9,42 +15,84 @@
 /// Time for which a strike counts, in milliseconds.
 const STRIKE_LIFE_MS: u64 = 600_000;
 
+/// A strike without its request and runner.
+#[derive(Clone, Copy, Debug)]
+struct Note {
+    at_ms: u64,
+    on_trial: bool,
+}
+
 /// Runners that broke, by the fingerprint of a request that they ran.
 #[derive(Debug, Default)]
 pub(crate) struct Strikes {
-    by_fingerprint: BTreeMap<u64, BTreeMap<ServerMark, u64>>,
+    by_fingerprint: BTreeMap<u64, BTreeMap<ServerMark, Note>>,
+    /// Who is to blame for a broken runner, where it is known.
+    culprits: BTreeMap<ServerMark, u64>,
 }
 
 impl Strikes {
     /// Adds a strike; tells whether this is news.
-    pub(crate) fn add(&mut self, strike: &Strike) -> bool {
+    pub(crate) fn add(&mut self, strike: &Strike, limit: u32) -> bool {
         let marks = self.by_fingerprint.entry(strike.fingerprint).or_default();
-        let news = !marks.contains_key(&strike.mark);
-        marks.entry(strike.mark.clone()).or_insert(strike.at_ms);
-        news
+        let known = marks.get(&strike.mark);
+        if known.is_some_and(|note| note.on_trial || !strike.on_trial) {
+            return false;
+        }
+        let note = Note {
+            at_ms: strike.at_ms,
+            on_trial: strike.on_trial,
+        };
+        marks.insert(strike.mark.clone(), note);
+        if strike.on_trial {
+            self.blame(strike.fingerprint, &strike.mark, limit);
+        }
+        true
     }
 
-    /// Returns how many runners a request has broken lately.
+    /// Returns how many broken runners a request may be to blame for.
     pub(crate) fn count(&self, now: Time, fingerprint: u64) -> u32 {
         let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
             return 0;
         };
-        let live = marks.values().filter(|at| lives(now, **at)).count();
-        u32::try_from(live).unwrap_or(u32::MAX)
+        let blamed = marks
+            .iter()
+            .filter(|(mark, note)| lives(now, note.at_ms) && self.may_blame(mark, fingerprint));
+        u32::try_from(blamed.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the time of a request's last strike.
+    pub(crate) fn last_at(&self, fingerprint: u64) -> Option<Time> {
+        let notes = self.by_fingerprint.get(&fingerprint)?.values();
+        notes.map(|note| Time::from_millis(note.at_ms)).max()
     }
 
     /// Returns the time at which the last strike of a request no longer counts.
     pub(crate) fn forgiven_at(&self, fingerprint: u64) -> Option<Time> {
-        let last = self.by_fingerprint.get(&fingerprint)?.values().max()?;
-        Some(Time::from_millis(last + STRIKE_LIFE_MS))
+        Some(self.last_at(fingerprint)?.plus_millis(STRIKE_LIFE_MS))
+    }
+
+    /// Withdraws the strikes on a runner that is seen alive after them.
+    pub(crate) fn withdraw(&mut self, server: &str, incarnation: Incarnation, seen: Time) {
+        for marks in self.by_fingerprint.values_mut() {
+            marks.retain(|mark, note| {
+                let alive = mark.server == server && mark.incarnation == incarnation;
+                !alive || note.at_ms >= seen.as_millis()
+            });
+        }
+        self.drop_empty();
+    }
+
+    /// Tells whether no request is struck.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_fingerprint.is_empty()
     }
 
     /// Drops strikes that no longer count.
     pub(crate) fn expire(&mut self, now: Time) {
         for marks in self.by_fingerprint.values_mut() {
-            marks.retain(|_, at| lives(now, *at));
+            marks.retain(|_, note| lives(now, note.at_ms));
         }
-        self.by_fingerprint.retain(|_, marks| !marks.is_empty());
+        self.drop_empty();
     }
 
     /// Returns all strikes.
@@ -52,14 +100,43 @@
         self.by_fingerprint
             .iter()
             .flat_map(|(fingerprint, marks)| {
-                marks.iter().map(|(mark, at_ms)| Strike {
+                marks.iter().map(|(mark, note)| Strike {
                     fingerprint: *fingerprint,
                     mark: mark.clone(),
-                    at_ms: *at_ms,
+                    at_ms: note.at_ms,
+                    on_trial: note.on_trial,
                 })
             })
             .collect()
     }
+
+    /// Blames a request for the runner that it broke on trial, and for all that
+    /// it was struck for once it has broken `limit` of them.
+    fn blame(&mut self, fingerprint: u64, mark: &ServerMark, limit: u32) {
+        let marks = &self.by_fingerprint[&fingerprint];
+        if marks.len() >= limit as usize {
+            for mark in marks.keys() {
+                self.culprits.insert(mark.clone(), fingerprint);
+            }
+        } else {
+            self.culprits.insert(mark.clone(), fingerprint);
+        }
+    }
+
+    fn may_blame(&self, mark: &ServerMark, fingerprint: u64) -> bool {
+        self.culprits
+            .get(mark)
+            .is_none_or(|culprit| *culprit == fingerprint)
+    }
+
+    fn drop_empty(&mut self) {
+        self.by_fingerprint.retain(|_, marks| !marks.is_empty());
+        let by_fingerprint = &self.by_fingerprint;
+        self.culprits.retain(|mark, fingerprint| {
+            let marks = by_fingerprint.get(fingerprint);
+            marks.is_some_and(|marks| marks.contains_key(mark))
+        });
+    }
 }
 
 fn lives(now: Time, at_ms: u64) -> bool {
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -15,6 +15,8 @@
     Store(OpId),
     /// The loads of weights are to be looked at.
     Loads,
+    /// Trials are to be looked at.
+    Trials,
     /// Other routers are to be told what is new.
     Gossip,
     /// Calls in flight must have ended.
--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -10,12 +10,10 @@
 use crate::load_record::LoadRecord;
 use crate::load_record::Slot;
 use crate::load_record::Wanted;
-use crate::load_record::LOADS_KEY;
 use crate::load_record::ORDER_FLIGHT_MS;
-use crate::loads::write_request;
 use crate::loads::Given;
 use crate::loads::Held;
-use crate::loads::Pending;
+use crate::shared_record::Settled;
 use crate::timers::Timer;
 use crate::Action;
 use crate::LoadReport;
@@ -24,7 +22,6 @@
 use crate::Order;
 use crate::OrderAnswer;
 use crate::ServerKey;
-use crate::StoreRequest;
 use crate::StoreResult;
 use crate::Time;
 
@@ -73,7 +70,7 @@
             given.landed_at = now;
         }
         if let OrderAnswer::StaleFencing(_) = answer {
-            self.loads.record = None;
+            self.loads.record.forget();
         }
     }
 
@@ -82,16 +79,16 @@
         self.loads.look_at = None;
         let holder = self.holder();
         if self.loads.is_idle(&holder) {
-            self.loads.record = None;
+            self.loads.record.forget();
             return;
         }
         self.look_later(now);
-        if self.loads.pending.is_some() {
+        if self.loads.record.is_pending() {
             return;
         }
-        match self.loads.record.clone() {
+        match self.loads.record.content().cloned() {
             None => self.read_loads(out),
-            Some((version, record)) => self.advance_loads(now, version, record, out),
+            Some(record) => self.advance_loads(now, &record, out),
         }
     }
 
@@ -103,25 +100,9 @@
         result: &StoreResult,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(pending) = self.loads.settle(op) else {
+        if self.loads.record.settle(op, result) == Settled::NotOurs {
             return false;
-        };
-        self.loads.record = match (pending, result) {
-            (Pending::Write(_, record), StoreResult::Written { version }) => {
-                Some((*version, record))
-            }
-            (_, StoreResult::Value { version, value })
-            | (
-                _,
-                StoreResult::Conflict {
-                    held: Some((version, value)),
-                },
-            ) => serde_json::from_slice(value)
-                .ok()
-                .map(|record| (*version, record)),
-            (Pending::Read(_), StoreResult::Absent) => Some((0, LoadRecord::default())),
-            _ => None,
-        };
+        }
         self.give_orders(now, out);
         true
     }
@@ -149,26 +130,19 @@
             })
     }
 
-    fn advance_loads(
-        &mut self,
-        now: Time,
-        version: u64,
-        record: LoadRecord,
-        out: &mut Vec<Action>,
-    ) {
+    fn advance_loads(&mut self, now: Time, record: &LoadRecord, out: &mut Vec<Action>) {
         let mut next = record.clone();
         self.drop_finished(now, &mut next);
         next.drop_abandoned(now);
         next.renew(now, &self.holder());
         self.take_slots(now, &mut next);
-        if next == record {
+        if next == *record {
             self.give_orders(now, out);
-            self.refresh_if_waiting(&record, out);
+            self.refresh_if_waiting(record, out);
             return;
         }
         let op = self.store_ops.name();
-        let request = write_request(LOADS_KEY, version, &next);
-        self.loads.pending = Some(Pending::Write(op, next));
+        let request = self.loads.record.write(op, next);
         out.push(Action::Store { op, request });
     }
 
@@ -224,10 +198,7 @@
 
     fn read_loads(&mut self, out: &mut Vec<Action>) {
         let op = self.store_ops.name();
-        self.loads.pending = Some(Pending::Read(op));
-        let request = StoreRequest::Get {
-            key: LOADS_KEY.to_owned(),
-        };
+        let request = self.loads.record.read(op);
         out.push(Action::Store { op, request });
     }
 
@@ -239,7 +210,7 @@
 
     /// Gives the orders of own slots, again after a while if nothing came of them.
     fn give_orders(&mut self, now: Time, out: &mut Vec<Action>) {
-        let Some((_, record)) = &self.loads.record else {
+        let Some(record) = self.loads.record.content() else {
             return;
         };
         let holder = self.holder();
@@ -276,7 +247,8 @@
         self.timers.add(at, Timer::Loads);
     }
 
-    fn holder(&self) -> String {
+    /// Returns the name under which this router holds leases.
+    pub(crate) fn holder(&self) -> String {
         format!("{}/{}", self.identity.vm, self.identity.incarnation)
     }
 }
--- a/crates/policy/tests/calls.rs
+++ b/crates/policy/tests/calls.rs
@@ -24,6 +24,7 @@
 use crate::common::config;
 use crate::common::node;
 use crate::common::step;
+use crate::common::step_with_store;
 use crate::common::KEY;
 use crate::common::START;
 
@@ -79,7 +80,7 @@
     let first = step(&mut node, START, completion(1));
     let first = dispatched(&first).clone();
 
-    let second = step(&mut node, START, failed(1, 1, Failure::Broken, 5));
+    let second = step_with_store(&mut node, START, failed(1, 1, Failure::Broken, 5));
 
     let second = dispatched(&second);
     assert_ne!(second.at.server, first.at.server);
@@ -100,7 +101,7 @@
 fn a_call_that_may_have_run_once_is_never_refused_as_not_run() {
     let mut node = node(&config(2));
     step(&mut node, START, completion(1));
-    step(&mut node, START, failed(1, 1, Failure::Broken, 0));
+    step_with_store(&mut node, START, failed(1, 1, Failure::Broken, 0));
 
     let actions = step(&mut node, START, failed(1, 2, Failure::NotConnected, 0));
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -20,6 +20,8 @@
 use policy::Identity;
 use policy::Node;
 use policy::ServiceCall;
+use policy::StoreRequest;
+use policy::StoreResult;
 use policy::Time;
 use policy::Work;
 
@@ -85,15 +87,41 @@
     out
 }
 
+/// Hands one event in, answers the calls to an empty key-value service that
+/// follow from it, and returns all actions.
+pub fn step_with_store(node: &mut Node, now: Time, event: Event) -> Vec<Action> {
+    let mut actions = step(node, now, event);
+    let mut seen = 0;
+    while seen < actions.len() {
+        assert!(seen < 10_000, "calls to the service without end");
+        if let Action::Store { op, request } = &actions[seen] {
+            let result = match request {
+                StoreRequest::Get { .. } => StoreResult::Absent,
+                StoreRequest::CompareAndSwap { .. } => StoreResult::Written { version: 1 },
+            };
+            let event = Event::Store { op: *op, result };
+            let more = step(node, now, event);
+            actions.extend(more);
+        }
+        seen += 1;
+    }
+    actions
+}
+
 /// A request for a completion.
 pub fn completion(call: u64) -> Event {
+    completion_of(call, 7)
+}
+
+/// A request for a completion whose body has this fingerprint.
+pub fn completion_of(call: u64, fingerprint: u64) -> Event {
     let work = Work::Generate(Generate {
         model: "long".to_owned(),
         pieces: vec![ContentHash(1), ContentHash(2)],
         prompt_tokens: 5_000,
         max_tokens: 100,
     });
-    request(call, work)
+    request_of(call, fingerprint, work)
 }
 
 /// A request for a booking, under an idempotency key.
@@ -119,12 +147,16 @@
 }
 
 fn request(call: u64, work: Work) -> Event {
+    request_of(call, 7, work)
+}
+
+fn request_of(call: u64, fingerprint: u64, work: Work) -> Event {
     Event::Call(Box::new(CallRequest {
         call: CallId(call),
         token_sha256: TOKEN.to_owned(),
         priority: None,
         deadline: None,
-        fingerprint: 7,
+        fingerprint,
         work,
     }))
 }
