A router's own word on its address goes before an older list entry; cheaper ids

A router that came back at another port was not reached until the membership list, which lags, said so. Tasks wait on tokens of their own for the end of the router instead of sharing one lock.

--- a/crates/router/src/event_id.rs
+++ b/crates/router/src/event_id.rs
@@ -4,8 +4,6 @@
 //! hexadecimal, the event's position, 1 on the last event, and an HMAC-SHA256
 //! of all before it.
 
-use std::fmt::Write;
-
 use hmac::Hmac;
 use hmac::Mac;
 use serde::Deserialize;
@@ -140,9 +138,7 @@
         id.push_str(&self.prefix);
         id.push_str(&suffix);
         id.push('.');
-        for byte in &mac[..MAC_BYTES] {
-            write!(id, "{byte:02x}").expect("writing to a string can't fail");
-        }
+        id.push_str(&hex::encode(&mac[..MAC_BYTES]));
         id
     }
 }
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -96,12 +96,17 @@
 }
 
 impl NodeState {
-    /// Takes in a message of a router, which may not be on the membership list
-    /// yet, or the list can't be read.
+    /// Takes in a message of a router. The membership list lags, so the router's
+    /// own word on its address goes before an older entry, or none.
     fn on_peer(&mut self, from: Member, message: PeerMessage, handle: &NodeHandle) {
         let name = from.name.clone();
-        if !self.members.iter().any(|member| member.name == name) {
+        let listed = self
+            .members
+            .iter()
+            .any(|member| member.name == name && member.incarnation >= from.incarnation);
+        if !listed {
             let mut members = self.members.clone();
+            members.retain(|member| member.name != name);
             members.push(from);
             self.decide(Event::Members(members), handle);
         }
--- a/crates/router/src/tasks.rs
+++ b/crates/router/src/tasks.rs
@@ -18,7 +18,7 @@
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let stop = self.stop.clone();
+        let stop = self.stop.child_token();
         self.tracker.spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
