--- a/crates/router/tests/common/fake_platform.rs
+++ b/crates/router/tests/common/fake_platform.rs
@@ -29,6 +29,7 @@
     changed: watch::Sender<u64>,
     members: watch::Sender<Members>,
     down: AtomicBool,
+    lags: AtomicBool,
 }
 
 impl FakePlatform {
@@ -38,6 +39,7 @@
             changed: watch::channel(0).0,
             members: watch::channel(Members::default()).0,
             down: AtomicBool::new(false),
+            lags: AtomicBool::new(false),
         }
     }
 
@@ -46,6 +48,11 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// Makes the membership list stay as it is.
+    pub fn let_members_lag(&self) {
+        self.lags.store(true, Ordering::SeqCst);
+    }
+
     pub fn put(&self, key: &str, value: Vec<u8>) {
         let version = self.held(key).map_or(0, |held| held.version) + 1;
         let value = Bytes::from(value);
@@ -171,7 +178,11 @@
     }
 
     fn announce(&self, member: Member) -> BoxFuture<'_, Result<()>> {
+        let lags = self.lags.load(Ordering::SeqCst);
         let announced = self.check().map(|()| {
+            if lags {
+                return;
+            }
             self.members.send_modify(|list| {
                 list.version += 1;
                 list.members.retain(|m| m.name != member.name);
--- a/crates/router/tests/common/system.rs
+++ b/crates/router/tests/common/system.rs
@@ -131,7 +131,12 @@
     /// Starts one more router and returns its address.
     pub async fn add_router(&mut self) -> SocketAddr {
         let vm = format!("vm{}", self.routers.len());
-        let settings = settings(&vm, self.limits);
+        self.start_router(&vm).await
+    }
+
+    /// Starts a router on this VM and returns its address.
+    pub async fn start_router(&mut self, vm: &str) -> SocketAddr {
+        let settings = settings(vm, self.limits);
         let router = Router::start(settings, self.outside()).await.unwrap();
         let address = router.address();
         self.routers.push(router);
--- a/crates/router/tests/platform.rs
+++ b/crates/router/tests/platform.rs
@@ -2,10 +2,14 @@
 
 mod common;
 
+use std::time::Duration;
+
 use config::HEAD_KEY;
 use platform::RouterStatus;
 use platform::ROUTER_STATUS_PREFIX;
 use policy::Time;
+use router::Router;
+use tokio::time::timeout;
 
 use common::caller::tokens;
 use common::caller::Caller;
@@ -14,6 +18,12 @@
 
 const NEVER: Time = Time::from_millis(u64::MAX / 2_000);
 
+async fn comes_in_force(router: &Router, version: u64) {
+    timeout(Duration::from_secs(20), router.in_force(version))
+        .await
+        .expect("the configuration never came in force");
+}
+
 fn status(system: &System, router: usize) -> Option<RouterStatus> {
     let key = format!("{ROUTER_STATUS_PREFIX}vm{router}");
     let held = system.platform.held(&key)?;
@@ -36,7 +46,7 @@
     system.apply(2);
 
     for router in [0, 1] {
-        system.routers[router].in_force(2).await;
+        comes_in_force(&system.routers[router], 2).await;
         status_says(&system, router, |s| s.is_some_and(|s| s.version == 2)).await;
     }
 }
@@ -45,13 +55,13 @@
 async fn an_older_version_or_a_broken_one_changes_nothing() {
     let system = a_system().start().await;
     system.apply(5);
-    system.routers[0].in_force(5).await;
+    comes_in_force(&system.routers[0], 5).await;
 
     system.apply(3);
     system.platform.put(HEAD_KEY, b"{".to_vec());
     let answer = Caller::completion(system.address(0), 2).send().await;
     system.apply(6);
-    system.routers[0].in_force(6).await;
+    comes_in_force(&system.routers[0], 6).await;
 
     assert_eq!(answer.json()["choices"][0]["text"], tokens(0, 2));
 }
@@ -75,7 +85,7 @@
     system.platform.forget(HEAD_KEY);
 
     let address = system.add_router().await;
-    system.routers[2].in_force(1).await;
+    comes_in_force(&system.routers[2], 1).await;
 
     let answer = Caller::completion(address, 4).send().await;
     assert_eq!(answer.json()["choices"][0]["text"], tokens(0, 4));
@@ -88,12 +98,26 @@
     system.platform.set_down(true);
 
     system.restart_router(0).await;
-    system.routers[0].in_force(1).await;
+    comes_in_force(&system.routers[0], 1).await;
 
     let answer = Caller::completion(system.address(0), 4).send().await;
     assert_eq!(answer.json()["choices"][0]["text"], tokens(0, 4));
 }
 
+#[tokio::test]
+async fn a_router_that_comes_back_at_other_ports_is_reached_before_the_list_says_so() {
+    let mut system = a_system().with_routers(2).start().await;
+    system.platform.has_members(2).await;
+    system.platform.let_members_lag();
+    system.platform.forget(HEAD_KEY);
+
+    system.routers.remove(0).kill().await;
+    system.start_router("vm0").await;
+
+    let last = system.routers.last().unwrap();
+    comes_in_force(last, 1).await;
+}
+
 #[tokio::test]
 async fn a_shutdown_is_published_and_the_status_taken_back() {
     let mut system = a_system().with_routers(2).start().await;
