Golden file of a retry: the record of trials is read and written before it

The rest of the file is unchanged, and engines are named by the order in which they are met there too.

--- a/crates/policy/tests/golden.rs
+++ b/crates/policy/tests/golden.rs
@@ -26,6 +26,9 @@
 use crate::common::KEY;
 use crate::common::START;
 
+/// Names of the engines that a configuration has here at most.
+const ENGINES: [&str; 3] = ["engine1", "engine2", "engine3"];
+
 /// A node and all that went in and came out.
 ///
 /// Servers are named in the order in which they are met, so that the text
@@ -65,10 +68,20 @@
                 self.server(&dispatch.server_name),
                 dispatch.resume_after
             ),
+            Action::Store { .. } => self.without_engine_names(line(action)),
             other => line(other),
         }
     }
 
+    fn without_engine_names(&mut self, text: String) -> String {
+        ENGINES
+            .iter()
+            .fold(text, |text, name| match text.contains(name) {
+                true => text.replace(name, &self.server(name)),
+                false => text,
+            })
+    }
+
     fn server(&mut self, name: &str) -> String {
         let place = self.servers.iter().position(|other| other == name);
         let place = place.unwrap_or_else(|| {
@@ -221,7 +234,11 @@
 
     session.step(0, "call 1 asks for a completion", completion(1));
     session.report(10, 1, BackendReport::FirstToken);
-    session.report(20, 1, broken(5));
+    let actions = session.report(20, 1, broken(5));
+    let (op, _) = store_op(&actions);
+    let actions = session.store(21, op, StoreResult::Absent);
+    let (op, _) = store_op(&actions);
+    session.store(22, op, StoreResult::Written { version: 1 });
     session.report(30, 1, broken(6));
     session.report(40, 2, BackendReport::Finished { output_tokens: 100 });
 
