--- a/crates/router/src/membership_task.rs
+++ b/crates/router/src/membership_task.rs
@@ -28,8 +28,8 @@
 /// Time after which an announcement is given up.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Least time between two announcements of the same state, for the list lags.
-const ANNOUNCE_PAUSE: Duration = Duration::from_secs(15);
+/// Least time between two announcements; the list drops a VM that stays silent.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(5);
 
 /// Mean time between two tries while the list can't be reached, in milliseconds.
 const RETRY_MS: u64 = 1_000;
@@ -57,8 +57,8 @@
                 members = read(membership.as_ref(), seen) => match members {
                     Some(members) => {
                         seen = members.version;
-                        let listed = self.take_in(members);
-                        if !listed && announced.elapsed() > ANNOUNCE_PAUSE {
+                        self.take_in(members);
+                        if announced.elapsed() >= ANNOUNCE_EVERY {
                             announced = self.announce().await;
                         }
                     }
@@ -94,12 +94,10 @@
         Instant::now()
     }
 
-    /// Hands the list in and tells whether this VM is on it.
-    fn take_in(&self, members: Members) -> bool {
-        let listed = members.members.contains(&self.member);
+    /// Hands the list in.
+    fn take_in(&self, members: Members) {
         let members = members.members.into_iter().map(member).collect();
         self.node.event(Event::Members(members));
-        listed
     }
 }
 
