--- /dev/null
+++ b/crates/standins/examples/policy_bench.rs
@@ -0,0 +1,80 @@
+//! Compares routing policies on virtual time and prints one table.
+
+use argh::FromArgs;
+
+use standins::bench::setup::Scenario;
+use standins::bench::setup::Setup;
+use standins::bench::table;
+use standins::bench::table::Row;
+use standins::bench::variant::Variant;
+use standins::bench::variant::VARIANTS;
+
+/// Compares routing policies on virtual time.
+#[derive(FromArgs)]
+struct Args {
+    /// bursary or brim
+    #[argh(option)]
+    workload: String,
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seeds, from the first one on
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// one policy instead of all
+    #[argh(option)]
+    policy: Option<String>,
+    /// one scenario instead of all
+    #[argh(option)]
+    scenario: Option<String>,
+    /// print a JSON array instead of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+fn main() {
+    let args: Args = argh::from_env();
+    let Some(setup) = Setup::find(&args.workload) else {
+        eprintln!("unknown workload {:?}", args.workload);
+        std::process::exit(2);
+    };
+    let rows = rows(&args, &setup);
+    if args.json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&rows).expect("rows are JSON")
+        );
+    }
+}
+
+fn rows(args: &Args, setup: &Setup) -> Vec<Row> {
+    let seeds = args.seed..args.seed + args.seeds;
+    let mut rows = Vec::new();
+    if !args.json {
+        println!("{}", table::heading());
+    }
+    for scenario in Scenario::ALL
+        .into_iter()
+        .filter(|s| wants(&args.scenario, s.name()))
+    {
+        for policy in policies(args) {
+            let row = table::row(policy, scenario, setup, seeds.clone());
+            if !args.json {
+                println!("{}", table::line(&row));
+            }
+            rows.push(row);
+        }
+    }
+    rows
+}
+
+fn policies(args: &Args) -> Vec<(&'static str, Variant)> {
+    VARIANTS
+        .into_iter()
+        .filter(|(name, _)| wants(&args.policy, name))
+        .collect()
+}
+
+fn wants(chosen: &Option<String>, name: &str) -> bool {
+    chosen.as_ref().is_none_or(|c| c == name)
+}
--- /dev/null
+++ b/crates/standins/src/bench.rs
@@ -0,0 +1,14 @@
+//! Bench of the routing policy on virtual time.
+
+pub mod baseline;
+pub mod cache;
+pub mod deployment;
+pub mod engine;
+pub mod measures;
+pub mod router;
+pub mod setup;
+pub mod table;
+pub mod variant;
+pub mod wire_size;
+pub mod workload;
+pub mod world;
--- /dev/null
+++ b/crates/standins/src/bench/deployment.rs
@@ -0,0 +1,175 @@
+//! Configuration and membership list of a modelled deployment.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use config::BackendServer;
+use config::Config;
+use config::Limits;
+use config::Model;
+use config::Priority;
+use config::Weights;
+use config::Workspace;
+use policy::Identity;
+use policy::Incarnation;
+use policy::Member;
+use policy::MemberRole;
+
+use crate::bench::engine::Engine;
+use crate::bench::setup::Setup;
+use crate::bench::setup::DOMAINS_PER_REGION;
+use crate::bench::setup::REGIONS;
+use crate::bench::setup::ROUTERS;
+use crate::bench::setup::WORKSPACE_SHARES;
+
+/// Name of the one model.
+pub const MODEL: &str = "m";
+
+/// Version of its weights.
+pub const WEIGHTS_VERSION: u64 = 1;
+
+const ENGINE_PORT: u16 = 10_000;
+
+/// Returns the name of a router's VM.
+pub fn router_name(router: usize) -> String {
+    format!("router{router:03}")
+}
+
+/// Returns the router with this name.
+pub fn router_named(name: &str) -> usize {
+    name[6..].parse().expect("names end in a number")
+}
+
+/// Returns the name of an engine; the order of names is that of the engines.
+pub fn engine_name(engine: usize) -> String {
+    format!("engine{engine:03}")
+}
+
+/// Returns the engine at this address.
+pub fn engine_at(address: SocketAddr) -> usize {
+    usize::from(address.port() - ENGINE_PORT)
+}
+
+/// Returns the name of a workspace.
+pub fn workspace_name(workspace: usize) -> String {
+    format!("w{workspace}")
+}
+
+/// Returns the token of a workspace.
+pub fn token(workspace: usize) -> String {
+    format!("token{workspace}")
+}
+
+/// Returns what a router knows of itself.
+pub fn identity(setup: &Setup, router: usize, start: u64) -> Identity {
+    let region = setup.router_region(router);
+    Identity {
+        vm: router_name(router),
+        region: region_name(region),
+        failure_domain: domain_name(region, router),
+        incarnation: start,
+    }
+}
+
+/// Returns the configuration.
+pub fn config(setup: &Setup) -> Arc<Config> {
+    let engines = (0..setup.runners).map(|i| (engine_name(i), engine(setup, i)));
+    let workspaces = (0..WORKSPACE_SHARES.len()).map(|i| (workspace_name(i), workspace(setup, i)));
+    let priorities = setup.kinds.iter().map(|kind| {
+        let priority = Priority {
+            rank: kind.rank,
+            default_deadline_ms: kind.deadline_ms,
+        };
+        (kind.priority.to_owned(), priority)
+    });
+    let model = Model {
+        weights_version: WEIGHTS_VERSION,
+        prefill_ms_per_1000_tokens: setup.prefill_us_per_token,
+        kv_bytes_per_token: setup.kv_bytes_per_token,
+    };
+    Arc::new(Config {
+        workspaces: workspaces.collect(),
+        models: BTreeMap::from([(MODEL.to_owned(), model)]),
+        priorities: priorities.collect(),
+        backend_servers: engines.collect(),
+        services: BTreeMap::new(),
+        limits: Limits::default(),
+    })
+}
+
+/// Returns the membership list.
+pub fn members(setup: &Setup, engines: &[Engine], starts: &[u64]) -> Vec<Member> {
+    let mut members: Vec<Member> = (0..ROUTERS)
+        .map(|i| router_member(setup, i, starts[i]))
+        .collect();
+    for (i, engine) in engines.iter().enumerate() {
+        if engine.up {
+            members.push(engine_member(setup, i, engine.incarnation));
+        }
+    }
+    members
+}
+
+fn router_member(setup: &Setup, router: usize, start: u64) -> Member {
+    let region = setup.router_region(router);
+    Member {
+        name: router_name(router),
+        role: MemberRole::Router,
+        address: address(1_000 + router as u16),
+        region: region_name(region),
+        failure_domain: domain_name(region, router),
+        incarnation: Incarnation(start),
+        leaving: false,
+    }
+}
+
+fn engine_member(setup: &Setup, engine: usize, incarnation: u64) -> Member {
+    let region = setup.engine_region(engine);
+    Member {
+        name: engine_name(engine),
+        role: MemberRole::BackendServer,
+        address: address(ENGINE_PORT + engine as u16),
+        region: region_name(region),
+        failure_domain: domain_name(region, engine),
+        incarnation: Incarnation(incarnation),
+        leaving: false,
+    }
+}
+
+fn engine(setup: &Setup, engine: usize) -> BackendServer {
+    let region = setup.engine_region(engine);
+    BackendServer {
+        address: address(ENGINE_PORT + engine as u16),
+        region: region_name(region),
+        failure_domain: domain_name(region, engine),
+        models: vec![MODEL.to_owned()],
+        workspaces: Vec::new(),
+        checks_fencing: true,
+    }
+}
+
+fn workspace(setup: &Setup, workspace: usize) -> Workspace {
+    Workspace {
+        token_sha256: token(workspace),
+        share: 1,
+        quota: Default::default(),
+        weights: Weights {
+            recompute_ms_per_1000_tokens: setup.recompute_ms_per_1000_tokens,
+            cross_region_ms_per_mb: setup.cross_region_ms_per_mb,
+        },
+    }
+}
+
+fn region_name(region: usize) -> String {
+    format!("region{region}")
+}
+
+fn domain_name(region: usize, vm: usize) -> String {
+    format!("region{region}-{}", vm / REGIONS % DOMAINS_PER_REGION)
+}
+
+fn address(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
