Cells with owners choose engines by cost, load and learned residency

Cause: routers that decide alone by affinity recompute prefixes that other engines hold, and can't see what other routers send.

Change: engines of a region and kind are grouped into cells, each with one owner among the routers by rendezvous hashing. An entry router picks the cell, asks its owner for the engine, and decides alone by the same function after a few milliseconds. The owner learns residency from its own choices and from cache events, tied to incarnations by slots; load is the last report corrected by what was sent since and by the work that others send, learned from the reports. One estimate decides: wait, recomputation or fetch of the KV cache, and a price for copies that grows with the queue at the engine.

--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -100,6 +100,7 @@
             failed_at: Vec::new(),
             delivered: delivered_before(&req.work),
             any_weights: false,
+            expected_cached_tokens: 0,
             answered: false,
         };
         self.calls.insert(req.call, call);
--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -32,6 +32,8 @@
 pub(crate) enum Stage {
     /// Its record is being claimed.
     Claiming,
+    /// The owner of a cell was asked for an engine.
+    Placing { ticket: u64, cell: u64 },
     /// A server is running it.
     Running { server: ServerKey, started: bool },
     /// Its answer is being recorded.
@@ -58,6 +60,8 @@
     pub(crate) delivered: u32,
     /// Whether an engine refused it for its weights, so that any may serve it.
     pub(crate) any_weights: bool,
+    /// Prompt tokens that the attempt in progress expects in the cache.
+    pub(crate) expected_cached_tokens: u64,
     /// Whether the caller has its final answer, or has gone away; the call goes
     /// on for the sake of its record.
     pub(crate) answered: bool,
@@ -107,15 +111,10 @@
     pub(crate) fn server(&self) -> Option<ServerKey> {
         match self.stage {
             Stage::Running { server, .. } => Some(server),
-            Stage::Claiming | Stage::Recording(_) => None,
+            Stage::Claiming | Stage::Placing { .. } | Stage::Recording(_) => None,
         }
     }
 
-    /// Tells whether the call waits for its first token.
-    pub(crate) fn is_queued(&self) -> bool {
-        matches!(self.stage, Stage::Running { started: false, .. })
-    }
-
     /// Takes what is known of the attempts out, to be put back by the caller.
     pub(crate) fn take_progress(&mut self) -> Progress {
         std::mem::replace(&mut self.progress, Progress::MayHaveRun)
--- /dev/null
+++ b/crates/policy/src/cells.rs
@@ -0,0 +1,236 @@
+//! Cells: engines of one region and of one kind, each cell with one owner among the routers.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::fleet::Fleet;
+use crate::fleet::ServerKind;
+use crate::interner::NameKey;
+use crate::rendezvous;
+use crate::routers::Routers;
+use crate::Identity;
+use crate::PlacementKind;
+use crate::ServerKey;
+
+/// Engines of a cell at most.
+const LARGEST_CELL: usize = 16;
+
+/// Router that owns a cell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Owner {
+    /// This one.
+    Own,
+    /// The one on this VM.
+    Peer(String),
+}
+
+/// Engines of one region that may run the same models for the same workspaces.
+#[derive(Clone, Debug)]
+pub(crate) struct Cell {
+    /// Hash of what the engines have in common and of the cell's number.
+    pub(crate) id: u64,
+    pub(crate) region: NameKey,
+    pub(crate) members: Vec<ServerKey>,
+    pub(crate) owner: Owner,
+    workspaces: Vec<NameKey>,
+}
+
+/// Index of a cell, valid until the next configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct CellKey(u32);
+
+/// All cells.
+#[derive(Debug, Default)]
+pub(crate) struct Cells {
+    cells: Vec<Cell>,
+    by_id: HashMap<u64, CellKey>,
+    by_model: HashMap<NameKey, Vec<CellKey>>,
+    by_server: HashMap<ServerKey, u64>,
+}
+
+/// What engines of a cell have in common.
+type Class = (NameKey, Vec<NameKey>, Vec<NameKey>);
+
+impl Cells {
+    /// Groups the engines that the configuration declares.
+    pub(crate) fn rebuild(&mut self, fleet: &Fleet, kind: PlacementKind, cell_size: u32) {
+        *self = Cells::default();
+        let size = match kind {
+            PlacementKind::Cells => (cell_size as usize).clamp(1, LARGEST_CELL),
+            PlacementKind::Affinity | PlacementKind::Alone => usize::MAX,
+        };
+        for (class, mut members) in classes(fleet, kind) {
+            members.sort_unstable_by_key(|key| (fleet.server(*key).name_hash, *key));
+            let count = members.len().div_ceil(size);
+            for number in 0..count {
+                let from = members.len() * number / count;
+                let to = members.len() * (number + 1) / count;
+                self.add(fleet, &class, number, &members[from..to]);
+            }
+        }
+    }
+
+    fn add(&mut self, fleet: &Fleet, class: &Class, number: usize, members: &[ServerKey]) {
+        let key = CellKey(u32::try_from(self.cells.len()).expect("fewer than 2^32 cells"));
+        let (region, models, workspaces) = class;
+        let id = class_id(fleet, class, number);
+        self.by_id.insert(id, key);
+        for model in models {
+            self.by_model.entry(*model).or_default().push(key);
+        }
+        for server in members {
+            self.by_server.insert(*server, id);
+        }
+        self.cells.push(Cell {
+            id,
+            region: *region,
+            members: members.to_vec(),
+            owner: Owner::Own,
+            workspaces: workspaces.clone(),
+        });
+    }
+
+    /// Finds the owner of each cell: the first router of its region by
+    /// rendezvous hashing, or of all if the region has none.
+    pub(crate) fn elect(
+        &mut self,
+        fleet: &Fleet,
+        kind: PlacementKind,
+        own: &Identity,
+        routers: &Routers,
+    ) {
+        if kind != PlacementKind::Cells {
+            return;
+        }
+        let candidates = candidates(own, routers);
+        for cell in &mut self.cells {
+            let region = fleet.regions.name(cell.region);
+            let near = candidates.iter().filter(|c| *c.region == **region);
+            let first = near
+                .max_by_key(|c| c.weight(cell.id))
+                .or_else(|| candidates.iter().max_by_key(|c| c.weight(cell.id)));
+            cell.owner = match first {
+                Some(router) if router.vm != own.vm => Owner::Peer(router.vm.to_owned()),
+                _ => Owner::Own,
+            };
+        }
+    }
+
+    /// Returns a cell.
+    pub(crate) fn get(&self, key: CellKey) -> &Cell {
+        &self.cells[key.0 as usize]
+    }
+
+    /// Returns the cell with this id.
+    pub(crate) fn find(&self, id: u64) -> Option<&Cell> {
+        self.by_id.get(&id).map(|key| self.get(*key))
+    }
+
+    /// Returns the id of the cell that a server belongs to.
+    pub(crate) fn id_of(&self, server: ServerKey) -> Option<u64> {
+        self.by_server.get(&server).copied()
+    }
+
+    /// Returns the cells whose engines may run `model` for `workspace`.
+    pub(crate) fn serving(
+        &self,
+        workspace: NameKey,
+        model: NameKey,
+    ) -> impl Iterator<Item = (CellKey, &Cell)> {
+        self.by_model
+            .get(&model)
+            .into_iter()
+            .flatten()
+            .map(|key| (*key, self.get(*key)))
+            .filter(move |(_, cell)| cell.serves(workspace))
+    }
+
+    /// Returns the cells that this router owns.
+    pub(crate) fn own(&self) -> impl Iterator<Item = &Cell> {
+        self.cells.iter().filter(|cell| cell.owner == Owner::Own)
+    }
+
+    /// Returns how many cells there are.
+    pub(crate) fn len(&self) -> usize {
+        self.cells.len()
+    }
+}
+
+impl Cell {
+    fn serves(&self, workspace: NameKey) -> bool {
+        self.workspaces.is_empty() || self.workspaces.contains(&workspace)
+    }
+}
+
+/// A router that may own a cell.
+struct Candidate<'a> {
+    vm: &'a str,
+    vm_hash: u64,
+    region: &'a str,
+}
+
+impl Candidate<'_> {
+    fn weight(&self, cell: u64) -> (u64, &str) {
+        (rendezvous::weight(cell, self.vm_hash), self.vm)
+    }
+}
+
+fn candidates<'a>(own: &'a Identity, routers: &'a Routers) -> Vec<Candidate<'a>> {
+    let peers = routers
+        .iter()
+        .filter(|(_, router)| !router.leaving)
+        .map(|(vm, router)| (vm.as_str(), router.region.as_str()));
+    peers
+        .chain(std::iter::once((own.vm.as_str(), own.region.as_str())))
+        .map(|(vm, region)| Candidate {
+            vm,
+            vm_hash: rendezvous::name_hash(vm),
+            region,
+        })
+        .collect()
+}
+
+fn classes(fleet: &Fleet, kind: PlacementKind) -> BTreeMap<Class, Vec<ServerKey>> {
+    let mut classes: BTreeMap<Class, Vec<ServerKey>> = BTreeMap::new();
+    for key in fleet.declared_engines() {
+        let server = fleet.server(key);
+        let ServerKind::Engine { models, workspaces } = &server.kind else {
+            continue;
+        };
+        let region = match kind {
+            PlacementKind::Cells => server.region,
+            PlacementKind::Affinity | PlacementKind::Alone => NameKey(0),
+        };
+        let class = (region, sorted(models), sorted(workspaces));
+        classes.entry(class).or_default().push(key);
+    }
+    classes
+}
+
+fn sorted(names: &[NameKey]) -> Vec<NameKey> {
+    let unique: BTreeSet<NameKey> = names.iter().copied().collect();
+    unique.into_iter().collect()
+}
+
+/// Returns a hash that is the same on every router, whatever keys its names have.
+fn class_id(fleet: &Fleet, (region, models, workspaces): &Class, number: usize) -> u64 {
+    let hash = |name: &str, seed| xxh3_64_with_seed(name.as_bytes(), seed);
+    let region = hash(fleet.regions.name(*region), number as u64);
+    let models = sum_of(models.iter().map(|m| hash(fleet.models.name(*m), region)));
+    sum_of(
+        workspaces
+            .iter()
+            .map(|w| hash(fleet.workspaces.name(*w), models)),
+    )
+    .wrapping_add(models)
+}
+
+fn sum_of<I>(hashes: I) -> u64
+where
+    I: Iterator<Item = u64>,
+{
+    hashes.fold(0, u64::wrapping_add)
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::interner::Interner;
 use crate::interner::NameKey;
+use crate::rendezvous;
 use crate::Incarnation;
 use crate::Member;
 use crate::MemberRole;
@@ -32,11 +33,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
     pub(crate) name: String,
+    /// Hash of the name, for rendezvous hashing.
+    pub(crate) name_hash: u64,
     pub(crate) address: SocketAddr,
     pub(crate) region: NameKey,
     pub(crate) failure_domain: NameKey,
     pub(crate) kind: ServerKind,
     pub(crate) checks_fencing: bool,
+    /// Time to compute one prompt token, in microseconds.
+    pub(crate) prefill_us_per_token: f64,
     /// Highest incarnation seen.
     pub(crate) incarnation: Incarnation,
     /// Whether the configuration declares it.
@@ -66,7 +71,6 @@
 pub(crate) struct Fleet {
     servers: Vec<Server>,
     by_name: HashMap<String, ServerKey>,
-    by_model: HashMap<NameKey, Vec<ServerKey>>,
     by_service: HashMap<String, Vec<ServerKey>>,
     any_listed: bool,
     pub(crate) regions: Interner,
@@ -81,7 +85,6 @@
         for server in &mut self.servers {
             server.declared = false;
         }
-        self.by_model.clear();
         self.by_service.clear();
         for name in cfg.workspaces.keys() {
             self.workspaces.intern(name);
@@ -90,7 +93,7 @@
             self.models.intern(name);
         }
         for (name, server) in &cfg.backend_servers {
-            self.declare_engine(name, server);
+            self.declare_engine(name, server, cfg);
         }
         for (name, service) in &cfg.services {
             for (replica, address) in &service.replicas {
@@ -99,8 +102,8 @@
         }
     }
 
-    fn declare_engine(&mut self, name: &str, declared: &config::BackendServer) {
-        let models: Vec<NameKey> = declared
+    fn declare_engine(&mut self, name: &str, declared: &config::BackendServer, cfg: &Config) {
+        let models = declared
             .models
             .iter()
             .map(|m| self.models.intern(m))
@@ -110,10 +113,7 @@
             .iter()
             .map(|w| self.workspaces.intern(w))
             .collect();
-        let kind = ServerKind::Engine {
-            models: models.clone(),
-            workspaces,
-        };
+        let kind = ServerKind::Engine { models, workspaces };
         let key = self.declare(name, declared.address, kind);
         let region = self.regions.intern(&declared.region);
         let failure_domain = self.domains.intern(&declared.failure_domain);
@@ -121,9 +121,7 @@
         server.region = region;
         server.failure_domain = failure_domain;
         server.checks_fencing = declared.checks_fencing;
-        for model in models {
-            self.by_model.entry(model).or_default().push(key);
-        }
+        server.prefill_us_per_token = slowest_prefill(declared, cfg);
     }
 
     fn declare_replica(&mut self, service: &str, replica: &str, address: SocketAddr) {
@@ -149,11 +147,13 @@
         let key = ServerKey(u32::try_from(self.servers.len()).expect("fewer than 2^32 servers"));
         self.servers.push(Server {
             name: name.to_owned(),
+            name_hash: rendezvous::name_hash(name),
             address,
             region: self.regions.intern(""),
             failure_domain: self.domains.intern(""),
             kind,
             checks_fencing: false,
+            prefill_us_per_token: 0.0,
             incarnation: Incarnation::default(),
             declared: true,
             listed: false,
@@ -230,18 +230,8 @@
             .collect()
     }
 
-    /// Returns the engines that may run `model` for `workspace` now.
-    pub(crate) fn engines(&self, workspace: NameKey, model: NameKey) -> Vec<ServerKey> {
-        let Some(keys) = self.by_model.get(&model) else {
-            return Vec::new();
-        };
-        keys.iter()
-            .copied()
-            .filter(|key| self.may_serve(*key, workspace))
-            .collect()
-    }
-
-    fn may_serve(&self, key: ServerKey, workspace: NameKey) -> bool {
+    /// Tells whether an engine may be given a request of a workspace now.
+    pub(crate) fn may_serve(&self, key: ServerKey, workspace: NameKey) -> bool {
         let server = self.server(key);
         let ServerKind::Engine { workspaces, .. } = &server.kind else {
             return false;
@@ -282,3 +272,13 @@
             .collect()
     }
 }
+
+/// Returns the slowest prefill of a server's models, in microseconds for a token.
+fn slowest_prefill(declared: &config::BackendServer, cfg: &Config) -> f64 {
+    declared
+        .models
+        .iter()
+        .filter_map(|name| cfg.models.get(name))
+        .map(|model| model.prefill_ms_per_1000_tokens)
+        .fold(0.0, f64::max)
+}
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -33,7 +33,9 @@
             PeerMessage::Strikes(strikes) => self.on_strikes(&strikes),
             PeerMessage::SnapshotRequest => self.give_snapshot(from, out),
             PeerMessage::Snapshot(snapshot) => self.on_snapshot(now, *snapshot, out),
-            PeerMessage::CellLoad(_) | PeerMessage::Place(_) | PeerMessage::Placed(_) => {}
+            PeerMessage::CellLoad(loads) => self.on_cell_loads(now, &loads),
+            PeerMessage::Place(req) => self.on_place(now, from, &req, out),
+            PeerMessage::Placed(placed) => self.on_placed(now, &placed, out),
         }
     }
 
@@ -139,16 +141,17 @@
             config,
             leaving: self.fleet.leaving_marks(),
             strikes: self.strikes.all(),
-            cells: Vec::new(),
+            cells: self.cell_loads.all(),
         };
         self.tell(from, PeerMessage::Snapshot(Box::new(snapshot)), out);
     }
 
-    fn on_snapshot(&mut self, _now: Time, snapshot: Snapshot, out: &mut Vec<Action>) {
+    fn on_snapshot(&mut self, now: Time, snapshot: Snapshot, out: &mut Vec<Action>) {
         if let Some((version, cfg)) = snapshot.config {
             self.on_config(version, &cfg, out);
         }
         self.on_leaving_marks(&snapshot.leaving, out);
         self.on_strikes(&snapshot.strikes);
+        self.on_cell_loads(now, &snapshot.cells);
     }
 }
--- a/crates/policy/src/interner.rs
+++ b/crates/policy/src/interner.rs
@@ -27,6 +27,11 @@
         key
     }
 
+    /// Returns the key of `name`, if it has one.
+    pub(crate) fn find(&self, name: &str) -> Option<NameKey> {
+        self.keys.get(name).copied()
+    }
+
     /// Returns the name of `key`.
     pub(crate) fn name(&self, key: NameKey) -> &Arc<str> {
         &self.names[key.0 as usize]
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -5,6 +5,7 @@
 use config::Config;
 
 use crate::Action;
+use crate::CacheChange;
 use crate::CacheReport;
 use crate::Incarnation;
 use crate::LoadReport;
@@ -22,8 +23,10 @@
             return;
         }
         self.fleet.on_config(cfg);
+        let kind = self.settings.placement;
+        self.cells.rebuild(&self.fleet, kind, cfg.limits.cell_size);
         out.push(Action::InForce { version });
-        out.push(Action::Watch(self.fleet.declared_engines()));
+        self.on_cells_changed(out);
         let message = PeerMessage::Config {
             version,
             config: cfg.clone(),
@@ -35,8 +38,9 @@
     pub(crate) fn on_members(&mut self, members: &[Member], out: &mut Vec<Action>) {
         self.routers.on_members(&self.identity.vm, members);
         for server in self.fleet.on_members(members) {
-            self.placement.on_reset(server);
+            self.forget(server);
         }
+        self.on_cells_changed(out);
         self.ask_for_snapshot(out);
     }
 
@@ -45,16 +49,16 @@
         let Some(server) = self.fleet.find(&report.server) else {
             return;
         };
-        if self.fleet.on_incarnation(server, report.incarnation) {
-            self.placement.on_reset(server);
-        }
+        self.see_incarnation(server, report.incarnation);
         if report.incarnation < self.fleet.server(server).incarnation {
             return;
         }
         if report.leaving {
             self.learn_leaving(server, report.incarnation, out);
         }
-        self.placement.on_load(server, report.queued_tokens);
+        let us_per_token = self.fleet.server(server).prefill_us_per_token;
+        let queued_us = (report.queued_tokens as f64 * us_per_token) as u64;
+        self.placement.on_load(server, report.at, queued_us);
         self.on_weights(now, server, report);
     }
 
@@ -63,11 +67,35 @@
         let Some(server) = self.fleet.find(&report.server) else {
             return;
         };
-        if self.fleet.on_incarnation(server, report.incarnation) {
-            self.placement.on_reset(server);
+        self.see_incarnation(server, report.incarnation);
+        if report.incarnation < self.fleet.server(server).incarnation {
+            return;
+        }
+        let cell = self.cells.id_of(server);
+        let Some(residency) = cell.and_then(|cell| self.placement.residency_mut(cell)) else {
+            return;
+        };
+        for change in &report.changes {
+            match change {
+                CacheChange::Stored(piece) => residency.store(server, *piece),
+                CacheChange::Evicted(piece) => residency.evict(server, *piece),
+            }
         }
     }
 
+    /// Takes in that an incarnation of a server was seen.
+    pub(crate) fn see_incarnation(&mut self, server: ServerKey, incarnation: Incarnation) {
+        if self.fleet.on_incarnation(server, incarnation) {
+            self.forget(server);
+        }
+    }
+
+    /// Forgets what was known of a server's cache and load.
+    pub(crate) fn forget(&mut self, server: ServerKey) {
+        let cell = self.cells.id_of(server);
+        self.placement.on_reset(cell, server);
+    }
+
     /// Marks a server as leaving and tells the other routers.
     pub(crate) fn learn_leaving(
         &mut self,
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -1,5 +1,7 @@
 //! The state machine of one router.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rand::SeedableRng;
@@ -9,6 +11,8 @@
 
 use crate::admission::Admission;
 use crate::call_table::CallTable;
+use crate::cell_loads::CellLoads;
+use crate::cells::Cells;
 use crate::fleet::Fleet;
 use crate::loads::Loads;
 use crate::placement::Placement;
@@ -21,8 +25,10 @@
 use crate::timers::Timer;
 use crate::timers::Timers;
 use crate::Action;
+use crate::CallId;
 use crate::Event;
 use crate::ServerKey;
+use crate::Settings;
 use crate::Time;
 
 /// What a router knows of itself.
@@ -45,6 +51,14 @@
     pub(crate) rollout: Rollout,
     pub(crate) fleet: Fleet,
     pub(crate) routers: Routers,
+    pub(crate) settings: Settings,
+    pub(crate) cells: Cells,
+    pub(crate) cell_loads: CellLoads,
+    pub(crate) own_cells: BTreeSet<u64>,
+    /// Engines of the last [`Action::Watch`].
+    pub(crate) watched: Option<Vec<ServerKey>>,
+    /// Calls for which an owner was asked.
+    pub(crate) tickets: BTreeMap<u64, CallId>,
     pub(crate) placement: Placement,
     pub(crate) strikes: Strikes,
     pub(crate) admission: Admission,
@@ -62,7 +76,13 @@
 impl Node {
     /// Creates a router that knows nothing yet but itself.
     pub fn new(identity: Identity, seed: u64) -> Node {
+        Node::with_settings(identity, seed, Settings::default())
+    }
+
+    /// Creates a router that chooses engines as `settings` say.
+    pub fn with_settings(identity: Identity, seed: u64, settings: Settings) -> Node {
         let mut timers = Timers::default();
+        timers.add(Time::default(), Timer::CellLoads);
         timers.add(Time::default(), Timer::Gossip);
         Node {
             identity,
@@ -70,6 +90,12 @@
             rollout: Rollout::default(),
             fleet: Fleet::default(),
             routers: Routers::default(),
+            settings,
+            cells: Cells::default(),
+            cell_loads: CellLoads::default(),
+            own_cells: BTreeSet::new(),
+            watched: None,
+            tickets: BTreeMap::new(),
             placement: Placement::default(),
             strikes: Strikes::default(),
             admission: Admission::default(),
@@ -145,6 +171,8 @@
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
                 Timer::Loads => self.on_loads_due(now, out),
+                Timer::Place(ticket) => self.on_place_deadline(now, ticket, out),
+                Timer::CellLoads => self.on_cell_loads_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
             }
--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,398 @@
+//! Two steps to an engine: a cell by affinity and load, then its owner's choice.
+
+use std::collections::BTreeSet;
+
+use rand::Rng;
+
+use crate::arrive::COME_BACK_MS;
+use crate::call_table::Stage;
+use crate::call_table::Target;
+use crate::cells::CellKey;
+use crate::cells::Owner;
+use crate::overload::NotNow;
+use crate::placement::Ask;
+use crate::placement::Choice;
+use crate::rendezvous;
+use crate::timers::Timer;
+use crate::Action;
+use crate::CallId;
+use crate::CellLoad;
+use crate::Node;
+use crate::PeerMessage;
+use crate::PlaceRequest;
+use crate::Placed;
+use crate::PlacementKind;
+use crate::Reason;
+use crate::ServerKey;
+use crate::ServerMark;
+use crate::Time;
+
+/// Time to wait for the answer of an owner in the same region, in milliseconds.
+const OWNER_WAIT_MS: u64 = 5;
+
+/// Time to wait for the answer of an owner in another region, in milliseconds.
+const FAR_OWNER_WAIT_MS: u64 = 15;
+
+/// Shortest pause between two rounds of cells' loads, in milliseconds.
+const CELL_LOADS_MS: u64 = 1_000;
+
+/// Bytes of a cell's load on the wire, with its part of a message's headers.
+const CELL_LOAD_BYTES: u64 = 48;
+
+/// Bytes in a second that a router may receive of cells' loads.
+const CELL_LOAD_BYTES_PER_S: u64 = 1_000;
+
+/// Cells, in the order of affinity, whose costs are compared.
+const CELLS_COMPARED: usize = 3;
+
+/// Extra latency of an engine in another region, there and back, in microseconds.
+const FAR_US: f64 = 10_000.0;
+
+impl Node {
+    /// Chooses an engine for a call, or asks the owner of the best cell to.
+    pub(crate) fn place(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let Some(cell) = self.best_cell(now, id) else {
+            let soon = now.plus_millis(COME_BACK_MS);
+            self.refuse(id, NotNow::until(soon, Reason::NoBackendServer), out);
+            return;
+        };
+        let tokens = self.calls.get(id).map_or(0, |call| call.tokens);
+        let cell_id = self.cells.get(cell).id;
+        self.cell_loads.on_sent(cell_id, tokens);
+        match self.cells.get(cell).owner.clone() {
+            Owner::Own => self.place_alone(now, id, cell_id, out),
+            Owner::Peer(vm) => self.ask_owner(now, id, cell_id, &vm, out),
+        }
+    }
+
+    /// Returns the cell with the lowest cost that has an engine left for the call.
+    fn best_cell(&self, now: Time, id: CallId) -> Option<CellKey> {
+        let call = self.calls.get(id)?;
+        let Target::Engine(ask) = &call.target else {
+            return None;
+        };
+        let mut ranked: Vec<(f64, CellKey)> = self
+            .cells
+            .serving(ask.workspace, ask.model)
+            .filter(|(_, cell)| {
+                !self
+                    .candidates(&cell.members, ask, &call.failed_at)
+                    .is_empty()
+            })
+            .map(|(key, cell)| {
+                let score = rendezvous::sized_score(ask.family(), cell.id, cell.members.len());
+                (score, key)
+            })
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        ranked
+            .iter()
+            .take(CELLS_COMPARED)
+            .enumerate()
+            .map(|(place, (_, key))| (self.cell_cost_us(now, ask, *key, place), *key))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, key)| key)
+    }
+
+    /// Returns the cost of a cell, in microseconds: only the first by affinity
+    /// is expected to hold the prompt's pieces.
+    fn cell_cost_us(&self, now: Time, ask: &Ask, key: CellKey, place: usize) -> f64 {
+        let cell = self.cells.get(key);
+        let wait_us = match cell.owner {
+            Owner::Own => self.own_wait_us(now, &cell.members),
+            Owner::Peer(_) => {
+                let us_per_token = ask.prefill_us_per_token;
+                self.cell_loads
+                    .wait_us(now, cell.id, cell.members.len(), us_per_token)
+            }
+        };
+        let same = **self.fleet.regions.name(cell.region) == *self.identity.region;
+        let far_us = if same { 0.0 } else { FAR_US };
+        let held = ask.pieces.len();
+        let elsewhere_us = match place {
+            0 => 0.0,
+            _ => (ask.work_us(0) - ask.work_us(held)) as f64,
+        };
+        wait_us + far_us + elsewhere_us
+    }
+
+    fn own_wait_us(&self, now: Time, members: &[ServerKey]) -> f64 {
+        let sum: u64 = members
+            .iter()
+            .map(|server| self.placement.wait_us(now, *server))
+            .sum();
+        sum as f64 / members.len().max(1) as f64
+    }
+
+    fn candidates(&self, members: &[ServerKey], ask: &Ask, avoid: &[ServerKey]) -> Vec<ServerKey> {
+        members
+            .iter()
+            .copied()
+            .filter(|key| !avoid.contains(key))
+            .filter(|key| self.fleet.may_serve(*key, ask.workspace))
+            .collect()
+    }
+
+    /// Chooses an engine of a cell by what this router knows, and sends the call there.
+    fn place_alone(&mut self, now: Time, id: CallId, cell: u64, out: &mut Vec<Action>) {
+        let choice = self.calls.get(id).and_then(|call| match &call.target {
+            Target::Engine(ask) => self.choose(now, cell, ask, &call.failed_at),
+            Target::Stream { .. } | Target::Service(_) => None,
+        });
+        let Some(choice) = choice else {
+            let soon = now.plus_millis(COME_BACK_MS);
+            self.refuse(id, NotNow::until(soon, Reason::NoBackendServer), out);
+            return;
+        };
+        self.send_to_choice(now, id, Some(cell), choice, out);
+    }
+
+    fn choose(&self, now: Time, cell: u64, ask: &Ask, avoid: &[ServerKey]) -> Option<Choice> {
+        let members = &self.cells.find(cell)?.members;
+        let candidates = self.candidates(members, ask, avoid);
+        self.placement
+            .choose(now, &self.settings, ask, (cell, &candidates), &self.fleet)
+    }
+
+    fn ask_owner(&mut self, now: Time, id: CallId, cell: u64, vm: &str, out: &mut Vec<Action>) {
+        let ticket = self.rng.random();
+        let near = self
+            .routers
+            .get(vm)
+            .is_some_and(|router| router.region == self.identity.region);
+        let wait_ms = if near {
+            OWNER_WAIT_MS
+        } else {
+            FAR_OWNER_WAIT_MS
+        };
+        let until = now.plus_millis(wait_ms);
+        let Some(message) = self.place_request(id, ticket, cell) else {
+            return;
+        };
+        let call = self.calls.get_mut(id).expect("only live calls are placed");
+        call.stage = Stage::Placing { ticket, cell };
+        self.tickets.insert(ticket, id);
+        self.timers.add(until, Timer::Place(ticket));
+        self.tell(vm, PeerMessage::Place(message), out);
+    }
+
+    fn place_request(&self, id: CallId, ticket: u64, cell: u64) -> Option<PlaceRequest> {
+        let call = self.calls.get(id)?;
+        let Target::Engine(ask) = &call.target else {
+            return None;
+        };
+        let avoid = call.failed_at.iter();
+        Some(PlaceRequest {
+            ticket,
+            cell,
+            pieces: ask.pieces.clone(),
+            prompt_tokens: u32::try_from(ask.prompt_tokens).unwrap_or(u32::MAX),
+            rank: ask.rank,
+            fingerprint: ask.fingerprint,
+            workspace: self.fleet.workspaces.name(ask.workspace).to_string(),
+            model: self.fleet.models.name(ask.model).to_string(),
+            avoid: avoid
+                .map(|key| self.fleet.server(*key).name.clone())
+                .collect(),
+        })
+    }
+
+    /// Decides alone for a call whose owner has not answered in time.
+    pub(crate) fn on_place_deadline(&mut self, now: Time, ticket: u64, out: &mut Vec<Action>) {
+        if let Some((id, cell)) = self.take_ticket(ticket) {
+            self.place_alone(now, id, cell, out);
+        }
+    }
+
+    /// Returns the call that waits for the answer to a ticket, and the cell.
+    fn take_ticket(&mut self, ticket: u64) -> Option<(CallId, u64)> {
+        let id = self.tickets.remove(&ticket)?;
+        match self.calls.get(id)?.stage {
+            Stage::Placing { ticket: t, cell } if t == ticket => Some((id, cell)),
+            _ => None,
+        }
+    }
+
+    /// Answers a router that asks for an engine.
+    pub(crate) fn on_place(
+        &mut self,
+        now: Time,
+        from: &str,
+        req: &PlaceRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let avoid: Vec<ServerKey> = req
+            .avoid
+            .iter()
+            .filter_map(|name| self.fleet.find(name))
+            .collect();
+        let ask = self.ask_of(req);
+        let choice = ask
+            .as_ref()
+            .and_then(|ask| self.choose(now, req.cell, ask, &avoid));
+        if let (Some(ask), Some(choice)) = (&ask, &choice) {
+            self.placement.on_sent(now, req.cell, ask, choice);
+        }
+        let placed = match choice {
+            Some(choice) => Placed {
+                ticket: req.ticket,
+                server: Some(self.mark(choice.server)),
+                fetch_from: choice.fetch_from.map(|key| self.mark(key)),
+                expected_cached_tokens: choice.expected_cached_tokens as u32,
+                expected_wait_ms: choice.begins_at.millis_since(now) as u32,
+            },
+            None => Placed {
+                ticket: req.ticket,
+                server: None,
+                fetch_from: None,
+                expected_cached_tokens: 0,
+                expected_wait_ms: 0,
+            },
+        };
+        self.tell(from, PeerMessage::Placed(placed), out);
+    }
+
+    fn ask_of(&self, req: &PlaceRequest) -> Option<Ask> {
+        let cfg = self.rollout.config()?;
+        let workspace = cfg.workspaces.get(&req.workspace)?;
+        let model = cfg.models.get(&req.model)?;
+        Some(Ask {
+            workspace: self.fleet.workspaces.find(&req.workspace)?,
+            model: self.fleet.models.find(&req.model)?,
+            weights_version: model.weights_version,
+            pieces: req.pieces.clone(),
+            prompt_tokens: u64::from(req.prompt_tokens),
+            weights: workspace.weights,
+            prefill_us_per_token: model.prefill_ms_per_1000_tokens,
+            kv_bytes_per_token: model.kv_bytes_per_token,
+            rank: req.rank,
+            fingerprint: req.fingerprint,
+        })
+    }
+
+    fn mark(&self, key: ServerKey) -> ServerMark {
+        let server = self.fleet.server(key);
+        ServerMark {
+            server: server.name.clone(),
+            incarnation: server.incarnation,
+        }
+    }
+
+    /// Takes the owner's answer in.
+    pub(crate) fn on_placed(&mut self, now: Time, placed: &Placed, out: &mut Vec<Action>) {
+        let Some((id, cell)) = self.take_ticket(placed.ticket) else {
+            return;
+        };
+        match self.checked(now, id, placed) {
+            Some(choice) => self.send_to_choice(now, id, None, choice, out),
+            None => self.place_alone(now, id, cell, out),
+        }
+    }
+
+    /// Returns the owner's choice if this router knows nothing against it.
+    fn checked(&mut self, now: Time, id: CallId, placed: &Placed) -> Option<Choice> {
+        let server = self.known(placed.server.as_ref()?)?;
+        let call = self.calls.get(id)?;
+        let Target::Engine(ask) = &call.target else {
+            return None;
+        };
+        let suspect = self.fleet.server(server).suspect_until > now;
+        let fits = !suspect && !call.failed_at.contains(&server);
+        if !fits || !self.fleet.may_serve(server, ask.workspace) {
+            return None;
+        }
+        let held = u64::from(placed.expected_cached_tokens) / crate::PIECE_TOKENS;
+        let begins_at = now.plus_millis(u64::from(placed.expected_wait_ms));
+        let first_token_at = begins_at.plus_micros(ask.work_us(held as usize));
+        let fetch_from = placed.fetch_from.as_ref().and_then(|mark| self.known(mark));
+        Some(Choice {
+            server,
+            expected_cached_tokens: u64::from(placed.expected_cached_tokens),
+            fetch_from,
+            transfer_us: 0,
+            begins_at,
+            first_token_at,
+        })
+    }
+
+    /// Returns the server of a mark, unless a later incarnation was seen.
+    fn known(&mut self, mark: &ServerMark) -> Option<ServerKey> {
+        let server = self.fleet.find(&mark.server)?;
+        self.see_incarnation(server, mark.incarnation);
+        (self.fleet.server(server).incarnation == mark.incarnation).then_some(server)
+    }
+
+    /// Takes in a new configuration or membership list.
+    pub(crate) fn on_cells_changed(&mut self, out: &mut Vec<Action>) {
+        let kind = self.settings.placement;
+        self.cells
+            .elect(&self.fleet, kind, &self.identity, &self.routers);
+        let own: BTreeSet<u64> = self.cells.own().map(|cell| cell.id).collect();
+        for cell in self.own_cells.difference(&own) {
+            self.placement.disown(*cell);
+        }
+        if kind != PlacementKind::Affinity {
+            for cell in own.difference(&self.own_cells) {
+                self.placement.own(*cell);
+            }
+        }
+        self.own_cells = own;
+        let mut watched: Vec<ServerKey> = self
+            .cells
+            .own()
+            .flat_map(|cell| cell.members.iter().copied())
+            .collect();
+        watched.sort_unstable();
+        if self.watched.as_ref() != Some(&watched) {
+            self.watched = Some(watched.clone());
+            out.push(Action::Watch(watched));
+        }
+    }
+
+    /// Tells the other routers the loads of own cells.
+    pub(crate) fn on_cell_loads_due(&mut self, now: Time, out: &mut Vec<Action>) {
+        let bytes = self.cells.len() as u64 * CELL_LOAD_BYTES;
+        let pause_ms = CELL_LOADS_MS.max(bytes * 1_000 / CELL_LOAD_BYTES_PER_S);
+        let jitter_ms = self.rng.random_range(0..CELL_LOADS_MS / 10);
+        self.timers
+            .add(now.plus_millis(pause_ms + jitter_ms), Timer::CellLoads);
+        self.cell_loads.expire(now);
+        if self.settings.placement != PlacementKind::Cells {
+            return;
+        }
+        let loads = self.own_cell_loads(now);
+        if !loads.is_empty() {
+            self.tell_all(&PeerMessage::CellLoad(loads), out);
+        }
+    }
+
+    fn own_cell_loads(&self, now: Time) -> Vec<CellLoad> {
+        self.cells
+            .own()
+            .map(|cell| {
+                let tokens = cell.members.iter().map(|key| self.queued_tokens(now, *key));
+                let sum: u64 = tokens.clone().sum();
+                let count = cell.members.len().max(1) as u64;
+                CellLoad {
+                    cell: cell.id,
+                    queued_tokens: (sum / count) as u32,
+                    least_queued_tokens: tokens.min().unwrap_or(0) as u32,
+                }
+            })
+            .collect()
+    }
+
+    fn queued_tokens(&self, now: Time, server: ServerKey) -> u64 {
+        let us_per_token = self.fleet.server(server).prefill_us_per_token.max(1.0);
+        (self.placement.wait_us(now, server) as f64 / us_per_token) as u64
+    }
+
+    /// Takes in loads of cells that their owners tell.
+    pub(crate) fn on_cell_loads(&mut self, now: Time, loads: &[CellLoad]) {
+        for load in loads {
+            if self.cells.find(load.cell).is_some() {
+                self.cell_loads.hear(now, load);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rendezvous.rs
@@ -0,0 +1,21 @@
+//! Rendezvous hashing: the same order on every router, without any state.
+
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the hash of a name, for [`weight`].
+pub(crate) fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Returns the weight of a candidate for a key; the highest comes first.
+pub(crate) fn weight(key: u64, candidate: u64) -> u64 {
+    xxh3_64_with_seed(&candidate.to_le_bytes(), key)
+}
+
+/// Returns the score of a candidate that shall be first for a part of the keys
+/// that is proportional to `size`; the highest comes first.
+pub(crate) fn sized_score(key: u64, candidate: u64, size: usize) -> f64 {
+    let uniform = (weight(key, candidate) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -(size as f64) / uniform.ln()
+}
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -45,7 +45,10 @@
             return;
         };
         match report {
-            BackendReport::Started { incarnation, .. } => self.on_started(server, incarnation),
+            BackendReport::Started {
+                incarnation,
+                cached_tokens,
+            } => self.on_started(now, id, server, incarnation, cached_tokens),
             BackendReport::FirstToken => self.on_first_token(id, server),
             BackendReport::Finished { .. } => self.end(id),
             BackendReport::Answered(answer) => self.on_answer(now, id, answer, out),
@@ -55,14 +58,19 @@
         }
     }
 
-    fn on_started(&mut self, server: ServerKey, incarnation: Incarnation) {
-        if self.fleet.on_incarnation(server, incarnation) {
-            self.placement.on_reset(server);
-        }
+    fn on_started(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        incarnation: Incarnation,
+        cached_tokens: u64,
+    ) {
+        self.see_incarnation(server, incarnation);
+        self.on_cached(now, id, server, cached_tokens);
     }
 
     fn on_first_token(&mut self, id: CallId, server: ServerKey) {
-        self.leave_queue(id);
         let call = self.calls.get_mut(id).expect("it was found before");
         call.stage = Stage::Running {
             server,
@@ -94,7 +102,6 @@
         delivered: u32,
         out: &mut Vec<Action>,
     ) {
-        self.leave_queue(id);
         let incarnation = self.fleet.server(server).incarnation;
         let call = self.calls.get_mut(id).expect("it was found before");
         call.progress = call.take_progress().failed(failure.never_ran());
@@ -108,7 +115,7 @@
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
             Failure::Broken => self.strike(now, id, server, out),
-            Failure::StaleIncarnation => self.placement.on_reset(server),
+            Failure::StaleIncarnation => self.forget(server),
             Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
         }
         self.retry_or_refuse(now, id, failure, out);
@@ -243,23 +250,11 @@
     }
 
     fn take_out(&mut self, id: CallId) -> Option<Call> {
-        self.leave_queue(id);
         let call = self.calls.remove(id)?;
         self.admission.release(call.workspace, call.tokens);
         Some(call)
     }
 
-    fn leave_queue(&mut self, id: CallId) {
-        let Some(call) = self.calls.get(id) else {
-            return;
-        };
-        if let (Target::Engine(ask), Some(server), true) =
-            (&call.target, call.server(), call.is_queued())
-        {
-            self.placement.on_left_queue(server, ask);
-        }
-    }
-
     fn close_record(
         &mut self,
         id: CallId,
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,8 +1,6 @@
 //! Choice of a server for a call, and its dispatch.
 
 use crate::action::FetchFrom;
-use crate::arrive::COME_BACK_MS;
-use crate::call_table::Call;
 use crate::call_table::Stage;
 use crate::call_table::Target;
 use crate::overload::NotNow;
@@ -32,7 +30,10 @@
     pub(crate) fn route(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let call = self.calls.get(id).expect("only live calls are routed");
         let aim = match &call.target {
-            Target::Engine(ask) => self.aim_at_engine(now, call, ask),
+            Target::Engine(_) => {
+                self.place(now, id, out);
+                return;
+            }
             Target::Stream {
                 server,
                 incarnation,
@@ -45,21 +46,53 @@
         }
     }
 
-    fn aim_at_engine(&self, now: Time, call: &Call, ask: &Ask) -> Result<Aim, NotNow> {
-        let mut candidates = self.fleet.engines(ask.workspace, ask.model);
-        candidates.retain(|key| !call.failed_at.contains(key));
-        let soon = now.plus_millis(COME_BACK_MS);
-        let choice = self
-            .placement
-            .choose(now, ask, &candidates, &self.fleet)
-            .ok_or(NotNow::until(soon, Reason::NoBackendServer))?;
-        self.admits(now, call, &choice)?;
+    /// Sends a call to the engine that was chosen, if its expected wait lets it in.
+    ///
+    /// `cell` is the engine's cell if this router has chosen itself.
+    pub(crate) fn send_to_choice(
+        &mut self,
+        now: Time,
+        id: CallId,
+        cell: Option<u64>,
+        choice: Choice,
+        out: &mut Vec<Action>,
+    ) {
+        let call = self.calls.get(id).expect("only live calls are sent");
+        let Target::Engine(ask) = &call.target else {
+            return;
+        };
+        if let Err(not_now) = self.admits(now, call, &choice) {
+            self.refuse(id, not_now, out);
+            return;
+        }
         let aim = self.aim_of(choice, ask);
-        Ok(if call.any_weights {
-            aim.with_any_weights()
-        } else {
-            aim
-        })
+        let aim = match call.any_weights {
+            true => aim.with_any_weights(),
+            false => aim,
+        };
+        if let Some(cell) = cell {
+            self.placement.on_sent(now, cell, ask, &choice);
+        }
+        self.dispatch(now, id, aim, out);
+    }
+
+    /// Takes in how many tokens an engine found in its cache.
+    pub(crate) fn on_cached(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        cached_tokens: u64,
+    ) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let expected = std::mem::replace(&mut call.expected_cached_tokens, cached_tokens);
+        if let Target::Engine(ask) = &call.target {
+            let missed = expected.saturating_sub(cached_tokens);
+            let missed_us = missed as f64 * ask.prefill_us_per_token;
+            self.placement.on_missed(now, server, missed_us as u64);
+        }
     }
 
     fn aim_of(&self, choice: Choice, ask: &Ask) -> Aim {
@@ -94,9 +127,7 @@
             server: aim.server,
             started: false,
         };
-        if let Target::Engine(ask) = &call.target {
-            self.placement.on_sent(aim.server, ask);
-        }
+        call.expected_cached_tokens = aim.expected_cached_tokens;
         let server = self.fleet.server(aim.server);
         out.push(Action::Dispatch(Dispatch {
             at: Attempt {
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -11,6 +11,10 @@
 pub(crate) enum Timer {
     /// The deadline of a call, or of its present stage.
     Call(CallId),
+    /// The owner of a cell should have answered this ticket.
+    Place(u64),
+    /// Other routers are to be told the loads of own cells.
+    CellLoads,
     /// A call to the key-value service is to be tried again.
     Store(OpId),
     /// The loads of weights are to be looked at.
--- a/crates/standins/examples/policy_bench.rs
+++ b/crates/standins/examples/policy_bench.rs
@@ -6,8 +6,8 @@
 use standins::bench::setup::Setup;
 use standins::bench::table;
 use standins::bench::table::Row;
+use standins::bench::variant::variants;
 use standins::bench::variant::Variant;
-use standins::bench::variant::VARIANTS;
 
 /// Compares routing policies on virtual time.
 #[derive(FromArgs)]
@@ -69,7 +69,7 @@
 }
 
 fn policies(args: &Args) -> Vec<(&'static str, Variant)> {
-    VARIANTS
+    variants()
         .into_iter()
         .filter(|(name, _)| wants(&args.policy, name))
         .collect()
--- a/crates/standins/src/bench/deployment.rs
+++ b/crates/standins/src/bench/deployment.rs
@@ -153,7 +153,7 @@
 fn workspace(setup: &Setup, workspace: usize) -> Workspace {
     Workspace {
         token_sha256: token(workspace),
-        share: 1,
+        share: (WORKSPACE_SHARES[workspace] * 100.0) as u32,
         quota: Default::default(),
         weights: Weights {
             recompute_ms_per_1000_tokens: setup.recompute_ms_per_1000_tokens,
--- a/crates/standins/src/bench/router.rs
+++ b/crates/standins/src/bench/router.rs
@@ -219,6 +219,7 @@
         | Action::InForce { .. }
         | Action::Answer { .. }
         | Action::Store { .. }
+        | Action::Order(_)
         | Action::Stopped => None,
     }
 }
--- a/crates/standins/src/bench/variant.rs
+++ b/crates/standins/src/bench/variant.rs
@@ -1,6 +1,8 @@
 //! Policies by their names.
 
 use policy::Node;
+use policy::PlacementKind;
+use policy::Settings;
 
 use crate::bench::baseline::Baseline;
 use crate::bench::baseline::Rule;
@@ -10,22 +12,40 @@
 use crate::bench::setup::Setup;
 
 /// A policy under test.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Variant {
     /// A rule to compare with.
     Baseline(Rule),
-    /// The project's node.
-    Node,
+    /// The project's node with these settings.
+    Node(Settings),
 }
 
-/// All policies in the order of the table.
-pub const VARIANTS: [(&str, Variant); 5] = [
-    ("random", Variant::Baseline(Rule::Random)),
-    ("least_loaded", Variant::Baseline(Rule::LeastLoaded)),
-    ("rendezvous", Variant::Baseline(Rule::Rendezvous)),
-    ("current", Variant::Node),
-    ("oracle", Variant::Baseline(Rule::Oracle)),
-];
+/// Returns all policies in the order of the table.
+pub fn variants() -> Vec<(&'static str, Variant)> {
+    let current = Settings::default();
+    let node = |placement| {
+        Variant::Node(Settings {
+            placement,
+            ..current
+        })
+    };
+    let plain = Settings {
+        fetch: false,
+        copy_price: 0.0,
+        queue_price: 0.0,
+        ..current
+    };
+    vec![
+        ("random", Variant::Baseline(Rule::Random)),
+        ("least_loaded", Variant::Baseline(Rule::LeastLoaded)),
+        ("rendezvous", Variant::Baseline(Rule::Rendezvous)),
+        ("affinity", node(PlacementKind::Affinity)),
+        ("alone", node(PlacementKind::Alone)),
+        ("cells_plain", Variant::Node(plain)),
+        ("current", Variant::Node(current)),
+        ("oracle", Variant::Baseline(Rule::Oracle)),
+    ]
+}
 
 impl Variant {
     /// Makes a router for its n-th start.
@@ -33,9 +53,11 @@
         let seed = seed * 1_000 + router as u64 * 10 + start;
         match self {
             Variant::Baseline(rule) => Box::new(Baseline::new(rule, setup.runners, seed)),
-            Variant::Node => {
+            Variant::Node(settings) => {
                 let identity = deployment::identity(setup, router, start);
-                Box::new(NodeRouter::new(Node::new(identity, seed)))
+                Box::new(NodeRouter::new(Node::with_settings(
+                    identity, seed, settings,
+                )))
             }
         }
     }
--- a/crates/standins/src/bench/world.rs
+++ b/crates/standins/src/bench/world.rs
@@ -477,6 +477,7 @@
             queued_tokens: source.queued_tokens(self.now_us),
             running: source.decoding.len() as u32,
             leaving: false,
+            weights: None,
         };
         for router in self.watchers(engine) {
             self.count_control(wire_size::LOAD_REPORT);
