Spill to other cells by what they are expected to hold

Cause: under load a cell with a hot prefix family was overloaded while others were idle, because another cell was always priced as if it held nothing, and loads of cells were up to a second old.

Change: an entry router remembers for ten seconds which families it has sent to which cells; the first use of a cell costs twice the missing work, each place in the order of cells 100 ms, so that a family goes back once its first cell has room. Loads of cells are told four times a second while few cells make that cheap. The price of recomputation, by the workspace's weights, also counts for copies that are fetched.

--- /dev/null
+++ b/crates/policy/src/cell_affinity.rs
@@ -0,0 +1,58 @@
+//! What cells are expected to hold of prompts, learned from cached-token counts.
+
+use std::collections::BTreeMap;
+
+use crate::Time;
+
+/// Time for which a cell is taken to hold what it held, in milliseconds.
+const LIFE_MS: u64 = 10_000;
+
+/// Families that are remembered at most, over all cells.
+const MAX_ENTRIES: usize = 10_000;
+
+/// Part of a prompt's pieces that a cell held.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    part: f64,
+    at: Time,
+}
+
+/// What cells are expected to hold, by cell and prompt family.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CellAffinity {
+    seen: BTreeMap<(u64, u64), Seen>,
+}
+
+impl CellAffinity {
+    /// Returns the part of a prompt's pieces that a cell is expected to hold;
+    /// of a family that was not seen lately, only the first cell holds any.
+    pub(crate) fn part(&self, now: Time, cell: u64, family: u64, first: bool) -> f64 {
+        match self.seen.get(&(cell, family)) {
+            Some(seen) if now.millis_since(seen.at) < LIFE_MS => seen.part,
+            _ if first => 1.0,
+            _ => 0.0,
+        }
+    }
+
+    /// Takes in that a cell is given a prompt and will hold its pieces.
+    pub(crate) fn on_sent(&mut self, now: Time, cell: u64, family: u64) {
+        if self.seen.len() >= MAX_ENTRIES {
+            self.expire(now);
+        }
+        if self.seen.len() < MAX_ENTRIES {
+            self.seen
+                .insert((cell, family), Seen { part: 1.0, at: now });
+        }
+    }
+
+    /// Forgets what is too old.
+    pub(crate) fn expire(&mut self, now: Time) {
+        self.seen
+            .retain(|_, seen| now.millis_since(seen.at) < LIFE_MS);
+    }
+
+    /// Returns an estimate of the memory in use, in bytes.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        self.seen.len() * (size_of::<(u64, u64)>() + size_of::<Seen>())
+    }
+}
--- a/crates/policy/src/cost.rs
+++ b/crates/policy/src/cost.rs
@@ -59,13 +59,12 @@
         let wait_us = load.wait_us(now);
         let work_us = self.work_us(held);
         let wasted = best.saturating_sub(held) as u64 * PIECE_TOKENS;
-        let price_us = wasted as f64 * self.weights.recompute_ms_per_1000_tokens;
         let copies_us = self.copies_us(now, settings, load, wasted);
         Estimate {
             wait_us,
             work_us,
             transfer_us: 0,
-            cost_us: (wait_us + work_us) as f64 + price_us + copies_us,
+            cost_us: (wait_us + work_us) as f64 + copies_us,
         }
     }
 
@@ -100,6 +99,7 @@
     fn copies_us(&self, now: Time, settings: &Settings, load: &LoadView, tokens: u64) -> f64 {
         let queue = load.wait_us(now) as f64 / QUEUE_UNIT_US;
         let price = settings.copy_price + settings.queue_price * queue;
-        tokens as f64 * self.prefill_us_per_token * price
+        let per_token = self.prefill_us_per_token * price;
+        tokens as f64 * (per_token + self.weights.recompute_ms_per_1000_tokens)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod arrive;
 mod call;
 mod call_table;
+mod cell_affinity;
 mod cell_loads;
 mod cells;
 mod claim;
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -6,6 +6,8 @@
     /// Returns an estimate of the memory that loads and caches of engines and
     /// the loads of cells take, in bytes.
     pub fn knowledge_bytes(&self) -> usize {
-        self.placement.memory_bytes() + self.cell_loads.memory_bytes()
+        self.placement.memory_bytes()
+            + self.cell_loads.memory_bytes()
+            + self.cell_affinity.memory_bytes()
     }
 }
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -11,6 +11,7 @@
 
 use crate::admission::Admission;
 use crate::call_table::CallTable;
+use crate::cell_affinity::CellAffinity;
 use crate::cell_loads::CellLoads;
 use crate::cells::Cells;
 use crate::fleet::Fleet;
@@ -54,6 +55,7 @@
     pub(crate) settings: Settings,
     pub(crate) cells: Cells,
     pub(crate) cell_loads: CellLoads,
+    pub(crate) cell_affinity: CellAffinity,
     pub(crate) own_cells: BTreeSet<u64>,
     /// Engines of the last [`Action::Watch`].
     pub(crate) watched: Option<Vec<ServerKey>>,
@@ -93,6 +95,7 @@
             settings,
             cells: Cells::default(),
             cell_loads: CellLoads::default(),
+            cell_affinity: CellAffinity::default(),
             own_cells: BTreeSet::new(),
             watched: None,
             tickets: BTreeMap::new(),
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -34,7 +34,7 @@
 const FAR_OWNER_WAIT_MS: u64 = 15;
 
 /// Shortest pause between two rounds of cells' loads, in milliseconds.
-const CELL_LOADS_MS: u64 = 1_000;
+const CELL_LOADS_MS: u64 = 250;
 
 /// Bytes of a cell's load on the wire, with its part of a message's headers.
 const CELL_LOAD_BYTES: u64 = 48;
@@ -45,6 +45,14 @@
 /// Cells, in the order of affinity, whose costs are compared.
 const CELLS_COMPARED: usize = 3;
 
+/// Price of the first use of a cell by a prompt family, as a multiple of the
+/// time to compute the pieces that the cell lacks.
+const MOVE_PRICE: f64 = 2.0;
+
+/// Cost of each place in the order of cells, so that a family goes back to its
+/// first cell once that has room, in microseconds.
+const STAY_US: f64 = 100_000.0;
+
 /// Extra latency of an engine in another region, there and back, in microseconds.
 const FAR_US: f64 = 10_000.0;
 
@@ -56,15 +64,24 @@
             self.refuse(id, NotNow::until(soon, Reason::NoBackendServer), out);
             return;
         };
-        let tokens = self.calls.get(id).map_or(0, |call| call.tokens);
         let cell_id = self.cells.get(cell).id;
-        self.cell_loads.on_sent(cell_id, tokens);
+        self.on_cell_chosen(now, id, cell_id);
         match self.cells.get(cell).owner.clone() {
             Owner::Own => self.place_alone(now, id, cell_id, out),
             Owner::Peer(vm) => self.ask_owner(now, id, cell_id, &vm, out),
         }
     }
 
+    fn on_cell_chosen(&mut self, now: Time, id: CallId, cell: u64) {
+        let Some(call) = self.calls.get(id) else {
+            return;
+        };
+        if let Target::Engine(ask) = &call.target {
+            self.cell_loads.on_sent(cell, call.tokens);
+            self.cell_affinity.on_sent(now, cell, ask.family());
+        }
+    }
+
     /// Returns the cell with the lowest cost that has an engine left for the call.
     fn best_cell(&self, now: Time, id: CallId) -> Option<CellKey> {
         let call = self.calls.get(id)?;
@@ -95,7 +112,7 @@
     }
 
     /// Returns the cost of a cell, in microseconds: only the first by affinity
-    /// is expected to hold the prompt's pieces.
+    /// is expected to hold the prompt's pieces, unless more is known.
     fn cell_cost_us(&self, now: Time, ask: &Ask, key: CellKey, place: usize) -> f64 {
         let cell = self.cells.get(key);
         let wait_us = match cell.owner {
@@ -108,12 +125,12 @@
         };
         let same = **self.fleet.regions.name(cell.region) == *self.identity.region;
         let far_us = if same { 0.0 } else { FAR_US };
-        let held = ask.pieces.len();
-        let elsewhere_us = match place {
-            0 => 0.0,
-            _ => (ask.work_us(0) - ask.work_us(held)) as f64,
-        };
-        wait_us + far_us + elsewhere_us
+        let part = self
+            .cell_affinity
+            .part(now, cell.id, ask.family(), place == 0);
+        let all_us = ask.work_us(0) - ask.work_us(ask.pieces.len());
+        let copy_us = (1.0 - part) * all_us as f64 * MOVE_PRICE;
+        wait_us + far_us + copy_us + place as f64 * STAY_US
     }
 
     fn own_wait_us(&self, now: Time, members: &[ServerKey]) -> f64 {
@@ -357,6 +374,7 @@
         self.timers
             .add(now.plus_millis(pause_ms + jitter_ms), Timer::CellLoads);
         self.cell_loads.expire(now);
+        self.cell_affinity.expire(now);
         if self.settings.placement != PlacementKind::Cells {
             return;
         }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -29,7 +29,7 @@
         Settings {
             placement: PlacementKind::Cells,
             fetch: true,
-            copy_price: 1.0,
+            copy_price: 0.75,
             queue_price: 2.0,
         }
     }
