--- a/crates/policy/src/cells.rs
+++ b/crates/policy/src/cells.rs
@@ -148,6 +148,12 @@
             .filter(move |(_, cell)| cell.serves(workspace))
     }
 
+    /// Tells whether the engines of a cell may run `model` for `workspace`.
+    pub(crate) fn serves(&self, id: u64, workspace: NameKey, model: NameKey) -> bool {
+        self.serving(workspace, model)
+            .any(|(_, cell)| cell.id == id)
+    }
+
     /// Returns the cells that this router owns.
     pub(crate) fn own(&self) -> impl Iterator<Item = &Cell> {
         self.cells.iter().filter(|cell| cell.owner == Owner::Own)
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -91,11 +91,6 @@
         let mut ranked: Vec<(f64, CellKey)> = self
             .cells
             .serving(ask.workspace, ask.model)
-            .filter(|(_, cell)| {
-                !self
-                    .candidates(&cell.members, ask, &call.failed_at)
-                    .is_empty()
-            })
             .map(|(key, cell)| {
                 let score = rendezvous::sized_score(ask.family(), cell.id, cell.members.len());
                 (score, key)
@@ -104,6 +99,7 @@
         ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         ranked
             .iter()
+            .filter(|(_, key)| self.has_candidate(*key, ask, &call.failed_at))
             .take(CELLS_COMPARED)
             .enumerate()
             .map(|(place, (_, key))| (self.cell_cost_us(now, ask, *key, place), *key))
@@ -141,12 +137,22 @@
         sum as f64 / members.len().max(1) as f64
     }
 
+    fn has_candidate(&self, cell: CellKey, ask: &Ask, avoid: &[ServerKey]) -> bool {
+        let members = &self.cells.get(cell).members;
+        members
+            .iter()
+            .any(|key| self.is_candidate(*key, ask, avoid))
+    }
+
+    fn is_candidate(&self, key: ServerKey, ask: &Ask, avoid: &[ServerKey]) -> bool {
+        !avoid.contains(&key) && self.fleet.may_serve(key, ask.workspace)
+    }
+
     fn candidates(&self, members: &[ServerKey], ask: &Ask, avoid: &[ServerKey]) -> Vec<ServerKey> {
         members
             .iter()
             .copied()
-            .filter(|key| !avoid.contains(key))
-            .filter(|key| self.fleet.may_serve(*key, ask.workspace))
+            .filter(|key| self.is_candidate(*key, ask, avoid))
             .collect()
     }
 
@@ -246,6 +252,7 @@
         let ask = self.ask_of(req);
         let choice = ask
             .as_ref()
+            .filter(|ask| self.cells.serves(req.cell, ask.workspace, ask.model))
             .and_then(|ask| self.choose(now, req.cell, ask, &avoid));
         if let (Some(ask), Some(choice)) = (&ask, &choice) {
             self.placement.on_sent(now, req.cell, ask, choice);
@@ -300,15 +307,18 @@
         let Some((id, cell)) = self.take_ticket(placed.ticket) else {
             return;
         };
-        match self.checked(now, id, placed) {
+        match self.checked(now, id, cell, placed) {
             Some(choice) => self.send_to_choice(now, id, None, choice, out),
             None => self.place_alone(now, id, cell, out),
         }
     }
 
     /// Returns the owner's choice if this router knows nothing against it.
-    fn checked(&mut self, now: Time, id: CallId, placed: &Placed) -> Option<Choice> {
+    fn checked(&mut self, now: Time, id: CallId, cell: u64, placed: &Placed) -> Option<Choice> {
         let server = self.known(placed.server.as_ref()?)?;
+        if self.cells.id_of(server) != Some(cell) {
+            return None;
+        }
         let call = self.calls.get(id)?;
         let Target::Engine(ask) = &call.target else {
             return None;
