--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod counted_io;
 mod error;
 mod handshake;
+mod introduction;
 mod link;
 mod links;
 mod observer;
@@ -18,10 +19,13 @@
 
 pub use crate::error::Error;
 pub use crate::error::Result;
+pub use crate::handshake::connect;
+pub use crate::introduction::Introduction;
 pub use crate::links::Links;
 pub use crate::observer::Observer;
 pub use crate::secret::Secret;
 pub use crate::server::Inbox;
 pub use crate::server::Server;
+pub use crate::server::IDLE_MS;
 pub use crate::wire::BadMessage;
 pub use crate::wire::WireMessage;
--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -34,6 +34,8 @@
     Claiming,
     /// The owner of a cell was asked for an engine.
     Placing { ticket: u64, cell: u64 },
+    /// It may only run on trial, and its turn has not come.
+    AwaitingTrial,
     /// A server is running it.
     Running { server: ServerKey, started: bool },
     /// Its answer is being recorded.
@@ -95,6 +97,12 @@
         self.calls.remove(&id)
     }
 
+    /// Returns how many calls run at a server.
+    pub(crate) fn count_at(&self, server: ServerKey) -> usize {
+        let at = self.calls.values().map(Call::server);
+        at.filter(|at| *at == Some(server)).count()
+    }
+
     /// Tells whether no call is in progress.
     pub(crate) fn is_empty(&self) -> bool {
         self.calls.is_empty()
@@ -111,7 +119,10 @@
     pub(crate) fn server(&self) -> Option<ServerKey> {
         match self.stage {
             Stage::Running { server, .. } => Some(server),
-            Stage::Claiming | Stage::Placing { .. } | Stage::Recording(_) => None,
+            Stage::Claiming
+            | Stage::Placing { .. }
+            | Stage::AwaitingTrial
+            | Stage::Recording(_) => None,
         }
     }
 
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -56,6 +56,10 @@
         if report.leaving {
             self.learn_leaving(server, report.incarnation, out);
         }
+        if !self.strikes.is_empty() {
+            self.strikes
+                .withdraw(&report.server, report.incarnation, report.at);
+        }
         let us_per_token = self.fleet.server(server).prefill_us_per_token;
         let queued_us = (report.queued_tokens as f64 * us_per_token) as u64;
         self.placement.on_load(server, report.at, queued_us);
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Fleet;
 use crate::loads::Loads;
 use crate::placement::Placement;
+use crate::replicas::ReplicaLoads;
 use crate::retry_budget::RetryBudget;
 use crate::rollout::Rollout;
 use crate::routers::Routers;
@@ -25,6 +26,7 @@
 use crate::strikes::Strikes;
 use crate::timers::Timer;
 use crate::timers::Timers;
+use crate::trials::Trials;
 use crate::Action;
 use crate::CallId;
 use crate::Event;
@@ -62,7 +64,9 @@
     /// Calls for which an owner was asked.
     pub(crate) tickets: BTreeMap<u64, CallId>,
     pub(crate) placement: Placement,
+    pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
+    pub(crate) trials: Trials,
     pub(crate) admission: Admission,
     pub(crate) shares: Shares,
     pub(crate) budget: RetryBudget,
@@ -100,13 +104,15 @@
             watched: None,
             tickets: BTreeMap::new(),
             placement: Placement::default(),
+            replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
+            trials: Trials::new(),
             admission: Admission::default(),
             shares: Shares::default(),
             budget: RetryBudget::default(),
             calls: CallTable::default(),
             store_ops: StoreOps::default(),
-            loads: Loads::default(),
+            loads: Loads::new(),
             timers,
             snapshot_asked: false,
             shutting_down: false,
@@ -176,6 +182,7 @@
                 Timer::Loads => self.on_loads_due(now, out),
                 Timer::Place(ticket) => self.on_place_deadline(now, ticket, out),
                 Timer::CellLoads => self.on_cell_loads_due(now, out),
+                Timer::Trials => self.on_trials_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
             }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -9,6 +9,7 @@
 use crate::call_table::Target;
 use crate::cells::CellKey;
 use crate::cells::Owner;
+use crate::interner::NameKey;
 use crate::overload::NotNow;
 use crate::placement::Ask;
 use crate::placement::Choice;
@@ -137,6 +138,15 @@
         sum as f64 / members.len().max(1) as f64
     }
 
+    /// Returns the engines that may run `model` for `workspace` now.
+    pub(crate) fn engines(&self, workspace: NameKey, model: NameKey) -> Vec<ServerKey> {
+        self.cells
+            .serving(workspace, model)
+            .flat_map(|(_, cell)| cell.members.iter().copied())
+            .filter(|key| self.fleet.may_serve(*key, workspace))
+            .collect()
+    }
+
     fn has_candidate(&self, cell: CellKey, ask: &Ask, avoid: &[ServerKey]) -> bool {
         let members = &self.cells.get(cell).members;
         members
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -49,7 +49,7 @@
                 incarnation,
                 cached_tokens,
             } => self.on_started(now, id, server, incarnation, cached_tokens),
-            BackendReport::FirstToken => self.on_first_token(id, server),
+            BackendReport::FirstToken => self.on_first_token(now, id, server),
             BackendReport::Finished { .. } => self.end(id),
             BackendReport::Answered(answer) => self.on_answer(now, id, answer, out),
             BackendReport::Failed { failure, delivered } => {
@@ -70,7 +70,8 @@
         self.on_cached(now, id, server, cached_tokens);
     }
 
-    fn on_first_token(&mut self, id: CallId, server: ServerKey) {
+    fn on_first_token(&mut self, now: Time, id: CallId, server: ServerKey) {
+        self.on_trial_token(now, id);
         let call = self.calls.get_mut(id).expect("it was found before");
         call.stage = Stage::Running {
             server,
@@ -79,6 +80,7 @@
     }
 
     fn on_answer(&mut self, now: Time, id: CallId, answer: StoredAnswer, out: &mut Vec<Action>) {
+        self.leave_server(id);
         let call = self.calls.get_mut(id).expect("it was found before");
         if call.claim.is_some() {
             call.stage = Stage::Recording(answer);
@@ -102,6 +104,9 @@
         delivered: u32,
         out: &mut Vec<Action>,
     ) {
+        self.leave_server(id);
+        let was_on_trial = self.trials.running.contains_key(&id);
+        self.trials.end(id);
         let incarnation = self.fleet.server(server).incarnation;
         let call = self.calls.get_mut(id).expect("it was found before");
         call.progress = call.take_progress().failed(failure.never_ran());
@@ -114,14 +119,21 @@
         match failure {
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
-            Failure::Broken => self.strike(now, id, server, out),
+            Failure::Broken => self.strike(now, id, server, was_on_trial, out),
             Failure::StaleIncarnation => self.forget(server),
             Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
         }
         self.retry_or_refuse(now, id, failure, out);
     }
 
-    fn strike(&mut self, now: Time, id: CallId, server: ServerKey, out: &mut Vec<Action>) {
+    fn strike(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        on_trial: bool,
+        out: &mut Vec<Action>,
+    ) {
         self.fleet.suspect(server, now.plus_millis(SUSPECT_MS));
         let call = self.calls.get(id).expect("it was found before");
         if !matches!(call.target, Target::Engine(_)) {
@@ -134,8 +146,10 @@
                 incarnation: self.fleet.server(server).incarnation,
             },
             at_ms: now.as_millis(),
+            on_trial,
         };
-        if self.strikes.add(&strike) {
+        let limit = self.crash_limit();
+        if self.strikes.add(&strike, limit) {
             self.tell_all(&PeerMessage::Strikes(vec![strike]), out);
         }
     }
@@ -150,15 +164,8 @@
     }
 
     fn reason_to_give_up(&mut self, now: Time, id: CallId, failure: Failure) -> Option<NotNow> {
-        let limits = self.rollout.config()?.limits;
         let call = self.calls.get(id)?;
         let soon = now.plus_millis(COME_BACK_MS);
-        if self.strikes.count(now, call.fingerprint) >= limits.crashes_per_request {
-            return Some(NotNow {
-                reason: Reason::CrashedRunners,
-                retry_at: self.strikes.forgiven_at(call.fingerprint),
-            });
-        }
         if call.claim.is_some() && !failure.never_ran() {
             return Some(NotNow::for_good(Reason::AttemptsFailed));
         }
@@ -250,11 +257,22 @@
     }
 
     fn take_out(&mut self, id: CallId) -> Option<Call> {
+        self.leave_server(id);
+        self.trials.end(id);
         let call = self.calls.remove(id)?;
         self.admission.release(call.workspace, call.tokens);
         Some(call)
     }
 
+    /// Takes the call out of what is counted at its server.
+    fn leave_server(&mut self, id: CallId) {
+        let call = self.calls.get(id);
+        let service = call.filter(|call| matches!(call.target, Target::Service(_)));
+        if let Some(server) = service.and_then(Call::server) {
+            self.replica_loads.on_ended(server);
+        }
+    }
+
     fn close_record(
         &mut self,
         id: CallId,
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -28,6 +28,10 @@
 impl Node {
     /// Sends a call to the best server, or refuses it.
     pub(crate) fn route(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        if self.needs_trial(now, id) {
+            self.wait_for_trial(now, id, out);
+            return;
+        }
         let call = self.calls.get(id).expect("only live calls are routed");
         let aim = match &call.target {
             Target::Engine(_) => {
@@ -38,7 +42,10 @@
                 server,
                 incarnation,
             } => Ok(Aim::plain(*server, *incarnation)),
-            Target::Service(service) => self.aim_at_replica(service, &call.failed_at),
+            Target::Service(service) => self
+                .best_replica(now, id, service, &call.failed_at)
+                .map(|server| Aim::plain(server, Incarnation::default()))
+                .ok_or(NotNow::for_good(Reason::NoBackendServer)),
         };
         match aim {
             Ok(aim) => self.dispatch(now, id, aim, out),
@@ -57,6 +64,10 @@
         choice: Choice,
         out: &mut Vec<Action>,
     ) {
+        if self.needs_trial(now, id) {
+            self.wait_for_trial(now, id, out);
+            return;
+        }
         let call = self.calls.get(id).expect("only live calls are sent");
         let Target::Engine(ask) = &call.target else {
             return;
@@ -109,13 +120,25 @@
         }
     }
 
-    fn aim_at_replica(&self, service: &str, failed_at: &[ServerKey]) -> Result<Aim, NotNow> {
-        let replicas = self.fleet.replicas(service);
-        let fresh = replicas.iter().filter(|key| !failed_at.contains(key));
-        let server = fresh
-            .min_by_key(|key| (self.fleet.server(**key).suspect_until, **key))
-            .ok_or(NotNow::for_good(Reason::NoBackendServer))?;
-        Ok(Aim::plain(*server, Incarnation::default()))
+    /// Sends a call to an engine that was chosen for another reason than its load.
+    pub(crate) fn send_to(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        out: &mut Vec<Action>,
+    ) {
+        let call = self.calls.get(id).expect("only live calls are sent");
+        let incarnation = self.fleet.server(server).incarnation;
+        let weights_version = match &call.target {
+            Target::Engine(ask) if !call.any_weights => ask.weights_version,
+            _ => 0,
+        };
+        let aim = Aim {
+            weights_version,
+            ..Aim::plain(server, incarnation)
+        };
+        self.dispatch(now, id, aim, out);
     }
 
     fn dispatch(&mut self, now: Time, id: CallId, aim: Aim, out: &mut Vec<Action>) {
@@ -128,6 +151,9 @@
             started: false,
         };
         call.expected_cached_tokens = aim.expected_cached_tokens;
+        if let Target::Service(_) = &call.target {
+            self.replica_loads.on_sent(aim.server);
+        }
         let server = self.fleet.server(aim.server);
         out.push(Action::Dispatch(Dispatch {
             at: Attempt {
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -4,9 +4,14 @@
 use std::time::Instant;
 
 use policy::Action;
+use policy::BackendReport;
 use policy::CallId;
+use policy::Dispatch;
 use policy::Event;
+use policy::Failure;
+use policy::Member;
 use policy::Node;
+use policy::PeerMessage;
 use policy::ServerKey;
 use policy::Time;
 use ractor::Actor;
@@ -40,6 +45,7 @@
     node: Node,
     hands: Hands,
     calls: HashMap<CallId, UnboundedSender<CallCommand>>,
+    members: Vec<Member>,
     actions: Vec<Action>,
     wake: watch::Sender<Option<Time>>,
 }
@@ -61,6 +67,7 @@
             node: args.node,
             hands: args.hands,
             calls: HashMap::new(),
+            members: Vec::new(),
             actions: Vec::new(),
             wake,
         })
@@ -81,6 +88,7 @@
             NodeMessage::Ended(call) => {
                 state.calls.remove(&call);
             }
+            NodeMessage::Peer { from, message } => state.on_peer(from, message, &handle),
             NodeMessage::Event(event) => state.decide(event, &handle),
         }
         Ok(())
@@ -88,9 +96,31 @@
 }
 
 impl NodeState {
+    /// Takes in a message of a router. The membership list lags, so the router's
+    /// own word on its address goes before an older entry, or none.
+    fn on_peer(&mut self, from: Member, message: PeerMessage, handle: &NodeHandle) {
+        let name = from.name.clone();
+        let listed = self
+            .members
+            .iter()
+            .any(|member| member.name == name && member.incarnation >= from.incarnation);
+        if !listed {
+            let mut members = self.members.clone();
+            members.retain(|member| member.name != name);
+            members.push(from);
+            self.decide(Event::Members(members), handle);
+        }
+        let event = Event::Peer {
+            from: name,
+            message,
+        };
+        self.decide(event, handle);
+    }
+
     fn decide(&mut self, event: Event, handle: &NodeHandle) {
         if let Event::Members(members) = &event {
             self.hands.on_members(members);
+            self.members.clone_from(members);
         }
         let is_call = matches!(event, Event::Call(_));
         let start = Instant::now();
@@ -111,15 +141,15 @@
     fn carry_out(&mut self, action: Action, handle: &NodeHandle) {
         match action {
             Action::Dispatch(dispatch) => {
-                let call = dispatch.at.call;
                 self.hands.on_dispatch(&dispatch);
-                self.command(call, CallCommand::Dispatch(dispatch));
+                self.dispatch(dispatch, handle);
+            }
+            Action::Cancel(at) => {
+                self.command(at.call, CallCommand::Cancel(at));
             }
-            Action::Cancel(at) => self.command(at.call, CallCommand::Cancel(at)),
             Action::Refuse { call, refusal } => {
                 self.hands.on_refusal(call, &refusal);
                 self.command(call, CallCommand::Refuse(refusal));
-                self.calls.remove(&call);
             }
             Action::Answer {
                 call,
@@ -127,7 +157,6 @@
                 repeat,
             } => {
                 self.command(call, CallCommand::Answer { answer, repeat });
-                self.calls.remove(&call);
             }
             Action::Retried { call, failure } => self.hands.on_retry(call, failure),
             Action::LateAnswer { call, attempt } => self.hands.on_late_answer(call, attempt),
@@ -158,10 +187,22 @@
         }
     }
 
-    fn command(&self, call: CallId, command: CallCommand) {
-        // A task that has ended has said so, or is about to.
-        if let Some(tx) = self.calls.get(&call) {
-            let _ = tx.send(command);
+    fn dispatch(&self, dispatch: Dispatch, handle: &NodeHandle) {
+        let at = dispatch.at;
+        if !self.command(at.call, CallCommand::Dispatch(dispatch)) {
+            // The task has ended, so nothing was sent.
+            let report = BackendReport::Failed {
+                failure: Failure::NotConnected,
+                delivered: 0,
+            };
+            handle.report(at.call, at.attempt, report);
         }
     }
+
+    /// Tells a call's task something; `false` if the task has ended.
+    fn command(&self, call: CallId, command: CallCommand) -> bool {
+        self.calls
+            .get(&call)
+            .is_some_and(|tx| tx.send(command).is_ok())
+    }
 }
