Attempts at silent servers are cancelled and made elsewhere

Cause: a server that froze or was cut off breaks no connection, so its callers waited until their deadlines, and a stream already begun waited for ever. Change: an attempt without a first token, twice the expected time and 3 s after it was sent, at a server that nothing was heard of for 3 s, goes elsewhere; a server that reports its load is waited for. A begun stream goes elsewhere after 5 s without a token. A call that may run only once is never made elsewhere.

--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -99,6 +99,7 @@
             attempt: AttemptId(0),
             failed_at: Vec::new(),
             delivered: delivered_before(&req.work),
+            stalled_at: Time::MAX,
             any_weights: false,
             expected_cached_tokens: 0,
             answered: false,
--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -58,6 +58,8 @@
     pub(crate) attempt: AttemptId,
     /// Servers at which it failed.
     pub(crate) failed_at: Vec<ServerKey>,
+    /// Time from which the attempt is late.
+    pub(crate) stalled_at: Time,
     /// Tokens that the caller has.
     pub(crate) delivered: u32,
     /// Whether an engine refused it for its weights, so that any may serve it.
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -122,12 +122,14 @@
     Refused,
     /// The connection broke after bytes may have been sent.
     Broken,
+    /// Nothing came for too long.
+    Stalled,
 }
 
 impl Failure {
     /// Tells whether the server certainly ran nothing of the attempt.
     pub fn never_ran(self) -> bool {
-        self != Failure::Broken
+        !matches!(self, Failure::Broken | Failure::Stalled)
     }
 
     /// Returns the word for it in counters.
@@ -140,6 +142,7 @@
             Failure::StaleWeights => "stale_weights",
             Failure::Refused => "refused",
             Failure::Broken => "broken",
+            Failure::Stalled => "stalled",
         }
     }
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -52,6 +52,8 @@
     pub(crate) leaving: Option<Incarnation>,
     /// Time until which it is only used when no other server is left.
     pub(crate) suspect_until: Time,
+    /// Time at which something was last heard of it.
+    pub(crate) heard_at: Time,
 }
 
 impl Server {
@@ -164,6 +166,7 @@
             listed: false,
             leaving: None,
             suspect_until: Time::default(),
+            heard_at: Time::default(),
         });
         self.by_name.insert(name.to_owned(), key);
         key
@@ -227,6 +230,11 @@
         news
     }
 
+    /// Takes in that something was heard of a server.
+    pub(crate) fn heard(&mut self, key: ServerKey, now: Time) {
+        self.servers[key.0 as usize].heard_at = now;
+    }
+
     /// Has a server used last until `until`.
     pub(crate) fn suspect(&mut self, key: ServerKey, until: Time) {
         self.servers[key.0 as usize].suspect_until = until;
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -53,6 +53,7 @@
         if report.incarnation < self.fleet.server(server).incarnation {
             return;
         }
+        self.fleet.heard(server, now);
         if report.leaving {
             self.learn_leaving(server, report.incarnation, out);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod settings;
 mod shared_record;
 mod shares;
+mod stall;
 mod store;
 mod store_ops;
 mod strikes;
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -178,6 +178,7 @@
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
+                Timer::Stall(call) => self.on_stall_due(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
                 Timer::Loads => self.on_loads_due(now, out),
                 Timer::Place(ticket) => self.on_place_deadline(now, ticket, out),
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -44,6 +44,9 @@
             out.push(Action::LateAnswer { call: id, attempt });
             return;
         };
+        if !matches!(report, BackendReport::Failed { .. }) {
+            self.fleet.heard(server, now);
+        }
         match report {
             BackendReport::Started {
                 incarnation,
@@ -95,7 +98,8 @@
         });
     }
 
-    fn on_failed(
+    /// Takes in that an attempt failed.
+    pub(crate) fn on_failed(
         &mut self,
         now: Time,
         id: CallId,
@@ -119,6 +123,7 @@
         match failure {
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
+            Failure::Stalled => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
             Failure::Broken => self.strike(now, id, server, was_on_trial, out),
             Failure::StaleIncarnation => self.forget(server),
             Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -23,6 +23,8 @@
     weights_version: u64,
     fetch_from: Option<FetchFrom>,
     expected_cached_tokens: u64,
+    /// Time at which the answer is expected to begin.
+    expected_at: Time,
 }
 
 impl Node {
@@ -41,10 +43,10 @@
             Target::Stream {
                 server,
                 incarnation,
-            } => Ok(Aim::plain(*server, *incarnation)),
+            } => Ok(Aim::plain(now, *server, *incarnation)),
             Target::Service(service) => self
                 .best_replica(now, id, service, &call.failed_at)
-                .map(|server| Aim::plain(server, Incarnation::default()))
+                .map(|server| Aim::plain(now, server, Incarnation::default()))
                 .ok_or(NotNow::for_good(Reason::NoBackendServer)),
         };
         match aim {
@@ -117,6 +119,7 @@
             weights_version: ask.weights_version,
             fetch_from,
             expected_cached_tokens: choice.expected_cached_tokens,
+            expected_at: choice.first_token_at,
         }
     }
 
@@ -130,13 +133,20 @@
     ) {
         let call = self.calls.get(id).expect("only live calls are sent");
         let incarnation = self.fleet.server(server).incarnation;
-        let weights_version = match &call.target {
-            Target::Engine(ask) if !call.any_weights => ask.weights_version,
-            _ => 0,
+        let Target::Engine(ask) = &call.target else {
+            return;
+        };
+        let weights_version = if call.any_weights {
+            0
+        } else {
+            ask.weights_version
         };
+        let prefill_us = ask.prompt_tokens as f64 * ask.prefill_us_per_token;
+        let expected_at = now.plus_micros(prefill_us as u64);
         let aim = Aim {
             weights_version,
-            ..Aim::plain(server, incarnation)
+            expected_at,
+            ..Aim::plain(now, server, incarnation)
         };
         self.dispatch(now, id, aim, out);
     }
@@ -171,6 +181,7 @@
             fetch_from: aim.fetch_from,
             expected_cached_tokens: aim.expected_cached_tokens,
         }));
+        self.watch_for_stall(now, id, aim.expected_at);
     }
 }
 
@@ -185,13 +196,14 @@
         }
     }
 
-    fn plain(server: ServerKey, incarnation: Incarnation) -> Aim {
+    fn plain(now: Time, server: ServerKey, incarnation: Incarnation) -> Aim {
         Aim {
             server,
             incarnation,
             weights_version: 0,
             fetch_from: None,
             expected_cached_tokens: 0,
+            expected_at: now,
         }
     }
 }
--- /dev/null
+++ b/crates/policy/src/stall.rs
@@ -0,0 +1,70 @@
+//! Attempts that come to nothing without an error.
+//!
+//! A server that froze, or that a network cut off, breaks no connection. An
+//! attempt that has no first token long after it was expected, at a server that
+//! nothing was heard of since, is cancelled and made elsewhere. A server that is
+//! only slow is waited for.
+
+use crate::call_table::Stage;
+use crate::call_table::Target;
+use crate::timers::Timer;
+use crate::Action;
+use crate::Attempt;
+use crate::CallId;
+use crate::Failure;
+use crate::Node;
+use crate::Time;
+
+/// Silence after which a server is taken to have stalled, in milliseconds.
+const SILENCE_MS: u64 = 3_000;
+
+impl Node {
+    /// Has an attempt looked at if its answer is late, twice the expected time
+    /// and more.
+    pub(crate) fn watch_for_stall(&mut self, now: Time, id: CallId, expected_at: Time) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let repeatable = match &call.target {
+            Target::Engine(_) => true,
+            Target::Service(_) => call.claim.is_none(),
+            Target::Stream { .. } => false,
+        };
+        if repeatable {
+            let wait_us = expected_at.micros_since(now);
+            let look_at = now.plus_micros(2 * wait_us).plus_millis(SILENCE_MS);
+            call.stalled_at = look_at;
+            self.timers.add(look_at, Timer::Stall(id));
+        }
+    }
+
+    /// Looks at an attempt whose answer is late.
+    pub(crate) fn on_stall_due(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let Stage::Running {
+            server,
+            started: false,
+        } = call.stage
+        else {
+            return;
+        };
+        if now < call.stalled_at {
+            return;
+        }
+        let silent_at = self.fleet.server(server).heard_at.plus_millis(SILENCE_MS);
+        if now < silent_at {
+            call.stalled_at = silent_at;
+            self.timers.add(silent_at, Timer::Stall(id));
+            return;
+        }
+        let delivered = call.delivered;
+        out.push(Action::Cancel(Attempt {
+            call: id,
+            attempt: call.attempt,
+            server,
+        }));
+        self.on_failed(now, id, server, Failure::Stalled, delivered, out);
+    }
+}
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -15,6 +15,8 @@
     Place(u64),
     /// Other routers are to be told the loads of own cells.
     CellLoads,
+    /// The answer of an attempt is late.
+    Stall(CallId),
     /// A call to the key-value service is to be tried again.
     Store(OpId),
     /// The loads of weights are to be looked at.
--- a/crates/router/src/engine_attempt.rs
+++ b/crates/router/src/engine_attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a generation at an engine.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use backend::Chunk;
 use backend::Engine;
@@ -16,6 +17,7 @@
 use policy::Relay;
 use policy::RelayStep;
 use tokio::sync::mpsc::Sender;
+use tokio::time::timeout;
 
 use crate::failure;
 use crate::CompletionRequest;
@@ -27,6 +29,9 @@
 use crate::SignedOrigin;
 use crate::Token;
 
+/// Time after which an engine that sends no further token is taken to have stalled.
+const TOKEN_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// One attempt of a generation at an engine; dropping it cancels it.
 pub struct EngineAttempt<'a> {
     /// What the node asked for.
@@ -113,7 +118,7 @@
     ) -> Result<u32, Failure> {
         let mut relay = Relay::new(self.source.delivered());
         let mut first = true;
-        while let Some(chunk) = generation.chunks.next().await {
+        while let Some(chunk) = self.next_chunk(&mut generation, first).await? {
             let chunk = chunk.map_err(|e| {
                 self.failed(&e);
                 Failure::Broken
@@ -141,6 +146,21 @@
         Err(Failure::Broken)
     }
 
+    /// Waits for the next token; the node watches over the first one.
+    async fn next_chunk(
+        &self,
+        generation: &mut Generation,
+        first: bool,
+    ) -> Result<Option<backend::Result<Chunk>>, Failure> {
+        let next = generation.chunks.next();
+        if first {
+            return Ok(next.await);
+        }
+        timeout(TOKEN_TIMEOUT, next)
+            .await
+            .map_err(|_| Failure::Stalled)
+    }
+
     async fn forward(&mut self, chunk: Chunk, origin: &Arc<SignedOrigin>) {
         let Ok(permit) = self.tx.reserve().await else {
             // The caller has gone away, which the task notices.
