--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -9,6 +9,7 @@
 use crate::call_table::Stage;
 use crate::call_table::Target;
 use crate::interner::NameKey;
+use crate::mutation::Mutation;
 use crate::once::Claim;
 use crate::outcome::Progress;
 use crate::outcome::Unsent;
@@ -109,6 +110,7 @@
     fn begin(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let call = self.calls.get(id).expect("it has just arrived");
         match call.claim.clone() {
+            Some(_) if self.is_off(Mutation::SkipClaim) => self.route(now, id, out),
             Some(claim) => self.claim_record(now, id, claim, out),
             None => self.route(now, id, out),
         }
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -2,6 +2,7 @@
 
 use crate::arrive::COME_BACK_MS;
 use crate::call_table::Stage;
+use crate::mutation::Mutation;
 use crate::once::Claim;
 use crate::once::Found;
 use crate::once::RecordState;
@@ -125,6 +126,9 @@
             StoreResult::Conflict { held: None } | StoreResult::Absent => {
                 self.try_later(now, op, OpKind::Claim { over: 0 }, out);
             }
+            StoreResult::AnswerLost if self.is_off(Mutation::TrustLostClaim) => {
+                self.on_claimed(now, op, 1, out);
+            }
             StoreResult::AnswerLost | StoreResult::Value { .. } => {
                 self.try_later(now, op, OpKind::ReadBack, out);
             }
@@ -159,6 +163,9 @@
             Found::Free => self.try_later(now, op, OpKind::Claim { over: version }, out),
             Found::Done(answer) => self.repeat_answer(id, answer, out),
             Found::AnswerNotKept => self.refuse_done(id, Reason::AnswerNotKept, out),
+            Found::Claimed if self.is_off(Mutation::TakeOverClaim) => {
+                self.on_claimed(now, op, version, out);
+            }
             Found::Claimed => self.refuse(id, Reason::InProgress, soon, out),
             Found::Unknown => self.refuse(id, Reason::EarlierAttemptUnknown, None, out),
             Found::OtherRequest => {
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use crate::mutation::Mutation;
 use crate::timers::Timer;
 use crate::Action;
 use crate::Node;
@@ -74,6 +75,9 @@
 
     /// Asks another router for what it knows, once.
     pub(crate) fn ask_for_snapshot(&mut self, out: &mut Vec<Action>) {
+        if self.is_off(Mutation::SkipSnapshot) {
+            return;
+        }
         if self.snapshot_asked || self.routers.len() == 0 {
             return;
         }
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -4,6 +4,7 @@
 
 use config::Config;
 
+use crate::mutation::Mutation;
 use crate::Action;
 use crate::CacheReport;
 use crate::Incarnation;
@@ -18,6 +19,9 @@
 impl Node {
     /// Takes a configuration in.
     pub(crate) fn on_config(&mut self, version: u64, cfg: &Arc<Config>, out: &mut Vec<Action>) {
+        if self.is_off(Mutation::AcceptOldConfig) {
+            self.rollout.revert();
+        }
         if !self.rollout.offer(version, cfg) {
             return;
         }
@@ -28,6 +32,9 @@
             version,
             config: cfg.clone(),
         };
+        if self.is_off(Mutation::KeepConfigToItself) {
+            return;
+        }
         self.tell_all(&message, out);
     }
 
@@ -74,6 +81,9 @@
         incarnation: Incarnation,
         out: &mut Vec<Action>,
     ) {
+        if self.is_off(Mutation::ForgetLeaving) {
+            return;
+        }
         if !self.fleet.mark_leaving(server, incarnation) {
             return;
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod ids;
 mod interner;
 mod learn;
+mod mutation;
 mod node;
 mod once;
 mod outcome;
@@ -56,6 +57,8 @@
 pub use crate::ids::Incarnation;
 pub use crate::ids::OpId;
 pub use crate::ids::ServerKey;
+#[cfg(feature = "mutations")]
+pub use crate::mutation::Mutation;
 pub use crate::node::Identity;
 pub use crate::node::Node;
 pub use crate::outcome::InFlight;
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -10,6 +10,7 @@
 use crate::admission::Admission;
 use crate::call_table::CallTable;
 use crate::fleet::Fleet;
+use crate::mutation::Mutation;
 use crate::placement::Placement;
 use crate::retry_budget::RetryBudget;
 use crate::rollout::Rollout;
@@ -53,6 +54,8 @@
     pub(crate) snapshot_asked: bool,
     pub(crate) shutting_down: bool,
     pub(crate) stopped: bool,
+    #[cfg(feature = "mutations")]
+    pub(crate) mutation: Option<Mutation>,
 }
 
 impl Node {
@@ -76,6 +79,8 @@
             snapshot_asked: false,
             shutting_down: false,
             stopped: false,
+            #[cfg(feature = "mutations")]
+            mutation: None,
         }
     }
 
@@ -121,7 +126,7 @@
             Event::Config { version, config } => self.on_config(version, &config, out),
             Event::Peer { from, message } => self.on_peer(now, &from, message, out),
             Event::Store { op, result } => self.on_store(now, op, result, out),
-            Event::Shutdown { deadline } => self.on_shutdown(deadline),
+            Event::Shutdown { deadline } => self.on_shutdown(now, deadline),
             Event::Tick => {}
         }
         self.run_timers(now, out);
@@ -139,8 +144,13 @@
         }
     }
 
-    fn on_shutdown(&mut self, deadline: Time) {
+    fn on_shutdown(&mut self, now: Time, deadline: Time) {
         self.shutting_down = true;
+        let deadline = if self.is_off(Mutation::StopAtOnce) {
+            now
+        } else {
+            deadline
+        };
         self.timers.add(deadline, Timer::Shutdown);
     }
 
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -4,6 +4,7 @@
 use crate::call_table::Call;
 use crate::call_table::Stage;
 use crate::call_table::Target;
+use crate::mutation::Mutation;
 use crate::once::RecordState;
 use crate::Action;
 use crate::Attempt;
@@ -37,7 +38,11 @@
         report: BackendReport,
         out: &mut Vec<Action>,
     ) {
-        let running = self.calls.get(id).filter(|call| call.attempt == attempt);
+        let any = self.is_off(Mutation::MixAttempts);
+        let running = self
+            .calls
+            .get(id)
+            .filter(|call| any || call.attempt == attempt);
         let Some(server) = running.and_then(Call::server) else {
             out.push(Action::LateAnswer { call: id, attempt });
             return;
@@ -145,11 +150,13 @@
         let limits = self.rollout.config()?.limits;
         let call = self.calls.get(id)?;
         let soon = Some(now.plus_millis(COME_BACK_MS));
-        if self.strikes.count(now, call.fingerprint) >= limits.crashes_per_request {
+        let strikes = !self.is_off(Mutation::SkipStrikes);
+        if strikes && self.strikes.count(now, call.fingerprint) >= limits.crashes_per_request {
             let forgiven_at = self.strikes.forgiven_at(call.fingerprint);
             return Some((Reason::CrashedRunners, forgiven_at));
         }
-        if call.claim.is_some() && !failure.never_ran() {
+        let resend = self.is_off(Mutation::ResendAfterBreak);
+        if call.claim.is_some() && !failure.never_ran() && !resend {
             return Some((Reason::AttemptsFailed, None));
         }
         if matches!(call.target, Target::Stream { .. }) {
@@ -181,7 +188,11 @@
         };
         let progress = call.take_progress();
         self.close_record(id, &call, &progress, out);
-        let refusal = progress.refuse(reason, retry_at);
+        let refusal = if self.is_off(Mutation::SayNotRun) {
+            crate::Refusal::not_run(crate::Unsent::new(), reason, retry_at)
+        } else {
+            progress.refuse(reason, retry_at)
+        };
         if !call.answered {
             out.push(Action::Refuse { call: id, refusal });
         }
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -30,6 +30,11 @@
         true
     }
 
+    /// Forgets the version in force, for [`crate::mutation::Mutation::AcceptOldConfig`].
+    pub(crate) fn revert(&mut self) {
+        self.version = 0;
+    }
+
     /// Returns the version in force, 0 for none.
     pub(crate) fn version(&self) -> u64 {
         self.version
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -4,6 +4,7 @@
 use crate::arrive::COME_BACK_MS;
 use crate::call_table::Stage;
 use crate::call_table::Target;
+use crate::mutation::Mutation;
 use crate::placement::Ask;
 use crate::placement::Choice;
 use crate::Action;
@@ -101,6 +102,11 @@
         if let Target::Engine(ask) = &call.target {
             self.placement.on_sent(aim.server, ask);
         }
+        let incarnation = match self.is_off(Mutation::IgnoreIncarnation) {
+            true => Incarnation::default(),
+            false => aim.incarnation,
+        };
+        let call = self.calls.get_mut(id).expect("only live calls are sent");
         let server = self.fleet.server(aim.server);
         out.push(Action::Dispatch(Dispatch {
             at: Attempt {
@@ -110,7 +116,7 @@
             },
             server_name: server.name.clone(),
             address: server.address,
-            incarnation: aim.incarnation,
+            incarnation,
             weights_version: aim.weights_version,
             workspace: self.fleet.workspaces.name(call.workspace).to_string(),
             rank: call.rank,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Small stand-ins for the outside systems, never shipped.
+
+pub mod soak;
--- /dev/null
+++ b/crates/standins/src/soak/engine.rs
@@ -0,0 +1,188 @@
+//! Logic of a stand-in model engine.
+
+use std::collections::BTreeMap;
+
+use crate::soak::happening::Conn;
+use crate::soak::request::StreamAt;
+
+/// Streams that an engine computes at once.
+const BATCH: usize = 8;
+
+/// Steps for which a stream without a router is kept.
+const KEPT_STEPS: u32 = 500;
+
+/// A token on its way to a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Token {
+    /// Request that it answers.
+    pub(crate) request: u64,
+    pub(crate) position: u32,
+    pub(crate) last: bool,
+    pub(crate) at: StreamAt,
+}
+
+/// A stream that an engine computes or keeps.
+#[derive(Clone, Debug)]
+pub(crate) struct Stream {
+    pub(crate) request: u64,
+    pub(crate) conn: Option<Conn>,
+    next: u32,
+    tokens: u32,
+    crashes: bool,
+    idle_steps: u32,
+}
+
+/// What an engine does in one step.
+#[derive(Debug, Default)]
+pub(crate) struct Step {
+    /// Tokens to send, each over its connection.
+    pub(crate) tokens: Vec<(Conn, Token)>,
+    /// Whether the engine crashes, and by which request.
+    pub(crate) crash: Option<u64>,
+}
+
+/// A stand-in model engine.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) index: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) up: bool,
+    /// Whether it is leaving, by its incarnation, and since when.
+    pub(crate) leaving_since: Option<policy::Time>,
+    pub(crate) stepping: bool,
+    next_stream: u64,
+    streams: BTreeMap<u64, Stream>,
+}
+
+impl Engine {
+    /// Starts an engine.
+    pub(crate) fn new(index: usize) -> Engine {
+        Engine {
+            index,
+            incarnation: 1,
+            up: true,
+            leaving_since: None,
+            stepping: false,
+            next_stream: 1,
+            streams: BTreeMap::new(),
+        }
+    }
+
+    /// Comes back empty.
+    pub(crate) fn restart(&mut self) {
+        self.incarnation += 1;
+        self.up = true;
+        self.leaving_since = None;
+        self.stepping = false;
+        self.streams.clear();
+    }
+
+    /// Dies; returns the streams it had.
+    pub(crate) fn crash(&mut self) -> Vec<Stream> {
+        self.up = false;
+        std::mem::take(&mut self.streams).into_values().collect()
+    }
+
+    /// Starts a stream after the tokens that the caller has.
+    pub(crate) fn start(
+        &mut self,
+        conn: Conn,
+        request: u64,
+        after: u32,
+        tokens: u32,
+        crashes: bool,
+    ) {
+        let stream = Stream {
+            request,
+            conn: Some(conn),
+            next: after,
+            tokens,
+            crashes,
+            idle_steps: 0,
+        };
+        self.streams.insert(self.next_stream, stream);
+        self.next_stream += 1;
+    }
+
+    /// Goes on with a kept stream over a new connection; `overlap` repeats the
+    /// token before. Tells whether the stream is still there.
+    pub(crate) fn resume(&mut self, conn: Conn, stream: u64, after: u32, overlap: bool) -> bool {
+        let Some(stream) = self.streams.get_mut(&stream) else {
+            return false;
+        };
+        stream.conn = Some(conn);
+        stream.next = if overlap {
+            after.saturating_sub(1)
+        } else {
+            after
+        };
+        stream.idle_steps = 0;
+        true
+    }
+
+    /// Drops the stream of an attempt.
+    pub(crate) fn cancel(&mut self, conn: Conn) {
+        self.streams.retain(|_, stream| stream.conn != Some(conn));
+    }
+
+    /// Keeps the stream of a broken connection for a resume.
+    pub(crate) fn detach(&mut self, conn: Conn) {
+        for stream in self.streams.values_mut() {
+            if stream.conn == Some(conn) {
+                stream.conn = None;
+            }
+        }
+    }
+
+    /// Keeps the streams of a router that died.
+    pub(crate) fn detach_router(&mut self, router: usize) {
+        for stream in self.streams.values_mut() {
+            if stream.conn.is_some_and(|conn| conn.from.router == router) {
+                stream.conn = None;
+            }
+        }
+    }
+
+    /// Returns the streams that wait or are computed.
+    pub(crate) fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Computes one token of each stream of the batch.
+    pub(crate) fn step(&mut self) -> Step {
+        let mut step = Step::default();
+        let mut ended = Vec::new();
+        for (id, stream) in self.streams.iter_mut().take(BATCH) {
+            let Some(conn) = stream.conn else {
+                stream.idle_steps += 1;
+                if stream.idle_steps > KEPT_STEPS {
+                    ended.push(*id);
+                }
+                continue;
+            };
+            if stream.crashes {
+                step.crash = Some(stream.request);
+                break;
+            }
+            let token = Token {
+                request: stream.request,
+                position: stream.next,
+                last: stream.next + 1 >= stream.tokens,
+                at: StreamAt {
+                    engine: self.index,
+                    incarnation: self.incarnation,
+                    stream: *id,
+                },
+            };
+            step.tokens.push((conn, token));
+            stream.next += 1;
+            if token.last {
+                stream.conn = None;
+            }
+        }
+        for id in ended {
+            self.streams.remove(&id);
+        }
+        step
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/request.rs
@@ -0,0 +1,54 @@
+//! Requests of callers, as the callers see them.
+
+use policy::ContentHash;
+use policy::Time;
+
+/// What a caller asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// A streamed completion.
+    Stream {
+        /// Tokens of the whole answer.
+        tokens: u32,
+        /// Whether it crashes each engine that runs it.
+        crashes: bool,
+    },
+    /// A booking under this key.
+    Booking {
+        /// Idempotency key.
+        key: String,
+    },
+    /// An idempotent call of the plain service.
+    Lookup,
+}
+
+/// Where a stream runs, as its event ids tell the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StreamAt {
+    /// Engine.
+    pub(crate) engine: usize,
+    /// Incarnation of the engine.
+    pub(crate) incarnation: u64,
+    /// Stream at the engine.
+    pub(crate) stream: u64,
+}
+
+/// A request of a caller, over all its sends.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) kind: Kind,
+    pub(crate) fingerprint: u64,
+    pub(crate) pieces: Vec<ContentHash>,
+    /// Tokens that the caller has of the present answer.
+    pub(crate) received: u32,
+    pub(crate) stream: Option<StreamAt>,
+    /// Sends so far.
+    pub(crate) sends: u32,
+    /// Sends that have no final answer yet.
+    pub(crate) open: u32,
+    /// Whether the caller has what it asked for.
+    pub(crate) served: bool,
+    /// Engines that crashed while they ran it, though it did not crash them.
+    pub(crate) neighbour: bool,
+    pub(crate) deadline: Time,
+}
--- /dev/null
+++ b/crates/standins/src/soak/summary.rs
@@ -0,0 +1,67 @@
+//! What a run saw.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::soak::Settings;
+use crate::soak::Violation;
+
+/// What a run saw.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    /// Settings of the run.
+    pub settings: Settings,
+    /// Happenings that were run through.
+    pub steps: u64,
+    /// Virtual time that passed, in milliseconds.
+    pub virtual_ms: u64,
+    /// Faults by kind.
+    pub faults: BTreeMap<&'static str, u64>,
+    /// Callers' sends by their outcome.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Other things that were counted.
+    pub counts: BTreeMap<&'static str, u64>,
+    /// Hash of the whole trace.
+    pub trace_hash: u64,
+    /// Trace, or its end.
+    pub trace: Vec<String>,
+    /// First broken promise.
+    pub violation: Option<Violation>,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Settings {
+            seed,
+            routers,
+            runners,
+            ..
+        } = self.settings;
+        writeln!(
+            f,
+            "seed={seed} routers={routers} runners={runners} steps={} virtual_ms={} trace={:016x}",
+            self.steps, self.virtual_ms, self.trace_hash
+        )?;
+        write_counts(f, "faults", &self.faults)?;
+        write_counts(f, "outcomes", &self.outcomes)?;
+        write_counts(f, "counts", &self.counts)?;
+        let Some(violation) = &self.violation else {
+            return writeln!(f, "violations=0");
+        };
+        for line in &self.trace {
+            writeln!(f, "  {line}")?;
+        }
+        writeln!(f, "violation={:?} {}", violation.promise, violation.seen)
+    }
+}
+
+fn write_counts<K>(f: &mut fmt::Formatter<'_>, name: &str, counts: &BTreeMap<K, u64>) -> fmt::Result
+where
+    K: fmt::Display,
+{
+    write!(f, "{name}:")?;
+    for (kind, count) in counts {
+        write!(f, " {kind}={count}")?;
+    }
+    writeln!(f)
+}
