--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -15,6 +15,12 @@
 /// Pause between two rounds of gossip, in milliseconds.
 const GOSSIP_MS: u64 = 1_000;
 
+/// Pause after which other routers are asked for a snapshot, in milliseconds.
+const SNAPSHOT_RETRY_MS: u64 = 100;
+
+/// Times that other routers are asked for a snapshot once a configuration is in force.
+const SNAPSHOT_TRIES: u32 = 3;
+
 /// Routers that are told the version in force in one round.
 const GOSSIP_WIDTH: usize = 3;
 
@@ -73,15 +79,21 @@
         }
     }
 
-    /// Asks another router for what it knows, once.
-    pub(crate) fn ask_for_snapshot(&mut self, out: &mut Vec<Action>) {
+    /// Asks other routers for what they know, until a snapshot has come.
+    pub(crate) fn ask_for_snapshot(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.is_off(Mutation::SkipSnapshot) {
             return;
         }
-        if self.snapshot_asked || self.routers.len() == 0 {
+        let enough = self.rollout.version() > 0 && self.snapshot_tries >= SNAPSHOT_TRIES;
+        if self.has_snapshot || enough || self.routers.len() == 0 {
             return;
         }
-        self.snapshot_asked = true;
+        self.snapshot_tries += 1;
+        let pause_ms = match self.snapshot_tries {
+            0..=SNAPSHOT_TRIES => SNAPSHOT_RETRY_MS,
+            _ => GOSSIP_MS,
+        };
+        self.timers.add(now.plus_millis(pause_ms), Timer::Snapshot);
         for vm in self.some_routers() {
             self.tell(&vm, PeerMessage::SnapshotRequest, out);
         }
@@ -92,11 +104,13 @@
         if vms.is_empty() {
             return vms;
         }
-        let start = self.rng.random_range(0..vms.len());
+        let width = GOSSIP_WIDTH.min(vms.len());
+        let start = self.gossip_cursor % vms.len();
+        self.gossip_cursor = (start + width) % vms.len();
         vms.iter()
             .cycle()
             .skip(start)
-            .take(GOSSIP_WIDTH.min(vms.len()))
+            .take(width)
             .cloned()
             .collect()
     }
@@ -110,6 +124,9 @@
         if version == own {
             return;
         }
+        if self.is_off(Mutation::KeepConfigToItself) {
+            return;
+        }
         if let Some(config) = self.rollout.config().cloned() {
             let message = PeerMessage::Config {
                 version: own,
@@ -149,6 +166,7 @@
 
     fn on_snapshot(&mut self, _now: Time, snapshot: Snapshot, out: &mut Vec<Action>) {
         if let Some((version, cfg)) = snapshot.config {
+            self.has_snapshot = true;
             self.on_config(version, &cfg, out);
         }
         self.on_leaving_marks(&snapshot.leaving, out);
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -26,6 +26,7 @@
             return;
         }
         self.fleet.on_config(cfg);
+        self.learn_servers();
         out.push(Action::InForce { version });
         out.push(Action::Watch(self.fleet.declared_engines()));
         let message = PeerMessage::Config {
@@ -39,12 +40,21 @@
     }
 
     /// Takes the membership list in.
-    pub(crate) fn on_members(&mut self, members: &[Member], out: &mut Vec<Action>) {
+    pub(crate) fn on_members(&mut self, now: Time, members: &[Member], out: &mut Vec<Action>) {
         self.routers.on_members(&self.identity.vm, members);
-        for server in self.fleet.on_members(members) {
+        self.members = members.to_vec();
+        self.learn_servers();
+        if self.snapshot_tries == 0 {
+            self.ask_for_snapshot(now, out);
+        }
+    }
+
+    /// Takes the membership list in again, for servers that were not declared
+    /// when it came.
+    fn learn_servers(&mut self) {
+        for server in self.fleet.on_members(&self.members) {
             self.placement.on_reset(server);
         }
-        self.ask_for_snapshot(out);
     }
 
     /// Takes a load report in.
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -21,6 +21,7 @@
 use crate::timers::Timers;
 use crate::Action;
 use crate::Event;
+use crate::Member;
 use crate::ServerKey;
 use crate::Time;
 
@@ -44,6 +45,8 @@
     pub(crate) rollout: Rollout,
     pub(crate) fleet: Fleet,
     pub(crate) routers: Routers,
+    /// Latest membership list.
+    pub(crate) members: Vec<Member>,
     pub(crate) placement: Placement,
     pub(crate) strikes: Strikes,
     pub(crate) admission: Admission,
@@ -51,7 +54,10 @@
     pub(crate) calls: CallTable,
     pub(crate) store_ops: StoreOps,
     pub(crate) timers: Timers,
-    pub(crate) snapshot_asked: bool,
+    pub(crate) snapshot_tries: u32,
+    /// Place in the list of routers at which the next round of gossip begins.
+    pub(crate) gossip_cursor: usize,
+    pub(crate) has_snapshot: bool,
     pub(crate) shutting_down: bool,
     pub(crate) stopped: bool,
     #[cfg(feature = "mutations")]
@@ -69,6 +75,7 @@
             rollout: Rollout::default(),
             fleet: Fleet::default(),
             routers: Routers::default(),
+            members: Vec::new(),
             placement: Placement::default(),
             strikes: Strikes::default(),
             admission: Admission::default(),
@@ -76,7 +83,9 @@
             calls: CallTable::default(),
             store_ops: StoreOps::default(),
             timers,
-            snapshot_asked: false,
+            snapshot_tries: 0,
+            gossip_cursor: seed as usize,
+            has_snapshot: false,
             shutting_down: false,
             stopped: false,
             #[cfg(feature = "mutations")]
@@ -122,7 +131,7 @@
             } => self.on_report(now, call, attempt, report, out),
             Event::Load(report) => self.on_load(now, &report, out),
             Event::Cache(report) => self.on_cache(&report),
-            Event::Members(members) => self.on_members(&members, out),
+            Event::Members(members) => self.on_members(now, &members, out),
             Event::Config { version, config } => self.on_config(version, &config, out),
             Event::Peer { from, message } => self.on_peer(now, &from, message, out),
             Event::Store { op, result } => self.on_store(now, op, result, out),
@@ -139,6 +148,7 @@
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
                 Timer::Gossip => self.on_gossip(now, out),
+                Timer::Snapshot => self.ask_for_snapshot(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
             }
         }
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -15,6 +15,8 @@
     Store(OpId),
     /// Other routers are to be told what is new.
     Gossip,
+    /// Other routers are to be asked for a snapshot again.
+    Snapshot,
     /// Calls in flight must have ended.
     Shutdown,
 }
--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -25,6 +25,9 @@
     /// model engines
     #[argh(option, default = "6")]
     runners: usize,
+    /// one in this many streams crashes its engines; 0 for none
+    #[argh(option, default = "60")]
+    crashing: u64,
     /// mechanism to switch off, by its name
     #[argh(option, from_str_fn(mutation))]
     mutation: Option<Mutation>,
@@ -47,6 +50,7 @@
             steps: args.steps,
             routers: args.routers,
             runners: args.runners,
+            one_crashing_in: args.crashing,
             mutation: args.mutation,
             keep_trace: args.trace,
         };
--- a/crates/standins/src/soak/ledger.rs
+++ b/crates/standins/src/soak/ledger.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use policy::AttemptId;
 use policy::CallId;
 use policy::StoredAnswer;
 
@@ -75,7 +76,17 @@
     }
 
     /// Notes a token that a caller got.
-    pub(crate) fn on_token(&mut self, id: u64, request: &Request, token: &Token) {
+    pub(crate) fn on_token(
+        &mut self,
+        id: u64,
+        request: &Request,
+        attempt: AttemptId,
+        token: &Token,
+    ) {
+        if attempt < request.attempt {
+            let seen = format!("request {id} got a token of {attempt:?} after a later one");
+            self.broken(Promise::WholeAnswer, seen);
+        }
         if token.request != id {
             let seen = format!("request {id} got a token of request {}", token.request);
             self.broken(Promise::WholeAnswer, seen);
--- a/crates/standins/src/soak/request.rs
+++ b/crates/standins/src/soak/request.rs
@@ -1,5 +1,6 @@
 //! Requests of callers, as the callers see them.
 
+use policy::AttemptId;
 use policy::ContentHash;
 use policy::Time;
 
@@ -42,6 +43,8 @@
     /// Tokens that the caller has of the present answer.
     pub(crate) received: u32,
     pub(crate) stream: Option<StreamAt>,
+    /// Latest attempt of the present send whose tokens it got.
+    pub(crate) attempt: AttemptId,
     /// Sends so far.
     pub(crate) sends: u32,
     /// Sends that have no final answer yet.
--- a/crates/standins/src/soak/settings.rs
+++ b/crates/standins/src/soak/settings.rs
@@ -13,6 +13,8 @@
     pub routers: usize,
     /// Model engines.
     pub runners: usize,
+    /// One in this many streams crashes its engines; 0 for none.
+    pub one_crashing_in: u64,
     /// Mechanism that is switched off, if any.
     pub mutation: Option<Mutation>,
     /// Whether to keep the whole trace, not just its end.
--- a/crates/standins/src/soak/shell.rs
+++ b/crates/standins/src/soak/shell.rs
@@ -31,6 +31,8 @@
     /// State machine, none while the process is down.
     pub(crate) node: Option<Node>,
     pub(crate) calls: BTreeMap<CallId, ShellCall>,
+    /// Streams whose last token was passed on; the state machine may not know yet.
+    pub(crate) ended: BTreeSet<CallId>,
     pub(crate) next_call: u64,
     pub(crate) watched: BTreeSet<ServerKey>,
     pub(crate) frozen_until: Time,
@@ -40,6 +42,10 @@
     /// End of the latest fault that concerns it.
     pub(crate) disturbed_until: Time,
     pub(crate) stopping: bool,
+    /// Time by which a graceful stop must have ended.
+    pub(crate) stop_by: Time,
+    /// Time of the latest membership list that it fetched.
+    pub(crate) listed_at: Time,
     /// Earliest tick that is queued.
     pub(crate) tick_at: Option<Time>,
     /// Highest incarnation of each engine that it was told of.
@@ -55,6 +61,7 @@
             at: Boot { router, boot: 0 },
             node: None,
             calls: BTreeMap::new(),
+            ended: BTreeSet::new(),
             next_call: 1,
             watched: BTreeSet::new(),
             frozen_until: Time::default(),
@@ -62,6 +69,8 @@
             deaf_until: Time::default(),
             disturbed_until: Time::default(),
             stopping: false,
+            stop_by: Time::default(),
+            listed_at: Time::default(),
             tick_at: None,
             told: BTreeMap::new(),
             version: 0,
--- /dev/null
+++ b/crates/standins/tests/soak.rs
@@ -0,0 +1,96 @@
+//! Randomised runs with fixed seeds, and proof that the checker bites.
+
+use policy::Mutation;
+use standins::soak;
+use standins::soak::Promise;
+use standins::soak::Settings;
+use standins::soak::Summary;
+
+/// Seeds that run in CI.
+const SEEDS: std::ops::Range<u64> = 1..9;
+
+/// Seeds within which a mutation must be caught.
+const MUTATION_SEEDS: std::ops::Range<u64> = 1..25;
+
+fn settings(seed: u64) -> Settings {
+    Settings {
+        seed,
+        steps: 20_000,
+        routers: 5,
+        runners: 6,
+        one_crashing_in: 60,
+        mutation: None,
+        keep_trace: false,
+    }
+}
+
+fn run_mutated(seed: u64, mutation: Mutation) -> Summary {
+    soak::run(Settings {
+        mutation: Some(mutation),
+        ..settings(seed)
+    })
+}
+
+/// Promise that a mutation breaks.
+fn broken_by(mutation: Mutation) -> Promise {
+    match mutation {
+        Mutation::SkipClaim
+        | Mutation::ResendAfterBreak
+        | Mutation::TakeOverClaim
+        | Mutation::TrustLostClaim => Promise::AtMostOnce,
+        Mutation::AcceptOldConfig => Promise::ConfigReverts,
+        Mutation::KeepConfigToItself => Promise::ConfigInForce,
+        Mutation::SkipOrderCheck => Promise::StreamOrder,
+        Mutation::MixAttempts => Promise::WholeAnswer,
+        Mutation::SayNotRun => Promise::TrueRefusal,
+        Mutation::ForgetLeaving => Promise::Leaving,
+        Mutation::StopAtOnce => Promise::GracefulStop,
+        Mutation::SkipSnapshot => Promise::Restart,
+        Mutation::IgnoreIncarnation => Promise::CacheTruth,
+        Mutation::SkipStrikes => Promise::CrashBound,
+    }
+}
+
+fn assert_caught(mutation: Mutation) {
+    let expected = broken_by(mutation);
+    let mut seen = Vec::new();
+    for seed in MUTATION_SEEDS {
+        let violation = run_mutated(seed, mutation).violation;
+        let promise = violation.map(|v| v.promise);
+        if promise == Some(expected) {
+            return;
+        }
+        seen.extend(promise);
+    }
+    panic!("{mutation:?} did not break {expected:?}, only {seen:?}");
+}
+
+#[test]
+fn fixed_seeds_keep_every_promise() {
+    for seed in SEEDS {
+        let summary = soak::run(settings(seed));
+
+        assert!(summary.violation.is_none(), "{summary}");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_trace() {
+    let kept = Settings {
+        keep_trace: true,
+        ..settings(3)
+    };
+
+    let first = soak::run(kept);
+    let second = soak::run(kept);
+
+    assert_eq!(first.trace, second.trace);
+    assert_eq!(first.trace_hash, second.trace_hash);
+}
+
+#[test]
+fn each_mutation_breaks_its_promise() {
+    for mutation in Mutation::ALL {
+        assert_caught(mutation);
+    }
+}
