--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -4,6 +4,8 @@
 
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::Result;
 
@@ -16,7 +18,7 @@
     pub workspace: String,
     /// Model.
     pub model: String,
-    /// Version of the weights that must serve it; the engine refuses another.
+    /// Version of the weights that must serve it; the engine refuses another. 0 for any.
     pub weights_version: u64,
     /// Incarnation that the router relies on; the engine refuses another. 0 for any.
     pub incarnation: u64,
@@ -29,7 +31,16 @@
     /// Text of the tokens already delivered by another engine, which go before the first new one.
     pub delivered: Vec<String>,
     /// Server from which the engine may fetch the KV cache of missing pieces.
-    pub fetch_from: Option<SocketAddr>,
+    pub fetch_from: Option<FetchFrom>,
+}
+
+/// A server that holds pieces another one lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FetchFrom {
+    /// Address of the holder.
+    pub address: SocketAddr,
+    /// Incarnation of the holder, which refuses to export under another.
+    pub incarnation: u64,
 }
 
 /// What an engine says when a generation starts.
@@ -54,7 +65,8 @@
     pub last: bool,
 }
 
-/// A running generation; dropping it cancels it.
+/// A running generation; dropping it breaks the connection, and the engine cancels
+/// the generation unless it is resumed within the engine's period of grace.
 pub struct Generation {
     /// What the engine said at the start.
     pub started: Started,
@@ -62,8 +74,17 @@
     pub chunks: BoxStream<'static, Result<Chunk>>,
 }
 
+/// Weights that an engine holds and serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldWeights {
+    /// Model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u64,
+}
+
 /// Load of an engine, reported with a lag.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Incarnation of the engine.
     pub incarnation: u64,
@@ -73,6 +94,8 @@
     pub running: u32,
     /// Whether the engine is leaving.
     pub leaving: bool,
+    /// Weights that it holds and serves, none if it doesn't say.
+    pub weights: Option<Vec<HeldWeights>>,
 }
 
 /// A change of an engine's cache.
--- /dev/null
+++ b/crates/ctl/src/author.rs
@@ -0,0 +1,36 @@
+//! Who makes a change, and when.
+
+use std::env;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use config::Maker;
+use uuid::Uuid;
+
+/// Environment variables that name the operator, the first that is set decides.
+const AUTHOR_VARIABLES: [&str; 2] = ["USER", "LOGNAME"];
+
+/// Author of a change that names none.
+const UNKNOWN_AUTHOR: &str = "unknown";
+
+/// Returns the maker of a change that is made now.
+pub(crate) fn maker(author: Option<String>) -> Maker {
+    let variables = AUTHOR_VARIABLES
+        .iter()
+        .filter_map(|name| env::var(name).ok());
+    let mut names = author.into_iter().chain(variables);
+    Maker {
+        author: names
+            .find(|name| !name.is_empty())
+            .unwrap_or_else(|| UNKNOWN_AUTHOR.into()),
+        at_ms: now_ms(),
+        nonce: Uuid::new_v4().to_string(),
+    }
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -10,11 +10,13 @@
 use crate::admission::Admission;
 use crate::call_table::CallTable;
 use crate::fleet::Fleet;
+use crate::loads::Loads;
 use crate::mutation::Mutation;
 use crate::placement::Placement;
 use crate::retry_budget::RetryBudget;
 use crate::rollout::Rollout;
 use crate::routers::Routers;
+use crate::shares::Shares;
 use crate::store_ops::StoreOps;
 use crate::strikes::Strikes;
 use crate::timers::Timer;
@@ -50,9 +52,11 @@
     pub(crate) placement: Placement,
     pub(crate) strikes: Strikes,
     pub(crate) admission: Admission,
+    pub(crate) shares: Shares,
     pub(crate) budget: RetryBudget,
     pub(crate) calls: CallTable,
     pub(crate) store_ops: StoreOps,
+    pub(crate) loads: Loads,
     pub(crate) timers: Timers,
     pub(crate) snapshot_tries: u32,
     /// Place in the list of routers at which the next round of gossip begins.
@@ -79,9 +83,11 @@
             placement: Placement::default(),
             strikes: Strikes::default(),
             admission: Admission::default(),
+            shares: Shares::default(),
             budget: RetryBudget::default(),
             calls: CallTable::default(),
             store_ops: StoreOps::default(),
+            loads: Loads::default(),
             timers,
             snapshot_tries: 0,
             gossip_cursor: seed as usize,
@@ -135,6 +141,11 @@
             Event::Config { version, config } => self.on_config(version, &config, out),
             Event::Peer { from, message } => self.on_peer(now, &from, message, out),
             Event::Store { op, result } => self.on_store(now, op, result, out),
+            Event::OrderAnswered {
+                server,
+                fencing,
+                answer,
+            } => self.on_order_answer(now, &server, fencing, answer),
             Event::Shutdown { deadline } => self.on_shutdown(now, deadline),
             Event::Tick => {}
         }
@@ -147,6 +158,7 @@
             match timer {
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
+                Timer::Loads => self.on_loads_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
                 Timer::Snapshot => self.ask_for_snapshot(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
--- a/crates/standins/src/soak/backends.rs
+++ b/crates/standins/src/soak/backends.rs
@@ -7,6 +7,7 @@
 use policy::Dispatch;
 use policy::Event;
 use policy::Failure;
+use policy::HeldWeights;
 use policy::Incarnation;
 use policy::LoadReport;
 use policy::Member;
@@ -219,6 +220,10 @@
             queued_tokens: 0,
             running: u32::try_from(engine.len()).expect("few streams run"),
             leaving: engine.leaving_since.is_some(),
+            weights: Some(vec![HeldWeights {
+                model: config::MODEL.to_owned(),
+                version: config::WEIGHTS_VERSION,
+            }]),
         };
         for router in 0..self.shells.len() {
             let shell = &self.shells[router];
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -144,7 +144,6 @@
     pub(crate) fn give_token(&mut self, id: u64, attempt: AttemptId, token: &Token) {
         let request = self.requests.get_mut(&id).expect("it was sent");
         self.ledger.on_token(id, request, attempt, token);
-        request.attempt = attempt;
         request.received += 1;
         request.stream = Some(token.at);
     }
--- a/crates/standins/src/soak/ledger.rs
+++ b/crates/standins/src/soak/ledger.rs
@@ -84,7 +84,7 @@
         token: &Token,
     ) {
         if attempt < request.attempt {
-            let seen = format!("request {id} got a token of {attempt:?} after a later one");
+            let seen = format!("request {id} got a token of {attempt:?} after the next was sent");
             self.broken(Promise::WholeAnswer, seen);
         }
         if token.request != id {
--- a/crates/standins/src/soak/request.rs
+++ b/crates/standins/src/soak/request.rs
@@ -43,7 +43,7 @@
     /// Tokens that the caller has of the present answer.
     pub(crate) received: u32,
     pub(crate) stream: Option<StreamAt>,
-    /// Latest attempt of the present send whose tokens it got.
+    /// Latest attempt of the present send.
     pub(crate) attempt: AttemptId,
     /// Sends so far.
     pub(crate) sends: u32,
--- a/crates/standins/src/soak/routers.rs
+++ b/crates/standins/src/soak/routers.rs
@@ -200,6 +200,7 @@
                 self.shells[boot.router].watched = engines.into_iter().collect();
             }
             Action::Stopped => self.stopped(boot),
+            Action::Order(_) => self.count("orders"),
             Action::Retried { .. } => self.count("retries"),
             Action::LateAnswer { .. } => self.count("late_answers_dropped"),
         }
@@ -224,6 +225,8 @@
         shell_call.attempt = attempt;
         shell_call.server = Some(dispatch.server_name.clone());
         let request = shell_call.request;
+        let sent = self.requests.get_mut(&request).expect("it was made");
+        sent.attempt = attempt;
         self.check_dispatch(boot, &dispatch, request);
         let to = party_of(&dispatch.server_name);
         let from = Party::Router(boot.router);
