At most once through given-up claims, raised limits and late refusals

- A replica that had refused a call as leaving was marked for good, because replicas have no incarnation; it is now used last for a while.
- A late refusal of an old incarnation marked the new one as leaving, and a late break struck it.
Attempts remember the incarnation they were sent to.
- Raising record_hours made keys valid whose records had expired.
Records are kept, and keys are valid, for a constant 48 hours at most.
- A call whose answer was being recorded at its deadline was refused, though the answer was there.

--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -21,6 +21,7 @@
 use crate::CallRequest;
 use crate::Generate;
 use crate::Identity;
+use crate::Incarnation;
 use crate::Node;
 use crate::PieceSeed;
 use crate::Reason;
@@ -98,6 +99,7 @@
             progress: needs.progress,
             stage: Stage::Claiming,
             attempt: AttemptId(0),
+            incarnation: Incarnation::default(),
             failed_at: Vec::new(),
             delivered: delivered_before(&req.work),
             any_weights: false,
@@ -203,6 +205,7 @@
                 cfg.limits.record_hours,
                 req.fingerprint,
                 self.nonce(req.call),
+                class_of(now, req, cfg)?.deadline,
             )?),
         };
         let progress = match claim {
--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -52,6 +52,8 @@
     pub(crate) progress: Progress,
     pub(crate) stage: Stage,
     pub(crate) attempt: AttemptId,
+    /// Incarnation that the present attempt was sent to, 0 when unknown.
+    pub(crate) incarnation: Incarnation,
     /// Servers at which it failed.
     pub(crate) failed_at: Vec<ServerKey>,
     /// Tokens that the caller has.
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -148,6 +148,7 @@
             StoreResult::Value { version, value } => {
                 self.on_found(now, op, (version, value), out);
             }
+            StoreResult::Absent if self.calls.get(op.call).is_none() => {}
             StoreResult::Absent => self.try_later(now, op, OpKind::Claim { over: 0 }, out),
             _ => self.try_later(now, op, OpKind::ReadBack, out),
         }
@@ -162,8 +163,9 @@
     ) {
         let soon = now.plus_millis(COME_BACK_MS);
         let id = op.call;
-        match op.claim.read(&value) {
+        match op.claim.read(now, &value) {
             Found::Own => self.on_claimed(now, op, version, out),
+            Found::Free if self.calls.get(id).is_none() => {}
             Found::Free => self.try_later(now, op, OpKind::Claim { over: version }, out),
             Found::Done(answer) => self.repeat_answer(id, answer, out),
             Found::AnswerNotKept => self.refuse_done(id, Reason::AnswerNotKept, out),
@@ -222,7 +224,7 @@
     }
 
     /// Gives a caller the answer that is being recorded.
-    fn give_recorded(&mut self, id: CallId, out: &mut Vec<Action>) {
+    pub(crate) fn give_recorded(&mut self, id: CallId, out: &mut Vec<Action>) {
         let Some(call) = self.calls.get(id) else {
             return;
         };
@@ -269,20 +271,35 @@
             ..op
         };
         if now >= next.give_up_at {
-            let soon = now.plus_millis(COME_BACK_MS);
-            self.refuse(
-                next.call,
-                NotNow::until(soon, Reason::PlatformUnavailable),
-                out,
-            );
+            self.give_up(now, next, out);
             return;
         }
         if next.tries == 1 {
             self.send_op(next, out);
             return;
         }
-        let pause_ms = (10 << next.tries.min(10)).min(PAUSE_MS);
-        let id = self.store_ops.add(next);
+        self.send_later(now, next);
+    }
+
+    /// Refuses a call whose record can't be reached. A claim that may have been
+    /// written is looked for further, to be released: its call was not sent.
+    fn give_up(&mut self, now: Time, op: StoreOp, out: &mut Vec<Action>) {
+        let soon = now.plus_millis(COME_BACK_MS);
+        let not_now = NotNow::until(soon, Reason::PlatformUnavailable);
+        let waited_for = self.calls.get(op.call).is_some();
+        self.refuse(op.call, not_now, out);
+        if waited_for && op.kind == OpKind::ReadBack {
+            let next = StoreOp {
+                give_up_at: now.plus_millis(FINISH_PATIENCE_MS),
+                ..op
+            };
+            self.send_later(now, next);
+        }
+    }
+
+    fn send_later(&mut self, now: Time, op: StoreOp) {
+        let pause_ms = (10 << op.tries.min(10)).min(PAUSE_MS);
+        let id = self.store_ops.add(op);
         self.timers.add(now.plus_millis(pause_ms), Timer::Store(id));
     }
 
--- a/crates/policy/src/once.rs
+++ b/crates/policy/src/once.rs
@@ -18,9 +18,19 @@
 /// Milliseconds in an hour, the width of a bucket of records.
 const HOUR_MS: u64 = 3_600_000;
 
+/// Hours for which every record is kept, and for which a key is valid at most.
+///
+/// A constant, because records that were written under a lower limit would be
+/// gone when the operators raise it, and their calls could run again.
+const KEPT_HOURS: u64 = 48;
+
 /// Hours for which a record outlives the validity of its key.
 const SLACK_HOURS: u64 = 2;
 
+/// Time after the deadline of a claim's call from which its owner is taken for
+/// gone, in milliseconds.
+const OWNER_GONE_MS: u64 = 60_000;
+
 /// Time by which a key may be ahead of this router's clock, in milliseconds.
 const CLOCK_SKEW_MS: u64 = 300_000;
 
@@ -31,6 +41,8 @@
     pub(crate) expires: Time,
     pub(crate) nonce: String,
     pub(crate) fingerprint: u64,
+    /// Time from which the owner of the claim is taken for gone.
+    pub(crate) owner_gone_at: Time,
     /// Version under which the claim was written, 0 while it isn't.
     pub(crate) version: u64,
 }
@@ -56,6 +68,8 @@
 pub(crate) struct Record {
     pub(crate) nonce: String,
     pub(crate) fingerprint: u64,
+    /// Time from which the owner of a claim is taken for gone.
+    pub(crate) owner_gone_at: Time,
     #[serde(flatten)]
     pub(crate) state: RecordState,
 }
@@ -88,6 +102,7 @@
         record_hours: u64,
         fingerprint: u64,
         nonce: String,
+        deadline: Time,
     ) -> Result<Claim, Reason> {
         let uuid = Uuid::parse_str(key).map_err(|_| Reason::KeyMissing)?;
         let time = uuid.get_timestamp().ok_or(Reason::KeyMissing)?;
@@ -97,15 +112,17 @@
         let (seconds, nanos) = time.to_unix();
         let made_ms = seconds * 1_000 + u64::from(nanos) / 1_000_000;
         let now_ms = now.as_millis();
-        if made_ms > now_ms + CLOCK_SKEW_MS || made_ms + record_hours * HOUR_MS <= now_ms {
+        let valid_ms = record_hours.min(KEPT_HOURS) * HOUR_MS;
+        if made_ms > now_ms + CLOCK_SKEW_MS || made_ms + valid_ms <= now_ms {
             return Err(Reason::KeyExpired);
         }
         let bucket = made_ms / HOUR_MS;
         Ok(Claim {
             key: format!("{RECORD_PREFIX}{bucket}/{workspace}/{uuid}"),
-            expires: Time::from_millis((bucket + 1 + record_hours + SLACK_HOURS) * HOUR_MS),
+            expires: Time::from_millis((bucket + 1 + KEPT_HOURS + SLACK_HOURS) * HOUR_MS),
             nonce,
             fingerprint,
+            owner_gone_at: deadline.max(now).plus_millis(OWNER_GONE_MS),
             version: 0,
         })
     }
@@ -115,13 +132,14 @@
         let record = Record {
             nonce: self.nonce.clone(),
             fingerprint: self.fingerprint,
+            owner_gone_at: self.owner_gone_at,
             state,
         };
         serde_json::to_vec(&record).expect("a record has a JSON form")
     }
 
     /// Reads a record that was found in the place of this one.
-    pub(crate) fn read(&self, value: &[u8]) -> Found {
+    pub(crate) fn read(&self, now: Time, value: &[u8]) -> Found {
         let Ok(record) = serde_json::from_slice::<Record>(value) else {
             return Found::Unknown;
         };
@@ -130,6 +148,7 @@
         }
         match record.state {
             RecordState::Claimed if record.nonce == self.nonce => Found::Own,
+            RecordState::Claimed if now >= record.owner_gone_at => Found::Unknown,
             RecordState::Claimed => Found::Claimed,
             RecordState::Done { answer } => Found::Done(answer),
             RecordState::AnswerNotKept => Found::AnswerNotKept,
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -30,6 +30,9 @@
 /// Time for which a server that could not be reached is used last, in milliseconds.
 const SUSPECT_MS: u64 = 2_000;
 
+/// Time for which a leaving server of an unknown incarnation is used last, in milliseconds.
+const LEAVING_MS: u64 = 30_000;
+
 impl Node {
     /// Takes in what became of an attempt.
     pub(crate) fn on_report(
@@ -50,7 +53,7 @@
             return;
         };
         match report {
-            BackendReport::Started { incarnation, .. } => self.on_started(server, incarnation),
+            BackendReport::Started { incarnation, .. } => self.on_started(id, server, incarnation),
             BackendReport::FirstToken => self.on_first_token(id, server),
             BackendReport::Finished { .. } => self.end(id),
             BackendReport::Answered(answer) => self.on_answer(now, id, answer, out),
@@ -60,7 +63,9 @@
         }
     }
 
-    fn on_started(&mut self, server: ServerKey, incarnation: Incarnation) {
+    fn on_started(&mut self, id: CallId, server: ServerKey, incarnation: Incarnation) {
+        let call = self.calls.get_mut(id).expect("it was found before");
+        call.incarnation = incarnation;
         if self.fleet.on_incarnation(server, incarnation) {
             self.placement.on_reset(server);
         }
@@ -100,8 +105,8 @@
         out: &mut Vec<Action>,
     ) {
         self.leave_queue(id);
-        let incarnation = self.fleet.server(server).incarnation;
         let call = self.calls.get_mut(id).expect("it was found before");
+        let incarnation = call.incarnation;
         call.progress = call.take_progress().failed(failure.never_ran());
         call.delivered = delivered;
         if failure == Failure::StaleWeights {
@@ -110,6 +115,9 @@
             call.failed_at.push(server);
         }
         match failure {
+            Failure::Leaving if incarnation == Incarnation::default() => {
+                self.fleet.suspect(server, now.plus_millis(LEAVING_MS));
+            }
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
             Failure::Broken => self.strike(now, id, server, out),
@@ -129,7 +137,7 @@
             fingerprint: call.fingerprint,
             mark: ServerMark {
                 server: self.fleet.server(server).name.clone(),
-                incarnation: self.fleet.server(server).incarnation,
+                incarnation: call.incarnation,
             },
             at_ms: now.as_millis(),
         };
@@ -224,6 +232,10 @@
         if streaming || resumed || call.answered {
             return;
         }
+        if matches!(call.stage, Stage::Recording(_)) {
+            self.give_recorded(id, out);
+            return;
+        }
         let not_now = NotNow::until(now.plus_millis(COME_BACK_MS), Reason::DeadlinePassed);
         if call.claim.is_some() && !matches!(call.stage, Stage::Claiming) {
             call.answered = true;
@@ -244,6 +256,7 @@
     /// Gives up what is still in flight when the VM must stop.
     pub(crate) fn on_shutdown_deadline(&mut self, out: &mut Vec<Action>) {
         for id in self.calls.ids() {
+            self.give_recorded(id, out);
             self.refuse(id, NotNow::for_good(Reason::ShuttingDown), out);
         }
     }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -91,6 +91,7 @@
         let call = self.calls.get_mut(id).expect("only live calls are sent");
         call.progress = call.take_progress().sent();
         call.attempt.0 += 1;
+        call.incarnation = aim.incarnation;
         call.stage = Stage::Running {
             server: aim.server,
             started: false,
--- a/crates/standins/src/soak/routers.rs
+++ b/crates/standins/src/soak/routers.rs
@@ -457,7 +457,8 @@
             self.event_after(STORE_TIMEOUT_US, boot, Event::Store { op, result });
             return;
         }
-        let us = 500 + self.below(1_500);
+        let slow = self.store.slow_until > self.now;
+        let us = 500 + self.below(if slow { 3_000_000 } else { 1_500 });
         self.after_us(us, Happening::Store { boot, op, request });
         let result = StoreResult::AnswerLost;
         self.event_after(STORE_TIMEOUT_US, boot, Event::Store { op, result });
