--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 
 use peer::Inbox;
+use peer::Introduction;
 use peer::Links;
 use peer::Observer;
 use peer::Secret;
 use peer::Server;
+use peer::IDLE_MS;
 use policy::PeerMessage;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -46,23 +48,27 @@
     fn on_bad_message(&self) {}
 }
 
-struct Mailbox(mpsc::UnboundedSender<(String, PeerMessage)>);
+struct Mailbox(mpsc::UnboundedSender<(Introduction, PeerMessage)>);
 
 impl Inbox for Mailbox {
-    fn receive(&self, from: &str, message: PeerMessage) {
-        self.0.send((from.to_owned(), message)).unwrap();
+    fn receive(&self, from: &Introduction, message: PeerMessage) {
+        self.0.send((from.clone(), message)).unwrap();
     }
 }
 
 /// A router that takes messages.
 struct Taker {
     address: SocketAddr,
-    messages: mpsc::UnboundedReceiver<(String, PeerMessage)>,
+    messages: mpsc::UnboundedReceiver<(Introduction, PeerMessage)>,
     counts: Arc<Counts>,
     task: JoinHandle<()>,
 }
 
 async fn a_taker_at(address: SocketAddr) -> Taker {
+    a_taker_that_waits(address, IDLE_MS).await
+}
+
+async fn a_taker_that_waits(address: SocketAddr, idle_ms: u64) -> Taker {
     let listener = TcpListener::bind(address).await.unwrap();
     let (tx, messages) = mpsc::unbounded_channel();
     let counts = Arc::new(Counts::default());
@@ -70,6 +76,7 @@
         secret: Secret::new(b"secret"),
         inbox: Arc::new(Mailbox(tx)),
         observer: counts.clone(),
+        idle_ms,
     };
     Taker {
         address: listener.local_addr().unwrap(),
@@ -83,9 +90,19 @@
     a_taker_at(([127, 0, 0, 1], 0).into()).await
 }
 
+fn introduction(vm: &str) -> Introduction {
+    Introduction {
+        vm: vm.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        region: "west".to_owned(),
+        failure_domain: "west-1".to_owned(),
+        incarnation: 7,
+    }
+}
+
 fn links(secret: &[u8]) -> (Links, Arc<Counts>) {
     let counts = Arc::new(Counts::default());
-    let links = Links::new("vm1", Secret::new(secret), counts.clone());
+    let links = Links::new(introduction("vm1"), Secret::new(secret), counts.clone());
     (links, counts)
 }
 
@@ -105,7 +122,7 @@
     }
 
     for version in 0..100 {
-        let expected = ("vm1".to_owned(), PeerMessage::Version(version));
+        let expected = (introduction("vm1"), PeerMessage::Version(version));
         assert_eq!(taker.messages.recv().await, Some(expected));
     }
     assert!(counts.sent.load(Ordering::SeqCst) > 0);
@@ -152,8 +169,8 @@
     let mut got = Vec::new();
     io.read_to_end(&mut got).await.unwrap();
 
-    let hello = 8 + 32 + 1 + "vm1".len();
-    assert_eq!(got.len(), hello);
+    let introduction = serde_json::to_vec(&introduction("vm1")).unwrap();
+    assert_eq!(got.len(), 8 + 32 + 2 + introduction.len());
 }
 
 #[tokio::test]
@@ -204,7 +221,7 @@
 
     for frame in [vec![0xff; 40], [0, 0, 0, 4, 1, 2, 3, 4].to_vec()] {
         let mut io = TcpStream::connect(taker.address).await.unwrap();
-        peer::connect(&mut io, "taker", &secret, "vm9")
+        peer::connect(&mut io, "taker", &secret, &introduction("vm9"))
             .await
             .unwrap();
         io.write_all(&frame).await.unwrap();
@@ -216,3 +233,29 @@
     let (_, message) = taker.messages.recv().await.unwrap();
     assert_eq!(message, PeerMessage::Version(2));
 }
+
+#[tokio::test]
+async fn a_half_open_connection_is_closed_and_made_again_when_needed() {
+    let mut taker = a_taker_that_waits(([127, 0, 0, 1], 0).into(), 50).await;
+    let mut io = TcpStream::connect(taker.address).await.unwrap();
+    let secret = Secret::new(b"secret");
+    peer::connect(&mut io, "taker", &secret, &introduction("vm9"))
+        .await
+        .unwrap();
+    let (links, _) = links(b"secret");
+    links.send("vm2", taker.address, PeerMessage::Version(1));
+    taker.messages.recv().await.unwrap();
+
+    let mut rest = Vec::new();
+    io.read_to_end(&mut rest).await.unwrap();
+
+    assert!(rest.is_empty());
+    let message = loop {
+        links.send("vm2", taker.address, PeerMessage::Version(2));
+        tokio::task::yield_now().await;
+        if let Ok((_, message)) = taker.messages.try_recv() {
+            break message;
+        }
+    };
+    assert_eq!(message, PeerMessage::Version(2));
+}
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -35,6 +35,7 @@
     ) {
         match message {
             PeerMessage::Config { version, config } => self.on_config(version, &config, out),
+            PeerMessage::ConfigDelta(delta) => self.on_config_delta(from, &delta, out),
             PeerMessage::Version(version) => self.on_peer_version(from, version, out),
             PeerMessage::Leaving(marks) => self.on_leaving_marks(&marks, out),
             PeerMessage::Strikes(strikes) => self.on_strikes(&strikes),
@@ -100,7 +101,8 @@
         }
     }
 
-    fn some_routers(&mut self) -> Vec<String> {
+    /// Returns a few routers, each time the next ones.
+    pub(crate) fn some_routers(&mut self) -> Vec<String> {
         let vms: Vec<String> = self.routers.iter().map(|(vm, _)| vm.clone()).collect();
         if vms.is_empty() {
             return vms;
@@ -116,27 +118,6 @@
             .collect()
     }
 
-    fn on_peer_version(&mut self, from: &str, version: u64, out: &mut Vec<Action>) {
-        let own = self.rollout.version();
-        if version > own {
-            self.tell(from, PeerMessage::Version(own), out);
-            return;
-        }
-        if version == own {
-            return;
-        }
-        if self.is_off(Mutation::KeepConfigToItself) {
-            return;
-        }
-        if let Some(config) = self.rollout.config().cloned() {
-            let message = PeerMessage::Config {
-                version: own,
-                config,
-            };
-            self.tell(from, message, out);
-        }
-    }
-
     fn on_leaving_marks(&mut self, marks: &[ServerMark], out: &mut Vec<Action>) {
         for mark in marks {
             if let Some(server) = self.fleet.find(&mark.server) {
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -22,6 +22,7 @@
         if self.is_off(Mutation::AcceptOldConfig) {
             self.rollout.revert();
         }
+        let before = self.rollout.version();
         if !self.rollout.offer(version, cfg) {
             return;
         }
@@ -29,14 +30,7 @@
         self.learn_servers();
         out.push(Action::InForce { version });
         out.push(Action::Watch(self.fleet.declared_engines()));
-        let message = PeerMessage::Config {
-            version,
-            config: cfg.clone(),
-        };
-        if self.is_off(Mutation::KeepConfigToItself) {
-            return;
-        }
-        self.tell_all(&message, out);
+        self.push_config(before, out);
     }
 
     /// Takes the membership list in.
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -13,6 +13,7 @@
 use crate::loads::Loads;
 use crate::mutation::Mutation;
 use crate::placement::Placement;
+use crate::replicas::ReplicaLoads;
 use crate::retry_budget::RetryBudget;
 use crate::rollout::Rollout;
 use crate::routers::Routers;
@@ -50,6 +51,7 @@
     /// Latest membership list.
     pub(crate) members: Vec<Member>,
     pub(crate) placement: Placement,
+    pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
     pub(crate) admission: Admission,
     pub(crate) shares: Shares,
@@ -81,6 +83,7 @@
             routers: Routers::default(),
             members: Vec::new(),
             placement: Placement::default(),
+            replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
             admission: Admission::default(),
             shares: Shares::default(),
--- a/crates/policy/src/peer_message.rs
+++ b/crates/policy/src/peer_message.rs
@@ -4,6 +4,7 @@
 
 use config::Config;
 
+use crate::ConfigDelta;
 use crate::Incarnation;
 use crate::PieceKey;
 
@@ -17,6 +18,8 @@
         /// What it says.
         config: Arc<Config>,
     },
+    /// What has changed since the version before.
+    ConfigDelta(Arc<ConfigDelta>),
     /// The version in force at the sender, for peers that lag behind.
     Version(u64),
     /// Backend servers that are leaving; marks are only ever added.
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -6,6 +6,9 @@
 use config::Config;
 use config::Workspace;
 
+use crate::config_delta::DeltaLog;
+use crate::ConfigDelta;
+
 /// The configuration in force; its version only grows.
 #[derive(Debug, Default)]
 pub(crate) struct Rollout {
@@ -13,6 +16,7 @@
     cfg: Option<Arc<Config>>,
     by_token: HashMap<String, String>,
     top_rank: u8,
+    log: DeltaLog,
 }
 
 impl Rollout {
@@ -21,6 +25,11 @@
         if version <= self.version {
             return false;
         }
+        if let Some(old) = &self.cfg {
+            let delta = ConfigDelta::between((self.version, old), (version, cfg));
+            self.log.push(Arc::new(delta));
+        }
+        assert!(self.version < version, "a configuration never reverts");
         self.version = version;
         self.by_token = cfg
             .workspaces
@@ -36,6 +45,18 @@
     /// Forgets the version in force, for [`crate::mutation::Mutation::AcceptOldConfig`].
     pub(crate) fn revert(&mut self) {
         self.version = 0;
+        self.cfg = None;
+    }
+
+    /// Returns the configuration that a difference makes of the one in force.
+    pub(crate) fn apply(&self, delta: &ConfigDelta) -> Option<Arc<Config>> {
+        let cfg = self.cfg.as_ref().filter(|_| delta.base == self.version)?;
+        Some(Arc::new(delta.apply(cfg)))
+    }
+
+    /// Returns what leads from `version` to the one in force, if that is known.
+    pub(crate) fn since(&self, version: u64) -> Option<Vec<Arc<ConfigDelta>>> {
+        self.log.since(version)
     }
 
     /// Returns the version in force, 0 for none.
--- a/crates/standins/src/soak/routers.rs
+++ b/crates/standins/src/soak/routers.rs
@@ -559,6 +559,7 @@
 fn brief_message(message: &PeerMessage) -> String {
     match message {
         PeerMessage::Config { version, .. } => format!("config {version}"),
+        PeerMessage::ConfigDelta(delta) => format!("delta {} {}", delta.base, delta.version),
         PeerMessage::Snapshot(_) => "snapshot".to_owned(),
         other => format!("{other:?}"),
     }
