A change of the configuration passes as what has changed, not as the whole

A router now sends the entries that differ to three others once, and in each round of gossip to those that lag; the whole goes only to one that lags further than 32 versions.

Ruled out: sending only the version and having everybody read the platform, because the manifest alone outgrows the budget at 1,500 files; sending files, because routers hold the merged configuration and peers would have to keep both.

--- /dev/null
+++ b/crates/policy/tests/rollout.rs
@@ -0,0 +1,250 @@
+//! How fast a configuration gets round, and at what cost.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use config::Config;
+use policy::Action;
+use policy::Event;
+use policy::Identity;
+use policy::Incarnation;
+use policy::Member;
+use policy::MemberRole;
+use policy::Node;
+use policy::PeerMessage;
+use policy::Time;
+
+use crate::common::config;
+use crate::common::START;
+
+/// Time within which a change must be in force everywhere, in milliseconds.
+const IN_FORCE_MS: u64 = 6_000;
+
+/// Workspaces of a large configuration.
+const WORKSPACES: u32 = 1_500;
+
+/// Configuration bytes that one change may bring to a router, by the mean.
+const BYTES_PER_CHANGE: u64 = 8_000;
+
+/// Routers that hear nothing of the platform but through each other.
+struct Mesh {
+    nodes: Vec<Node>,
+    queue: BTreeMap<(Time, u64), (usize, Event)>,
+    sent: u64,
+    now: Time,
+    /// Every this many messages one is lost; 0 for none.
+    lose_one_in: u64,
+    config_bytes: u64,
+}
+
+impl Mesh {
+    /// Starts routers that all have version 1.
+    fn of(routers: usize, lose_one_in: u64) -> Mesh {
+        let members: Vec<Member> = (0..routers).map(member).collect();
+        let mut mesh = Mesh {
+            nodes: (0..routers).map(new_node).collect(),
+            queue: BTreeMap::new(),
+            sent: 0,
+            now: START,
+            lose_one_in,
+            config_bytes: 0,
+        };
+        for router in 0..routers {
+            mesh.hand(router, offer(1));
+            mesh.hand(router, Event::Members(members.clone()));
+        }
+        mesh.run_for(2_000);
+        mesh.config_bytes = 0;
+        mesh
+    }
+
+    fn hand(&mut self, router: usize, event: Event) {
+        let mut out = Vec::new();
+        self.nodes[router].handle(self.now, event, &mut out);
+        for action in out {
+            if let Action::SendPeer { to, message, .. } = action {
+                self.send(router, &to, message);
+            }
+        }
+        if let Some(at) = self.nodes[router].next_deadline() {
+            self.enqueue(at.max(self.now), router, Event::Tick);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: PeerMessage) {
+        self.config_bytes += size(&message);
+        self.sent += 1;
+        if self.lose_one_in > 0 && self.sent.is_multiple_of(self.lose_one_in) {
+            return;
+        }
+        let to = to[2..].parse().expect("names end in a number");
+        let us = 500 + self.sent * 7_919 % 8_000;
+        let from = format!("vm{from}");
+        let at = self.now.plus_micros(us);
+        self.enqueue(at, to, Event::Peer { from, message });
+    }
+
+    fn enqueue(&mut self, at: Time, router: usize, event: Event) {
+        let order = self.queue.len() as u64 + self.sent * 1_000_000;
+        self.queue.insert((at, order), (router, event));
+    }
+
+    fn run_for(&mut self, ms: u64) {
+        let end = self.now.plus_millis(ms);
+        while let Some(entry) = self.queue.first_entry() {
+            let at = entry.key().0;
+            if at > end {
+                break;
+            }
+            let (router, event) = entry.remove();
+            self.now = at;
+            let due = self.nodes[router].next_deadline();
+            if event != Event::Tick || due.is_some_and(|due| due <= at) {
+                self.hand(router, event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs until a version is in force everywhere; returns the time it took.
+    fn spread(&mut self, version: u64) -> u64 {
+        let start = self.now;
+        while !self.all_have(version) {
+            self.run_for(10);
+            let ms = self.now.millis_since(start);
+            assert!(ms <= IN_FORCE_MS, "version {version} is late");
+        }
+        self.now.millis_since(start)
+    }
+
+    fn all_have(&self, version: u64) -> bool {
+        self.nodes.iter().all(|n| n.config_version() == version)
+    }
+}
+
+fn size(message: &PeerMessage) -> u64 {
+    let json = match message {
+        PeerMessage::Config { config, .. } => serde_json::to_vec(&**config),
+        PeerMessage::ConfigDelta(delta) => serde_json::to_vec(&**delta),
+        _ => return 0,
+    };
+    json.expect("it has a JSON form").len() as u64
+}
+
+fn new_node(router: usize) -> Node {
+    let identity = Identity {
+        vm: format!("vm{router}"),
+        region: "east".to_owned(),
+        failure_domain: "east-1".to_owned(),
+        incarnation: 1,
+    };
+    Node::new(identity, router as u64)
+}
+
+fn member(router: usize) -> Member {
+    Member {
+        name: format!("vm{router}"),
+        role: MemberRole::Router,
+        address: ([127, 0, 0, 1], 7_000).into(),
+        region: "east".to_owned(),
+        failure_domain: "east-1".to_owned(),
+        incarnation: Incarnation(1),
+        leaving: false,
+    }
+}
+
+fn offer(version: u64) -> Event {
+    Event::Config {
+        version,
+        config: large_config(version),
+    }
+}
+
+/// A large configuration, of which each version changes one workspace.
+fn large_config(version: u64) -> Arc<Config> {
+    let mut cfg = (*config(3)).clone();
+    let workspace = cfg.workspaces["trust"].clone();
+    for i in 0..WORKSPACES {
+        let mut workspace = workspace.clone();
+        workspace.token_sha256 = format!("{i:064x}");
+        cfg.workspaces.insert(format!("workspace{i}"), workspace);
+    }
+    let changed = cfg.workspaces.get_mut("trust").expect("it is declared");
+    changed.share = u32::try_from(version).expect("versions are small");
+    Arc::new(cfg)
+}
+
+#[test]
+fn a_change_that_one_router_hears_of_is_in_force_on_nine_in_time() {
+    let mut mesh = Mesh::of(9, 0);
+
+    mesh.hand(4, offer(2));
+    let ms = mesh.spread(2);
+
+    println!("9 routers: {ms} ms");
+    assert_eq!(mesh.nodes[0].config(), Some(&large_config(2)));
+}
+
+#[test]
+fn a_change_that_one_router_hears_of_is_in_force_on_all_330_in_time() {
+    let mut mesh = Mesh::of(330, 0);
+
+    mesh.hand(4, offer(2));
+    let ms = mesh.spread(2);
+
+    let bytes = mesh.config_bytes / 330;
+    println!("330 routers: {ms} ms, {bytes} bytes a router");
+    assert_eq!(mesh.nodes[329].config(), Some(&large_config(2)));
+    assert!(bytes < BYTES_PER_CHANGE, "{bytes} bytes a router");
+}
+
+#[test]
+fn a_change_gets_round_although_a_third_of_the_messages_is_lost() {
+    let mut mesh = Mesh::of(330, 3);
+
+    mesh.hand(4, offer(2));
+    mesh.run_for(5);
+    mesh.hand(9, offer(3));
+    let ms = mesh.spread(3);
+
+    println!("330 routers, a third lost: {ms} ms");
+    assert_eq!(mesh.nodes[329].config(), Some(&large_config(3)));
+}
+
+#[test]
+fn an_older_configuration_from_the_platform_or_a_peer_changes_nothing() {
+    let mut mesh = Mesh::of(3, 0);
+    mesh.hand(0, offer(5));
+    mesh.spread(5);
+
+    mesh.hand(0, offer(4));
+    let message = PeerMessage::Config {
+        version: 3,
+        config: large_config(3),
+    };
+    let from = "vm2".to_owned();
+    mesh.hand(1, Event::Peer { from, message });
+    mesh.run_for(3_000);
+
+    assert!(mesh.all_have(5));
+}
+
+#[test]
+fn a_router_that_lags_further_than_the_log_gets_the_whole() {
+    let mut mesh = Mesh::of(2, 0);
+    let mut late = new_node(2);
+    let mut out = Vec::new();
+    late.handle(START, offer(1), &mut out);
+    late.handle(START, Event::Members(vec![member(0)]), &mut out);
+    for version in 2..60 {
+        mesh.hand(0, offer(version));
+    }
+    mesh.hand(0, Event::Members(vec![member(0), member(1), member(2)]));
+    mesh.nodes.push(late);
+
+    mesh.spread(59);
+
+    assert_eq!(mesh.nodes[2].config(), Some(&large_config(59)));
+}
