--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -32,6 +32,8 @@
 pub(crate) enum Stage {
     /// Its record is being claimed.
     Claiming,
+    /// It was struck and waits to be tried again.
+    Pausing,
     /// A server is running it.
     Running { server: ServerKey, started: bool },
     /// Its answer is being recorded.
@@ -109,7 +111,7 @@
     pub(crate) fn server(&self) -> Option<ServerKey> {
         match self.stage {
             Stage::Running { server, .. } => Some(server),
-            Stage::Claiming | Stage::Recording(_) => None,
+            Stage::Claiming | Stage::Pausing | Stage::Recording(_) => None,
         }
     }
 
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -97,6 +97,9 @@
         result: StoreResult,
         out: &mut Vec<Action>,
     ) {
+        if self.on_strike_record(now, id, &result, out) {
+            return;
+        }
         if self.on_loads_result(now, id, &result, out) {
             return;
         }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -236,7 +236,7 @@
     pub(crate) fn leaving_marks(&self) -> Vec<ServerMark> {
         self.servers
             .iter()
-            .filter(|s| s.is_leaving())
+            .filter(|s| s.is_leaving() && s.listed)
             .filter_map(|s| {
                 Some(ServerMark {
                     server: s.name.clone(),
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -9,7 +9,6 @@
 use crate::PeerMessage;
 use crate::ServerMark;
 use crate::Snapshot;
-use crate::Strike;
 use crate::Time;
 
 /// Pause between two rounds of gossip, in milliseconds.
@@ -38,7 +37,7 @@
             PeerMessage::ConfigDelta(delta) => self.on_config_delta(from, &delta, out),
             PeerMessage::Version(version) => self.on_peer_version(from, version, out),
             PeerMessage::Leaving(marks) => self.on_leaving_marks(&marks, out),
-            PeerMessage::Strikes(strikes) => self.on_strikes(&strikes),
+            PeerMessage::Strikes(strikes) => self.on_strikes(now, &strikes, out),
             PeerMessage::SnapshotRequest => self.give_snapshot(from, out),
             PeerMessage::Snapshot(snapshot) => self.on_snapshot(now, *snapshot, out),
             PeerMessage::CellLoad(_) | PeerMessage::Place(_) | PeerMessage::Placed(_) => {}
@@ -75,10 +74,27 @@
             .add(now.plus_millis(GOSSIP_MS + jitter_ms), Timer::Gossip);
         self.strikes.expire(now);
         self.shares.expire(now);
-        let version = PeerMessage::Version(self.rollout.version());
+        self.look_at_strike_record(out);
+        let news = self.round_of_gossip(now);
         for vm in self.some_routers() {
-            self.tell(&vm, version.clone(), out);
+            for message in &news {
+                self.tell(&vm, message.clone(), out);
+            }
+        }
+    }
+
+    /// Returns what other routers may have missed.
+    fn round_of_gossip(&self, now: Time) -> Vec<PeerMessage> {
+        let mut news = vec![PeerMessage::Version(self.rollout.version())];
+        let marks = self.fleet.leaving_marks();
+        if !marks.is_empty() && !self.is_off(Mutation::ForgetLeaving) {
+            news.push(PeerMessage::Leaving(marks));
         }
+        let strikes = self.strikes.latest(now);
+        if !strikes.is_empty() {
+            news.push(PeerMessage::Strikes(strikes));
+        }
+        news
     }
 
     /// Asks other routers for what they know, until a snapshot has come.
@@ -126,12 +142,6 @@
         }
     }
 
-    fn on_strikes(&mut self, strikes: &[Strike]) {
-        for strike in strikes {
-            self.strikes.add(strike);
-        }
-    }
-
     fn give_snapshot(&mut self, from: &str, out: &mut Vec<Action>) {
         let config = self
             .rollout
@@ -146,12 +156,12 @@
         self.tell(from, PeerMessage::Snapshot(Box::new(snapshot)), out);
     }
 
-    fn on_snapshot(&mut self, _now: Time, snapshot: Snapshot, out: &mut Vec<Action>) {
+    fn on_snapshot(&mut self, now: Time, snapshot: Snapshot, out: &mut Vec<Action>) {
         if let Some((version, cfg)) = snapshot.config {
             self.has_snapshot = true;
             self.on_config(version, &cfg, out);
         }
         self.on_leaving_marks(&snapshot.leaving, out);
-        self.on_strikes(&snapshot.strikes);
+        self.on_strikes(now, &snapshot.strikes, out);
     }
 }
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -19,6 +19,7 @@
 use crate::routers::Routers;
 use crate::shares::Shares;
 use crate::store_ops::StoreOps;
+use crate::strike_record::StrikeRecord;
 use crate::strikes::Strikes;
 use crate::timers::Timer;
 use crate::timers::Timers;
@@ -53,6 +54,7 @@
     pub(crate) placement: Placement,
     pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
+    pub(crate) strike_record: StrikeRecord,
     pub(crate) admission: Admission,
     pub(crate) shares: Shares,
     pub(crate) budget: RetryBudget,
@@ -85,6 +87,7 @@
             placement: Placement::default(),
             replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
+            strike_record: StrikeRecord::default(),
             admission: Admission::default(),
             shares: Shares::default(),
             budget: RetryBudget::default(),
@@ -160,6 +163,7 @@
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
+                Timer::Retry(call) => self.on_retry(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
                 Timer::Loads => self.on_loads_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
--- a/crates/policy/src/peer_message.rs
+++ b/crates/policy/src/peer_message.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use config::Config;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::ConfigDelta;
 use crate::Incarnation;
@@ -39,7 +41,7 @@
 }
 
 /// An incarnation of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerMark {
     /// Name of the server.
     pub server: String,
@@ -48,7 +50,7 @@
 }
 
 /// A runner that broke while it ran a request.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Strike {
     /// Fingerprint of the request.
     pub fingerprint: u64,
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -32,6 +32,10 @@
     /// Sends a call to the best server, or refuses it.
     pub(crate) fn route(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let call = self.calls.get(id).expect("only live calls are routed");
+        if let Some(not_now) = self.struck_out(now, call) {
+            self.refuse(id, not_now, out);
+            return;
+        }
         let aim = match &call.target {
             Target::Engine(ask) => self.aim_at_engine(now, call, ask),
             Target::Stream {
@@ -52,6 +56,7 @@
     fn aim_at_engine(&self, now: Time, call: &Call, ask: &Ask) -> Result<Aim, NotNow> {
         let mut candidates = self.fleet.engines(ask.workspace, ask.model);
         candidates.retain(|key| !call.failed_at.contains(key));
+        self.keep_apart(now, call, &mut candidates);
         let soon = now.plus_millis(COME_BACK_MS);
         let choice = self
             .placement
--- a/crates/policy/src/strikes.rs
+++ b/crates/policy/src/strikes.rs
@@ -9,6 +9,18 @@
 /// Time for which a strike counts, in milliseconds.
 const STRIKE_LIFE_MS: u64 = 600_000;
 
+/// Time for which a strike is told in each round of gossip, in milliseconds.
+const LATEST_MS: u64 = 10_000;
+
+/// A request among those that were struck together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Struck {
+    /// How many of them come before it.
+    pub(crate) place: usize,
+    /// Time of the strike.
+    pub(crate) at: Time,
+}
+
 /// Runners that broke, by the fingerprint of a request that they ran.
 #[derive(Debug, Default)]
 pub(crate) struct Strikes {
@@ -24,6 +36,34 @@
         news
     }
 
+    /// Adds a strike that still counts; tells whether this is news.
+    pub(crate) fn add_live(&mut self, now: Time, strike: &Strike) -> bool {
+        lives(now, strike.at_ms) && self.add(strike)
+    }
+
+    /// Returns the strikes of the last rounds of gossip.
+    pub(crate) fn latest(&self, now: Time) -> Vec<Strike> {
+        let since = now.as_millis().saturating_sub(LATEST_MS);
+        let all = self.all().into_iter();
+        all.filter(|strike| strike.at_ms >= since).collect()
+    }
+
+    /// Returns the place of a request among those that its last strike hit.
+    pub(crate) fn together(&self, now: Time, fingerprint: u64) -> Option<Struck> {
+        let marks = self.by_fingerprint.get(&fingerprint)?;
+        let (mark, at_ms) = marks
+            .iter()
+            .filter(|(_, at)| lives(now, **at))
+            .max_by_key(|(mark, at)| (**at, *mark))?;
+        let place = self
+            .by_fingerprint
+            .range(..fingerprint)
+            .filter(|(_, other)| other.contains_key(mark))
+            .count();
+        let at = Time::from_millis(*at_ms);
+        Some(Struck { place, at })
+    }
+
     /// Returns how many runners a request has broken lately.
     pub(crate) fn count(&self, now: Time, fingerprint: u64) -> u32 {
         let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -11,6 +11,8 @@
 pub(crate) enum Timer {
     /// The deadline of a call, or of its present stage.
     Call(CallId),
+    /// A struck call is to be tried again.
+    Retry(CallId),
     /// A call to the key-value service is to be tried again.
     Store(OpId),
     /// The loads of weights are to be looked at.
--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -28,6 +28,9 @@
     /// one in this many streams crashes its engines; 0 for none
     #[argh(option, default = "60")]
     crashing: u64,
+    /// make crashing requests the only fault
+    #[argh(switch)]
+    calm: bool,
     /// mechanism to switch off, by its name
     #[argh(option, from_str_fn(mutation))]
     mutation: Option<Mutation>,
@@ -51,6 +54,7 @@
             routers: args.routers,
             runners: args.runners,
             one_crashing_in: args.crashing,
+            calm: args.calm,
             mutation: args.mutation,
             keep_trace: args.trace,
         };
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -53,6 +53,7 @@
             open: 0,
             served: false,
             neighbour: false,
+            mistaken: false,
             deadline: self.now.plus_millis(deadline_ms),
         };
         self.requests.insert(id, request);
@@ -131,6 +132,7 @@
             request: id,
             relay: Relay::new(request.received),
             attempt: Default::default(),
+            failed: false,
             resume: request.stream,
             server: None,
         };
@@ -164,6 +166,7 @@
         let request = self.requests.get_mut(&id).expect("it was sent");
         request.received = 0;
         request.stream = None;
+        request.mistaken |= refusal.reason() == Reason::CrashedRunners;
         let kind = kind_name(&request.kind);
         let crashes = matches!(request.kind, Kind::Stream { crashes: true, .. });
         let (outcome, reason) = (refusal.outcome().name(), refusal.reason().name());
--- a/crates/standins/src/soak/request.rs
+++ b/crates/standins/src/soak/request.rs
@@ -53,5 +53,7 @@
     pub(crate) served: bool,
     /// Engines that crashed while they ran it, though it did not crash them.
     pub(crate) neighbour: bool,
+    /// Whether it was refused for crashing runners.
+    pub(crate) mistaken: bool,
     pub(crate) deadline: Time,
 }
--- a/crates/standins/src/soak/settings.rs
+++ b/crates/standins/src/soak/settings.rs
@@ -15,6 +15,8 @@
     pub runners: usize,
     /// One in this many streams crashes its engines; 0 for none.
     pub one_crashing_in: u64,
+    /// Whether crashing requests are the only fault.
+    pub calm: bool,
     /// Mechanism that is switched off, if any.
     pub mutation: Option<Mutation>,
     /// Whether to keep the whole trace, not just its end.
--- a/crates/standins/src/soak/shell.rs
+++ b/crates/standins/src/soak/shell.rs
@@ -19,6 +19,8 @@
     pub(crate) request: u64,
     pub(crate) relay: Relay,
     pub(crate) attempt: AttemptId,
+    /// Whether the present attempt has failed.
+    pub(crate) failed: bool,
     /// Stream that the caller resumes.
     pub(crate) resume: Option<StreamAt>,
     /// Server that runs the present attempt.
@@ -37,6 +39,8 @@
     pub(crate) watched: BTreeSet<ServerKey>,
     pub(crate) frozen_until: Time,
     pub(crate) up_since: Time,
+    /// End of the latest run of the process.
+    pub(crate) killed_at: Time,
     /// Time until which its watch of the configuration hears nothing.
     pub(crate) deaf_until: Time,
     /// End of the latest fault that concerns it.
@@ -66,6 +70,7 @@
             watched: BTreeSet::new(),
             frozen_until: Time::default(),
             up_since: Time::default(),
+            killed_at: Time::default(),
             deaf_until: Time::default(),
             disturbed_until: Time::default(),
             stopping: false,
@@ -84,12 +89,13 @@
     }
 
     /// Ends the process; returns the requests that it cut.
-    pub(crate) fn stop(&mut self) -> Vec<u64> {
+    pub(crate) fn stop(&mut self, now: Time) -> Vec<u64> {
         let router = self.at.router;
         let boot = self.at.boot + 1;
         let cut = std::mem::take(&mut self.calls);
         *self = Shell {
             at: Boot { router, boot },
+            killed_at: now,
             disturbed_until: self.disturbed_until,
             deaf_until: self.deaf_until,
             ..Shell::new(router)
--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -19,6 +19,7 @@
         routers: 5,
         runners: 6,
         one_crashing_in: 60,
+        calm: false,
         mutation: None,
         keep_trace: false,
     }
