--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -74,7 +74,7 @@
             .add(now.plus_millis(GOSSIP_MS + jitter_ms), Timer::Gossip);
         self.strikes.expire(now);
         self.shares.expire(now);
-        self.look_at_strike_record(out);
+        self.look_again_at_strike_record(now, out);
         let news = self.round_of_gossip(now);
         for vm in self.some_routers() {
             for message in &news {
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -62,6 +62,8 @@
         if report.incarnation < self.fleet.server(server).incarnation {
             return;
         }
+        self.strikes
+            .on_alive(&report.server, report.incarnation, report.at);
         if report.leaving {
             self.learn_leaving(server, report.incarnation, out);
         }
--- a/crates/policy/src/strike_record.rs
+++ b/crates/policy/src/strike_record.rs
@@ -1,8 +1,9 @@
 //! The record of strikes in the key-value service.
 //!
 //! Routers tell each other of strikes; the record is for those that restart
-//! together. It is read once by each router that starts and written by those
-//! that see a runner break, which is rare.
+//! together, and for those that aren't on each other's membership lists yet. It
+//! is read by each router that starts, each second until the lists must show it,
+//! and written by those that see a runner break, which is rare.
 
 use crate::Action;
 use crate::Node;
@@ -18,9 +19,15 @@
 /// Strikes in the record at most.
 const RECORDED: usize = 1_000;
 
+/// Time after its start in which a router may be missing from membership lists,
+/// in milliseconds.
+const YOUNG_MS: u64 = 15_000;
+
 /// What this router knows of the record.
 #[derive(Debug, Default)]
 pub(crate) struct StrikeRecord {
+    /// Time of the first look.
+    started_at: Option<Time>,
     /// Version of the record, none while it is not known.
     version: Option<u64>,
     /// Whether strikes are to be written.
@@ -30,6 +37,16 @@
 }
 
 impl Node {
+    /// Reads the record again while other routers may not know this one yet, and
+    /// writes what is missing from it.
+    pub(crate) fn look_again_at_strike_record(&mut self, now: Time, out: &mut Vec<Action>) {
+        let started_at = *self.strike_record.started_at.get_or_insert(now);
+        if now < started_at.plus_millis(YOUNG_MS) {
+            self.strike_record.version = None;
+        }
+        self.look_at_strike_record(out);
+    }
+
     /// Reads the record, or writes what is missing from it, if need be.
     pub(crate) fn look_at_strike_record(&mut self, out: &mut Vec<Action>) {
         let record = &self.strike_record;
@@ -85,7 +102,8 @@
             }
             StoreResult::AnswerLost | StoreResult::Unavailable => None,
         };
-        if self.strike_record.version.is_some() {
+        let again = !writes && *result == StoreResult::AnswerLost;
+        if again || self.strike_record.version.is_some() {
             self.look_at_strike_record(out);
         }
         true
--- a/crates/policy/src/strikes.rs
+++ b/crates/policy/src/strikes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::Incarnation;
 use crate::ServerMark;
 use crate::Strike;
 use crate::Time;
@@ -12,6 +13,10 @@
 /// Time for which a strike is told in each round of gossip, in milliseconds.
 const LATEST_MS: u64 = 10_000;
 
+/// Time by which a load report must be later than a strike to void it, in
+/// milliseconds; more than the clocks of VMs differ.
+const ALIVE_MARGIN_MS: u64 = 1_000;
+
 /// A request among those that were struck together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Struck {
@@ -25,17 +30,48 @@
 #[derive(Debug, Default)]
 pub(crate) struct Strikes {
     by_fingerprint: BTreeMap<u64, BTreeMap<ServerMark, u64>>,
+    /// Runners that were seen alive, with the time up to which strikes of them
+    /// are void.
+    alive: BTreeMap<String, (Incarnation, u64)>,
 }
 
 impl Strikes {
     /// Adds a strike; tells whether this is news.
     pub(crate) fn add(&mut self, strike: &Strike) -> bool {
+        if self.is_void(&strike.mark, strike.at_ms) {
+            return false;
+        }
         let marks = self.by_fingerprint.entry(strike.fingerprint).or_default();
         let news = !marks.contains_key(&strike.mark);
         marks.entry(strike.mark.clone()).or_insert(strike.at_ms);
         news
     }
 
+    /// Takes in that a runner was alive at some time: what was taken for its
+    /// end before was only a connection that broke.
+    pub(crate) fn on_alive(&mut self, server: &str, incarnation: Incarnation, at: Time) {
+        let void_ms = at.as_millis().saturating_sub(ALIVE_MARGIN_MS);
+        let seen = (incarnation, void_ms);
+        match self.alive.get_mut(server) {
+            Some(alive) => *alive = seen,
+            None => {
+                self.alive.insert(server.to_owned(), seen);
+            }
+        }
+        self.by_fingerprint.retain(|_, marks| {
+            marks.retain(|mark, at| {
+                let same = mark.server == server && mark.incarnation == incarnation;
+                !same || *at > void_ms
+            });
+            !marks.is_empty()
+        });
+    }
+
+    fn is_void(&self, mark: &ServerMark, at_ms: u64) -> bool {
+        let alive = self.alive.get(&mark.server);
+        alive.is_some_and(|(alive, until)| *alive == mark.incarnation && at_ms <= *until)
+    }
+
     /// Adds a strike that still counts; tells whether this is news.
     pub(crate) fn add_live(&mut self, now: Time, strike: &Strike) -> bool {
         lives(now, strike.at_ms) && self.add(strike)
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -54,6 +54,7 @@
             served: false,
             neighbour: false,
             mistaken: false,
+            knowable: true,
             deadline: self.now.plus_millis(deadline_ms),
         };
         self.requests.insert(id, request);
--- a/crates/standins/src/soak/ledger.rs
+++ b/crates/standins/src/soak/ledger.rs
@@ -21,6 +21,8 @@
     pub(crate) router: usize,
     /// Whether no fault concerned that router.
     pub(crate) calm: bool,
+    /// Whether membership lists may not have shown it yet.
+    pub(crate) young: bool,
 }
 
 /// What really happened.
--- a/crates/standins/src/soak/request.rs
+++ b/crates/standins/src/soak/request.rs
@@ -55,5 +55,7 @@
     pub(crate) neighbour: bool,
     /// Whether it was refused for crashing runners.
     pub(crate) mistaken: bool,
+    /// Whether the router that sent it last could know of its crashes.
+    pub(crate) knowable: bool,
     pub(crate) deadline: Time,
 }
--- a/crates/standins/src/soak/routers.rs
+++ b/crates/standins/src/soak/routers.rs
@@ -234,6 +234,10 @@
         let request = shell_call.request;
         let sent = self.requests.get_mut(&request).expect("it was made");
         sent.attempt = attempt;
+        let fingerprint = sent.fingerprint;
+        let knowable = self.could_know(fingerprint, boot.router);
+        let sent = self.requests.get_mut(&request).expect("it was made");
+        sent.knowable = knowable;
         self.check_dispatch(boot, &dispatch, request);
         let to = party_of(&dispatch.server_name);
         let from = Party::Router(boot.router);
