--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -112,6 +112,10 @@
 
     fn begin(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let call = self.calls.get(id).expect("it has just arrived");
+        if let Some(not_now) = self.struck_out(now, call.fingerprint) {
+            self.refuse(id, not_now, out);
+            return;
+        }
         match call.claim.clone() {
             Some(_) if self.is_off(Mutation::SkipClaim) => self.route(now, id, out),
             Some(claim) => self.claim_record(now, id, claim, out),
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -9,6 +9,7 @@
 use crate::PeerMessage;
 use crate::ServerMark;
 use crate::Snapshot;
+use crate::Strike;
 use crate::Time;
 
 /// Pause between two rounds of gossip, in milliseconds.
@@ -142,6 +143,23 @@
         }
     }
 
+    /// Takes strikes of other routers in and passes on what is news.
+    fn on_strikes(&mut self, now: Time, strikes: &[Strike], out: &mut Vec<Action>) {
+        let limit = self.crash_limit();
+        let news: Vec<Strike> = strikes
+            .iter()
+            .filter(|strike| self.strikes.add_live(now, strike, limit))
+            .cloned()
+            .collect();
+        if news.is_empty() {
+            return;
+        }
+        let message = PeerMessage::Strikes(news);
+        for vm in self.some_routers() {
+            self.tell(&vm, message.clone(), out);
+        }
+    }
+
     fn give_snapshot(&mut self, from: &str, out: &mut Vec<Action>) {
         let config = self
             .rollout
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -23,6 +23,7 @@
 use crate::strikes::Strikes;
 use crate::timers::Timer;
 use crate::timers::Timers;
+use crate::trials::Trials;
 use crate::Action;
 use crate::Event;
 use crate::Member;
@@ -55,6 +56,7 @@
     pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
     pub(crate) strike_record: StrikeRecord,
+    pub(crate) trials: Trials,
     pub(crate) admission: Admission,
     pub(crate) shares: Shares,
     pub(crate) budget: RetryBudget,
@@ -88,12 +90,13 @@
             replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
             strike_record: StrikeRecord::default(),
+            trials: Trials::new(),
             admission: Admission::default(),
             shares: Shares::default(),
             budget: RetryBudget::default(),
             calls: CallTable::default(),
             store_ops: StoreOps::default(),
-            loads: Loads::default(),
+            loads: Loads::new(),
             timers,
             snapshot_tries: 0,
             gossip_cursor: seed as usize,
@@ -163,9 +166,9 @@
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
-                Timer::Retry(call) => self.on_retry(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
                 Timer::Loads => self.on_loads_due(now, out),
+                Timer::Trials => self.on_trials_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
                 Timer::Snapshot => self.ask_for_snapshot(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -16,9 +16,12 @@
 use crate::Failure;
 use crate::Incarnation;
 use crate::Node;
+use crate::PeerMessage;
 use crate::Reason;
 use crate::ServerKey;
+use crate::ServerMark;
 use crate::StoredAnswer;
+use crate::Strike;
 use crate::Time;
 
 /// Attempts of one call at most.
@@ -51,7 +54,7 @@
         };
         match report {
             BackendReport::Started { incarnation, .. } => self.on_started(id, server, incarnation),
-            BackendReport::FirstToken => self.on_first_token(id, server),
+            BackendReport::FirstToken => self.on_first_token(now, id, server),
             BackendReport::Finished { .. } => self.end(id),
             BackendReport::Answered(answer) => self.on_answer(now, id, answer, out),
             BackendReport::Failed { failure, delivered } => {
@@ -68,8 +71,9 @@
         }
     }
 
-    fn on_first_token(&mut self, id: CallId, server: ServerKey) {
+    fn on_first_token(&mut self, now: Time, id: CallId, server: ServerKey) {
         self.leave_server(id);
+        self.on_trial_token(now, id);
         let call = self.calls.get_mut(id).expect("it was found before");
         call.stage = Stage::Running {
             server,
@@ -103,6 +107,8 @@
         out: &mut Vec<Action>,
     ) {
         self.leave_server(id);
+        let was_on_trial = self.trials.running.contains_key(&id);
+        self.trials.end(id);
         let call = self.calls.get_mut(id).expect("it was found before");
         let incarnation = call.incarnation;
         call.progress = call.take_progress().failed(failure.never_ran());
@@ -118,34 +124,54 @@
             }
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
-            Failure::Broken => {
-                self.fleet.suspect(server, now.plus_millis(SUSPECT_MS));
-                self.strike(now, id, server, out);
-            }
+            Failure::Broken => self.strike(now, id, server, was_on_trial, out),
             Failure::StaleIncarnation => self.placement.on_reset(server),
             Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
         }
         self.retry_or_refuse(now, id, failure, out);
     }
 
+    fn strike(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        on_trial: bool,
+        out: &mut Vec<Action>,
+    ) {
+        self.fleet.suspect(server, now.plus_millis(SUSPECT_MS));
+        let call = self.calls.get(id).expect("it was found before");
+        if !matches!(call.target, Target::Engine(_)) {
+            return;
+        }
+        let strike = Strike {
+            fingerprint: call.fingerprint,
+            mark: ServerMark {
+                server: self.fleet.server(server).name.clone(),
+                incarnation: call.incarnation,
+            },
+            at_ms: now.as_millis(),
+            on_trial,
+        };
+        let limit = self.crash_limit();
+        if self.strikes.add(&strike, limit) {
+            self.tell_all(&PeerMessage::Strikes(vec![strike]), out);
+            self.record_strikes(out);
+        }
+    }
+
     fn retry_or_refuse(&mut self, now: Time, id: CallId, failure: Failure, out: &mut Vec<Action>) {
         if let Some(not_now) = self.reason_to_give_up(now, id, failure) {
             self.refuse(id, not_now, out);
             return;
         }
         out.push(Action::Retried { call: id, failure });
-        if failure == Failure::Broken && self.pause_if_struck(now, id) {
-            return;
-        }
         self.route(now, id, out);
     }
 
     fn reason_to_give_up(&mut self, now: Time, id: CallId, failure: Failure) -> Option<NotNow> {
         let call = self.calls.get(id)?;
         let soon = now.plus_millis(COME_BACK_MS);
-        if let Some(not_now) = self.struck_out(now, call) {
-            return Some(not_now);
-        }
         let resend = self.is_off(Mutation::ResendAfterBreak);
         if call.claim.is_some() && !failure.never_ran() && !resend {
             return Some(NotNow::for_good(Reason::AttemptsFailed));
@@ -249,6 +275,7 @@
 
     fn take_out(&mut self, id: CallId) -> Option<Call> {
         self.leave_server(id);
+        self.trials.end(id);
         let call = self.calls.remove(id)?;
         self.admission.release(call.workspace, call.tokens);
         Some(call)
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -31,11 +31,11 @@
 impl Node {
     /// Sends a call to the best server, or refuses it.
     pub(crate) fn route(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
-        let call = self.calls.get(id).expect("only live calls are routed");
-        if let Some(not_now) = self.struck_out(now, call) {
-            self.refuse(id, not_now, out);
+        if self.needs_trial(now, id) {
+            self.wait_for_trial(now, id, out);
             return;
         }
+        let call = self.calls.get(id).expect("only live calls are routed");
         let aim = match &call.target {
             Target::Engine(ask) => self.aim_at_engine(now, call, ask),
             Target::Stream {
@@ -56,7 +56,6 @@
     fn aim_at_engine(&self, now: Time, call: &Call, ask: &Ask) -> Result<Aim, NotNow> {
         let mut candidates = self.fleet.engines(ask.workspace, ask.model);
         candidates.retain(|key| !call.failed_at.contains(key));
-        self.keep_apart(now, call, &mut candidates);
         let soon = now.plus_millis(COME_BACK_MS);
         let choice = self
             .placement
@@ -85,6 +84,27 @@
         }
     }
 
+    /// Sends a call to an engine that was chosen for another reason than its load.
+    pub(crate) fn send_to(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        out: &mut Vec<Action>,
+    ) {
+        let call = self.calls.get(id).expect("only live calls are sent");
+        let incarnation = self.fleet.server(server).incarnation;
+        let weights_version = match &call.target {
+            Target::Engine(ask) if !call.any_weights => ask.weights_version,
+            _ => 0,
+        };
+        let aim = Aim {
+            weights_version,
+            ..Aim::plain(server, incarnation)
+        };
+        self.dispatch(now, id, aim, out);
+    }
+
     fn dispatch(&mut self, now: Time, id: CallId, aim: Aim, out: &mut Vec<Action>) {
         self.on_admitted(now, id);
         let known = match aim.incarnation {
--- a/crates/policy/src/strike_record.rs
+++ b/crates/policy/src/strike_record.rs
@@ -111,8 +111,9 @@
 
     fn learn_recorded(&mut self, now: Time, value: &[u8]) {
         let strikes: Vec<Strike> = serde_json::from_slice(value).unwrap_or_default();
+        let limit = self.crash_limit();
         for strike in &strikes {
-            self.strikes.add_live(now, strike);
+            self.strikes.add_live(now, strike, limit);
         }
     }
 
--- a/crates/policy/src/strikes.rs
+++ b/crates/policy/src/strikes.rs
@@ -1,4 +1,9 @@
 //! Requests that break the runners that run them.
+//!
+//! All requests that a runner had when it broke are struck. One of them may have
+//! been on trial there, the only struck one: then it alone is to blame, and if it
+//! has broken enough runners, it is to blame for the earlier ones too. Strikes
+//! of the others on these runners no longer count.
 
 use std::collections::BTreeMap;
 
@@ -13,68 +18,55 @@
 /// Time for which a strike is told in each round of gossip, in milliseconds.
 const LATEST_MS: u64 = 10_000;
 
-/// Time by which a load report must be later than a strike to void it, in
-/// milliseconds; more than the clocks of VMs differ.
-const ALIVE_MARGIN_MS: u64 = 1_000;
-
-/// A request among those that were struck together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Struck {
-    /// How many of them come before it.
-    pub(crate) place: usize,
-    /// Time of the strike.
-    pub(crate) at: Time,
+/// A strike without its request and runner.
+#[derive(Clone, Copy, Debug)]
+struct Note {
+    at_ms: u64,
+    on_trial: bool,
 }
 
 /// Runners that broke, by the fingerprint of a request that they ran.
 #[derive(Debug, Default)]
 pub(crate) struct Strikes {
-    by_fingerprint: BTreeMap<u64, BTreeMap<ServerMark, u64>>,
-    /// Runners that were seen alive, with the time up to which strikes of them
-    /// are void.
-    alive: BTreeMap<String, (Incarnation, u64)>,
+    by_fingerprint: BTreeMap<u64, BTreeMap<ServerMark, Note>>,
+    /// Who is to blame for a broken runner, where it is known.
+    culprits: BTreeMap<ServerMark, u64>,
+    /// Runners that were seen alive, and when; strikes on them before don't count.
+    alive: BTreeMap<String, (Incarnation, Time)>,
 }
 
 impl Strikes {
     /// Adds a strike; tells whether this is news.
-    pub(crate) fn add(&mut self, strike: &Strike) -> bool {
-        if self.is_void(&strike.mark, strike.at_ms) {
+    pub(crate) fn add(&mut self, strike: &Strike, limit: u32) -> bool {
+        if self.was_alive(strike) {
             return false;
         }
         let marks = self.by_fingerprint.entry(strike.fingerprint).or_default();
-        let news = !marks.contains_key(&strike.mark);
-        marks.entry(strike.mark.clone()).or_insert(strike.at_ms);
-        news
-    }
-
-    /// Takes in that a runner was alive at some time: what was taken for its
-    /// end before was only a connection that broke.
-    pub(crate) fn on_alive(&mut self, server: &str, incarnation: Incarnation, at: Time) {
-        let void_ms = at.as_millis().saturating_sub(ALIVE_MARGIN_MS);
-        let seen = (incarnation, void_ms);
-        match self.alive.get_mut(server) {
-            Some(alive) => *alive = seen,
-            None => {
-                self.alive.insert(server.to_owned(), seen);
-            }
+        let known = marks.get(&strike.mark);
+        if known.is_some_and(|note| note.on_trial || !strike.on_trial) {
+            return false;
         }
-        self.by_fingerprint.retain(|_, marks| {
-            marks.retain(|mark, at| {
-                let same = mark.server == server && mark.incarnation == incarnation;
-                !same || *at > void_ms
-            });
-            !marks.is_empty()
-        });
+        let note = Note {
+            at_ms: strike.at_ms,
+            on_trial: strike.on_trial,
+        };
+        marks.insert(strike.mark.clone(), note);
+        if strike.on_trial {
+            self.blame(strike.fingerprint, &strike.mark, limit);
+        }
+        true
     }
 
-    fn is_void(&self, mark: &ServerMark, at_ms: u64) -> bool {
-        let alive = self.alive.get(&mark.server);
-        alive.is_some_and(|(alive, until)| *alive == mark.incarnation && at_ms <= *until)
+    /// Adds a strike that still counts; tells whether this is news.
+    pub(crate) fn add_live(&mut self, now: Time, strike: &Strike, limit: u32) -> bool {
+        lives(now, strike.at_ms) && self.add(strike, limit)
     }
 
-    /// Adds a strike that still counts; tells whether this is news.
-    pub(crate) fn add_live(&mut self, now: Time, strike: &Strike) -> bool {
-        lives(now, strike.at_ms) && self.add(strike)
+    fn was_alive(&self, strike: &Strike) -> bool {
+        let alive = self.alive.get(&strike.mark.server);
+        alive.is_some_and(|(incarnation, seen)| {
+            *incarnation == strike.mark.incarnation && strike.at_ms < seen.as_millis()
+        })
     }
 
     /// Returns the strikes of the last rounds of gossip.
@@ -84,43 +76,51 @@
         all.filter(|strike| strike.at_ms >= since).collect()
     }
 
-    /// Returns the place of a request among those that its last strike hit.
-    pub(crate) fn together(&self, now: Time, fingerprint: u64) -> Option<Struck> {
-        let marks = self.by_fingerprint.get(&fingerprint)?;
-        let (mark, at_ms) = marks
-            .iter()
-            .filter(|(_, at)| lives(now, **at))
-            .max_by_key(|(mark, at)| (**at, *mark))?;
-        let place = self
-            .by_fingerprint
-            .range(..fingerprint)
-            .filter(|(_, other)| other.contains_key(mark))
-            .count();
-        let at = Time::from_millis(*at_ms);
-        Some(Struck { place, at })
-    }
-
-    /// Returns how many runners a request has broken lately.
+    /// Returns how many broken runners a request may be to blame for.
     pub(crate) fn count(&self, now: Time, fingerprint: u64) -> u32 {
         let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
             return 0;
         };
-        let live = marks.values().filter(|at| lives(now, **at)).count();
-        u32::try_from(live).unwrap_or(u32::MAX)
+        let blamed = marks
+            .iter()
+            .filter(|(mark, note)| lives(now, note.at_ms) && self.may_blame(mark, fingerprint));
+        u32::try_from(blamed.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the time of a request's last strike.
+    pub(crate) fn last_at(&self, fingerprint: u64) -> Option<Time> {
+        let notes = self.by_fingerprint.get(&fingerprint)?.values();
+        notes.map(|note| Time::from_millis(note.at_ms)).max()
     }
 
     /// Returns the time at which the last strike of a request no longer counts.
     pub(crate) fn forgiven_at(&self, fingerprint: u64) -> Option<Time> {
-        let last = self.by_fingerprint.get(&fingerprint)?.values().max()?;
-        Some(Time::from_millis(last + STRIKE_LIFE_MS))
+        Some(self.last_at(fingerprint)?.plus_millis(STRIKE_LIFE_MS))
+    }
+
+    /// Withdraws the strikes on a runner that is seen alive after them.
+    pub(crate) fn withdraw(&mut self, server: &str, incarnation: Incarnation, seen: Time) {
+        self.alive.insert(server.to_owned(), (incarnation, seen));
+        for marks in self.by_fingerprint.values_mut() {
+            marks.retain(|mark, note| {
+                let alive = mark.server == server && mark.incarnation == incarnation;
+                !alive || note.at_ms >= seen.as_millis()
+            });
+        }
+        self.drop_empty();
+    }
+
+    /// Tells whether no request is struck.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_fingerprint.is_empty()
     }
 
     /// Drops strikes that no longer count.
     pub(crate) fn expire(&mut self, now: Time) {
         for marks in self.by_fingerprint.values_mut() {
-            marks.retain(|_, at| lives(now, *at));
+            marks.retain(|_, note| lives(now, note.at_ms));
         }
-        self.by_fingerprint.retain(|_, marks| !marks.is_empty());
+        self.drop_empty();
     }
 
     /// Returns all strikes.
@@ -128,14 +128,43 @@
         self.by_fingerprint
             .iter()
             .flat_map(|(fingerprint, marks)| {
-                marks.iter().map(|(mark, at_ms)| Strike {
+                marks.iter().map(|(mark, note)| Strike {
                     fingerprint: *fingerprint,
                     mark: mark.clone(),
-                    at_ms: *at_ms,
+                    at_ms: note.at_ms,
+                    on_trial: note.on_trial,
                 })
             })
             .collect()
     }
+
+    /// Blames a request for the runner that it broke on trial, and for all that
+    /// it was struck for once it has broken `limit` of them.
+    fn blame(&mut self, fingerprint: u64, mark: &ServerMark, limit: u32) {
+        let marks = &self.by_fingerprint[&fingerprint];
+        if marks.len() >= limit as usize {
+            for mark in marks.keys() {
+                self.culprits.insert(mark.clone(), fingerprint);
+            }
+        } else {
+            self.culprits.insert(mark.clone(), fingerprint);
+        }
+    }
+
+    fn may_blame(&self, mark: &ServerMark, fingerprint: u64) -> bool {
+        self.culprits
+            .get(mark)
+            .is_none_or(|culprit| *culprit == fingerprint)
+    }
+
+    fn drop_empty(&mut self) {
+        self.by_fingerprint.retain(|_, marks| !marks.is_empty());
+        let by_fingerprint = &self.by_fingerprint;
+        self.culprits.retain(|mark, fingerprint| {
+            let marks = by_fingerprint.get(fingerprint);
+            marks.is_some_and(|marks| marks.contains_key(mark))
+        });
+    }
 }
 
 fn lives(now: Time, at_ms: u64) -> bool {
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -11,12 +11,12 @@
 pub(crate) enum Timer {
     /// The deadline of a call, or of its present stage.
     Call(CallId),
-    /// A struck call is to be tried again.
-    Retry(CallId),
     /// A call to the key-value service is to be tried again.
     Store(OpId),
     /// The loads of weights are to be looked at.
     Loads,
+    /// Trials are to be looked at.
+    Trials,
     /// Other routers are to be told what is new.
     Gossip,
     /// Other routers are to be asked for a snapshot again.
--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -11,6 +11,7 @@
 use standins::CallAnswer;
 use standins::CallerError;
 use standins::Completion;
+use standins::Engine;
 use standins::EngineRecord;
 use standins::Fleet;
 use standins::FleetSettings;
@@ -18,6 +19,7 @@
 use standins::Received;
 use standins::MODEL;
 use standins::SERVICE;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 const PROMPT: &str = "Which felt suits a wide brim?";
@@ -26,6 +28,9 @@
 /// Text in a prompt that crashes engines.
 const MARKER: &str = "crash the engine";
 
+/// Streams that run beside a crashing request.
+const INNOCENTS: usize = 40;
+
 /// Start of the keys under which calls are claimed.
 const CLAIMS: &str = "once/";
 
@@ -40,6 +45,22 @@
     Fleet::start(settings).await.expect("starts")
 }
 
+async fn crashable_fleet(engines: usize, routers: usize) -> Fleet {
+    let settings = FleetSettings::new(engines, routers).each_engine(|engine| {
+        engine.decode_ms = 20;
+        engine.crash_marker = Some(MARKER.to_owned());
+    });
+    Fleet::start(settings).await.expect("starts")
+}
+
+/// A completion that crashes each engine which runs it.
+fn crashing() -> Completion {
+    Completion {
+        prompt: format!("please {MARKER} now"),
+        ..completion()
+    }
+}
+
 fn completion() -> Completion {
     Completion {
         model: MODEL.to_owned(),
@@ -81,6 +102,18 @@
     runners.position(|has_run| has_run).expect("has run")
 }
 
+/// Returns how many streams engines have begun.
+fn runs(fleet: &Fleet) -> usize {
+    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
+    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
+    ledgers.filter(ran).count()
+}
+
+fn holds_new_weights(engine: &Engine) -> bool {
+    let weights = engine.load().and_then(|load| load.weights);
+    weights.is_some_and(|weights| weights.iter().any(|held| held.version == 2))
+}
+
 fn finished(fleet: &Fleet) -> usize {
     let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
     ledgers
@@ -328,17 +361,10 @@
 
 #[tokio::test]
 async fn a_crashing_request_takes_down_two_engines_and_no_neighbour() {
-    let settings = FleetSettings::new(4, 2).each_engine(|engine| {
-        engine.decode_ms = 20;
-        engine.crash_marker = Some(MARKER.to_owned());
-    });
-    let fleet = Fleet::start(settings).await.expect("starts");
+    let fleet = crashable_fleet(4, 2).await;
     let neighbour = fleet.caller(0);
     let neighbour = tokio::spawn(async move { neighbour.complete_whole(&completion()).await });
-    let crashing = Completion {
-        prompt: format!("please {MARKER} now"),
-        ..completion()
-    };
+    let crashing = crashing();
 
     let mut reasons = Vec::new();
     for attempt in 0..6 {
@@ -355,11 +381,31 @@
     assert_eq!(received.text, whole_text());
 }
 
+#[tokio::test]
+async fn new_weights_reach_all_engines_and_no_more_than_three_load_at_once() {
+    let mut fleet = fleet(6, 2).await;
+
+    let version = fleet.publish_weights(2).await.expect("published");
+    for router in 0..2 {
+        fleet.router(router).in_force(version).await;
+    }
+    while !fleet.engines.iter().all(holds_new_weights) {
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    assert!(fleet.weight_store.highest_loads() <= 3);
+    let received = fleet.caller(1).complete_whole(&completion()).await;
+    assert_eq!(received.expect("whole").text, whole_text());
+    let served = fleet.engines[runner(&fleet)].ledger();
+    let with_new = |record: &EngineRecord| matches!(record, EngineRecord::Ran { weights_version, .. } if *weights_version == 2);
+    assert!(served.iter().any(with_new), "{served:?}");
+}
+
 #[tokio::test]
 async fn a_new_configuration_is_in_force_on_each_router() {
-    let fleet = fleet(1, 3).await;
+    let mut fleet = fleet(1, 3).await;
 
-    let version = fleet.publish_again().await.expect("published");
+    let version = fleet.publish_weights(1).await.expect("published");
 
     for router in 0..3 {
         fleet.router(router).in_force(version).await;
@@ -382,3 +428,60 @@
     assert_eq!(booked.status, 201);
     assert_eq!(fleet.service.ledger().len(), 1);
 }
+
+#[tokio::test]
+async fn routers_that_all_restart_send_prompts_where_they_are_cached() {
+    let mut fleet = fleet(4, 2).await;
+    let prompts = (0..8).map(|number| format!("book {number} ").repeat(1_200));
+    let completions: Vec<Completion> = prompts
+        .map(|prompt| Completion {
+            prompt,
+            max_tokens: 1,
+            ..completion()
+        })
+        .collect();
+    for completion in &completions {
+        let first = fleet.caller(0).complete_whole(completion).await;
+        first.expect("whole");
+    }
+
+    for router in 0..2 {
+        fleet.take_router(router).kill().await;
+    }
+    let restarted = fleet.start_router().await.expect("starts");
+    let before = fleet.hits();
+    for completion in &completions {
+        let again = fleet.caller(restarted).complete_whole(completion).await;
+        again.expect("whole");
+    }
+
+    assert_eq!(fleet.hits() - before, completions.len());
+}
+
+#[tokio::test]
+async fn innocents_that_share_their_engines_with_a_crashing_request_get_through() {
+    let fleet = crashable_fleet(4, 2).await;
+    let mut innocents = JoinSet::new();
+    for number in 0..INNOCENTS {
+        let caller = fleet.caller(number % 2);
+        let prompt = format!("{PROMPT} ({number})");
+        innocents.spawn(async move {
+            let completion = Completion {
+                prompt: prompt.clone(),
+                ..completion()
+            };
+            let received = caller.complete_whole(&completion).await?;
+            Ok::<bool, CallerError>(received.text == PromptHash::new(&prompt).text(TOKENS))
+        });
+    }
+    while runs(&fleet) < INNOCENTS {
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    let refused = fleet.caller(0).complete_whole(&crashing()).await;
+    let results = innocents.join_all().await;
+
+    assert_eq!(outcome(refused).0, "crashed_runners");
+    let whole = results.iter().filter(|result| **result == Ok(true));
+    assert_eq!(whole.count(), INNOCENTS, "{results:?}");
+}
