--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -4,6 +4,7 @@
 
 use config::Config;
 use policy::CellLoad;
+use policy::ConfigDelta;
 use policy::Incarnation;
 use policy::PeerMessage;
 use policy::PieceKey;
@@ -35,6 +36,8 @@
 pub enum WireMessage {
     /// A configuration in force.
     Config(WireConfig),
+    /// What has changed since another version.
+    ConfigDelta(WireConfigDelta),
     /// The version in force.
     Version(u64),
     /// Servers that are leaving.
@@ -60,6 +63,13 @@
     json: Vec<u8>,
 }
 
+/// A [`ConfigDelta`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireConfigDelta {
+    version: u64,
+    json: Vec<u8>,
+}
+
 /// A [`ServerMark`] on the wire.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireMark {
@@ -124,6 +134,7 @@
             PeerMessage::Config { version, config } => {
                 WireMessage::Config(WireConfig::new(*version, config))
             }
+            PeerMessage::ConfigDelta(delta) => WireMessage::ConfigDelta(delta.as_ref().into()),
             PeerMessage::Version(version) => WireMessage::Version(*version),
             PeerMessage::Leaving(marks) => WireMessage::Leaving(list(marks)),
             PeerMessage::Strikes(strikes) => WireMessage::Strikes(list(strikes)),
@@ -145,6 +156,7 @@
                 version: config.version,
                 config: config.parse()?,
             },
+            WireMessage::ConfigDelta(delta) => PeerMessage::ConfigDelta(Arc::new(delta.parse()?)),
             WireMessage::Version(version) => PeerMessage::Version(version),
             WireMessage::Leaving(marks) => PeerMessage::Leaving(list_of(marks)),
             WireMessage::Strikes(strikes) => PeerMessage::Strikes(list_of(strikes)),
@@ -159,6 +171,23 @@
     }
 }
 
+impl From<&ConfigDelta> for WireConfigDelta {
+    fn from(delta: &ConfigDelta) -> WireConfigDelta {
+        WireConfigDelta {
+            version: delta.version,
+            json: serde_json::to_vec(delta).expect("a difference has a JSON form"),
+        }
+    }
+}
+
+impl WireConfigDelta {
+    fn parse(self) -> Result<ConfigDelta, BadMessage> {
+        serde_json::from_slice(&self.json).context(ConfigSnafu {
+            version: self.version,
+        })
+    }
+}
+
 impl WireConfig {
     fn new(version: u64, config: &Config) -> WireConfig {
         let json = serde_json::to_vec(config).expect("a configuration is plain JSON");
--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -9,6 +9,7 @@
 use crate::call_table::Stage;
 use crate::call_table::Target;
 use crate::interner::NameKey;
+use crate::mutation::Mutation;
 use crate::once::Claim;
 use crate::outcome::Progress;
 use crate::outcome::Unsent;
@@ -20,6 +21,7 @@
 use crate::CallRequest;
 use crate::Generate;
 use crate::Identity;
+use crate::Incarnation;
 use crate::Node;
 use crate::PieceSeed;
 use crate::Reason;
@@ -97,6 +99,7 @@
             progress: needs.progress,
             stage: Stage::Claiming,
             attempt: AttemptId(0),
+            incarnation: Incarnation::default(),
             failed_at: Vec::new(),
             delivered: delivered_before(&req.work),
             stalled_at: Time::MAX,
@@ -116,6 +119,7 @@
             return;
         }
         match call.claim.clone() {
+            Some(_) if self.is_off(Mutation::SkipClaim) => self.route(now, id, out),
             Some(claim) => self.claim_record(now, id, claim, out),
             None => self.route(now, id, out),
         }
@@ -207,6 +211,7 @@
                 cfg.limits.record_hours,
                 req.fingerprint,
                 self.nonce(req.call),
+                class_of(now, req, cfg)?.deadline,
             )?),
         };
         let progress = match claim {
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -16,6 +16,7 @@
 use crate::cells::Cells;
 use crate::fleet::Fleet;
 use crate::loads::Loads;
+use crate::mutation::Mutation;
 use crate::placement::Placement;
 use crate::replicas::ReplicaLoads;
 use crate::retry_budget::RetryBudget;
@@ -23,6 +24,7 @@
 use crate::routers::Routers;
 use crate::shares::Shares;
 use crate::store_ops::StoreOps;
+use crate::strike_record::StrikeRecord;
 use crate::strikes::Strikes;
 use crate::timers::Timer;
 use crate::timers::Timers;
@@ -30,6 +32,7 @@
 use crate::Action;
 use crate::CallId;
 use crate::Event;
+use crate::Member;
 use crate::ServerKey;
 use crate::Settings;
 use crate::Time;
@@ -63,9 +66,12 @@
     pub(crate) watched: Option<Vec<ServerKey>>,
     /// Calls for which an owner was asked.
     pub(crate) tickets: BTreeMap<u64, CallId>,
+    /// Latest membership list.
+    pub(crate) members: Vec<Member>,
     pub(crate) placement: Placement,
     pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
+    pub(crate) strike_record: StrikeRecord,
     pub(crate) trials: Trials,
     pub(crate) admission: Admission,
     pub(crate) shares: Shares,
@@ -74,9 +80,14 @@
     pub(crate) store_ops: StoreOps,
     pub(crate) loads: Loads,
     pub(crate) timers: Timers,
-    pub(crate) snapshot_asked: bool,
+    pub(crate) snapshot_tries: u32,
+    /// Place in the list of routers at which the next round of gossip begins.
+    pub(crate) gossip_cursor: usize,
+    pub(crate) has_snapshot: bool,
     pub(crate) shutting_down: bool,
     pub(crate) stopped: bool,
+    #[cfg(feature = "mutations")]
+    pub(crate) mutation: Option<Mutation>,
 }
 
 impl Node {
@@ -103,9 +114,11 @@
             own_cells: BTreeSet::new(),
             watched: None,
             tickets: BTreeMap::new(),
+            members: Vec::new(),
             placement: Placement::default(),
             replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
+            strike_record: StrikeRecord::default(),
             trials: Trials::new(),
             admission: Admission::default(),
             shares: Shares::default(),
@@ -114,9 +127,13 @@
             store_ops: StoreOps::default(),
             loads: Loads::new(),
             timers,
-            snapshot_asked: false,
+            snapshot_tries: 0,
+            gossip_cursor: seed as usize,
+            has_snapshot: false,
             shutting_down: false,
             stopped: false,
+            #[cfg(feature = "mutations")]
+            mutation: None,
         }
     }
 
@@ -158,7 +175,7 @@
             } => self.on_report(now, call, attempt, report, out),
             Event::Load(report) => self.on_load(now, &report, out),
             Event::Cache(report) => self.on_cache(&report),
-            Event::Members(members) => self.on_members(&members, out),
+            Event::Members(members) => self.on_members(now, &members, out),
             Event::Config { version, config } => self.on_config(version, &config, out),
             Event::Peer { from, message } => self.on_peer(now, &from, message, out),
             Event::Store { op, result } => self.on_store(now, op, result, out),
@@ -167,7 +184,7 @@
                 fencing,
                 answer,
             } => self.on_order_answer(now, &server, fencing, answer),
-            Event::Shutdown { deadline } => self.on_shutdown(deadline),
+            Event::Shutdown { deadline } => self.on_shutdown(now, deadline),
             Event::Tick => {}
         }
         self.run_timers(now, out);
@@ -185,13 +202,19 @@
                 Timer::CellLoads => self.on_cell_loads_due(now, out),
                 Timer::Trials => self.on_trials_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
+                Timer::Snapshot => self.ask_for_snapshot(now, out),
                 Timer::Shutdown => self.on_shutdown_deadline(out),
             }
         }
     }
 
-    fn on_shutdown(&mut self, deadline: Time) {
+    fn on_shutdown(&mut self, now: Time, deadline: Time) {
         self.shutting_down = true;
+        let deadline = if self.is_off(Mutation::StopAtOnce) {
+            now
+        } else {
+            deadline
+        };
         self.timers.add(deadline, Timer::Shutdown);
     }
 
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -3,6 +3,7 @@
 use crate::action::FetchFrom;
 use crate::call_table::Stage;
 use crate::call_table::Target;
+use crate::mutation::Mutation;
 use crate::overload::NotNow;
 use crate::placement::Ask;
 use crate::placement::Choice;
@@ -153,9 +154,14 @@
 
     fn dispatch(&mut self, now: Time, id: CallId, aim: Aim, out: &mut Vec<Action>) {
         self.on_admitted(now, id);
+        let known = match aim.incarnation {
+            Incarnation(0) => self.fleet.server(aim.server).incarnation,
+            named => named,
+        };
         let call = self.calls.get_mut(id).expect("only live calls are sent");
         call.progress = call.take_progress().sent();
         call.attempt.0 += 1;
+        call.incarnation = known;
         call.stage = Stage::Running {
             server: aim.server,
             started: false,
@@ -164,6 +170,11 @@
         if let Target::Service(_) = &call.target {
             self.replica_loads.on_sent(aim.server);
         }
+        let incarnation = match self.is_off(Mutation::IgnoreIncarnation) {
+            true => Incarnation::default(),
+            false => aim.incarnation,
+        };
+        let call = self.calls.get_mut(id).expect("only live calls are sent");
         let server = self.fleet.server(aim.server);
         out.push(Action::Dispatch(Dispatch {
             at: Attempt {
@@ -173,7 +184,7 @@
             },
             server_name: server.name.clone(),
             address: server.address,
-            incarnation: aim.incarnation,
+            incarnation,
             weights_version: aim.weights_version,
             workspace: self.fleet.workspaces.name(call.workspace).to_string(),
             rank: call.rank,
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -25,6 +25,8 @@
     Trials,
     /// Other routers are to be told what is new.
     Gossip,
+    /// Other routers are to be asked for a snapshot again.
+    Snapshot,
     /// Calls in flight must have ended.
     Shutdown,
 }
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -13,6 +13,7 @@
 use crate::arrive::COME_BACK_MS;
 use crate::call_table::Stage;
 use crate::call_table::Target;
+use crate::mutation::Mutation;
 use crate::overload::NotNow;
 use crate::shared_record::Settled;
 use crate::timers::Timer;
@@ -41,6 +42,9 @@
 impl Node {
     /// Tells whether a call may only run on trial.
     pub(crate) fn needs_trial(&self, now: Time, id: CallId) -> bool {
+        if self.is_off(Mutation::SkipStrikes) {
+            return false;
+        }
         self.calls.get(id).is_some_and(|call| {
             matches!(call.target, Target::Engine(_))
                 && self.strikes.count(now, call.fingerprint) > 0
@@ -49,6 +53,9 @@
 
     /// Tells whether a request has broken too many runners to be run again.
     pub(crate) fn struck_out(&self, now: Time, fingerprint: u64) -> Option<NotNow> {
+        if self.is_off(Mutation::SkipStrikes) {
+            return None;
+        }
         if self.strikes.count(now, fingerprint) < self.crash_limit() {
             return None;
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -26,6 +26,7 @@
 mod prompt_pieces;
 mod publish;
 mod service;
+pub mod soak;
 mod token_events;
 mod token_text;
 mod weight_store;
