A request that ran on two broken runners is refused, whoever is to blame

The bound now counts every broken runner that a request ran on; blame only decides who needs a trial.

--- a/crates/policy/src/strikes.rs
+++ b/crates/policy/src/strikes.rs
@@ -87,6 +87,15 @@
         u32::try_from(blamed.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns how many runners broke that a request ran on, whoever is to blame.
+    pub(crate) fn broken_runners(&self, now: Time, fingerprint: u64) -> u32 {
+        let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
+            return 0;
+        };
+        let live = marks.values().filter(|note| lives(now, note.at_ms));
+        u32::try_from(live.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the time of a request's last strike.
     pub(crate) fn last_at(&self, fingerprint: u64) -> Option<Time> {
         let notes = self.by_fingerprint.get(&fingerprint)?.values();
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -56,7 +56,7 @@
         if self.is_off(Mutation::SkipStrikes) {
             return None;
         }
-        if self.strikes.count(now, fingerprint) < self.crash_limit() {
+        if self.strikes.broken_runners(now, fingerprint) < self.crash_limit() {
             return None;
         }
         Some(NotNow {
--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -46,7 +46,7 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let mut broken = 0;
+    let (mut broken, mut neighbours, mut mistaken) = (0, 0, 0);
     for seed in args.seed..args.seed + args.seeds {
         let settings = Settings {
             seed,
@@ -64,7 +64,13 @@
         }
         print!("{summary}");
         broken += u64::from(summary.violation.is_some());
+        neighbours += summary.counts["neighbours"];
+        mistaken += summary.counts["neighbours_mistaken"];
     }
-    println!("seeds={} broken={broken}", args.seeds);
-    ExitCode::from(u8::from(broken > 0))
+    println!(
+        "seeds={} broken={broken} neighbours={neighbours} mistaken={mistaken}",
+        args.seeds
+    );
+    let lost = mistaken * 100 > neighbours;
+    ExitCode::from(u8::from(broken > 0 || lost))
 }
--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -26,12 +26,31 @@
 }
 
 fn run_mutated(seed: u64, mutation: Mutation) -> Summary {
+    let one_crashing_in = match mutation {
+        Mutation::SkipStrikes => 60,
+        _ => 0,
+    };
+    let steps = match mutation {
+        Mutation::SkipSnapshot => 100_000,
+        _ => 20_000,
+    };
     soak::run(Settings {
         mutation: Some(mutation),
+        one_crashing_in,
+        steps,
         ..settings(seed)
     })
 }
 
+/// Neighbours of crashes in all runs, and those of them that were lost.
+fn neighbours(summaries: &[Summary]) -> (u64, u64) {
+    let sum = |name: &str| summaries.iter().map(|s| s.counts[name]).sum::<u64>();
+    (
+        sum("neighbours"),
+        sum("neighbours") - sum("neighbours_served"),
+    )
+}
+
 /// Promise that a mutation breaks.
 fn broken_by(mutation: Mutation) -> Promise {
     match mutation {
@@ -75,6 +94,24 @@
     }
 }
 
+#[test]
+fn neighbours_of_crashing_requests_finish() {
+    let summaries: Vec<Summary> = SEEDS
+        .map(|seed| {
+            soak::run(Settings {
+                calm: true,
+                one_crashing_in: 100,
+                ..settings(seed)
+            })
+        })
+        .collect();
+
+    let (all, lost) = neighbours(&summaries);
+
+    assert!(all >= 100, "only {all} neighbours");
+    assert!(lost * 100 <= all, "{lost} of {all} neighbours were lost");
+}
+
 #[test]
 fn the_same_seed_gives_the_same_trace() {
     let kept = Settings {
