--- a/crates/standins/examples/policy_bench.rs
+++ b/crates/standins/examples/policy_bench/main.rs
@@ -1,5 +1,9 @@
 //! Compares routing policies on virtual time and prints one table.
 
+mod plot;
+
+use std::path::PathBuf;
+
 use argh::FromArgs;
 
 use standins::bench::setup::Scenario;
@@ -30,6 +34,12 @@
     /// print a JSON array instead of a table
     #[argh(switch)]
     json: bool,
+    /// vary the constants on which the pages are silent
+    #[argh(switch)]
+    sweep: bool,
+    /// write a plot into this folder
+    #[argh(option)]
+    plot: Option<PathBuf>,
 }
 
 fn main() {
@@ -38,7 +48,15 @@
         eprintln!("unknown workload {:?}", args.workload);
         std::process::exit(2);
     };
+    if args.sweep {
+        sweep(&args, &setup);
+        return;
+    }
     let rows = rows(&args, &setup);
+    if let Some(folder) = &args.plot {
+        let file = folder.join(format!("policy-{}.svg", setup.workload));
+        plot::write(&file, &rows).expect("the plot can be written");
+    }
     if args.json {
         println!(
             "{}",
@@ -47,6 +65,14 @@
     }
 }
 
+/// Prints the rows of each variation.
+fn sweep(args: &Args, setup: &Setup) {
+    for (name, setup) in setup.variations() {
+        println!("{name}");
+        rows(args, &setup);
+    }
+}
+
 fn rows(args: &Args, setup: &Setup) -> Vec<Row> {
     let seeds = args.seed..args.seed + args.seeds;
     let mut rows = Vec::new();
--- a/crates/standins/src/bench/measures.rs
+++ b/crates/standins/src/bench/measures.rs
@@ -30,7 +30,7 @@
 }
 
 /// A row of the table: the figures of one run, or their means.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Figures {
     /// Part of the prefix tokens that weren't computed.
     pub hit_rate: f64,
--- a/crates/standins/src/bench/setup.rs
+++ b/crates/standins/src/bench/setup.rs
@@ -262,6 +262,27 @@
         self
     }
 
+    /// Returns this deployment with other values of what the pages don't say.
+    pub fn variations(&self) -> Vec<(&'static str, Setup)> {
+        let vary = |change: fn(&mut Setup)| {
+            let mut setup = self.clone();
+            change(&mut setup);
+            setup
+        };
+        vec![
+            ("small caches", vary(|s| s.cache_pieces /= 2)),
+            ("large caches", vary(|s| s.cache_pieces *= 2)),
+            ("small KV cache", vary(|s| s.kv_bytes_per_token /= 8)),
+            ("large KV cache", vary(|s| s.kv_bytes_per_token *= 8)),
+            ("fast prefill", vary(|s| s.prefill_us_per_token /= 2.0)),
+            ("slow prefill", vary(|s| s.prefill_us_per_token *= 2.0)),
+            ("old reports", vary(|s| s.report_lag_us *= 4)),
+            ("lost events", vary(|s| s.event_loss = 0.2)),
+            ("little skew", vary(|s| s.skew -= 0.3)),
+            ("much skew", vary(|s| s.skew += 0.3)),
+        ]
+    }
+
     /// Returns the requests that arrive in a second.
     pub fn requests_per_s(&self) -> f64 {
         let work_us: f64 = self.kinds.iter().map(|k| k.share * self.work_us(k)).sum();
--- /dev/null
+++ b/crates/standins/tests/policy_bench.rs
@@ -0,0 +1,39 @@
+//! The policy bench: the same seed gives the same figures, and the policy beats what went before.
+
+use policy::PlacementKind;
+use policy::Settings;
+use standins::bench::measures::Figures;
+use standins::bench::setup::Scenario;
+use standins::bench::setup::Setup;
+use standins::bench::table;
+use standins::bench::variant::Variant;
+
+fn figures(settings: Settings, scenario: Scenario) -> Figures {
+    let policy = ("under test", Variant::Node(settings));
+    table::row(policy, scenario, &Setup::brim(), 1..2).mean
+}
+
+fn first_policy() -> Settings {
+    Settings {
+        placement: PlacementKind::Affinity,
+        ..Settings::default()
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures_under_faults() {
+    let first = figures(Settings::default(), Scenario::Faults);
+    let second = figures(Settings::default(), Scenario::Faults);
+
+    assert_eq!(first, second);
+}
+
+#[test]
+fn owners_of_cells_waste_a_tenth_of_what_affinity_alone_does() {
+    let current = figures(Settings::default(), Scenario::Calm);
+    let before = figures(first_policy(), Scenario::Calm);
+
+    assert!(current.wasted_tokens < before.wasted_tokens / 10.0);
+    assert!(current.ttft_p99_ms < before.ttft_p99_ms);
+    assert!(current.hit_rate > before.hit_rate);
+}
