--- a/crates/policy/src/call_table.rs
+++ b/crates/policy/src/call_table.rs
@@ -56,8 +56,12 @@
     pub(crate) progress: Progress,
     pub(crate) stage: Stage,
     pub(crate) attempt: AttemptId,
+    /// Incarnation that the present attempt was sent to, 0 when unknown.
+    pub(crate) incarnation: Incarnation,
     /// Servers at which it failed.
     pub(crate) failed_at: Vec<ServerKey>,
+    /// Time from which the attempt is late.
+    pub(crate) stalled_at: Time,
     /// Tokens that the caller has.
     pub(crate) delivered: u32,
     /// Whether an engine refused it for its weights, so that any may serve it.
--- /dev/null
+++ b/crates/policy/src/config_delta.rs
@@ -0,0 +1,119 @@
+//! Differences between two versions of the configuration.
+//!
+//! A whole configuration has up to a megabyte, and a change touches a few
+//! entries of it. Routers pass on what has changed; the whole is sent only to
+//! one that lags further behind than the log of its peer reaches.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use config::BackendServer;
+use config::Config;
+use config::Limits;
+use config::Model;
+use config::Priority;
+use config::Service;
+use config::Workspace;
+
+/// Differences that a router keeps for others.
+const LOGGED: usize = 32;
+
+/// Entries of one kind that differ; none for one that is gone.
+type Changed<T> = BTreeMap<String, Option<T>>;
+
+/// What turns one version of the configuration into a later one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigDelta {
+    /// Version that it applies to.
+    pub base: u64,
+    /// Version that it makes.
+    pub version: u64,
+    workspaces: Changed<Workspace>,
+    models: Changed<Model>,
+    priorities: Changed<Priority>,
+    backend_servers: Changed<BackendServer>,
+    services: Changed<Service>,
+    limits: Option<Limits>,
+}
+
+impl ConfigDelta {
+    /// Returns what turns `old` into `new`.
+    pub(crate) fn between((base, old): (u64, &Config), (version, new): (u64, &Config)) -> Self {
+        ConfigDelta {
+            base,
+            version,
+            workspaces: changed(&old.workspaces, &new.workspaces),
+            models: changed(&old.models, &new.models),
+            priorities: changed(&old.priorities, &new.priorities),
+            backend_servers: changed(&old.backend_servers, &new.backend_servers),
+            services: changed(&old.services, &new.services),
+            limits: Some(new.limits).filter(|limits| *limits != old.limits),
+        }
+    }
+
+    /// Returns the configuration that it makes of `old`.
+    pub(crate) fn apply(&self, old: &Config) -> Config {
+        let mut cfg = old.clone();
+        change(&mut cfg.workspaces, &self.workspaces);
+        change(&mut cfg.models, &self.models);
+        change(&mut cfg.priorities, &self.priorities);
+        change(&mut cfg.backend_servers, &self.backend_servers);
+        change(&mut cfg.services, &self.services);
+        cfg.limits = self.limits.unwrap_or(cfg.limits);
+        cfg
+    }
+}
+
+/// The latest differences, from one version in force to the next.
+#[derive(Debug, Default)]
+pub(crate) struct DeltaLog {
+    deltas: VecDeque<Arc<ConfigDelta>>,
+}
+
+impl DeltaLog {
+    /// Adds the difference to the version that is in force from now on.
+    pub(crate) fn push(&mut self, delta: Arc<ConfigDelta>) {
+        self.deltas.push_back(delta);
+        if self.deltas.len() > LOGGED {
+            self.deltas.pop_front();
+        }
+    }
+
+    /// Returns what leads from `version` to the one in force, none if it is
+    /// not in the log.
+    pub(crate) fn since(&self, version: u64) -> Option<Vec<Arc<ConfigDelta>>> {
+        let start = self.deltas.iter().position(|d| d.base == version)?;
+        Some(self.deltas.range(start..).cloned().collect())
+    }
+}
+
+fn changed<T>(old: &BTreeMap<String, T>, new: &BTreeMap<String, T>) -> Changed<T>
+where
+    T: Clone + PartialEq,
+{
+    let gone = old
+        .keys()
+        .filter(|name| !new.contains_key(*name))
+        .map(|name| (name.clone(), None));
+    let put = new
+        .iter()
+        .filter(|(name, value)| old.get(*name) != Some(*value))
+        .map(|(name, value)| (name.clone(), Some(value.clone())));
+    gone.chain(put).collect()
+}
+
+fn change<T>(entries: &mut BTreeMap<String, T>, changed: &Changed<T>)
+where
+    T: Clone,
+{
+    for (name, value) in changed {
+        match value {
+            Some(value) => entries.insert(name.clone(), value.clone()),
+            None => entries.remove(name),
+        };
+    }
+}
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -4,6 +4,7 @@
 
 use config::Config;
 
+use crate::mutation::Mutation;
 use crate::Action;
 use crate::CacheChange;
 use crate::CacheReport;
@@ -19,29 +20,39 @@
 impl Node {
     /// Takes a configuration in.
     pub(crate) fn on_config(&mut self, version: u64, cfg: &Arc<Config>, out: &mut Vec<Action>) {
+        if self.is_off(Mutation::AcceptOldConfig) {
+            self.rollout.revert();
+        }
+        let before = self.rollout.version();
         if !self.rollout.offer(version, cfg) {
             return;
         }
         self.fleet.on_config(cfg);
+        self.learn_servers();
         let kind = self.settings.placement;
         self.cells.rebuild(&self.fleet, kind, cfg.limits.cell_size);
         out.push(Action::InForce { version });
         self.on_cells_changed(out);
-        let message = PeerMessage::Config {
-            version,
-            config: cfg.clone(),
-        };
-        self.tell_all(&message, out);
+        self.push_config(before, out);
     }
 
     /// Takes the membership list in.
-    pub(crate) fn on_members(&mut self, members: &[Member], out: &mut Vec<Action>) {
+    pub(crate) fn on_members(&mut self, now: Time, members: &[Member], out: &mut Vec<Action>) {
         self.routers.on_members(&self.identity.vm, members);
-        for server in self.fleet.on_members(members) {
+        self.members = members.to_vec();
+        self.learn_servers();
+        self.on_cells_changed(out);
+        if self.snapshot_tries == 0 {
+            self.ask_for_snapshot(now, out);
+        }
+    }
+
+    /// Takes the membership list in again, for servers that were not declared
+    /// when it came.
+    fn learn_servers(&mut self) {
+        for server in self.fleet.on_members(&self.members) {
             self.forget(server);
         }
-        self.on_cells_changed(out);
-        self.ask_for_snapshot(out);
     }
 
     /// Takes a load report in.
@@ -53,6 +64,7 @@
         if report.incarnation < self.fleet.server(server).incarnation {
             return;
         }
+        self.fleet.heard(server, now);
         if report.leaving {
             self.learn_leaving(server, report.incarnation, out);
         }
@@ -107,6 +119,9 @@
         incarnation: Incarnation,
         out: &mut Vec<Action>,
     ) {
+        if self.is_off(Mutation::ForgetLeaving) {
+            return;
+        }
         if !self.fleet.mark_leaving(server, incarnation) {
             return;
         }
--- a/crates/policy/src/peer_message.rs
+++ b/crates/policy/src/peer_message.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use config::Config;
+use serde::Deserialize;
+use serde::Serialize;
 
+use crate::ConfigDelta;
 use crate::Incarnation;
 use crate::PieceKey;
 
@@ -17,6 +20,8 @@
         /// What it says.
         config: Arc<Config>,
     },
+    /// What has changed since the version before.
+    ConfigDelta(Arc<ConfigDelta>),
     /// The version in force at the sender, for peers that lag behind.
     Version(u64),
     /// Backend servers that are leaving; marks are only ever added.
@@ -36,7 +41,7 @@
 }
 
 /// An incarnation of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerMark {
     /// Name of the server.
     pub server: String,
@@ -45,7 +50,7 @@
 }
 
 /// A runner that broke while it ran a request.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Strike {
     /// Fingerprint of the request.
     pub fingerprint: u64,
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -4,6 +4,7 @@
 use crate::call_table::Call;
 use crate::call_table::Stage;
 use crate::call_table::Target;
+use crate::mutation::Mutation;
 use crate::once::RecordState;
 use crate::outcome::Progress;
 use crate::overload::NotNow;
@@ -29,6 +30,9 @@
 /// Time for which a server that could not be reached is used last, in milliseconds.
 const SUSPECT_MS: u64 = 2_000;
 
+/// Time for which a leaving server of an unknown incarnation is used last, in milliseconds.
+const LEAVING_MS: u64 = 30_000;
+
 impl Node {
     /// Takes in what became of an attempt.
     pub(crate) fn on_report(
@@ -39,11 +43,18 @@
         report: BackendReport,
         out: &mut Vec<Action>,
     ) {
-        let running = self.calls.get(id).filter(|call| call.attempt == attempt);
+        let any = self.is_off(Mutation::MixAttempts);
+        let running = self
+            .calls
+            .get(id)
+            .filter(|call| any || call.attempt == attempt);
         let Some(server) = running.and_then(Call::server) else {
             out.push(Action::LateAnswer { call: id, attempt });
             return;
         };
+        if !matches!(report, BackendReport::Failed { .. }) {
+            self.fleet.heard(server, now);
+        }
         match report {
             BackendReport::Started {
                 incarnation,
@@ -66,6 +77,8 @@
         incarnation: Incarnation,
         cached_tokens: u64,
     ) {
+        let call = self.calls.get_mut(id).expect("it was found before");
+        call.incarnation = incarnation;
         self.see_incarnation(server, incarnation);
         self.on_cached(now, id, server, cached_tokens);
     }
@@ -95,7 +108,8 @@
         });
     }
 
-    fn on_failed(
+    /// Takes in that an attempt failed.
+    pub(crate) fn on_failed(
         &mut self,
         now: Time,
         id: CallId,
@@ -107,8 +121,8 @@
         self.leave_server(id);
         let was_on_trial = self.trials.running.contains_key(&id);
         self.trials.end(id);
-        let incarnation = self.fleet.server(server).incarnation;
         let call = self.calls.get_mut(id).expect("it was found before");
+        let incarnation = call.incarnation;
         call.progress = call.take_progress().failed(failure.never_ran());
         call.delivered = delivered;
         if failure == Failure::StaleWeights {
@@ -117,8 +131,12 @@
             call.failed_at.push(server);
         }
         match failure {
+            Failure::Leaving if incarnation == Incarnation::default() => {
+                self.fleet.suspect(server, now.plus_millis(LEAVING_MS));
+            }
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
+            Failure::Stalled => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
             Failure::Broken => self.strike(now, id, server, was_on_trial, out),
             Failure::StaleIncarnation => self.forget(server),
             Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
@@ -143,7 +161,7 @@
             fingerprint: call.fingerprint,
             mark: ServerMark {
                 server: self.fleet.server(server).name.clone(),
-                incarnation: self.fleet.server(server).incarnation,
+                incarnation: call.incarnation,
             },
             at_ms: now.as_millis(),
             on_trial,
@@ -151,6 +169,7 @@
         let limit = self.crash_limit();
         if self.strikes.add(&strike, limit) {
             self.tell_all(&PeerMessage::Strikes(vec![strike]), out);
+            self.record_strikes(out);
         }
     }
 
@@ -166,7 +185,8 @@
     fn reason_to_give_up(&mut self, now: Time, id: CallId, failure: Failure) -> Option<NotNow> {
         let call = self.calls.get(id)?;
         let soon = now.plus_millis(COME_BACK_MS);
-        if call.claim.is_some() && !failure.never_ran() {
+        let resend = self.is_off(Mutation::ResendAfterBreak);
+        if call.claim.is_some() && !failure.never_ran() && !resend {
             return Some(NotNow::for_good(Reason::AttemptsFailed));
         }
         if matches!(call.target, Target::Stream { .. }) {
@@ -178,7 +198,8 @@
         if call.attempt.0 >= ATTEMPTS {
             return Some(NotNow::until(soon, Reason::AttemptsFailed));
         }
-        let free = call.delivered > 0 || failure == Failure::StaleWeights;
+        let struck = self.strikes.count(now, call.fingerprint) > 0;
+        let free = call.delivered > 0 || failure == Failure::StaleWeights || struck;
         if !free && !self.budget.spend(call.workspace) {
             return Some(NotNow::until(soon, Reason::RetryBudgetSpent));
         }
@@ -192,7 +213,11 @@
         };
         let progress = call.take_progress();
         self.close_record(id, &call, &progress, out);
-        let refusal = progress.refuse(not_now.reason, not_now.retry_at);
+        let refusal = if self.is_off(Mutation::SayNotRun) {
+            crate::Refusal::not_run(crate::Unsent::new(), not_now.reason, not_now.retry_at)
+        } else {
+            progress.refuse(not_now.reason, not_now.retry_at)
+        };
         if !call.answered {
             out.push(Action::Refuse { call: id, refusal });
         }
@@ -227,6 +252,10 @@
         if streaming || resumed || call.answered {
             return;
         }
+        if matches!(call.stage, Stage::Recording(_)) {
+            self.give_recorded(id, out);
+            return;
+        }
         let not_now = NotNow::until(now.plus_millis(COME_BACK_MS), Reason::DeadlinePassed);
         if call.claim.is_some() && !matches!(call.stage, Stage::Claiming) {
             call.answered = true;
@@ -247,6 +276,7 @@
     /// Gives up what is still in flight when the VM must stop.
     pub(crate) fn on_shutdown_deadline(&mut self, out: &mut Vec<Action>) {
         for id in self.calls.ids() {
+            self.give_recorded(id, out);
             self.refuse(id, NotNow::for_good(Reason::ShuttingDown), out);
         }
     }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -3,6 +3,7 @@
 use crate::action::FetchFrom;
 use crate::call_table::Stage;
 use crate::call_table::Target;
+use crate::mutation::Mutation;
 use crate::overload::NotNow;
 use crate::placement::Ask;
 use crate::placement::Choice;
@@ -23,6 +24,8 @@
     weights_version: u64,
     fetch_from: Option<FetchFrom>,
     expected_cached_tokens: u64,
+    /// Time at which the answer is expected to begin.
+    expected_at: Time,
 }
 
 impl Node {
@@ -41,10 +44,10 @@
             Target::Stream {
                 server,
                 incarnation,
-            } => Ok(Aim::plain(*server, *incarnation)),
+            } => Ok(Aim::plain(now, *server, *incarnation)),
             Target::Service(service) => self
                 .best_replica(now, id, service, &call.failed_at)
-                .map(|server| Aim::plain(server, Incarnation::default()))
+                .map(|server| Aim::plain(now, server, Incarnation::default()))
                 .ok_or(NotNow::for_good(Reason::NoBackendServer)),
         };
         match aim {
@@ -117,6 +120,7 @@
             weights_version: ask.weights_version,
             fetch_from,
             expected_cached_tokens: choice.expected_cached_tokens,
+            expected_at: choice.first_token_at,
         }
     }
 
@@ -130,22 +134,34 @@
     ) {
         let call = self.calls.get(id).expect("only live calls are sent");
         let incarnation = self.fleet.server(server).incarnation;
-        let weights_version = match &call.target {
-            Target::Engine(ask) if !call.any_weights => ask.weights_version,
-            _ => 0,
+        let Target::Engine(ask) = &call.target else {
+            return;
         };
+        let weights_version = if call.any_weights {
+            0
+        } else {
+            ask.weights_version
+        };
+        let prefill_us = ask.prompt_tokens as f64 * ask.prefill_us_per_token;
+        let expected_at = now.plus_micros(prefill_us as u64);
         let aim = Aim {
             weights_version,
-            ..Aim::plain(server, incarnation)
+            expected_at,
+            ..Aim::plain(now, server, incarnation)
         };
         self.dispatch(now, id, aim, out);
     }
 
     fn dispatch(&mut self, now: Time, id: CallId, aim: Aim, out: &mut Vec<Action>) {
         self.on_admitted(now, id);
+        let known = match aim.incarnation {
+            Incarnation(0) => self.fleet.server(aim.server).incarnation,
+            named => named,
+        };
         let call = self.calls.get_mut(id).expect("only live calls are sent");
         call.progress = call.take_progress().sent();
         call.attempt.0 += 1;
+        call.incarnation = known;
         call.stage = Stage::Running {
             server: aim.server,
             started: false,
@@ -154,6 +170,11 @@
         if let Target::Service(_) = &call.target {
             self.replica_loads.on_sent(aim.server);
         }
+        let incarnation = match self.is_off(Mutation::IgnoreIncarnation) {
+            true => Incarnation::default(),
+            false => aim.incarnation,
+        };
+        let call = self.calls.get_mut(id).expect("only live calls are sent");
         let server = self.fleet.server(aim.server);
         out.push(Action::Dispatch(Dispatch {
             at: Attempt {
@@ -163,7 +184,7 @@
             },
             server_name: server.name.clone(),
             address: server.address,
-            incarnation: aim.incarnation,
+            incarnation,
             weights_version: aim.weights_version,
             workspace: self.fleet.workspaces.name(call.workspace).to_string(),
             rank: call.rank,
@@ -171,6 +192,7 @@
             fetch_from: aim.fetch_from,
             expected_cached_tokens: aim.expected_cached_tokens,
         }));
+        self.watch_for_stall(now, id, aim.expected_at);
     }
 }
 
@@ -185,13 +207,14 @@
         }
     }
 
-    fn plain(server: ServerKey, incarnation: Incarnation) -> Aim {
+    fn plain(now: Time, server: ServerKey, incarnation: Incarnation) -> Aim {
         Aim {
             server,
             incarnation,
             weights_version: 0,
             fetch_from: None,
             expected_cached_tokens: 0,
+            expected_at: now,
         }
     }
 }
--- a/crates/policy/src/strikes.rs
+++ b/crates/policy/src/strikes.rs
@@ -15,6 +15,9 @@
 /// Time for which a strike counts, in milliseconds.
 const STRIKE_LIFE_MS: u64 = 600_000;
 
+/// Time for which a strike is told in each round of gossip, in milliseconds.
+const LATEST_MS: u64 = 10_000;
+
 /// A strike without its request and runner.
 #[derive(Clone, Copy, Debug)]
 struct Note {
@@ -28,11 +31,16 @@
     by_fingerprint: BTreeMap<u64, BTreeMap<ServerMark, Note>>,
     /// Who is to blame for a broken runner, where it is known.
     culprits: BTreeMap<ServerMark, u64>,
+    /// Runners that were seen alive, and when; strikes on them before don't count.
+    alive: BTreeMap<String, (Incarnation, Time)>,
 }
 
 impl Strikes {
     /// Adds a strike; tells whether this is news.
     pub(crate) fn add(&mut self, strike: &Strike, limit: u32) -> bool {
+        if self.was_alive(strike) {
+            return false;
+        }
         let marks = self.by_fingerprint.entry(strike.fingerprint).or_default();
         let known = marks.get(&strike.mark);
         if known.is_some_and(|note| note.on_trial || !strike.on_trial) {
@@ -49,6 +57,25 @@
         true
     }
 
+    /// Adds a strike that still counts; tells whether this is news.
+    pub(crate) fn add_live(&mut self, now: Time, strike: &Strike, limit: u32) -> bool {
+        lives(now, strike.at_ms) && self.add(strike, limit)
+    }
+
+    fn was_alive(&self, strike: &Strike) -> bool {
+        let alive = self.alive.get(&strike.mark.server);
+        alive.is_some_and(|(incarnation, seen)| {
+            *incarnation == strike.mark.incarnation && strike.at_ms < seen.as_millis()
+        })
+    }
+
+    /// Returns the strikes of the last rounds of gossip.
+    pub(crate) fn latest(&self, now: Time) -> Vec<Strike> {
+        let since = now.as_millis().saturating_sub(LATEST_MS);
+        let all = self.all().into_iter();
+        all.filter(|strike| strike.at_ms >= since).collect()
+    }
+
     /// Returns how many broken runners a request may be to blame for.
     pub(crate) fn count(&self, now: Time, fingerprint: u64) -> u32 {
         let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
@@ -60,6 +87,15 @@
         u32::try_from(blamed.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns how many runners broke that a request ran on, whoever is to blame.
+    pub(crate) fn broken_runners(&self, now: Time, fingerprint: u64) -> u32 {
+        let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
+            return 0;
+        };
+        let live = marks.values().filter(|note| lives(now, note.at_ms));
+        u32::try_from(live.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the time of a request's last strike.
     pub(crate) fn last_at(&self, fingerprint: u64) -> Option<Time> {
         let notes = self.by_fingerprint.get(&fingerprint)?.values();
@@ -73,6 +109,7 @@
 
     /// Withdraws the strikes on a runner that is seen alive after them.
     pub(crate) fn withdraw(&mut self, server: &str, incarnation: Incarnation, seen: Time) {
+        self.alive.insert(server.to_owned(), (incarnation, seen));
         for marks in self.by_fingerprint.values_mut() {
             marks.retain(|mark, note| {
                 let alive = mark.server == server && mark.incarnation == incarnation;
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -15,6 +15,8 @@
     Place(u64),
     /// Other routers are to be told the loads of own cells.
     CellLoads,
+    /// The answer of an attempt is late.
+    Stall(CallId),
     /// A call to the key-value service is to be tried again.
     Store(OpId),
     /// The loads of weights are to be looked at.
@@ -23,6 +25,8 @@
     Trials,
     /// Other routers are to be told what is new.
     Gossip,
+    /// Other routers are to be asked for a snapshot again.
+    Snapshot,
     /// Calls in flight must have ended.
     Shutdown,
 }
