--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -102,7 +102,9 @@
             incarnation: Incarnation::default(),
             failed_at: Vec::new(),
             delivered: delivered_before(&req.work),
+            stalled_at: Time::MAX,
             any_weights: false,
+            expected_cached_tokens: 0,
             answered: false,
         };
         self.calls.insert(req.call, call);
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -41,7 +41,9 @@
             PeerMessage::Strikes(strikes) => self.on_strikes(now, &strikes, out),
             PeerMessage::SnapshotRequest => self.give_snapshot(from, out),
             PeerMessage::Snapshot(snapshot) => self.on_snapshot(now, *snapshot, out),
-            PeerMessage::CellLoad(_) | PeerMessage::Place(_) | PeerMessage::Placed(_) => {}
+            PeerMessage::CellLoad(loads) => self.on_cell_loads(now, &loads),
+            PeerMessage::Place(req) => self.on_place(now, from, &req, out),
+            PeerMessage::Placed(placed) => self.on_placed(now, &placed, out),
         }
     }
 
@@ -169,7 +171,7 @@
             config,
             leaving: self.fleet.leaving_marks(),
             strikes: self.strikes.all(),
-            cells: Vec::new(),
+            cells: self.cell_loads.all(),
         };
         self.tell(from, PeerMessage::Snapshot(Box::new(snapshot)), out);
     }
@@ -181,5 +183,6 @@
         }
         self.on_leaving_marks(&snapshot.leaving, out);
         self.on_strikes(now, &snapshot.strikes, out);
+        self.on_cell_loads(now, &snapshot.cells);
     }
 }
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -6,6 +6,7 @@
 
 use crate::mutation::Mutation;
 use crate::Action;
+use crate::CacheChange;
 use crate::CacheReport;
 use crate::Incarnation;
 use crate::LoadReport;
@@ -28,8 +29,10 @@
         }
         self.fleet.on_config(cfg);
         self.learn_servers();
+        let kind = self.settings.placement;
+        self.cells.rebuild(&self.fleet, kind, cfg.limits.cell_size);
         out.push(Action::InForce { version });
-        out.push(Action::Watch(self.fleet.declared_engines()));
+        self.on_cells_changed(out);
         self.push_config(before, out);
     }
 
@@ -38,6 +41,7 @@
         self.routers.on_members(&self.identity.vm, members);
         self.members = members.to_vec();
         self.learn_servers();
+        self.on_cells_changed(out);
         if self.snapshot_tries == 0 {
             self.ask_for_snapshot(now, out);
         }
@@ -47,7 +51,7 @@
     /// when it came.
     fn learn_servers(&mut self) {
         for server in self.fleet.on_members(&self.members) {
-            self.placement.on_reset(server);
+            self.forget(server);
         }
     }
 
@@ -56,12 +60,11 @@
         let Some(server) = self.fleet.find(&report.server) else {
             return;
         };
-        if self.fleet.on_incarnation(server, report.incarnation) {
-            self.placement.on_reset(server);
-        }
+        self.see_incarnation(server, report.incarnation);
         if report.incarnation < self.fleet.server(server).incarnation {
             return;
         }
+        self.fleet.heard(server, now);
         if report.leaving {
             self.learn_leaving(server, report.incarnation, out);
         }
@@ -69,7 +72,9 @@
             self.strikes
                 .withdraw(&report.server, report.incarnation, report.at);
         }
-        self.placement.on_load(server, report.queued_tokens);
+        let us_per_token = self.fleet.server(server).prefill_us_per_token;
+        let queued_us = (report.queued_tokens as f64 * us_per_token) as u64;
+        self.placement.on_load(server, report.at, queued_us);
         self.on_weights(now, server, report);
     }
 
@@ -78,11 +83,35 @@
         let Some(server) = self.fleet.find(&report.server) else {
             return;
         };
-        if self.fleet.on_incarnation(server, report.incarnation) {
-            self.placement.on_reset(server);
+        self.see_incarnation(server, report.incarnation);
+        if report.incarnation < self.fleet.server(server).incarnation {
+            return;
+        }
+        let cell = self.cells.id_of(server);
+        let Some(residency) = cell.and_then(|cell| self.placement.residency_mut(cell)) else {
+            return;
+        };
+        for change in &report.changes {
+            match change {
+                CacheChange::Stored(piece) => residency.store(server, *piece),
+                CacheChange::Evicted(piece) => residency.evict(server, *piece),
+            }
         }
     }
 
+    /// Takes in that an incarnation of a server was seen.
+    pub(crate) fn see_incarnation(&mut self, server: ServerKey, incarnation: Incarnation) {
+        if self.fleet.on_incarnation(server, incarnation) {
+            self.forget(server);
+        }
+    }
+
+    /// Forgets what was known of a server's cache and load.
+    pub(crate) fn forget(&mut self, server: ServerKey) {
+        let cell = self.cells.id_of(server);
+        self.placement.on_reset(cell, server);
+    }
+
     /// Marks a server as leaving and tells the other routers.
     pub(crate) fn learn_leaving(
         &mut self,
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -1,5 +1,7 @@
 //! The state machine of one router.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rand::SeedableRng;
@@ -9,6 +11,9 @@
 
 use crate::admission::Admission;
 use crate::call_table::CallTable;
+use crate::cell_affinity::CellAffinity;
+use crate::cell_loads::CellLoads;
+use crate::cells::Cells;
 use crate::fleet::Fleet;
 use crate::loads::Loads;
 use crate::mutation::Mutation;
@@ -25,9 +30,11 @@
 use crate::timers::Timers;
 use crate::trials::Trials;
 use crate::Action;
+use crate::CallId;
 use crate::Event;
 use crate::Member;
 use crate::ServerKey;
+use crate::Settings;
 use crate::Time;
 
 /// What a router knows of itself.
@@ -52,6 +59,15 @@
     pub(crate) routers: Routers,
     /// Latest membership list.
     pub(crate) members: Vec<Member>,
+    pub(crate) settings: Settings,
+    pub(crate) cells: Cells,
+    pub(crate) cell_loads: CellLoads,
+    pub(crate) cell_affinity: CellAffinity,
+    pub(crate) own_cells: BTreeSet<u64>,
+    /// Engines of the last [`Action::Watch`].
+    pub(crate) watched: Option<Vec<ServerKey>>,
+    /// Calls for which an owner was asked.
+    pub(crate) tickets: BTreeMap<u64, CallId>,
     pub(crate) placement: Placement,
     pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
@@ -77,7 +93,13 @@
 impl Node {
     /// Creates a router that knows nothing yet but itself.
     pub fn new(identity: Identity, seed: u64) -> Node {
+        Node::with_settings(identity, seed, Settings::default())
+    }
+
+    /// Creates a router that chooses engines as `settings` say.
+    pub fn with_settings(identity: Identity, seed: u64, settings: Settings) -> Node {
         let mut timers = Timers::default();
+        timers.add(Time::default(), Timer::CellLoads);
         timers.add(Time::default(), Timer::Gossip);
         Node {
             identity,
@@ -86,6 +108,13 @@
             fleet: Fleet::default(),
             routers: Routers::default(),
             members: Vec::new(),
+            settings,
+            cells: Cells::default(),
+            cell_loads: CellLoads::default(),
+            cell_affinity: CellAffinity::default(),
+            own_cells: BTreeSet::new(),
+            watched: None,
+            tickets: BTreeMap::new(),
             placement: Placement::default(),
             replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
@@ -166,8 +195,11 @@
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Call(call) => self.on_call_deadline(now, call, out),
+                Timer::Stall(call) => self.on_stall_due(now, call, out),
                 Timer::Store(op) => self.on_store_retry(op, out),
                 Timer::Loads => self.on_loads_due(now, out),
+                Timer::Place(ticket) => self.on_place_deadline(now, ticket, out),
+                Timer::CellLoads => self.on_cell_loads_due(now, out),
                 Timer::Trials => self.on_trials_due(now, out),
                 Timer::Gossip => self.on_gossip(now, out),
                 Timer::Snapshot => self.ask_for_snapshot(now, out),
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -52,8 +52,14 @@
             out.push(Action::LateAnswer { call: id, attempt });
             return;
         };
+        if !matches!(report, BackendReport::Failed { .. }) {
+            self.fleet.heard(server, now);
+        }
         match report {
-            BackendReport::Started { incarnation, .. } => self.on_started(id, server, incarnation),
+            BackendReport::Started {
+                incarnation,
+                cached_tokens,
+            } => self.on_started(now, id, server, incarnation, cached_tokens),
             BackendReport::FirstToken => self.on_first_token(now, id, server),
             BackendReport::Finished { .. } => self.end(id),
             BackendReport::Answered(answer) => self.on_answer(now, id, answer, out),
@@ -63,16 +69,21 @@
         }
     }
 
-    fn on_started(&mut self, id: CallId, server: ServerKey, incarnation: Incarnation) {
+    fn on_started(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        incarnation: Incarnation,
+        cached_tokens: u64,
+    ) {
         let call = self.calls.get_mut(id).expect("it was found before");
         call.incarnation = incarnation;
-        if self.fleet.on_incarnation(server, incarnation) {
-            self.placement.on_reset(server);
-        }
+        self.see_incarnation(server, incarnation);
+        self.on_cached(now, id, server, cached_tokens);
     }
 
     fn on_first_token(&mut self, now: Time, id: CallId, server: ServerKey) {
-        self.leave_server(id);
         self.on_trial_token(now, id);
         let call = self.calls.get_mut(id).expect("it was found before");
         call.stage = Stage::Running {
@@ -97,7 +108,8 @@
         });
     }
 
-    fn on_failed(
+    /// Takes in that an attempt failed.
+    pub(crate) fn on_failed(
         &mut self,
         now: Time,
         id: CallId,
@@ -124,8 +136,9 @@
             }
             Failure::Leaving => self.learn_leaving(server, incarnation, out),
             Failure::NotConnected => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
+            Failure::Stalled => self.fleet.suspect(server, now.plus_millis(SUSPECT_MS)),
             Failure::Broken => self.strike(now, id, server, was_on_trial, out),
-            Failure::StaleIncarnation => self.placement.on_reset(server),
+            Failure::StaleIncarnation => self.forget(server),
             Failure::Overloaded | Failure::StaleWeights | Failure::Refused => {}
         }
         self.retry_or_refuse(now, id, failure, out);
@@ -283,16 +296,10 @@
 
     /// Takes the call out of what is counted at its server.
     fn leave_server(&mut self, id: CallId) {
-        let Some(call) = self.calls.get(id) else {
-            return;
-        };
-        let Some(server) = call.server() else {
-            return;
-        };
-        match &call.target {
-            Target::Engine(ask) if call.is_queued() => self.placement.on_left_queue(server, ask),
-            Target::Service(_) => self.replica_loads.on_ended(server),
-            Target::Engine(_) | Target::Stream { .. } => {}
+        let call = self.calls.get(id);
+        let service = call.filter(|call| matches!(call.target, Target::Service(_)));
+        if let Some(server) = service.and_then(Call::server) {
+            self.replica_loads.on_ended(server);
         }
     }
 
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,8 +1,6 @@
 //! Choice of a server for a call, and its dispatch.
 
 use crate::action::FetchFrom;
-use crate::arrive::COME_BACK_MS;
-use crate::call_table::Call;
 use crate::call_table::Stage;
 use crate::call_table::Target;
 use crate::mutation::Mutation;
@@ -26,6 +24,8 @@
     weights_version: u64,
     fetch_from: Option<FetchFrom>,
     expected_cached_tokens: u64,
+    /// Time at which the answer is expected to begin.
+    expected_at: Time,
 }
 
 impl Node {
@@ -37,14 +37,17 @@
         }
         let call = self.calls.get(id).expect("only live calls are routed");
         let aim = match &call.target {
-            Target::Engine(ask) => self.aim_at_engine(now, call, ask),
+            Target::Engine(_) => {
+                self.place(now, id, out);
+                return;
+            }
             Target::Stream {
                 server,
                 incarnation,
-            } => Ok(Aim::plain(*server, *incarnation)),
+            } => Ok(Aim::plain(now, *server, *incarnation)),
             Target::Service(service) => self
                 .best_replica(now, id, service, &call.failed_at)
-                .map(|server| Aim::plain(server, Incarnation::default()))
+                .map(|server| Aim::plain(now, server, Incarnation::default()))
                 .ok_or(NotNow::for_good(Reason::NoBackendServer)),
         };
         match aim {
@@ -53,21 +56,57 @@
         }
     }
 
-    fn aim_at_engine(&self, now: Time, call: &Call, ask: &Ask) -> Result<Aim, NotNow> {
-        let mut candidates = self.fleet.engines(ask.workspace, ask.model);
-        candidates.retain(|key| !call.failed_at.contains(key));
-        let soon = now.plus_millis(COME_BACK_MS);
-        let choice = self
-            .placement
-            .choose(now, ask, &candidates, &self.fleet)
-            .ok_or(NotNow::until(soon, Reason::NoBackendServer))?;
-        self.admits(now, call, &choice)?;
+    /// Sends a call to the engine that was chosen, if its expected wait lets it in.
+    ///
+    /// `cell` is the engine's cell if this router has chosen itself.
+    pub(crate) fn send_to_choice(
+        &mut self,
+        now: Time,
+        id: CallId,
+        cell: Option<u64>,
+        choice: Choice,
+        out: &mut Vec<Action>,
+    ) {
+        if self.needs_trial(now, id) {
+            self.wait_for_trial(now, id, out);
+            return;
+        }
+        let call = self.calls.get(id).expect("only live calls are sent");
+        let Target::Engine(ask) = &call.target else {
+            return;
+        };
+        if let Err(not_now) = self.admits(now, call, &choice) {
+            self.refuse(id, not_now, out);
+            return;
+        }
         let aim = self.aim_of(choice, ask);
-        Ok(if call.any_weights {
-            aim.with_any_weights()
-        } else {
-            aim
-        })
+        let aim = match call.any_weights {
+            true => aim.with_any_weights(),
+            false => aim,
+        };
+        if let Some(cell) = cell {
+            self.placement.on_sent(now, cell, ask, &choice);
+        }
+        self.dispatch(now, id, aim, out);
+    }
+
+    /// Takes in how many tokens an engine found in its cache.
+    pub(crate) fn on_cached(
+        &mut self,
+        now: Time,
+        id: CallId,
+        server: ServerKey,
+        cached_tokens: u64,
+    ) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let expected = std::mem::replace(&mut call.expected_cached_tokens, cached_tokens);
+        if let Target::Engine(ask) = &call.target {
+            let missed = expected.saturating_sub(cached_tokens);
+            let missed_us = missed as f64 * ask.prefill_us_per_token;
+            self.placement.on_missed(now, server, missed_us as u64);
+        }
     }
 
     fn aim_of(&self, choice: Choice, ask: &Ask) -> Aim {
@@ -81,6 +120,7 @@
             weights_version: ask.weights_version,
             fetch_from,
             expected_cached_tokens: choice.expected_cached_tokens,
+            expected_at: choice.first_token_at,
         }
     }
 
@@ -94,13 +134,20 @@
     ) {
         let call = self.calls.get(id).expect("only live calls are sent");
         let incarnation = self.fleet.server(server).incarnation;
-        let weights_version = match &call.target {
-            Target::Engine(ask) if !call.any_weights => ask.weights_version,
-            _ => 0,
+        let Target::Engine(ask) = &call.target else {
+            return;
+        };
+        let weights_version = if call.any_weights {
+            0
+        } else {
+            ask.weights_version
         };
+        let prefill_us = ask.prompt_tokens as f64 * ask.prefill_us_per_token;
+        let expected_at = now.plus_micros(prefill_us as u64);
         let aim = Aim {
             weights_version,
-            ..Aim::plain(server, incarnation)
+            expected_at,
+            ..Aim::plain(now, server, incarnation)
         };
         self.dispatch(now, id, aim, out);
     }
@@ -119,10 +166,9 @@
             server: aim.server,
             started: false,
         };
-        match &call.target {
-            Target::Engine(ask) => self.placement.on_sent(aim.server, ask),
-            Target::Service(_) => self.replica_loads.on_sent(aim.server),
-            Target::Stream { .. } => {}
+        call.expected_cached_tokens = aim.expected_cached_tokens;
+        if let Target::Service(_) = &call.target {
+            self.replica_loads.on_sent(aim.server);
         }
         let incarnation = match self.is_off(Mutation::IgnoreIncarnation) {
             true => Incarnation::default(),
@@ -146,6 +192,7 @@
             fetch_from: aim.fetch_from,
             expected_cached_tokens: aim.expected_cached_tokens,
         }));
+        self.watch_for_stall(now, id, aim.expected_at);
     }
 }
 
@@ -160,13 +207,14 @@
         }
     }
 
-    fn plain(server: ServerKey, incarnation: Incarnation) -> Aim {
+    fn plain(now: Time, server: ServerKey, incarnation: Incarnation) -> Aim {
         Aim {
             server,
             incarnation,
             weights_version: 0,
             fetch_from: None,
             expected_cached_tokens: 0,
+            expected_at: now,
         }
     }
 }
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -252,7 +252,7 @@
         let Target::Engine(ask) = &call.target else {
             return Vec::new();
         };
-        let mut engines = self.fleet.engines(ask.workspace, ask.model);
+        let mut engines = self.engines(ask.workspace, ask.model);
         engines.retain(|key| !call.failed_at.contains(key));
         engines
     }
