--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -57,6 +57,8 @@
     pub(crate) rollout: Rollout,
     pub(crate) fleet: Fleet,
     pub(crate) routers: Routers,
+    /// Latest membership list.
+    pub(crate) members: Vec<Member>,
     pub(crate) settings: Settings,
     pub(crate) cells: Cells,
     pub(crate) cell_loads: CellLoads,
@@ -66,8 +68,6 @@
     pub(crate) watched: Option<Vec<ServerKey>>,
     /// Calls for which an owner was asked.
     pub(crate) tickets: BTreeMap<u64, CallId>,
-    /// Latest membership list.
-    pub(crate) members: Vec<Member>,
     pub(crate) placement: Placement,
     pub(crate) replica_loads: ReplicaLoads,
     pub(crate) strikes: Strikes,
@@ -107,6 +107,7 @@
             rollout: Rollout::default(),
             fleet: Fleet::default(),
             routers: Routers::default(),
+            members: Vec::new(),
             settings,
             cells: Cells::default(),
             cell_loads: CellLoads::default(),
@@ -114,7 +115,6 @@
             own_cells: BTreeSet::new(),
             watched: None,
             tickets: BTreeMap::new(),
-            members: Vec::new(),
             placement: Placement::default(),
             replica_loads: ReplicaLoads::default(),
             strikes: Strikes::default(),
