--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -12,6 +12,7 @@
 use crate::ConfigStore;
 use crate::DiffCommand;
 use crate::ExitCode;
+use crate::ExplainCommand;
 use crate::HistoryCommand;
 use crate::Outcome;
 use crate::PlatformClient;
@@ -58,6 +59,8 @@
     History(HistoryCommand),
     /// Brings a former version back as a new one.
     Rollback(RollbackCommand),
+    /// Shows where a completion would go, and why.
+    Explain(ExplainCommand),
 }
 
 /// Addresses of the platform.
@@ -98,7 +101,8 @@
             Some(command) => command.run(&self.platform, &progress).await,
             None => ArgumentSnafu {
                 argument: "command",
-                expected: "one of check, diff, apply, status, history, rollback; see --help",
+                expected:
+                    "one of check, diff, apply, status, history, rollback, explain; see --help",
             }
             .fail(),
         }
@@ -114,6 +118,7 @@
             Command::Status(command) => command.run(&platform.store()?).await,
             Command::History(command) => command.run(&platform.store()?).await,
             Command::Rollback(command) => command.run(&platform.store()?, progress).await,
+            Command::Explain(command) => command.run().await,
         }
     }
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the commands.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use config::AssembleError;
@@ -99,6 +100,24 @@
         /// Version in force.
         version: u64,
     },
+    /// The file with a request can't be read.
+    #[snafu(display("{}: {source}", file.display()))]
+    ReadRequest {
+        /// File.
+        file: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A router did not answer a question.
+    #[snafu(display("{step} at router {router}: {reason}"))]
+    Router {
+        /// Step that failed.
+        step: &'static str,
+        /// Address of the router.
+        router: SocketAddr,
+        /// What the router or the transport said.
+        reason: String,
+    },
     /// It isn't known whether a change was accepted.
     #[snafu(display(
         "not known whether version {version} with nonce {nonce} was accepted, \
@@ -124,7 +143,8 @@
             Error::Argument { .. }
             | Error::ReadFolder { .. }
             | Error::EmptyFolder { .. }
-            | Error::BaseFile { .. } => ExitCode::Usage,
+            | Error::BaseFile { .. }
+            | Error::ReadRequest { .. } => ExitCode::Usage,
             _ => ExitCode::Refused,
         }
     }
--- /dev/null
+++ b/crates/ctl/src/router_client.rs
@@ -0,0 +1,88 @@
+//! Questions to one router.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::error::RouterSnafu;
+use crate::Error;
+use crate::Result;
+
+/// Time within which a router must answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Way to one router.
+pub(crate) struct RouterClient {
+    router: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl RouterClient {
+    /// Creates a way to a router that connects when first used.
+    pub(crate) fn new(router: SocketAddr) -> RouterClient {
+        RouterClient {
+            router,
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Posts a body and returns the answer.
+    pub(crate) async fn post<A>(
+        &self,
+        path: &str,
+        headers: &[(&str, String)],
+        body: Vec<u8>,
+    ) -> Result<A>
+    where
+        A: DeserializeOwned,
+    {
+        let uri = format!("http://{}{path}", self.router);
+        let mut req = Request::post(uri);
+        for (name, value) in headers {
+            req = req.header(*name, value);
+        }
+        let req = req
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| self.failed(e))?;
+        match timeout(ANSWER_TIMEOUT, self.exchange(req)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.failed("no answer in time")),
+        }
+    }
+
+    async fn exchange<A>(&self, req: Request<Full<Bytes>>) -> Result<A>
+    where
+        A: DeserializeOwned,
+    {
+        let res = self.client.request(req).await.map_err(|e| self.failed(e))?;
+        let status = res.status();
+        let body = res.into_body().collect().await;
+        let body = body.map_err(|e| self.failed(e))?.to_bytes();
+        if status != StatusCode::OK {
+            return Err(self.failed(String::from_utf8_lossy(&body)));
+        }
+        serde_json::from_slice(&body).map_err(|e| self.failed(e))
+    }
+
+    fn failed<E>(&self, reason: E) -> Error
+    where
+        E: ToString,
+    {
+        RouterSnafu {
+            step: "explain",
+            router: self.router,
+            reason: reason.to_string(),
+        }
+        .build()
+    }
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -22,19 +22,27 @@
 impl Admission {
     /// Admits a request if the quota allows.
     pub(crate) fn admit(&mut self, workspace: NameKey, tokens: u64, quota: &Quota) -> bool {
-        let used = self.in_use.entry(workspace).or_default();
-        let requests = used.requests + 1;
-        let prompt_tokens = used.prompt_tokens + tokens;
-        if requests > quota.requests_in_flight || prompt_tokens > quota.prompt_tokens_in_flight {
+        let next = self.with_one_more(workspace, tokens);
+        if !next.fits(quota) {
             return false;
         }
-        *used = InUse {
-            requests,
-            prompt_tokens,
-        };
+        self.in_use.insert(workspace, next);
         true
     }
 
+    /// Tells whether a request would be admitted.
+    pub(crate) fn has_room(&self, workspace: NameKey, tokens: u64, quota: &Quota) -> bool {
+        self.with_one_more(workspace, tokens).fits(quota)
+    }
+
+    fn with_one_more(&self, workspace: NameKey, tokens: u64) -> InUse {
+        let used = self.in_use.get(&workspace).copied().unwrap_or_default();
+        InUse {
+            requests: used.requests + 1,
+            prompt_tokens: used.prompt_tokens + tokens,
+        }
+    }
+
     /// Takes an admitted request out again.
     pub(crate) fn release(&mut self, workspace: NameKey, tokens: u64) {
         let used = self.in_use.get_mut(&workspace).expect("it was admitted");
@@ -42,3 +50,10 @@
         used.prompt_tokens -= tokens;
     }
 }
+
+impl InUse {
+    fn fits(&self, quota: &Quota) -> bool {
+        self.requests <= quota.requests_in_flight
+            && self.prompt_tokens <= quota.prompt_tokens_in_flight
+    }
+}
--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -1,8 +1,7 @@
 //! Arrival of callers' requests.
 
-use std::sync::Arc;
-
 use config::Config;
+use config::Quota;
 use config::Workspace;
 
 use crate::call_table::Call;
@@ -37,11 +36,19 @@
 pub(crate) const COME_BACK_MS: u64 = 1_000;
 
 /// Rank and deadline that a request's priority class gives it.
+#[derive(Clone, Copy)]
 struct Class {
     rank: u8,
     deadline: Time,
 }
 
+/// A call that has not been taken in, with what its workspace may have.
+pub(crate) struct Draft {
+    pub(crate) call: Call,
+    pub(crate) quota: Quota,
+    pub(crate) retries_per_100: u32,
+}
+
 /// What a request needs, worked out from the configuration.
 struct Needs {
     target: Target,
@@ -74,20 +81,31 @@
         if self.shutting_down {
             return Err(Reason::ShuttingDown);
         }
-        let cfg = self.rollout.config().ok_or(Reason::NotConfigured)?.clone();
+        let Draft {
+            call,
+            quota,
+            retries_per_100,
+        } = self.draft(now, &req)?;
+        if !self.admission.admit(call.workspace, call.tokens, &quota) {
+            return Err(Reason::QuotaExceeded);
+        }
+        self.budget.earn(call.workspace, retries_per_100);
+        self.timers.add(call.deadline, Timer::Call(req.call));
+        self.calls.insert(req.call, call);
+        self.begin(now, req.call, out);
+        Ok(())
+    }
+
+    /// Works out what a request needs, without taking it in.
+    pub(crate) fn draft(&self, now: Time, req: &CallRequest) -> Result<Draft, Reason> {
+        let cfg = self.rollout.config().ok_or(Reason::NotConfigured)?;
         let (name, workspace) = self
             .rollout
             .workspace(&req.token_sha256)
-            .map(|(name, workspace)| (name.to_owned(), workspace.clone()))
             .ok_or(Reason::BadToken)?;
-        let class = class_of(now, &req, &cfg)?;
-        let key = self.fleet.workspaces.intern(&name);
-        let needs = self.needs(now, &req, &cfg, (key, &name, &workspace), class.rank)?;
-        if !self.admission.admit(key, needs.tokens, &workspace.quota) {
-            return Err(Reason::QuotaExceeded);
-        }
-        self.budget.earn(key, cfg.limits.retries_per_100_requests);
-        self.timers.add(class.deadline, Timer::Call(req.call));
+        let class = class_of(now, req, cfg)?;
+        let key = self.fleet.workspaces.find(name).ok_or(Reason::BadToken)?;
+        let needs = self.needs(now, req, cfg, (key, name, workspace), class)?;
         let call = Call {
             workspace: key,
             rank: class.rank,
@@ -107,9 +125,11 @@
             expected_cached_tokens: 0,
             answered: false,
         };
-        self.calls.insert(req.call, call);
-        self.begin(now, req.call, out);
-        Ok(())
+        Ok(Draft {
+            call,
+            quota: workspace.quota,
+            retries_per_100: cfg.limits.retries_per_100_requests,
+        })
     }
 
     fn begin(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
@@ -126,16 +146,16 @@
     }
 
     fn needs(
-        &mut self,
+        &self,
         now: Time,
         req: &CallRequest,
-        cfg: &Arc<Config>,
+        cfg: &Config,
         (key, name, workspace): (NameKey, &str, &Workspace),
-        rank: u8,
+        class: Class,
     ) -> Result<Needs, Reason> {
         match &req.work {
             Work::Generate(work) => {
-                let ask = self.ask(req, work, cfg, (key, name, workspace), rank)?;
+                let ask = self.ask(req, work, cfg, (key, name, workspace), class.rank)?;
                 Ok(Needs {
                     target: Target::Engine(ask),
                     claim: None,
@@ -144,12 +164,12 @@
                 })
             }
             Work::Resume(work) => self.resume_needs(work, name),
-            Work::Service(work) => self.service_needs(now, req, work, cfg, name),
+            Work::Service(work) => self.service_needs(now, req, work, cfg, (name, class.deadline)),
         }
     }
 
     fn ask(
-        &mut self,
+        &self,
         req: &CallRequest,
         work: &Generate,
         cfg: &Config,
@@ -160,7 +180,11 @@
         let seed = PieceSeed::new(name, &work.model, model.weights_version);
         Ok(Ask {
             workspace: key,
-            model: self.fleet.models.intern(&work.model),
+            model: self
+                .fleet
+                .models
+                .find(&work.model)
+                .ok_or(Reason::UnknownModel)?,
             weights_version: model.weights_version,
             pieces: work.pieces.iter().map(|c| seed.key(*c)).collect(),
             prompt_tokens: work.prompt_tokens,
@@ -195,7 +219,7 @@
         req: &CallRequest,
         work: &ServiceCall,
         cfg: &Config,
-        workspace: &str,
+        (workspace, deadline): (&str, Time),
     ) -> Result<Needs, Reason> {
         let service = cfg.services.get(&work.service);
         let call = service
@@ -211,7 +235,7 @@
                 cfg.limits.record_hours,
                 req.fingerprint,
                 self.nonce(req.call),
-                class_of(now, req, cfg)?.deadline,
+                deadline,
             )?),
         };
         let progress = match claim {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -93,6 +93,20 @@
         let Target::Engine(ask) = &call.target else {
             return None;
         };
+        self.cell_costs(now, ask, &call.failed_at)
+            .into_iter()
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .map(|(key, _)| key)
+    }
+
+    /// Returns the costs of the first cells by affinity that have an engine left
+    /// for a request, in microseconds.
+    pub(crate) fn cell_costs(
+        &self,
+        now: Time,
+        ask: &Ask,
+        avoid: &[ServerKey],
+    ) -> Vec<(CellKey, f64)> {
         let mut ranked: Vec<(f64, CellKey)> = self
             .cells
             .serving(ask.workspace, ask.model)
@@ -104,12 +118,11 @@
         ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         ranked
             .iter()
-            .filter(|(_, key)| self.has_candidate(*key, ask, &call.failed_at))
+            .filter(|(_, key)| self.has_candidate(*key, ask, avoid))
             .take(CELLS_COMPARED)
             .enumerate()
-            .map(|(place, (_, key))| (self.cell_cost_us(now, ask, *key, place), *key))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, key)| key)
+            .map(|(place, (_, key))| (*key, self.cell_cost_us(now, ask, *key, place)))
+            .collect()
     }
 
     /// Returns the cost of a cell, in microseconds: only the first by affinity
@@ -162,7 +175,13 @@
         !avoid.contains(&key) && self.fleet.may_serve(key, ask.workspace)
     }
 
-    fn candidates(&self, members: &[ServerKey], ask: &Ask, avoid: &[ServerKey]) -> Vec<ServerKey> {
+    /// Returns the members of a cell that a request may go to.
+    pub(crate) fn candidates(
+        &self,
+        members: &[ServerKey],
+        ask: &Ask,
+        avoid: &[ServerKey],
+    ) -> Vec<ServerKey> {
         members
             .iter()
             .copied()
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -65,14 +65,15 @@
     pub(crate) first_token_at: Time,
 }
 
-/// A choice with its estimate.
+/// A way to serve a request at one engine.
 #[derive(Clone, Copy, Debug)]
-struct Bid {
-    server: ServerKey,
-    held: usize,
-    fetch_from: Option<ServerKey>,
-    estimate: Estimate,
-    cost_us: f64,
+pub(crate) struct Bid {
+    pub(crate) server: ServerKey,
+    pub(crate) held: usize,
+    pub(crate) fetch_from: Option<ServerKey>,
+    pub(crate) estimate: Estimate,
+    /// The estimate's cost, and what affinity and trust in the engine add to it.
+    pub(crate) cost_us: f64,
 }
 
 /// What is known of engines' loads and caches.
@@ -163,6 +164,22 @@
         (cell, candidates): (u64, &[ServerKey]),
         fleet: &Fleet,
     ) -> Option<Choice> {
+        let bids = self.bids(now, settings, ask, (cell, candidates), fleet);
+        let best = bids
+            .into_iter()
+            .min_by(|a, b| a.cost_us.total_cmp(&b.cost_us))?;
+        Some(best.choice(now))
+    }
+
+    /// Returns all ways to serve a request at the `candidates` of a cell.
+    pub(crate) fn bids(
+        &self,
+        now: Time,
+        settings: &Settings,
+        ask: &Ask,
+        (cell, candidates): (u64, &[ServerKey]),
+        fleet: &Fleet,
+    ) -> Vec<Bid> {
         let held = match self.residency.get(&cell) {
             Some(residency) => residency.prefixes(candidates, &ask.pieces),
             None => vec![0; candidates.len()],
@@ -177,11 +194,11 @@
         if settings.placement == PlacementKind::Affinity {
             order.truncate(AFFINITY_WIDTH);
         }
-        let best = order
+        order
             .iter()
             .enumerate()
             .flat_map(|(place, candidate)| {
-                self.bids(now, settings, ask, *candidate, &holders)
+                self.bids_of(now, settings, ask, *candidate, &holders)
                     .map(move |bid| (place, bid))
             })
             .map(|(place, bid)| {
@@ -192,12 +209,11 @@
                     ..bid
                 }
             })
-            .min_by(|a, b| a.cost_us.total_cmp(&b.cost_us))?;
-        Some(best.choice(now))
+            .collect()
     }
 
     /// Returns the ways to serve a request at one engine.
-    fn bids(
+    fn bids_of(
         &self,
         now: Time,
         settings: &Settings,
@@ -250,7 +266,8 @@
 }
 
 impl Bid {
-    fn choice(self, now: Time) -> Choice {
+    /// Returns the choice that takes this way.
+    pub(crate) fn choice(self, now: Time) -> Choice {
         let begins_at = now.plus_micros(self.estimate.wait_us);
         Choice {
             server: self.server,
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -218,7 +218,11 @@
     CompletionWriter::new(req.shape, id, created, req.model.clone())
 }
 
-fn work_and_source(req: CompletionRequest, resumed: Option<EventId>) -> (Work, GenerationSource) {
+/// Returns what a request asks of the node, and what is generated for it.
+pub(crate) fn work_and_source(
+    req: CompletionRequest,
+    resumed: Option<EventId>,
+) -> (Work, GenerationSource) {
     match resumed {
         Some(id) => {
             let delivered = id.position.saturating_add(1);
--- /dev/null
+++ b/crates/router/src/explain.rs
@@ -0,0 +1,58 @@
+//! Answers questions where a completion would go.
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
+use http::HeaderValue;
+use http::Method;
+use http::Response;
+use hyper::body::Incoming;
+use policy::CallRequest;
+
+use crate::clock;
+use crate::completion::work_and_source;
+use crate::fingerprint;
+use crate::handler::allow;
+use crate::AnswerBody;
+use crate::CallHeaders;
+use crate::CompletionRequest;
+use crate::Handler;
+use crate::Problem;
+use crate::Rejection;
+use crate::Shape;
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+impl Handler {
+    /// Explains where a completion would go, and sends nothing to a backend server.
+    pub(crate) async fn explain(
+        &self,
+        shape: Shape,
+        head: Parts,
+        body: Incoming,
+    ) -> Result<Response<AnswerBody>, Rejection> {
+        allow(&head, Method::POST, "POST")?;
+        let headers = CallHeaders::parse(&head.headers)?;
+        let body = self.read_body(body).await?;
+        let req = CompletionRequest::parse(shape, &body)?;
+        let (work, _) = work_and_source(req, None);
+        let req = CallRequest {
+            call: self.next_call(),
+            token_sha256: headers.token_sha256,
+            priority: headers.priority,
+            deadline: headers.deadline,
+            fingerprint: fingerprint::of(&head, &body),
+            work,
+        };
+        match self.node.explain(req).await {
+            Some(Ok(explanation)) => {
+                let json = serde_json::to_vec(&explanation).expect("an explanation is plain JSON");
+                let mut res = Response::new(AnswerBody::whole(Bytes::from(json)));
+                res.headers_mut().insert(CONTENT_TYPE, JSON);
+                Ok(res)
+            }
+            Some(Err(refusal)) => Ok(Problem::of_refusal(&refusal, clock::now()).response()),
+            None => Ok(Problem::interrupted().response()),
+        }
+    }
+}
--- a/crates/router/src/handler.rs
+++ b/crates/router/src/handler.rs
@@ -39,6 +39,9 @@
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const SERVICES: &str = "/services/";
 
+/// Prefix of the paths that explain where a completion would go.
+pub(crate) const EXPLAIN: &str = "/explain";
+
 /// Answers callers' requests.
 pub struct Handler {
     /// Way to the node.
@@ -82,6 +85,8 @@
             "/metrics" => allow(&head, Method::GET, "GET").map(|()| self.metrics_text()),
             "/v1/completions" => self.complete(Shape::Completion, head, body).await,
             "/v1/chat/completions" => self.complete(Shape::Chat, head, body).await,
+            "/explain/v1/completions" => self.explain(Shape::Completion, head, body).await,
+            "/explain/v1/chat/completions" => self.explain(Shape::Chat, head, body).await,
             path if path.starts_with(SERVICES) => self.call_service(head, body).await,
             path => Err(Rejection::NotFound {
                 path: path.to_owned(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod engine_watches;
 mod event_body;
 mod event_id;
+mod explain;
 mod failure;
 mod fingerprint;
 mod front;
--- a/crates/router/src/node_actor.rs
+++ b/crates/router/src/node_actor.rs
@@ -85,6 +85,10 @@
                 state.calls.insert(req.call, tx);
                 state.decide(Event::Call(req), &handle);
             }
+            NodeMessage::Explain { req, tx } => {
+                // Whoever asked may have gone away.
+                let _ = tx.send(state.node.explain(clock::now(), &req));
+            }
             NodeMessage::Ended(call) => {
                 state.calls.remove(&call);
             }
--- a/crates/router/src/node_handle.rs
+++ b/crates/router/src/node_handle.rs
@@ -5,11 +5,14 @@
 use policy::CallId;
 use policy::CallRequest;
 use policy::Event;
+use policy::Explanation;
 use policy::Member;
 use policy::PeerMessage;
+use policy::Refusal;
 use ractor::ActorRef;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 
 use crate::CallCommand;
 use crate::NodeMessage;
@@ -34,6 +37,14 @@
         rx
     }
 
+    /// Asks where a completion would go; none if the node is gone.
+    pub async fn explain(&self, req: CallRequest) -> Option<Result<Explanation, Refusal>> {
+        let (tx, rx) = oneshot::channel();
+        let req = Box::new(req);
+        self.send(NodeMessage::Explain { req, tx });
+        rx.await.ok()
+    }
+
     /// Tells what became of an attempt.
     pub fn report(&self, call: CallId, attempt: AttemptId, report: BackendReport) {
         self.event(Event::Backend {
--- a/crates/router/src/node_message.rs
+++ b/crates/router/src/node_message.rs
@@ -3,9 +3,12 @@
 use policy::CallId;
 use policy::CallRequest;
 use policy::Event;
+use policy::Explanation;
 use policy::Member;
 use policy::PeerMessage;
+use policy::Refusal;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 use crate::CallCommand;
 
@@ -19,6 +22,13 @@
         /// Way back to the call's task.
         tx: UnboundedSender<CallCommand>,
     },
+    /// A question where a completion would go.
+    Explain {
+        /// Request.
+        req: Box<CallRequest>,
+        /// Way back.
+        tx: oneshot::Sender<Result<Explanation, Refusal>>,
+    },
     /// A call's task has ended.
     Ended(CallId),
     /// A message of another router.
