--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -36,9 +36,6 @@
 /// it blames a request for the last runner it may break, in milliseconds.
 const JUDGE_AFTER_MS: u64 = 300;
 
-/// Cost of each call that a call on trial may hurt, in microseconds.
-const CROWD_US: f64 = 20_000.0;
-
 /// Time after its first token from which a request counts as harmless, in milliseconds.
 const CLEARED_AFTER_MS: u64 = 200;
 
@@ -235,45 +232,16 @@
         chosen
     }
 
-    /// Returns the server that is best for a call on trial: near its pieces, and
-    /// where it can hurt few others.
+    /// Returns the server where a call on trial can hurt the fewest others.
     fn trial_server(&self, now: Time, id: CallId, content: &TrialRecord) -> Option<ServerKey> {
-        let is_free = |key: &ServerKey| {
-            !self.trials.is_busy(*key) && !content.is_busy(&self.fleet.server(*key).name)
-        };
-        self.near_server(now, id, is_free).or_else(|| {
-            self.trial_engines(id)
-                .into_iter()
-                .filter(is_free)
-                .min_by_key(|key| {
-                    let suspect = self.fleet.server(*key).suspect_until > now;
-                    (suspect, self.calls.count_at(*key), *key)
-                })
-        })
-    }
-
-    /// Returns the cheapest free server in the first cells by affinity.
-    fn near_server<F>(&self, now: Time, id: CallId, is_free: F) -> Option<ServerKey>
-    where
-        F: Fn(&ServerKey) -> bool,
-    {
-        let call = self.calls.get(id)?;
-        let Target::Engine(ask) = &call.target else {
-            return None;
-        };
-        self.cell_costs(now, ask, &call.failed_at)
+        self.trial_engines(id)
             .into_iter()
-            .flat_map(|(key, cell_us)| {
-                let bids = self.bids_in(now, key, ask, &call.failed_at);
-                bids.into_iter().map(move |bid| (cell_us, bid))
-            })
-            .filter(|(_, bid)| is_free(&bid.server))
-            .map(|(cell_us, bid)| {
-                let crowd_us = self.calls.count_at(bid.server) as f64 * CROWD_US;
-                (cell_us + bid.cost_us + crowd_us, bid.server)
+            .filter(|key| !self.trials.is_busy(*key))
+            .filter(|key| !content.is_busy(&self.fleet.server(*key).name))
+            .min_by_key(|key| {
+                let suspect = self.fleet.server(*key).suspect_until > now;
+                (suspect, self.calls.count_at(*key), *key)
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, server)| server)
     }
 
     /// Returns the engines that a call may still be tried at.
