--- a/crates/policy/src/explain.rs
+++ b/crates/policy/src/explain.rs
@@ -6,6 +6,7 @@
 use crate::cells::CellKey;
 use crate::cells::Owner;
 use crate::overload::NotNow;
+use crate::placement::Ask;
 use crate::placement::Bid;
 use crate::CallRequest;
 use crate::CellScore;
@@ -36,7 +37,7 @@
         let cells = self.cell_costs(now, ask, &[]);
         let chosen = cells.iter().min_by(|a, b| a.1.total_cmp(&b.1));
         let chosen = chosen.map(|(key, _)| *key);
-        let mut bids = chosen.map_or(Vec::new(), |key| self.bids_in(now, key, ask, &[]));
+        let mut bids = chosen.map_or(Vec::new(), |key| self.bids_in(now, key, ask));
         bids.sort_by(|a, b| a.cost_us.total_cmp(&b.cost_us));
         Ok(Explanation {
             router: self.identity.vm.clone(),
@@ -50,6 +51,14 @@
         })
     }
 
+    fn bids_in(&self, now: Time, key: CellKey, ask: &Ask) -> Vec<Bid> {
+        let cell = self.cells.get(key);
+        let candidates = self.candidates(&cell.members, ask, &[]);
+        let among = (cell.id, candidates.as_slice());
+        self.placement
+            .bids(now, &self.settings, ask, among, &self.fleet)
+    }
+
     fn cell_score(&self, (key, cost_us): (CellKey, f64)) -> CellScore {
         let cell = self.cells.get(key);
         CellScore {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -12,7 +12,6 @@
 use crate::interner::NameKey;
 use crate::overload::NotNow;
 use crate::placement::Ask;
-use crate::placement::Bid;
 use crate::placement::Choice;
 use crate::rendezvous;
 use crate::timers::Timer;
@@ -225,21 +224,6 @@
         fits.then(|| self.placement.choose_known(now, ask, server))
     }
 
-    /// Returns all ways to serve a request at the engines of a cell.
-    pub(crate) fn bids_in(
-        &self,
-        now: Time,
-        key: CellKey,
-        ask: &Ask,
-        avoid: &[ServerKey],
-    ) -> Vec<Bid> {
-        let cell = self.cells.get(key);
-        let candidates = self.candidates(&cell.members, ask, avoid);
-        let among = (cell.id, candidates.as_slice());
-        self.placement
-            .bids(now, &self.settings, ask, among, &self.fleet)
-    }
-
     fn choose(&self, now: Time, cell: u64, ask: &Ask, avoid: &[ServerKey]) -> Option<Choice> {
         let members = &self.cells.find(cell)?.members;
         let candidates = self.candidates(members, ask, avoid);
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -80,10 +80,6 @@
         let call = self.calls.get_mut(id).expect("it was found before");
         call.incarnation = incarnation;
         self.see_incarnation(server, incarnation);
-        if !self.strikes.is_empty() {
-            let name = &self.fleet.server(server).name;
-            self.strikes.withdraw(name, incarnation, now);
-        }
         self.on_cached(now, id, server, cached_tokens);
     }
 
