--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -185,6 +185,6 @@
         "stored_answer_bytes",
         integer(1 << 10, MAX_STORED_ANSWER_BYTES),
     ),
-    optional("record_hours", integer(1, 720)),
+    optional("record_hours", integer(1, 48)),
     optional("cell_size", integer(1, 1_024)),
 ]);
