--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,8 @@
 mod once;
 mod outcome;
 mod overload;
+mod owner;
+mod owner_answer;
 mod peer_message;
 mod piece;
 mod place;
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -1,7 +1,5 @@
 //! Two steps to an engine: a cell by affinity and load, then its owner's choice.
 
-use std::collections::BTreeSet;
-
 use rand::Rng;
 
 use crate::arrive::COME_BACK_MS;
@@ -17,15 +15,11 @@
 use crate::timers::Timer;
 use crate::Action;
 use crate::CallId;
-use crate::CellLoad;
 use crate::Node;
 use crate::PeerMessage;
 use crate::PlaceRequest;
-use crate::Placed;
-use crate::PlacementKind;
 use crate::Reason;
 use crate::ServerKey;
-use crate::ServerMark;
 use crate::Time;
 
 /// Time to wait for the answer of an owner in the same region, in milliseconds.
@@ -34,15 +28,6 @@
 /// Time to wait for the answer of an owner in another region, in milliseconds.
 const FAR_OWNER_WAIT_MS: u64 = 15;
 
-/// Shortest pause between two rounds of cells' loads, in milliseconds.
-const CELL_LOADS_MS: u64 = 250;
-
-/// Bytes of a cell's load on the wire, with its part of a message's headers.
-const CELL_LOAD_BYTES: u64 = 48;
-
-/// Bytes in a second that a router may receive of cells' loads.
-const CELL_LOAD_BYTES_PER_S: u64 = 1_000;
-
 /// Cells, in the order of affinity, whose costs are compared.
 const CELLS_COMPARED: usize = 3;
 
@@ -190,7 +175,7 @@
     }
 
     /// Chooses an engine of a cell by what this router knows, and sends the call there.
-    fn place_alone(&mut self, now: Time, id: CallId, cell: u64, out: &mut Vec<Action>) {
+    pub(crate) fn place_alone(&mut self, now: Time, id: CallId, cell: u64, out: &mut Vec<Action>) {
         let choice = self.calls.get(id).and_then(|call| match &call.target {
             Target::Engine(ask) => self
                 .choose_as_owner_did(now, cell, ask, &call.failed_at)
@@ -224,7 +209,13 @@
         fits.then(|| self.placement.choose_known(now, ask, server))
     }
 
-    fn choose(&self, now: Time, cell: u64, ask: &Ask, avoid: &[ServerKey]) -> Option<Choice> {
+    pub(crate) fn choose(
+        &self,
+        now: Time,
+        cell: u64,
+        ask: &Ask,
+        avoid: &[ServerKey],
+    ) -> Option<Choice> {
         let members = &self.cells.find(cell)?.members;
         let candidates = self.candidates(members, ask, avoid);
         self.placement
@@ -273,217 +264,4 @@
                 .collect(),
         })
     }
-
-    /// Decides alone for a call whose owner has not answered in time.
-    pub(crate) fn on_place_deadline(&mut self, now: Time, ticket: u64, out: &mut Vec<Action>) {
-        if let Some((id, cell)) = self.take_ticket(ticket) {
-            self.place_alone(now, id, cell, out);
-        }
-    }
-
-    /// Returns the call that waits for the answer to a ticket, and the cell.
-    fn take_ticket(&mut self, ticket: u64) -> Option<(CallId, u64)> {
-        let id = self.tickets.remove(&ticket)?;
-        match self.calls.get(id)?.stage {
-            Stage::Placing { ticket: t, cell } if t == ticket => Some((id, cell)),
-            _ => None,
-        }
-    }
-
-    /// Answers a router that asks for an engine.
-    pub(crate) fn on_place(
-        &mut self,
-        now: Time,
-        from: &str,
-        req: &PlaceRequest,
-        out: &mut Vec<Action>,
-    ) {
-        let avoid: Vec<ServerKey> = req
-            .avoid
-            .iter()
-            .filter_map(|name| self.fleet.find(name))
-            .collect();
-        let ask = self.ask_of(req);
-        let choice = ask
-            .as_ref()
-            .filter(|ask| self.cells.serves(req.cell, ask.workspace, ask.model))
-            .and_then(|ask| self.choose(now, req.cell, ask, &avoid));
-        if let (Some(ask), Some(choice)) = (&ask, &choice) {
-            self.placement.on_sent(now, req.cell, ask, choice);
-        }
-        let placed = match choice {
-            Some(choice) => Placed {
-                ticket: req.ticket,
-                server: Some(self.mark(choice.server)),
-                fetch_from: choice.fetch_from.map(|key| self.mark(key)),
-                expected_cached_tokens: choice.expected_cached_tokens as u32,
-                expected_wait_ms: choice.begins_at.millis_since(now) as u32,
-            },
-            None => Placed {
-                ticket: req.ticket,
-                server: None,
-                fetch_from: None,
-                expected_cached_tokens: 0,
-                expected_wait_ms: 0,
-            },
-        };
-        self.tell(from, PeerMessage::Placed(placed), out);
-    }
-
-    fn ask_of(&self, req: &PlaceRequest) -> Option<Ask> {
-        let cfg = self.rollout.config()?;
-        let workspace = cfg.workspaces.get(&req.workspace)?;
-        let model = cfg.models.get(&req.model)?;
-        Some(Ask {
-            workspace: self.fleet.workspaces.find(&req.workspace)?,
-            model: self.fleet.models.find(&req.model)?,
-            weights_version: model.weights_version,
-            pieces: req.pieces.clone(),
-            prompt_tokens: u64::from(req.prompt_tokens),
-            weights: workspace.weights,
-            prefill_us_per_token: model.prefill_ms_per_1000_tokens,
-            kv_bytes_per_token: model.kv_bytes_per_token,
-            rank: req.rank,
-            fingerprint: req.fingerprint,
-        })
-    }
-
-    fn mark(&self, key: ServerKey) -> ServerMark {
-        let server = self.fleet.server(key);
-        ServerMark {
-            server: server.name.clone(),
-            incarnation: server.incarnation,
-        }
-    }
-
-    /// Takes the owner's answer in.
-    pub(crate) fn on_placed(&mut self, now: Time, placed: &Placed, out: &mut Vec<Action>) {
-        let Some((id, cell)) = self.take_ticket(placed.ticket) else {
-            return;
-        };
-        match self.checked(now, id, cell, placed) {
-            Some(choice) => {
-                self.on_owner_chose(id, cell, choice.server);
-                self.send_to_choice(now, id, None, choice, out);
-            }
-            None => self.place_alone(now, id, cell, out),
-        }
-    }
-
-    fn on_owner_chose(&mut self, id: CallId, cell: u64, server: ServerKey) {
-        if let Some(Target::Engine(ask)) = self.calls.get(id).map(|call| &call.target) {
-            self.cell_affinity.on_placed(cell, ask.family(), server);
-        }
-    }
-
-    /// Returns the owner's choice if this router knows nothing against it.
-    fn checked(&mut self, now: Time, id: CallId, cell: u64, placed: &Placed) -> Option<Choice> {
-        let server = self.known(placed.server.as_ref()?)?;
-        if self.cells.id_of(server) != Some(cell) {
-            return None;
-        }
-        let call = self.calls.get(id)?;
-        let Target::Engine(ask) = &call.target else {
-            return None;
-        };
-        let suspect = self.fleet.server(server).suspect_until > now;
-        let fits = !suspect && !call.failed_at.contains(&server);
-        if !fits || !self.fleet.may_serve(server, ask.workspace) {
-            return None;
-        }
-        let held = u64::from(placed.expected_cached_tokens) / crate::PIECE_TOKENS;
-        let begins_at = now.plus_millis(u64::from(placed.expected_wait_ms));
-        let first_token_at = begins_at.plus_micros(ask.work_us(held as usize));
-        let fetch_from = placed.fetch_from.as_ref().and_then(|mark| self.known(mark));
-        Some(Choice {
-            server,
-            expected_cached_tokens: u64::from(placed.expected_cached_tokens),
-            fetch_from,
-            transfer_us: 0,
-            begins_at,
-            first_token_at,
-        })
-    }
-
-    /// Returns the server of a mark, unless a later incarnation was seen.
-    fn known(&mut self, mark: &ServerMark) -> Option<ServerKey> {
-        let server = self.fleet.find(&mark.server)?;
-        self.see_incarnation(server, mark.incarnation);
-        (self.fleet.server(server).incarnation == mark.incarnation).then_some(server)
-    }
-
-    /// Takes in a new configuration or membership list.
-    pub(crate) fn on_cells_changed(&mut self, out: &mut Vec<Action>) {
-        let kind = self.settings.placement;
-        self.cells
-            .elect(&self.fleet, kind, &self.identity, &self.routers);
-        let own: BTreeSet<u64> = self.cells.own().map(|cell| cell.id).collect();
-        for cell in self.own_cells.difference(&own) {
-            self.placement.disown(*cell);
-        }
-        if kind != PlacementKind::Affinity {
-            for cell in own.difference(&self.own_cells) {
-                self.placement.own(*cell);
-            }
-        }
-        self.own_cells = own;
-        let mut watched: Vec<ServerKey> = self
-            .cells
-            .own()
-            .flat_map(|cell| cell.members.iter().copied())
-            .collect();
-        watched.sort_unstable();
-        if self.watched.as_ref() != Some(&watched) {
-            self.watched = Some(watched.clone());
-            out.push(Action::Watch(watched));
-        }
-    }
-
-    /// Tells the other routers the loads of own cells.
-    pub(crate) fn on_cell_loads_due(&mut self, now: Time, out: &mut Vec<Action>) {
-        let bytes = self.cells.len() as u64 * CELL_LOAD_BYTES;
-        let pause_ms = CELL_LOADS_MS.max(bytes * 1_000 / CELL_LOAD_BYTES_PER_S);
-        let jitter_ms = self.rng.random_range(0..CELL_LOADS_MS / 10);
-        self.timers
-            .add(now.plus_millis(pause_ms + jitter_ms), Timer::CellLoads);
-        self.cell_loads.expire(now);
-        self.cell_affinity.expire(now);
-        if self.settings.placement != PlacementKind::Cells {
-            return;
-        }
-        let loads = self.own_cell_loads(now);
-        if !loads.is_empty() {
-            self.tell_all(&PeerMessage::CellLoad(loads), out);
-        }
-    }
-
-    fn own_cell_loads(&self, now: Time) -> Vec<CellLoad> {
-        self.cells
-            .own()
-            .map(|cell| {
-                let tokens = cell.members.iter().map(|key| self.queued_tokens(now, *key));
-                let sum: u64 = tokens.clone().sum();
-                let count = cell.members.len().max(1) as u64;
-                CellLoad {
-                    cell: cell.id,
-                    queued_tokens: (sum / count) as u32,
-                    least_queued_tokens: tokens.min().unwrap_or(0) as u32,
-                }
-            })
-            .collect()
-    }
-
-    fn queued_tokens(&self, now: Time, server: ServerKey) -> u64 {
-        let us_per_token = self.fleet.server(server).prefill_us_per_token.max(1.0);
-        (self.placement.wait_us(now, server) as f64 / us_per_token) as u64
-    }
-
-    /// Takes in loads of cells that their owners tell.
-    pub(crate) fn on_cell_loads(&mut self, now: Time, loads: &[CellLoad]) {
-        for load in loads {
-            if self.cells.find(load.cell).is_some() {
-                self.cell_loads.hear(now, load);
-            }
-        }
-    }
 }
