--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -170,7 +170,7 @@
             Found::Own => self.on_claimed(now, op, version, out),
             Found::Free if self.calls.get(id).is_none() => {}
             Found::Free => self.try_later(now, op, OpKind::Claim { over: version }, out),
-            Found::Done(answer) => self.repeat_answer(id, answer, out),
+            Found::Done(answer) => self.give_answer(id, answer, true, out),
             Found::AnswerNotKept => self.refuse_done(id, Reason::AnswerNotKept, out),
             Found::Claimed if self.is_off(Mutation::TakeOverClaim) => {
                 self.on_claimed(now, op, version, out);
@@ -234,38 +234,40 @@
         let Stage::Recording(answer) = call.stage.clone() else {
             return;
         };
-        let answered = call.answered;
-        self.end(id);
-        if !answered {
-            out.push(Action::Answer {
-                call: id,
-                answer,
-                repeat: false,
-            });
-        }
+        self.give_answer(id, answer, false, out);
     }
 
-    fn repeat_answer(&mut self, id: CallId, answer: StoredAnswer, out: &mut Vec<Action>) {
-        let wanted = self.calls.get(id).is_some_and(|call| !call.answered);
-        self.end(id);
-        if wanted {
+    /// Ends a call with the answer of its service.
+    fn give_answer(
+        &mut self,
+        id: CallId,
+        answer: StoredAnswer,
+        repeat: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if self.end_waiting(id) {
             out.push(Action::Answer {
                 call: id,
                 answer,
-                repeat: true,
+                repeat,
             });
         }
     }
 
     fn refuse_done(&mut self, id: CallId, reason: Reason, out: &mut Vec<Action>) {
-        let wanted = self.calls.get(id).is_some_and(|call| !call.answered);
-        self.end(id);
-        if wanted {
+        if self.end_waiting(id) {
             let refusal = crate::Refusal::done(reason);
             out.push(Action::Refuse { call: id, refusal });
         }
     }
 
+    /// Ends a call and tells whether its caller still waits.
+    fn end_waiting(&mut self, id: CallId) -> bool {
+        let waiting = self.calls.get(id).is_some_and(|call| !call.answered);
+        self.end(id);
+        waiting
+    }
+
     /// Tries again after a pause, or gives up.
     fn try_later(&mut self, now: Time, op: StoreOp, kind: OpKind, out: &mut Vec<Action>) {
         let next = StoreOp {
--- a/crates/router/src/membership_task.rs
+++ b/crates/router/src/membership_task.rs
@@ -29,7 +29,7 @@
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Least time between two announcements; the list drops a VM that stays silent.
-const ANNOUNCE_EVERY: Duration = Duration::from_secs(5);
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(12);
 
 /// Mean time between two tries while the list can't be reached, in milliseconds.
 const RETRY_MS: u64 = 1_000;
