--- a/crates/router/src/log_specification.rs
+++ b/crates/router/src/log_specification.rs
@@ -5,7 +5,7 @@
 use flexi_logger::LogSpecification;
 
 /// Libraries whose lines are not key=value events.
-const LIBRARIES: [&str; 2] = ["tarpc", "tracing"];
+const LIBRARIES: [&str; 3] = ["ractor", "tarpc", "tracing"];
 
 /// Reads a specification; libraries that it doesn't name write nothing.
 pub fn log_specification(specification: &str) -> Result<LogSpecification, FlexiLoggerError> {
--- a/crates/router/tests/log.rs
+++ b/crates/router/tests/log.rs
@@ -12,6 +12,7 @@
 fn lines_of_libraries_are_not_written() {
     let specification = parse("debug");
 
+    assert!(!specification.enabled(Level::Error, "ractor::actor"));
     assert!(!specification.enabled(Level::Error, "tarpc::server"));
     assert!(!specification.enabled(Level::Error, "tracing::span"));
     assert!(specification.enabled(Level::Debug, "router::front"));
