One place each for cancelling an attempt, giving an answer, and entering trials

Read over the whole: the cancel of a call's attempt stood three times, the answer of a service twice, the count of live strikes twice, and trials that were chosen were entered into one copy of the record and then again into another.

--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -238,7 +238,7 @@
     }
 
     /// Ends a call with the answer of its service.
-    fn give_answer(
+    pub(crate) fn give_answer(
         &mut self,
         id: CallId,
         answer: StoredAnswer,
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -100,12 +100,7 @@
             self.record_answer(now, id, out);
             return;
         }
-        self.end(id);
-        out.push(Action::Answer {
-            call: id,
-            answer,
-            repeat: false,
-        });
+        self.give_answer(id, answer, false, out);
     }
 
     /// Takes in that an attempt failed.
@@ -232,13 +227,7 @@
             call.answered = true;
             return;
         }
-        if let Some(server) = call.server() {
-            out.push(Action::Cancel(Attempt {
-                call: id,
-                attempt: call.attempt,
-                server,
-            }));
-        }
+        self.cancel_attempt(id, out);
         self.end(id);
     }
 
@@ -263,6 +252,15 @@
             out.push(Action::Refuse { call: id, refusal });
             return;
         }
+        self.cancel_attempt(id, out);
+        self.refuse(id, not_now, out);
+    }
+
+    /// Stops the attempt of a call, if one is with a server.
+    pub(crate) fn cancel_attempt(&self, id: CallId, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(id) else {
+            return;
+        };
         if let Some(server) = call.server() {
             out.push(Action::Cancel(Attempt {
                 call: id,
@@ -270,7 +268,6 @@
                 server,
             }));
         }
-        self.refuse(id, not_now, out);
     }
 
     /// Gives up what is still in flight when the VM must stop.
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -9,7 +9,6 @@
 use crate::call_table::Target;
 use crate::timers::Timer;
 use crate::Action;
-use crate::Attempt;
 use crate::CallId;
 use crate::Failure;
 use crate::Node;
@@ -60,11 +59,7 @@
             return;
         }
         let delivered = call.delivered;
-        out.push(Action::Cancel(Attempt {
-            call: id,
-            attempt: call.attempt,
-            server,
-        }));
+        self.cancel_attempt(id, out);
         self.on_failed(now, id, server, Failure::Stalled, delivered, out);
     }
 }
--- a/crates/policy/src/strikes.rs
+++ b/crates/policy/src/strikes.rs
@@ -78,24 +78,27 @@
 
     /// Returns how many broken runners a request may be to blame for.
     pub(crate) fn count(&self, now: Time, fingerprint: u64) -> u32 {
-        let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
-            return 0;
-        };
-        let blamed = marks
-            .iter()
-            .filter(|(mark, note)| lives(now, note.at_ms) && self.may_blame(mark, fingerprint));
+        let blamed = self
+            .live_marks(now, fingerprint)
+            .filter(|mark| self.may_blame(mark, fingerprint));
         u32::try_from(blamed.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns how many runners broke that a request ran on, whoever is to blame.
     pub(crate) fn broken_runners(&self, now: Time, fingerprint: u64) -> u32 {
-        let Some(marks) = self.by_fingerprint.get(&fingerprint) else {
-            return 0;
-        };
-        let live = marks.values().filter(|note| lives(now, note.at_ms));
+        let live = self.live_marks(now, fingerprint);
         u32::try_from(live.count()).unwrap_or(u32::MAX)
     }
 
+    fn live_marks(&self, now: Time, fingerprint: u64) -> impl Iterator<Item = &ServerMark> {
+        self.by_fingerprint
+            .get(&fingerprint)
+            .into_iter()
+            .flatten()
+            .filter(move |(_, note)| lives(now, note.at_ms))
+            .map(|(mark, _)| mark)
+    }
+
     /// Returns the time of a request's last strike.
     pub(crate) fn last_at(&self, fingerprint: u64) -> Option<Time> {
         let notes = self.by_fingerprint.get(&fingerprint)?.values();
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -118,7 +118,7 @@
             self.trials.waiting.extend(starting.into_keys());
         }
         if settled == Settled::Unavailable {
-            let chosen = self.choose_trials(now, &TrialRecord::default());
+            let chosen = self.choose_trials(now, &mut TrialRecord::default());
             self.start_trials(now, chosen, out);
         } else {
             self.look_at_trials(now, out);
@@ -182,10 +182,7 @@
         let holder = self.holder();
         let mut next = content.clone();
         next.drop_over(now, &holder, |trial| !self.trials.has(trial.fingerprint));
-        let chosen = self.choose_trials(now, &next);
-        for (id, trial) in &chosen {
-            next.trials.push(self.trial_entry(*id, trial));
-        }
+        let chosen = self.choose_trials(now, &mut next);
         if next == *content {
             return;
         }
@@ -208,12 +205,12 @@
         }
     }
 
-    /// Chooses a server for as many waiting calls as servers are free of trials.
-    fn choose_trials(&self, now: Time, content: &TrialRecord) -> BTreeMap<CallId, OnTrial> {
-        let mut next = content.clone();
+    /// Chooses a server for as many waiting calls as servers are free of trials,
+    /// and enters them into `next`.
+    fn choose_trials(&self, now: Time, next: &mut TrialRecord) -> BTreeMap<CallId, OnTrial> {
         let mut chosen = BTreeMap::new();
         for id in &self.trials.waiting {
-            let Some(server) = self.trial_server(now, *id, &next) else {
+            let Some(server) = self.trial_server(now, *id, next) else {
                 continue;
             };
             let fingerprint = self.calls.get(*id).map_or(0, |call| call.fingerprint);
