--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,372 @@
+//! One send of a request to one backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Version;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use relay::AttemptEnd;
+use relay::Choice;
+use relay::RouteKind;
+use relay::ServerKey;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use crate::body::AnswerBody;
+use crate::clock::now;
+use crate::codec::AnswerHead;
+use crate::codec::ExpectedWeights;
+use crate::codec::SendHead;
+use crate::exchange::Exchange;
+use crate::exchange::WholeAnswer;
+use crate::exchange::DEADLINE_SLACK_MS;
+use crate::in_flight::InFlight;
+use crate::pool::describe;
+use crate::pool::Lease;
+use crate::pool::SendError;
+use crate::timing::until;
+
+/// Time for which a backend server is avoided that turned a request away, in milliseconds.
+const AVOID_REJECTED_MS: u64 = 250;
+
+/// Time for which a backend server is avoided that can't be reached or broke off, in milliseconds.
+const AVOID_BROKEN_MS: u64 = 700;
+
+/// Time for which an address is avoided that belongs to another lifetime, in milliseconds.
+const AVOID_MISDIRECTED_MS: u64 = 5_000;
+
+/// Time without any answer after which a backend server is left by idempotent requests, in milliseconds.
+const SILENT_MS: u64 = 1_200;
+
+/// Time between looks at a backend server's silence.
+const SILENCE_LOOK: Duration = Duration::from_millis(200);
+
+/// Wait that callers are told after a backend server turned them away, in milliseconds.
+const REJECTED_RETRY_MS: u64 = 250;
+
+/// An attempt that ended without a whole answer.
+pub struct Ended {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// What happened, for the log.
+    pub reason: String,
+    /// The backend server's own failure.
+    pub answer: Option<WholeAnswer>,
+    /// Whether the deadline has passed.
+    pub timed_out: bool,
+    /// When a place is expected, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+impl Ended {
+    fn new(end: AttemptEnd, reason: impl Into<String>) -> Ended {
+        Ended {
+            end,
+            reason: reason.into(),
+            answer: None,
+            timed_out: false,
+            retry_after_ms: REJECTED_RETRY_MS,
+        }
+    }
+
+    /// The deadline passed without an answer.
+    pub fn timed_out() -> Ended {
+        Ended {
+            timed_out: true,
+            ..Ended::new(AttemptEnd::Unknown, "deadline")
+        }
+    }
+
+    /// The backend server answered that the request failed.
+    pub fn failed(answer: WholeAnswer) -> Ended {
+        let reason = format!("status {}", answer.response.status().as_u16());
+        Ended {
+            answer: Some(answer),
+            ..Ended::new(AttemptEnd::Failed, reason)
+        }
+    }
+}
+
+/// An answer whose head has come.
+pub struct Attempt {
+    /// Where the request was sent.
+    pub choice: Choice,
+    /// What the answer's head says.
+    pub facts: AnswerHead,
+    /// Head of the answer.
+    pub head: response::Parts,
+    /// Body of the answer.
+    pub body: Incoming,
+    /// Connection; dropping it ends the work.
+    pub lease: Lease,
+    /// The request as load of the backend server.
+    pub in_flight: InFlight,
+}
+
+impl Attempt {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn begin(x: &Exchange, choice: &Choice) -> Result<Attempt, Ended> {
+        let Some((id, peer)) = server(x, choice.server) else {
+            return Err(Ended::new(AttemptEnd::Unsent, "server is gone"));
+        };
+        let in_flight = InFlight::begin(&x.hub, choice.server, choice.tokens);
+        note_part(x, choice);
+        let req = outgoing(x, choice, id, peer);
+        let sent = x.hub.pool.send(choice.server, peer, req);
+        let result = if x.route.kind.may_repeat() {
+            tokio::select! {
+                result = sent => result,
+                () = silence(x, choice.server) => {
+                    avoid(x, choice.server, AVOID_BROKEN_MS);
+                    return Err(Ended::new(AttemptEnd::Unknown, "server is silent"));
+                }
+            }
+        } else {
+            sent.await
+        };
+        match result {
+            Ok((answer, lease)) => Attempt::judge(x, choice, answer, lease, in_flight).await,
+            Err(e) => {
+                forget_part(x, choice);
+                avoid(x, choice.server, AVOID_BROKEN_MS);
+                let end = match e {
+                    SendError::Unsent { .. } => AttemptEnd::Unsent,
+                    SendError::Broken { .. } => AttemptEnd::Unknown,
+                };
+                Err(Ended::new(end, e.to_string()))
+            }
+        }
+    }
+
+    async fn judge(
+        x: &Exchange,
+        choice: &Choice,
+        answer: Response<Incoming>,
+        lease: Lease,
+        mut in_flight: InFlight,
+    ) -> Result<Attempt, Ended> {
+        let (head, body) = answer.into_parts();
+        let facts = x.hub.codec.answer(&head);
+        let misdirected = is_misdirected(x, choice.server, &head, &facts);
+        let mine = facts.request.as_deref() == Some(x.facts.id.as_str());
+        if !(mine || misdirected || facts.not_run && facts.request.is_none()) {
+            x.hub.pool.clear(choice.server);
+            return Err(Ended::new(AttemptEnd::Unknown, "answer to another request"));
+        }
+        in_flight.answered();
+        if misdirected || facts.not_run {
+            let reason = reject(x, choice, &head, &facts, misdirected);
+            give_back_rest(x, choice.server, body, lease, facts.keep_ms).await;
+            return Err(Ended::new(AttemptEnd::Rejected, reason));
+        }
+        if head.status.is_success() && !facts.signed {
+            return Err(Ended::new(AttemptEnd::Unknown, "answer without signature"));
+        }
+        learn(x, choice, &facts, head.status);
+        Ok(Attempt {
+            choice: choice.clone(),
+            facts,
+            head,
+            body,
+            lease,
+            in_flight,
+        })
+    }
+
+    /// Returns the status of the answer.
+    pub fn status(&self) -> StatusCode {
+        self.head.status
+    }
+
+    /// Reads the answer to its end.
+    pub async fn whole(self, x: &Exchange) -> Result<WholeAnswer, Ended> {
+        let limit = until(x.deadline.plus_millis(DEADLINE_SLACK_MS));
+        let body = match timeout(limit, self.body.collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => {
+                avoid(x, self.choice.server, AVOID_BROKEN_MS / 4);
+                return Err(Ended::new(AttemptEnd::Unknown, describe(&e)));
+            }
+            Err(_) => return Err(Ended::timed_out()),
+        };
+        x.hub
+            .pool
+            .give_back(self.choice.server, self.lease, self.facts.keep_ms);
+        let mut response = Response::new(AnswerBody::whole(body));
+        *response.status_mut() = self.head.status;
+        *response.headers_mut() = x.hub.codec.returned(&self.head);
+        Ok(WholeAnswer {
+            response,
+            server: self.choice.server,
+        })
+    }
+}
+
+fn server(x: &Exchange, key: ServerKey) -> Option<(Arc<str>, SocketAddr)> {
+    let belief = x.hub.belief.borrow();
+    let server = belief.fleet.get(key)?;
+    Some((Arc::clone(&server.entry.id), server.entry.address))
+}
+
+fn outgoing(
+    x: &Exchange,
+    choice: &Choice,
+    server: Arc<str>,
+    address: SocketAddr,
+) -> Request<Full<Bytes>> {
+    let belief = x.hub.belief.borrow();
+    let fetch_from = choice.fetch_from.and_then(|key| belief.fleet.get(key));
+    let workspace = x.workspace.as_deref();
+    let has_body = !x.body.is_empty() || x.head.method != http::Method::GET;
+    let send = SendHead {
+        server,
+        address,
+        left_ms: x.left_ms(),
+        workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
+        last_event: x.facts.last_event,
+        priority: workspace
+            .and_then(|workspace| workspace.priority)
+            .unwrap_or(x.route.priority),
+        weights: choice.weights.map(|version| ExpectedWeights {
+            version,
+            scope: relay::cache_scope(version, workspace),
+        }),
+        fetch_from: fetch_from.map(|server| server.entry.address),
+        body_len: has_body.then_some(x.body.len()),
+    };
+    let mut req = Request::new(Full::new(x.body.clone()));
+    *req.method_mut() = x.head.method.clone();
+    *req.uri_mut() = origin_form(&x.head.uri);
+    *req.version_mut() = Version::HTTP_11;
+    *req.headers_mut() = x.hub.codec.outgoing(&x.head, &send);
+    req
+}
+
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), http::Uri::from)
+}
+
+/// Returns once a backend server has left all requests unanswered for too long.
+async fn silence(x: &Exchange, key: ServerKey) {
+    let mut looks = interval(SILENCE_LOOK);
+    loop {
+        looks.tick().await;
+        let belief = x.hub.belief.borrow();
+        let since = belief.fleet.get(key).and_then(|s| s.silent_since);
+        if since.is_some_and(|since| now().millis_since(since) > SILENT_MS) {
+            return;
+        }
+    }
+}
+
+fn note_part(x: &Exchange, choice: &Choice) {
+    if let Some(part) = choice.anchor {
+        let mut belief = x.hub.belief.borrow_mut();
+        belief.holdings.note(now(), part, choice.server);
+        x.hub.peers.tell_part(part, choice.server);
+    }
+}
+
+fn forget_part(x: &Exchange, choice: &Choice) {
+    if let Some(part) = choice.anchor {
+        let mut belief = x.hub.belief.borrow_mut();
+        belief.holdings.remove(part, choice.server);
+    }
+}
+
+fn avoid(x: &Exchange, key: ServerKey, ms: u64) {
+    let mut belief = x.hub.belief.borrow_mut();
+    if let Some(server) = belief.fleet.get_mut(key) {
+        let until = now().plus_millis(ms);
+        server.avoid_until = server.avoid_until.max(until);
+        server.failures += 1;
+    }
+}
+
+/// Takes in why a backend server turned a request away; returns it for the log.
+fn reject(
+    x: &Exchange,
+    choice: &Choice,
+    head: &response::Parts,
+    facts: &AnswerHead,
+    misdirected: bool,
+) -> &'static str {
+    forget_part(x, choice);
+    let mut belief = x.hub.belief.borrow_mut();
+    let model = x.facts.prompt.as_ref().map(|prompt| prompt.model.as_str());
+    let Some(server) = belief.fleet.get_mut(choice.server) else {
+        return "server is gone";
+    };
+    if misdirected {
+        server.avoid_until = now().plus_millis(AVOID_MISDIRECTED_MS);
+        return "address belongs to another server";
+    }
+    let until = now().plus_millis(AVOID_REJECTED_MS);
+    server.avoid_until = server.avoid_until.max(until);
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        return "turned away";
+    }
+    if let (Some(model), Some(version)) = (model, facts.weights) {
+        if server.saw_weights(model, version) {
+            server.avoid_until = now();
+        }
+    }
+    "weights differ"
+}
+
+/// Tells whether another backend server has the address by now.
+fn is_misdirected(
+    x: &Exchange,
+    key: ServerKey,
+    head: &response::Parts,
+    facts: &AnswerHead,
+) -> bool {
+    let Some(answering) = &facts.server else {
+        return false;
+    };
+    let expected = server(x, key).map(|(id, _)| id);
+    head.status == StatusCode::MISDIRECTED_REQUEST && expected.as_deref() != Some(answering)
+}
+
+fn learn(x: &Exchange, choice: &Choice, facts: &AnswerHead, status: StatusCode) {
+    let mut belief = x.hub.belief.borrow_mut();
+    let Some(server) = belief.fleet.get_mut(choice.server) else {
+        return;
+    };
+    if let (Some(prompt), Some(version)) = (&x.facts.prompt, facts.weights) {
+        server.saw_weights(&prompt.model, version);
+    }
+    if status.is_server_error() {
+        server.failures += 1;
+    } else {
+        server.failures = 0;
+    }
+}
+
+/// Reads what is left of a short answer, so that its connection can be kept.
+async fn give_back_rest(
+    x: &Exchange,
+    server: ServerKey,
+    body: Incoming,
+    lease: Lease,
+    keep_ms: Option<u64>,
+) {
+    let read = timeout(SILENCE_LOOK, body.collect()).await;
+    if matches!(read, Ok(Ok(_))) {
+        x.hub.pool.give_back(server, lease, keep_ms);
+    }
+}
+
+/// Tells whether a stream of this kind may go on elsewhere.
+pub fn resumable(kind: RouteKind) -> bool {
+    kind == RouteKind::Stream { resumable: true }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,425 @@
+//! One request of a caller, from its head to the end of its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use policy::Time;
+use rand::Rng;
+use relay::Ask;
+use relay::AttemptEnd;
+use relay::Choice;
+use relay::Configuration;
+use relay::Placement;
+use relay::Progress;
+use relay::Prompt;
+use relay::Retry;
+use relay::Route;
+use relay::ServerKey;
+use relay::Unplaceable;
+use relay::Verdict;
+use relay::Workspace;
+use snafu::Snafu;
+use tokio::time::timeout;
+
+use crate::attempt::Attempt;
+use crate::attempt::Ended;
+use crate::body::AnswerBody;
+use crate::clock::now;
+use crate::codec::RequestHead;
+use crate::hub::Hub;
+use crate::refusal::Refusal;
+use crate::stream_relay;
+use crate::timing::until;
+
+/// Time that a caller waits who names none, in milliseconds.
+const PATIENCE_MS: u64 = 30_000;
+
+/// Wait that callers are told while this router knows no configuration, in milliseconds.
+const UNCONFIGURED_RETRY_MS: u64 = 300;
+
+/// Time after a deadline at which an answer is given up, in milliseconds: the
+/// backend server's own word about the deadline may be on its way.
+pub const DEADLINE_SLACK_MS: u64 = 120;
+
+/// Why a connection is closed without an answer.
+#[derive(Debug, Snafu)]
+pub enum Aborted {
+    /// The caller's request broke off.
+    #[snafu(display("the request broke off: {reason}"))]
+    RequestBrokeOff {
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// A request with all that decides where it goes.
+pub struct Exchange {
+    /// State of this router.
+    pub hub: Rc<Hub>,
+    /// Head as the caller sent it.
+    pub head: request::Parts,
+    /// What the head says.
+    pub facts: RequestHead,
+    /// Body as the caller sent it.
+    pub body: Bytes,
+    /// Route that it takes.
+    pub route: Arc<Route>,
+    /// Workspace of its key.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Service that runs it.
+    pub service: Arc<str>,
+    /// When its head was read.
+    pub arrived: Time,
+    /// When it must be answered.
+    pub deadline: Time,
+    /// Version of the configuration that decides.
+    pub configuration: u64,
+    /// Backend servers that it was sent to.
+    pub tried: Vec<ServerKey>,
+    /// Sends of any outcome.
+    pub sends: u32,
+    /// Sends that ran or may have run.
+    pub runs: u32,
+    seed: u64,
+    concluded: bool,
+}
+
+/// Answers a request.
+pub async fn answer(
+    hub: Rc<Hub>,
+    req: http::Request<Incoming>,
+) -> Result<Response<AnswerBody>, Aborted> {
+    let arrived = now();
+    let (head, body) = req.into_parts();
+    let facts = match hub.codec.request(&head) {
+        Ok(facts) => facts,
+        Err(e) => {
+            log::info!(
+                "event=refused status=400 reason={:?} path={:?}",
+                e.to_string(),
+                head.uri.path()
+            );
+            return Ok(refuse(&hub, Refusal::BadRequest));
+        }
+    };
+    let configuration = hub.belief.borrow().configuration.clone();
+    let Some(configuration) = configuration else {
+        let refusal = Refusal::NotRun {
+            reason: "no_configuration",
+            retry_after_ms: UNCONFIGURED_RETRY_MS,
+        };
+        log_refusal(&facts, refusal, 0);
+        return Ok(refuse(&hub, refusal));
+    };
+    let (route, workspace) = match admit(&configuration, &head, &facts) {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            log_refusal(&facts, refusal, configuration.version);
+            return Ok(refuse(&hub, refusal));
+        }
+    };
+    let limit = configuration.limits.max_body_bytes;
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => {
+            log_refusal(&facts, Refusal::TooLarge, configuration.version);
+            return Ok(refuse(&hub, Refusal::TooLarge));
+        }
+        Err(e) => {
+            let reason = e.to_string();
+            log::info!(
+                "event=request_broke_off id={:?} reason={reason:?}",
+                facts.id
+            );
+            return RequestBrokeOffSnafu { reason }.fail();
+        }
+    };
+    let seed: u64 = rand::rng().random();
+    let patience_ms = facts.patience_ms.unwrap_or(PATIENCE_MS);
+    let exchange = Exchange {
+        service: pick_service(&route, seed),
+        deadline: arrived.plus_millis(patience_ms.min(route.timeout_ms)),
+        configuration: configuration.version,
+        hub,
+        head,
+        facts,
+        body,
+        route,
+        workspace,
+        arrived,
+        tried: Vec::new(),
+        sends: 0,
+        runs: 0,
+        seed,
+        concluded: false,
+    };
+    Ok(exchange.run().await)
+}
+
+fn admit(
+    configuration: &Configuration,
+    head: &request::Parts,
+    facts: &RequestHead,
+) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Refusal> {
+    let route = configuration.route(&facts.host, head.uri.path());
+    let route = route.ok_or(Refusal::NoRoute)?;
+    let workspace = facts
+        .key
+        .as_deref()
+        .and_then(|key| configuration.workspace(key));
+    if workspace.is_none() && configuration.needs_key(route) {
+        return Err(Refusal::UnknownKey);
+    }
+    Ok((Arc::clone(route), workspace.cloned()))
+}
+
+fn pick_service(route: &Route, seed: u64) -> Arc<str> {
+    let total: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
+    let mut at = (seed >> 32) % total.max(1);
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if at < weight {
+            return Arc::clone(&share.service);
+        }
+        at -= weight;
+    }
+    Arc::clone(&route.shares[0].service)
+}
+
+fn refuse(hub: &Hub, refusal: Refusal) -> Response<AnswerBody> {
+    let counter = hub.metrics.requests.with_label_values(&[refusal.reason()]);
+    counter.inc();
+    refusal.answer()
+}
+
+fn log_refusal(facts: &RequestHead, refusal: Refusal, configuration: u64) {
+    log::info!(
+        "event=refused id={:?} host={:?} configuration={configuration} status={} reason={}",
+        facts.id,
+        facts.host,
+        refusal.status().as_u16(),
+        refusal.reason()
+    );
+}
+
+impl Exchange {
+    async fn run(mut self) -> Response<AnswerBody> {
+        let service = Arc::clone(&self.service);
+        self.hub.with_budget(&service, |budget| budget.earn(now()));
+        loop {
+            let choice = match self.place() {
+                Ok(choice) => choice,
+                Err(e) => return self.refuse_unplaced(e),
+            };
+            let ended = match self.attempt(&choice).await {
+                Ok(attempt) if self.streams(&attempt) => {
+                    return stream_relay::start(self, attempt);
+                }
+                Ok(attempt) => match attempt.whole(&self).await {
+                    Ok(answer) if self.is_final(&answer) => return self.deliver(answer),
+                    Ok(answer) => Ended::failed(answer),
+                    Err(ended) => ended,
+                },
+                Err(ended) => ended,
+            };
+            match self.after(ended.end, &ended.reason, &choice) {
+                Verdict::Again => {}
+                Verdict::Failure => match ended.answer {
+                    Some(answer) => return self.deliver(answer),
+                    None => return self.give_up(Refusal::Unknown),
+                },
+                Verdict::NotRun => return self.give_up(not_run(&ended)),
+                Verdict::Unknown if ended.timed_out => return self.give_up(Refusal::TimedOut),
+                Verdict::Unknown => return self.give_up(Refusal::Unknown),
+            }
+        }
+    }
+
+    /// Returns the time left until the deadline, in milliseconds.
+    pub fn left_ms(&self) -> u64 {
+        self.deadline.millis_since(now())
+    }
+
+    /// Chooses a backend server.
+    pub fn place(&mut self) -> Result<Choice, Unplaceable> {
+        let belief = self.hub.belief.borrow();
+        let prompt = self.facts.prompt.as_ref().map(|prompt| {
+            let wanted = belief.weights.wanted(&prompt.model);
+            let seen_at = belief.weights.seen_at(&prompt.model);
+            Prompt {
+                model: &prompt.model,
+                wanted: wanted.zip(seen_at),
+                parts: &prompt.parts,
+                isolated: self.workspace.as_deref(),
+            }
+        });
+        let ask = Ask {
+            service: &self.service,
+            kind: self.route.kind,
+            prompt,
+            tried: &self.tried,
+            seed: self.seed,
+        };
+        let placement = Placement {
+            fleet: &belief.fleet,
+            holdings: &belief.holdings,
+            domain: &self.hub.settings.domain,
+            now: now(),
+        };
+        placement.choose(&ask)
+    }
+
+    /// Sends the request to a backend server and waits for its answer's head.
+    pub async fn attempt(&mut self, choice: &Choice) -> Result<Attempt, Ended> {
+        self.sends += 1;
+        self.tried.push(choice.server);
+        let limit = until(self.deadline.plus_millis(DEADLINE_SLACK_MS));
+        match timeout(limit, Attempt::begin(self, choice)).await {
+            Ok(result) => result,
+            Err(_) => Err(Ended::timed_out()),
+        }
+    }
+
+    /// Decides what follows an attempt without a whole answer.
+    pub fn after(&mut self, end: AttemptEnd, reason: &str, choice: &Choice) -> Verdict {
+        if matches!(end, AttemptEnd::Failed | AttemptEnd::Unknown) {
+            self.runs += 1;
+        }
+        let progress = Progress {
+            sends: self.sends,
+            runs: self.runs,
+            left_ms: self.left_ms(),
+        };
+        let retry = Retry {
+            kind: self.route.kind,
+            max_attempts: self.route.max_attempts,
+        };
+        let (verdict, left) = self.hub.with_budget(&self.service, |budget| {
+            let verdict = retry.after(end, progress, || budget.spend(now()));
+            (verdict, budget.left(now()))
+        });
+        self.hub
+            .metrics
+            .attempts
+            .with_label_values(&[&format!("{end:?}").to_lowercase()])
+            .inc();
+        log::info!(
+            "event=attempt_ended id={:?} service={} server={} end={end:?} reason={reason:?} verdict={verdict:?} sends={} runs={} left_ms={} budget_left={left}",
+            self.facts.id,
+            self.service,
+            self.server_name(choice.server),
+            self.sends,
+            self.runs,
+            progress.left_ms,
+        );
+        verdict
+    }
+
+    /// Returns the id of a backend server, for logs.
+    pub fn server_name(&self, key: ServerKey) -> String {
+        let belief = self.hub.belief.borrow();
+        let server = belief.fleet.get(key);
+        server.map_or_else(|| "gone".to_owned(), |server| server.entry.id.to_string())
+    }
+
+    /// Writes the line that tells how the request ended.
+    pub fn conclude(&mut self, outcome: &str, status: u16, server: Option<ServerKey>) {
+        self.concluded = true;
+        let took = now().micros_since(self.arrived);
+        self.hub
+            .metrics
+            .requests
+            .with_label_values(&[outcome])
+            .inc();
+        self.hub
+            .metrics
+            .whole_answer
+            .observe(took as f64 / 1_000_000.0);
+        log::info!(
+            "event=request id={:?} route={} workspace={} service={} configuration={} outcome={outcome} status={status} server={} sends={} runs={} took_ms={} left_ms={}",
+            self.facts.id,
+            self.route.name,
+            self.workspace.as_ref().map_or("none", |w| &*w.name),
+            self.service,
+            self.configuration,
+            server.map_or_else(|| "none".to_owned(), |key| self.server_name(key)),
+            self.sends,
+            self.runs,
+            took / 1_000,
+            self.left_ms(),
+        );
+    }
+
+    fn streams(&self, attempt: &Attempt) -> bool {
+        self.route.kind.streams() && attempt.status().is_success()
+    }
+
+    /// Tells whether an answer goes to the caller, whatever could be tried besides.
+    fn is_final(&self, answer: &WholeAnswer) -> bool {
+        let status = answer.response.status();
+        !status.is_server_error() || status == http::StatusCode::GATEWAY_TIMEOUT
+    }
+
+    fn deliver(mut self, answer: WholeAnswer) -> Response<AnswerBody> {
+        let status = answer.response.status();
+        let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+        if promises && !self.route.kind.may_repeat() {
+            // The backend server ran the request, so its status would promise too much.
+            return self.give_up(Refusal::Unknown);
+        }
+        let outcome = if status.is_success() {
+            "served"
+        } else {
+            "failed"
+        };
+        self.conclude(outcome, status.as_u16(), Some(answer.server));
+        answer.response
+    }
+
+    fn refuse_unplaced(mut self, e: Unplaceable) -> Response<AnswerBody> {
+        if self.runs > 0 {
+            return self.give_up(Refusal::Unknown);
+        }
+        self.give_up(Refusal::NotRun {
+            reason: e.reason(),
+            retry_after_ms: e.retry_after_ms(),
+        })
+    }
+
+    /// Answers without a backend server's answer.
+    pub fn give_up(&mut self, refusal: Refusal) -> Response<AnswerBody> {
+        self.conclude(refusal.reason(), refusal.status().as_u16(), None);
+        refusal.answer()
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.concluded {
+            let server = self.tried.last().copied();
+            self.conclude("caller_left", 0, server);
+        }
+    }
+}
+
+/// A whole answer of a backend server.
+pub struct WholeAnswer {
+    /// Answer as the caller gets it.
+    pub response: Response<AnswerBody>,
+    /// Backend server that gave it.
+    pub server: ServerKey,
+}
+
+fn not_run(ended: &Ended) -> Refusal {
+    Refusal::NotRun {
+        reason: "rejected",
+        retry_after_ms: ended.retry_after_ms,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,132 @@
+//! Accepts callers' connections.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::CONNECTION;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::body::AnswerBody;
+use crate::exchange;
+use crate::exchange::Aborted;
+use crate::hub::Hub;
+use crate::pool::configure;
+use crate::pool::describe;
+
+/// Connections that may wait to be accepted; callers come in herds.
+const BACKLOG: u32 = 1_024;
+
+/// Largest head of a request while no configuration says otherwise, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Time for which a connection may stay idle while no configuration says otherwise, in milliseconds.
+const IDLE_MS: u64 = 15_000;
+
+/// Wait after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Opens a port.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections for as long as the process runs, and serves each as a task.
+pub async fn accept<F, S>(listener: TcpListener, serve: F)
+where
+    F: Fn(TcpStream) -> S,
+    S: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(stream));
+            }
+            Err(e) => {
+                log::warn!("event=accept_failed reason={:?}", e.to_string());
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection of a caller until it ends, or until `close` asks idle ones to.
+pub async fn serve(hub: Rc<Hub>, stream: TcpStream, mut close: watch::Receiver<bool>) {
+    if let Err(e) = configure(&stream) {
+        log::debug!("event=socket_failed reason={:?}", e.to_string());
+        return;
+    }
+    let (head_bytes, idle_ms) = limits(&hub);
+    let service = service_fn(|req| handle(Rc::clone(&hub), req));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = close.wait_for(|close| *close) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = result {
+        log::debug!("event=connection_failed reason={:?}", describe(&e));
+    }
+}
+
+fn limits(hub: &Hub) -> (usize, u64) {
+    let belief = hub.belief.borrow();
+    let limits = belief.configuration.as_ref().map(|c| c.limits);
+    let limits = limits.map(|limits| {
+        let idle_ms = limits.idle_timeout_ms.max(limits.head_timeout_ms);
+        (limits.max_head_bytes.max(8 << 10), idle_ms)
+    });
+    limits.unwrap_or((MAX_HEAD_BYTES, IDLE_MS))
+}
+
+async fn handle(hub: Rc<Hub>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Aborted> {
+    let mut answer = exchange::answer(Rc::clone(&hub), req).await?;
+    if hub.stopping.get() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(answer)
+}
+
+/// Serves one connection with pages that are made at once.
+pub async fn serve_pages<F>(stream: TcpStream, page: F)
+where
+    F: Fn(&str) -> Response<AnswerBody>,
+{
+    let service = service_fn(|req: Request<Incoming>| {
+        let answer = page(req.uri().path());
+        async { Ok::<_, Infallible>(answer) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = connection.await {
+        log::debug!("event=connection_failed reason={:?}", describe(&e));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,245 @@
+//! Starts and stops a gateway.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::clock::now;
+use crate::codec::Codec;
+use crate::engines::Engines;
+use crate::feed;
+use crate::front;
+use crate::front::accept;
+use crate::front::listen;
+use crate::front::serve_pages;
+use crate::hub::Belief;
+use crate::hub::Hub;
+use crate::log_sink::LogSink;
+use crate::metrics::Metrics;
+use crate::orders;
+use crate::peers;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::records;
+use crate::settings::Settings;
+use crate::snapshot;
+use crate::status_pages;
+use crate::store::Store;
+use crate::store::Topic;
+
+/// Time between sweeps of idle connections.
+const SWEEP: Duration = Duration::from_millis(1_000);
+
+/// Time after the signal to stop during which the balancer may still send
+/// callers here, in milliseconds.
+const ROTATION_MS: u64 = 3_500;
+
+/// Time before the process would be killed at which it ends, in milliseconds.
+const STOP_MARGIN_MS: u64 = 400;
+
+/// Time between looks at whether all requests are answered.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Why a gateway can't run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A port can't be opened.
+    #[snafu(display("listen for {what} at {address}: {source}"))]
+    Listen {
+        /// What the port is for.
+        what: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// Signals can't be received.
+    #[snafu(display("receive signals: {source}"))]
+    Signals {
+        /// What went wrong.
+        source: io::Error,
+    },
+}
+
+/// What a gateway speaks to.
+pub struct Outside {
+    /// Heads of requests and answers.
+    pub codec: Rc<dyn Codec>,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+    /// Model engines.
+    pub engines: Rc<dyn Engines>,
+    /// Log of this process.
+    pub log: LogSink,
+}
+
+/// A router for requests that it does not read.
+pub struct Gateway {
+    hub: Rc<Hub>,
+    callers: watch::Receiver<bool>,
+    close: watch::Sender<bool>,
+}
+
+impl Gateway {
+    /// Opens all ports and starts all tasks; needs a local task set.
+    pub async fn start(settings: Settings, outside: Outside) -> Result<Gateway, Error> {
+        let hub = Rc::new(Hub {
+            settings,
+            codec: outside.codec,
+            store: outside.store,
+            engines: outside.engines,
+            pool: Pool::default(),
+            peers: Peers::default(),
+            metrics: Metrics::new(),
+            log: outside.log,
+            belief: RefCell::new(Belief {
+                store_heard_at: now(),
+                ..Belief::default()
+            }),
+            stopping: Cell::new(false),
+        });
+        let (close, callers) = watch::channel(false);
+        let gateway = Gateway {
+            hub,
+            callers,
+            close,
+        };
+        gateway.open_ports().await?;
+        gateway.spawn_tasks();
+        let settings = &gateway.hub.settings;
+        log::info!(
+            "event=start version={} router={} domain={} callers={} store={}",
+            env!("CARGO_PKG_VERSION"),
+            settings.name,
+            settings.domain,
+            settings.listen.callers,
+            settings.store
+        );
+        Ok(gateway)
+    }
+
+    /// Runs until the process is told to stop and all requests are answered.
+    pub async fn run(self) -> Result<(), Error> {
+        let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+        let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+        let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => log::info!("event=reload outcome=unchanged reason=\"settings are read at start\""),
+            }
+        }
+        self.stop().await;
+        Ok(())
+    }
+
+    async fn stop(self) {
+        let told_at = now();
+        let hub = &self.hub;
+        hub.stopping.set(true);
+        log::info!("event=stop phase=draining open={}", self.connections());
+        let last = told_at.plus_millis(hub.settings.stop_ms.saturating_sub(STOP_MARGIN_MS));
+        let rotated = told_at.plus_millis(ROTATION_MS).min(last);
+        while now() < rotated {
+            sleep(STOP_LOOK).await;
+        }
+        self.close.send_replace(true);
+        while self.connections() > 0 && now() < last {
+            sleep(STOP_LOOK).await;
+        }
+        log::info!(
+            "event=stop phase=done open={} took_ms={}",
+            self.connections(),
+            now().millis_since(told_at)
+        );
+    }
+
+    /// Returns how many connections of callers are open; the port holds one receiver too.
+    fn connections(&self) -> usize {
+        self.close.receiver_count().saturating_sub(2)
+    }
+
+    async fn open_ports(&self) -> Result<(), Error> {
+        let hub = &self.hub;
+        let addresses = &hub.settings.listen;
+        let callers = open("callers", addresses.callers)?;
+        let close = self.callers.clone();
+        let front = Rc::clone(hub);
+        tokio::task::spawn_local(accept(callers, move |stream| {
+            front::serve(Rc::clone(&front), stream, close.clone())
+        }));
+        let readiness = open("readiness", addresses.readiness)?;
+        self.serve(readiness, |hub, _| status_pages::readiness(hub));
+        let metrics = SocketAddr::new(addresses.callers.ip(), addresses.metrics_port);
+        self.serve(open("metrics", metrics)?, |hub, _| {
+            status_pages::metrics(hub)
+        });
+        self.serve(
+            open("other routers", self.peer_address())?,
+            status_pages::bootstrap,
+        );
+        if let Some(address) = addresses.bootstrap {
+            self.serve(open("new routers", address)?, status_pages::bootstrap);
+        }
+        let address = self.peer_address();
+        let socket = UdpSocket::bind(address).await.context(ListenSnafu {
+            what: "messages of other routers",
+            address,
+        })?;
+        tokio::task::spawn_local(peers::run(Rc::clone(hub), socket));
+        Ok(())
+    }
+
+    fn serve<F>(&self, listener: TcpListener, page: F)
+    where
+        F: Fn(&Hub, &str) -> http::Response<crate::body::AnswerBody> + Copy + 'static,
+    {
+        let hub = Rc::clone(&self.hub);
+        tokio::task::spawn_local(accept(listener, move |stream| {
+            let hub = Rc::clone(&hub);
+            async move { serve_pages(stream, |path| page(&hub, path)).await }
+        }));
+    }
+
+    fn peer_address(&self) -> SocketAddr {
+        let listen = &self.hub.settings.listen;
+        SocketAddr::new(listen.callers.ip(), listen.peer_port)
+    }
+
+    fn spawn_tasks(&self) {
+        let hub = &self.hub;
+        for topic in [Topic::Operators, Topic::Servers, Topic::Routers] {
+            tokio::task::spawn_local(feed::run(Rc::clone(hub), topic));
+        }
+        let address = self.peer_address();
+        tokio::task::spawn_local(records::keep_member(Rc::clone(hub), address));
+        tokio::task::spawn_local(records::hold_orders(Rc::clone(hub)));
+        tokio::task::spawn_local(orders::run(Rc::clone(hub)));
+        tokio::task::spawn_local(snapshot::run(Rc::clone(hub)));
+        tokio::task::spawn_local(sweep(Rc::clone(hub)));
+    }
+}
+
+fn open(what: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    listen(address).context(ListenSnafu { what, address })
+}
+
+async fn sweep(hub: Rc<Hub>) {
+    loop {
+        sleep(SWEEP).await;
+        hub.pool.sweep(&hub.belief.borrow().fleet);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/hub.rs
@@ -0,0 +1,199 @@
+//! State that the tasks of a gateway share. All run on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use policy::Time;
+use relay::Configuration;
+use relay::Fleet;
+use relay::Holdings;
+use relay::OrderPlan;
+use relay::SendBudget;
+use relay::ServerEntry;
+use relay::Tenure;
+use relay::Weights;
+
+use crate::clock::now;
+use crate::codec::Codec;
+use crate::engines::Engines;
+use crate::log_sink::LogSink;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::settings::Settings;
+use crate::store::Revision;
+use crate::store::Store;
+
+/// What a gateway believes.
+#[derive(Default)]
+pub struct Belief {
+    /// Configuration in force.
+    pub configuration: Option<Rc<Configuration>>,
+    /// Versions of weights that were named.
+    pub weights: Weights,
+    /// Backend servers.
+    pub fleet: Fleet,
+    /// Whether registrations of backend servers were ever read.
+    pub fleet_known: bool,
+    /// Until when the store, or the way to it, was last seen to fail.
+    pub store_away_until: Time,
+    /// When the store last answered.
+    pub store_heard_at: Time,
+    /// Whether the last call to the store failed.
+    pub store_failing: bool,
+    /// Which engines hold which parts.
+    pub holdings: Holdings,
+    /// Repeats left, by service.
+    pub budgets: HashMap<Arc<str>, SendBudget>,
+    /// Revision of the record of the router that gives orders, if one does.
+    pub order_holder: Option<Revision>,
+    /// The tenure under which this router gives orders, if it does.
+    pub tenure: Option<Tenure>,
+    /// Orders of that tenure.
+    pub plan: OrderPlan,
+}
+
+/// State that the tasks of a gateway share.
+pub struct Hub {
+    /// Settings.
+    pub settings: Settings,
+    /// Heads of requests and answers.
+    pub codec: Rc<dyn Codec>,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+    /// Model engines.
+    pub engines: Rc<dyn Engines>,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Other routers.
+    pub peers: Peers,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Log of this process.
+    pub log: LogSink,
+    /// What this router believes.
+    pub belief: RefCell<Belief>,
+    /// Whether the process was told to stop.
+    pub stopping: Cell<bool>,
+}
+
+impl Hub {
+    /// Takes in a configuration; older ones than the one in force are ignored.
+    pub fn adopt_configuration(&self, configuration: Configuration, source: &str) {
+        let mut belief = self.belief.borrow_mut();
+        let known = belief.configuration.as_ref().map_or(0, |c| c.version);
+        if configuration.version <= known {
+            return;
+        }
+        log::info!(
+            "event=configuration version={} before={known} routes={} workspaces={} source={source}",
+            configuration.version,
+            configuration.routes.len(),
+            configuration.workspaces.len(),
+        );
+        self.metrics
+            .configuration_version
+            .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
+        belief.configuration = Some(Rc::new(configuration));
+    }
+
+    /// Takes in the newest version of a model's weights.
+    pub fn adopt_weights(&self, model: &str, version: u64, source: &str) {
+        let mut belief = self.belief.borrow_mut();
+        if belief.weights.name(now(), model, version) {
+            log::info!("event=weights_named model={model:?} version={version} source={source}");
+        }
+    }
+
+    /// Takes in a backend server's registration.
+    pub fn adopt_server(&self, entry: ServerEntry, source: &str) {
+        let change = self.belief.borrow_mut().fleet.apply(now(), entry);
+        self.note_change(change, source);
+    }
+
+    /// Takes in the end of a backend server's registration.
+    pub fn drop_server(&self, id: &str, source: &str) {
+        let change = {
+            let mut belief = self.belief.borrow_mut();
+            let away_until = belief.store_away_until;
+            belief.fleet.remove_or_hold(now(), id, away_until)
+        };
+        self.note_change(change, source);
+    }
+
+    /// Takes in all registrations.
+    pub fn replace_servers(&self, entries: Vec<ServerEntry>, source: &str) {
+        let changes = {
+            let mut belief = self.belief.borrow_mut();
+            let away_until = belief.store_away_until;
+            belief.fleet_known = true;
+            belief.fleet.replace(now(), entries, away_until)
+        };
+        for change in changes {
+            self.note_change(Some(change), source);
+        }
+    }
+
+    /// Tells whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        let belief = self.belief.borrow();
+        !self.stopping.get() && belief.configuration.is_some() && belief.fleet_known
+    }
+
+    /// Runs `f` with the budget of a service.
+    pub fn with_budget<F, R>(&self, service: &Arc<str>, f: F) -> R
+    where
+        F: FnOnce(&mut SendBudget) -> R,
+    {
+        let routers = self.peers.live_count() + 1;
+        let repeats = self.settings.repeats;
+        let reserve = (repeats.reserve * RESERVE_PART) as usize / routers;
+        let mut belief = self.belief.borrow_mut();
+        let budget = belief
+            .budgets
+            .entry(Arc::clone(service))
+            .or_insert_with(|| SendBudget::new((repeats.ratio * RATIO_PART * 100.0) as u32, 0));
+        budget.set_reserve(u32::try_from(reserve).unwrap_or(u32::MAX));
+        f(budget)
+    }
+
+    fn note_change(&self, change: Option<relay::FleetChange>, source: &str) {
+        use relay::FleetChange;
+        match change {
+            None => {}
+            Some(FleetChange::Added(key)) => {
+                let belief = self.belief.borrow();
+                if let Some(server) = belief.fleet.get(key) {
+                    let entry = &server.entry;
+                    log::info!(
+                        "event=server_added server={} service={} domain={} address={} state={:?} weights={:?} source={source}",
+                        entry.id, entry.service, entry.domain, entry.address, entry.state, entry.weights.values().collect::<Vec<_>>(),
+                    );
+                }
+            }
+            Some(FleetChange::Draining(key)) => {
+                let belief = self.belief.borrow();
+                if let Some(server) = belief.fleet.get(key) {
+                    log::info!(
+                        "event=server_draining server={} source={source}",
+                        server.entry.id
+                    );
+                }
+            }
+            Some(FleetChange::Removed(id)) => {
+                log::info!("event=server_removed server={id} source={source}");
+                self.pool.sweep(&self.belief.borrow().fleet);
+            }
+        }
+    }
+}
+
+/// Part of the allowed repeats for each request that is used: windows of the
+/// rule and of the budget don't begin together.
+const RATIO_PART: f64 = 0.8;
+
+/// Part of the reserve that is used, for the same reason.
+const RESERVE_PART: f64 = 0.7;
--- /dev/null
+++ b/crates/gateway/src/snapshot.rs
@@ -0,0 +1,168 @@
+//! What a router that can't reach the store takes from another router.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use relay::Configuration;
+use relay::ServerEntry;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::clock::now;
+use crate::hub::Hub;
+use crate::pool::describe;
+
+/// Time within which another router must answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Largest snapshot, in bytes.
+const MAX_BYTES: usize = 8 << 20;
+
+/// Time between looks at whether this router is behind.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Time for which another router may be ahead before its snapshot is taken, in
+/// milliseconds: the store mostly answers sooner.
+const AHEAD_MS: u64 = 400;
+
+/// Time for which the store must be away before registrations are taken from others, in milliseconds.
+const AWAY_MS: u64 = 1_000;
+
+/// Time between two snapshots while the store is away, in milliseconds.
+const PAUSE_MS: u64 = 800;
+
+/// Why a snapshot was not had.
+#[derive(Debug, Snafu)]
+#[snafu(display("snapshot from {peer}: {reason}"))]
+pub struct SnapshotError {
+    peer: SocketAddr,
+    reason: String,
+}
+
+/// What a router believes that lies in the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Configuration in force.
+    pub configuration: Option<Configuration>,
+    /// Versions of weights that were named.
+    pub named: Vec<(String, u64)>,
+    /// Registrations of backend servers.
+    pub servers: Vec<ServerEntry>,
+    /// Time since the store was last heard, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Returns this router's snapshot as bytes.
+pub fn snapshot(hub: &Hub) -> Vec<u8> {
+    let belief = hub.belief.borrow();
+    let servers = belief.fleet.iter().map(|(_, server)| server.entry.clone());
+    let named = belief.weights.all();
+    let snapshot = Snapshot {
+        configuration: belief.configuration.as_deref().cloned(),
+        named: named.map(|(m, v)| (m.to_string(), v)).collect(),
+        servers: servers.collect(),
+        age_ms: now().millis_since(belief.store_heard_at),
+    };
+    match serde_json::to_vec(&snapshot) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            log::error!("event=snapshot_failed reason={:?}", e.to_string());
+            Vec::new()
+        }
+    }
+}
+
+/// Takes snapshots of other routers whenever this one is behind.
+pub async fn run(hub: Rc<Hub>) {
+    let mut taken_at = now();
+    loop {
+        sleep(LOOK).await;
+        let Some(peer) = source(&hub, now().millis_since(taken_at) >= PAUSE_MS) else {
+            continue;
+        };
+        taken_at = now();
+        match fetch(peer).await {
+            Ok(snapshot) => take_in(&hub, snapshot),
+            Err(e) => log::warn!("event=snapshot_unanswered reason={:?}", e.to_string()),
+        }
+    }
+}
+
+fn source(hub: &Hub, rested: bool) -> Option<SocketAddr> {
+    let (version, away) = {
+        let belief = hub.belief.borrow();
+        let version = belief.configuration.as_ref().map_or(0, |c| c.version);
+        let away = now().millis_since(belief.store_heard_at) > AWAY_MS && belief.store_failing;
+        (version, away)
+    };
+    if hub.peers.is_behind(version, AHEAD_MS) && rested {
+        return hub.peers.ahead(version);
+    }
+    if !(away && rested) {
+        return None;
+    }
+    let peer = hub.peers.any_live(now().0);
+    peer.or_else(|| bootstrap(hub, version))
+}
+
+/// Returns a seed while nothing is known at all.
+fn bootstrap(hub: &Hub, version: u64) -> Option<SocketAddr> {
+    let seeds = &hub.settings.seeds;
+    let at = usize::try_from(now().as_millis()).unwrap_or(0);
+    (version == 0 && !seeds.is_empty()).then(|| seeds[at % seeds.len()])
+}
+
+fn take_in(hub: &Hub, snapshot: Snapshot) {
+    if let Some(mut configuration) = snapshot.configuration {
+        configuration.build_index();
+        hub.adopt_configuration(configuration, "peer");
+    }
+    for (model, version) in snapshot.named {
+        hub.adopt_weights(&model, version, "peer");
+    }
+    let own_age_ms = now().millis_since(hub.belief.borrow().store_heard_at);
+    if snapshot.age_ms < own_age_ms && !snapshot.servers.is_empty() {
+        hub.replace_servers(snapshot.servers, "peer");
+    }
+}
+
+async fn fetch(peer: SocketAddr) -> Result<Snapshot, SnapshotError> {
+    match timeout(CALL_TIMEOUT, call(peer)).await {
+        Ok(result) => result.map_err(|reason| SnapshotError { peer, reason }),
+        Err(_) => SnapshotSnafu {
+            peer,
+            reason: "timeout",
+        }
+        .fail(),
+    }
+}
+
+async fn call(peer: SocketAddr) -> Result<Snapshot, String> {
+    let stream = TcpStream::connect(peer).await.map_err(|e| e.to_string())?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| describe(&e))?;
+    let task = tokio::task::spawn_local(connection);
+    let req = Request::builder()
+        .uri("/snapshot")
+        .header(http::header::HOST, peer.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| e.to_string())?;
+    let answer = sender.send_request(req).await.map_err(|e| describe(&e))?;
+    let body = Limited::new(answer.into_body(), MAX_BYTES).collect().await;
+    task.abort();
+    let body = body.map_err(|e| e.to_string())?.to_bytes();
+    serde_json::from_slice(&body).map_err(|e| e.to_string())
+}
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -4,12 +4,12 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Returns the hash of a name, for [`weight`].
-pub(crate) fn name_hash(name: &str) -> u64 {
+pub fn name_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
 /// Returns the weight of a candidate for a key; the highest comes first.
-pub(crate) fn weight(key: u64, candidate: u64) -> u64 {
+pub fn weight(key: u64, candidate: u64) -> u64 {
     xxh3_64_with_seed(&candidate.to_le_bytes(), key)
 }
 
--- /dev/null
+++ b/crates/relay/src/fleet.rs
@@ -0,0 +1,350 @@
+//! Backend servers, their lifetimes, and what this router knows of each.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use policy::Time;
+
+use crate::ServerEntry;
+use crate::ServerState;
+
+/// Time for which a missing entry is kept after the store was away, in
+/// milliseconds: the platform restores those of live servers within two seconds.
+const RESTORE_MS: u64 = 2_100;
+
+/// Time for which another router's load counts, in milliseconds.
+const OTHERS_MS: u64 = 1_500;
+
+/// Key of a backend server's lifetime.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerKey {
+    index: u32,
+    generation: u32,
+}
+
+/// Requests that routers have at a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that are to be read for them.
+    pub tokens: u64,
+}
+
+/// What changed in the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FleetChange {
+    /// A lifetime that was not known.
+    Added(ServerKey),
+    /// A known lifetime that now drains.
+    Draining(ServerKey),
+    /// A lifetime that is over, or whose registration is gone.
+    Removed(Arc<str>),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OtherLoad {
+    load: Load,
+    until: Time,
+}
+
+/// A backend server in one lifetime.
+#[derive(Clone, Debug)]
+pub struct BackendServer {
+    /// Its registration; the weights are the newest that were seen anywhere.
+    pub entry: ServerEntry,
+    /// Hash of its id and start, the same on every router.
+    pub mark: u64,
+    /// When its registration was last read.
+    pub seen_at: Time,
+    /// Until when it gets no request, since it turned one away or broke one off.
+    pub avoid_until: Time,
+    /// Until when it is expected to take new weights.
+    pub switching_until: Time,
+    /// Failures in a row.
+    pub failures: u32,
+    /// When it last answered.
+    pub answered_at: Time,
+    /// When it was first sent a request that it has not answered since.
+    pub silent_since: Option<Time>,
+    own: Load,
+    others: HashMap<u64, OtherLoad>,
+    missing_since: Option<Time>,
+}
+
+impl BackendServer {
+    fn new(now: Time, entry: ServerEntry) -> BackendServer {
+        let mark = policy::name_hash(&entry.id) ^ entry.started_ms;
+        BackendServer {
+            entry,
+            mark,
+            seen_at: now,
+            avoid_until: Time(0),
+            switching_until: Time(0),
+            failures: 0,
+            answered_at: now,
+            silent_since: None,
+            own: Load::default(),
+            others: HashMap::new(),
+            missing_since: None,
+        }
+    }
+
+    /// Returns the requests of this router.
+    pub fn own_load(&self) -> Load {
+        self.own
+    }
+
+    /// Returns the requests of all routers, as far as they are known.
+    pub fn load(&self, now: Time) -> Load {
+        let live = self.others.values().filter(|other| other.until > now);
+        live.fold(self.own, |sum, other| Load {
+            requests: sum.requests + other.load.requests,
+            tokens: sum.tokens + other.load.tokens,
+        })
+    }
+
+    /// Takes in another router's load.
+    pub fn set_other_load(&mut self, now: Time, router: u64, load: Load) {
+        let until = now.plus_millis(OTHERS_MS);
+        self.others.insert(router, OtherLoad { load, until });
+    }
+
+    /// Returns the version of its weights of `model`.
+    pub fn weights(&self, model: &str) -> Option<u64> {
+        self.entry.weights.get(model).copied()
+    }
+
+    /// Takes in a version of its weights; lower ones than known are old news.
+    pub fn saw_weights(&mut self, model: &str, version: u64) -> bool {
+        let Some(known) = self.entry.weights.get_mut(model) else {
+            return false;
+        };
+        if *known >= version {
+            return false;
+        }
+        *known = version;
+        true
+    }
+
+    /// Tells whether it may get new requests.
+    pub fn takes_requests(&self, now: Time) -> bool {
+        self.entry.state == ServerState::Ready
+            && self.avoid_until <= now
+            && self.switching_until <= now
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Slot {
+    generation: u32,
+    server: Option<BackendServer>,
+}
+
+/// All backend servers that are registered.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    slots: Vec<Slot>,
+    by_id: HashMap<Arc<str>, ServerKey>,
+    by_mark: HashMap<u64, ServerKey>,
+}
+
+impl Fleet {
+    /// Takes in a registration.
+    pub fn apply(&mut self, now: Time, entry: ServerEntry) -> Option<FleetChange> {
+        let known = self.by_id.get(&entry.id).copied();
+        if let Some(key) = known {
+            let server = self.get_mut(key).expect("the index names live servers");
+            if server.entry.started_ms == entry.started_ms {
+                return update(now, server, entry).then_some(FleetChange::Draining(key));
+            }
+            self.remove(&entry.id);
+        }
+        Some(FleetChange::Added(self.add(now, entry)))
+    }
+
+    /// Ends a registration.
+    pub fn remove(&mut self, id: &str) -> Option<FleetChange> {
+        let key = self.by_id.remove(id)?;
+        let slot = &mut self.slots[key.index as usize];
+        let server = slot.server.take()?;
+        slot.generation += 1;
+        self.by_mark.remove(&server.mark);
+        Some(FleetChange::Removed(server.entry.id))
+    }
+
+    /// Ends a registration, or keeps it for a while if the store was away until
+    /// `away_until`: the platform restores those of live servers.
+    pub fn remove_or_hold(&mut self, now: Time, id: &str, away_until: Time) -> Option<FleetChange> {
+        if now >= away_until.plus_millis(RESTORE_MS) {
+            return self.remove(id);
+        }
+        let key = self.by_id(id)?;
+        let server = self.get_mut(key).expect("the index names live servers");
+        server.missing_since.get_or_insert(now);
+        None
+    }
+
+    /// Takes in all registrations; those that are missing are removed, or kept
+    /// for a while if the store was away until `away_until`.
+    pub fn replace(
+        &mut self,
+        now: Time,
+        entries: Vec<ServerEntry>,
+        away_until: Time,
+    ) -> Vec<FleetChange> {
+        let mut changes = Vec::new();
+        let mut present = std::collections::HashSet::new();
+        for entry in entries {
+            present.insert(entry.id.clone());
+            changes.extend(self.apply(now, entry));
+        }
+        let restored_by = away_until.plus_millis(RESTORE_MS);
+        let ids: Vec<Arc<str>> = self.by_id.keys().cloned().collect();
+        for id in ids.into_iter().filter(|id| !present.contains(id)) {
+            let key = self.by_id[&id];
+            let server = self.get_mut(key).expect("the index names live servers");
+            server.missing_since.get_or_insert(now);
+            if now >= restored_by {
+                changes.extend(self.remove(&id));
+            }
+        }
+        changes
+    }
+
+    /// Tells whether registrations that are missing since the store was away
+    /// until `away_until` would be back by now.
+    pub fn is_restored(&self, now: Time, away_until: Time) -> bool {
+        now >= away_until.plus_millis(RESTORE_MS)
+    }
+
+    /// Tells whether a registration was missing when all were last read.
+    pub fn has_missing(&self) -> bool {
+        self.iter()
+            .any(|(_, server)| server.missing_since.is_some())
+    }
+
+    /// Returns a backend server while its lifetime lasts.
+    pub fn get(&self, key: ServerKey) -> Option<&BackendServer> {
+        let slot = self.slots.get(key.index as usize)?;
+        slot.server
+            .as_ref()
+            .filter(|_| slot.generation == key.generation)
+    }
+
+    /// Returns a backend server while its lifetime lasts.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut BackendServer> {
+        let slot = self.slots.get_mut(key.index as usize)?;
+        let generation = slot.generation;
+        slot.server
+            .as_mut()
+            .filter(|_| generation == key.generation)
+    }
+
+    /// Returns the key of the lifetime with `mark`.
+    pub fn by_mark(&self, mark: u64) -> Option<ServerKey> {
+        self.by_mark.get(&mark).copied()
+    }
+
+    /// Returns the key of the live server with `id`.
+    pub fn by_id(&self, id: &str) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns all backend servers, in no order that matters.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &BackendServer)> {
+        self.slots.iter().enumerate().filter_map(|(index, slot)| {
+            let index = u32::try_from(index).expect("fewer than 2^32 servers");
+            let generation = slot.generation;
+            let server = slot.server.as_ref()?;
+            Some((ServerKey { index, generation }, server))
+        })
+    }
+
+    /// Returns the backend servers of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a BackendServer)> {
+        self.iter()
+            .filter(move |(_, server)| &*server.entry.service == service)
+    }
+
+    /// Clears another router's load at all backend servers but those that `keep` names.
+    pub fn clear_other_load<F>(&mut self, router: u64, keep: F)
+    where
+        F: Fn(u64) -> bool,
+    {
+        let servers = self
+            .slots
+            .iter_mut()
+            .filter_map(|slot| slot.server.as_mut());
+        for server in servers.filter(|server| !keep(server.mark)) {
+            server.others.remove(&router);
+        }
+    }
+
+    /// Counts a request of this router that is sent to a backend server.
+    pub fn begin(&mut self, now: Time, key: ServerKey, tokens: u64) {
+        if let Some(server) = self.get_mut(key) {
+            server.own.requests += 1;
+            server.own.tokens += tokens;
+            server.silent_since.get_or_insert(now);
+        }
+    }
+
+    /// Counts down the tokens of a request, once its prompt has been read.
+    pub fn prompt_read(&mut self, now: Time, key: ServerKey, tokens: u64) {
+        if let Some(server) = self.get_mut(key) {
+            server.own.tokens = server.own.tokens.saturating_sub(tokens);
+            server.answered_at = now;
+            server.silent_since = None;
+        }
+    }
+
+    /// Ends a request of this router.
+    pub fn end(&mut self, key: ServerKey, tokens: u64) {
+        if let Some(server) = self.get_mut(key) {
+            server.own.requests = server.own.requests.saturating_sub(1);
+            server.own.tokens = server.own.tokens.saturating_sub(tokens);
+            if server.own.requests == 0 {
+                server.silent_since = None;
+            }
+        }
+    }
+
+    fn add(&mut self, now: Time, entry: ServerEntry) -> ServerKey {
+        let index = self.slots.iter().position(|slot| slot.server.is_none());
+        let index = index.unwrap_or_else(|| {
+            self.slots.push(Slot::default());
+            self.slots.len() - 1
+        });
+        let slot = &mut self.slots[index];
+        let key = ServerKey {
+            index: u32::try_from(index).expect("fewer than 2^32 servers"),
+            generation: slot.generation,
+        };
+        let server = BackendServer::new(now, entry);
+        self.by_id.insert(server.entry.id.clone(), key);
+        self.by_mark.insert(server.mark, key);
+        slot.server = Some(server);
+        key
+    }
+}
+
+/// Takes in a newer registration of the same lifetime; tells whether it began to drain.
+fn update(now: Time, server: &mut BackendServer, mut entry: ServerEntry) -> bool {
+    let was = server.entry.state;
+    for (model, version) in &server.entry.weights {
+        if let Some(reported) = entry.weights.get_mut(model) {
+            *reported = (*reported).max(*version);
+        }
+    }
+    if was == ServerState::Draining {
+        entry.state = ServerState::Draining;
+    }
+    server.seen_at = now;
+    server.missing_since = None;
+    server.entry = entry;
+    was == ServerState::Ready && server.entry.state == ServerState::Draining
+}
--- /dev/null
+++ b/crates/relay/src/gossip.rs
@@ -0,0 +1,112 @@
+//! What routers tell each other several times a second.
+
+use std::collections::HashSet;
+
+use policy::Time;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Fleet;
+use crate::Holdings;
+use crate::Load;
+use crate::PartKey;
+
+/// A router's requests at one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLoad {
+    /// Mark of the backend server.
+    pub server: u64,
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that are to be read for them.
+    pub tokens: u64,
+}
+
+/// A part that an engine holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldPart {
+    /// Key of the part.
+    pub part: u64,
+    /// Mark of the engine.
+    pub server: u64,
+}
+
+/// An engine that takes new weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldSwitch {
+    /// Mark of the engine.
+    pub server: u64,
+    /// For how long it is expected to turn requests away, in milliseconds.
+    pub for_ms: u32,
+}
+
+/// Weights that an engine has.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldWeights {
+    /// Mark of the engine.
+    pub server: u64,
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+}
+
+/// One message.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Mark of the router that speaks.
+    pub from: u64,
+    /// Version of its configuration.
+    pub configuration: u64,
+    /// Versions of weights that were named.
+    pub named: Vec<(String, u64)>,
+    /// Its requests; none at backend servers that aren't listed.
+    pub loads: Vec<ToldLoad>,
+    /// Parts that it has sent to engines since its last message.
+    pub parts: Vec<ToldPart>,
+    /// Engines that it has ordered to take new weights.
+    pub switches: Vec<ToldSwitch>,
+    /// Weights that it has seen lately.
+    pub weights: Vec<ToldWeights>,
+}
+
+impl Gossip {
+    /// Takes a message into what this router believes of the fleet.
+    pub fn apply(&self, now: Time, fleet: &mut Fleet, holdings: &mut Holdings) {
+        self.apply_loads(now, fleet);
+        for told in &self.parts {
+            if let Some(key) = fleet.by_mark(told.server) {
+                holdings.note(now, PartKey(told.part), key);
+            }
+        }
+        for told in &self.switches {
+            let key = fleet.by_mark(told.server);
+            if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
+                server.switching_until = now.plus_millis(u64::from(told.for_ms));
+            }
+        }
+        for told in &self.weights {
+            let key = fleet.by_mark(told.server);
+            if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
+                if server.saw_weights(&told.model, told.version) {
+                    server.switching_until = now;
+                }
+            }
+        }
+    }
+
+    fn apply_loads(&self, now: Time, fleet: &mut Fleet) {
+        let told: HashSet<u64> = self.loads.iter().map(|load| load.server).collect();
+        for told in &self.loads {
+            let key = fleet.by_mark(told.server);
+            if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
+                let load = Load {
+                    requests: told.requests,
+                    tokens: told.tokens,
+                };
+                server.set_other_load(now, self.from, load);
+            }
+        }
+        fleet.clear_other_load(self.from, |mark| told.contains(&mark));
+    }
+}
--- /dev/null
+++ b/crates/relay/src/holdings.rs
@@ -0,0 +1,86 @@
+//! Which engines hold which cached parts, as far as routers have sent them there.
+
+use std::collections::HashMap;
+
+use policy::Time;
+
+use crate::ServerKey;
+
+/// Time for which a part that isn't used is believed to be held, in milliseconds.
+const HELD_MS: u64 = 30_000;
+
+/// Engines that are remembered for one part.
+const MAX_HOLDERS: usize = 4;
+
+/// Name of a cached part: its model, its scope and its id, hashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartKey(pub u64);
+
+impl PartKey {
+    /// Returns the name of a part.
+    pub fn new(model: &str, scope: &str, part: u64) -> PartKey {
+        let scope = policy::rendezvous_weight(policy::name_hash(model), policy::name_hash(scope));
+        PartKey(policy::rendezvous_weight(scope, part))
+    }
+}
+
+/// An engine that holds a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Engine.
+    pub server: ServerKey,
+    /// When the part was last used there.
+    pub used_at: Time,
+}
+
+/// Engines that hold each part.
+#[derive(Clone, Debug, Default)]
+pub struct Holdings {
+    by_part: HashMap<PartKey, Vec<Holder>>,
+    swept_at: Time,
+}
+
+impl Holdings {
+    /// Notes that `server` reads or has read a part.
+    pub fn note(&mut self, now: Time, part: PartKey, server: ServerKey) {
+        self.sweep(now);
+        let holders = self.by_part.entry(part).or_default();
+        holders.retain(|holder| holder.server != server);
+        if holders.len() == MAX_HOLDERS {
+            holders.remove(0);
+        }
+        let used_at = now;
+        holders.push(Holder { server, used_at });
+    }
+
+    /// Returns the engines that hold a part, that of the last use last.
+    pub fn holders(&self, part: PartKey) -> &[Holder] {
+        self.by_part.get(&part).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes back that an engine holds a part.
+    pub fn remove(&mut self, part: PartKey, server: ServerKey) {
+        if let Some(holders) = self.by_part.get_mut(&part) {
+            holders.retain(|holder| holder.server != server);
+        }
+    }
+
+    /// Forgets what an engine held.
+    pub fn forget(&mut self, server: ServerKey) {
+        for holders in self.by_part.values_mut() {
+            holders.retain(|holder| holder.server != server);
+        }
+        self.by_part.retain(|_, holders| !holders.is_empty());
+    }
+
+    fn sweep(&mut self, now: Time) {
+        if now.millis_since(self.swept_at) < HELD_MS {
+            return;
+        }
+        self.swept_at = now;
+        for holders in self.by_part.values_mut() {
+            holders.retain(|holder| now.millis_since(holder.used_at) < HELD_MS);
+        }
+        self.by_part.retain(|_, holders| !holders.is_empty());
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,5 +1,7 @@
 //! The router process.
 
+mod forward_command;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -20,6 +22,8 @@
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
+use crate::forward_command::ForwardCommand;
+
 /// Exit code for settings that can't be used.
 const BAD_SETTINGS: u8 = 2;
 
@@ -40,6 +44,15 @@
     /// print the version and exit
     #[argh(switch)]
     version: bool,
+
+    #[argh(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Forward(ForwardCommand),
 }
 
 fn main() -> ExitCode {
@@ -48,6 +61,9 @@
         println!("turmerichollow {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if let Some(Command::Forward(command)) = args.command {
+        return command.run();
+    }
     let Some(path) = args.settings else {
         eprintln!("--settings: expected a file");
         return ExitCode::from(BAD_SETTINGS);
