--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -146,9 +146,12 @@
             steps.extend(self.look(now, *key));
         }
         let mut outdated = outdated(&engines, weights);
-        outdated.sort_by_key(|(key, server, ..)| {
+        // Those that are the furthest behind come first, so that none is passed
+        // over by every version; among them those with the least to finish.
+        outdated.sort_by_key(|(key, server, model, _)| {
             let load = server.load(now);
-            (load.tokens / 500 + u64::from(load.requests), *key)
+            let rest = load.tokens / 500 + u64::from(load.requests);
+            (server.weights(model), rest, *key)
         });
         for (key, server, model, version) in outdated {
             if working >= limit {
