No request begins on weights that were replaced long ago; a leaving router refuses new requests

Ruled out: slow orders (the engines were gone when the version was named). Change: each version has a time from which older ones must not begin; requests are refused as not run 2.9 s after SIGTERM.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::clock::now;
 use crate::codec::RequestHead;
 use crate::hub::Hub;
+use crate::hub::Phase;
 use crate::refusal::Refusal;
 use crate::stream_relay;
 use crate::timing::until;
@@ -44,6 +45,9 @@
 /// Wait that callers are told while this router knows no configuration, in milliseconds.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
 
+/// Wait that callers are told while this router leaves, in milliseconds: another answers them.
+const STOPPING_RETRY_MS: u64 = 50;
+
 /// Time after a deadline at which an answer is given up, in milliseconds: the
 /// backend server's own word about the deadline may be on its way.
 pub const DEADLINE_SLACK_MS: u64 = 120;
@@ -109,6 +113,14 @@
             return Ok(refuse(&hub, Refusal::BadRequest));
         }
     };
+    if hub.phase.get() == Phase::Leaving {
+        let refusal = Refusal::NotRun {
+            reason: "stopping",
+            retry_after_ms: STOPPING_RETRY_MS,
+        };
+        log_refusal(&facts, refusal, 0);
+        return Ok(refuse(&hub, refusal));
+    }
     let configuration = hub.belief.borrow().configuration.clone();
     let Some(configuration) = configuration else {
         let refusal = Refusal::NotRun {
@@ -250,15 +262,10 @@
     /// Chooses a backend server.
     pub fn place(&mut self) -> Result<Choice, Unplaceable> {
         let belief = self.hub.belief.borrow();
-        let prompt = self.facts.prompt.as_ref().map(|prompt| {
-            let wanted = belief.weights.wanted(&prompt.model);
-            let seen_at = belief.weights.seen_at(&prompt.model);
-            Prompt {
-                model: &prompt.model,
-                wanted: wanted.zip(seen_at),
-                parts: &prompt.parts,
-                isolated: self.workspace.as_deref(),
-            }
+        let prompt = self.facts.prompt.as_ref().map(|prompt| Prompt {
+            model: &prompt.model,
+            parts: &prompt.parts,
+            isolated: self.workspace.as_deref(),
         });
         let ask = Ask {
             service: &self.service,
@@ -270,6 +277,7 @@
         let placement = Placement {
             fleet: &belief.fleet,
             holdings: &belief.holdings,
+            weights: &belief.weights,
             domain: &self.hub.settings.domain,
             now: now(),
         };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use relay::Naming;
 use tokio::time::sleep;
 
 use crate::clock::now;
@@ -67,7 +68,7 @@
         Ok(Watched::Changes(listing)) => {
             succeeded(hub, topic, "watch");
             for update in listing.updates {
-                take_in(hub, update);
+                take_in(hub, update, Naming::Fresh);
             }
             Some(listing.as_of)
         }
@@ -91,7 +92,7 @@
 fn take_in_all(hub: &Hub, topic: Topic, listing: Listing) {
     if topic != Topic::Servers {
         for update in listing.updates {
-            take_in(hub, update);
+            take_in(hub, update, Naming::Earlier);
         }
         return;
     }
@@ -99,16 +100,18 @@
     for update in listing.updates {
         match update {
             Update::Server(entry) => entries.push(entry),
-            other => take_in(hub, other),
+            other => take_in(hub, other, Naming::Earlier),
         }
     }
     hub.replace_servers(entries, "store");
 }
 
-fn take_in(hub: &Hub, update: Update) {
+fn take_in(hub: &Hub, update: Update, naming: Naming) {
     match update {
         Update::Configuration(configuration) => hub.adopt_configuration(*configuration, "store"),
-        Update::Weights { model, version } => hub.adopt_weights(&model, version, "store"),
+        Update::Weights { model, version } => {
+            hub.adopt_weights(&model, version, naming, "store");
+        }
         Update::Server(entry) => hub.adopt_server(entry, "store"),
         Update::ServerGone(id) => hub.drop_server(&id, "store"),
         Update::Record(record) => records::take_in(hub, record),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,6 +27,7 @@
 use crate::exchange;
 use crate::exchange::Aborted;
 use crate::hub::Hub;
+use crate::hub::Phase;
 use crate::pool::configure;
 use crate::pool::describe;
 
@@ -107,7 +108,7 @@
 
 async fn handle(hub: Rc<Hub>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Aborted> {
     let mut answer = exchange::answer(Rc::clone(&hub), req).await?;
-    if hub.stopping.get() {
+    if hub.phase.get() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::front::serve_pages;
 use crate::hub::Belief;
 use crate::hub::Hub;
+use crate::hub::Phase;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
 use crate::orders;
@@ -44,7 +45,7 @@
 
 /// Time after the signal to stop during which the balancer may still send
 /// callers here, in milliseconds.
-const ROTATION_MS: u64 = 3_500;
+const ROTATION_MS: u64 = 2_900;
 
 /// Time before the process would be killed at which it ends, in milliseconds.
 const STOP_MARGIN_MS: u64 = 400;
@@ -95,6 +96,7 @@
 impl Gateway {
     /// Opens all ports and starts all tasks; needs a local task set.
     pub async fn start(settings: Settings, outside: Outside) -> Result<Gateway, Error> {
+        let belief = Belief::new(&settings);
         let hub = Rc::new(Hub {
             settings,
             codec: outside.codec,
@@ -104,11 +106,8 @@
             peers: Peers::default(),
             metrics: Metrics::new(),
             log: outside.log,
-            belief: RefCell::new(Belief {
-                store_heard_at: now(),
-                ..Belief::default()
-            }),
-            stopping: Cell::new(false),
+            belief: RefCell::new(belief),
+            phase: Cell::new(Phase::Serving),
         });
         let (close, callers) = watch::channel(false);
         let gateway = Gateway {
@@ -149,13 +148,15 @@
     async fn stop(self) {
         let told_at = now();
         let hub = &self.hub;
-        hub.stopping.set(true);
+        hub.phase.set(Phase::Draining);
         log::info!("event=stop phase=draining open={}", self.connections());
         let last = told_at.plus_millis(hub.settings.stop_ms.saturating_sub(STOP_MARGIN_MS));
         let rotated = told_at.plus_millis(ROTATION_MS).min(last);
         while now() < rotated {
             sleep(STOP_LOOK).await;
         }
+        hub.phase.set(Phase::Leaving);
+        log::info!("event=stop phase=leaving open={}", self.connections());
         self.close.send_replace(true);
         while self.connections() > 0 && now() < last {
             sleep(STOP_LOOK).await;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -10,6 +10,7 @@
 use relay::Configuration;
 use relay::Fleet;
 use relay::Holdings;
+use relay::Naming;
 use relay::OrderPlan;
 use relay::SendBudget;
 use relay::ServerEntry;
@@ -27,8 +28,18 @@
 use crate::store::Revision;
 use crate::store::Store;
 
+/// Where a process is between its start and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It serves callers.
+    Serving,
+    /// It was told to stop, and still serves the callers that come.
+    Draining,
+    /// It finishes the requests that it has, and refuses others.
+    Leaving,
+}
+
 /// What a gateway believes.
-#[derive(Default)]
 pub struct Belief {
     /// Configuration in force.
     pub configuration: Option<Rc<Configuration>>,
@@ -76,10 +87,39 @@
     pub log: LogSink,
     /// What this router believes.
     pub belief: RefCell<Belief>,
-    /// Whether the process was told to stop.
-    pub stopping: Cell<bool>,
+    /// Where this process is between its start and its end.
+    pub phase: Cell<Phase>,
+}
+
+impl Belief {
+    /// Returns what a gateway believes that has heard nothing.
+    pub fn new(settings: &Settings) -> Belief {
+        let due_ms = settings.weights_due_ms.saturating_sub(WEIGHTS_MARGIN_MS);
+        Belief {
+            configuration: None,
+            weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
+            fleet: Fleet::default(),
+            fleet_known: false,
+            store_away_until: Time(0),
+            store_heard_at: now(),
+            store_failing: false,
+            holdings: Holdings::default(),
+            budgets: HashMap::new(),
+            order_holder: None,
+            tenure: None,
+            plan: OrderPlan::default(),
+        }
+    }
 }
 
+/// Time that a request may spend on its way and in an engine's queue before it
+/// begins, in milliseconds.
+const WEIGHTS_MARGIN_MS: u64 = 1_000;
+
+/// Time for which older weights are still used when a router starts and can't
+/// know when the newest were named, in milliseconds.
+const EARLIER_WEIGHTS_DUE_MS: u64 = 2_500;
+
 impl Hub {
     /// Takes in a configuration; older ones than the one in force are ignored.
     pub fn adopt_configuration(&self, configuration: Configuration, source: &str) {
@@ -101,10 +141,10 @@
     }
 
     /// Takes in the newest version of a model's weights.
-    pub fn adopt_weights(&self, model: &str, version: u64, source: &str) {
+    pub fn adopt_weights(&self, model: &str, version: u64, naming: Naming, source: &str) {
         let mut belief = self.belief.borrow_mut();
-        if belief.weights.name(now(), model, version) {
-            log::info!("event=weights_named model={model:?} version={version} source={source}");
+        if belief.weights.name(now(), model, version, naming) {
+            log::info!("event=weights_named model={model:?} version={version} naming={naming:?} source={source}");
         }
     }
 
@@ -140,7 +180,7 @@
     /// Tells whether requests can be served.
     pub fn is_ready(&self) -> bool {
         let belief = self.belief.borrow();
-        !self.stopping.get() && belief.configuration.is_some() && belief.fleet_known
+        self.phase.get() == Phase::Serving && belief.configuration.is_some() && belief.fleet_known
     }
 
     /// Runs `f` with the budget of a service.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 
 use policy::Time;
 use relay::Gossip;
+use relay::Naming;
 use relay::PartKey;
 use relay::ServerKey;
 use relay::ToldLoad;
@@ -208,7 +209,7 @@
         peer.configuration = message.configuration;
     }
     for (model, version) in &message.named {
-        hub.adopt_weights(model, *version, "peer");
+        hub.adopt_weights(model, *version, Naming::Fresh, "peer");
     }
     let mut belief = hub.belief.borrow_mut();
     let belief = &mut *belief;
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::now;
 use crate::hub::Hub;
+use crate::hub::Phase;
 use crate::store::Committed;
 use crate::store::LeaseId;
 use crate::store::Record;
@@ -128,14 +129,14 @@
         sleep(LOOK).await;
         let free = {
             let belief = hub.belief.borrow();
-            belief.order_holder.is_none() && belief.fleet_known && !hub.stopping.get()
+            belief.order_holder.is_none() && belief.fleet_known && hub.phase.get() == Phase::Serving
         };
         if !free {
             continue;
         }
         let spread = rand::rng().random_range(0..TAKE_OVER_SPREAD_MS);
         sleep(Duration::from_millis(spread)).await;
-        if hub.belief.borrow().order_holder.is_some() || hub.stopping.get() {
+        if hub.belief.borrow().order_holder.is_some() || hub.phase.get() != Phase::Serving {
             continue;
         }
         match take_over(&hub).await {
@@ -188,7 +189,7 @@
     let pause = Duration::from_millis(ttl_ms / 4);
     loop {
         sleep(pause).await;
-        if hub.stopping.get() {
+        if hub.phase.get() != Phase::Serving {
             // The lease lapses by itself if this call fails.
             if let Err(e) = hub.store.end(lease).await {
                 log::warn!("event=release_failed reason={:?}", e.to_string());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -89,6 +89,9 @@
     pub stop_ms: u64,
     /// Time after which a leaving backend server must get no request, in milliseconds.
     pub drain_ms: u64,
+    /// Time after which no request may begin on replaced weights, in milliseconds.
+    #[serde(default = "never_ms")]
+    pub weights_due_ms: u64,
     /// Repeats that all routers may make.
     pub repeats: RepeatLimits,
     /// Engines of a service that take new weights at the same time, in percent.
@@ -137,6 +140,11 @@
     }
 }
 
+/// A time that never comes, in milliseconds, for a deployment without such a bound.
+fn never_ms() -> u64 {
+    u64::MAX / 1_000_000
+}
+
 /// Reads an address; an empty text is none.
 fn optional_address<'de, D>(deserializer: D) -> Result<Option<SocketAddr>, D::Error>
 where
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use relay::Configuration;
+use relay::Naming;
 use relay::ServerEntry;
 use serde::Deserialize;
 use serde::Serialize;
@@ -130,7 +131,7 @@
         hub.adopt_configuration(configuration, "peer");
     }
     for (model, version) in snapshot.named {
-        hub.adopt_weights(&model, version, "peer");
+        hub.adopt_weights(&model, version, Naming::Earlier, "peer");
     }
     let own_age_ms = now().millis_since(hub.belief.borrow().store_heard_at);
     if snapshot.age_ms < own_age_ms && !snapshot.servers.is_empty() {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -59,4 +59,5 @@
 pub use server_entry::ServerEntry;
 pub use server_entry::ServerState;
 pub use tenure::Tenure;
+pub use weights::Naming;
 pub use weights::Weights;
--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -28,6 +28,9 @@
 /// Wait after a call that had no usable answer, in milliseconds.
 const PAUSE_MS: u64 = 300;
 
+/// Wait after an engine did not answer a look, in milliseconds.
+const SILENT_PAUSE_MS: u64 = 600;
+
 /// What an engine reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Observed {
@@ -161,7 +164,8 @@
                 continue;
             }
             if let Some(step) = self.begin(now, key, &model, version) {
-                working += 1;
+                // An engine that is only asked may be dead, and must not hold a place.
+                working += usize::from(matches!(step, OrderStep::Order { .. }));
                 steps.push(step);
             }
         }
@@ -173,10 +177,10 @@
             return;
         };
         let Some(observed) = observed else {
-            engine.next_at = now.plus_millis(PAUSE_MS);
-            if matches!(engine.phase, Phase::Asked) {
-                engine.phase = Phase::Unseen;
-            }
+            // An engine that doesn't answer gives its place to another; should
+            // it have taken the order, its count of orders will tell.
+            engine.next_at = now.plus_millis(SILENT_PAUSE_MS);
+            engine.phase = Phase::Unseen;
             return;
         };
         match engine.phase {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -13,6 +13,7 @@
 use crate::Fleet;
 use crate::RouteKind;
 use crate::ServerKey;
+use crate::Weights;
 
 /// Prompt tokens that an engine reads in a millisecond, roughly.
 const TOKENS_PER_MS: f64 = 50.0;
@@ -62,8 +63,6 @@
 pub struct Prompt<'a> {
     /// Model that runs it.
     pub model: &'a str,
-    /// Newest version of the model's weights, and since when it is known here.
-    pub wanted: Option<(u64, Time)>,
     /// Parts in their order; the last is the request's own.
     pub parts: &'a [PromptPart],
     /// Name of the isolated workspace whose parts are not shared.
@@ -147,6 +146,8 @@
     pub fleet: &'a Fleet,
     /// Which engines hold which parts.
     pub holdings: &'a Holdings,
+    /// Versions of weights that were named.
+    pub weights: &'a Weights,
     /// Failure domain of this router.
     pub domain: &'a str,
     /// Present time.
@@ -166,7 +167,7 @@
         }
         let ready = untried
             .iter()
-            .filter(|(_, server)| server.takes_requests(self.now));
+            .filter(|(_, server)| server.takes_requests(self.now) && !self.is_overdue(ask, server));
         let ready: Vec<_> = ready.copied().collect();
         if ready.is_empty() {
             let retry_after_ms = self.back_in_ms(&untried);
@@ -225,7 +226,7 @@
         };
         if let Some(prompt) = &ask.prompt {
             ms += self.reading(prompt, server, ready, &mut choice);
-            ms += self.staleness(prompt, choice.weights);
+            ms += self.staleness(prompt.model, choice.weights);
         }
         (ms, choice)
     }
@@ -288,16 +289,21 @@
         before.count().min(4)
     }
 
-    fn staleness(&self, prompt: &Prompt<'_>, weights: Option<u64>) -> f64 {
-        let (Some((wanted, seen_at)), Some(weights)) = (prompt.wanted, weights) else {
-            return 0.0;
-        };
-        if weights >= wanted || self.now.millis_since(seen_at) < OLD_WEIGHTS_GRACE_MS {
-            0.0
-        } else {
-            OLD_WEIGHTS_MS
+    fn staleness(&self, model: &str, weights: Option<u64>) -> f64 {
+        let replaced_at = weights.and_then(|version| self.weights.replaced_at(model, version));
+        match replaced_at {
+            Some(at) if self.now.millis_since(at) >= OLD_WEIGHTS_GRACE_MS => OLD_WEIGHTS_MS,
+            _ => 0.0,
         }
     }
+
+    fn is_overdue(&self, ask: &Ask<'_>, server: &BackendServer) -> bool {
+        let Some(prompt) = &ask.prompt else {
+            return false;
+        };
+        let version = server.weights(prompt.model);
+        version.is_some_and(|version| self.weights.is_overdue(self.now, prompt.model, version))
+    }
 }
 
 fn serves_model(server: &BackendServer, ask: &Ask<'_>) -> bool {
--- a/crates/relay/src/weights.rs
+++ b/crates/relay/src/weights.rs
@@ -5,48 +5,96 @@
 
 use policy::Time;
 
-/// The newest version of a model's weights.
+/// Versions of one model that are remembered.
+const REMEMBERED: usize = 16;
+
+/// A version of a model's weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Named {
     version: u64,
     seen_at: Time,
+    /// From when no request may begin on an older version.
+    due_at: Time,
+}
+
+/// How long ago a version was named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Naming {
+    /// Just now.
+    Fresh,
+    /// Some time before this router first heard of it.
+    Earlier,
 }
 
-/// The newest version of each model's weights.
-#[derive(Clone, Debug, Default)]
+/// The versions of each model's weights, newest last.
+#[derive(Clone, Debug)]
 pub struct Weights {
-    named: BTreeMap<Arc<str>, Named>,
+    named: BTreeMap<Arc<str>, Vec<Named>>,
+    /// Time within which engines must have a version that was just named, in milliseconds.
+    due_ms: u64,
+    /// The same for a version that was named at an unknown earlier time.
+    earlier_due_ms: u64,
 }
 
 impl Weights {
+    /// Begins without any version; see the fields for the times.
+    pub fn new(due_ms: u64, earlier_due_ms: u64) -> Weights {
+        Weights {
+            named: BTreeMap::new(),
+            due_ms,
+            earlier_due_ms,
+        }
+    }
+
     /// Takes in a version; tells whether it is newer than the one known.
-    pub fn name(&mut self, now: Time, model: &str, version: u64) -> bool {
-        let known = self.wanted(model);
-        if known.is_some_and(|known| known >= version) {
+    pub fn name(&mut self, now: Time, model: &str, version: u64, naming: Naming) -> bool {
+        if self.wanted(model).is_some_and(|known| known >= version) {
             return false;
         }
-        let named = Named {
+        let due_ms = match naming {
+            Naming::Fresh => self.due_ms,
+            Naming::Earlier => self.earlier_due_ms,
+        };
+        let named = self.named.entry(model.into()).or_default();
+        if named.len() == REMEMBERED {
+            named.remove(0);
+        }
+        named.push(Named {
             version,
             seen_at: now,
-        };
-        self.named.insert(model.into(), named);
+            due_at: now.plus_millis(due_ms),
+        });
         true
     }
 
     /// Returns the version that engines of `model` are to have.
     pub fn wanted(&self, model: &str) -> Option<u64> {
-        self.named.get(model).map(|named| named.version)
+        let newest = self.named.get(model)?.last()?;
+        Some(newest.version)
     }
 
-    /// Returns since when the version of `model` is known here.
-    pub fn seen_at(&self, model: &str) -> Option<Time> {
-        self.named.get(model).map(|named| named.seen_at)
+    /// Returns since when `version` of a model's weights is replaced by a newer
+    /// one, as far as this router knows; none if it is the newest.
+    pub fn replaced_at(&self, model: &str, version: u64) -> Option<Time> {
+        self.first_newer(model, version).map(|named| named.seen_at)
     }
 
-    /// Returns all models with their versions.
+    /// Tells whether no request may begin on `version` of a model's weights any more.
+    pub fn is_overdue(&self, now: Time, model: &str, version: u64) -> bool {
+        self.first_newer(model, version)
+            .is_some_and(|named| named.due_at <= now)
+    }
+
+    /// Returns all models with their newest versions.
     pub fn all(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
-        self.named
-            .iter()
-            .map(|(model, named)| (model, named.version))
+        self.named.iter().filter_map(|(model, named)| {
+            let newest = named.last()?;
+            Some((model, newest.version))
+        })
+    }
+
+    fn first_newer(&self, model: &str, version: u64) -> Option<&Named> {
+        let named = self.named.get(model)?;
+        named.iter().find(|named| named.version > version)
     }
 }
