Parts have one home; fetch hints always; silent servers count as slow

Cause: load differences of a few ms moved large parts to second engines, which pushes others out of memory and reads them again.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns for how long it has left requests unanswered, in milliseconds.
+    pub fn silent_ms(&self, now: Time) -> u64 {
+        self.silent_since.map_or(0, |since| now.millis_since(since))
+    }
+
     /// Returns the requests of this router.
     pub fn own_load(&self) -> Load {
         self.own
@@ -298,7 +303,7 @@
         if let Some(server) = self.get_mut(key) {
             server.own.tokens = server.own.tokens.saturating_sub(tokens);
             server.answered_at = now;
-            server.silent_since = None;
+            server.silent_since = (server.own.requests > 1).then_some(now);
         }
     }
 
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -24,11 +24,16 @@
 /// Size from which a part is worth going where it is held, in tokens.
 const ANCHOR_TOKENS: u32 = 1_000;
 
-/// What reading a part again costs beside the time that it takes.
-const REREAD_FACTOR: f64 = 2.0;
+/// Time that a second copy of a held part counts as, in milliseconds, beside
+/// the time to read it: it pushes other parts out of the engine's memory.
+const SECOND_COPY_MS: f64 = 400.0;
 
-/// Time that taking a held part from another engine costs, against reading it.
-const FETCH_FACTOR: f64 = 0.4;
+/// Time without an answer from which a backend server counts as slower than its
+/// load tells, in milliseconds.
+const SILENT_MS: u64 = 300;
+
+/// Time that each millisecond of silence beyond that counts as, in milliseconds.
+const SILENCE_FACTOR: f64 = 4.0;
 
 /// Time that crossing into another failure domain counts as, in milliseconds.
 const FAR_MS: f64 = 25.0;
@@ -41,7 +46,7 @@
 const OLD_WEIGHTS_GRACE_MS: u64 = 1_000;
 
 /// Time that being further down in the order of homes counts as, in milliseconds.
-const RANK_MS: f64 = 40.0;
+const RANK_MS: f64 = 200.0;
 
 /// Requests at a backend server for each that it runs at once, beyond which it gets no more.
 const MAX_WAITING: f64 = 2.0;
@@ -211,6 +216,8 @@
         let load = server.load(self.now);
         let mut ms = load.tokens as f64 / TOKENS_PER_MS + f64::from(load.requests) * REQUEST_MS;
         ms += f64::from(server.failures.min(10)) * REQUEST_MS * 2.0;
+        let silent = server.silent_ms(self.now).saturating_sub(SILENT_MS);
+        ms += silent as f64 * SILENCE_FACTOR;
         if &*server.entry.domain != self.domain {
             ms += FAR_MS;
         }
@@ -255,24 +262,50 @@
         let own = (all - u64::from(anchor.tokens)) as f64 / TOKENS_PER_MS;
         let read = f64::from(anchor.tokens) / TOKENS_PER_MS;
         let holders = self.holdings.holders(part);
-        if holders.iter().any(|holder| holder.server == choice.server) {
+        let held = holders.iter().any(|holder| holder.server == choice.server);
+        choice.fetch_from = self
+            .holder_elsewhere(holders, choice.server)
+            .or_else(|| self.next_home(part, choice.server, server, ready));
+        if held {
             choice.tokens = all - u64::from(anchor.tokens);
             return own;
         }
-        match self.source(holders) {
-            Some(source) => {
-                choice.fetch_from = Some(source);
-                own + read * FETCH_FACTOR * REREAD_FACTOR
-            }
-            None => own + read + self.rank(part, server, ready) as f64 * RANK_MS,
+        if holders.is_empty() {
+            let away = self.rank(part, server, ready) as f64 * RANK_MS;
+            return own + read + away;
         }
+        own + read + SECOND_COPY_MS
+    }
+
+    /// Returns an engine that holds a part, beside the one that is to run the request.
+    fn holder_elsewhere(&self, holders: &[Holder], besides: ServerKey) -> Option<ServerKey> {
+        let others = holders.iter().rev().map(|holder| holder.server);
+        others
+            .filter(|key| *key != besides)
+            .find(|key| self.can_give(*key))
+    }
+
+    /// Returns the engine that is most likely to hold a part which nobody is known to hold.
+    fn next_home(
+        &self,
+        part: PartKey,
+        besides: ServerKey,
+        server: &BackendServer,
+        ready: &[(ServerKey, &BackendServer)],
+    ) -> Option<ServerKey> {
+        let version = &server.entry.weights;
+        let others = ready
+            .iter()
+            .filter(|(key, other)| *key != besides && &other.entry.weights == version);
+        others
+            .max_by_key(|(_, other)| policy::rendezvous_weight(part.0, other.mark))
+            .map(|(key, _)| *key)
     }
 
-    /// Returns an engine that a part can be taken from.
-    fn source(&self, holders: &[Holder]) -> Option<ServerKey> {
-        let live = holders.iter().rev();
-        live.map(|holder| holder.server)
-            .find(|key| self.fleet.get(*key).is_some())
+    fn can_give(&self, key: ServerKey) -> bool {
+        self.fleet
+            .get(key)
+            .is_some_and(|server| server.silent_ms(self.now) < SILENT_MS)
     }
 
     /// Returns how many ready backend servers come before `server` as home of a part.
