--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,6 +119,7 @@
         };
         let in_flight = InFlight::begin(&x.hub, choice.server, choice.tokens);
         note_part(x, choice);
+        log_send(x, choice, &id);
         let req = outgoing(x, choice, id, peer);
         let sent = x.hub.pool.send(choice.server, peer, req);
         let result = if x.route.kind.may_repeat() {
@@ -250,6 +251,29 @@
     req
 }
 
+/// Writes the line that tells where a request goes, and on what grounds.
+fn log_send(x: &Exchange, choice: &Choice, server_id: &str) {
+    let belief = x.hub.belief.borrow();
+    let Some(server) = belief.fleet.get(choice.server) else {
+        return;
+    };
+    let now = now();
+    let load = server.load(now);
+    let part = choice.anchor.map_or(0, |part| part.0);
+    log::info!(
+        "event=sent id={:?} server={server_id} estimate_ms={} requests={} unread_tokens={} weights={} part={part:016x} held={} fetch={} entry_age_ms={} left_ms={}",
+        x.facts.id,
+        choice.estimate_ms,
+        load.requests,
+        load.tokens,
+        choice.weights.unwrap_or(0),
+        choice.held,
+        choice.fetch_from.is_some(),
+        now.millis_since(server.seen_at),
+        x.left_ms(),
+    );
+}
+
 fn origin_form(uri: &http::Uri) -> http::Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| uri.clone(), http::Uri::from)
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -24,6 +24,11 @@
 /// Size from which a part is worth going where it is held, in tokens.
 const ANCHOR_TOKENS: u32 = 1_000;
 
+/// Time that each token of a small shared part counts as which is read again, in
+/// milliseconds, and the tokens up to which it does.
+const SMALL_MISS_MS_PER_TOKEN: f64 = 1.0;
+const MAX_SMALL_TOKENS: u32 = 150;
+
 /// Time that a second copy of a held part counts as, in milliseconds, beside
 /// the time to read it: it pushes other parts out of the engine's memory.
 const SECOND_COPY_MS: f64 = 400.0;
@@ -98,6 +103,8 @@
     pub weights: Option<u64>,
     /// Tokens that it is believed to have to read.
     pub tokens: u64,
+    /// Whether it is believed to hold the large shared part.
+    pub held: bool,
     /// Engine from which it can take the part that it lacks.
     pub fetch_from: Option<ServerKey>,
     /// Scope and key of the large shared part.
@@ -227,6 +234,7 @@
             server: key,
             weights: None,
             tokens: 0,
+            held: false,
             fetch_from: None,
             anchor: None,
             estimate_ms: 0,
@@ -249,14 +257,16 @@
         choice.weights = server.weights(prompt.model);
         let all: u64 = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum();
         choice.tokens = all;
-        let anchor = prompt
-            .parts
-            .split_last()
-            .and_then(|(_, shared)| shared.iter().find(|part| part.tokens >= ANCHOR_TOKENS));
-        let (Some(anchor), Some(weights)) = (anchor, choice.weights) else {
+        let shared = prompt.parts.split_last().map(|(_, shared)| shared);
+        let (Some(shared), Some(weights)) = (shared, choice.weights) else {
             return all as f64 / TOKENS_PER_MS;
         };
         let scope = crate::cache_scope(weights, prompt.isolated);
+        let anchor = shared.iter().find(|part| part.tokens >= ANCHOR_TOKENS);
+        let Some(anchor) = anchor else {
+            let read = all as f64 / TOKENS_PER_MS;
+            return read + self.small_parts(prompt.model, shared, server, ready);
+        };
         let part = PartKey::new(prompt.model, &scope, anchor.id);
         choice.anchor = Some(part);
         let own = (all - u64::from(anchor.tokens)) as f64 / TOKENS_PER_MS;
@@ -266,6 +276,7 @@
         choice.fetch_from = self
             .holder_elsewhere(holders, choice.server)
             .or_else(|| self.next_home(part, choice.server, server, ready));
+        choice.held = held;
         if held {
             choice.tokens = all - u64::from(anchor.tokens);
             return own;
@@ -277,6 +288,26 @@
         own + read + SECOND_COPY_MS
     }
 
+    /// Returns the time that going elsewhere than to the home of small shared
+    /// parts counts as. Their home is that of the innermost, which has the others too.
+    fn small_parts(
+        &self,
+        model: &str,
+        shared: &[PromptPart],
+        server: &BackendServer,
+        ready: &[(ServerKey, &BackendServer)],
+    ) -> f64 {
+        let Some(innermost) = shared.last() else {
+            return 0.0;
+        };
+        let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+        let part = PartKey::new(model, "", innermost.id);
+        if self.rank(part, server, ready) == 0 {
+            return 0.0;
+        }
+        f64::from(tokens.min(MAX_SMALL_TOKENS)) * SMALL_MISS_MS_PER_TOKEN
+    }
+
     /// Returns an engine that holds a part, beside the one that is to run the request.
     fn holder_elsewhere(&self, holders: &[Holder], besides: ServerKey) -> Option<ServerKey> {
         let others = holders.iter().rev().map(|holder| holder.server);
