--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -117,7 +117,7 @@
         let Some((id, peer)) = server(x, choice.server) else {
             return Err(Ended::new(AttemptEnd::Unsent, "server is gone"));
         };
-        let in_flight = InFlight::begin(&x.hub, choice.server, choice.tokens);
+        let in_flight = InFlight::begin(&x.hub, choice.server, choice.reading_ms as u64);
         note_part(x, choice);
         log_send(x, choice, &id);
         let req = outgoing(x, choice, id, peer);
@@ -233,9 +233,7 @@
         left_ms: x.left_ms(),
         workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
         last_event: x.facts.last_event,
-        priority: workspace
-            .and_then(|workspace| workspace.priority)
-            .unwrap_or(x.route.priority),
+        priority: relay::engine_priority(&x.route, workspace, choice.reading_ms),
         weights: choice.weights.map(|version| ExpectedWeights {
             version,
             scope: relay::cache_scope(version, workspace),
@@ -261,11 +259,12 @@
     let load = server.load(now);
     let part = choice.anchor.map_or(0, |part| part.0);
     log::info!(
-        "event=sent id={:?} server={server_id} estimate_ms={} requests={} unread_tokens={} weights={} part={part:016x} held={} fetch={} entry_age_ms={} left_ms={}",
+        "event=sent id={:?} server={server_id} cost_ms={:.0} wait_ms={:.0} reading_ms={:.0} requests={} weights={} part={part:016x} held={} fetch={} entry_age_ms={} left_ms={}",
         x.facts.id,
-        choice.estimate_ms,
+        choice.cost_ms,
+        choice.wait_ms,
+        choice.reading_ms,
         load.requests,
-        load.tokens,
         choice.weights.unwrap_or(0),
         choice.held,
         choice.fetch_from.is_some(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -265,11 +265,13 @@
         let prompt = self.facts.prompt.as_ref().map(|prompt| Prompt {
             model: &prompt.model,
             parts: &prompt.parts,
-            isolated: self.workspace.as_deref(),
+            workspace: self.workspace.as_deref(),
         });
         let ask = Ask {
             service: &self.service,
             kind: self.route.kind,
+            objective_ms: self.route.objective_ms,
+            deadline: self.deadline,
             prompt,
             tried: &self.tried,
             seed: self.seed,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -11,32 +11,32 @@
 pub struct InFlight {
     hub: Rc<Hub>,
     server: ServerKey,
-    unread_tokens: u64,
+    reading_ms: u64,
 }
 
 impl InFlight {
-    /// Counts a request with `tokens` to be read.
-    pub fn begin(hub: &Rc<Hub>, server: ServerKey, tokens: u64) -> InFlight {
+    /// Counts a request whose prompt takes `reading_ms` to read.
+    pub fn begin(hub: &Rc<Hub>, server: ServerKey, reading_ms: u64) -> InFlight {
         let mut belief = hub.belief.borrow_mut();
-        belief.fleet.begin(now(), server, tokens);
+        belief.fleet.begin(now(), server, reading_ms);
         InFlight {
             hub: Rc::clone(hub),
             server,
-            unread_tokens: tokens,
+            reading_ms: reading_ms,
         }
     }
 
     /// Notes that the backend server has answered, after it read the prompt.
     pub fn answered(&mut self) {
         let mut belief = self.hub.belief.borrow_mut();
-        let tokens = std::mem::take(&mut self.unread_tokens);
-        belief.fleet.prompt_read(now(), self.server, tokens);
+        let read_ms = std::mem::take(&mut self.reading_ms);
+        belief.fleet.prompt_read(now(), self.server, read_ms);
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut belief = self.hub.belief.borrow_mut();
-        belief.fleet.end(self.server, self.unread_tokens);
+        belief.fleet.end(self.server, self.reading_ms);
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -225,7 +225,7 @@
     let loads = loads.map(|(_, server)| ToldLoad {
         server: server.mark,
         requests: server.own_load().requests,
-        tokens: server.own_load().tokens,
+        reading_ms: server.own_load().reading_ms,
     });
     let parts = hub.peers.parts.borrow();
     let parts = parts.iter().rev().take(MAX_PARTS).filter_map(|recent| {
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -27,8 +27,8 @@
 pub struct Load {
     /// Requests.
     pub requests: u32,
-    /// Prompt tokens that are to be read for them.
-    pub tokens: u64,
+    /// Time to read their prompts, as far as they wait for that, in milliseconds.
+    pub reading_ms: u64,
 }
 
 /// What changed in the fleet.
@@ -105,7 +105,7 @@
         let live = self.others.values().filter(|other| other.until > now);
         live.fold(self.own, |sum, other| Load {
             requests: sum.requests + other.load.requests,
-            tokens: sum.tokens + other.load.tokens,
+            reading_ms: sum.reading_ms + other.load.reading_ms,
         })
     }
 
@@ -290,28 +290,28 @@
     }
 
     /// Counts a request of this router that is sent to a backend server.
-    pub fn begin(&mut self, now: Time, key: ServerKey, tokens: u64) {
+    pub fn begin(&mut self, now: Time, key: ServerKey, reading_ms: u64) {
         if let Some(server) = self.get_mut(key) {
             server.own.requests += 1;
-            server.own.tokens += tokens;
+            server.own.reading_ms += reading_ms;
             server.silent_since.get_or_insert(now);
         }
     }
 
-    /// Counts down the tokens of a request, once its prompt has been read.
-    pub fn prompt_read(&mut self, now: Time, key: ServerKey, tokens: u64) {
+    /// Counts down the reading of a request, once its prompt has been read.
+    pub fn prompt_read(&mut self, now: Time, key: ServerKey, reading_ms: u64) {
         if let Some(server) = self.get_mut(key) {
-            server.own.tokens = server.own.tokens.saturating_sub(tokens);
+            server.own.reading_ms = server.own.reading_ms.saturating_sub(reading_ms);
             server.answered_at = now;
             server.silent_since = (server.own.requests > 1).then_some(now);
         }
     }
 
     /// Ends a request of this router.
-    pub fn end(&mut self, key: ServerKey, tokens: u64) {
+    pub fn end(&mut self, key: ServerKey, reading_ms: u64) {
         if let Some(server) = self.get_mut(key) {
             server.own.requests = server.own.requests.saturating_sub(1);
-            server.own.tokens = server.own.tokens.saturating_sub(tokens);
+            server.own.reading_ms = server.own.reading_ms.saturating_sub(reading_ms);
             if server.own.requests == 0 {
                 server.silent_since = None;
             }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -18,8 +18,8 @@
     pub server: u64,
     /// Requests.
     pub requests: u32,
-    /// Prompt tokens that are to be read for them.
-    pub tokens: u64,
+    /// Time to read their prompts, as far as they wait for that, in milliseconds.
+    pub reading_ms: u64,
 }
 
 /// A part that an engine holds.
@@ -102,7 +102,7 @@
             if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
                 let load = Load {
                     requests: told.requests,
-                    tokens: told.tokens,
+                    reading_ms: told.reading_ms,
                 };
                 server.set_other_load(now, self.from, load);
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,14 +3,17 @@
 //! Everything here is pure: time, a seed and facts go in, choices come out. The
 //! package `gateway` carries them out.
 
+mod affinity;
 mod cache_scope;
 mod configuration;
+mod engine_priority;
 mod event_splitter;
 mod fleet;
 mod gossip;
 mod holdings;
 mod order_plan;
 mod placement;
+mod reading;
 mod retry;
 mod send_budget;
 mod server_entry;
@@ -25,6 +28,7 @@
 pub use configuration::ServiceSpec;
 pub use configuration::Share;
 pub use configuration::Workspace;
+pub use engine_priority::engine_priority;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::SplitError;
 pub use event_splitter::StreamEvent;
--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -153,7 +153,7 @@
         // over by every version; among them those with the least to finish.
         outdated.sort_by_key(|(key, server, model, _)| {
             let load = server.load(now);
-            let rest = load.tokens / 500 + u64::from(load.requests);
+            let rest = load.reading_ms / 10 + u64::from(load.requests);
             (server.weights(model), rest, *key)
         });
         for (key, server, model, version) in outdated {
