--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -51,6 +51,7 @@
 
 async fn carry_out(hub: Rc<Hub>, step: OrderStep) {
     match step {
+        OrderStep::Announce(server) => announce(&hub, server),
         OrderStep::Report(server) => report(&hub, server).await,
         OrderStep::Order {
             server,
@@ -61,6 +62,14 @@
     }
 }
 
+fn announce(hub: &Hub, key: ServerKey) {
+    let until = now().plus_millis(SWITCH_MS);
+    if let Some(server) = hub.belief.borrow_mut().fleet.get_mut(key) {
+        server.switching_until = until;
+    }
+    hub.peers.tell_switch(key, until);
+}
+
 async fn report(hub: &Hub, key: ServerKey) {
     let Some((_, address)) = address(hub, key) else {
         return;
@@ -101,11 +110,7 @@
         let mut belief = hub.belief.borrow_mut();
         return belief.plan.on_reply(now(), key, Reply::Conflict);
     };
-    let until = now().plus_millis(SWITCH_MS);
-    if let Some(server) = hub.belief.borrow_mut().fleet.get_mut(key) {
-        server.switching_until = until;
-    }
-    hub.peers.tell_switch(key, until);
+    announce(hub, key);
     let order = WeightsOrder {
         engine: Arc::clone(&engine),
         model: Arc::clone(&model),
--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -28,6 +28,10 @@
 /// Wait after a call that had no usable answer, in milliseconds.
 const PAUSE_MS: u64 = 300;
 
+/// Time between an announcement and its order, in milliseconds: the news reach
+/// all routers, and what is in the engine's queue begins.
+const ANNOUNCED_MS: u64 = 100;
+
 /// Wait after an engine did not answer a look, in milliseconds.
 const SILENT_PAUSE_MS: u64 = 600;
 
@@ -64,6 +68,9 @@
 /// A call to make.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderStep {
+    /// Tell all routers that an engine is about to take weights: requests that
+    /// wait in its queue when the order comes would be turned away.
+    Announce(ServerKey),
     /// Ask an engine for its report.
     Report(ServerKey),
     /// Order an engine to take weights.
@@ -87,6 +94,8 @@
     Asked,
     /// Its count of orders is known.
     Known { accepted: u64 },
+    /// Routers were told that an order is about to be sent.
+    Announced { accepted: u64 },
     /// An order was sent.
     Sent { accepted: u64, version: u64 },
     /// An order was accepted, or may have been.
@@ -145,7 +154,7 @@
         let limit = at_once(engines.len(), at_once_percent);
         let mut working = 0;
         for (key, _) in &engines {
-            working += usize::from(self.is_working(*key));
+            working += usize::from(self.is_working(*key) || self.is_announced(*key));
             steps.extend(self.look(now, *key));
         }
         let mut outdated = outdated(&engines, weights);
@@ -157,15 +166,15 @@
             (server.weights(model), rest, *key)
         });
         for (key, server, model, version) in outdated {
-            if working >= limit {
-                return;
+            if working >= limit && !self.is_announced(key) {
+                continue;
             }
             if server.entry.state != ServerState::Ready || self.is_working(key) {
                 continue;
             }
             if let Some(step) = self.begin(now, key, &model, version) {
                 // An engine that is only asked may be dead, and must not hold a place.
-                working += usize::from(matches!(step, OrderStep::Order { .. }));
+                working += usize::from(matches!(step, OrderStep::Announce(_)));
                 steps.push(step);
             }
         }
@@ -197,7 +206,7 @@
                     now
                 };
             }
-            Phase::Sent { .. } => {}
+            Phase::Announced { .. } | Phase::Sent { .. } => {}
             Phase::Working {
                 accepted,
                 version,
@@ -260,6 +269,11 @@
         })
     }
 
+    fn is_announced(&self, key: ServerKey) -> bool {
+        let engine = self.engines.get(&key);
+        engine.is_some_and(|engine| matches!(engine.phase, Phase::Announced { .. }))
+    }
+
     fn look(&mut self, now: Time, key: ServerKey) -> Option<OrderStep> {
         let engine = self.engines.get_mut(&key)?;
         let due = matches!(engine.phase, Phase::Working { .. }) && engine.next_at <= now;
@@ -291,6 +305,11 @@
                 Some(OrderStep::Report(key))
             }
             Phase::Known { accepted } => {
+                engine.phase = Phase::Announced { accepted };
+                engine.next_at = now.plus_millis(ANNOUNCED_MS);
+                Some(OrderStep::Announce(key))
+            }
+            Phase::Announced { accepted } => {
                 engine.phase = Phase::Sent { accepted, version };
                 Some(OrderStep::Order {
                     server: key,
