--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -361,13 +361,13 @@
 }
 
 fn learn(x: &Exchange, choice: &Choice, facts: &AnswerHead, status: StatusCode) {
+    if let (Some(prompt), Some(version)) = (&x.facts.prompt, facts.weights) {
+        x.hub.saw_weights(choice.server, &prompt.model, version);
+    }
     let mut belief = x.hub.belief.borrow_mut();
     let Some(server) = belief.fleet.get_mut(choice.server) else {
         return;
     };
-    if let (Some(prompt), Some(version)) = (&x.facts.prompt, facts.weights) {
-        server.saw_weights(&prompt.model, version);
-    }
     if status.is_server_error() {
         server.failures += 1;
     } else {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,4 +1,4 @@
-//! Follows what the store says.
+//! Follows what the store says of the operators and of the routers.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,23 +10,18 @@
 use crate::clock::now;
 use crate::hub::Hub;
 use crate::records;
-use crate::store::Listing;
 use crate::store::Revision;
 use crate::store::StoreError;
 use crate::store::Topic;
 use crate::store::Update;
 use crate::store::Watched;
 
-/// Time for which a watch of rare changes waits, in milliseconds.
-const RARE_WAIT_MS: u64 = 20_000;
+/// Time for which a watch waits, in milliseconds.
+const WAIT_MS: u64 = 20_000;
 
-/// Time for which a watch of registrations waits, in milliseconds.
-const SERVERS_WAIT_MS: u64 = 2_000;
-
-/// Pause between two watches of registrations, whose heartbeats are changes
-/// too, in milliseconds: each call is paid for, and a leaving server must be
-/// left within the platform's bound.
-const SERVERS_PAUSE_MS: u64 = 700;
+/// Pause between two watches of the routers' records, which all change at once
+/// when many routers start.
+const ROUTERS_PAUSE: Duration = Duration::from_millis(300);
 
 /// Pause after a call that failed, in milliseconds; up to half as much again is added.
 const FAILED_PAUSE_MS: u64 = 250;
@@ -37,9 +32,10 @@
         let mut after = match hub.store.list(topic).await {
             Ok(listing) => {
                 succeeded(&hub, topic, "list");
-                let as_of = listing.as_of;
-                take_in_all(&hub, topic, listing);
-                as_of
+                for update in listing.updates {
+                    take_in(&hub, update, Naming::Earlier);
+                }
+                listing.as_of
             }
             Err(e) => {
                 failed(&hub, topic, "list", &e).await;
@@ -54,17 +50,10 @@
 
 /// Waits for changes; none if the topic must be listed again.
 async fn watch(hub: &Hub, topic: Topic, after: Revision) -> Option<Revision> {
-    let wait_ms = match topic {
-        Topic::Servers => {
-            sleep(Duration::from_millis(SERVERS_PAUSE_MS)).await;
-            if must_relist(hub) {
-                return None;
-            }
-            SERVERS_WAIT_MS
-        }
-        Topic::Operators | Topic::Routers => RARE_WAIT_MS,
-    };
-    match hub.store.watch(topic, after, wait_ms).await {
+    if topic == Topic::Routers {
+        sleep(ROUTERS_PAUSE).await;
+    }
+    match hub.store.watch(topic, after, WAIT_MS).await {
         Ok(Watched::Changes(listing)) => {
             succeeded(hub, topic, "watch");
             for update in listing.updates {
@@ -83,30 +72,8 @@
     }
 }
 
-/// Tells whether registrations are missing since the store was away, and would be back by now.
-fn must_relist(hub: &Hub) -> bool {
-    let belief = hub.belief.borrow();
-    belief.fleet.has_missing() && belief.fleet.is_restored(now(), belief.store_away_until)
-}
-
-fn take_in_all(hub: &Hub, topic: Topic, listing: Listing) {
-    if topic != Topic::Servers {
-        for update in listing.updates {
-            take_in(hub, update, Naming::Earlier);
-        }
-        return;
-    }
-    let mut entries = Vec::new();
-    for update in listing.updates {
-        match update {
-            Update::Server(entry) => entries.push(entry),
-            other => take_in(hub, other, Naming::Earlier),
-        }
-    }
-    hub.replace_servers(entries, "store");
-}
-
-fn take_in(hub: &Hub, update: Update, naming: Naming) {
+/// Takes in one thing that the store says.
+pub fn take_in(hub: &Hub, update: Update, naming: Naming) {
     match update {
         Update::Configuration(configuration) => hub.adopt_configuration(*configuration, "store"),
         Update::Weights { model, version } => {
@@ -122,7 +89,8 @@
     }
 }
 
-fn succeeded(hub: &Hub, topic: Topic, call: &'static str) {
+/// Notes a call that succeeded.
+pub fn succeeded(hub: &Hub, topic: Topic, call: &'static str) {
     let calls = &hub.metrics.store_calls;
     calls.with_label_values(&[call, "ok"]).inc();
     let mut belief = hub.belief.borrow_mut();
@@ -138,7 +106,8 @@
     belief.store_heard_at = now();
 }
 
-async fn failed(hub: &Hub, topic: Topic, call: &'static str, e: &StoreError) {
+/// Notes a call that failed, and waits before the next.
+pub async fn failed(hub: &Hub, topic: Topic, call: &'static str, e: &StoreError) {
     let calls = &hub.metrics.store_calls;
     calls.with_label_values(&[call, "failed"]).inc();
     {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,17 +20,18 @@
 use crate::codec::Codec;
 use crate::engines::Engines;
 use crate::feed;
+use crate::fleet_feed;
 use crate::front;
 use crate::front::accept;
 use crate::front::listen;
 use crate::front::serve_pages;
+use crate::gossip_task;
 use crate::hub::Belief;
 use crate::hub::Hub;
 use crate::hub::Phase;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
 use crate::orders;
-use crate::peers;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::records;
@@ -97,13 +98,14 @@
     /// Opens all ports and starts all tasks; needs a local task set.
     pub async fn start(settings: Settings, outside: Outside) -> Result<Gateway, Error> {
         let belief = Belief::new(&settings);
+        let peers = Peers::new(&settings.name, records::member(&settings));
         let hub = Rc::new(Hub {
             settings,
             codec: outside.codec,
             store: outside.store,
             engines: outside.engines,
             pool: Pool::default(),
-            peers: Peers::default(),
+            peers,
             metrics: Metrics::new(),
             log: outside.log,
             belief: RefCell::new(belief),
@@ -200,7 +202,7 @@
             what: "messages of other routers",
             address,
         })?;
-        tokio::task::spawn_local(peers::run(Rc::clone(hub), socket));
+        tokio::task::spawn_local(gossip_task::run(Rc::clone(hub), socket));
         Ok(())
     }
 
@@ -222,11 +224,11 @@
 
     fn spawn_tasks(&self) {
         let hub = &self.hub;
-        for topic in [Topic::Operators, Topic::Servers, Topic::Routers] {
+        tokio::task::spawn_local(fleet_feed::run(Rc::clone(hub)));
+        for topic in [Topic::Operators, Topic::Routers] {
             tokio::task::spawn_local(feed::run(Rc::clone(hub), topic));
         }
-        let address = self.peer_address();
-        tokio::task::spawn_local(records::keep_member(Rc::clone(hub), address));
+        tokio::task::spawn_local(records::keep_member(Rc::clone(hub)));
         tokio::task::spawn_local(records::hold_orders(Rc::clone(hub)));
         tokio::task::spawn_local(orders::run(Rc::clone(hub)));
         tokio::task::spawn_local(snapshot::run(Rc::clone(hub)));
--- /dev/null
+++ b/crates/gateway/src/gossip_task.rs
@@ -0,0 +1,219 @@
+//! Sends and receives the routers' messages.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use relay::Gossip;
+use relay::Naming;
+use relay::PartKey;
+use relay::ServerKey;
+use relay::ToldFleet;
+use relay::ToldLoad;
+use relay::ToldPart;
+use relay::ToldSwitch;
+use relay::ToldWeights;
+use tokio::net::UdpSocket;
+use tokio::time::timeout;
+
+use crate::clock::now;
+use crate::hub::Followed;
+use crate::hub::Hub;
+
+/// Longest time between two messages where routers speak to all others.
+const DIRECT_ROUND: Duration = Duration::from_millis(150);
+
+/// Longest time between two messages where routers speak through hubs.
+const HUB_ROUND: Duration = Duration::from_millis(250);
+
+/// Parts that one message tells at most.
+const MAX_PARTS: usize = 60;
+
+/// Largest message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 16_384;
+
+/// Sends and receives messages until the process ends.
+pub async fn run(hub: Rc<Hub>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    tokio::task::spawn_local(receive(Rc::clone(&hub), Rc::clone(&socket)));
+    loop {
+        let round = if hub.peers.topology.borrow().is_direct() {
+            DIRECT_ROUND
+        } else {
+            HUB_ROUND
+        };
+        // Either a change or the end of the round: both lead to a message.
+        let _ = timeout(round, hub.peers.wake.notified()).await;
+        let message = compose(&hub);
+        hub.peers.forget_old();
+        let bytes = match postcard::to_stdvec(&message) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!("event=gossip_failed reason={:?}", e.to_string());
+                continue;
+            }
+        };
+        let audience = hub.peers.topology.borrow_mut().audience(now());
+        send(&hub, &socket, &audience, &bytes).await;
+    }
+}
+
+async fn send(hub: &Hub, socket: &UdpSocket, audience: &[u64], bytes: &[u8]) {
+    for mark in audience {
+        let Some(address) = hub.peers.address(*mark) else {
+            continue;
+        };
+        if let Err(e) = socket.send_to(bytes, address).await {
+            log::debug!(
+                "event=gossip_unsent peer={address} reason={:?}",
+                e.to_string()
+            );
+        }
+    }
+}
+
+async fn receive(hub: Rc<Hub>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; MAX_MESSAGE_BYTES];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                log::debug!("event=gossip_receive_failed reason={:?}", e.to_string());
+                tokio::time::sleep(DIRECT_ROUND).await;
+                continue;
+            }
+        };
+        let bytes = &buf[..len];
+        match postcard::from_bytes::<Gossip>(bytes) {
+            Ok(message) => {
+                take_in(&hub, from, &message);
+                let audience = passed_on(&hub, &message);
+                send(&hub, &socket, &audience, bytes).await;
+            }
+            Err(e) => log::warn!(
+                "event=gossip_unreadable peer={from} reason={:?}",
+                e.to_string()
+            ),
+        }
+    }
+}
+
+/// Returns the routers to which a hub passes another hub's message.
+fn passed_on(hub: &Hub, message: &Gossip) -> Vec<u64> {
+    let mut topology = hub.peers.topology.borrow_mut();
+    let foreign = message
+        .region
+        .is_some_and(|region| region != topology.region());
+    if foreign && topology.is_hub(now()) {
+        topology.near()
+    } else {
+        Vec::new()
+    }
+}
+
+fn take_in(hub: &Hub, from: SocketAddr, message: &Gossip) {
+    let now = now();
+    hub.peers.heard(message.from, message.configuration);
+    for (model, version) in &message.named {
+        hub.adopt_weights(model, *version, Naming::Fresh, "peer");
+    }
+    let own_region = message.region == Some(hub.peers.topology.borrow().region());
+    let own = hub.peers.told_loads.borrow();
+    let mut belief = hub.belief.borrow_mut();
+    let belief = &mut *belief;
+    message.apply(
+        now,
+        &mut belief.fleet,
+        &mut belief.holdings,
+        own_region.then_some(own.as_slice()),
+    );
+    if let Some(told) = message.fleet {
+        let own = hub.peers.address(message.from).unwrap_or(from);
+        belief.followed = Some(Followed::new(now, own, told));
+    }
+    if message.region.is_none() && !hub.peers.topology.borrow().is_direct() {
+        repeat(hub, belief, message);
+    }
+}
+
+/// Takes a member's news among those that this hub tells.
+fn repeat(hub: &Hub, belief: &crate::hub::Belief, message: &Gossip) {
+    for told in &message.parts {
+        if let Some(key) = belief.fleet.by_mark(told.server) {
+            hub.peers.tell_part(PartKey(told.part), key);
+        }
+    }
+    for told in &message.switches {
+        if let Some(key) = belief.fleet.by_mark(told.server) {
+            let until = now().plus_millis(u64::from(told.for_ms));
+            hub.peers.tell_switch(key, until);
+        }
+    }
+    for told in &message.weights {
+        if let Some(key) = belief.fleet.by_mark(told.server) {
+            hub.peers.tell_weights(key, &told.model, told.version);
+        }
+    }
+}
+
+fn compose(hub: &Hub) -> Gossip {
+    let now = now();
+    let mut topology = hub.peers.topology.borrow_mut();
+    let is_hub = topology.is_hub(now);
+    let belief = hub.belief.borrow();
+    let fleet = &belief.fleet;
+    let mark = |key: ServerKey| fleet.get(key).map(|server| server.mark);
+    let loads = fleet.iter().map(|(_, server)| {
+        let load = server.load_with(now, |router| is_hub && topology.is_near(router));
+        ToldLoad {
+            server: server.mark,
+            requests: load.requests,
+            reading_ms: load.reading_ms,
+        }
+    });
+    let loads: Vec<ToldLoad> = loads.filter(|load| load.requests > 0).collect();
+    let parts = hub.peers.parts.borrow();
+    let parts = parts.iter().rev().take(MAX_PARTS).filter_map(|recent| {
+        let (part, server) = recent.told;
+        Some(ToldPart {
+            part: part.0,
+            server: mark(server)?,
+        })
+    });
+    let switches = hub.peers.switches.borrow();
+    let switches = switches.iter().filter_map(|recent| {
+        let (server, until) = recent.told;
+        let for_ms = u32::try_from(until.millis_since(now)).ok()?;
+        Some(ToldSwitch {
+            server: mark(server)?,
+            for_ms,
+        })
+    });
+    let weights = hub.peers.weights.borrow();
+    let weights = weights.iter().filter_map(|recent| {
+        let (server, model, version) = &recent.told;
+        Some(ToldWeights {
+            server: mark(*server)?,
+            model: model.clone(),
+            version: *version,
+        })
+    });
+    let named = belief.weights.all();
+    let told_fleet = belief.read_registrations.map(|read| ToldFleet {
+        digest: fleet.digest(),
+        as_of: read.as_of,
+        age_ms: u32::try_from(now.millis_since(read.read_at)).unwrap_or(u32::MAX),
+    });
+    *hub.peers.told_loads.borrow_mut() = loads.clone();
+    Gossip {
+        from: hub.peers.me,
+        region: is_hub.then(|| topology.region()),
+        configuration: belief.configuration.as_ref().map_or(0, |c| c.version),
+        fleet: told_fleet,
+        named: named.map(|(m, v)| (m.to_string(), v)).collect(),
+        loads,
+        parts: parts.collect(),
+        switches: switches.collect(),
+        weights: weights.collect(),
+    }
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -14,7 +15,9 @@
 use relay::OrderPlan;
 use relay::SendBudget;
 use relay::ServerEntry;
+use relay::ServerKey;
 use relay::Tenure;
+use relay::ToldFleet;
 use relay::Weights;
 
 use crate::clock::now;
@@ -39,6 +42,51 @@
     Leaving,
 }
 
+/// Registrations that this router has read from the store.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadRegistrations {
+    /// Position of the store's history up to which they were read.
+    pub as_of: Revision,
+    /// When.
+    pub read_at: Time,
+}
+
+/// Registrations that another router reads for this one.
+#[derive(Clone, Copy, Debug)]
+pub struct Followed {
+    /// Address of that router.
+    pub reader: SocketAddr,
+    /// Hash of the registrations as it has read them.
+    pub digest: u64,
+    /// Position of the store's history up to which it has read them.
+    pub as_of: Revision,
+    /// When it read them.
+    pub read_at: Time,
+}
+
+impl Followed {
+    /// Takes in what another router tells at `now`.
+    pub fn new(now: Time, reader: SocketAddr, told: ToldFleet) -> Followed {
+        let age_us = u64::from(told.age_ms) * 1_000;
+        Followed {
+            reader,
+            digest: told.digest,
+            as_of: told.as_of,
+            read_at: Time(now.0.saturating_sub(age_us)),
+        }
+    }
+
+    /// Tells whether that router has read them lately.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        now.millis_since(self.read_at) < FOLLOWED_MS
+    }
+}
+
+/// Age up to which registrations that another router has read are relied on, in
+/// milliseconds: a router that reads them itself then still leaves a leaving
+/// server in time.
+const FOLLOWED_MS: u64 = 1_300;
+
 /// What a gateway believes.
 pub struct Belief {
     /// Configuration in force.
@@ -49,6 +97,10 @@
     pub fleet: Fleet,
     /// Whether registrations of backend servers were ever read.
     pub fleet_known: bool,
+    /// Registrations that this router reads itself, while it does.
+    pub read_registrations: Option<ReadRegistrations>,
+    /// Registrations that another router reads for this one.
+    pub followed: Option<Followed>,
     /// Until when the store, or the way to it, was last seen to fail.
     pub store_away_until: Time,
     /// When the store last answered.
@@ -100,6 +152,8 @@
             weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
             fleet: Fleet::default(),
             fleet_known: false,
+            read_registrations: None,
+            followed: None,
             store_away_until: Time(0),
             store_heard_at: now(),
             store_failing: false,
@@ -148,6 +202,21 @@
         }
     }
 
+    /// Takes in the weights that an engine was seen to have, and tells other
+    /// routers if they are news.
+    pub fn saw_weights(&self, key: ServerKey, model: &str, version: u64) {
+        let mut belief = self.belief.borrow_mut();
+        let Some(server) = belief.fleet.get_mut(key) else {
+            return;
+        };
+        if server.saw_weights(model, version) {
+            server.switching_until = now();
+            let id = &server.entry.id;
+            log::info!("event=weights_taken server={id} model={model:?} version={version}");
+            self.peers.tell_weights(key, model, version);
+        }
+    }
+
     /// Takes in a backend server's registration.
     pub fn adopt_server(&self, entry: ServerEntry, source: &str) {
         let change = self.belief.borrow_mut().fleet.apply(now(), entry);
@@ -188,7 +257,7 @@
     where
         F: FnOnce(&mut SendBudget) -> R,
     {
-        let routers = self.peers.live_count() + 1;
+        let routers = self.peers.count();
         let repeats = self.settings.repeats;
         let reserve = (repeats.reserve * RESERVE_PART) as usize / routers;
         let mut belief = self.belief.borrow_mut();
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -83,25 +83,11 @@
 }
 
 fn saw(hub: &Hub, key: ServerKey, observed: &Observed) {
-    let mut newer = Vec::new();
-    {
-        let mut belief = hub.belief.borrow_mut();
-        let Some(server) = belief.fleet.get_mut(key) else {
-            return;
-        };
-        for (model, version) in &observed.weights {
-            if server.saw_weights(model, *version) {
-                newer.push((Arc::clone(model), *version, server.entry.id.clone()));
-            }
-        }
-        if !observed.busy && !newer.is_empty() {
-            server.switching_until = now();
+    for (model, version) in &observed.weights {
+        if !observed.busy {
+            hub.saw_weights(key, model, *version);
         }
     }
-    for (model, version, id) in newer {
-        log::info!("event=weights_taken server={id} model={model:?} version={version}");
-        hub.peers.tell_weights(key, &model, version);
-    }
 }
 
 async fn order(hub: &Hub, key: ServerKey, model: Arc<str>, version: u64, accepted: u64) {
@@ -131,13 +117,10 @@
     if reply == Reply::Fenced {
         end_tenure(hub, "a newer holder gives orders");
     }
-    let mut belief = hub.belief.borrow_mut();
     if reply == Reply::Holds {
-        if let Some(server) = belief.fleet.get_mut(key) {
-            server.saw_weights(&model, version);
-            server.switching_until = now();
-        }
+        hub.saw_weights(key, &model, version);
     }
+    let mut belief = hub.belief.borrow_mut();
     belief.plan.on_reply(now(), key, reply);
 }
 
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -7,12 +7,16 @@
 use bytes::Bytes;
 use policy::Time;
 use rand::Rng;
+use relay::Member;
 use relay::Tenure;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::sleep;
 
 use crate::clock::now;
 use crate::hub::Hub;
 use crate::hub::Phase;
+use crate::settings::Settings;
 use crate::store::Committed;
 use crate::store::LeaseId;
 use crate::store::Record;
@@ -74,20 +78,54 @@
     if name == &*hub.settings.name {
         return;
     }
-    let address = std::str::from_utf8(value).ok();
-    match address.and_then(|text| text.parse::<SocketAddr>().ok()) {
-        Some(address) => {
+    match serde_json::from_slice::<MemberRecord>(value) {
+        Ok(record) => {
+            let address = record.address;
             log::info!("event=router_added router={name:?} address={address}");
-            hub.peers.add(name, address);
+            hub.peers.add(name, address, Member::from(&record));
         }
-        None => log::warn!("event=router_unreadable router={name:?}"),
+        Err(e) => log::warn!(
+            "event=router_unreadable router={name:?} reason={:?}",
+            e.to_string()
+        ),
     }
 }
 
+/// Record of a live router.
+#[derive(Debug, Serialize, Deserialize)]
+struct MemberRecord {
+    address: SocketAddr,
+    region: String,
+    capacity: u32,
+}
+
+impl From<&MemberRecord> for Member {
+    fn from(record: &MemberRecord) -> Member {
+        Member {
+            region: policy::name_hash(&record.region),
+            capacity: record.capacity,
+        }
+    }
+}
+
+fn member_record(settings: &Settings) -> MemberRecord {
+    let region = settings.regions.get(&settings.domain);
+    MemberRecord {
+        address: SocketAddr::new(settings.listen.callers.ip(), settings.listen.peer_port),
+        region: region.unwrap_or(&settings.domain).to_string(),
+        capacity: settings.capacity,
+    }
+}
+
+/// Returns this router as the others see it.
+pub fn member(settings: &Settings) -> Member {
+    Member::from(&member_record(settings))
+}
+
 /// Keeps this router's record alive until the process ends.
-pub async fn keep_member(hub: Rc<Hub>, address: SocketAddr) {
+pub async fn keep_member(hub: Rc<Hub>) {
     loop {
-        match register(&hub, address).await {
+        match register(&hub).await {
             Ok(Some(lease)) => keep_alive(&hub, lease).await,
             Ok(None) => {}
             Err(e) => log::warn!("event=register_failed reason={:?}", e.to_string()),
@@ -96,10 +134,13 @@
     }
 }
 
-async fn register(hub: &Hub, address: SocketAddr) -> Result<Option<LeaseId>, StoreError> {
+async fn register(hub: &Hub) -> Result<Option<LeaseId>, StoreError> {
     let lease = hub.store.grant(MEMBER_LEASE_MS).await?;
     let name = format!("{MEMBER}{}", hub.settings.name);
-    let value = Some(Bytes::from(address.to_string()));
+    let value = serde_json::to_vec(&member_record(&hub.settings));
+    let value = Some(Bytes::from(
+        value.expect("a record of texts and numbers is JSON"),
+    ));
     let write = Write {
         name: name.clone(),
         expected: None,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,12 +6,14 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use serde::Deserialize;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::settings_json::SettingsJson;
+
 /// Why settings can't be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum SettingsError {
     /// The file can't be read.
     #[snafu(display("{}: {source}", path.display()))]
@@ -40,14 +42,13 @@
 }
 
 /// Addresses that a gateway serves.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
     /// Requests of callers.
     pub callers: SocketAddr,
     /// Whether this router takes new callers.
     pub readiness: SocketAddr,
     /// Bootstrap of other routers; none if this VM serves none.
-    #[serde(default, deserialize_with = "optional_address")]
     pub bootstrap: Option<SocketAddr>,
     /// First port for messages between routers.
     pub peer_port: u16,
@@ -56,7 +57,7 @@
 }
 
 /// Shares of requests that may be sent more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatLimits {
     /// Repeats for each request.
     pub ratio: f64,
@@ -65,7 +66,7 @@
 }
 
 /// Settings of a gateway.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this router.
     pub name: Arc<str>,
@@ -73,6 +74,8 @@
     pub domain: Arc<str>,
     /// Region of each failure domain.
     pub regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// What its VM can carry against the others; the highest pass on messages.
+    pub capacity: u32,
     /// Addresses that it serves.
     pub listen: Listen,
     /// Address of the platform's store.
@@ -87,10 +90,7 @@
     pub min_lease_ms: u64,
     /// Time from the signal to stop until the process is killed, in milliseconds.
     pub stop_ms: u64,
-    /// Time after which a leaving backend server must get no request, in milliseconds.
-    pub drain_ms: u64,
     /// Time after which no request may begin on replaced weights, in milliseconds.
-    #[serde(default = "never_ms")]
     pub weights_due_ms: u64,
     /// Repeats that all routers may make.
     pub repeats: RepeatLimits,
@@ -104,12 +104,15 @@
     /// Reads and checks a file of settings.
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
         let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-        let settings: Settings = serde_json::from_str(&text).context(ParseSnafu { path })?;
-        settings.check()?;
-        Ok(settings)
+        let json: SettingsJson = serde_json::from_str(&text).context(ParseSnafu { path })?;
+        for field in json.unknown() {
+            log::warn!("event=setting_unknown field={field:?}");
+        }
+        Settings::try_from(json)
     }
 
-    fn check(&self) -> Result<(), SettingsError> {
+    /// Names the first field whose value can't be used.
+    pub(crate) fn check(&self) -> Result<(), SettingsError> {
         let percent = self.orders_at_once_percent;
         let faults = [
             (self.name.is_empty(), "name", "expected a name"),
@@ -139,20 +142,3 @@
         Ok(())
     }
 }
-
-/// A time that never comes, in milliseconds, for a deployment without such a bound.
-fn never_ms() -> u64 {
-    u64::MAX / 1_000_000
-}
-
-/// Reads an address; an empty text is none.
-fn optional_address<'de, D>(deserializer: D) -> Result<Option<SocketAddr>, D::Error>
-where
-    D: serde::Deserializer<'de>,
-{
-    let text = Option::<String>::deserialize(deserializer)?;
-    match text.as_deref() {
-        None | Some("") => Ok(None),
-        Some(text) => text.parse().map(Some).map_err(serde::de::Error::custom),
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/settings_json.rs
@@ -0,0 +1,145 @@
+//! Settings as they are written in their file.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::settings::FieldSnafu;
+use crate::settings::Listen;
+use crate::settings::RepeatLimits;
+use crate::settings::Settings;
+use crate::settings::SettingsError;
+
+/// A time that never comes, in milliseconds, for a deployment without some bound.
+const NEVER_MS: f64 = 1e12;
+
+/// Engines of a service that take new weights at the same time, in percent.
+const ORDERS_AT_ONCE_PERCENT: f64 = 34.0;
+
+/// Lines of the log that may wait to be written, in bytes.
+const LOG_BUFFER_BYTES: f64 = 262_144.0;
+
+/// Lease under which one router gives orders, in milliseconds.
+const ORDER_LEASE_MS: f64 = 3_000.0;
+
+/// Shortest lease, in milliseconds.
+const MIN_LEASE_MS: f64 = 1_000.0;
+
+/// A file of settings. Fields that are not known are ignored and named in a warning.
+#[derive(Debug, Deserialize)]
+pub struct SettingsJson {
+    name: String,
+    domain: String,
+    #[serde(default)]
+    regions: BTreeMap<Arc<str>, Arc<str>>,
+    capacity: Option<f64>,
+    listen: ListenJson,
+    store: String,
+    #[serde(default)]
+    seeds: Vec<String>,
+    order_lease_ms: Option<f64>,
+    fenced: Option<bool>,
+    min_lease_ms: Option<f64>,
+    stop_s: Option<f64>,
+    weights_due_ms: Option<f64>,
+    repeat_ratio: Option<f64>,
+    repeat_reserve: Option<f64>,
+    orders_at_once_percent: Option<f64>,
+    log_buffer_bytes: Option<f64>,
+    /// Fields that no setting has.
+    #[serde(flatten)]
+    unknown: BTreeMap<String, serde_json::Value>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListenJson {
+    callers: String,
+    readiness: String,
+    bootstrap: Option<String>,
+    peer_port: u16,
+    metrics_port: u16,
+}
+
+impl SettingsJson {
+    /// Returns the names of fields that are not known.
+    pub fn unknown(&self) -> Vec<String> {
+        self.unknown.keys().cloned().collect()
+    }
+}
+
+impl TryFrom<SettingsJson> for Settings {
+    type Error = SettingsError;
+
+    fn try_from(json: SettingsJson) -> Result<Settings, SettingsError> {
+        let seeds = json.seeds.iter().map(|seed| address("seeds", seed));
+        let settings = Settings {
+            name: json.name.into(),
+            domain: json.domain.into(),
+            regions: json.regions,
+            capacity: whole("capacity", json.capacity.unwrap_or(0.0))?,
+            listen: Listen::try_from(json.listen)?,
+            store: address("store", &json.store)?,
+            seeds: seeds.collect::<Result<_, _>>()?,
+            order_lease_ms: whole(
+                "order_lease_ms",
+                json.order_lease_ms.unwrap_or(ORDER_LEASE_MS),
+            )?,
+            fenced: json.fenced.unwrap_or(false),
+            min_lease_ms: whole("min_lease_ms", json.min_lease_ms.unwrap_or(MIN_LEASE_MS))?,
+            stop_ms: whole("stop_s", json.stop_s.unwrap_or(8.0) * 1_000.0)?,
+            weights_due_ms: whole("weights_due_ms", json.weights_due_ms.unwrap_or(NEVER_MS))?,
+            repeats: RepeatLimits {
+                ratio: json.repeat_ratio.unwrap_or(0.0),
+                reserve: json.repeat_reserve.unwrap_or(0.0),
+            },
+            orders_at_once_percent: whole(
+                "orders_at_once_percent",
+                json.orders_at_once_percent
+                    .unwrap_or(ORDERS_AT_ONCE_PERCENT),
+            )?,
+            log_buffer_bytes: whole(
+                "log_buffer_bytes",
+                json.log_buffer_bytes.unwrap_or(LOG_BUFFER_BYTES),
+            )?,
+        };
+        settings.check()?;
+        Ok(settings)
+    }
+}
+
+impl TryFrom<ListenJson> for Listen {
+    type Error = SettingsError;
+
+    fn try_from(json: ListenJson) -> Result<Listen, SettingsError> {
+        let bootstrap = json.bootstrap.filter(|text| !text.is_empty());
+        Ok(Listen {
+            callers: address("listen.callers", &json.callers)?,
+            readiness: address("listen.readiness", &json.readiness)?,
+            bootstrap: bootstrap
+                .map(|text| address("listen.bootstrap", &text))
+                .transpose()?,
+            peer_port: json.peer_port,
+            metrics_port: json.metrics_port,
+        })
+    }
+}
+
+fn address(field: &'static str, text: &str) -> Result<SocketAddr, SettingsError> {
+    text.parse()
+        .map_err(|_| "expected an address and a port")
+        .or_else(|reason| FieldSnafu { field, reason }.fail())
+}
+
+/// Reads a number that may be written with a fraction.
+fn whole<T>(field: &'static str, number: f64) -> Result<T, SettingsError>
+where
+    T: TryFrom<u64>,
+{
+    let reason = "expected a number of 0 or more";
+    if !number.is_finite() || number < 0.0 {
+        return FieldSnafu { field, reason }.fail();
+    }
+    T::try_from(number.round() as u64).or_else(|_| FieldSnafu { field, reason }.fail())
+}
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -14,6 +14,7 @@
 use relay::Configuration;
 use relay::Naming;
 use relay::ServerEntry;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::Snafu;
@@ -65,6 +66,31 @@
     pub age_ms: u64,
 }
 
+/// Returns the registrations of backend servers as bytes.
+pub fn servers(hub: &Hub) -> Vec<u8> {
+    let belief = hub.belief.borrow();
+    let servers = belief.fleet.iter().map(|(_, server)| &server.entry);
+    to_json(&servers.collect::<Vec<_>>())
+}
+
+/// Takes the registrations of backend servers from another router.
+pub async fn fetch_servers(peer: SocketAddr) -> Result<Vec<ServerEntry>, SnapshotError> {
+    fetch(peer, "/servers").await
+}
+
+fn to_json<T>(value: &T) -> Vec<u8>
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            log::error!("event=snapshot_failed reason={:?}", e.to_string());
+            Vec::new()
+        }
+    }
+}
+
 /// Returns this router's snapshot as bytes.
 pub fn snapshot(hub: &Hub) -> Vec<u8> {
     let belief = hub.belief.borrow();
@@ -76,13 +102,7 @@
         servers: servers.collect(),
         age_ms: now().millis_since(belief.store_heard_at),
     };
-    match serde_json::to_vec(&snapshot) {
-        Ok(bytes) => bytes,
-        Err(e) => {
-            log::error!("event=snapshot_failed reason={:?}", e.to_string());
-            Vec::new()
-        }
-    }
+    to_json(&snapshot)
 }
 
 /// Takes snapshots of other routers whenever this one is behind.
@@ -94,7 +114,7 @@
             continue;
         };
         taken_at = now();
-        match fetch(peer).await {
+        match fetch::<Snapshot>(peer, "/snapshot").await {
             Ok(snapshot) => take_in(&hub, snapshot),
             Err(e) => log::warn!("event=snapshot_unanswered reason={:?}", e.to_string()),
         }
@@ -139,8 +159,11 @@
     }
 }
 
-async fn fetch(peer: SocketAddr) -> Result<Snapshot, SnapshotError> {
-    match timeout(CALL_TIMEOUT, call(peer)).await {
+async fn fetch<T>(peer: SocketAddr, path: &'static str) -> Result<T, SnapshotError>
+where
+    T: DeserializeOwned,
+{
+    match timeout(CALL_TIMEOUT, call(peer, path)).await {
         Ok(result) => result.map_err(|reason| SnapshotError { peer, reason }),
         Err(_) => SnapshotSnafu {
             peer,
@@ -150,14 +173,17 @@
     }
 }
 
-async fn call(peer: SocketAddr) -> Result<Snapshot, String> {
+async fn call<T>(peer: SocketAddr, path: &'static str) -> Result<T, String>
+where
+    T: DeserializeOwned,
+{
     let stream = TcpStream::connect(peer).await.map_err(|e| e.to_string())?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|e| describe(&e))?;
     let task = tokio::task::spawn_local(connection);
     let req = Request::builder()
-        .uri("/snapshot")
+        .uri(path)
         .header(http::header::HOST, peer.to_string())
         .body(Empty::<Bytes>::new())
         .map_err(|e| e.to_string())?;
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -6,6 +6,7 @@
 
 use crate::body::AnswerBody;
 use crate::hub::Hub;
+use crate::snapshot::servers;
 use crate::snapshot::snapshot;
 
 /// Tells the platform whether this router takes new callers.
@@ -25,6 +26,7 @@
 /// Returns what other routers take while the store is away.
 pub fn bootstrap(hub: &Hub, path: &str) -> Response<AnswerBody> {
     match path {
+        "/servers" => page(StatusCode::OK, servers(hub).into()),
         "/snapshot" => page(StatusCode::OK, snapshot(hub).into()),
         _ => page(StatusCode::NOT_FOUND, Bytes::new()),
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -102,8 +102,17 @@
 
     /// Returns the requests of all routers, as far as they are known.
     pub fn load(&self, now: Time) -> Load {
-        let live = self.others.values().filter(|other| other.until > now);
-        live.fold(self.own, |sum, other| Load {
+        self.load_with(now, |_| true)
+    }
+
+    /// Returns the requests of this router and of those that `counts` names.
+    pub fn load_with<F>(&self, now: Time, counts: F) -> Load
+    where
+        F: Fn(u64) -> bool,
+    {
+        let live = self.others.iter().filter(|(_, other)| other.until > now);
+        let counted = live.filter(|(router, _)| counts(**router));
+        counted.fold(self.own, |sum, (_, other)| Load {
             requests: sum.requests + other.load.requests,
             reading_ms: sum.reading_ms + other.load.reading_ms,
         })
@@ -229,6 +238,16 @@
             .any(|(_, server)| server.missing_since.is_some())
     }
 
+    /// Returns a hash of all lifetimes and their states, the same on routers that
+    /// have read the same registrations.
+    pub fn digest(&self) -> u64 {
+        let servers = self.iter().map(|(_, server)| {
+            let state = u64::from(server.entry.state == ServerState::Draining);
+            policy::rendezvous_weight(server.mark, state)
+        });
+        servers.fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// Returns a backend server while its lifetime lasts.
     pub fn get(&self, key: ServerKey) -> Option<&BackendServer> {
         let slot = self.slots.get(key.index as usize)?;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -51,13 +51,28 @@
     pub version: u64,
 }
 
+/// The registrations that a router has read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldFleet {
+    /// Hash of all lifetimes and their states.
+    pub digest: u64,
+    /// Position of the store's history up to which they were read.
+    pub as_of: u64,
+    /// Time since they were read, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// One message.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
     /// Mark of the router that speaks.
     pub from: u64,
+    /// Region whose routers' loads these are in sum; none for its own alone.
+    pub region: Option<u64>,
     /// Version of its configuration.
     pub configuration: u64,
+    /// Registrations, if it reads them from the store itself.
+    pub fleet: Option<ToldFleet>,
     /// Versions of weights that were named.
     pub named: Vec<(String, u64)>,
     /// Its requests; none at backend servers that aren't listed.
@@ -71,9 +86,16 @@
 }
 
 impl Gossip {
-    /// Takes a message into what this router believes of the fleet.
-    pub fn apply(&self, now: Time, fleet: &mut Fleet, holdings: &mut Holdings) {
-        self.apply_loads(now, fleet);
+    /// Takes a message into what this router believes of the fleet. `own` is this
+    /// router's part of the loads, if they are the sum of its own region.
+    pub fn apply(
+        &self,
+        now: Time,
+        fleet: &mut Fleet,
+        holdings: &mut Holdings,
+        own: Option<&[ToldLoad]>,
+    ) {
+        self.apply_loads(now, fleet, own.unwrap_or_default());
         for told in &self.parts {
             if let Some(key) = fleet.by_mark(told.server) {
                 holdings.note(now, PartKey(told.part), key);
@@ -95,18 +117,24 @@
         }
     }
 
-    fn apply_loads(&self, now: Time, fleet: &mut Fleet) {
+    fn apply_loads(&self, now: Time, fleet: &mut Fleet, own: &[ToldLoad]) {
+        let source = self.region.unwrap_or(self.from);
         let told: HashSet<u64> = self.loads.iter().map(|load| load.server).collect();
         for told in &self.loads {
+            let mine = own.iter().find(|own| own.server == told.server);
+            let mine = mine.map_or(Load::default(), |own| Load {
+                requests: own.requests,
+                reading_ms: own.reading_ms,
+            });
+            let load = Load {
+                requests: told.requests.saturating_sub(mine.requests),
+                reading_ms: told.reading_ms.saturating_sub(mine.reading_ms),
+            };
             let key = fleet.by_mark(told.server);
             if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
-                let load = Load {
-                    requests: told.requests,
-                    reading_ms: told.reading_ms,
-                };
-                server.set_other_load(now, self.from, load);
+                server.set_other_load(now, source, load);
             }
         }
-        fleet.clear_other_load(self.from, |mark| told.contains(&mark));
+        fleet.clear_other_load(source, |mark| told.contains(&mark));
     }
 }
