--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -22,7 +22,7 @@
         InFlight {
             hub: Rc::clone(hub),
             server,
-            reading_ms: reading_ms,
+            reading_ms,
         }
     }
 
--- a/crates/relay/src/topology.rs
+++ b/crates/relay/src/topology.rs
@@ -19,9 +19,6 @@
 /// Time for which a hub is passed over, in milliseconds.
 const PASSED_OVER_MS: u64 = 4_000;
 
-/// Mark that stands for all regions together.
-const EVERYWHERE: u64 = 0;
-
 /// A router, as the others see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -42,8 +39,8 @@
 pub struct Topology {
     me: u64,
     members: BTreeMap<u64, Member>,
-    /// Hub of each region, as this router sees it.
-    chosen: BTreeMap<u64, Chosen>,
+    /// Hub of each region, and of all together, as this router sees it.
+    chosen: BTreeMap<Option<u64>, Chosen>,
     passed_over: BTreeMap<u64, Time>,
 }
 
@@ -101,17 +98,13 @@
 
     /// Tells whether this router is the hub of its region.
     pub fn is_hub(&mut self, now: Time) -> bool {
-        let region = self.region();
+        let region = Some(self.region());
         !self.is_direct() && self.hub(now, region) == self.me
     }
 
     /// Returns the router that reads registrations for this one; maybe itself.
     pub fn reader(&mut self, now: Time) -> u64 {
-        let region = if self.is_direct() {
-            EVERYWHERE
-        } else {
-            self.region()
-        };
+        let region = (!self.is_direct()).then(|| self.region());
         self.hub(now, region)
     }
 
@@ -122,7 +115,7 @@
             return self.members.keys().copied().filter(|m| *m != me).collect();
         }
         if !self.is_hub(now) {
-            let region = self.region();
+            let region = Some(self.region());
             return vec![self.hub(now, region)];
         }
         let mut audience = self.near();
@@ -131,7 +124,7 @@
         regions.sort_unstable();
         regions.dedup();
         for other in regions.into_iter().filter(|other| *other != region) {
-            audience.push(self.hub(now, other));
+            audience.push(self.hub(now, Some(other)));
         }
         audience
     }
@@ -144,7 +137,7 @@
             .collect()
     }
 
-    fn hub(&mut self, now: Time, region: u64) -> u64 {
+    fn hub(&mut self, now: Time, region: Option<u64>) -> u64 {
         if let Some(chosen) = self.chosen.get(&region).copied() {
             let silent = now.millis_since(chosen.last_sign) > SILENT_MS;
             if chosen.hub != self.me && silent {
@@ -162,14 +155,18 @@
         hub
     }
 
-    /// Returns the first router of a region that isn't passed over; this one if there is none.
-    fn first(&self, region: u64) -> u64 {
+    /// Returns the first router of a region, or of all, that isn't passed over; this one if there is none.
+    fn first(&self, region: Option<u64>) -> u64 {
         let members = self.members.iter().filter(|(mark, member)| {
-            let here = region == EVERYWHERE || member.region == region;
+            let here = region.is_none_or(|region| member.region == region);
             here && !self.passed_over.contains_key(mark)
         });
-        let first =
-            members.max_by_key(|(mark, m)| (m.capacity, policy::rendezvous_weight(region, **mark)));
+        let first = members.max_by_key(|(mark, m)| {
+            (
+                m.capacity,
+                policy::rendezvous_weight(region.unwrap_or_default(), **mark),
+            )
+        });
         first.map_or(self.me, |(mark, _)| *mark)
     }
 }
--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,67 @@
+//! Fixtures of the decisions' tests.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use policy::Time;
+use relay::Ask;
+use relay::Fleet;
+use relay::Prompt;
+use relay::PromptPart;
+use relay::RouteKind;
+use relay::ServerEntry;
+use relay::ServerKey;
+use relay::ServerState;
+
+pub const MODEL: &str = "long";
+pub const SERVICE: &str = "engines";
+
+pub fn at(ms: u64) -> Time {
+    Time::from_millis(1_000_000 + ms)
+}
+
+pub fn entry(id: &str, weights: u64) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        started_ms: 1,
+        service: SERVICE.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "a".into(),
+        slots: 24,
+        state: ServerState::Ready,
+        weights: BTreeMap::from([(Arc::from(MODEL), weights)]),
+    }
+}
+
+pub fn fleet(count: usize, weights: u64) -> Fleet {
+    let mut fleet = Fleet::default();
+    for i in 0..count {
+        fleet.apply(at(0), entry(&format!("e{i}"), weights));
+    }
+    fleet
+}
+
+pub fn keys(fleet: &Fleet) -> Vec<ServerKey> {
+    fleet.iter().map(|(key, _)| key).collect()
+}
+
+pub fn part(id: u64, tokens: u32) -> PromptPart {
+    PromptPart { id, tokens }
+}
+
+pub fn ask(parts: &[PromptPart]) -> Ask<'_> {
+    Ask {
+        service: SERVICE,
+        kind: RouteKind::Stream { resumable: true },
+        objective_ms: 800,
+        deadline: at(60_000),
+        prompt: Some(Prompt {
+            model: MODEL,
+            parts,
+            workspace: None,
+        }),
+        tried: &[],
+        seed: 7,
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/order_plan.rs
@@ -0,0 +1,177 @@
+//! Orders to engines.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use common::at;
+use common::entry;
+use common::fleet;
+use common::keys;
+use common::MODEL;
+use relay::Fleet;
+use relay::Naming;
+use relay::Observed;
+use relay::OrderPlan;
+use relay::OrderStep;
+use relay::Reply;
+use relay::ServerKey;
+use relay::Weights;
+
+const HALF: u32 = 50;
+
+fn weights(version: u64) -> Weights {
+    let mut weights = Weights::new(5_000, 2_500);
+    weights.name(at(0), MODEL, version, Naming::Fresh);
+    weights
+}
+
+fn observed(version: u64, busy: bool, accepted: u64) -> Observed {
+    Observed {
+        weights: BTreeMap::from([(Arc::from(MODEL), version)]),
+        busy,
+        accepted,
+    }
+}
+
+fn orders(steps: &[OrderStep]) -> Vec<(ServerKey, u64, u64)> {
+    let orders = steps.iter().filter_map(|step| match step {
+        OrderStep::Order {
+            server,
+            version,
+            accepted,
+            ..
+        } => Some((*server, *version, *accepted)),
+        OrderStep::Announce(_) | OrderStep::Report(_) => None,
+    });
+    orders.collect()
+}
+
+/// Takes an engine through report and announcement, and returns its order.
+fn first_order(plan: &mut OrderPlan, fleet: &Fleet, weights: &Weights, accepted: u64) -> OrderStep {
+    let key = keys(fleet)[0];
+    plan.due(at(0), fleet, weights, 100);
+    plan.on_report(at(10), key, Some(&observed(1, false, accepted)));
+    plan.due(at(20), fleet, weights, 100);
+    let steps = plan.due(at(200), fleet, weights, 100);
+    steps.into_iter().next().expect("an order is due")
+}
+
+#[test]
+fn an_engine_is_asked_then_announced_then_ordered_with_its_count_of_orders() {
+    let fleet = fleet(1, 1);
+    let key = keys(&fleet)[0];
+    let mut plan = OrderPlan::default();
+    let weights = weights(2);
+    assert_eq!(
+        plan.due(at(0), &fleet, &weights, 100),
+        [OrderStep::Report(key)]
+    );
+    plan.on_report(at(10), key, Some(&observed(1, false, 4)));
+    assert_eq!(
+        plan.due(at(20), &fleet, &weights, 100),
+        [OrderStep::Announce(key)]
+    );
+    assert_eq!(plan.due(at(30), &fleet, &weights, 100), []);
+    let steps = plan.due(at(130), &fleet, &weights, 100);
+    assert_eq!(orders(&steps), [(key, 2, 4)]);
+}
+
+#[test]
+fn an_order_without_answer_is_repeated_only_under_the_count_that_the_engine_reports() {
+    let fleet = fleet(1, 1);
+    let key = keys(&fleet)[0];
+    let mut plan = OrderPlan::default();
+    let weights = weights(2);
+    first_order(&mut plan, &fleet, &weights, 4);
+    plan.on_reply(at(210), key, Reply::Unknown);
+    assert_eq!(orders(&plan.due(at(220), &fleet, &weights, 100)), []);
+    plan.on_report(at(900), key, Some(&observed(1, false, 5)));
+    plan.due(at(1_000), &fleet, &weights, 100);
+    let steps = plan.due(at(1_200), &fleet, &weights, 100);
+    assert_eq!(orders(&steps), [(key, 2, 5)]);
+}
+
+#[test]
+fn a_report_that_lags_is_no_reason_to_order_again() {
+    let fleet = fleet(1, 1);
+    let key = keys(&fleet)[0];
+    let mut plan = OrderPlan::default();
+    let weights = weights(2);
+    first_order(&mut plan, &fleet, &weights, 0);
+    plan.on_reply(at(210), key, Reply::Accepted);
+    plan.on_report(at(520), key, Some(&observed(1, false, 0)));
+    assert_eq!(orders(&plan.due(at(530), &fleet, &weights, 100)), []);
+    assert!(plan.is_working(key));
+}
+
+#[test]
+fn at_most_a_part_of_the_engines_is_at_work() {
+    let fleet = fleet(8, 1);
+    let mut plan = OrderPlan::default();
+    let weights = weights(2);
+    plan.due(at(0), &fleet, &weights, HALF);
+    for key in keys(&fleet) {
+        plan.on_report(at(10), key, Some(&observed(1, false, 0)));
+    }
+    let mut sent = Vec::new();
+    for ms in [20, 200, 300, 400] {
+        sent.extend(orders(&plan.due(at(ms), &fleet, &weights, HALF)));
+    }
+    assert_eq!(sent.len(), 4);
+}
+
+#[test]
+fn dead_engines_hold_no_place() {
+    let fleet = fleet(4, 1);
+    let all = keys(&fleet);
+    let (dead, live) = all.split_at(2);
+    let mut plan = OrderPlan::default();
+    let weights = weights(2);
+    let mut ordered = Vec::new();
+    for round in 0..20 {
+        let now = at(round * 200);
+        let steps = plan.due(now, &fleet, &weights, HALF);
+        for step in &steps {
+            match step {
+                OrderStep::Report(key) if dead.contains(key) => plan.on_report(now, *key, None),
+                OrderStep::Report(key) => {
+                    plan.on_report(now, *key, Some(&observed(1, false, 0)));
+                }
+                OrderStep::Order { server, .. } => ordered.push(*server),
+                OrderStep::Announce(_) => {}
+            }
+        }
+    }
+    ordered.sort();
+    assert_eq!(ordered, live);
+}
+
+#[test]
+fn engines_that_are_the_furthest_behind_come_first() {
+    let mut fleet = Fleet::default();
+    fleet.apply(at(0), entry("near", 4));
+    fleet.apply(at(0), entry("far", 2));
+    let far = fleet.by_id("far").unwrap();
+    let near = fleet.by_id("near").unwrap();
+    fleet.begin(at(0), far, 5_000);
+    let mut plan = OrderPlan::default();
+    let weights = weights(5);
+    plan.due(at(0), &fleet, &weights, HALF);
+    for key in [far, near] {
+        plan.on_report(at(10), key, Some(&observed(2, false, 0)));
+    }
+    let steps = plan.due(at(20), &fleet, &weights, HALF);
+    assert_eq!(steps, [OrderStep::Announce(far)]);
+}
+
+#[test]
+fn draining_engines_get_no_orders() {
+    let mut fleet = Fleet::default();
+    let mut draining = entry("d", 1);
+    draining.state = relay::ServerState::Draining;
+    fleet.apply(at(0), draining);
+    let mut plan = OrderPlan::default();
+    assert_eq!(plan.due(at(0), &fleet, &weights(2), 100), []);
+}
--- /dev/null
+++ b/crates/relay/tests/retry.rs
@@ -0,0 +1,122 @@
+//! What follows an attempt without a whole answer, and the budget for it.
+
+mod common;
+
+use common::at;
+use proptest::prelude::*;
+use relay::AttemptEnd;
+use relay::Progress;
+use relay::Retry;
+use relay::RouteKind;
+use relay::SendBudget;
+use relay::Tenure;
+use relay::Verdict;
+
+fn kinds() -> impl Strategy<Value = RouteKind> {
+    prop_oneof![
+        Just(RouteKind::Idempotent),
+        Just(RouteKind::Once),
+        Just(RouteKind::Stream { resumable: true }),
+        Just(RouteKind::Stream { resumable: false }),
+    ]
+}
+
+fn ends() -> impl Strategy<Value = AttemptEnd> {
+    prop_oneof![
+        Just(AttemptEnd::Unsent),
+        Just(AttemptEnd::Rejected),
+        Just(AttemptEnd::Failed),
+        Just(AttemptEnd::Unknown),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_request_is_called_not_run_only_if_no_attempt_ran(
+        kind in kinds(),
+        ends in proptest::collection::vec(ends(), 1..8),
+        max_attempts in 1u32..4,
+        budget in any::<bool>(),
+    ) {
+        let retry = Retry { kind, max_attempts };
+        let mut progress = Progress { sends: 0, runs: 0, left_ms: 1_000 };
+        for end in ends {
+            progress.sends += 1;
+            let ran = matches!(end, AttemptEnd::Failed | AttemptEnd::Unknown);
+            progress.runs += u32::from(ran);
+            match retry.after(end, progress, || budget) {
+                Verdict::Again => {
+                    prop_assert!(kind.may_repeat() || progress.runs == 0);
+                    prop_assert!(progress.runs < max_attempts || !ran);
+                }
+                Verdict::NotRun => {
+                    prop_assert_eq!(progress.runs, 0);
+                    break;
+                }
+                Verdict::Failure | Verdict::Unknown => break,
+            }
+        }
+    }
+}
+
+#[test]
+fn a_rejected_request_goes_on_at_another_server() {
+    let retry = Retry {
+        kind: RouteKind::Once,
+        max_attempts: 1,
+    };
+    let progress = Progress {
+        sends: 1,
+        runs: 0,
+        left_ms: 500,
+    };
+    assert_eq!(
+        retry.after(AttemptEnd::Rejected, progress, || true),
+        Verdict::Again
+    );
+    assert_eq!(
+        retry.after(AttemptEnd::Rejected, progress, || false),
+        Verdict::NotRun
+    );
+}
+
+#[test]
+fn a_connection_that_failed_costs_none_of_the_budget() {
+    let retry = Retry {
+        kind: RouteKind::Once,
+        max_attempts: 1,
+    };
+    let progress = Progress {
+        sends: 1,
+        runs: 0,
+        left_ms: 500,
+    };
+    let spent = retry.after(AttemptEnd::Unsent, progress, || panic!("spent"));
+    assert_eq!(spent, Verdict::Again);
+}
+
+#[test]
+fn repeats_stay_in_proportion_to_the_requests_of_the_window() {
+    let mut budget = SendBudget::new(20, 2);
+    for i in 0..50 {
+        budget.earn(at(i * 10));
+    }
+    let spent = (0..50).filter(|_| budget.spend(at(600))).count();
+    assert_eq!(spent, 12);
+    assert!(!budget.spend(at(9_000)));
+    assert_eq!(budget.left(at(30_000)), 2);
+}
+
+#[test]
+fn no_order_is_sent_that_could_be_answered_after_the_lease() {
+    let mut tenure = Tenure {
+        fence: 3,
+        from: at(200),
+        until: at(1_500),
+    };
+    assert!(!tenure.allows(at(100), 400));
+    assert!(tenure.allows(at(300), 400));
+    assert!(!tenure.allows(at(1_200), 400));
+    tenure.renew(at(1_000), 1_500);
+    assert!(tenure.allows(at(1_200), 400));
+}
