Unanswered orders are sent again at once under the same count; no queueing for replaced weights past their due time

Change: the count of accepted orders makes the repeat safe; the due time is compared with when a request would begin.

--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -98,7 +98,7 @@
     Announced { accepted: u64 },
     /// An order was sent.
     Sent { accepted: u64, version: u64 },
-    /// An order was accepted, or may have been.
+    /// An order was accepted.
     Working {
         accepted: u64,
         version: u64,
@@ -247,12 +247,10 @@
                 engine.next_at = now.plus_millis(LOOK_MS);
             }
             Reply::Unknown => {
-                engine.phase = Phase::Working {
-                    accepted,
-                    version,
-                    judged_from: now.plus_millis(REPORT_LAG_MS),
-                };
-                engine.next_at = now.plus_millis(LOOK_MS);
+                // Sent again under the same count: if the first is carried out
+                // after all, the engine turns the second away, or the reverse.
+                engine.phase = Phase::Announced { accepted };
+                engine.next_at = now;
             }
             Reply::Conflict | Reply::Fenced | Reply::Invalid | Reply::OtherLifetime => {
                 engine.phase = Phase::Unseen;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -245,8 +245,7 @@
         server: &BackendServer,
         ready: &[Candidate<'_>],
     ) -> Choice {
-        let load = server.load(self.now);
-        let wait_ms = load.reading_ms as f64 + f64::from(load.requests) * REQUEST_MS;
+        let wait_ms = wait_ms(server, self.now);
         let mut choice = Choice {
             server: key,
             weights: None,
@@ -296,11 +295,19 @@
         let Some(prompt) = &ask.prompt else {
             return false;
         };
+        // What counts is when the request begins, after those before it.
+        let begins_at = self.now.plus_millis(wait_ms(server, self.now) as u64);
         let version = server.weights(prompt.model);
-        version.is_some_and(|version| self.weights.is_overdue(self.now, prompt.model, version))
+        version.is_some_and(|version| self.weights.is_overdue(begins_at, prompt.model, version))
     }
 }
 
+/// Returns the time that a request waits for those before it, in milliseconds.
+fn wait_ms(server: &BackendServer, now: Time) -> f64 {
+    let load = server.load(now);
+    load.reading_ms as f64 + f64::from(load.requests) * REQUEST_MS
+}
+
 fn serves_model(server: &BackendServer, ask: &Ask<'_>) -> bool {
     let Some(prompt) = &ask.prompt else {
         return true;
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -215,6 +215,16 @@
     ));
 }
 
+#[test]
+fn a_request_that_would_begin_too_late_on_replaced_weights_is_not_queued_for_them() {
+    let mut scene = Scene::new(1);
+    scene.weights.name(at(0), MODEL, 2, Naming::Fresh);
+    scene.now = at(4_500);
+    assert!(scene.place(&SHORT).is_ok());
+    scene.load_all(1_500);
+    assert!(scene.place(&SHORT).is_err());
+}
+
 #[test]
 fn parts_of_isolated_workspaces_and_of_other_weights_are_others() {
     let walled = relay::Workspace {
