--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use relay::Choice;
 use relay::RouteKind;
 use relay::ServerKey;
+use relay::Strike;
 use tokio::time::interval;
 use tokio::time::timeout;
 
@@ -142,6 +143,9 @@
                     SendError::Unsent { .. } => AttemptEnd::Unsent,
                     SendError::Broken { .. } => AttemptEnd::Unknown,
                 };
+                if end == AttemptEnd::Unknown {
+                    strike(x, choice.server);
+                }
                 Err(Ended::new(end, e.to_string()))
             }
         }
@@ -291,6 +295,14 @@
     }
 }
 
+/// Notes that a request was running on a backend server which broke off.
+pub fn strike(x: &Exchange, key: ServerKey) {
+    let server = x.hub.belief.borrow().fleet.get(key).map(|s| s.mark);
+    if let (Some(request), Some(server)) = (x.fingerprint, server) {
+        x.hub.strike(Strike { request, server });
+    }
+}
+
 fn note_part(x: &Exchange, choice: &Choice) {
     if let Some(part) = choice.anchor {
         let mut belief = x.hub.belief.borrow_mut();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -45,6 +45,9 @@
 /// Wait that callers are told while this router knows no configuration, in milliseconds.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
 
+/// Wait that callers are told whose request crashes backend servers, in milliseconds.
+const CRASHES_RETRY_MS: u64 = 30_000;
+
 /// Wait that callers are told while this router leaves, in milliseconds: another answers them.
 const STOPPING_RETRY_MS: u64 = 50;
 
@@ -85,6 +88,9 @@
     pub deadline: Time,
     /// Version of the configuration that decides.
     pub configuration: u64,
+    /// Hash by which the request is known again under another id; none for
+    /// requests without a body, which are alike.
+    pub fingerprint: Option<u64>,
     /// Backend servers that it was sent to.
     pub tried: Vec<ServerKey>,
     /// Sends of any outcome.
@@ -153,12 +159,23 @@
             return RequestBrokeOffSnafu { reason }.fail();
         }
     };
+    let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
+    let out = fingerprint.is_some_and(|print| hub.belief.borrow().strikes.is_out(now(), print));
+    if out {
+        let refusal = Refusal::NotRun {
+            reason: "crashes_servers",
+            retry_after_ms: CRASHES_RETRY_MS,
+        };
+        log_refusal(&facts, refusal, configuration.version);
+        return Ok(refuse(&hub, refusal));
+    }
     let seed: u64 = rand::rng().random();
     let patience_ms = facts.patience_ms.unwrap_or(PATIENCE_MS);
     let exchange = Exchange {
         service: pick_service(&route, seed),
         deadline: arrived.plus_millis(patience_ms.min(route.timeout_ms)),
         configuration: configuration.version,
+        fingerprint,
         hub,
         head,
         facts,
@@ -192,6 +209,18 @@
     Ok((Arc::clone(route), workspace.cloned()))
 }
 
+fn fingerprint(workspace: Option<&Workspace>, head: &request::Parts, body: &[u8]) -> Option<u64> {
+    if body.is_empty() {
+        return None;
+    }
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let workspace = workspace.map_or("", |workspace| &*workspace.name);
+    let hashes = [workspace, head.method.as_str(), path]
+        .into_iter()
+        .map(policy::name_hash);
+    Some(hashes.fold(policy::bytes_hash(body), policy::rendezvous_weight))
+}
+
 fn pick_service(route: &Route, seed: u64) -> Arc<str> {
     let total: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
     let mut at = (seed >> 32) % total.max(1);
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -29,6 +29,9 @@
 /// Parts that one message tells at most.
 const MAX_PARTS: usize = 60;
 
+/// Strikes that one message tells at most.
+const MAX_STRIKES: usize = 60;
+
 /// Largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16_384;
 
@@ -131,6 +134,9 @@
         let own = hub.peers.address(message.from).unwrap_or(from);
         belief.followed = Some(Followed::new(now, own, told));
     }
+    for strike in &message.strikes {
+        belief.strikes.add(now, *strike);
+    }
     if message.region.is_none() && !hub.peers.topology.borrow().is_direct() {
         repeat(hub, belief, message);
     }
@@ -149,6 +155,9 @@
             hub.peers.tell_switch(key, until);
         }
     }
+    for strike in &message.strikes {
+        hub.peers.tell_strike(*strike);
+    }
     for told in &message.weights {
         if let Some(key) = belief.fleet.by_mark(told.server) {
             hub.peers.tell_weights(key, &told.model, told.version);
@@ -198,6 +207,8 @@
             version: *version,
         })
     });
+    let strikes = hub.peers.strikes.borrow();
+    let strikes = strikes.iter().map(|recent| recent.told).take(MAX_STRIKES);
     let named = belief.weights.all();
     let told_fleet = belief.read_registrations.map(|read| ToldFleet {
         digest: fleet.digest(),
@@ -215,5 +226,6 @@
         parts: parts.collect(),
         switches: switches.collect(),
         weights: weights.collect(),
+        strikes: strikes.collect(),
     }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -16,6 +16,8 @@
 use relay::SendBudget;
 use relay::ServerEntry;
 use relay::ServerKey;
+use relay::Strike;
+use relay::Strikes;
 use relay::Tenure;
 use relay::ToldFleet;
 use relay::Weights;
@@ -109,6 +111,8 @@
     pub store_failing: bool,
     /// Which engines hold which parts.
     pub holdings: Holdings,
+    /// Requests that crash backend servers.
+    pub strikes: Strikes,
     /// Repeats left, by service.
     pub budgets: HashMap<Arc<str>, SendBudget>,
     /// Revision of the record of the router that gives orders, if one does.
@@ -158,6 +162,7 @@
             store_heard_at: now(),
             store_failing: false,
             holdings: Holdings::default(),
+            strikes: Strikes::default(),
             budgets: HashMap::new(),
             order_holder: None,
             tenure: None,
@@ -217,6 +222,14 @@
         }
     }
 
+    /// Takes in that a request was running on a backend server which broke off,
+    /// and tells other routers if it is news.
+    pub fn strike(&self, strike: Strike) {
+        if self.belief.borrow_mut().strikes.add(now(), strike) {
+            self.peers.tell_strike(strike);
+        }
+    }
+
     /// Takes in a backend server's registration.
     pub fn adopt_server(&self, entry: ServerEntry, source: &str) {
         let change = self.belief.borrow_mut().fleet.apply(now(), entry);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use relay::Member;
 use relay::PartKey;
 use relay::ServerKey;
+use relay::Strike;
 use relay::ToldLoad;
 use relay::Topology;
 use tokio::sync::Notify;
@@ -48,6 +49,8 @@
     pub switches: RefCell<Vec<Recent<(ServerKey, Time)>>>,
     /// Weights that engines were seen to have.
     pub weights: RefCell<Vec<Recent<(ServerKey, String, u64)>>>,
+    /// Requests that ran on backend servers which broke off.
+    pub strikes: RefCell<Vec<Recent<Strike>>>,
     /// This router's loads as it last told them.
     pub told_loads: RefCell<Vec<ToldLoad>>,
     /// Wakes the task that sends messages.
@@ -66,6 +69,7 @@
             parts: RefCell::default(),
             switches: RefCell::default(),
             weights: RefCell::default(),
+            strikes: RefCell::default(),
             told_loads: RefCell::default(),
             wake: Notify::new(),
             by_mark: RefCell::default(),
@@ -169,6 +173,13 @@
         }
     }
 
+    /// Notes a strike; told at once.
+    pub fn tell_strike(&self, strike: Strike) {
+        if tell(&self.strikes, strike) {
+            self.wake.notify_one();
+        }
+    }
+
     /// Forgets what was told often enough.
     pub fn forget_old(&self) {
         let now = now();
@@ -180,6 +191,7 @@
         self.weights
             .borrow_mut()
             .retain(|weights| recent(weights.at));
+        self.strikes.borrow_mut().retain(|strike| recent(strike.at));
     }
 }
 
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::attempt::resumable;
+use crate::attempt::strike;
 use crate::attempt::Attempt;
 use crate::body::AnswerBody;
 use crate::body::BrokenOff;
@@ -65,6 +66,7 @@
             }
             RunEnd::Broken(reason) => reason,
         };
+        strike(&x, server);
         splitter.restart();
         if splitter.last_id().is_some() {
             x.facts.last_event = splitter.last_id();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -121,6 +121,7 @@
 pub use crate::piece::PIECE_TOKENS;
 pub use crate::relay::Relay;
 pub use crate::relay::RelayStep;
+pub use crate::rendezvous::bytes_hash;
 pub use crate::rendezvous::name_hash;
 pub use crate::rendezvous::weight as rendezvous_weight;
 pub use crate::settings::PlacementKind;
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -8,6 +8,11 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Returns the hash of bytes.
+pub fn bytes_hash(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
 /// Returns the weight of a candidate for a key; the highest comes first.
 pub fn weight(key: u64, candidate: u64) -> u64 {
     xxh3_64_with_seed(&candidate.to_le_bytes(), key)
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::Holdings;
 use crate::Load;
 use crate::PartKey;
+use crate::Strike;
 
 /// A router's requests at one backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -83,6 +84,8 @@
     pub switches: Vec<ToldSwitch>,
     /// Weights that it has seen lately.
     pub weights: Vec<ToldWeights>,
+    /// Requests that ran on backend servers which broke off.
+    pub strikes: Vec<Strike>,
 }
 
 impl Gossip {
