--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -19,6 +19,8 @@
 use crate::Result;
 use crate::RollbackCommand;
 use crate::StatusCommand;
+use crate::TimelineCommand;
+use crate::TraceCommand;
 
 /// Name of the option that names the platform.
 const PLATFORM: &str = "--platform";
@@ -61,6 +63,10 @@
     Rollback(RollbackCommand),
     /// Shows where a completion would go, and why.
     Explain(ExplainCommand),
+    /// Tells one request's story from routers' logs.
+    Trace(TraceCommand),
+    /// Shows changes of belief over all routers, from their logs.
+    Timeline(TimelineCommand),
 }
 
 /// Addresses of the platform.
@@ -102,7 +108,7 @@
             None => ArgumentSnafu {
                 argument: "command",
                 expected:
-                    "one of check, diff, apply, status, history, rollback, explain; see --help",
+                    "one of check, diff, apply, status, history, rollback, explain, trace, timeline; see --help",
             }
             .fail(),
         }
@@ -119,6 +125,8 @@
             Command::History(command) => command.run(&platform.store()?).await,
             Command::Rollback(command) => command.run(&platform.store()?, progress).await,
             Command::Explain(command) => command.run().await,
+            Command::Trace(command) => command.run(),
+            Command::Timeline(command) => command.run(),
         }
     }
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -108,6 +108,14 @@
         /// Cause.
         source: io::Error,
     },
+    /// A router's log can't be read.
+    #[snafu(display("{}: {source}", file.display()))]
+    ReadLog {
+        /// File.
+        file: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
     /// A router did not answer a question.
     #[snafu(display("{step} at router {router}: {reason}"))]
     Router {
@@ -144,6 +152,7 @@
             | Error::ReadFolder { .. }
             | Error::EmptyFolder { .. }
             | Error::BaseFile { .. }
+            | Error::ReadLog { .. }
             | Error::ReadRequest { .. } => ExitCode::Usage,
             _ => ExitCode::Refused,
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -30,6 +30,7 @@
 use crate::exchange::WholeAnswer;
 use crate::exchange::DEADLINE_SLACK_MS;
 use crate::in_flight::InFlight;
+use crate::log_sink::SUCCESS;
 use crate::pool::describe;
 use crate::pool::Lease;
 use crate::pool::SendError;
@@ -263,6 +264,7 @@
     let load = server.load(now);
     let part = choice.anchor.map_or(0, |part| part.0);
     log::info!(
+        target: SUCCESS,
         "event=sent id={:?} server={server_id} cost_ms={:.0} wait_ms={:.0} reading_ms={:.0} requests={} weights={} part={part:016x} held={} fetch={} entry_age_ms={} left_ms={}",
         x.facts.id,
         choice.cost_ms,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -35,6 +35,7 @@
 use crate::codec::RequestHead;
 use crate::hub::Hub;
 use crate::hub::Phase;
+use crate::log_sink::SUCCESS;
 use crate::refusal::Refusal;
 use crate::stream_relay;
 use crate::timing::until;
@@ -381,7 +382,13 @@
             .metrics
             .whole_answer
             .observe(took as f64 / 1_000_000.0);
+        let target = if outcome == "served" {
+            SUCCESS
+        } else {
+            module_path!()
+        };
         log::info!(
+            target: target,
             "event=request id={:?} route={} workspace={} service={} configuration={} outcome={outcome} status={status} server={} sends={} runs={} took_ms={} left_ms={}",
             self.facts.id,
             self.route.name,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
 use crate::pool::Pool;
 use crate::records;
 use crate::settings::Settings;
+use crate::settings_file::SettingsFile;
 use crate::snapshot;
 use crate::status_pages;
 use crate::store::Store;
@@ -100,6 +102,7 @@
         let belief = Belief::new(&settings);
         let peers = Peers::new(&settings.name, records::member(&settings));
         let hub = Rc::new(Hub {
+            seeds: RefCell::new(settings.seeds.clone()),
             settings,
             codec: outside.codec,
             store: outside.store,
@@ -128,19 +131,25 @@
             settings.listen.callers,
             settings.store
         );
+        for field in &settings.unknown_fields {
+            log::warn!("event=setting_unknown field={field:?}");
+        }
         Ok(gateway)
     }
 
     /// Runs until the process is told to stop and all requests are answered.
-    pub async fn run(self) -> Result<(), Error> {
+    /// The settings are read again from `path` on SIGHUP, and when that file changes.
+    pub async fn run(self, path: PathBuf) -> Result<(), Error> {
         let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
         let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
         let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+        let mut file = SettingsFile::new(path);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hangup.recv() => log::info!("event=reload outcome=unchanged reason=\"settings are read at start\""),
+                _ = hangup.recv() => file.reload(&self.hub, "signal"),
+                () = file.changed() => file.reload(&self.hub, "file"),
             }
         }
         self.stop().await;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -125,8 +125,10 @@
 
 /// State that the tasks of a gateway share.
 pub struct Hub {
-    /// Settings.
+    /// Settings as they were at the start.
     pub settings: Settings,
+    /// Routers that may help a new one to begin, as the settings last named them.
+    pub seeds: RefCell<Vec<SocketAddr>>,
     /// Heads of requests and answers.
     pub codec: Rc<dyn Codec>,
     /// The platform's store.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod records;
 mod refusal;
 mod settings;
+mod settings_file;
 mod settings_json;
 mod snapshot;
 mod status_pages;
--- a/crates/gateway/src/log_sink.rs
+++ b/crates/gateway/src/log_sink.rs
@@ -1,7 +1,9 @@
 //! Writes the log to standard output without ever making a request wait.
 //!
-//! Lines gather in a bounded buffer that a thread of its own writes out. Lines
-//! that find it full are dropped and counted, and the count is written.
+//! Lines gather in a bounded buffer that a thread of its own writes out. When it
+//! is half full, lines of requests that go well are dropped, so that refusals,
+//! failures and changes of belief still find room; when it is full, all are. What
+//! is dropped is counted.
 
 use std::io;
 use std::io::Write;
@@ -17,6 +19,9 @@
 use flexi_logger::DeferredNow;
 use log::Record;
 
+/// Target of lines about requests that go well.
+pub const SUCCESS: &str = "success";
+
 /// Time between two writes.
 const FLUSH: Duration = Duration::from_millis(200);
 
@@ -30,13 +35,14 @@
 #[derive(Clone, Debug)]
 pub struct LogSink {
     buffer: Arc<Buffer>,
+    router: Arc<str>,
     limit: usize,
 }
 
 impl LogSink {
     /// Creates a buffer of `limit` bytes and the thread that writes it out.
-    pub fn start(limit: usize) -> io::Result<LogSink> {
-        let sink = LogSink::detached(limit);
+    pub fn start(router: Arc<str>, limit: usize) -> io::Result<LogSink> {
+        let sink = LogSink::detached(router, limit);
         let writer = sink.clone();
         thread::Builder::new()
             .name("log".to_owned())
@@ -49,18 +55,24 @@
     }
 
     /// Creates a buffer that is written out by calls of [`LogSink::write_out`] only.
-    pub fn detached(limit: usize) -> LogSink {
+    pub fn detached(router: Arc<str>, limit: usize) -> LogSink {
         LogSink {
             buffer: Arc::default(),
+            router,
             limit,
         }
     }
 
-    /// Adds a line, or drops it if the buffer is full.
-    pub fn push(&self, line: &[u8]) {
+    /// Adds a line, or drops it if the buffer has no room for its kind.
+    pub fn push(&self, line: &[u8], is_success: bool) {
+        let limit = if is_success {
+            self.limit / 2
+        } else {
+            self.limit
+        };
         let bytes = self.buffer.bytes.lock();
         let mut bytes = bytes.unwrap_or_else(PoisonError::into_inner);
-        if bytes.len() + line.len() > self.limit {
+        if bytes.len() + line.len() > limit {
             self.buffer.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         }
@@ -92,12 +104,13 @@
         let mut line = Vec::with_capacity(256);
         write!(
             line,
-            "time={} level={} ",
+            "time={} level={} router={} ",
             now.format("%Y-%m-%dT%H:%M:%S%.3fZ"),
-            record.level()
+            record.level(),
+            self.router
         )?;
         writeln!(line, "{}", record.args())?;
-        self.push(&line);
+        self.push(&line, record.target() == SUCCESS);
         Ok(())
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -98,6 +98,8 @@
     pub orders_at_once_percent: u32,
     /// Lines of the log that may wait to be written, in bytes.
     pub log_buffer_bytes: usize,
+    /// Fields of the file that no setting has.
+    pub unknown_fields: Vec<String>,
 }
 
 impl Settings {
@@ -105,9 +107,6 @@
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
         let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
         let json: SettingsJson = serde_json::from_str(&text).context(ParseSnafu { path })?;
-        for field in json.unknown() {
-            log::warn!("event=setting_unknown field={field:?}");
-        }
         Settings::try_from(json)
     }
 
--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -63,8 +63,7 @@
 }
 
 impl SettingsJson {
-    /// Returns the names of fields that are not known.
-    pub fn unknown(&self) -> Vec<String> {
+    fn unknown(&self) -> Vec<String> {
         self.unknown.keys().cloned().collect()
     }
 }
@@ -73,6 +72,7 @@
     type Error = SettingsError;
 
     fn try_from(json: SettingsJson) -> Result<Settings, SettingsError> {
+        let unknown_fields = json.unknown();
         let seeds = json.seeds.iter().map(|seed| address("seeds", seed));
         let settings = Settings {
             name: json.name.into(),
@@ -103,6 +103,7 @@
                 "log_buffer_bytes",
                 json.log_buffer_bytes.unwrap_or(LOG_BUFFER_BYTES),
             )?,
+            unknown_fields,
         };
         settings.check()?;
         Ok(settings)
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -140,7 +140,7 @@
 
 /// Returns a seed while nothing is known at all.
 fn bootstrap(hub: &Hub, version: u64) -> Option<SocketAddr> {
-    let seeds = &hub.settings.seeds;
+    let seeds = hub.seeds.borrow();
     let at = usize::try_from(now().as_millis()).unwrap_or(0);
     (version == 0 && !seeds.is_empty()).then(|| seeds[at % seeds.len()])
 }
--- a/crates/router/src/forward_command.rs
+++ b/crates/router/src/forward_command.rs
@@ -59,7 +59,7 @@
             println!("{}: ok", path.display());
             return ExitCode::SUCCESS;
         }
-        match forward(settings) {
+        match forward(settings, path) {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
                 eprintln!("{e}");
@@ -69,8 +69,8 @@
     }
 }
 
-fn forward(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
-    let log = LogSink::start(settings.log_buffer_bytes)?;
+fn forward(settings: Settings, path: PathBuf) -> Result<(), Box<dyn std::error::Error>> {
+    let log = LogSink::start(settings.name.clone(), settings.log_buffer_bytes)?;
     let logger = start_log(&log)?;
     let outside = Outside {
         codec: Rc::new(Heads),
@@ -84,7 +84,7 @@
     let tasks = LocalSet::new();
     let result = tasks.block_on(&runtime, async {
         let gateway = Gateway::start(settings, outside).await?;
-        gateway.run().await
+        gateway.run(path).await
     });
     logger.flush();
     Ok(result?)
