--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -290,8 +290,8 @@
     loop {
         looks.tick().await;
         let belief = x.hub.belief.borrow();
-        let since = belief.fleet.get(key).and_then(|s| s.silent_since);
-        if since.is_some_and(|since| now().millis_since(since) > SILENT_MS) {
+        let server = belief.fleet.get(key);
+        if server.is_some_and(|server| server.silent_ms(now()) > SILENT_MS) {
             return;
         }
     }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -24,7 +24,7 @@
 
 /// Time for which an engine that takes new weights is expected to turn requests
 /// away, in milliseconds; it is told to be back sooner.
-const SWITCH_MS: u64 = 900;
+const SWITCH_MS: u64 = 1_800;
 
 /// Gives the orders that are due until the process ends.
 pub async fn run(hub: Rc<Hub>) {
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -15,6 +15,9 @@
 /// Time for which another router's load counts, in milliseconds.
 const OTHERS_MS: u64 = 1_500;
 
+/// Times that reading may take longer than expected before it counts as silence.
+const READING_SLACK: u64 = 2;
+
 /// Key of a backend server's lifetime.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerKey {
@@ -90,9 +93,12 @@
         }
     }
 
-    /// Returns for how long it has left requests unanswered, in milliseconds.
+    /// Returns for how long it has left requests unanswered beyond the time that
+    /// their prompts take to read, in milliseconds.
     pub fn silent_ms(&self, now: Time) -> u64 {
-        self.silent_since.map_or(0, |since| now.millis_since(since))
+        let since = self.silent_since;
+        let silent_ms = since.map_or(0, |since| now.millis_since(since));
+        silent_ms.saturating_sub(self.load(now).reading_ms * READING_SLACK)
     }
 
     /// Returns the requests of this router.
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -166,6 +166,17 @@
     assert_ne!(scene.place(&SHORT).unwrap().server, home);
 }
 
+#[test]
+fn an_engine_that_reads_a_long_prompt_is_not_taken_for_silent() {
+    let mut scene = Scene::new(1);
+    let engine = keys(&scene.fleet)[0];
+    scene.fleet.begin(scene.now, engine, 1_500);
+    scene.now = at(1_510);
+    assert_eq!(scene.fleet.get(engine).unwrap().silent_ms(scene.now), 0);
+    scene.now = at(5_010);
+    assert!(scene.fleet.get(engine).unwrap().silent_ms(scene.now) > 1_500);
+}
+
 #[test]
 fn an_engine_that_takes_weights_gets_no_requests() {
     let mut scene = Scene::new(2);
