--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -430,6 +430,12 @@
     }
 
     fn refuse_unplaced(mut self, e: Unplaceable) -> Response<AnswerBody> {
+        let known = self.hub.fleet_summary(&self.service);
+        log::info!(
+            "event=unplaced id={:?} service={} cause={e:?} {known}",
+            self.facts.id,
+            self.service
+        );
         if self.runs > 0 {
             return self.give_up(Refusal::Unknown);
         }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -17,11 +17,14 @@
 use crate::store::Watched;
 
 /// Time for which a watch waits, in milliseconds.
-const WAIT_MS: u64 = 20_000;
+const WAIT_MS: u64 = 30_000;
 
-/// Pause between two watches of the routers' records, which all change at once
-/// when many routers start.
-const ROUTERS_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between two watches of the routers' records by a router that may give
+/// orders, and must notice when nobody does.
+const CANDIDATE_PAUSE: Duration = Duration::from_millis(300);
+
+/// The same for all other routers: each call is paid for.
+const ROUTERS_PAUSE: Duration = Duration::from_millis(4_000);
 
 /// Pause after a call that failed, in milliseconds; up to half as much again is added.
 const FAILED_PAUSE_MS: u64 = 250;
@@ -51,7 +54,12 @@
 /// Waits for changes; none if the topic must be listed again.
 async fn watch(hub: &Hub, topic: Topic, after: Revision) -> Option<Revision> {
     if topic == Topic::Routers {
-        sleep(ROUTERS_PAUSE).await;
+        let pause = if hub.may_give_orders() {
+            CANDIDATE_PAUSE
+        } else {
+            ROUTERS_PAUSE
+        };
+        sleep(pause).await;
     }
     match hub.store.watch(topic, after, WAIT_MS).await {
         Ok(Watched::Changes(listing)) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -124,7 +124,7 @@
         gateway.spawn_tasks();
         let settings = &gateway.hub.settings;
         log::info!(
-            "event=start version={} router={} domain={} callers={} store={}",
+            "event=start version={} name={} domain={} callers={} store={}",
             env!("CARGO_PKG_VERSION"),
             settings.name,
             settings.domain,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -267,6 +267,31 @@
         self.phase.get() == Phase::Serving && belief.configuration.is_some() && belief.fleet_known
     }
 
+    /// Returns what is known of a service's servers, as fields of a line of the log.
+    pub fn fleet_summary(&self, service: &str) -> String {
+        let now = now();
+        let belief = self.belief.borrow();
+        let servers: Vec<_> = belief.fleet.of_service(service).collect();
+        let ready = servers.iter().filter(|(_, s)| s.takes_requests(now));
+        let avoided = servers.iter().filter(|(_, s)| s.avoid_until > now);
+        let switching = servers.iter().filter(|(_, s)| s.switching_until > now);
+        format!(
+            "servers={} ready={} avoided={} switching={} store_age_ms={}",
+            servers.len(),
+            ready.count(),
+            avoided.count(),
+            switching.count(),
+            now.millis_since(belief.store_heard_at),
+        )
+    }
+
+    /// Tells whether this router takes over the giving of orders when nobody
+    /// does: any of few routers, the hubs of many.
+    pub fn may_give_orders(&self) -> bool {
+        let mut topology = self.peers.topology.borrow_mut();
+        topology.is_direct() || topology.is_hub(now())
+    }
+
     /// Runs `f` with the budget of a service.
     pub fn with_budget<F, R>(&self, service: &Arc<str>, f: F) -> R
     where
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -66,7 +66,7 @@
 /// Takes in the end of a record.
 pub fn take_out(hub: &Hub, name: &str) {
     if let Some(name) = name.strip_prefix(MEMBER) {
-        log::info!("event=router_removed router={name:?}");
+        log::info!("event=router_removed peer={name:?}");
         hub.peers.remove(name);
     } else if name == HOLDER {
         hub.belief.borrow_mut().order_holder = None;
@@ -81,11 +81,11 @@
     match serde_json::from_slice::<MemberRecord>(value) {
         Ok(record) => {
             let address = record.address;
-            log::info!("event=router_added router={name:?} address={address}");
+            log::info!("event=router_added peer={name:?} address={address}");
             hub.peers.add(name, address, Member::from(&record));
         }
         Err(e) => log::warn!(
-            "event=router_unreadable router={name:?} reason={:?}",
+            "event=router_unreadable peer={name:?} reason={:?}",
             e.to_string()
         ),
     }
@@ -170,7 +170,10 @@
         sleep(LOOK).await;
         let free = {
             let belief = hub.belief.borrow();
-            belief.order_holder.is_none() && belief.fleet_known && hub.phase.get() == Phase::Serving
+            belief.order_holder.is_none()
+                && belief.fleet_known
+                && hub.phase.get() == Phase::Serving
+                && hub.may_give_orders()
         };
         if !free {
             continue;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -133,6 +133,10 @@
     TooLate {
         /// When the wait is expected to be short enough, in milliseconds.
         retry_after_ms: u64,
+        /// Wait where it would have gone, in milliseconds.
+        wait_ms: u64,
+        /// Time to read its prompt there, in milliseconds.
+        reading_ms: u64,
     },
 }
 
@@ -143,7 +147,7 @@
             Unplaceable::NoServer => RETRY_AFTER_MS.1,
             Unplaceable::NoneReady { retry_after_ms }
             | Unplaceable::Full { retry_after_ms }
-            | Unplaceable::TooLate { retry_after_ms } => retry_after_ms,
+            | Unplaceable::TooLate { retry_after_ms, .. } => retry_after_ms,
         }
     }
 
@@ -217,7 +221,11 @@
         }
         let over_ms = (choice.wait_ms - limit_ms).max(0.0) as u64;
         let retry_after_ms = over_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1);
-        Err(Unplaceable::TooLate { retry_after_ms })
+        Err(Unplaceable::TooLate {
+            retry_after_ms,
+            wait_ms: choice.wait_ms as u64,
+            reading_ms: choice.reading_ms as u64,
+        })
     }
 
     fn is_usable(&self, ask: &Ask<'_>, server: &BackendServer) -> bool {
