--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -69,7 +69,7 @@
 /// Returns the registrations of backend servers as bytes.
 pub fn servers(hub: &Hub) -> Vec<u8> {
     let belief = hub.belief.borrow();
-    let servers = belief.fleet.iter().map(|(_, server)| &server.entry);
+    let servers = belief.fleet.registered().map(|server| &server.entry);
     to_json(&servers.collect::<Vec<_>>())
 }
 
@@ -94,7 +94,7 @@
 /// Returns this router's snapshot as bytes.
 pub fn snapshot(hub: &Hub) -> Vec<u8> {
     let belief = hub.belief.borrow();
-    let servers = belief.fleet.iter().map(|(_, server)| server.entry.clone());
+    let servers = belief.fleet.registered().map(|server| server.entry.clone());
     let named = belief.weights.all();
     let snapshot = Snapshot {
         configuration: belief.configuration.as_deref().cloned(),
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -244,10 +244,17 @@
             .any(|(_, server)| server.missing_since.is_some())
     }
 
-    /// Returns a hash of all lifetimes and their states, the same on routers that
-    /// have read the same registrations.
+    /// Returns the registrations that other routers may take over: not those that
+    /// are missing and only kept for a while.
+    pub fn registered(&self) -> impl Iterator<Item = &BackendServer> {
+        let servers = self.iter().map(|(_, server)| server);
+        servers.filter(|server| server.missing_since.is_none())
+    }
+
+    /// Returns a hash of all registered lifetimes and their states, the same on
+    /// routers that have read the same registrations.
     pub fn digest(&self) -> u64 {
-        let servers = self.iter().map(|(_, server)| {
+        let servers = self.registered().map(|server| {
             let state = u64::from(server.entry.state == ServerState::Draining);
             policy::rendezvous_weight(server.mark, state)
         });
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -57,6 +57,17 @@
     assert!(fleet.by_id("e1").is_none());
 }
 
+#[test]
+fn a_server_that_is_missing_and_only_kept_is_not_told_to_other_routers() {
+    let mut fleet = fleet(2, 1);
+    let digest_of_one = common::fleet(1, 1).digest();
+    fleet.replace(at(1_100), vec![entry("e0", 1)], at(1_000));
+    assert!(fleet.by_id("e1").is_some());
+    let told: Vec<_> = fleet.registered().map(|s| s.entry.id.to_string()).collect();
+    assert_eq!(told, ["e0"]);
+    assert_eq!(fleet.digest(), digest_of_one);
+}
+
 #[test]
 fn a_server_missing_without_an_outage_is_gone_at_once() {
     let mut fleet = fleet(2, 1);
