--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -29,6 +29,10 @@
 /// Pause after a call that failed, in milliseconds; up to half as much again is added.
 const FAILED_PAUSE_MS: u64 = 250;
 
+/// Time between looks at whether the store is back, by topics that leave it to
+/// the operators' topic to try.
+const AWAY_LOOK: Duration = Duration::from_millis(100);
+
 /// Follows one topic until the process ends.
 pub async fn run(hub: Rc<Hub>, topic: Topic) {
     loop {
@@ -132,4 +136,8 @@
     }
     let spread = rand::rng().random_range(0..=FAILED_PAUSE_MS / 2);
     sleep(Duration::from_millis(FAILED_PAUSE_MS + spread)).await;
+    // Failed calls are paid for too: one topic tries for all.
+    while topic != Topic::Operators && hub.belief.borrow().store_failing {
+        sleep(AWAY_LOOK).await;
+    }
 }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -10,6 +10,7 @@
 use relay::ServerKey;
 use relay::ToldFleet;
 use relay::ToldLoad;
+use relay::ToldNaming;
 use relay::ToldPart;
 use relay::ToldSwitch;
 use relay::ToldWeights;
@@ -117,8 +118,9 @@
 fn take_in(hub: &Hub, from: SocketAddr, message: &Gossip) {
     let now = now();
     hub.peers.heard(message.from, message.configuration);
-    for (model, version) in &message.named {
-        hub.adopt_weights(model, *version, Naming::Fresh, "peer");
+    for told in &message.named {
+        let naming = Naming::Ago(told.age_ms);
+        hub.adopt_weights(&told.model, told.version, naming, "peer");
     }
     let own_region = message.region == Some(hub.peers.topology.borrow().region());
     let own = hub.peers.told_loads.borrow();
@@ -209,7 +211,12 @@
     });
     let strikes = hub.peers.strikes.borrow();
     let strikes = strikes.iter().map(|recent| recent.told).take(MAX_STRIKES);
-    let named = belief.weights.all();
+    let named = belief.weights.ages(now);
+    let named = named.map(|(model, version, age_ms)| ToldNaming {
+        model: model.to_string(),
+        version,
+        age_ms,
+    });
     let told_fleet = belief.read_registrations.map(|read| ToldFleet {
         digest: fleet.digest(),
         as_of: read.as_of,
@@ -221,7 +228,7 @@
         region: is_hub.then(|| topology.region()),
         configuration: belief.configuration.as_ref().map_or(0, |c| c.version),
         fleet: told_fleet,
-        named: named.map(|(m, v)| (m.to_string(), v)).collect(),
+        named: named.collect(),
         loads,
         parts: parts.collect(),
         switches: switches.collect(),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -87,7 +87,7 @@
 /// Age up to which registrations that another router has read are relied on, in
 /// milliseconds: a router that reads them itself then still leaves a leaving
 /// server in time.
-const FOLLOWED_MS: u64 = 1_300;
+const FOLLOWED_MS: u64 = 1_700;
 
 /// What a gateway believes.
 pub struct Belief {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -36,7 +36,7 @@
 const MEMBER_RENEWAL: Duration = Duration::from_millis(4_000);
 
 /// Time between looks at who gives orders.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Longest wait before an attempt to take over, in milliseconds; routers wait
 /// differently, so that most see that another was first.
@@ -230,9 +230,11 @@
 
 async fn hold(hub: &Hub, lease: LeaseId) {
     let ttl_ms = lease_ms(hub);
-    let pause = Duration::from_millis(ttl_ms / 4);
     loop {
-        sleep(pause).await;
+        let renewal_at = now().plus_millis(ttl_ms / 4);
+        while now() < renewal_at && hub.phase.get() == Phase::Serving {
+            sleep(LOOK).await;
+        }
         if hub.phase.get() != Phase::Serving {
             // The lease lapses by itself if this call fails.
             if let Err(e) = hub.store.end(lease).await {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -63,6 +63,17 @@
     pub age_ms: u32,
 }
 
+/// A version of a model's weights that was named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldNaming {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// For how long it is known, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// One message.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
@@ -75,7 +86,7 @@
     /// Registrations, if it reads them from the store itself.
     pub fleet: Option<ToldFleet>,
     /// Versions of weights that were named.
-    pub named: Vec<(String, u64)>,
+    pub named: Vec<ToldNaming>,
     /// Its requests; none at backend servers that aren't listed.
     pub loads: Vec<ToldLoad>,
     /// Parts that it has sent to engines since its last message.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 pub use gossip::Gossip;
 pub use gossip::ToldFleet;
 pub use gossip::ToldLoad;
+pub use gossip::ToldNaming;
 pub use gossip::ToldPart;
 pub use gossip::ToldSwitch;
 pub use gossip::ToldWeights;
--- a/crates/relay/src/weights.rs
+++ b/crates/relay/src/weights.rs
@@ -13,8 +13,11 @@
 struct Named {
     version: u64,
     seen_at: Time,
-    /// From when no request may begin on an older version.
+    /// From when no request may begin on the version before.
     due_at: Time,
+    /// The same for versions further back, which others replaced in between
+    /// that this router may not know.
+    skipped_due_at: Time,
 }
 
 /// How long ago a version was named.
@@ -22,6 +25,8 @@
 pub enum Naming {
     /// Just now.
     Fresh,
+    /// So many milliseconds ago, as another router knows.
+    Ago(u64),
     /// Some time before this router first heard of it.
     Earlier,
 }
@@ -51,9 +56,10 @@
         if self.wanted(model).is_some_and(|known| known >= version) {
             return false;
         }
-        let due_ms = match naming {
-            Naming::Fresh => self.due_ms,
-            Naming::Earlier => self.earlier_due_ms,
+        let (due_ms, ago_ms) = match naming {
+            Naming::Fresh => (self.due_ms, 0),
+            Naming::Ago(ms) => (self.due_ms.saturating_sub(ms), ms),
+            Naming::Earlier => (self.earlier_due_ms, 0),
         };
         let named = self.named.entry(model.into()).or_default();
         if named.len() == REMEMBERED {
@@ -61,8 +67,9 @@
         }
         named.push(Named {
             version,
-            seen_at: now,
+            seen_at: Time(now.0.saturating_sub(ago_ms.saturating_mul(1_000))),
             due_at: now.plus_millis(due_ms),
+            skipped_due_at: now.plus_millis(due_ms.min(self.earlier_due_ms)),
         });
         true
     }
@@ -73,6 +80,15 @@
         Some(newest.version)
     }
 
+    /// Returns all models with their newest versions, and for how long those are
+    /// known, in milliseconds.
+    pub fn ages(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, u64, u64)> {
+        self.named.iter().filter_map(move |(model, named)| {
+            let newest = named.last()?;
+            Some((model, newest.version, now.millis_since(newest.seen_at)))
+        })
+    }
+
     /// Returns since when `version` of a model's weights is replaced by a newer
     /// one, as far as this router knows; none if it is the newest.
     pub fn replaced_at(&self, model: &str, version: u64) -> Option<Time> {
@@ -81,8 +97,15 @@
 
     /// Tells whether no request may begin on `version` of a model's weights any more.
     pub fn is_overdue(&self, now: Time, model: &str, version: u64) -> bool {
-        self.first_newer(model, version)
-            .is_some_and(|named| named.due_at <= now)
+        let Some(newer) = self.first_newer(model, version) else {
+            return false;
+        };
+        let due_at = if newer.version > version + 1 {
+            newer.skipped_due_at
+        } else {
+            newer.due_at
+        };
+        due_at <= now
     }
 
     /// Returns all models with their newest versions.
--- a/crates/relay/tests/configuration.rs
+++ b/crates/relay/tests/configuration.rs
@@ -101,6 +101,24 @@
     assert!(!weights.is_overdue(at(99_000), MODEL, 3));
 }
 
+#[test]
+fn a_router_that_starts_learns_from_others_how_long_ago_a_version_was_named() {
+    let mut weights = Weights::new(7_000, 2_500);
+    weights.name(at(5_000), MODEL, 2, Naming::Ago(3_000));
+    assert!(!weights.is_overdue(at(8_999), MODEL, 1));
+    assert!(weights.is_overdue(at(9_000), MODEL, 1));
+    let told: Vec<u64> = weights.ages(at(6_000)).map(|(_, _, age)| age).collect();
+    assert_eq!(told, [4_000]);
+}
+
+#[test]
+fn a_router_that_knows_only_the_newest_version_takes_those_further_back_for_long_replaced() {
+    let mut weights = Weights::new(7_000, 2_500);
+    weights.name(at(0), MODEL, 3, Naming::Ago(500));
+    assert!(weights.is_overdue(at(2_500), MODEL, 1));
+    assert!(!weights.is_overdue(at(2_500), MODEL, 2));
+}
+
 #[test]
 fn a_version_that_was_named_earlier_is_due_sooner_and_none_is_taken_back() {
     let mut weights = Weights::new(5_000, 2_500);
