--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,11 +119,11 @@
         let Some((id, peer)) = server(x, choice.server) else {
             return Err(Ended::new(AttemptEnd::Unsent, "server is gone"));
         };
-        let in_flight = InFlight::begin(&x.hub, choice.server, choice.reading_ms as u64);
+        let in_flight = InFlight::begin(&x.cx, choice.server, choice.reading_ms as u64);
         note_part(x, choice);
         log_send(x, choice, &id);
         let req = outgoing(x, choice, id, peer);
-        let sent = x.hub.pool.send(choice.server, peer, req);
+        let sent = x.cx.pool.send(choice.server, peer, req);
         let result = if x.route.kind.may_repeat() {
             tokio::select! {
                 result = sent => result,
@@ -160,11 +160,11 @@
         mut in_flight: InFlight,
     ) -> Result<Attempt, Ended> {
         let (head, body) = answer.into_parts();
-        let facts = x.hub.codec.answer(&head);
+        let facts = x.cx.codec.answer(&head);
         let misdirected = is_misdirected(x, choice.server, &head, &facts);
         let mine = facts.request.as_deref() == Some(x.facts.id.as_str());
         if !(mine || misdirected || facts.not_run && facts.request.is_none()) {
-            x.hub.pool.clear(choice.server);
+            x.cx.pool.clear(choice.server);
             return Err(Ended::new(AttemptEnd::Unknown, "answer to another request"));
         }
         in_flight.answered();
@@ -203,12 +203,11 @@
             }
             Err(_) => return Err(Ended::timed_out()),
         };
-        x.hub
-            .pool
+        x.cx.pool
             .give_back(self.choice.server, self.lease, self.facts.keep_ms);
         let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = self.head.status;
-        *response.headers_mut() = x.hub.codec.returned(&self.head);
+        *response.headers_mut() = x.cx.codec.returned(&self.head);
         Ok(WholeAnswer {
             response,
             server: self.choice.server,
@@ -217,7 +216,7 @@
 }
 
 fn server(x: &Exchange, key: ServerKey) -> Option<(Arc<str>, SocketAddr)> {
-    let belief = x.hub.belief.borrow();
+    let belief = x.cx.belief.borrow();
     let server = belief.fleet.get(key)?;
     Some((Arc::clone(&server.entry.id), server.entry.address))
 }
@@ -228,7 +227,7 @@
     server: Arc<str>,
     address: SocketAddr,
 ) -> Request<Full<Bytes>> {
-    let belief = x.hub.belief.borrow();
+    let belief = x.cx.belief.borrow();
     let fetch_from = choice.fetch_from.and_then(|key| belief.fleet.get(key));
     let workspace = x.workspace.as_deref();
     let has_body = !x.body.is_empty() || x.head.method != http::Method::GET;
@@ -250,13 +249,13 @@
     *req.method_mut() = x.head.method.clone();
     *req.uri_mut() = origin_form(&x.head.uri);
     *req.version_mut() = Version::HTTP_11;
-    *req.headers_mut() = x.hub.codec.outgoing(&x.head, &send);
+    *req.headers_mut() = x.cx.codec.outgoing(&x.head, &send);
     req
 }
 
 /// Writes the line that tells where a request goes, and on what grounds.
 fn log_send(x: &Exchange, choice: &Choice, server_id: &str) {
-    let belief = x.hub.belief.borrow();
+    let belief = x.cx.belief.borrow();
     let Some(server) = belief.fleet.get(choice.server) else {
         return;
     };
@@ -289,7 +288,7 @@
     let mut looks = interval(SILENCE_LOOK);
     loop {
         looks.tick().await;
-        let belief = x.hub.belief.borrow();
+        let belief = x.cx.belief.borrow();
         let server = belief.fleet.get(key);
         if server.is_some_and(|server| server.silent_ms(now()) > SILENT_MS) {
             return;
@@ -299,29 +298,29 @@
 
 /// Notes that a request was running on a backend server which broke off.
 pub fn strike(x: &Exchange, key: ServerKey) {
-    let server = x.hub.belief.borrow().fleet.get(key).map(|s| s.mark);
+    let server = x.cx.belief.borrow().fleet.get(key).map(|s| s.mark);
     if let (Some(request), Some(server)) = (x.fingerprint, server) {
-        x.hub.strike(Strike { request, server });
+        x.cx.strike(Strike { request, server });
     }
 }
 
 fn note_part(x: &Exchange, choice: &Choice) {
     if let Some(part) = choice.anchor {
-        let mut belief = x.hub.belief.borrow_mut();
+        let mut belief = x.cx.belief.borrow_mut();
         belief.holdings.note(now(), part, choice.server);
-        x.hub.peers.tell_part(part, choice.server);
+        x.cx.peers.tell_part(part, choice.server);
     }
 }
 
 fn forget_part(x: &Exchange, choice: &Choice) {
     if let Some(part) = choice.anchor {
-        let mut belief = x.hub.belief.borrow_mut();
+        let mut belief = x.cx.belief.borrow_mut();
         belief.holdings.remove(part, choice.server);
     }
 }
 
 fn avoid(x: &Exchange, key: ServerKey, ms: u64) {
-    let mut belief = x.hub.belief.borrow_mut();
+    let mut belief = x.cx.belief.borrow_mut();
     if let Some(server) = belief.fleet.get_mut(key) {
         let until = now().plus_millis(ms);
         server.avoid_until = server.avoid_until.max(until);
@@ -338,7 +337,7 @@
     misdirected: bool,
 ) -> &'static str {
     forget_part(x, choice);
-    let mut belief = x.hub.belief.borrow_mut();
+    let mut belief = x.cx.belief.borrow_mut();
     let model = x.facts.prompt.as_ref().map(|prompt| prompt.model.as_str());
     let Some(server) = belief.fleet.get_mut(choice.server) else {
         return "server is gone";
@@ -376,9 +375,9 @@
 
 fn learn(x: &Exchange, choice: &Choice, facts: &AnswerHead, status: StatusCode) {
     if let (Some(prompt), Some(version)) = (&x.facts.prompt, facts.weights) {
-        x.hub.saw_weights(choice.server, &prompt.model, version);
+        x.cx.saw_weights(choice.server, &prompt.model, version);
     }
-    let mut belief = x.hub.belief.borrow_mut();
+    let mut belief = x.cx.belief.borrow_mut();
     let Some(server) = belief.fleet.get_mut(choice.server) else {
         return;
     };
@@ -399,7 +398,7 @@
 ) {
     let read = timeout(SILENCE_LOOK, body.collect()).await;
     if matches!(read, Ok(Ok(_))) {
-        x.hub.pool.give_back(server, lease, keep_ms);
+        x.cx.pool.give_back(server, lease, keep_ms);
     }
 }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/context.rs
@@ -2,26 +2,19 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use policy::Time;
 use relay::Configuration;
-use relay::Fleet;
-use relay::Holdings;
+use relay::FleetChange;
 use relay::Naming;
-use relay::OrderPlan;
 use relay::SendBudget;
 use relay::ServerEntry;
 use relay::ServerKey;
 use relay::Strike;
-use relay::Strikes;
-use relay::Tenure;
-use relay::ToldFleet;
-use relay::Weights;
 
+use crate::belief::Belief;
 use crate::clock::now;
 use crate::codec::Codec;
 use crate::engines::Engines;
@@ -30,9 +23,15 @@
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::settings::Settings;
-use crate::store::Revision;
 use crate::store::Store;
 
+/// Part of the allowed repeats for each request that is used: windows of the
+/// rule and of the budget don't begin together.
+const RATIO_PART: f64 = 0.8;
+
+/// Part of the reserve that is used, for the same reason.
+const RESERVE_PART: f64 = 0.7;
+
 /// Where a process is between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -44,87 +43,8 @@
     Leaving,
 }
 
-/// Registrations that this router has read from the store.
-#[derive(Clone, Copy, Debug)]
-pub struct ReadRegistrations {
-    /// Position of the store's history up to which they were read.
-    pub as_of: Revision,
-    /// When.
-    pub read_at: Time,
-}
-
-/// Registrations that another router reads for this one.
-#[derive(Clone, Copy, Debug)]
-pub struct Followed {
-    /// Address of that router.
-    pub reader: SocketAddr,
-    /// Hash of the registrations as it has read them.
-    pub digest: u64,
-    /// Position of the store's history up to which it has read them.
-    pub as_of: Revision,
-    /// When it read them.
-    pub read_at: Time,
-}
-
-impl Followed {
-    /// Takes in what another router tells at `now`.
-    pub fn new(now: Time, reader: SocketAddr, told: ToldFleet) -> Followed {
-        let age_us = u64::from(told.age_ms) * 1_000;
-        Followed {
-            reader,
-            digest: told.digest,
-            as_of: told.as_of,
-            read_at: Time(now.0.saturating_sub(age_us)),
-        }
-    }
-
-    /// Tells whether that router has read them lately.
-    pub fn is_fresh(&self, now: Time) -> bool {
-        now.millis_since(self.read_at) < FOLLOWED_MS
-    }
-}
-
-/// Age up to which registrations that another router has read are relied on, in
-/// milliseconds: a router that reads them itself then still leaves a leaving
-/// server in time.
-const FOLLOWED_MS: u64 = 1_700;
-
-/// What a gateway believes.
-pub struct Belief {
-    /// Configuration in force.
-    pub configuration: Option<Rc<Configuration>>,
-    /// Versions of weights that were named.
-    pub weights: Weights,
-    /// Backend servers.
-    pub fleet: Fleet,
-    /// Whether registrations of backend servers were ever read.
-    pub fleet_known: bool,
-    /// Registrations that this router reads itself, while it does.
-    pub read_registrations: Option<ReadRegistrations>,
-    /// Registrations that another router reads for this one.
-    pub followed: Option<Followed>,
-    /// Until when the store, or the way to it, was last seen to fail.
-    pub store_away_until: Time,
-    /// When the store last answered.
-    pub store_heard_at: Time,
-    /// Whether the last call to the store failed.
-    pub store_failing: bool,
-    /// Which engines hold which parts.
-    pub holdings: Holdings,
-    /// Requests that crash backend servers.
-    pub strikes: Strikes,
-    /// Repeats left, by service.
-    pub budgets: HashMap<Arc<str>, SendBudget>,
-    /// Revision of the record of the router that gives orders, if one does.
-    pub order_holder: Option<Revision>,
-    /// The tenure under which this router gives orders, if it does.
-    pub tenure: Option<Tenure>,
-    /// Orders of that tenure.
-    pub plan: OrderPlan,
-}
-
 /// State that the tasks of a gateway share.
-pub struct Hub {
+pub struct Context {
     /// Settings as they were at the start.
     pub settings: Settings,
     /// Routers that may help a new one to begin, as the settings last named them.
@@ -149,39 +69,7 @@
     pub phase: Cell<Phase>,
 }
 
-impl Belief {
-    /// Returns what a gateway believes that has heard nothing.
-    pub fn new(settings: &Settings) -> Belief {
-        let due_ms = settings.weights_due_ms.saturating_sub(WEIGHTS_MARGIN_MS);
-        Belief {
-            configuration: None,
-            weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
-            fleet: Fleet::default(),
-            fleet_known: false,
-            read_registrations: None,
-            followed: None,
-            store_away_until: Time(0),
-            store_heard_at: now(),
-            store_failing: false,
-            holdings: Holdings::default(),
-            strikes: Strikes::default(),
-            budgets: HashMap::new(),
-            order_holder: None,
-            tenure: None,
-            plan: OrderPlan::default(),
-        }
-    }
-}
-
-/// Time that a request may spend on its way and in an engine's queue before it
-/// begins, in milliseconds.
-const WEIGHTS_MARGIN_MS: u64 = 1_000;
-
-/// Time for which older weights are still used when a router starts and can't
-/// know when the newest were named, in milliseconds.
-const EARLIER_WEIGHTS_DUE_MS: u64 = 2_500;
-
-impl Hub {
+impl Context {
     /// Takes in a configuration; older ones than the one in force are ignored.
     pub fn adopt_configuration(&self, configuration: Configuration, source: &str) {
         let mut belief = self.belief.borrow_mut();
@@ -309,8 +197,7 @@
         f(budget)
     }
 
-    fn note_change(&self, change: Option<relay::FleetChange>, source: &str) {
-        use relay::FleetChange;
+    fn note_change(&self, change: Option<FleetChange>, source: &str) {
         match change {
             None => {}
             Some(FleetChange::Added(key)) => {
@@ -339,10 +226,3 @@
         }
     }
 }
-
-/// Part of the allowed repeats for each request that is used: windows of the
-/// rule and of the budget don't begin together.
-const RATIO_PART: f64 = 0.8;
-
-/// Part of the reserve that is used, for the same reason.
-const RESERVE_PART: f64 = 0.7;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,8 +33,8 @@
 use crate::body::AnswerBody;
 use crate::clock::now;
 use crate::codec::RequestHead;
-use crate::hub::Hub;
-use crate::hub::Phase;
+use crate::context::Context;
+use crate::context::Phase;
 use crate::log_sink::SUCCESS;
 use crate::refusal::Refusal;
 use crate::stream_relay;
@@ -70,7 +70,7 @@
 /// A request with all that decides where it goes.
 pub struct Exchange {
     /// State of this router.
-    pub hub: Rc<Hub>,
+    pub cx: Rc<Context>,
     /// Head as the caller sent it.
     pub head: request::Parts,
     /// What the head says.
@@ -104,12 +104,12 @@
 
 /// Answers a request.
 pub async fn answer(
-    hub: Rc<Hub>,
+    cx: Rc<Context>,
     req: http::Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Aborted> {
     let arrived = now();
     let (head, body) = req.into_parts();
-    let facts = match hub.codec.request(&head) {
+    let facts = match cx.codec.request(&head) {
         Ok(facts) => facts,
         Err(e) => {
             log::info!(
@@ -117,31 +117,31 @@
                 e.to_string(),
                 head.uri.path()
             );
-            return Ok(refuse(&hub, Refusal::BadRequest));
+            return Ok(refuse(&cx, Refusal::BadRequest));
         }
     };
-    if hub.phase.get() == Phase::Leaving {
+    if cx.phase.get() == Phase::Leaving {
         let refusal = Refusal::NotRun {
             reason: "stopping",
             retry_after_ms: STOPPING_RETRY_MS,
         };
         log_refusal(&facts, refusal, 0);
-        return Ok(refuse(&hub, refusal));
+        return Ok(refuse(&cx, refusal));
     }
-    let configuration = hub.belief.borrow().configuration.clone();
+    let configuration = cx.belief.borrow().configuration.clone();
     let Some(configuration) = configuration else {
         let refusal = Refusal::NotRun {
             reason: "no_configuration",
             retry_after_ms: UNCONFIGURED_RETRY_MS,
         };
         log_refusal(&facts, refusal, 0);
-        return Ok(refuse(&hub, refusal));
+        return Ok(refuse(&cx, refusal));
     };
     let (route, workspace) = match admit(&configuration, &head, &facts) {
         Ok(admitted) => admitted,
         Err(refusal) => {
             log_refusal(&facts, refusal, configuration.version);
-            return Ok(refuse(&hub, refusal));
+            return Ok(refuse(&cx, refusal));
         }
     };
     let limit = configuration.limits.max_body_bytes;
@@ -149,7 +149,7 @@
         Ok(body) => body.to_bytes(),
         Err(e) if e.is::<LengthLimitError>() => {
             log_refusal(&facts, Refusal::TooLarge, configuration.version);
-            return Ok(refuse(&hub, Refusal::TooLarge));
+            return Ok(refuse(&cx, Refusal::TooLarge));
         }
         Err(e) => {
             let reason = e.to_string();
@@ -161,14 +161,14 @@
         }
     };
     let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
-    let out = fingerprint.is_some_and(|print| hub.belief.borrow().strikes.is_out(now(), print));
+    let out = fingerprint.is_some_and(|print| cx.belief.borrow().strikes.is_out(now(), print));
     if out {
         let refusal = Refusal::NotRun {
             reason: "crashes_servers",
             retry_after_ms: CRASHES_RETRY_MS,
         };
         log_refusal(&facts, refusal, configuration.version);
-        return Ok(refuse(&hub, refusal));
+        return Ok(refuse(&cx, refusal));
     }
     let seed: u64 = rand::rng().random();
     let patience_ms = facts.patience_ms.unwrap_or(PATIENCE_MS);
@@ -177,7 +177,7 @@
         deadline: arrived.plus_millis(patience_ms.min(route.timeout_ms)),
         configuration: configuration.version,
         fingerprint,
-        hub,
+        cx,
         head,
         facts,
         body,
@@ -235,8 +235,8 @@
     Arc::clone(&route.shares[0].service)
 }
 
-fn refuse(hub: &Hub, refusal: Refusal) -> Response<AnswerBody> {
-    let counter = hub.metrics.requests.with_label_values(&[refusal.reason()]);
+fn refuse(cx: &Context, refusal: Refusal) -> Response<AnswerBody> {
+    let counter = cx.metrics.requests.with_label_values(&[refusal.reason()]);
     counter.inc();
     refusal.answer()
 }
@@ -254,7 +254,7 @@
 impl Exchange {
     async fn run(mut self) -> Response<AnswerBody> {
         let service = Arc::clone(&self.service);
-        self.hub.with_budget(&service, |budget| budget.earn(now()));
+        self.cx.with_budget(&service, |budget| budget.earn(now()));
         loop {
             let choice = match self.place() {
                 Ok(choice) => choice,
@@ -291,7 +291,7 @@
 
     /// Chooses a backend server.
     pub fn place(&mut self) -> Result<Choice, Unplaceable> {
-        let belief = self.hub.belief.borrow();
+        let belief = self.cx.belief.borrow();
         let prompt = self.facts.prompt.as_ref().map(|prompt| Prompt {
             model: &prompt.model,
             parts: &prompt.parts,
@@ -310,7 +310,7 @@
             fleet: &belief.fleet,
             holdings: &belief.holdings,
             weights: &belief.weights,
-            domain: &self.hub.settings.domain,
+            domain: &self.cx.settings.domain,
             now: now(),
         };
         placement.choose(&ask)
@@ -341,11 +341,11 @@
             kind: self.route.kind,
             max_attempts: self.route.max_attempts,
         };
-        let (verdict, left) = self.hub.with_budget(&self.service, |budget| {
+        let (verdict, left) = self.cx.with_budget(&self.service, |budget| {
             let verdict = retry.after(end, progress, || budget.spend(now()));
             (verdict, budget.left(now()))
         });
-        self.hub
+        self.cx
             .metrics
             .attempts
             .with_label_values(&[&format!("{end:?}").to_lowercase()])
@@ -364,7 +364,7 @@
 
     /// Returns the id of a backend server, for logs.
     pub fn server_name(&self, key: ServerKey) -> String {
-        let belief = self.hub.belief.borrow();
+        let belief = self.cx.belief.borrow();
         let server = belief.fleet.get(key);
         server.map_or_else(|| "gone".to_owned(), |server| server.entry.id.to_string())
     }
@@ -373,12 +373,8 @@
     pub fn conclude(&mut self, outcome: &str, status: u16, server: Option<ServerKey>) {
         self.concluded = true;
         let took = now().micros_since(self.arrived);
-        self.hub
-            .metrics
-            .requests
-            .with_label_values(&[outcome])
-            .inc();
-        self.hub
+        self.cx.metrics.requests.with_label_values(&[outcome]).inc();
+        self.cx
             .metrics
             .whole_answer
             .observe(took as f64 / 1_000_000.0);
@@ -430,7 +426,7 @@
     }
 
     fn refuse_unplaced(mut self, e: Unplaceable) -> Response<AnswerBody> {
-        let known = self.hub.fleet_summary(&self.service);
+        let known = self.cx.fleet_summary(&self.service);
         log::info!(
             "event=unplaced id={:?} service={} cause={e:?} {known}",
             self.facts.id,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::clock::now;
-use crate::hub::Hub;
+use crate::context::Context;
 use crate::records;
 use crate::store::Revision;
 use crate::store::StoreError;
@@ -34,42 +34,42 @@
 const AWAY_LOOK: Duration = Duration::from_millis(100);
 
 /// Follows one topic until the process ends.
-pub async fn run(hub: Rc<Hub>, topic: Topic) {
+pub async fn run(cx: Rc<Context>, topic: Topic) {
     loop {
-        let mut after = match hub.store.list(topic).await {
+        let mut after = match cx.store.list(topic).await {
             Ok(listing) => {
-                succeeded(&hub, topic, "list");
+                succeeded(&cx, topic, "list");
                 for update in listing.updates {
-                    take_in(&hub, update, Naming::Earlier);
+                    take_in(&cx, update, Naming::Earlier);
                 }
                 listing.as_of
             }
             Err(e) => {
-                failed(&hub, topic, "list", &e).await;
+                failed(&cx, topic, "list", &e).await;
                 continue;
             }
         };
-        while let Some(next) = watch(&hub, topic, after).await {
+        while let Some(next) = watch(&cx, topic, after).await {
             after = next;
         }
     }
 }
 
 /// Waits for changes; none if the topic must be listed again.
-async fn watch(hub: &Hub, topic: Topic, after: Revision) -> Option<Revision> {
+async fn watch(cx: &Context, topic: Topic, after: Revision) -> Option<Revision> {
     if topic == Topic::Routers {
-        let pause = if hub.may_give_orders() {
+        let pause = if cx.may_give_orders() {
             CANDIDATE_PAUSE
         } else {
             ROUTERS_PAUSE
         };
         sleep(pause).await;
     }
-    match hub.store.watch(topic, after, WAIT_MS).await {
+    match cx.store.watch(topic, after, WAIT_MS).await {
         Ok(Watched::Changes(listing)) => {
-            succeeded(hub, topic, "watch");
+            succeeded(cx, topic, "watch");
             for update in listing.updates {
-                take_in(hub, update, Naming::Fresh);
+                take_in(cx, update, Naming::Fresh);
             }
             Some(listing.as_of)
         }
@@ -78,23 +78,23 @@
             None
         }
         Err(e) => {
-            failed(hub, topic, "watch", &e).await;
+            failed(cx, topic, "watch", &e).await;
             Some(after)
         }
     }
 }
 
 /// Takes in one thing that the store says.
-pub fn take_in(hub: &Hub, update: Update, naming: Naming) {
+pub fn take_in(cx: &Context, update: Update, naming: Naming) {
     match update {
-        Update::Configuration(configuration) => hub.adopt_configuration(*configuration, "store"),
+        Update::Configuration(configuration) => cx.adopt_configuration(*configuration, "store"),
         Update::Weights { model, version } => {
-            hub.adopt_weights(&model, version, naming, "store");
+            cx.adopt_weights(&model, version, naming, "store");
         }
-        Update::Server(entry) => hub.adopt_server(entry, "store"),
-        Update::ServerGone(id) => hub.drop_server(&id, "store"),
-        Update::Record(record) => records::take_in(hub, record),
-        Update::RecordGone(name) => records::take_out(hub, &name),
+        Update::Server(entry) => cx.adopt_server(entry, "store"),
+        Update::ServerGone(id) => cx.drop_server(&id, "store"),
+        Update::Record(record) => records::take_in(cx, record),
+        Update::RecordGone(name) => records::take_out(cx, &name),
         Update::Unreadable { key, reason } => {
             log::warn!("event=entry_unreadable key={key:?} reason={reason:?}");
         }
@@ -102,10 +102,10 @@
 }
 
 /// Notes a call that succeeded.
-pub fn succeeded(hub: &Hub, topic: Topic, call: &'static str) {
-    let calls = &hub.metrics.store_calls;
+pub fn succeeded(cx: &Context, topic: Topic, call: &'static str) {
+    let calls = &cx.metrics.store_calls;
     calls.with_label_values(&[call, "ok"]).inc();
-    let mut belief = hub.belief.borrow_mut();
+    let mut belief = cx.belief.borrow_mut();
     if belief.store_failing {
         log::info!(
             "event=store_regained topic={} away_ms={}",
@@ -119,11 +119,11 @@
 }
 
 /// Notes a call that failed, and waits before the next.
-pub async fn failed(hub: &Hub, topic: Topic, call: &'static str, e: &StoreError) {
-    let calls = &hub.metrics.store_calls;
+pub async fn failed(cx: &Context, topic: Topic, call: &'static str, e: &StoreError) {
+    let calls = &cx.metrics.store_calls;
     calls.with_label_values(&[call, "failed"]).inc();
     {
-        let mut belief = hub.belief.borrow_mut();
+        let mut belief = cx.belief.borrow_mut();
         if !belief.store_failing {
             log::warn!(
                 "event=store_lost topic={} reason={:?}",
@@ -137,7 +137,7 @@
     let spread = rand::rng().random_range(0..=FAILED_PAUSE_MS / 2);
     sleep(Duration::from_millis(FAILED_PAUSE_MS + spread)).await;
     // Failed calls are paid for too: one topic tries for all.
-    while topic != Topic::Operators && hub.belief.borrow().store_failing {
+    while topic != Topic::Operators && cx.belief.borrow().store_failing {
         sleep(AWAY_LOOK).await;
     }
 }
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -12,13 +12,13 @@
 use relay::Naming;
 use tokio::time::sleep;
 
+use crate::belief::Followed;
+use crate::belief::ReadRegistrations;
 use crate::clock::now;
+use crate::context::Context;
 use crate::feed::failed;
 use crate::feed::succeeded;
 use crate::feed::take_in;
-use crate::hub::Followed;
-use crate::hub::Hub;
-use crate::hub::ReadRegistrations;
 use crate::snapshot;
 use crate::store::Listing;
 use crate::store::Revision;
@@ -43,33 +43,33 @@
 const REFRESH_MS: u64 = 10_000;
 
 /// Follows registrations until the process ends.
-pub async fn run(hub: Rc<Hub>) {
+pub async fn run(cx: Rc<Context>) {
     let mut fetched_at = Time(0);
     loop {
-        match followed(&hub) {
+        match followed(&cx) {
             Some(followed) => {
-                hub.belief.borrow_mut().read_registrations = None;
-                follow(&hub, followed, &mut fetched_at).await;
+                cx.belief.borrow_mut().read_registrations = None;
+                follow(&cx, followed, &mut fetched_at).await;
                 sleep(FOLLOW_LOOK).await;
             }
-            None => read(&hub).await,
+            None => read(&cx).await,
         }
     }
 }
 
 /// Returns what another router has read for this one, if it is fresh.
-fn followed(hub: &Hub) -> Option<Followed> {
+fn followed(cx: &Context) -> Option<Followed> {
     let now = now();
-    if hub.peers.topology.borrow_mut().reader(now) == hub.peers.me {
+    if cx.peers.topology.borrow_mut().reader(now) == cx.peers.me {
         return None;
     }
-    let belief = hub.belief.borrow();
+    let belief = cx.belief.borrow();
     belief.followed.filter(|followed| followed.is_fresh(now))
 }
 
-async fn follow(hub: &Hub, followed: Followed, fetched_at: &mut Time) {
+async fn follow(cx: &Context, followed: Followed, fetched_at: &mut Time) {
     let same = {
-        let belief = hub.belief.borrow();
+        let belief = cx.belief.borrow();
         belief.fleet_known && belief.fleet.digest() == followed.digest
     };
     let pause_ms = if same { REFRESH_MS } else { FETCH_PAUSE_MS };
@@ -78,74 +78,74 @@
     }
     *fetched_at = now();
     match snapshot::fetch_servers(followed.reader).await {
-        Ok(servers) => hub.replace_servers(servers, "peer"),
+        Ok(servers) => cx.replace_servers(servers, "peer"),
         Err(e) => log::warn!("event=servers_unanswered reason={:?}", e.to_string()),
     }
 }
 
 /// Reads registrations from the store once, by a watch where that is possible.
-async fn read(hub: &Hub) {
+async fn read(cx: &Context) {
     let after = {
-        let belief = hub.belief.borrow();
+        let belief = cx.belief.borrow();
         let read = belief.read_registrations.map(|read| read.as_of);
         let followed = belief.followed.map(|followed| followed.as_of);
         read.or(followed.filter(|_| belief.fleet_known))
     };
-    let after = after.filter(|_| !must_list(hub));
+    let after = after.filter(|_| !must_list(cx));
     match after {
-        Some(after) => watch(hub, after).await,
-        None => list(hub).await,
+        Some(after) => watch(cx, after).await,
+        None => list(cx).await,
     }
 }
 
 /// Tells whether registrations are missing since the store was away, and would be back by now.
-fn must_list(hub: &Hub) -> bool {
-    let belief = hub.belief.borrow();
+fn must_list(cx: &Context) -> bool {
+    let belief = cx.belief.borrow();
     belief.fleet.has_missing() && belief.fleet.is_restored(now(), belief.store_away_until)
 }
 
-async fn list(hub: &Hub) {
-    match hub.store.list(Topic::Servers).await {
+async fn list(cx: &Context) {
+    match cx.store.list(Topic::Servers).await {
         Ok(listing) => {
-            succeeded(hub, Topic::Servers, "list");
-            take_in_all(hub, listing);
+            succeeded(cx, Topic::Servers, "list");
+            take_in_all(cx, listing);
             sleep(READ_PAUSE).await;
         }
-        Err(e) => failed(hub, Topic::Servers, "list", &e).await,
+        Err(e) => failed(cx, Topic::Servers, "list", &e).await,
     }
 }
 
-async fn watch(hub: &Hub, after: Revision) {
-    match hub.store.watch(Topic::Servers, after, WAIT_MS).await {
+async fn watch(cx: &Context, after: Revision) {
+    match cx.store.watch(Topic::Servers, after, WAIT_MS).await {
         Ok(Watched::Changes(listing)) => {
-            succeeded(hub, Topic::Servers, "watch");
-            note_read(hub, listing.as_of);
+            succeeded(cx, Topic::Servers, "watch");
+            note_read(cx, listing.as_of);
             for update in listing.updates {
-                take_in(hub, update, Naming::Fresh);
+                take_in(cx, update, Naming::Fresh);
             }
             sleep(READ_PAUSE).await;
         }
         Ok(Watched::HistoryGone) => {
             log::info!("event=history_gone topic=servers after={after}");
-            list(hub).await;
+            list(cx).await;
         }
-        Err(e) => failed(hub, Topic::Servers, "watch", &e).await,
+        Err(e) => failed(cx, Topic::Servers, "watch", &e).await,
     }
 }
 
-fn note_read(hub: &Hub, as_of: Revision) {
+fn note_read(cx: &Context, as_of: Revision) {
     let read_at = now();
-    hub.belief.borrow_mut().read_registrations = Some(ReadRegistrations { as_of, read_at });
+    cx.belief.borrow_mut().read_registrations = Some(ReadRegistrations { as_of, read_at });
 }
 
-fn take_in_all(hub: &Hub, listing: Listing) {
-    note_read(hub, listing.as_of);
+fn take_in_all(cx: &Context, listing: Listing) {
+    note_read(cx, listing.as_of);
     let mut entries = Vec::new();
     for update in listing.updates {
         match update {
             Update::Server(entry) => entries.push(entry),
-            other => take_in(hub, other, Naming::Earlier),
+            other => take_in(cx, other, Naming::Earlier),
         }
     }
-    hub.replace_servers(entries, "store");
+    cx.replace_servers(entries, "store");
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,8 +2,6 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,22 +16,18 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::body::AnswerBody;
+use crate::context::Context;
+use crate::context::Phase;
 use crate::exchange;
 use crate::exchange::Aborted;
-use crate::hub::Hub;
-use crate::hub::Phase;
 use crate::pool::configure;
 use crate::pool::describe;
 
-/// Connections that may wait to be accepted; callers come in herds.
-const BACKLOG: u32 = 1_024;
-
 /// Largest head of a request while no configuration says otherwise, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -43,14 +37,6 @@
 /// Wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Opens a port.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Accepts connections for as long as the process runs, and serves each as a task.
 pub async fn accept<F, S>(listener: TcpListener, serve: F)
 where
@@ -71,13 +57,13 @@
 }
 
 /// Serves one connection of a caller until it ends, or until `close` asks idle ones to.
-pub async fn serve(hub: Rc<Hub>, stream: TcpStream, mut close: watch::Receiver<bool>) {
+pub async fn serve(cx: Rc<Context>, stream: TcpStream, mut close: watch::Receiver<bool>) {
     if let Err(e) = configure(&stream) {
         log::debug!("event=socket_failed reason={:?}", e.to_string());
         return;
     }
-    let (head_bytes, idle_ms) = limits(&hub);
-    let service = service_fn(|req| handle(Rc::clone(&hub), req));
+    let (head_bytes, idle_ms) = limits(&cx);
+    let service = service_fn(|req| handle(Rc::clone(&cx), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
@@ -96,8 +82,8 @@
     }
 }
 
-fn limits(hub: &Hub) -> (usize, u64) {
-    let belief = hub.belief.borrow();
+fn limits(cx: &Context) -> (usize, u64) {
+    let belief = cx.belief.borrow();
     let limits = belief.configuration.as_ref().map(|c| c.limits);
     let limits = limits.map(|limits| {
         let idle_ms = limits.idle_timeout_ms.max(limits.head_timeout_ms);
@@ -106,9 +92,9 @@
     limits.unwrap_or((MAX_HEAD_BYTES, IDLE_MS))
 }
 
-async fn handle(hub: Rc<Hub>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Aborted> {
-    let mut answer = exchange::answer(Rc::clone(&hub), req).await?;
-    if hub.phase.get() != Phase::Serving {
+async fn handle(cx: Rc<Context>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Aborted> {
+    let mut answer = exchange::answer(Rc::clone(&cx), req).await?;
+    if cx.phase.get() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,19 +17,19 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::belief::Belief;
 use crate::clock::now;
 use crate::codec::Codec;
+use crate::context::Context;
+use crate::context::Phase;
 use crate::engines::Engines;
 use crate::feed;
 use crate::fleet_feed;
 use crate::front;
 use crate::front::accept;
-use crate::front::listen;
 use crate::front::serve_pages;
 use crate::gossip_task;
-use crate::hub::Belief;
-use crate::hub::Hub;
-use crate::hub::Phase;
+use crate::listener::listen;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
 use crate::orders;
@@ -91,7 +91,7 @@
 
 /// A router for requests that it does not read.
 pub struct Gateway {
-    hub: Rc<Hub>,
+    cx: Rc<Context>,
     callers: watch::Receiver<bool>,
     close: watch::Sender<bool>,
 }
@@ -101,7 +101,7 @@
     pub async fn start(settings: Settings, outside: Outside) -> Result<Gateway, Error> {
         let belief = Belief::new(&settings);
         let peers = Peers::new(&settings.name, records::member(&settings));
-        let hub = Rc::new(Hub {
+        let cx = Rc::new(Context {
             seeds: RefCell::new(settings.seeds.clone()),
             settings,
             codec: outside.codec,
@@ -115,14 +115,10 @@
             phase: Cell::new(Phase::Serving),
         });
         let (close, callers) = watch::channel(false);
-        let gateway = Gateway {
-            hub,
-            callers,
-            close,
-        };
+        let gateway = Gateway { cx, callers, close };
         gateway.open_ports().await?;
         gateway.spawn_tasks();
-        let settings = &gateway.hub.settings;
+        let settings = &gateway.cx.settings;
         log::info!(
             "event=start version={} name={} domain={} callers={} store={}",
             env!("CARGO_PKG_VERSION"),
@@ -148,8 +144,8 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hangup.recv() => file.reload(&self.hub, "signal"),
-                () = file.changed() => file.reload(&self.hub, "file"),
+                _ = hangup.recv() => file.reload(&self.cx, "signal"),
+                () = file.changed() => file.reload(&self.cx, "file"),
             }
         }
         self.stop().await;
@@ -158,15 +154,15 @@
 
     async fn stop(self) {
         let told_at = now();
-        let hub = &self.hub;
-        hub.phase.set(Phase::Draining);
+        let cx = &self.cx;
+        cx.phase.set(Phase::Draining);
         log::info!("event=stop phase=draining open={}", self.connections());
-        let last = told_at.plus_millis(hub.settings.stop_ms.saturating_sub(STOP_MARGIN_MS));
+        let last = told_at.plus_millis(cx.settings.stop_ms.saturating_sub(STOP_MARGIN_MS));
         let rotated = told_at.plus_millis(ROTATION_MS).min(last);
         while now() < rotated {
             sleep(STOP_LOOK).await;
         }
-        hub.phase.set(Phase::Leaving);
+        cx.phase.set(Phase::Leaving);
         log::info!("event=stop phase=leaving open={}", self.connections());
         self.close.send_replace(true);
         while self.connections() > 0 && now() < last {
@@ -185,20 +181,18 @@
     }
 
     async fn open_ports(&self) -> Result<(), Error> {
-        let hub = &self.hub;
-        let addresses = &hub.settings.listen;
+        let cx = &self.cx;
+        let addresses = &cx.settings.listen;
         let callers = open("callers", addresses.callers)?;
         let close = self.callers.clone();
-        let front = Rc::clone(hub);
+        let front = Rc::clone(cx);
         tokio::task::spawn_local(accept(callers, move |stream| {
             front::serve(Rc::clone(&front), stream, close.clone())
         }));
         let readiness = open("readiness", addresses.readiness)?;
-        self.serve(readiness, |hub, _| status_pages::readiness(hub));
+        self.serve(readiness, |cx, _| status_pages::readiness(cx));
         let metrics = SocketAddr::new(addresses.callers.ip(), addresses.metrics_port);
-        self.serve(open("metrics", metrics)?, |hub, _| {
-            status_pages::metrics(hub)
-        });
+        self.serve(open("metrics", metrics)?, |cx, _| status_pages::metrics(cx));
         self.serve(
             open("other routers", self.peer_address())?,
             status_pages::bootstrap,
@@ -211,37 +205,37 @@
             what: "messages of other routers",
             address,
         })?;
-        tokio::task::spawn_local(gossip_task::run(Rc::clone(hub), socket));
+        tokio::task::spawn_local(gossip_task::run(Rc::clone(cx), socket));
         Ok(())
     }
 
     fn serve<F>(&self, listener: TcpListener, page: F)
     where
-        F: Fn(&Hub, &str) -> http::Response<crate::body::AnswerBody> + Copy + 'static,
+        F: Fn(&Context, &str) -> http::Response<crate::body::AnswerBody> + Copy + 'static,
     {
-        let hub = Rc::clone(&self.hub);
+        let cx = Rc::clone(&self.cx);
         tokio::task::spawn_local(accept(listener, move |stream| {
-            let hub = Rc::clone(&hub);
-            async move { serve_pages(stream, |path| page(&hub, path)).await }
+            let cx = Rc::clone(&cx);
+            async move { serve_pages(stream, |path| page(&cx, path)).await }
         }));
     }
 
     fn peer_address(&self) -> SocketAddr {
-        let listen = &self.hub.settings.listen;
+        let listen = &self.cx.settings.listen;
         SocketAddr::new(listen.callers.ip(), listen.peer_port)
     }
 
     fn spawn_tasks(&self) {
-        let hub = &self.hub;
-        tokio::task::spawn_local(fleet_feed::run(Rc::clone(hub)));
+        let cx = &self.cx;
+        tokio::task::spawn_local(fleet_feed::run(Rc::clone(cx)));
         for topic in [Topic::Operators, Topic::Routers] {
-            tokio::task::spawn_local(feed::run(Rc::clone(hub), topic));
+            tokio::task::spawn_local(feed::run(Rc::clone(cx), topic));
         }
-        tokio::task::spawn_local(records::keep_member(Rc::clone(hub)));
-        tokio::task::spawn_local(records::hold_orders(Rc::clone(hub)));
-        tokio::task::spawn_local(orders::run(Rc::clone(hub)));
-        tokio::task::spawn_local(snapshot::run(Rc::clone(hub)));
-        tokio::task::spawn_local(sweep(Rc::clone(hub)));
+        tokio::task::spawn_local(records::keep_member(Rc::clone(cx)));
+        tokio::task::spawn_local(records::hold_orders(Rc::clone(cx)));
+        tokio::task::spawn_local(orders::run(Rc::clone(cx)));
+        tokio::task::spawn_local(snapshot::run(Rc::clone(cx)));
+        tokio::task::spawn_local(sweep(Rc::clone(cx)));
     }
 }
 
@@ -249,9 +243,9 @@
     listen(address).context(ListenSnafu { what, address })
 }
 
-async fn sweep(hub: Rc<Hub>) {
+async fn sweep(cx: Rc<Context>) {
     loop {
         sleep(SWEEP).await;
-        hub.pool.sweep(&hub.belief.borrow().fleet);
+        cx.pool.sweep(&cx.belief.borrow().fleet);
     }
 }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -17,9 +17,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
+use crate::belief::Belief;
+use crate::belief::Followed;
 use crate::clock::now;
-use crate::hub::Followed;
-use crate::hub::Hub;
+use crate::context::Context;
 
 /// Longest time between two messages where routers speak to all others.
 const DIRECT_ROUND: Duration = Duration::from_millis(150);
@@ -37,19 +38,19 @@
 const MAX_MESSAGE_BYTES: usize = 16_384;
 
 /// Sends and receives messages until the process ends.
-pub async fn run(hub: Rc<Hub>, socket: UdpSocket) {
+pub async fn run(cx: Rc<Context>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    tokio::task::spawn_local(receive(Rc::clone(&hub), Rc::clone(&socket)));
+    tokio::task::spawn_local(receive(Rc::clone(&cx), Rc::clone(&socket)));
     loop {
-        let round = if hub.peers.topology.borrow().is_direct() {
+        let round = if cx.peers.topology.borrow().is_direct() {
             DIRECT_ROUND
         } else {
             HUB_ROUND
         };
         // Either a change or the end of the round: both lead to a message.
-        let _ = timeout(round, hub.peers.wake.notified()).await;
-        let message = compose(&hub);
-        hub.peers.forget_old();
+        let _ = timeout(round, cx.peers.wake.notified()).await;
+        let message = compose(&cx);
+        cx.peers.forget_old();
         let bytes = match postcard::to_stdvec(&message) {
             Ok(bytes) => bytes,
             Err(e) => {
@@ -57,14 +58,14 @@
                 continue;
             }
         };
-        let audience = hub.peers.topology.borrow_mut().audience(now());
-        send(&hub, &socket, &audience, &bytes).await;
+        let audience = cx.peers.topology.borrow_mut().audience(now());
+        send(&cx, &socket, &audience, &bytes).await;
     }
 }
 
-async fn send(hub: &Hub, socket: &UdpSocket, audience: &[u64], bytes: &[u8]) {
+async fn send(cx: &Context, socket: &UdpSocket, audience: &[u64], bytes: &[u8]) {
     for mark in audience {
-        let Some(address) = hub.peers.address(*mark) else {
+        let Some(address) = cx.peers.address(*mark) else {
             continue;
         };
         if let Err(e) = socket.send_to(bytes, address).await {
@@ -76,7 +77,7 @@
     }
 }
 
-async fn receive(hub: Rc<Hub>, socket: Rc<UdpSocket>) {
+async fn receive(cx: Rc<Context>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_MESSAGE_BYTES];
     loop {
         let (len, from) = match socket.recv_from(&mut buf).await {
@@ -90,9 +91,9 @@
         let bytes = &buf[..len];
         match postcard::from_bytes::<Gossip>(bytes) {
             Ok(message) => {
-                take_in(&hub, from, &message);
-                let audience = passed_on(&hub, &message);
-                send(&hub, &socket, &audience, bytes).await;
+                take_in(&cx, from, &message);
+                let audience = passed_on(&cx, &message);
+                send(&cx, &socket, &audience, bytes).await;
             }
             Err(e) => log::warn!(
                 "event=gossip_unreadable peer={from} reason={:?}",
@@ -103,8 +104,8 @@
 }
 
 /// Returns the routers to which a hub passes another hub's message.
-fn passed_on(hub: &Hub, message: &Gossip) -> Vec<u64> {
-    let mut topology = hub.peers.topology.borrow_mut();
+fn passed_on(cx: &Context, message: &Gossip) -> Vec<u64> {
+    let mut topology = cx.peers.topology.borrow_mut();
     let foreign = message
         .region
         .is_some_and(|region| region != topology.region());
@@ -115,16 +116,16 @@
     }
 }
 
-fn take_in(hub: &Hub, from: SocketAddr, message: &Gossip) {
+fn take_in(cx: &Context, from: SocketAddr, message: &Gossip) {
     let now = now();
-    hub.peers.heard(message.from, message.configuration);
+    cx.peers.heard(message.from, message.configuration);
     for told in &message.named {
         let naming = Naming::Ago(told.age_ms);
-        hub.adopt_weights(&told.model, told.version, naming, "peer");
+        cx.adopt_weights(&told.model, told.version, naming, "peer");
     }
-    let own_region = message.region == Some(hub.peers.topology.borrow().region());
-    let own = hub.peers.told_loads.borrow();
-    let mut belief = hub.belief.borrow_mut();
+    let own_region = message.region == Some(cx.peers.topology.borrow().region());
+    let own = cx.peers.told_loads.borrow();
+    let mut belief = cx.belief.borrow_mut();
     let belief = &mut *belief;
     message.apply(
         now,
@@ -133,45 +134,45 @@
         own_region.then_some(own.as_slice()),
     );
     if let Some(told) = message.fleet {
-        let own = hub.peers.address(message.from).unwrap_or(from);
+        let own = cx.peers.address(message.from).unwrap_or(from);
         belief.followed = Some(Followed::new(now, own, told));
     }
     for strike in &message.strikes {
         belief.strikes.add(now, *strike);
     }
-    if message.region.is_none() && !hub.peers.topology.borrow().is_direct() {
-        repeat(hub, belief, message);
+    if message.region.is_none() && !cx.peers.topology.borrow().is_direct() {
+        repeat(cx, belief, message);
     }
 }
 
 /// Takes a member's news among those that this hub tells.
-fn repeat(hub: &Hub, belief: &crate::hub::Belief, message: &Gossip) {
+fn repeat(cx: &Context, belief: &Belief, message: &Gossip) {
     for told in &message.parts {
         if let Some(key) = belief.fleet.by_mark(told.server) {
-            hub.peers.tell_part(PartKey(told.part), key);
+            cx.peers.tell_part(PartKey(told.part), key);
         }
     }
     for told in &message.switches {
         if let Some(key) = belief.fleet.by_mark(told.server) {
             let until = now().plus_millis(u64::from(told.for_ms));
-            hub.peers.tell_switch(key, until);
+            cx.peers.tell_switch(key, until);
         }
     }
     for strike in &message.strikes {
-        hub.peers.tell_strike(*strike);
+        cx.peers.tell_strike(*strike);
     }
     for told in &message.weights {
         if let Some(key) = belief.fleet.by_mark(told.server) {
-            hub.peers.tell_weights(key, &told.model, told.version);
+            cx.peers.tell_weights(key, &told.model, told.version);
         }
     }
 }
 
-fn compose(hub: &Hub) -> Gossip {
+fn compose(cx: &Context) -> Gossip {
     let now = now();
-    let mut topology = hub.peers.topology.borrow_mut();
+    let mut topology = cx.peers.topology.borrow_mut();
     let is_hub = topology.is_hub(now);
-    let belief = hub.belief.borrow();
+    let belief = cx.belief.borrow();
     let fleet = &belief.fleet;
     let mark = |key: ServerKey| fleet.get(key).map(|server| server.mark);
     let loads = fleet.iter().map(|(_, server)| {
@@ -183,7 +184,7 @@
         }
     });
     let loads: Vec<ToldLoad> = loads.filter(|load| load.requests > 0).collect();
-    let parts = hub.peers.parts.borrow();
+    let parts = cx.peers.parts.borrow();
     let parts = parts.iter().rev().take(MAX_PARTS).filter_map(|recent| {
         let (part, server) = recent.told;
         Some(ToldPart {
@@ -191,7 +192,7 @@
             server: mark(server)?,
         })
     });
-    let switches = hub.peers.switches.borrow();
+    let switches = cx.peers.switches.borrow();
     let switches = switches.iter().filter_map(|recent| {
         let (server, until) = recent.told;
         let for_ms = u32::try_from(until.millis_since(now)).ok()?;
@@ -200,7 +201,7 @@
             for_ms,
         })
     });
-    let weights = hub.peers.weights.borrow();
+    let weights = cx.peers.weights.borrow();
     let weights = weights.iter().filter_map(|recent| {
         let (server, model, version) = &recent.told;
         Some(ToldWeights {
@@ -209,7 +210,7 @@
             version: *version,
         })
     });
-    let strikes = hub.peers.strikes.borrow();
+    let strikes = cx.peers.strikes.borrow();
     let strikes = strikes.iter().map(|recent| recent.told).take(MAX_STRIKES);
     let named = belief.weights.ages(now);
     let named = named.map(|(model, version, age_ms)| ToldNaming {
@@ -222,9 +223,9 @@
         as_of: read.as_of,
         age_ms: u32::try_from(now.millis_since(read.read_at)).unwrap_or(u32::MAX),
     });
-    *hub.peers.told_loads.borrow_mut() = loads.clone();
+    *cx.peers.told_loads.borrow_mut() = loads.clone();
     Gossip {
-        from: hub.peers.me,
+        from: cx.peers.me,
         region: is_hub.then(|| topology.region()),
         configuration: belief.configuration.as_ref().map_or(0, |c| c.version),
         fleet: told_fleet,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,22 +5,22 @@
 use relay::ServerKey;
 
 use crate::clock::now;
-use crate::hub::Hub;
+use crate::context::Context;
 
 /// A request at a backend server; counted down when dropped.
 pub struct InFlight {
-    hub: Rc<Hub>,
+    cx: Rc<Context>,
     server: ServerKey,
     reading_ms: u64,
 }
 
 impl InFlight {
     /// Counts a request whose prompt takes `reading_ms` to read.
-    pub fn begin(hub: &Rc<Hub>, server: ServerKey, reading_ms: u64) -> InFlight {
-        let mut belief = hub.belief.borrow_mut();
+    pub fn begin(cx: &Rc<Context>, server: ServerKey, reading_ms: u64) -> InFlight {
+        let mut belief = cx.belief.borrow_mut();
         belief.fleet.begin(now(), server, reading_ms);
         InFlight {
-            hub: Rc::clone(hub),
+            cx: Rc::clone(cx),
             server,
             reading_ms,
         }
@@ -28,7 +28,7 @@
 
     /// Notes that the backend server has answered, after it read the prompt.
     pub fn answered(&mut self) {
-        let mut belief = self.hub.belief.borrow_mut();
+        let mut belief = self.cx.belief.borrow_mut();
         let read_ms = std::mem::take(&mut self.reading_ms);
         belief.fleet.prompt_read(now(), self.server, read_ms);
     }
@@ -36,7 +36,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let mut belief = self.hub.belief.borrow_mut();
+        let mut belief = self.cx.belief.borrow_mut();
         belief.fleet.end(self.server, self.reading_ms);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,9 +5,11 @@
 //! the outside stands behind the traits [`Codec`], [`Store`] and [`Engines`].
 
 mod attempt;
+mod belief;
 mod body;
 mod clock;
 mod codec;
+mod context;
 mod engines;
 mod exchange;
 mod feed;
@@ -15,8 +17,8 @@
 mod front;
 mod gateway;
 mod gossip_task;
-mod hub;
 mod in_flight;
+mod listener;
 mod log_sink;
 mod metrics;
 mod orders;
@@ -46,6 +48,7 @@
 pub use gateway::Error;
 pub use gateway::Gateway;
 pub use gateway::Outside;
+pub use listener::listen;
 pub use log_sink::LogSink;
 pub use pool::configure;
 pub use pool::describe;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -12,8 +12,8 @@
 use tokio::time::sleep;
 
 use crate::clock::now;
+use crate::context::Context;
 use crate::engines::WeightsOrder;
-use crate::hub::Hub;
 use crate::records::end_tenure;
 
 /// Time between looks at what is due.
@@ -27,86 +27,86 @@
 const SWITCH_MS: u64 = 1_800;
 
 /// Gives the orders that are due until the process ends.
-pub async fn run(hub: Rc<Hub>) {
+pub async fn run(cx: Rc<Context>) {
     loop {
         sleep(LOOK).await;
-        for step in due(&hub) {
-            tokio::task::spawn_local(carry_out(Rc::clone(&hub), step));
+        for step in due(&cx) {
+            tokio::task::spawn_local(carry_out(Rc::clone(&cx), step));
         }
     }
 }
 
-fn due(hub: &Hub) -> Vec<OrderStep> {
-    let mut belief = hub.belief.borrow_mut();
+fn due(cx: &Context) -> Vec<OrderStep> {
+    let mut belief = cx.belief.borrow_mut();
     let belief = &mut *belief;
     let now = now();
     if !belief.tenure.is_some_and(|t| t.allows(now, CALL_MS)) {
         return Vec::new();
     }
-    let percent = hub.settings.orders_at_once_percent;
+    let percent = cx.settings.orders_at_once_percent;
     belief
         .plan
         .due(now, &belief.fleet, &belief.weights, percent)
 }
 
-async fn carry_out(hub: Rc<Hub>, step: OrderStep) {
+async fn carry_out(cx: Rc<Context>, step: OrderStep) {
     match step {
-        OrderStep::Announce(server) => announce(&hub, server),
-        OrderStep::Report(server) => report(&hub, server).await,
+        OrderStep::Announce(server) => announce(&cx, server),
+        OrderStep::Report(server) => report(&cx, server).await,
         OrderStep::Order {
             server,
             model,
             version,
             accepted,
-        } => order(&hub, server, model, version, accepted).await,
+        } => order(&cx, server, model, version, accepted).await,
     }
 }
 
-fn announce(hub: &Hub, key: ServerKey) {
+fn announce(cx: &Context, key: ServerKey) {
     let until = now().plus_millis(SWITCH_MS);
-    if let Some(server) = hub.belief.borrow_mut().fleet.get_mut(key) {
+    if let Some(server) = cx.belief.borrow_mut().fleet.get_mut(key) {
         server.switching_until = until;
     }
-    hub.peers.tell_switch(key, until);
+    cx.peers.tell_switch(key, until);
 }
 
-async fn report(hub: &Hub, key: ServerKey) {
-    let Some((_, address)) = address(hub, key) else {
+async fn report(cx: &Context, key: ServerKey) {
+    let Some((_, address)) = address(cx, key) else {
         return;
     };
-    let observed = hub.engines.report(address).await;
+    let observed = cx.engines.report(address).await;
     if let Some(observed) = &observed {
-        saw(hub, key, observed);
+        saw(cx, key, observed);
     }
-    let mut belief = hub.belief.borrow_mut();
+    let mut belief = cx.belief.borrow_mut();
     belief.plan.on_report(now(), key, observed.as_ref());
 }
 
-fn saw(hub: &Hub, key: ServerKey, observed: &Observed) {
+fn saw(cx: &Context, key: ServerKey, observed: &Observed) {
     for (model, version) in &observed.weights {
         if !observed.busy {
-            hub.saw_weights(key, model, *version);
+            cx.saw_weights(key, model, *version);
         }
     }
 }
 
-async fn order(hub: &Hub, key: ServerKey, model: Arc<str>, version: u64, accepted: u64) {
-    let tenure = hub.belief.borrow().tenure;
-    let (Some((engine, address)), Some(tenure)) = (address(hub, key), tenure) else {
-        let mut belief = hub.belief.borrow_mut();
+async fn order(cx: &Context, key: ServerKey, model: Arc<str>, version: u64, accepted: u64) {
+    let tenure = cx.belief.borrow().tenure;
+    let (Some((engine, address)), Some(tenure)) = (address(cx, key), tenure) else {
+        let mut belief = cx.belief.borrow_mut();
         return belief.plan.on_reply(now(), key, Reply::Conflict);
     };
-    announce(hub, key);
+    announce(cx, key);
     let order = WeightsOrder {
         engine: Arc::clone(&engine),
         model: Arc::clone(&model),
         version,
         accepted,
-        holder: Arc::clone(&hub.settings.name),
+        holder: Arc::clone(&cx.settings.name),
         fence: tenure.fence,
     };
-    let reply = hub.engines.order(address, order).await;
-    hub.metrics
+    let reply = cx.engines.order(address, order).await;
+    cx.metrics
         .orders
         .with_label_values(&[&format!("{reply:?}").to_lowercase()])
         .inc();
@@ -115,17 +115,17 @@
         tenure.fence
     );
     if reply == Reply::Fenced {
-        end_tenure(hub, "a newer holder gives orders");
+        end_tenure(cx, "a newer holder gives orders");
     }
     if reply == Reply::Holds {
-        hub.saw_weights(key, &model, version);
+        cx.saw_weights(key, &model, version);
     }
-    let mut belief = hub.belief.borrow_mut();
+    let mut belief = cx.belief.borrow_mut();
     belief.plan.on_reply(now(), key, reply);
 }
 
-fn address(hub: &Hub, key: ServerKey) -> Option<(Arc<str>, SocketAddr)> {
-    let belief = hub.belief.borrow();
+fn address(cx: &Context, key: ServerKey) -> Option<(Arc<str>, SocketAddr)> {
+    let belief = cx.belief.borrow();
     let server = belief.fleet.get(key)?;
     Some((Arc::clone(&server.entry.id), server.entry.address))
 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -14,8 +14,8 @@
 use tokio::time::sleep;
 
 use crate::clock::now;
-use crate::hub::Hub;
-use crate::hub::Phase;
+use crate::context::Context;
+use crate::context::Phase;
 use crate::settings::Settings;
 use crate::store::Committed;
 use crate::store::LeaseId;
@@ -50,11 +50,11 @@
 const FENCED_WAIT_MS: u64 = 200;
 
 /// Takes in a record.
-pub fn take_in(hub: &Hub, record: Record) {
+pub fn take_in(cx: &Context, record: Record) {
     if let Some(name) = record.name.strip_prefix(MEMBER) {
-        take_in_member(hub, name, &record.value);
+        take_in_member(cx, name, &record.value);
     } else if record.name == HOLDER {
-        hub.belief.borrow_mut().order_holder = Some(record.revision);
+        cx.belief.borrow_mut().order_holder = Some(record.revision);
         let holder = String::from_utf8_lossy(&record.value).into_owned();
         log::info!(
             "event=order_holder holder={holder:?} fence={}",
@@ -64,25 +64,25 @@
 }
 
 /// Takes in the end of a record.
-pub fn take_out(hub: &Hub, name: &str) {
+pub fn take_out(cx: &Context, name: &str) {
     if let Some(name) = name.strip_prefix(MEMBER) {
         log::info!("event=router_removed peer={name:?}");
-        hub.peers.remove(name);
+        cx.peers.remove(name);
     } else if name == HOLDER {
-        hub.belief.borrow_mut().order_holder = None;
+        cx.belief.borrow_mut().order_holder = None;
         log::info!("event=order_holder holder=none");
     }
 }
 
-fn take_in_member(hub: &Hub, name: &str, value: &Bytes) {
-    if name == &*hub.settings.name {
+fn take_in_member(cx: &Context, name: &str, value: &Bytes) {
+    if name == &*cx.settings.name {
         return;
     }
     match serde_json::from_slice::<MemberRecord>(value) {
         Ok(record) => {
             let address = record.address;
             log::info!("event=router_added peer={name:?} address={address}");
-            hub.peers.add(name, address, Member::from(&record));
+            cx.peers.add(name, address, Member::from(&record));
         }
         Err(e) => log::warn!(
             "event=router_unreadable peer={name:?} reason={:?}",
@@ -123,10 +123,10 @@
 }
 
 /// Keeps this router's record alive until the process ends.
-pub async fn keep_member(hub: Rc<Hub>) {
+pub async fn keep_member(cx: Rc<Context>) {
     loop {
-        match register(&hub).await {
-            Ok(Some(lease)) => keep_alive(&hub, lease).await,
+        match register(&cx).await {
+            Ok(Some(lease)) => keep_alive(&cx, lease).await,
             Ok(None) => {}
             Err(e) => log::warn!("event=register_failed reason={:?}", e.to_string()),
         }
@@ -134,10 +134,10 @@
     }
 }
 
-async fn register(hub: &Hub) -> Result<Option<LeaseId>, StoreError> {
-    let lease = hub.store.grant(MEMBER_LEASE_MS).await?;
-    let name = format!("{MEMBER}{}", hub.settings.name);
-    let value = serde_json::to_vec(&member_record(&hub.settings));
+async fn register(cx: &Context) -> Result<Option<LeaseId>, StoreError> {
+    let lease = cx.store.grant(MEMBER_LEASE_MS).await?;
+    let name = format!("{MEMBER}{}", cx.settings.name);
+    let value = serde_json::to_vec(&member_record(&cx.settings));
     let value = Some(Bytes::from(
         value.expect("a record of texts and numbers is JSON"),
     ));
@@ -147,16 +147,16 @@
         value,
         lease: Some(lease),
     };
-    match hub.store.commit(vec![write]).await? {
+    match cx.store.commit(vec![write]).await? {
         Committed::At(_) => Ok(Some(lease)),
         Committed::Conflict | Committed::LeaseOver => Ok(None),
     }
 }
 
-async fn keep_alive(hub: &Hub, lease: LeaseId) {
+async fn keep_alive(cx: &Context, lease: LeaseId) {
     loop {
         sleep(MEMBER_RENEWAL).await;
-        match hub.store.renew(lease).await {
+        match cx.store.renew(lease).await {
             Ok(true) => {}
             Ok(false) => return,
             Err(e) => log::debug!("event=renewal_failed reason={:?}", e.to_string()),
@@ -165,26 +165,26 @@
 }
 
 /// Takes over the giving of orders whenever nobody else does.
-pub async fn hold_orders(hub: Rc<Hub>) {
+pub async fn hold_orders(cx: Rc<Context>) {
     loop {
         sleep(LOOK).await;
         let free = {
-            let belief = hub.belief.borrow();
+            let belief = cx.belief.borrow();
             belief.order_holder.is_none()
                 && belief.fleet_known
-                && hub.phase.get() == Phase::Serving
-                && hub.may_give_orders()
+                && cx.phase.get() == Phase::Serving
+                && cx.may_give_orders()
         };
         if !free {
             continue;
         }
         let spread = rand::rng().random_range(0..TAKE_OVER_SPREAD_MS);
         sleep(Duration::from_millis(spread)).await;
-        if hub.belief.borrow().order_holder.is_some() || hub.phase.get() != Phase::Serving {
+        if cx.belief.borrow().order_holder.is_some() || cx.phase.get() != Phase::Serving {
             continue;
         }
-        match take_over(&hub).await {
-            Ok(Some(lease)) => hold(&hub, lease).await,
+        match take_over(&cx).await {
+            Ok(Some(lease)) => hold(&cx, lease).await,
             Ok(None) => sleep(FAILED_PAUSE).await,
             Err(e) => {
                 log::warn!("event=take_over_failed reason={:?}", e.to_string());
@@ -194,29 +194,29 @@
     }
 }
 
-async fn take_over(hub: &Hub) -> Result<Option<LeaseId>, StoreError> {
-    let ttl_ms = lease_ms(hub);
+async fn take_over(cx: &Context) -> Result<Option<LeaseId>, StoreError> {
+    let ttl_ms = lease_ms(cx);
     let sent_at = now();
-    let lease = hub.store.grant(ttl_ms).await?;
+    let lease = cx.store.grant(ttl_ms).await?;
     let write = Write {
         name: HOLDER.to_owned(),
         expected: Some(0),
-        value: Some(Bytes::from(hub.settings.name.to_string())),
+        value: Some(Bytes::from(cx.settings.name.to_string())),
         lease: Some(lease),
     };
-    let fence = match hub.store.commit(vec![write]).await? {
+    let fence = match cx.store.commit(vec![write]).await? {
         Committed::At(revision) => revision,
         Committed::Conflict | Committed::LeaseOver => {
-            hub.store.end(lease).await?;
+            cx.store.end(lease).await?;
             return Ok(None);
         }
     };
-    let wait_ms = if hub.settings.fenced {
+    let wait_ms = if cx.settings.fenced {
         FENCED_WAIT_MS
     } else {
-        hub.settings.order_lease_ms
+        cx.settings.order_lease_ms
     };
-    let mut belief = hub.belief.borrow_mut();
+    let mut belief = cx.belief.borrow_mut();
     belief.order_holder = Some(fence);
     belief.tenure = Some(Tenure {
         fence,
@@ -228,48 +228,46 @@
     Ok(Some(lease))
 }
 
-async fn hold(hub: &Hub, lease: LeaseId) {
-    let ttl_ms = lease_ms(hub);
+async fn hold(cx: &Context, lease: LeaseId) {
+    let ttl_ms = lease_ms(cx);
     loop {
         let renewal_at = now().plus_millis(ttl_ms / 4);
-        while now() < renewal_at && hub.phase.get() == Phase::Serving {
+        while now() < renewal_at && cx.phase.get() == Phase::Serving {
             sleep(LOOK).await;
         }
-        if hub.phase.get() != Phase::Serving {
+        if cx.phase.get() != Phase::Serving {
             // The lease lapses by itself if this call fails.
-            if let Err(e) = hub.store.end(lease).await {
+            if let Err(e) = cx.store.end(lease).await {
                 log::warn!("event=release_failed reason={:?}", e.to_string());
             }
-            return end_tenure(hub, "stopping");
+            return end_tenure(cx, "stopping");
         }
         let sent_at = now();
-        match hub.store.renew(lease).await {
-            Ok(true) => renew_tenure(hub, sent_at, ttl_ms),
-            Ok(false) => return end_tenure(hub, "lease is over"),
+        match cx.store.renew(lease).await {
+            Ok(true) => renew_tenure(cx, sent_at, ttl_ms),
+            Ok(false) => return end_tenure(cx, "lease is over"),
             Err(e) => log::warn!("event=renewal_failed reason={:?}", e.to_string()),
         }
-        let until = hub.belief.borrow().tenure.map(|tenure| tenure.until);
+        let until = cx.belief.borrow().tenure.map(|tenure| tenure.until);
         if until.is_none_or(|until| until <= now()) {
-            return end_tenure(hub, "not renewed in time");
+            return end_tenure(cx, "not renewed in time");
         }
     }
 }
 
-fn renew_tenure(hub: &Hub, sent_at: Time, ttl_ms: u64) {
-    if let Some(tenure) = &mut hub.belief.borrow_mut().tenure {
+fn renew_tenure(cx: &Context, sent_at: Time, ttl_ms: u64) {
+    if let Some(tenure) = &mut cx.belief.borrow_mut().tenure {
         tenure.renew(sent_at, ttl_ms);
     }
 }
 
 /// Ends this router's tenure.
-pub fn end_tenure(hub: &Hub, reason: &str) {
-    if hub.belief.borrow_mut().tenure.take().is_some() {
+pub fn end_tenure(cx: &Context, reason: &str) {
+    if cx.belief.borrow_mut().tenure.take().is_some() {
         log::info!("event=tenure_ended reason={reason:?}");
     }
 }
 
-fn lease_ms(hub: &Hub) -> u64 {
-    hub.settings
-        .min_lease_ms
-        .max(hub.settings.order_lease_ms / 2)
+fn lease_ms(cx: &Context) -> u64 {
+    cx.settings.min_lease_ms.max(cx.settings.order_lease_ms / 2)
 }
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::sleep;
 
-use crate::hub::Hub;
+use crate::context::Context;
 use crate::settings::Settings;
 
 /// Time between looks at whether the file has changed.
@@ -42,7 +42,7 @@
     }
 
     /// Reads the file again. Seeds are taken over; what else has changed needs a new process.
-    pub fn reload(&mut self, hub: &Hub, cause: &str) {
+    pub fn reload(&mut self, cx: &Context, cause: &str) {
         self.modified = self.modified_at();
         let settings = match Settings::read(&self.path) {
             Ok(settings) => settings,
@@ -52,12 +52,12 @@
                 return;
             }
         };
-        let seeds_changed = *hub.seeds.borrow() != settings.seeds;
-        *hub.seeds.borrow_mut() = settings.seeds.clone();
+        let seeds_changed = *cx.seeds.borrow() != settings.seeds;
+        *cx.seeds.borrow_mut() = settings.seeds.clone();
         let rest_changed = Settings {
-            seeds: hub.settings.seeds.clone(),
+            seeds: cx.settings.seeds.clone(),
             ..settings
-        } != hub.settings;
+        } != cx.settings;
         log::info!(
             "event=reload cause={cause} outcome=adopted seeds_changed={seeds_changed} needs_restart={rest_changed}"
         );
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 use crate::clock::now;
-use crate::hub::Hub;
+use crate::context::Context;
 use crate::pool::describe;
 
 /// Time within which another router must answer.
@@ -67,8 +67,8 @@
 }
 
 /// Returns the registrations of backend servers as bytes.
-pub fn servers(hub: &Hub) -> Vec<u8> {
-    let belief = hub.belief.borrow();
+pub fn servers(cx: &Context) -> Vec<u8> {
+    let belief = cx.belief.borrow();
     let servers = belief.fleet.registered().map(|server| &server.entry);
     to_json(&servers.collect::<Vec<_>>())
 }
@@ -92,8 +92,8 @@
 }
 
 /// Returns this router's snapshot as bytes.
-pub fn snapshot(hub: &Hub) -> Vec<u8> {
-    let belief = hub.belief.borrow();
+pub fn snapshot(cx: &Context) -> Vec<u8> {
+    let belief = cx.belief.borrow();
     let servers = belief.fleet.registered().map(|server| server.entry.clone());
     let named = belief.weights.all();
     let snapshot = Snapshot {
@@ -106,56 +106,56 @@
 }
 
 /// Takes snapshots of other routers whenever this one is behind.
-pub async fn run(hub: Rc<Hub>) {
+pub async fn run(cx: Rc<Context>) {
     let mut taken_at = now();
     loop {
         sleep(LOOK).await;
-        let Some(peer) = source(&hub, now().millis_since(taken_at) >= PAUSE_MS) else {
+        let Some(peer) = source(&cx, now().millis_since(taken_at) >= PAUSE_MS) else {
             continue;
         };
         taken_at = now();
         match fetch::<Snapshot>(peer, "/snapshot").await {
-            Ok(snapshot) => take_in(&hub, snapshot),
+            Ok(snapshot) => take_in(&cx, snapshot),
             Err(e) => log::warn!("event=snapshot_unanswered reason={:?}", e.to_string()),
         }
     }
 }
 
-fn source(hub: &Hub, rested: bool) -> Option<SocketAddr> {
+fn source(cx: &Context, rested: bool) -> Option<SocketAddr> {
     let (version, away) = {
-        let belief = hub.belief.borrow();
+        let belief = cx.belief.borrow();
         let version = belief.configuration.as_ref().map_or(0, |c| c.version);
         let away = now().millis_since(belief.store_heard_at) > AWAY_MS && belief.store_failing;
         (version, away)
     };
-    if hub.peers.is_behind(version, AHEAD_MS) && rested {
-        return hub.peers.ahead(version);
+    if cx.peers.is_behind(version, AHEAD_MS) && rested {
+        return cx.peers.ahead(version);
     }
     if !(away && rested) {
         return None;
     }
-    let peer = hub.peers.any_live(now().0);
-    peer.or_else(|| bootstrap(hub, version))
+    let peer = cx.peers.any_live(now().0);
+    peer.or_else(|| bootstrap(cx, version))
 }
 
 /// Returns a seed while nothing is known at all.
-fn bootstrap(hub: &Hub, version: u64) -> Option<SocketAddr> {
-    let seeds = hub.seeds.borrow();
+fn bootstrap(cx: &Context, version: u64) -> Option<SocketAddr> {
+    let seeds = cx.seeds.borrow();
     let at = usize::try_from(now().as_millis()).unwrap_or(0);
     (version == 0 && !seeds.is_empty()).then(|| seeds[at % seeds.len()])
 }
 
-fn take_in(hub: &Hub, snapshot: Snapshot) {
+fn take_in(cx: &Context, snapshot: Snapshot) {
     if let Some(mut configuration) = snapshot.configuration {
         configuration.build_index();
-        hub.adopt_configuration(configuration, "peer");
+        cx.adopt_configuration(configuration, "peer");
     }
     for (model, version) in snapshot.named {
-        hub.adopt_weights(&model, version, Naming::Earlier, "peer");
+        cx.adopt_weights(&model, version, Naming::Earlier, "peer");
     }
-    let own_age_ms = now().millis_since(hub.belief.borrow().store_heard_at);
+    let own_age_ms = now().millis_since(cx.belief.borrow().store_heard_at);
     if snapshot.age_ms < own_age_ms && !snapshot.servers.is_empty() {
-        hub.replace_servers(snapshot.servers, "peer");
+        cx.replace_servers(snapshot.servers, "peer");
     }
 }
 
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -5,13 +5,13 @@
 use http::StatusCode;
 
 use crate::body::AnswerBody;
-use crate::hub::Hub;
+use crate::context::Context;
 use crate::snapshot::servers;
 use crate::snapshot::snapshot;
 
 /// Tells the platform whether this router takes new callers.
-pub fn readiness(hub: &Hub) -> Response<AnswerBody> {
-    if hub.is_ready() {
+pub fn readiness(cx: &Context) -> Response<AnswerBody> {
+    if cx.is_ready() {
         page(StatusCode::OK, "ready\n".into())
     } else {
         page(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into())
@@ -19,15 +19,15 @@
 }
 
 /// Returns counters and histograms.
-pub fn metrics(hub: &Hub) -> Response<AnswerBody> {
-    page(StatusCode::OK, hub.metrics.text(hub.log.dropped()).into())
+pub fn metrics(cx: &Context) -> Response<AnswerBody> {
+    page(StatusCode::OK, cx.metrics.text(cx.log.dropped()).into())
 }
 
 /// Returns what other routers take while the store is away.
-pub fn bootstrap(hub: &Hub, path: &str) -> Response<AnswerBody> {
+pub fn bootstrap(cx: &Context, path: &str) -> Response<AnswerBody> {
     match path {
-        "/servers" => page(StatusCode::OK, servers(hub).into()),
-        "/snapshot" => page(StatusCode::OK, snapshot(hub).into()),
+        "/servers" => page(StatusCode::OK, servers(cx).into()),
+        "/snapshot" => page(StatusCode::OK, snapshot(cx).into()),
         _ => page(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -43,10 +43,10 @@
     let (tx, rx) = mpsc::channel(WAITING_EVENTS);
     let mut response = Response::new(AnswerBody::Events(rx));
     *response.status_mut() = attempt.head.status;
-    *response.headers_mut() = x.hub.codec.returned(&attempt.head);
+    *response.headers_mut() = x.cx.codec.returned(&attempt.head);
     response.headers_mut().remove(CONTENT_LENGTH);
     let took = now().micros_since(x.arrived) as f64 / 1_000_000.0;
-    x.hub.metrics.first_answer.observe(took);
+    x.cx.metrics.first_answer.observe(took);
     tokio::task::spawn_local(relay(x, attempt, tx));
     response
 }
@@ -136,7 +136,7 @@
             Ok(None) => {
                 let server = attempt.choice.server;
                 let keep_ms = attempt.facts.keep_ms;
-                x.hub.pool.give_back(server, attempt.lease, keep_ms);
+                x.cx.pool.give_back(server, attempt.lease, keep_ms);
                 return RunEnd::Whole;
             }
             Ok(Some(Err(e))) => return RunEnd::Broken(describe(&e)),
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
+use gateway::listen;
 use http::Request;
 use http::Response;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -16,14 +17,10 @@
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
-/// Connections that may wait to be accepted; callers come in herds.
-const BACKLOG: u32 = 1_024;
-
 /// Body of an answer.
 pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
 
@@ -75,16 +72,6 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 async fn accept<H>(listener: TcpListener, handler: H)
 where
     H: Handler,
