--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,6 @@
 use relay::Choice;
 use relay::RouteKind;
 use relay::ServerKey;
-use relay::Strike;
 use tokio::time::interval;
 use tokio::time::timeout;
 
@@ -26,8 +25,17 @@
 use crate::codec::AnswerHead;
 use crate::codec::ExpectedWeights;
 use crate::codec::SendHead;
+use crate::ended::Ended;
+use crate::ended::WholeAnswer;
+use crate::evidence::avoid;
+use crate::evidence::forget_part;
+use crate::evidence::is_misdirected;
+use crate::evidence::learn;
+use crate::evidence::note_part;
+use crate::evidence::reject;
+use crate::evidence::strike;
+use crate::evidence::AVOID_BROKEN_MS;
 use crate::exchange::Exchange;
-use crate::exchange::WholeAnswer;
 use crate::exchange::DEADLINE_SLACK_MS;
 use crate::in_flight::InFlight;
 use crate::log_sink::SUCCESS;
@@ -36,67 +44,12 @@
 use crate::pool::SendError;
 use crate::timing::until;
 
-/// Time for which a backend server is avoided that turned a request away, in milliseconds.
-const AVOID_REJECTED_MS: u64 = 250;
-
-/// Time for which a backend server is avoided that can't be reached or broke off, in milliseconds.
-const AVOID_BROKEN_MS: u64 = 700;
-
-/// Time for which an address is avoided that belongs to another lifetime, in milliseconds.
-const AVOID_MISDIRECTED_MS: u64 = 5_000;
-
 /// Time without any answer after which a backend server is left by idempotent requests, in milliseconds.
 const SILENT_MS: u64 = 1_200;
 
 /// Time between looks at a backend server's silence.
 const SILENCE_LOOK: Duration = Duration::from_millis(200);
 
-/// Wait that callers are told after a backend server turned them away, in milliseconds.
-const REJECTED_RETRY_MS: u64 = 250;
-
-/// An attempt that ended without a whole answer.
-pub struct Ended {
-    /// How it ended.
-    pub end: AttemptEnd,
-    /// What happened, for the log.
-    pub reason: String,
-    /// The backend server's own failure.
-    pub answer: Option<WholeAnswer>,
-    /// Whether the deadline has passed.
-    pub timed_out: bool,
-    /// When a place is expected, in milliseconds.
-    pub retry_after_ms: u64,
-}
-
-impl Ended {
-    fn new(end: AttemptEnd, reason: impl Into<String>) -> Ended {
-        Ended {
-            end,
-            reason: reason.into(),
-            answer: None,
-            timed_out: false,
-            retry_after_ms: REJECTED_RETRY_MS,
-        }
-    }
-
-    /// The deadline passed without an answer.
-    pub fn timed_out() -> Ended {
-        Ended {
-            timed_out: true,
-            ..Ended::new(AttemptEnd::Unknown, "deadline")
-        }
-    }
-
-    /// The backend server answered that the request failed.
-    pub fn failed(answer: WholeAnswer) -> Ended {
-        let reason = format!("status {}", answer.response.status().as_u16());
-        Ended {
-            answer: Some(answer),
-            ..Ended::new(AttemptEnd::Failed, reason)
-        }
-    }
-}
-
 /// An answer whose head has come.
 pub struct Attempt {
     /// Where the request was sent.
@@ -296,98 +249,6 @@
     }
 }
 
-/// Notes that a request was running on a backend server which broke off.
-pub fn strike(x: &Exchange, key: ServerKey) {
-    let server = x.cx.belief.borrow().fleet.get(key).map(|s| s.mark);
-    if let (Some(request), Some(server)) = (x.fingerprint, server) {
-        x.cx.strike(Strike { request, server });
-    }
-}
-
-fn note_part(x: &Exchange, choice: &Choice) {
-    if let Some(part) = choice.anchor {
-        let mut belief = x.cx.belief.borrow_mut();
-        belief.holdings.note(now(), part, choice.server);
-        x.cx.peers.tell_part(part, choice.server);
-    }
-}
-
-fn forget_part(x: &Exchange, choice: &Choice) {
-    if let Some(part) = choice.anchor {
-        let mut belief = x.cx.belief.borrow_mut();
-        belief.holdings.remove(part, choice.server);
-    }
-}
-
-fn avoid(x: &Exchange, key: ServerKey, ms: u64) {
-    let mut belief = x.cx.belief.borrow_mut();
-    if let Some(server) = belief.fleet.get_mut(key) {
-        let until = now().plus_millis(ms);
-        server.avoid_until = server.avoid_until.max(until);
-        server.failures += 1;
-    }
-}
-
-/// Takes in why a backend server turned a request away; returns it for the log.
-fn reject(
-    x: &Exchange,
-    choice: &Choice,
-    head: &response::Parts,
-    facts: &AnswerHead,
-    misdirected: bool,
-) -> &'static str {
-    forget_part(x, choice);
-    let mut belief = x.cx.belief.borrow_mut();
-    let model = x.facts.prompt.as_ref().map(|prompt| prompt.model.as_str());
-    let Some(server) = belief.fleet.get_mut(choice.server) else {
-        return "server is gone";
-    };
-    if misdirected {
-        server.avoid_until = now().plus_millis(AVOID_MISDIRECTED_MS);
-        return "address belongs to another server";
-    }
-    let until = now().plus_millis(AVOID_REJECTED_MS);
-    server.avoid_until = server.avoid_until.max(until);
-    if head.status != StatusCode::MISDIRECTED_REQUEST {
-        return "turned away";
-    }
-    if let (Some(model), Some(version)) = (model, facts.weights) {
-        if server.saw_weights(model, version) {
-            server.avoid_until = now();
-        }
-    }
-    "weights differ"
-}
-
-/// Tells whether another backend server has the address by now.
-fn is_misdirected(
-    x: &Exchange,
-    key: ServerKey,
-    head: &response::Parts,
-    facts: &AnswerHead,
-) -> bool {
-    let Some(answering) = &facts.server else {
-        return false;
-    };
-    let expected = server(x, key).map(|(id, _)| id);
-    head.status == StatusCode::MISDIRECTED_REQUEST && expected.as_deref() != Some(answering)
-}
-
-fn learn(x: &Exchange, choice: &Choice, facts: &AnswerHead, status: StatusCode) {
-    if let (Some(prompt), Some(version)) = (&x.facts.prompt, facts.weights) {
-        x.cx.saw_weights(choice.server, &prompt.model, version);
-    }
-    let mut belief = x.cx.belief.borrow_mut();
-    let Some(server) = belief.fleet.get_mut(choice.server) else {
-        return;
-    };
-    if status.is_server_error() {
-        server.failures += 1;
-    } else {
-        server.failures = 0;
-    }
-}
-
 /// Reads what is left of a short answer, so that its connection can be kept.
 async fn give_back_rest(
     x: &Exchange,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,16 +6,11 @@
 use bytes::Bytes;
 use http::request;
 use http::Response;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body::Incoming;
 use policy::Time;
 use rand::Rng;
 use relay::Ask;
 use relay::AttemptEnd;
 use relay::Choice;
-use relay::Configuration;
 use relay::Placement;
 use relay::Progress;
 use relay::Prompt;
@@ -25,16 +20,15 @@
 use relay::Unplaceable;
 use relay::Verdict;
 use relay::Workspace;
-use snafu::Snafu;
 use tokio::time::timeout;
 
 use crate::attempt::Attempt;
-use crate::attempt::Ended;
 use crate::body::AnswerBody;
 use crate::clock::now;
 use crate::codec::RequestHead;
 use crate::context::Context;
-use crate::context::Phase;
+use crate::ended::Ended;
+use crate::ended::WholeAnswer;
 use crate::log_sink::SUCCESS;
 use crate::refusal::Refusal;
 use crate::stream_relay;
@@ -43,30 +37,10 @@
 /// Time that a caller waits who names none, in milliseconds.
 const PATIENCE_MS: u64 = 30_000;
 
-/// Wait that callers are told while this router knows no configuration, in milliseconds.
-const UNCONFIGURED_RETRY_MS: u64 = 300;
-
-/// Wait that callers are told whose request crashes backend servers, in milliseconds.
-const CRASHES_RETRY_MS: u64 = 30_000;
-
-/// Wait that callers are told while this router leaves, in milliseconds: another answers them.
-const STOPPING_RETRY_MS: u64 = 50;
-
 /// Time after a deadline at which an answer is given up, in milliseconds: the
 /// backend server's own word about the deadline may be on its way.
 pub const DEADLINE_SLACK_MS: u64 = 120;
 
-/// Why a connection is closed without an answer.
-#[derive(Debug, Snafu)]
-pub enum Aborted {
-    /// The caller's request broke off.
-    #[snafu(display("the request broke off: {reason}"))]
-    RequestBrokeOff {
-        /// What went wrong.
-        reason: String,
-    },
-}
-
 /// A request with all that decides where it goes.
 pub struct Exchange {
     /// State of this router.
@@ -102,157 +76,56 @@
     concluded: bool,
 }
 
-/// Answers a request.
-pub async fn answer(
-    cx: Rc<Context>,
-    req: http::Request<Incoming>,
-) -> Result<Response<AnswerBody>, Aborted> {
-    let arrived = now();
-    let (head, body) = req.into_parts();
-    let facts = match cx.codec.request(&head) {
-        Ok(facts) => facts,
-        Err(e) => {
-            log::info!(
-                "event=refused status=400 reason={:?} path={:?}",
-                e.to_string(),
-                head.uri.path()
-            );
-            return Ok(refuse(&cx, Refusal::BadRequest));
-        }
-    };
-    if cx.phase.get() == Phase::Leaving {
-        let refusal = Refusal::NotRun {
-            reason: "stopping",
-            retry_after_ms: STOPPING_RETRY_MS,
-        };
-        log_refusal(&facts, refusal, 0);
-        return Ok(refuse(&cx, refusal));
-    }
-    let configuration = cx.belief.borrow().configuration.clone();
-    let Some(configuration) = configuration else {
-        let refusal = Refusal::NotRun {
-            reason: "no_configuration",
-            retry_after_ms: UNCONFIGURED_RETRY_MS,
-        };
-        log_refusal(&facts, refusal, 0);
-        return Ok(refuse(&cx, refusal));
-    };
-    let (route, workspace) = match admit(&configuration, &head, &facts) {
-        Ok(admitted) => admitted,
-        Err(refusal) => {
-            log_refusal(&facts, refusal, configuration.version);
-            return Ok(refuse(&cx, refusal));
-        }
-    };
-    let limit = configuration.limits.max_body_bytes;
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => {
-            log_refusal(&facts, Refusal::TooLarge, configuration.version);
-            return Ok(refuse(&cx, Refusal::TooLarge));
-        }
-        Err(e) => {
-            let reason = e.to_string();
-            log::info!(
-                "event=request_broke_off id={:?} reason={reason:?}",
-                facts.id
-            );
-            return RequestBrokeOffSnafu { reason }.fail();
-        }
-    };
-    let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
-    let out = fingerprint.is_some_and(|print| cx.belief.borrow().strikes.is_out(now(), print));
-    if out {
-        let refusal = Refusal::NotRun {
-            reason: "crashes_servers",
-            retry_after_ms: CRASHES_RETRY_MS,
-        };
-        log_refusal(&facts, refusal, configuration.version);
-        return Ok(refuse(&cx, refusal));
-    }
-    let seed: u64 = rand::rng().random();
-    let patience_ms = facts.patience_ms.unwrap_or(PATIENCE_MS);
-    let exchange = Exchange {
-        service: pick_service(&route, seed),
-        deadline: arrived.plus_millis(patience_ms.min(route.timeout_ms)),
-        configuration: configuration.version,
-        fingerprint,
-        cx,
-        head,
-        facts,
-        body,
-        route,
-        workspace,
-        arrived,
-        tried: Vec::new(),
-        sends: 0,
-        runs: 0,
-        seed,
-        concluded: false,
-    };
-    Ok(exchange.run().await)
-}
-
-fn admit(
-    configuration: &Configuration,
-    head: &request::Parts,
-    facts: &RequestHead,
-) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Refusal> {
-    let route = configuration.route(&facts.host, head.uri.path());
-    let route = route.ok_or(Refusal::NoRoute)?;
-    let workspace = facts
-        .key
-        .as_deref()
-        .and_then(|key| configuration.workspace(key));
-    if workspace.is_none() && configuration.needs_key(route) {
-        return Err(Refusal::UnknownKey);
-    }
-    Ok((Arc::clone(route), workspace.cloned()))
-}
-
-fn fingerprint(workspace: Option<&Workspace>, head: &request::Parts, body: &[u8]) -> Option<u64> {
-    if body.is_empty() {
-        return None;
-    }
-    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    let workspace = workspace.map_or("", |workspace| &*workspace.name);
-    let hashes = [workspace, head.method.as_str(), path]
-        .into_iter()
-        .map(policy::name_hash);
-    Some(hashes.fold(policy::bytes_hash(body), policy::rendezvous_weight))
+/// A request whose head and body have been read, and that may be served.
+pub struct Accepted {
+    /// Head as the caller sent it.
+    pub head: request::Parts,
+    /// What the head says.
+    pub facts: RequestHead,
+    /// Body as the caller sent it.
+    pub body: Bytes,
+    /// Route that it takes.
+    pub route: Arc<Route>,
+    /// Workspace of its key.
+    pub workspace: Option<Arc<Workspace>>,
+    /// When its head was read.
+    pub arrived: Time,
+    /// Version of the configuration that decides.
+    pub configuration: u64,
+    /// Hash by which the request is known again under another id.
+    pub fingerprint: Option<u64>,
 }
 
-fn pick_service(route: &Route, seed: u64) -> Arc<str> {
-    let total: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
-    let mut at = (seed >> 32) % total.max(1);
-    for share in &route.shares {
-        let weight = u64::from(share.weight);
-        if at < weight {
-            return Arc::clone(&share.service);
+impl Exchange {
+    /// Begins to serve a request.
+    pub fn new(cx: Rc<Context>, accepted: Accepted) -> Exchange {
+        let seed: u64 = rand::rng().random();
+        let patience_ms = accepted.facts.patience_ms.unwrap_or(PATIENCE_MS);
+        let route = accepted.route;
+        Exchange {
+            cx,
+            service: pick_service(&route, seed),
+            deadline: accepted
+                .arrived
+                .plus_millis(patience_ms.min(route.timeout_ms)),
+            head: accepted.head,
+            facts: accepted.facts,
+            body: accepted.body,
+            route,
+            workspace: accepted.workspace,
+            arrived: accepted.arrived,
+            configuration: accepted.configuration,
+            fingerprint: accepted.fingerprint,
+            tried: Vec::new(),
+            sends: 0,
+            runs: 0,
+            seed,
+            concluded: false,
         }
-        at -= weight;
     }
-    Arc::clone(&route.shares[0].service)
-}
 
-fn refuse(cx: &Context, refusal: Refusal) -> Response<AnswerBody> {
-    let counter = cx.metrics.requests.with_label_values(&[refusal.reason()]);
-    counter.inc();
-    refusal.answer()
-}
-
-fn log_refusal(facts: &RequestHead, refusal: Refusal, configuration: u64) {
-    log::info!(
-        "event=refused id={:?} host={:?} configuration={configuration} status={} reason={}",
-        facts.id,
-        facts.host,
-        refusal.status().as_u16(),
-        refusal.reason()
-    );
-}
-
-impl Exchange {
-    async fn run(mut self) -> Response<AnswerBody> {
+    /// Serves the request; a stream goes on as a task of its own.
+    pub async fn run(mut self) -> Response<AnswerBody> {
         let service = Arc::clone(&self.service);
         self.cx.with_budget(&service, |budget| budget.earn(now()));
         loop {
@@ -457,12 +330,17 @@
     }
 }
 
-/// A whole answer of a backend server.
-pub struct WholeAnswer {
-    /// Answer as the caller gets it.
-    pub response: Response<AnswerBody>,
-    /// Backend server that gave it.
-    pub server: ServerKey,
+fn pick_service(route: &Route, seed: u64) -> Arc<str> {
+    let total: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
+    let mut at = (seed >> 32) % total.max(1);
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if at < weight {
+            return Arc::clone(&share.service);
+        }
+        at -= weight;
+    }
+    Arc::clone(&route.shares[0].service)
 }
 
 fn not_run(ended: &Ended) -> Refusal {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -23,8 +23,8 @@
 use crate::body::AnswerBody;
 use crate::context::Context;
 use crate::context::Phase;
-use crate::exchange;
-use crate::exchange::Aborted;
+use crate::intake;
+use crate::intake::Aborted;
 use crate::pool::configure;
 use crate::pool::describe;
 
@@ -93,7 +93,7 @@
 }
 
 async fn handle(cx: Rc<Context>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Aborted> {
-    let mut answer = exchange::answer(Rc::clone(&cx), req).await?;
+    let mut answer = intake::answer(Rc::clone(&cx), req).await?;
     if cx.phase.get() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -11,11 +11,11 @@
 use tokio::time::timeout;
 
 use crate::attempt::resumable;
-use crate::attempt::strike;
 use crate::attempt::Attempt;
 use crate::body::AnswerBody;
 use crate::body::BrokenOff;
 use crate::clock::now;
+use crate::evidence::strike;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_SLACK_MS;
 use crate::pool::describe;
