--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -43,88 +44,100 @@
     },
 }
 
+/// Why a request isn't accepted.
+enum NotAccepted {
+    /// It gets an answer of the gateway's own, decided by this version of the configuration.
+    Refused(Refusal, u64),
+    /// It broke off while it was read.
+    BrokeOff(String),
+}
+
 /// Answers a request.
 pub async fn answer(
     cx: Rc<Context>,
     req: http::Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Aborted> {
-    let arrived = now();
     let (head, body) = req.into_parts();
     let facts = match cx.codec.request(&head) {
         Ok(facts) => facts,
         Err(e) => {
+            let reason = e.to_string();
             log::info!(
-                "event=refused status=400 reason={:?} path={:?}",
-                e.to_string(),
+                "event=refused status=400 reason={reason:?} path={:?}",
                 head.uri.path()
             );
             return Ok(refuse(&cx, Refusal::BadRequest));
         }
     };
+    let id = facts.id.clone();
+    match accept(&cx, head, facts, body).await {
+        Ok(accepted) => Ok(Exchange::new(cx, accepted).run().await),
+        Err(NotAccepted::Refused(refusal, configuration)) => {
+            log::info!(
+                "event=refused id={id:?} configuration={configuration} status={} reason={}",
+                refusal.status().as_u16(),
+                refusal.reason()
+            );
+            Ok(refuse(&cx, refusal))
+        }
+        Err(NotAccepted::BrokeOff(reason)) => {
+            log::info!("event=request_broke_off id={id:?} reason={reason:?}");
+            RequestBrokeOffSnafu { reason }.fail()
+        }
+    }
+}
+
+async fn accept(
+    cx: &Context,
+    head: request::Parts,
+    facts: RequestHead,
+    body: Incoming,
+) -> Result<Accepted, NotAccepted> {
+    let arrived = now();
     if cx.phase.get() == Phase::Leaving {
-        let refusal = Refusal::NotRun {
-            reason: "stopping",
-            retry_after_ms: STOPPING_RETRY_MS,
-        };
-        log_refusal(&facts, refusal, 0);
-        return Ok(refuse(&cx, refusal));
+        return Err(not_run("stopping", STOPPING_RETRY_MS, 0));
     }
     let configuration = cx.belief.borrow().configuration.clone();
     let Some(configuration) = configuration else {
-        let refusal = Refusal::NotRun {
-            reason: "no_configuration",
-            retry_after_ms: UNCONFIGURED_RETRY_MS,
-        };
-        log_refusal(&facts, refusal, 0);
-        return Ok(refuse(&cx, refusal));
+        return Err(not_run("no_configuration", UNCONFIGURED_RETRY_MS, 0));
     };
-    let (route, workspace) = match admit(&configuration, &head, &facts) {
-        Ok(admitted) => admitted,
-        Err(refusal) => {
-            log_refusal(&facts, refusal, configuration.version);
-            return Ok(refuse(&cx, refusal));
-        }
+    let version = configuration.version;
+    let (route, workspace) = admit(&configuration, &head, &facts)
+        .map_err(|refusal| NotAccepted::Refused(refusal, version))?;
+    let body = read(body, configuration.limits.max_body_bytes, version).await?;
+    let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
+    let strikes = &cx.belief.borrow().strikes;
+    if fingerprint.is_some_and(|print| strikes.is_out(now(), print)) {
+        return Err(not_run("crashes_servers", CRASHES_RETRY_MS, version));
+    }
+    Ok(Accepted {
+        head,
+        facts,
+        body,
+        route,
+        workspace,
+        arrived,
+        configuration: version,
+        fingerprint,
+    })
+}
+
+fn not_run(reason: &'static str, retry_after_ms: u64, configuration: u64) -> NotAccepted {
+    let refusal = Refusal::NotRun {
+        reason,
+        retry_after_ms,
     };
-    let limit = configuration.limits.max_body_bytes;
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
+    NotAccepted::Refused(refusal, configuration)
+}
+
+async fn read(body: Incoming, limit: usize, configuration: u64) -> Result<Bytes, NotAccepted> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => {
-            log_refusal(&facts, Refusal::TooLarge, configuration.version);
-            return Ok(refuse(&cx, Refusal::TooLarge));
-        }
-        Err(e) => {
-            let reason = e.to_string();
-            log::info!(
-                "event=request_broke_off id={:?} reason={reason:?}",
-                facts.id
-            );
-            return RequestBrokeOffSnafu { reason }.fail();
+            Err(NotAccepted::Refused(Refusal::TooLarge, configuration))
         }
-    };
-    let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
-    let out = fingerprint.is_some_and(|print| cx.belief.borrow().strikes.is_out(now(), print));
-    if out {
-        let refusal = Refusal::NotRun {
-            reason: "crashes_servers",
-            retry_after_ms: CRASHES_RETRY_MS,
-        };
-        log_refusal(&facts, refusal, configuration.version);
-        return Ok(refuse(&cx, refusal));
+        Err(e) => Err(NotAccepted::BrokeOff(e.to_string())),
     }
-    let exchange = Exchange::new(
-        cx,
-        Accepted {
-            head,
-            facts,
-            body,
-            route,
-            workspace,
-            arrived,
-            configuration: configuration.version,
-            fingerprint,
-        },
-    );
-    Ok(exchange.run().await)
 }
 
 fn admit(
@@ -161,13 +174,3 @@
     counter.inc();
     refusal.answer()
 }
-
-fn log_refusal(facts: &RequestHead, refusal: Refusal, configuration: u64) {
-    log::info!(
-        "event=refused id={:?} host={:?} configuration={configuration} status={} reason={}",
-        facts.id,
-        facts.host,
-        refusal.status().as_u16(),
-        refusal.reason()
-    );
-}
--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -97,10 +97,15 @@
     /// Routers were told that an order is about to be sent.
     Announced { accepted: u64 },
     /// An order was sent.
-    Sent { accepted: u64, version: u64 },
+    Sent {
+        accepted: u64,
+        model: Arc<str>,
+        version: u64,
+    },
     /// An order was accepted.
     Working {
         accepted: u64,
+        model: Arc<str>,
         version: u64,
         judged_from: Time,
     },
@@ -192,7 +197,7 @@
             engine.phase = Phase::Unseen;
             return;
         };
-        match engine.phase {
+        match &engine.phase {
             Phase::Unseen | Phase::Asked | Phase::Known { .. } => {
                 let accepted = observed.accepted;
                 engine.phase = if observed.busy {
@@ -209,15 +214,16 @@
             Phase::Announced { .. } | Phase::Sent { .. } => {}
             Phase::Working {
                 accepted,
+                model,
                 version,
                 judged_from,
             } => {
                 engine.next_at = now.plus_millis(LOOK_MS);
-                let has = observed.weights.values().any(|has| *has >= version);
-                if has && !observed.busy {
-                    let accepted = observed.accepted.max(accepted);
+                let has = observed.weights.get(model);
+                if has.is_some_and(|has| has >= version) && !observed.busy {
+                    let accepted = observed.accepted.max(*accepted);
                     engine.phase = Phase::Known { accepted };
-                } else if !observed.busy && now >= judged_from {
+                } else if !observed.busy && now >= *judged_from {
                     let accepted = observed.accepted;
                     engine.phase = Phase::Known { accepted };
                 }
@@ -230,13 +236,19 @@
         let Some(engine) = self.engines.get_mut(&key) else {
             return;
         };
-        let Phase::Sent { accepted, version } = engine.phase else {
+        let Phase::Sent {
+            accepted,
+            model,
+            version,
+        } = engine.phase.clone()
+        else {
             return;
         };
         match reply {
             Reply::Accepted => {
                 engine.phase = Phase::Working {
                     accepted: accepted + 1,
+                    model,
                     version,
                     judged_from: now.plus_millis(REPORT_LAG_MS),
                 };
@@ -308,7 +320,11 @@
                 Some(OrderStep::Announce(key))
             }
             Phase::Announced { accepted } => {
-                engine.phase = Phase::Sent { accepted, version };
+                engine.phase = Phase::Sent {
+                    accepted,
+                    model: Arc::clone(model),
+                    version,
+                };
                 Some(OrderStep::Order {
                     server: key,
                     model: Arc::clone(model),
--- a/crates/relay/tests/order_plan.rs
+++ b/crates/relay/tests/order_plan.rs
@@ -119,6 +119,22 @@
     assert!(plan.is_working(key));
 }
 
+#[test]
+fn another_models_version_does_not_end_an_order() {
+    let mut two_models = entry("e0", 1);
+    two_models.weights.insert(Arc::from("other"), 9);
+    let mut fleet = Fleet::default();
+    fleet.apply(at(0), two_models);
+    let key = keys(&fleet)[0];
+    let mut plan = OrderPlan::default();
+    first_order(&mut plan, &fleet, &weights(2), 0);
+    plan.on_reply(at(210), key, Reply::Accepted);
+    let mut report = observed(1, false, 1);
+    report.weights.insert(Arc::from("other"), 9);
+    plan.on_report(at(520), key, Some(&report));
+    assert!(plan.is_working(key));
+}
+
 #[test]
 fn at_most_a_part_of_the_engines_is_at_work() {
     let fleet = fleet(8, 1);
