--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -103,19 +103,19 @@
 
     /// Starts the router again once process `id` has ended, unless another fault did.
     async fn restart(&self, id: u32) {
-        loop {
-            let mut child = self.child.borrow_mut();
-            if child.id() != id {
-                return;
-            }
-            if child.try_wait().unwrap().is_some() {
-                *child = spawn(&self.settings);
-                return;
-            }
-            drop(child);
+        while !self.is_replaced(id) {
             sleep(Duration::from_millis(20)).await;
         }
     }
+
+    /// Replaces process `id` if it has ended; tells whether another runs now.
+    fn is_replaced(&self, id: u32) -> bool {
+        let mut child = self.child.borrow_mut();
+        if child.id() == id && child.try_wait().unwrap().is_some() {
+            *child = spawn(&self.settings);
+        }
+        child.id() != id
+    }
 }
 
 impl Drop for RouterProcess {
