relay: a field that nobody reads, one that is only written, and one rule that stood three times

Ask.kind and BackendServer.answered_at go; Fleet::is_restored serves all three places. Behaviour stays as it is; no test's assertion changed.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -172,7 +172,6 @@
         });
         let ask = Ask {
             service: &self.service,
-            kind: self.route.kind,
             objective_ms: self.route.objective_ms,
             deadline: self.deadline,
             prompt,
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -66,8 +66,6 @@
     pub switching_until: Time,
     /// Failures in a row.
     pub failures: u32,
-    /// When it last answered.
-    pub answered_at: Time,
     /// When it was first sent a request that it has not answered since.
     pub silent_since: Option<Time>,
     own: Load,
@@ -85,7 +83,6 @@
             avoid_until: Time(0),
             switching_until: Time(0),
             failures: 0,
-            answered_at: now,
             silent_since: None,
             own: Load::default(),
             others: HashMap::new(),
@@ -196,7 +193,7 @@
     /// Ends a registration, or keeps it for a while if the store was away until
     /// `away_until`: the platform restores those of live servers.
     pub fn remove_or_hold(&mut self, now: Time, id: &str, away_until: Time) -> Option<FleetChange> {
-        if now >= away_until.plus_millis(RESTORE_MS) {
+        if self.is_restored(now, away_until) {
             return self.remove(id);
         }
         let key = self.by_id(id)?;
@@ -219,13 +216,13 @@
             present.insert(entry.id.clone());
             changes.extend(self.apply(now, entry));
         }
-        let restored_by = away_until.plus_millis(RESTORE_MS);
+        let is_restored = self.is_restored(now, away_until);
         let ids: Vec<Arc<str>> = self.by_id.keys().cloned().collect();
         for id in ids.into_iter().filter(|id| !present.contains(id)) {
             let key = self.by_id[&id];
             let server = self.get_mut(key).expect("the index names live servers");
             server.missing_since.get_or_insert(now);
-            if now >= restored_by {
+            if is_restored {
                 changes.extend(self.remove(&id));
             }
         }
@@ -334,7 +331,6 @@
     pub fn prompt_read(&mut self, now: Time, key: ServerKey, reading_ms: u64) {
         if let Some(server) = self.get_mut(key) {
             server.own.reading_ms = server.own.reading_ms.saturating_sub(reading_ms);
-            server.answered_at = now;
             server.silent_since = (server.own.requests > 1).then_some(now);
         }
     }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -11,7 +11,6 @@
 use crate::holdings::PartKey;
 use crate::BackendServer;
 use crate::Fleet;
-use crate::RouteKind;
 use crate::ServerKey;
 use crate::Weights;
 use crate::Workspace;
@@ -79,8 +78,6 @@
 pub struct Ask<'a> {
     /// Service that runs it.
     pub service: &'a str,
-    /// What may be repeated.
-    pub kind: RouteKind,
     /// Time to its first event that the caller expects, in milliseconds.
     pub objective_ms: u64,
     /// When it must be answered.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -9,7 +9,6 @@
 use relay::Fleet;
 use relay::Prompt;
 use relay::PromptPart;
-use relay::RouteKind;
 use relay::ServerEntry;
 use relay::ServerKey;
 use relay::ServerState;
@@ -53,7 +52,6 @@
 pub fn ask(parts: &[PromptPart]) -> Ask<'_> {
     Ask {
         service: SERVICE,
-        kind: RouteKind::Stream { resumable: true },
         objective_ms: 800,
         deadline: at(60_000),
         prompt: Some(Prompt {
