gateway: a listing of the routers' records ends those that it doesn't name

Cause: a router that gives orders was cut off after a time without any change of the routers' records. The watch that was woken by the end of its lease began at a revision older than the store's 20 s of history, so it was answered with "history gone"; the listing that followed added records and ended none.

Ruled out: the lease (it had ended), the tenure (its holder gave it up in time), the spread of take-overs (none began).

Change: a listing of the routers' records ends the holder and the members that it doesn't name; watches wait 15 s, less than the history.

Conclusion: a listing is the whole truth; what it lacks is over.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -16,8 +16,9 @@
 use crate::store::Update;
 use crate::store::Watched;
 
-/// Time for which a watch waits, in milliseconds.
-const WAIT_MS: u64 = 30_000;
+/// Time for which a watch waits, in milliseconds: less than the 20 s of history
+/// that the platform keeps, or a quiet watch ends in a listing.
+const WAIT_MS: u64 = 15_000;
 
 /// Pause between two watches of the routers' records by a router that may give
 /// orders, and must notice when nobody does.
@@ -39,6 +40,9 @@
         let mut after = match cx.store.list(topic).await {
             Ok(listing) => {
                 succeeded(&cx, topic, "list");
+                if topic == Topic::Routers {
+                    records::keep_listed(&cx, &listing.updates);
+                }
                 for update in listing.updates {
                     take_in(&cx, update, Naming::Earlier);
                 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,8 +22,9 @@
 /// Time for which a change is repeated in messages, as datagrams get lost, in milliseconds.
 const REPEAT_MS: u64 = 600;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Peer {
+    name: String,
     address: SocketAddr,
     heard_at: Time,
     configuration: u64,
@@ -81,7 +82,8 @@
     pub fn add(&self, name: &str, address: SocketAddr, member: Member) {
         let mark = policy::name_hash(name);
         let mut peers = self.by_mark.borrow_mut();
-        let peer = peers.entry(mark).or_insert(Peer {
+        let peer = peers.entry(mark).or_insert_with(|| Peer {
+            name: name.to_owned(),
             address,
             heard_at: now(),
             configuration: 0,
@@ -97,6 +99,12 @@
         self.topology.borrow_mut().remove(mark);
     }
 
+    /// Returns the names of the other routers.
+    pub fn names(&self) -> Vec<String> {
+        let peers = self.by_mark.borrow();
+        peers.values().map(|peer| peer.name.clone()).collect()
+    }
+
     /// Returns how many routers there are, this one included.
     pub fn count(&self) -> usize {
         self.topology.borrow().count()
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -1,5 +1,6 @@
 //! Records of the routers in the store: who is alive, and who gives orders.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::store::LeaseId;
 use crate::store::Record;
 use crate::store::StoreError;
+use crate::store::Update;
 use crate::store::Write;
 
 /// Records of live routers: their addresses, each under a lease.
@@ -74,6 +76,28 @@
     }
 }
 
+/// Ends the records that a listing doesn't name: the store may have forgotten
+/// that they ended before this router heard of it.
+pub fn keep_listed(cx: &Context, listed: &[Update]) {
+    let listed: HashSet<&str> = listed.iter().filter_map(record_name).collect();
+    let peers = cx.peers.names().into_iter();
+    let mut gone: Vec<String> = peers.map(|name| format!("{MEMBER}{name}")).collect();
+    if cx.belief.borrow().order_holder.is_some() {
+        gone.push(HOLDER.to_owned());
+    }
+    gone.retain(|name| !listed.contains(name.as_str()));
+    for name in gone {
+        take_out(cx, &name);
+    }
+}
+
+fn record_name(update: &Update) -> Option<&str> {
+    match update {
+        Update::Record(record) => Some(&record.name),
+        _ => None,
+    }
+}
+
 fn take_in_member(cx: &Context, name: &str, value: &Bytes) {
     if name == &*cx.settings.name {
         return;
