relay: engines near a store of prompt parts save to it and fetch from it

The store that the platform runs for this was not used.

Change: the configuration names stores of prompt parts; an engine with one in its region saves a long part once and fetches it when no engine is believed to hold it; a part that is kept goes to an engine near its store, one that comes again and is kept nowhere to an engine that will keep it. Routers tell each other what was saved.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use relay::AttemptEnd;
 use relay::Choice;
+use relay::PartSource;
 use relay::RouteKind;
 use relay::ServerKey;
 use tokio::time::interval;
@@ -181,7 +182,10 @@
     address: SocketAddr,
 ) -> Request<Full<Bytes>> {
     let belief = x.cx.belief.borrow();
-    let fetch_from = choice.fetch_from.and_then(|key| belief.fleet.get(key));
+    let fetch_from = choice.fetch_from.and_then(|source| match source {
+        PartSource::Engine(key) => belief.fleet.get(key).map(|server| server.entry.address),
+        PartSource::Store(address) => Some(address),
+    });
     let workspace = x.workspace.as_deref();
     let has_body = !x.body.is_empty() || x.head.method != http::Method::GET;
     let send = SendHead {
@@ -195,7 +199,8 @@
             version,
             scope: relay::cache_scope(version, workspace),
         }),
-        fetch_from: fetch_from.map(|server| server.entry.address),
+        fetch_from,
+        save_to: choice.save_to,
         body_len: has_body.then_some(x.body.len()),
     };
     let mut req = Request::new(Full::new(x.body.clone()));
@@ -217,7 +222,7 @@
     let part = choice.anchor.map_or(0, |part| part.0);
     log::info!(
         target: SUCCESS,
-        "event=sent id={:?} server={server_id} cost_ms={:.0} wait_ms={:.0} reading_ms={:.0} requests={} weights={} part={part:016x} held={} fetch={} entry_age_ms={} left_ms={}",
+        "event=sent id={:?} server={server_id} cost_ms={:.0} wait_ms={:.0} reading_ms={:.0} requests={} weights={} part={part:016x} held={} fetch={} save={} entry_age_ms={} left_ms={}",
         x.facts.id,
         choice.cost_ms,
         choice.wait_ms,
@@ -225,7 +230,8 @@
         load.requests,
         choice.weights.unwrap_or(0),
         choice.held,
-        choice.fetch_from.is_some(),
+        choice.fetch_from.map_or("none", PartSource::kind),
+        choice.save_to.is_some(),
         now.millis_since(server.seen_at),
         x.left_ms(),
     );
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -64,6 +64,8 @@
     pub weights: Option<ExpectedWeights>,
     /// Engine from which missing parts can be taken.
     pub fetch_from: Option<SocketAddr>,
+    /// Store to which the engine sends the parts of the prompt that it has read.
+    pub save_to: Option<SocketAddr>,
     /// Length of the body, none for a request without one.
     pub body_len: Option<usize>,
 }
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -9,6 +9,7 @@
 use crate::clock::now;
 use crate::codec::AnswerHead;
 use crate::exchange::Exchange;
+use crate::peers::SentPart;
 
 /// Time for which a backend server is avoided that turned a request away, in milliseconds.
 const AVOID_REJECTED_MS: u64 = 250;
@@ -32,7 +33,14 @@
     if let Some(part) = choice.anchor {
         let mut belief = x.cx.belief.borrow_mut();
         belief.holdings.note(now(), part, choice.server);
-        x.cx.peers.tell_part(part, choice.server);
+        if let Some(store) = choice.save_to {
+            belief.holdings.note_saved(now(), part, store);
+        }
+        x.cx.peers.tell_part(SentPart {
+            part,
+            server: choice.server,
+            saved_to: choice.save_to,
+        });
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use relay::AttemptEnd;
 use relay::Choice;
 use relay::Placement;
+use relay::PrefixStores;
 use relay::Progress;
 use relay::Prompt;
 use relay::Retry;
@@ -182,6 +183,10 @@
             fleet: &belief.fleet,
             holdings: &belief.holdings,
             weights: &belief.weights,
+            stores: PrefixStores {
+                configuration: belief.configuration.as_deref(),
+                regions: &self.cx.settings.regions,
+            },
             domain: &self.cx.settings.domain,
             now: now(),
         };
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -21,6 +21,7 @@
 use crate::belief::Followed;
 use crate::clock::now;
 use crate::context::Context;
+use crate::peers::SentPart;
 
 /// Longest time between two messages where routers speak to all others.
 const DIRECT_ROUND: Duration = Duration::from_millis(150);
@@ -149,7 +150,11 @@
 fn repeat(cx: &Context, belief: &Belief, message: &Gossip) {
     for told in &message.parts {
         if let Some(key) = belief.fleet.by_mark(told.server) {
-            cx.peers.tell_part(PartKey(told.part), key);
+            cx.peers.tell_part(SentPart {
+                part: PartKey(told.part),
+                server: key,
+                saved_to: told.saved_to,
+            });
         }
     }
     for told in &message.switches {
@@ -186,10 +191,11 @@
     let loads: Vec<ToldLoad> = loads.filter(|load| load.requests > 0).collect();
     let parts = cx.peers.parts.borrow();
     let parts = parts.iter().rev().take(MAX_PARTS).filter_map(|recent| {
-        let (part, server) = recent.told;
+        let sent = recent.told;
         Some(ToldPart {
-            part: part.0,
-            server: mark(server)?,
+            part: sent.part.0,
+            server: mark(sent.server)?,
+            saved_to: sent.saved_to,
         })
     });
     let switches = cx.peers.switches.borrow();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -38,6 +38,17 @@
     pub told: T,
 }
 
+/// A part that was sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentPart {
+    /// Part.
+    pub part: PartKey,
+    /// Engine.
+    pub server: ServerKey,
+    /// Store to which the engine saves it, if it does.
+    pub saved_to: Option<SocketAddr>,
+}
+
 /// Other routers and what they are to hear.
 pub struct Peers {
     /// Hash of this router's name.
@@ -45,7 +56,7 @@
     /// Whom this router speaks to.
     pub topology: RefCell<Topology>,
     /// Parts that were sent to engines.
-    pub parts: RefCell<Vec<Recent<(PartKey, ServerKey)>>>,
+    pub parts: RefCell<Vec<Recent<SentPart>>>,
     /// Engines that take new weights, and until when.
     pub switches: RefCell<Vec<Recent<(ServerKey, Time)>>>,
     /// Weights that engines were seen to have.
@@ -158,8 +169,8 @@
     }
 
     /// Notes a part that was sent to an engine.
-    pub fn tell_part(&self, part: PartKey, server: ServerKey) {
-        tell(&self.parts, (part, server));
+    pub fn tell_part(&self, sent: SentPart) {
+        tell(&self.parts, sent);
     }
 
     /// Notes an engine that takes new weights until some time; told at once.
--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -2,7 +2,9 @@
 //!
 //! Each shared part has a home, the same on every router: the engine that comes
 //! first by rendezvous hashing among those that take requests. Large parts are
-//! followed besides: where routers have sent them, they are believed to be held.
+//! followed besides: where routers have sent them, they are believed to be held
+//! for a while. Engines near a store of prompt parts save them there, and fetch
+//! those that no engine holds any more.
 
 use policy::Time;
 
@@ -10,11 +12,14 @@
 use crate::holdings::Holdings;
 use crate::holdings::PartKey;
 use crate::placement::Choice;
+use crate::placement::PartSource;
 use crate::placement::Prompt;
 use crate::placement::PromptPart;
 use crate::reading::reading_ms;
 use crate::BackendServer;
 use crate::Fleet;
+use crate::PrefixStore;
+use crate::PrefixStores;
 use crate::ServerKey;
 
 /// Size from which a part is followed, in tokens.
@@ -24,6 +29,28 @@
 /// the time to read it: it pushes other parts out of the engine's memory.
 const SECOND_COPY_MS: f64 = 400.0;
 
+/// Time since its last use for which an engine is believed to hold a part, in
+/// milliseconds: on heavy days its memory turns over in about as long.
+const FRESH_MS: u64 = 5_000;
+
+/// Time that fetching a part from a store counts as, in milliseconds.
+const STORE_FETCH_MS: f64 = 100.0;
+
+/// Time that a second copy of a held part counts as that is fetched, in milliseconds.
+const FETCHED_COPY_MS: f64 = 200.0;
+
+/// Time that each place further down in the order of homes counts as for a part
+/// that is fetched, in milliseconds.
+const FETCHED_RANK_MS: f64 = 20.0;
+
+/// Time that reading a part counts as which a store elsewhere keeps, beside the
+/// time to read it, in milliseconds.
+const KEPT_ELSEWHERE_MS: f64 = 400.0;
+
+/// Time that reading a part counts as that comes again and that no store will
+/// keep, beside the time to read it, in milliseconds.
+const NOT_KEPT_MS: f64 = 300.0;
+
 /// Time that each place further down in the order of homes counts as, in milliseconds.
 const RANK_MS: f64 = 200.0;
 
@@ -45,6 +72,8 @@
     pub fleet: &'a Fleet,
     /// Which engines hold which parts.
     pub holdings: &'a Holdings,
+    /// Stores of prompt parts.
+    pub stores: PrefixStores<'a>,
     /// Present time.
     pub now: Time,
     /// Engines that take the request.
@@ -80,18 +109,64 @@
         choice: &mut Choice,
     ) {
         let holders = self.holdings.holders(part);
+        let fresh = holders.iter().filter(|holder| self.is_fresh(holder));
+        let fresh: Vec<Holder> = fresh.copied().collect();
+        let store = self.stores.near(&server.entry.domain);
+        let keeps = |store: &&PrefixStore| self.holdings.is_saved(self.now, part, store.address);
+        let keeper = store.filter(keeps);
         choice.anchor = Some(part);
-        choice.held = holders.iter().any(|holder| holder.server == choice.server);
-        choice.fetch_from = self
-            .holder_elsewhere(holders, choice.server)
-            .or_else(|| self.next_home(part, choice.server, server));
-        if choice.held {
+        choice.held = fresh.iter().any(|holder| holder.server == choice.server);
+        choice.fetch_from = match keeper {
+            Some(store) => Some(PartSource::Store(store.address)),
+            None => self.engine_source(part, &fresh, choice.server, server),
+        };
+        choice.save_to = store.filter(|_| keeper.is_none()).map(|s| s.address);
+        if choice.held || keeper.is_some() {
             choice.reading_ms = reading_ms(tokens, all - tokens);
-        } else if holders.is_empty() {
-            choice.cost_ms += self.rank(part, server) as f64 * RANK_MS;
-        } else {
-            choice.cost_ms += SECOND_COPY_MS;
         }
+        if choice.held {
+            return;
+        }
+        let rank = self.rank(part, server) as f64;
+        choice.cost_ms += match (keeper, fresh.is_empty()) {
+            (Some(_), true) => STORE_FETCH_MS + rank * FETCHED_RANK_MS,
+            (Some(_), false) => STORE_FETCH_MS + rank * FETCHED_RANK_MS + FETCHED_COPY_MS,
+            (None, false) => SECOND_COPY_MS,
+            (None, true) => rank * RANK_MS + self.lost_part_ms(part, store),
+        };
+    }
+
+    /// Returns the time that reading a part again counts as which no engine is
+    /// believed to hold any more, beside the time itself.
+    fn lost_part_ms(&self, part: PartKey, store: Option<&PrefixStore>) -> f64 {
+        let kept = self.holdings.is_saved_anywhere(self.now, part);
+        let seen = !self.holdings.holders(part).is_empty();
+        let kept_elsewhere_ms = if kept { KEPT_ELSEWHERE_MS } else { 0.0 };
+        let not_kept_ms = if seen && store.is_none() {
+            NOT_KEPT_MS
+        } else {
+            0.0
+        };
+        kept_elsewhere_ms + not_kept_ms
+    }
+
+    fn is_fresh(&self, holder: &Holder) -> bool {
+        self.now.millis_since(holder.used_at) < FRESH_MS
+    }
+
+    /// Returns an engine from which `server` may take a part.
+    fn engine_source(
+        &self,
+        part: PartKey,
+        fresh: &[Holder],
+        key: ServerKey,
+        server: &BackendServer,
+    ) -> Option<PartSource> {
+        let holders = self.holdings.holders(part);
+        let holder = self.holder_elsewhere(fresh, key);
+        let holder = holder.or_else(|| self.holder_elsewhere(holders, key));
+        let engine = holder.or_else(|| self.next_home(part, key, server));
+        engine.map(PartSource::Engine)
     }
 
     /// Returns the time that going elsewhere than to the home of small shared
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::PrefixStore;
+
 /// What a route allows to be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
@@ -92,6 +94,8 @@
     pub max_connections: Option<u32>,
     /// Tokens that a model engine's memory holds, none for a plain service.
     pub memory_tokens: Option<u64>,
+    /// Where prompt parts are kept beyond the engines' memories, if this service does that.
+    pub prefix_store: Option<PrefixStore>,
 }
 
 /// What callers may send.
@@ -179,6 +183,12 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Returns the stores of prompt parts.
+    pub fn prefix_stores(&self) -> impl Iterator<Item = &PrefixStore> {
+        let services = self.services.values();
+        services.filter_map(|service| service.prefix_store.as_ref())
+    }
+
     /// Returns the workspace that holds `key`.
     pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
         self.index.by_key.get(key)
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,6 +1,7 @@
 //! What routers tell each other several times a second.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 
 use policy::Time;
 use serde::Deserialize;
@@ -30,6 +31,8 @@
     pub part: u64,
     /// Mark of the engine.
     pub server: u64,
+    /// Store to which the engine saves it, if it does.
+    pub saved_to: Option<SocketAddr>,
 }
 
 /// An engine that takes new weights.
@@ -113,6 +116,9 @@
         for told in &self.parts {
             if let Some(key) = fleet.by_mark(told.server) {
                 holdings.note(now, PartKey(told.part), key);
+                if let Some(store) = told.saved_to {
+                    holdings.note_saved(now, PartKey(told.part), store);
+                }
             }
         }
         for told in &self.switches {
--- a/crates/relay/src/holdings.rs
+++ b/crates/relay/src/holdings.rs
@@ -1,6 +1,8 @@
-//! Which engines hold which cached parts, as far as routers have sent them there.
+//! Which engines hold which cached parts, and which stores keep them, as far as
+//! routers have sent them there.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use policy::Time;
 
@@ -9,6 +11,9 @@
 /// Time for which a part that isn't used is believed to be held, in milliseconds.
 const HELD_MS: u64 = 30_000;
 
+/// Time for which a store is believed to keep a part, in milliseconds.
+const SAVED_MS: u64 = 20_000;
+
 /// Engines that are remembered for one part.
 const MAX_HOLDERS: usize = 4;
 
@@ -33,10 +38,18 @@
     pub used_at: Time,
 }
 
-/// Engines that hold each part.
+/// A store that keeps a part.
+#[derive(Clone, Copy, Debug)]
+struct Saved {
+    store: SocketAddr,
+    until: Time,
+}
+
+/// Engines that hold each part, and stores that keep it.
 #[derive(Clone, Debug, Default)]
 pub struct Holdings {
     by_part: HashMap<PartKey, Vec<Holder>>,
+    saved: HashMap<PartKey, Vec<Saved>>,
     swept_at: Time,
 }
 
@@ -53,6 +66,30 @@
         holders.push(Holder { server, used_at });
     }
 
+    /// Notes that an engine saves a part to the store at `store`.
+    pub fn note_saved(&mut self, now: Time, part: PartKey, store: SocketAddr) {
+        let until = now.plus_millis(SAVED_MS);
+        let saved = self.saved.entry(part).or_default();
+        saved.retain(|saved| saved.store != store);
+        saved.push(Saved { store, until });
+    }
+
+    /// Tells whether the store at `store` is believed to keep a part.
+    pub fn is_saved(&self, now: Time, part: PartKey, store: SocketAddr) -> bool {
+        let mut saved = self.saved_at(now, part);
+        saved.any(|saved| saved.store == store)
+    }
+
+    /// Tells whether any store is believed to keep a part.
+    pub fn is_saved_anywhere(&self, now: Time, part: PartKey) -> bool {
+        self.saved_at(now, part).next().is_some()
+    }
+
+    fn saved_at(&self, now: Time, part: PartKey) -> impl Iterator<Item = &Saved> {
+        let saved = self.saved.get(&part).into_iter().flatten();
+        saved.filter(move |saved| saved.until > now)
+    }
+
     /// Returns the engines that hold a part, that of the last use last.
     pub fn holders(&self, part: PartKey) -> &[Holder] {
         self.by_part.get(&part).map_or(&[], Vec::as_slice)
@@ -82,5 +119,9 @@
             holders.retain(|holder| now.millis_since(holder.used_at) < HELD_MS);
         }
         self.by_part.retain(|_, holders| !holders.is_empty());
+        for saved in self.saved.values_mut() {
+            saved.retain(|saved| saved.until > now);
+        }
+        self.saved.retain(|_, saved| !saved.is_empty());
     }
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -4,6 +4,8 @@
 //! what the choice costs besides (work done twice, bytes between failure
 //! domains, answers on replaced weights) counted as time.
 
+use std::net::SocketAddr;
+
 use policy::Time;
 
 use crate::affinity::Affinity;
@@ -11,6 +13,7 @@
 use crate::holdings::PartKey;
 use crate::BackendServer;
 use crate::Fleet;
+use crate::PrefixStores;
 use crate::ServerKey;
 use crate::Weights;
 use crate::Workspace;
@@ -104,13 +107,34 @@
     /// Whether it is believed to hold the large shared part.
     pub held: bool,
     /// Engine from which it can take the part that it lacks.
-    pub fetch_from: Option<ServerKey>,
+    pub fetch_from: Option<PartSource>,
+    /// Store to which it sends the parts that it has read.
+    pub save_to: Option<SocketAddr>,
     /// Key of the large shared part.
     pub anchor: Option<PartKey>,
     /// Estimate of the choice with all that it costs, in milliseconds.
     pub cost_ms: f64,
 }
 
+/// From where an engine can take a part that it lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartSource {
+    /// Another engine.
+    Engine(ServerKey),
+    /// The store of prompt parts.
+    Store(SocketAddr),
+}
+
+impl PartSource {
+    /// Returns a word for logs.
+    pub fn kind(self) -> &'static str {
+        match self {
+            PartSource::Engine(_) => "engine",
+            PartSource::Store(_) => "store",
+        }
+    }
+}
+
 /// Why no backend server takes a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unplaceable {
@@ -170,6 +194,8 @@
     pub holdings: &'a Holdings,
     /// Versions of weights that were named.
     pub weights: &'a Weights,
+    /// Stores of prompt parts.
+    pub stores: PrefixStores<'a>,
     /// Failure domain of this router.
     pub domain: &'a str,
     /// Present time.
@@ -258,6 +284,7 @@
             wait_ms,
             held: false,
             fetch_from: None,
+            save_to: None,
             anchor: None,
             cost_ms: wait_ms + self.handicap_ms(ask, server),
         };
@@ -266,6 +293,7 @@
             let affinity = Affinity {
                 fleet: self.fleet,
                 holdings: self.holdings,
+                stores: self.stores,
                 now: self.now,
                 ready,
             };
