gateway: lines of the log are typed events

Cause: some fifty lines of the log were format strings spread over twenty files; nothing kept them alike, several failures named no peer, a strike left no line, and an engine's load stood in a line without its age.

Change: three enums (requests, beliefs, the process) display the lines; the trait LogEvent writes them. Failures have a step and a peer.

Golden lines of every event by `insta` (crates/gateway/tests/log_events.rs).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,10 +39,12 @@
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_SLACK_MS;
 use crate::in_flight::InFlight;
-use crate::log_sink::SUCCESS;
+use crate::log_event::LogEvent;
 use crate::pool::describe;
 use crate::pool::Lease;
 use crate::pool::SendError;
+use crate::request_event::RequestEvent;
+use crate::request_event::Sent;
 use crate::timing::until;
 
 /// Time without any answer after which a backend server is left by idempotent requests, in milliseconds.
@@ -219,22 +221,23 @@
     };
     let now = now();
     let load = server.load(now);
-    let part = choice.anchor.map_or(0, |part| part.0);
-    log::info!(
-        target: SUCCESS,
-        "event=sent id={:?} server={server_id} cost_ms={:.0} wait_ms={:.0} reading_ms={:.0} requests={} weights={} part={part:016x} held={} fetch={} save={} entry_age_ms={} left_ms={}",
-        x.facts.id,
-        choice.cost_ms,
-        choice.wait_ms,
-        choice.reading_ms,
-        load.requests,
-        choice.weights.unwrap_or(0),
-        choice.held,
-        choice.fetch_from.map_or("none", PartSource::kind),
-        choice.save_to.is_some(),
-        now.millis_since(server.seen_at),
-        x.left_ms(),
-    );
+    let sent = Sent {
+        id: &x.facts.id,
+        server: server_id,
+        cost_ms: choice.cost_ms,
+        wait_ms: choice.wait_ms,
+        reading_ms: choice.reading_ms,
+        requests: load.requests,
+        load_age_ms: server.load_age_ms(now),
+        weights: choice.weights,
+        part: choice.anchor,
+        held: choice.held,
+        fetch: choice.fetch_from.map_or("none", PartSource::kind),
+        saves: choice.save_to.is_some(),
+        entry_age_ms: now.millis_since(server.seen_at),
+        left_ms: x.left_ms(),
+    };
+    RequestEvent::Sent(sent).write();
 }
 
 fn origin_form(uri: &http::Uri) -> http::Uri {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -15,9 +15,11 @@
 use relay::Strike;
 
 use crate::belief::Belief;
+use crate::belief_event::BeliefEvent;
 use crate::clock::now;
 use crate::codec::Codec;
 use crate::engines::Engines;
+use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -77,12 +79,14 @@
         if configuration.version <= known {
             return;
         }
-        log::info!(
-            "event=configuration version={} before={known} routes={} workspaces={} source={source}",
-            configuration.version,
-            configuration.routes.len(),
-            configuration.workspaces.len(),
-        );
+        BeliefEvent::Configuration {
+            version: configuration.version,
+            before: known,
+            routes: configuration.routes.len(),
+            workspaces: configuration.workspaces.len(),
+            source,
+        }
+        .write();
         self.metrics
             .configuration_version
             .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
@@ -93,7 +97,13 @@
     pub fn adopt_weights(&self, model: &str, version: u64, naming: Naming, source: &str) {
         let mut belief = self.belief.borrow_mut();
         if belief.weights.name(now(), model, version, naming) {
-            log::info!("event=weights_named model={model:?} version={version} naming={naming:?} source={source}");
+            BeliefEvent::WeightsNamed {
+                model,
+                version,
+                naming,
+                source,
+            }
+            .write();
         }
     }
 
@@ -106,8 +116,12 @@
         };
         if server.saw_weights(model, version) {
             server.switching_until = now();
-            let id = &server.entry.id;
-            log::info!("event=weights_taken server={id} model={model:?} version={version}");
+            BeliefEvent::WeightsTaken {
+                server: &server.entry.id,
+                model,
+                version,
+            }
+            .write();
             self.peers.tell_weights(key, model, version);
         }
     }
@@ -116,6 +130,7 @@
     /// and tells other routers if it is news.
     pub fn strike(&self, strike: Strike) {
         if self.belief.borrow_mut().strikes.add(now(), strike) {
+            BeliefEvent::Strike(strike).write();
             self.peers.tell_strike(strike);
         }
     }
@@ -155,24 +170,6 @@
         self.phase.get() == Phase::Serving && belief.configuration.is_some() && belief.fleet_known
     }
 
-    /// Returns what is known of a service's servers, as fields of a line of the log.
-    pub fn fleet_summary(&self, service: &str) -> String {
-        let now = now();
-        let belief = self.belief.borrow();
-        let servers: Vec<_> = belief.fleet.of_service(service).collect();
-        let ready = servers.iter().filter(|(_, s)| s.takes_requests(now));
-        let avoided = servers.iter().filter(|(_, s)| s.avoid_until > now);
-        let switching = servers.iter().filter(|(_, s)| s.switching_until > now);
-        format!(
-            "servers={} ready={} avoided={} switching={} store_age_ms={}",
-            servers.len(),
-            ready.count(),
-            avoided.count(),
-            switching.count(),
-            now.millis_since(belief.store_heard_at),
-        )
-    }
-
     /// Tells whether this router takes over the giving of orders when nobody
     /// does: any of few routers, the hubs of many.
     pub fn may_give_orders(&self) -> bool {
@@ -204,23 +201,19 @@
                 let belief = self.belief.borrow();
                 if let Some(server) = belief.fleet.get(key) {
                     let entry = &server.entry;
-                    log::info!(
-                        "event=server_added server={} service={} domain={} address={} state={:?} weights={:?} source={source}",
-                        entry.id, entry.service, entry.domain, entry.address, entry.state, entry.weights.values().collect::<Vec<_>>(),
-                    );
+                    BeliefEvent::ServerAdded { entry, source }.write();
                 }
             }
             Some(FleetChange::Draining(key)) => {
                 let belief = self.belief.borrow();
                 if let Some(server) = belief.fleet.get(key) {
-                    log::info!(
-                        "event=server_draining server={} source={source}",
-                        server.entry.id
-                    );
+                    let server = &*server.entry.id;
+                    BeliefEvent::ServerDraining { server, source }.write();
                 }
             }
             Some(FleetChange::Removed(id)) => {
-                log::info!("event=server_removed server={id} source={source}");
+                let server = &*id;
+                BeliefEvent::ServerRemoved { server, source }.write();
                 self.pool.sweep(&self.belief.borrow().fleet);
             }
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,8 +30,12 @@
 use crate::context::Context;
 use crate::ended::Ended;
 use crate::ended::WholeAnswer;
-use crate::log_sink::SUCCESS;
+use crate::fleet_summary::FleetSummary;
+use crate::log_event::LogEvent;
 use crate::refusal::Refusal;
+use crate::request_event::AttemptEnded;
+use crate::request_event::RequestEnded;
+use crate::request_event::RequestEvent;
 use crate::stream_relay;
 use crate::timing::until;
 
@@ -227,15 +231,19 @@
             .attempts
             .with_label_values(&[&format!("{end:?}").to_lowercase()])
             .inc();
-        log::info!(
-            "event=attempt_ended id={:?} service={} server={} end={end:?} reason={reason:?} verdict={verdict:?} sends={} runs={} left_ms={} budget_left={left}",
-            self.facts.id,
-            self.service,
-            self.server_name(choice.server),
-            self.sends,
-            self.runs,
-            progress.left_ms,
-        );
+        let ended = AttemptEnded {
+            id: &self.facts.id,
+            service: &self.service,
+            server: &self.server_name(choice.server),
+            end,
+            reason,
+            verdict,
+            sends: self.sends,
+            runs: self.runs,
+            left_ms: progress.left_ms,
+            budget_left: left,
+        };
+        RequestEvent::AttemptEnded(ended).write();
         verdict
     }
 
@@ -255,25 +263,22 @@
             .metrics
             .whole_answer
             .observe(took as f64 / 1_000_000.0);
-        let target = if outcome == "served" {
-            SUCCESS
-        } else {
-            module_path!()
+        let server = server.map(|key| self.server_name(key));
+        let ended = RequestEnded {
+            id: &self.facts.id,
+            route: &self.route.name,
+            workspace: self.workspace.as_deref().map(|w| &*w.name),
+            service: &self.service,
+            configuration: self.configuration,
+            outcome,
+            status,
+            server: server.as_deref(),
+            sends: self.sends,
+            runs: self.runs,
+            took_ms: took / 1_000,
+            left_ms: self.left_ms(),
         };
-        log::info!(
-            target: target,
-            "event=request id={:?} route={} workspace={} service={} configuration={} outcome={outcome} status={status} server={} sends={} runs={} took_ms={} left_ms={}",
-            self.facts.id,
-            self.route.name,
-            self.workspace.as_ref().map_or("none", |w| &*w.name),
-            self.service,
-            self.configuration,
-            server.map_or_else(|| "none".to_owned(), |key| self.server_name(key)),
-            self.sends,
-            self.runs,
-            took / 1_000,
-            self.left_ms(),
-        );
+        RequestEvent::Ended(ended).write();
     }
 
     fn streams(&self, attempt: &Attempt) -> bool {
@@ -303,12 +308,13 @@
     }
 
     fn refuse_unplaced(mut self, e: Unplaceable) -> Response<AnswerBody> {
-        let known = self.cx.fleet_summary(&self.service);
-        log::info!(
-            "event=unplaced id={:?} service={} cause={e:?} {known}",
-            self.facts.id,
-            self.service
-        );
+        RequestEvent::Unplaced {
+            id: &self.facts.id,
+            service: &self.service,
+            cause: e,
+            fleet: FleetSummary::new(&self.cx.belief.borrow(), &self.service, now()),
+        }
+        .write();
         if self.runs > 0 {
             return self.give_up(Refusal::Unknown);
         }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -9,6 +9,8 @@
 
 use crate::clock::now;
 use crate::context::Context;
+use crate::log_event::LogEvent;
+use crate::process_event::ProcessEvent;
 use crate::records;
 use crate::store::Revision;
 use crate::store::StoreError;
@@ -78,7 +80,8 @@
             Some(listing.as_of)
         }
         Ok(Watched::HistoryGone) => {
-            log::info!("event=history_gone topic={} after={after}", topic.name());
+            let topic = topic.name();
+            ProcessEvent::HistoryGone { topic, after }.write();
             None
         }
         Err(e) => {
@@ -100,7 +103,11 @@
         Update::Record(record) => records::take_in(cx, record),
         Update::RecordGone(name) => records::take_out(cx, &name),
         Update::Unreadable { key, reason } => {
-            log::warn!("event=entry_unreadable key={key:?} reason={reason:?}");
+            ProcessEvent::EntryUnreadable {
+                key: &key,
+                reason: &reason,
+            }
+            .write();
         }
     }
 }
@@ -111,11 +118,11 @@
     calls.with_label_values(&[call, "ok"]).inc();
     let mut belief = cx.belief.borrow_mut();
     if belief.store_failing {
-        log::info!(
-            "event=store_regained topic={} away_ms={}",
-            topic.name(),
-            now().millis_since(belief.store_heard_at)
-        );
+        ProcessEvent::StoreRegained {
+            topic: topic.name(),
+            away_ms: now().millis_since(belief.store_heard_at),
+        }
+        .write();
         belief.store_away_until = now();
     }
     belief.store_failing = false;
@@ -129,11 +136,11 @@
     {
         let mut belief = cx.belief.borrow_mut();
         if !belief.store_failing {
-            log::warn!(
-                "event=store_lost topic={} reason={:?}",
-                topic.name(),
-                e.to_string()
-            );
+            ProcessEvent::StoreLost {
+                topic: topic.name(),
+                reason: e,
+            }
+            .write();
         }
         belief.store_failing = true;
         belief.store_away_until = now();
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -19,6 +19,10 @@
 use crate::feed::failed;
 use crate::feed::succeeded;
 use crate::feed::take_in;
+use crate::log_event::LogEvent;
+use crate::process_event::failed_with;
+use crate::process_event::ProcessEvent;
+use crate::process_event::Step;
 use crate::snapshot;
 use crate::store::Listing;
 use crate::store::Revision;
@@ -79,7 +83,7 @@
     *fetched_at = now();
     match snapshot::fetch_servers(followed.reader).await {
         Ok(servers) => cx.replace_servers(servers, "peer"),
-        Err(e) => log::warn!("event=servers_unanswered reason={:?}", e.to_string()),
+        Err(e) => failed_with(Step::ServersFetch, &followed.reader, &e),
     }
 }
 
@@ -126,7 +130,11 @@
             sleep(READ_PAUSE).await;
         }
         Ok(Watched::HistoryGone) => {
-            log::info!("event=history_gone topic=servers after={after}");
+            ProcessEvent::HistoryGone {
+                topic: Topic::Servers.name(),
+                after,
+            }
+            .write();
             list(cx).await;
         }
         Err(e) => failed(cx, Topic::Servers, "watch", &e).await,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,6 +27,8 @@
 use crate::intake::Aborted;
 use crate::pool::configure;
 use crate::pool::describe;
+use crate::process_event::failed;
+use crate::process_event::Step;
 
 /// Largest head of a request while no configuration says otherwise, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -49,7 +51,7 @@
                 tokio::task::spawn_local(serve(stream));
             }
             Err(e) => {
-                log::warn!("event=accept_failed reason={:?}", e.to_string());
+                failed(Step::Accept, &e);
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -59,7 +61,7 @@
 /// Serves one connection of a caller until it ends, or until `close` asks idle ones to.
 pub async fn serve(cx: Rc<Context>, stream: TcpStream, mut close: watch::Receiver<bool>) {
     if let Err(e) = configure(&stream) {
-        log::debug!("event=socket_failed reason={:?}", e.to_string());
+        failed(Step::Socket, &e);
         return;
     }
     let (head_bytes, idle_ms) = limits(&cx);
@@ -78,7 +80,7 @@
         }
     };
     if let Err(e) = result {
-        log::debug!("event=connection_failed reason={:?}", describe(&e));
+        failed(Step::Connection, &describe(&e));
     }
 }
 
@@ -114,6 +116,6 @@
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), service);
     if let Err(e) = connection.await {
-        log::debug!("event=connection_failed reason={:?}", describe(&e));
+        failed(Step::Connection, &describe(&e));
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::Time;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -30,11 +31,14 @@
 use crate::front::serve_pages;
 use crate::gossip_task;
 use crate::listener::listen;
+use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::process_event::ProcessEvent;
+use crate::process_event::StopPhase;
 use crate::records;
 use crate::settings::Settings;
 use crate::settings_file::SettingsFile;
@@ -119,16 +123,15 @@
         gateway.open_ports().await?;
         gateway.spawn_tasks();
         let settings = &gateway.cx.settings;
-        log::info!(
-            "event=start version={} name={} domain={} callers={} store={}",
-            env!("CARGO_PKG_VERSION"),
-            settings.name,
-            settings.domain,
-            settings.listen.callers,
-            settings.store
-        );
+        ProcessEvent::Start {
+            name: &settings.name,
+            domain: &settings.domain,
+            callers: settings.listen.callers,
+            store: settings.store,
+        }
+        .write();
         for field in &settings.unknown_fields {
-            log::warn!("event=setting_unknown field={field:?}");
+            ProcessEvent::SettingUnknown { field }.write();
         }
         Ok(gateway)
     }
@@ -156,23 +159,28 @@
         let told_at = now();
         let cx = &self.cx;
         cx.phase.set(Phase::Draining);
-        log::info!("event=stop phase=draining open={}", self.connections());
+        self.log_stop(StopPhase::Draining, told_at);
         let last = told_at.plus_millis(cx.settings.stop_ms.saturating_sub(STOP_MARGIN_MS));
         let rotated = told_at.plus_millis(ROTATION_MS).min(last);
         while now() < rotated {
             sleep(STOP_LOOK).await;
         }
         cx.phase.set(Phase::Leaving);
-        log::info!("event=stop phase=leaving open={}", self.connections());
+        self.log_stop(StopPhase::Leaving, told_at);
         self.close.send_replace(true);
         while self.connections() > 0 && now() < last {
             sleep(STOP_LOOK).await;
         }
-        log::info!(
-            "event=stop phase=done open={} took_ms={}",
-            self.connections(),
-            now().millis_since(told_at)
-        );
+        self.log_stop(StopPhase::Done, told_at);
+    }
+
+    fn log_stop(&self, phase: StopPhase, told_at: Time) {
+        ProcessEvent::Stop {
+            phase,
+            open: self.connections(),
+            took_ms: now().millis_since(told_at),
+        }
+        .write();
     }
 
     /// Returns how many connections of callers are open; the port holds one receiver too.
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -22,6 +22,9 @@
 use crate::clock::now;
 use crate::context::Context;
 use crate::peers::SentPart;
+use crate::process_event::failed;
+use crate::process_event::failed_with;
+use crate::process_event::Step;
 
 /// Longest time between two messages where routers speak to all others.
 const DIRECT_ROUND: Duration = Duration::from_millis(150);
@@ -55,7 +58,7 @@
         let bytes = match postcard::to_stdvec(&message) {
             Ok(bytes) => bytes,
             Err(e) => {
-                log::error!("event=gossip_failed reason={:?}", e.to_string());
+                failed(Step::Gossip, &e);
                 continue;
             }
         };
@@ -70,10 +73,7 @@
             continue;
         };
         if let Err(e) = socket.send_to(bytes, address).await {
-            log::debug!(
-                "event=gossip_unsent peer={address} reason={:?}",
-                e.to_string()
-            );
+            failed_with(Step::GossipSend, &address, &e);
         }
     }
 }
@@ -84,7 +84,7 @@
         let (len, from) = match socket.recv_from(&mut buf).await {
             Ok(received) => received,
             Err(e) => {
-                log::debug!("event=gossip_receive_failed reason={:?}", e.to_string());
+                failed(Step::GossipReceive, &e);
                 tokio::time::sleep(DIRECT_ROUND).await;
                 continue;
             }
@@ -96,10 +96,7 @@
                 let audience = passed_on(&cx, &message);
                 send(&cx, &socket, &audience, bytes).await;
             }
-            Err(e) => log::warn!(
-                "event=gossip_unreadable peer={from} reason={:?}",
-                e.to_string()
-            ),
+            Err(e) => failed_with(Step::GossipRead, &from, &e),
         }
     }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,7 +22,9 @@
 use crate::context::Phase;
 use crate::exchange::Accepted;
 use crate::exchange::Exchange;
+use crate::log_event::LogEvent;
 use crate::refusal::Refusal;
+use crate::request_event::RequestEvent;
 
 /// Wait that callers are told while this router knows no configuration, in milliseconds.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
@@ -62,10 +64,13 @@
         Ok(facts) => facts,
         Err(e) => {
             let reason = e.to_string();
-            log::info!(
-                "event=refused status=400 reason={reason:?} path={:?}",
-                head.uri.path()
-            );
+            RequestEvent::Refused {
+                id: None,
+                configuration: None,
+                status: 400,
+                reason: &reason,
+            }
+            .write();
             return Ok(refuse(&cx, Refusal::BadRequest));
         }
     };
@@ -73,15 +78,21 @@
     match accept(&cx, head, facts, body).await {
         Ok(accepted) => Ok(Exchange::new(cx, accepted).run().await),
         Err(NotAccepted::Refused(refusal, configuration)) => {
-            log::info!(
-                "event=refused id={id:?} configuration={configuration} status={} reason={}",
-                refusal.status().as_u16(),
-                refusal.reason()
-            );
+            RequestEvent::Refused {
+                id: Some(&id),
+                configuration: Some(configuration),
+                status: refusal.status().as_u16(),
+                reason: refusal.reason(),
+            }
+            .write();
             Ok(refuse(&cx, refusal))
         }
         Err(NotAccepted::BrokeOff(reason)) => {
-            log::info!("event=request_broke_off id={id:?} reason={reason:?}");
+            RequestEvent::RequestBrokeOff {
+                id: &id,
+                reason: &reason,
+            }
+            .write();
             RequestBrokeOffSnafu { reason }.fail()
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,9 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::process_event::failed;
+use crate::process_event::Step;
+
 /// Bounds of histograms of times, in seconds.
 const SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
@@ -73,7 +76,7 @@
             .set(i64::try_from(lines_dropped).unwrap_or(i64::MAX));
         let mut buf = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
-            log::error!("event=metrics_failed reason={:?}", e.to_string());
+            failed(Step::Metrics, &e);
         }
         buf
     }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -11,9 +11,12 @@
 use relay::ServerKey;
 use tokio::time::sleep;
 
+use crate::belief_event::BeliefEvent;
+use crate::belief_event::OrderGiven;
 use crate::clock::now;
 use crate::context::Context;
 use crate::engines::WeightsOrder;
+use crate::log_event::LogEvent;
 use crate::records::end_tenure;
 
 /// Time between looks at what is due.
@@ -110,10 +113,15 @@
         .orders
         .with_label_values(&[&format!("{reply:?}").to_lowercase()])
         .inc();
-    log::info!(
-        "event=order server={engine} model={model:?} version={version} accepted_before={accepted} fence={} reply={reply:?}",
-        tenure.fence
-    );
+    let given = OrderGiven {
+        server: &engine,
+        model: &model,
+        version,
+        accepted_before: accepted,
+        fence: tenure.fence,
+        reply,
+    };
+    BeliefEvent::Order(given).write();
     if reply == Reply::Fenced {
         end_tenure(cx, "a newer holder gives orders");
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -28,6 +28,8 @@
 use tokio::time::timeout;
 
 use crate::clock::now;
+use crate::process_event::failed_with;
+use crate::process_event::Step;
 
 /// Time within which a connection must be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -218,10 +220,7 @@
         .map_err(|e| unsent("handshake with", e.to_string()))?;
     let task = tokio::task::spawn_local(async move {
         if let Err(e) = connection.await {
-            log::debug!(
-                "event=connection_ended peer={peer} reason={:?}",
-                describe(&e)
-            );
+            failed_with(Step::KeptConnection, &peer, &describe(&e));
         }
     });
     Ok(Lease {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -14,9 +14,14 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
+use crate::belief_event::BeliefEvent;
 use crate::clock::now;
 use crate::context::Context;
 use crate::context::Phase;
+use crate::log_event::LogEvent;
+use crate::process_event::failed;
+use crate::process_event::ProcessEvent;
+use crate::process_event::Step;
 use crate::settings::Settings;
 use crate::store::Committed;
 use crate::store::LeaseId;
@@ -58,21 +63,22 @@
     } else if record.name == HOLDER {
         cx.belief.borrow_mut().order_holder = Some(record.revision);
         let holder = String::from_utf8_lossy(&record.value).into_owned();
-        log::info!(
-            "event=order_holder holder={holder:?} fence={}",
-            record.revision
-        );
+        BeliefEvent::OrderHolder {
+            holder: &holder,
+            fence: record.revision,
+        }
+        .write();
     }
 }
 
 /// Takes in the end of a record.
 pub fn take_out(cx: &Context, name: &str) {
     if let Some(name) = name.strip_prefix(MEMBER) {
-        log::info!("event=router_removed peer={name:?}");
+        BeliefEvent::RouterRemoved { peer: name }.write();
         cx.peers.remove(name);
     } else if name == HOLDER {
         cx.belief.borrow_mut().order_holder = None;
-        log::info!("event=order_holder holder=none");
+        BeliefEvent::NoOrderHolder.write();
     }
 }
 
@@ -105,13 +111,18 @@
     match serde_json::from_slice::<MemberRecord>(value) {
         Ok(record) => {
             let address = record.address;
-            log::info!("event=router_added peer={name:?} address={address}");
+            BeliefEvent::RouterAdded {
+                peer: name,
+                address,
+            }
+            .write();
             cx.peers.add(name, address, Member::from(&record));
         }
-        Err(e) => log::warn!(
-            "event=router_unreadable peer={name:?} reason={:?}",
-            e.to_string()
-        ),
+        Err(e) => ProcessEvent::EntryUnreadable {
+            key: name,
+            reason: &e,
+        }
+        .write(),
     }
 }
 
@@ -152,7 +163,7 @@
         match register(&cx).await {
             Ok(Some(lease)) => keep_alive(&cx, lease).await,
             Ok(None) => {}
-            Err(e) => log::warn!("event=register_failed reason={:?}", e.to_string()),
+            Err(e) => failed(Step::Register, &e),
         }
         sleep(FAILED_PAUSE * 3).await;
     }
@@ -183,7 +194,7 @@
         match cx.store.renew(lease).await {
             Ok(true) => {}
             Ok(false) => return,
-            Err(e) => log::debug!("event=renewal_failed reason={:?}", e.to_string()),
+            Err(e) => failed(Step::Renewal, &e),
         }
     }
 }
@@ -211,7 +222,7 @@
             Ok(Some(lease)) => hold(&cx, lease).await,
             Ok(None) => sleep(FAILED_PAUSE).await,
             Err(e) => {
-                log::warn!("event=take_over_failed reason={:?}", e.to_string());
+                failed(Step::TakeOver, &e);
                 sleep(FAILED_PAUSE).await;
             }
         }
@@ -248,7 +259,7 @@
         until: sent_at.plus_millis(ttl_ms),
     });
     belief.plan.clear();
-    log::info!("event=tenure_began fence={fence} orders_wait_ms={wait_ms}");
+    BeliefEvent::TenureBegan { fence, wait_ms }.write();
     Ok(Some(lease))
 }
 
@@ -262,7 +273,7 @@
         if cx.phase.get() != Phase::Serving {
             // The lease lapses by itself if this call fails.
             if let Err(e) = cx.store.end(lease).await {
-                log::warn!("event=release_failed reason={:?}", e.to_string());
+                failed(Step::Release, &e);
             }
             return end_tenure(cx, "stopping");
         }
@@ -270,7 +281,7 @@
         match cx.store.renew(lease).await {
             Ok(true) => renew_tenure(cx, sent_at, ttl_ms),
             Ok(false) => return end_tenure(cx, "lease is over"),
-            Err(e) => log::warn!("event=renewal_failed reason={:?}", e.to_string()),
+            Err(e) => failed(Step::Renewal, &e),
         }
         let until = cx.belief.borrow().tenure.map(|tenure| tenure.until);
         if until.is_none_or(|until| until <= now()) {
@@ -288,7 +299,7 @@
 /// Ends this router's tenure.
 pub fn end_tenure(cx: &Context, reason: &str) {
     if cx.belief.borrow_mut().tenure.take().is_some() {
-        log::info!("event=tenure_ended reason={reason:?}");
+        BeliefEvent::TenureEnded { reason }.write();
     }
 }
 
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -7,6 +7,8 @@
 use tokio::time::sleep;
 
 use crate::context::Context;
+use crate::log_event::LogEvent;
+use crate::process_event::ProcessEvent;
 use crate::settings::Settings;
 
 /// Time between looks at whether the file has changed.
@@ -47,20 +49,23 @@
         let settings = match Settings::read(&self.path) {
             Ok(settings) => settings,
             Err(e) => {
-                let reason = e.to_string();
-                log::warn!("event=reload cause={cause} outcome=rejected reason={reason:?}");
+                let reason = &e;
+                ProcessEvent::ReloadRejected { cause, reason }.write();
                 return;
             }
         };
         let seeds_changed = *cx.seeds.borrow() != settings.seeds;
         *cx.seeds.borrow_mut() = settings.seeds.clone();
-        let rest_changed = Settings {
+        let needs_restart = Settings {
             seeds: cx.settings.seeds.clone(),
             ..settings
         } != cx.settings;
-        log::info!(
-            "event=reload cause={cause} outcome=adopted seeds_changed={seeds_changed} needs_restart={rest_changed}"
-        );
+        ProcessEvent::Reloaded {
+            cause,
+            seeds_changed,
+            needs_restart,
+        }
+        .write();
     }
 
     fn modified_at(&self) -> Option<SystemTime> {
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -25,6 +25,8 @@
 use crate::clock::now;
 use crate::context::Context;
 use crate::pool::describe;
+use crate::process_event::failed;
+use crate::process_event::Step;
 
 /// Time within which another router must answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -85,7 +87,7 @@
     match serde_json::to_vec(value) {
         Ok(bytes) => bytes,
         Err(e) => {
-            log::error!("event=snapshot_failed reason={:?}", e.to_string());
+            failed(Step::Snapshot, &e);
             Vec::new()
         }
     }
@@ -116,7 +118,7 @@
         taken_at = now();
         match fetch::<Snapshot>(peer, "/snapshot").await {
             Ok(snapshot) => take_in(&cx, snapshot),
-            Err(e) => log::warn!("event=snapshot_unanswered reason={:?}", e.to_string()),
+            Err(e) => failed(Step::SnapshotFetch, &e),
         }
     }
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -18,7 +18,9 @@
 use crate::evidence::strike;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_SLACK_MS;
+use crate::log_event::LogEvent;
 use crate::pool::describe;
+use crate::request_event::RequestEvent;
 use crate::timing::until;
 
 /// Events that wait for a caller who reads slowly.
@@ -94,11 +96,11 @@
         let choice = match x.place() {
             Ok(choice) => choice,
             Err(e) => {
-                log::info!(
-                    "event=resume_failed id={:?} reason={}",
-                    x.facts.id,
-                    e.reason()
-                );
+                RequestEvent::ResumeFailed {
+                    id: &x.facts.id,
+                    reason: e.reason(),
+                }
+                .write();
                 return None;
             }
         };
--- /dev/null
+++ b/crates/gateway/tests/log_events.rs
@@ -0,0 +1,301 @@
+//! Lines of the log, one for each event: on-call engineers and `ctl trace` read them.
+
+use std::collections::BTreeMap;
+
+use gateway::AttemptEnded;
+use gateway::BeliefEvent;
+use gateway::FleetSummary;
+use gateway::LogEvent;
+use gateway::OrderGiven;
+use gateway::ProcessEvent;
+use gateway::RequestEnded;
+use gateway::RequestEvent;
+use gateway::Sent;
+use gateway::Step;
+use gateway::StopPhase;
+use insta::assert_snapshot;
+use log::Level;
+use relay::AttemptEnd;
+use relay::Naming;
+use relay::PartKey;
+use relay::Reply;
+use relay::ServerEntry;
+use relay::ServerState;
+use relay::Strike;
+use relay::Unplaceable;
+use relay::Verdict;
+
+fn sent() -> Sent<'static> {
+    Sent {
+        id: "q1",
+        server: "e1",
+        cost_ms: 617.4,
+        wait_ms: 359.0,
+        reading_ms: 232.0,
+        requests: 20,
+        load_age_ms: 140,
+        weights: Some(3),
+        part: Some(PartKey(0xab)),
+        held: false,
+        fetch: "store",
+        saves: true,
+        entry_age_ms: 701,
+        left_ms: 5_971,
+    }
+}
+
+fn ended(outcome: &'static str) -> RequestEnded<'static> {
+    RequestEnded {
+        id: "q1",
+        route: "r-1",
+        workspace: Some("w1"),
+        service: "engines",
+        configuration: 7,
+        outcome,
+        status: 503,
+        server: None,
+        sends: 1,
+        runs: 0,
+        took_ms: 600,
+        left_ms: 5_371,
+    }
+}
+
+fn entry() -> ServerEntry {
+    ServerEntry {
+        id: "e1".into(),
+        started_ms: 1,
+        service: "engines".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "a".into(),
+        slots: 24,
+        state: ServerState::Ready,
+        weights: BTreeMap::from([("m0".into(), 3)]),
+    }
+}
+
+#[test]
+fn lines_of_a_request() {
+    assert_snapshot!(RequestEvent::Sent(sent()), @r#"event=sent id="q1" server=e1 cost_ms=617 wait_ms=359 reading_ms=232 requests=20 load_age_ms=140 weights=3 part=00000000000000ab held=false fetch=store save=true entry_age_ms=701 left_ms=5971"#);
+    let attempt = AttemptEnded {
+        id: "q1",
+        service: "engines",
+        server: "e1",
+        end: AttemptEnd::Unsent,
+        reason: "connect to 10.0.0.1:80: timeout",
+        verdict: Verdict::Again,
+        sends: 1,
+        runs: 0,
+        left_ms: 5_371,
+        budget_left: 12,
+    };
+    assert_snapshot!(RequestEvent::AttemptEnded(attempt), @r#"event=attempt_ended id="q1" service=engines server=e1 end=Unsent reason="connect to 10.0.0.1:80: timeout" verdict=Again sends=1 runs=0 left_ms=5371 budget_left=12"#);
+    let unplaced = RequestEvent::Unplaced {
+        id: "q1",
+        service: "engines",
+        cause: Unplaceable::TooLate {
+            retry_after_ms: 200,
+            wait_ms: 1_500,
+            reading_ms: 310,
+        },
+        fleet: FleetSummary {
+            servers: 12,
+            ready: 9,
+            avoided: 2,
+            switching: 1,
+            store_age_ms: 80,
+        },
+    };
+    assert_snapshot!(unplaced, @r#"event=unplaced id="q1" service=engines reason=too_late cause=TooLate { retry_after_ms: 200, wait_ms: 1500, reading_ms: 310 } servers=12 ready=9 avoided=2 switching=1 store_age_ms=80"#);
+    assert_snapshot!(RequestEvent::Ended(ended("too_late")), @r#"event=request id="q1" route=r-1 workspace=w1 service=engines configuration=7 outcome=too_late status=503 server=none sends=1 runs=0 took_ms=600 left_ms=5371"#);
+    let resume = RequestEvent::ResumeFailed {
+        id: "q1",
+        reason: "no_server",
+    };
+    assert_snapshot!(resume, @r#"event=resume_failed id="q1" reason=no_server"#);
+}
+
+#[test]
+fn lines_of_a_request_that_was_not_taken() {
+    let unnamed = RequestEvent::Refused {
+        id: None,
+        configuration: None,
+        status: 400,
+        reason: "no id",
+    };
+    assert_snapshot!(unnamed, @r#"event=refused id="none" status=400 reason="no id""#);
+    let unknown = RequestEvent::Refused {
+        id: Some("q1"),
+        configuration: Some(7),
+        status: 404,
+        reason: "no_route",
+    };
+    assert_snapshot!(unknown, @r#"event=refused id="q1" configuration=7 status=404 reason="no_route""#);
+    let broken = RequestEvent::RequestBrokeOff {
+        id: "q1",
+        reason: "connection reset",
+    };
+    assert_snapshot!(broken, @r#"event=request_broke_off id="q1" reason="connection reset""#);
+}
+
+#[test]
+fn lines_of_the_configuration_and_the_weights() {
+    let configuration = BeliefEvent::Configuration {
+        version: 8,
+        before: 7,
+        routes: 16,
+        workspaces: 8,
+        source: "store",
+    };
+    assert_snapshot!(configuration, @"event=configuration version=8 before=7 routes=16 workspaces=8 source=store");
+    let named = BeliefEvent::WeightsNamed {
+        model: "m0",
+        version: 4,
+        naming: Naming::Ago(120),
+        source: "peer",
+    };
+    assert_snapshot!(named, @r#"event=weights_named model="m0" version=4 naming=Ago(120) source=peer"#);
+    let taken = BeliefEvent::WeightsTaken {
+        server: "e1",
+        model: "m0",
+        version: 4,
+    };
+    assert_snapshot!(taken, @r#"event=weights_taken server=e1 model="m0" version=4"#);
+}
+
+#[test]
+fn lines_of_the_fleet() {
+    let entry = entry();
+    let added = BeliefEvent::ServerAdded {
+        entry: &entry,
+        source: "store",
+    };
+    assert_snapshot!(added, @"event=server_added server=e1 service=engines domain=a address=10.0.0.1:80 state=Ready weights=[3] source=store");
+    let (server, source) = ("e1", "peer");
+    assert_snapshot!(BeliefEvent::ServerDraining { server, source }, @"event=server_draining server=e1 source=peer");
+    assert_snapshot!(BeliefEvent::ServerRemoved { server, source }, @"event=server_removed server=e1 source=peer");
+    let strike = Strike {
+        request: 0x1f,
+        server: 0x2f,
+    };
+    assert_snapshot!(BeliefEvent::Strike(strike), @"event=strike request=000000000000001f server=000000000000002f");
+}
+
+#[test]
+fn lines_of_the_routers_and_their_orders() {
+    let added = BeliefEvent::RouterAdded {
+        peer: "r2",
+        address: "10.0.0.2:7060".parse().unwrap(),
+    };
+    assert_snapshot!(added, @r#"event=router_added peer="r2" address=10.0.0.2:7060"#);
+    assert_snapshot!(BeliefEvent::RouterRemoved { peer: "r2" }, @r#"event=router_removed peer="r2""#);
+    let holder = BeliefEvent::OrderHolder {
+        holder: "r2",
+        fence: 9,
+    };
+    assert_snapshot!(holder, @r#"event=order_holder holder="r2" fence=9"#);
+    assert_snapshot!(BeliefEvent::NoOrderHolder, @"event=order_holder holder=none");
+    let began = BeliefEvent::TenureBegan {
+        fence: 9,
+        wait_ms: 200,
+    };
+    assert_snapshot!(began, @"event=tenure_began fence=9 orders_wait_ms=200");
+    let over = BeliefEvent::TenureEnded {
+        reason: "not renewed in time",
+    };
+    assert_snapshot!(over, @r#"event=tenure_ended reason="not renewed in time""#);
+    let order = OrderGiven {
+        server: "e1",
+        model: "m0",
+        version: 4,
+        accepted_before: 2,
+        fence: 9,
+        reply: Reply::Accepted,
+    };
+    assert_snapshot!(BeliefEvent::Order(order), @r#"event=order server=e1 model="m0" version=4 accepted_before=2 fence=9 reply=Accepted"#);
+}
+
+#[test]
+fn lines_of_a_process() {
+    let start = ProcessEvent::Start {
+        name: "r1",
+        domain: "a",
+        callers: "10.0.0.9:80".parse().unwrap(),
+        store: "10.0.0.8:81".parse().unwrap(),
+    };
+    let start = start
+        .to_string()
+        .replace(env!("CARGO_PKG_VERSION"), "VERSION");
+    assert_snapshot!(start, @"event=start version=VERSION name=r1 domain=a callers=10.0.0.9:80 store=10.0.0.8:81");
+    let field = "colour";
+    assert_snapshot!(ProcessEvent::SettingUnknown { field }, @r#"event=setting_unknown field="colour""#);
+    let reloaded = ProcessEvent::Reloaded {
+        cause: "signal",
+        seeds_changed: true,
+        needs_restart: false,
+    };
+    assert_snapshot!(reloaded, @"event=reload cause=signal outcome=adopted seeds_changed=true needs_restart=false");
+    let rejected = ProcessEvent::ReloadRejected {
+        cause: "file",
+        reason: &"domain: expected a text",
+    };
+    assert_snapshot!(rejected, @r#"event=reload cause=file outcome=rejected reason="domain: expected a text""#);
+    let stop = ProcessEvent::Stop {
+        phase: StopPhase::Leaving,
+        open: 3,
+        took_ms: 2_900,
+    };
+    assert_snapshot!(stop, @"event=stop phase=leaving open=3 took_ms=2900");
+}
+
+#[test]
+fn lines_of_dependencies_and_failures() {
+    let lost = ProcessEvent::StoreLost {
+        topic: "servers",
+        reason: &"watch at 10.0.0.8:81: timeout",
+    };
+    assert_snapshot!(lost, @r#"event=store_lost topic=servers reason="watch at 10.0.0.8:81: timeout""#);
+    let regained = ProcessEvent::StoreRegained {
+        topic: "operators",
+        away_ms: 7_061,
+    };
+    assert_snapshot!(regained, @"event=store_regained topic=operators away_ms=7061");
+    let gone = ProcessEvent::HistoryGone {
+        topic: "routers",
+        after: 11,
+    };
+    assert_snapshot!(gone, @"event=history_gone topic=routers after=11");
+    let unreadable = ProcessEvent::EntryUnreadable {
+        key: "servers/e1",
+        reason: &"missing field",
+    };
+    assert_snapshot!(unreadable, @r#"event=entry_unreadable key="servers/e1" reason="missing field""#);
+    let failed = ProcessEvent::Failed {
+        step: Step::Order,
+        peer: Some(&"10.0.0.1:80"),
+        reason: &"timeout",
+    };
+    assert_snapshot!(failed, @r#"event=order_failed peer=10.0.0.1:80 reason="timeout""#);
+}
+
+#[test]
+fn only_lines_of_requests_that_go_well_may_be_dropped_first() {
+    assert!(RequestEvent::Sent(sent()).is_success());
+    assert!(RequestEvent::Ended(ended("served")).is_success());
+    assert!(!RequestEvent::Ended(ended("too_late")).is_success());
+    assert!(!BeliefEvent::NoOrderHolder.is_success());
+}
+
+#[test]
+fn a_lost_store_is_a_warning_and_a_regained_one_is_not() {
+    let lost = ProcessEvent::StoreLost {
+        topic: "servers",
+        reason: &"timeout",
+    };
+    let regained = ProcessEvent::StoreRegained {
+        topic: "servers",
+        away_ms: 1,
+    };
+    assert_eq!(lost.level(), Level::Warn);
+    assert_eq!(regained.level(), Level::Info);
+}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -121,6 +121,13 @@
         })
     }
 
+    /// Returns the age of the oldest of the other routers' loads that count, in milliseconds.
+    pub fn load_age_ms(&self, now: Time) -> u64 {
+        let live = self.others.values().filter(|other| other.until > now);
+        let ages = live.map(|other| OTHERS_MS.saturating_sub(other.until.millis_since(now)));
+        ages.max().unwrap_or(0)
+    }
+
     /// Takes in another router's load.
     pub fn set_other_load(&mut self, now: Time, router: u64, load: Load) {
         let until = now.plus_millis(OTHERS_MS);
