gateway: histograms of decisions, waits and store calls; gauges with ages

A store that measures wraps the real one, so no call is missed; gauges are set when the page is read.

--- a/crates/gateway/src/belief.rs
+++ b/crates/gateway/src/belief.rs
@@ -77,6 +77,8 @@
 pub struct Belief {
     /// Configuration in force.
     pub configuration: Option<Rc<Configuration>>,
+    /// When it was taken over.
+    pub configuration_since: Time,
     /// Versions of weights that were named.
     pub weights: Weights,
     /// Backend servers.
@@ -113,6 +115,7 @@
         let due_ms = settings.weights_due_ms.saturating_sub(WEIGHTS_MARGIN_MS);
         Belief {
             configuration: None,
+            configuration_since: now(),
             weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
             fleet: Fleet::default(),
             fleet_known: false,
--- /dev/null
+++ b/crates/gateway/src/belief_gauges.rs
@@ -0,0 +1,115 @@
+//! Gauges of what a gateway believes, and of how old that is.
+
+use policy::Time;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+
+use crate::belief::Belief;
+use crate::fleet_summary::FleetSummary;
+
+/// Gauges of what a gateway believes.
+pub struct BeliefGauges {
+    configuration_version: IntGauge,
+    configuration_age_ms: IntGauge,
+    store_silence_ms: IntGauge,
+    weights_version: IntGaugeVec,
+    weights_age_ms: IntGaugeVec,
+    repeats_left: IntGaugeVec,
+    servers_ready: IntGaugeVec,
+}
+
+impl BeliefGauges {
+    /// Creates the gauges.
+    pub fn new(registry: &Registry) -> BeliefGauges {
+        BeliefGauges {
+            configuration_version: gauge(
+                registry,
+                "configuration_version",
+                "Configuration in force",
+            ),
+            configuration_age_ms: gauge(
+                registry,
+                "configuration_age_ms",
+                "Time since it was taken over",
+            ),
+            store_silence_ms: gauge(
+                registry,
+                "store_silence_ms",
+                "Time since the store last answered",
+            ),
+            weights_version: gauges(
+                registry,
+                "weights_version",
+                "Newest weights that were named",
+                "model",
+            ),
+            weights_age_ms: gauges(
+                registry,
+                "weights_age_ms",
+                "Time since they were named",
+                "model",
+            ),
+            repeats_left: gauges(
+                registry,
+                "repeats_left",
+                "Repeats that the budget allows now",
+                "service",
+            ),
+            servers_ready: gauges(
+                registry,
+                "servers_ready",
+                "Backend servers that take requests",
+                "service",
+            ),
+        }
+    }
+
+    /// Sets all gauges to what is believed at `now`.
+    pub fn set(&self, now: Time, belief: &mut Belief) {
+        let version = belief.configuration.as_ref().map_or(0, |c| c.version);
+        self.configuration_version.set(clamped(version));
+        let age_ms = now.millis_since(belief.configuration_since);
+        self.configuration_age_ms.set(clamped(age_ms));
+        let silence_ms = now.millis_since(belief.store_heard_at);
+        self.store_silence_ms.set(clamped(silence_ms));
+        for (model, version, age_ms) in belief.weights.ages(now) {
+            let labels = [&**model];
+            let of_model = self.weights_version.with_label_values(&labels);
+            of_model.set(clamped(version));
+            let of_model = self.weights_age_ms.with_label_values(&labels);
+            of_model.set(clamped(age_ms));
+        }
+        for (service, budget) in &mut belief.budgets {
+            let of_service = self.repeats_left.with_label_values(&[&**service]);
+            of_service.set(i64::from(budget.left(now)));
+        }
+        for service in belief.budgets.keys() {
+            let ready = FleetSummary::new(belief, service, now).ready;
+            let of_service = self.servers_ready.with_label_values(&[&**service]);
+            of_service.set(clamped(ready as u64));
+        }
+    }
+}
+
+fn clamped(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(format!("turmerichollow_{name}"), help).expect("names are valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("names differ");
+    gauge
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let opts = Opts::new(format!("turmerichollow_{name}"), help);
+    let gauges = IntGaugeVec::new(opts, &[label]).expect("names are valid");
+    registry
+        .register(Box::new(gauges.clone()))
+        .expect("names differ");
+    gauges
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -87,9 +87,7 @@
             source,
         }
         .write();
-        self.metrics
-            .configuration_version
-            .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
+        belief.configuration_since = now();
         belief.configuration = Some(Rc::new(configuration));
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -194,7 +194,14 @@
             domain: &self.cx.settings.domain,
             now: now(),
         };
-        placement.choose(&ask)
+        let result = placement.choose(&ask);
+        let metrics = &self.cx.metrics;
+        let took_us = now().micros_since(placement.now);
+        metrics.decision.observe(took_us as f64 / 1_000_000.0);
+        if let Ok(choice) = &result {
+            metrics.expected_wait.observe(choice.wait_ms / 1_000.0);
+        }
+        result
     }
 
     /// Sends the request to a backend server and waits for its answer's head.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -41,7 +41,7 @@
     loop {
         let mut after = match cx.store.list(topic).await {
             Ok(listing) => {
-                succeeded(&cx, topic, "list");
+                succeeded(&cx, topic);
                 if topic == Topic::Routers {
                     records::keep_listed(&cx, &listing.updates);
                 }
@@ -51,7 +51,7 @@
                 listing.as_of
             }
             Err(e) => {
-                failed(&cx, topic, "list", &e).await;
+                failed(&cx, topic, &e).await;
                 continue;
             }
         };
@@ -73,7 +73,7 @@
     }
     match cx.store.watch(topic, after, WAIT_MS).await {
         Ok(Watched::Changes(listing)) => {
-            succeeded(cx, topic, "watch");
+            succeeded(cx, topic);
             for update in listing.updates {
                 take_in(cx, update, Naming::Fresh);
             }
@@ -85,7 +85,7 @@
             None
         }
         Err(e) => {
-            failed(cx, topic, "watch", &e).await;
+            failed(cx, topic, &e).await;
             Some(after)
         }
     }
@@ -113,9 +113,7 @@
 }
 
 /// Notes a call that succeeded.
-pub fn succeeded(cx: &Context, topic: Topic, call: &'static str) {
-    let calls = &cx.metrics.store_calls;
-    calls.with_label_values(&[call, "ok"]).inc();
+pub fn succeeded(cx: &Context, topic: Topic) {
     let mut belief = cx.belief.borrow_mut();
     if belief.store_failing {
         ProcessEvent::StoreRegained {
@@ -130,9 +128,7 @@
 }
 
 /// Notes a call that failed, and waits before the next.
-pub async fn failed(cx: &Context, topic: Topic, call: &'static str, e: &StoreError) {
-    let calls = &cx.metrics.store_calls;
-    calls.with_label_values(&[call, "failed"]).inc();
+pub async fn failed(cx: &Context, topic: Topic, e: &StoreError) {
     {
         let mut belief = cx.belief.borrow_mut();
         if !belief.store_failing {
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -111,18 +111,18 @@
 async fn list(cx: &Context) {
     match cx.store.list(Topic::Servers).await {
         Ok(listing) => {
-            succeeded(cx, Topic::Servers, "list");
+            succeeded(cx, Topic::Servers);
             take_in_all(cx, listing);
             sleep(READ_PAUSE).await;
         }
-        Err(e) => failed(cx, Topic::Servers, "list", &e).await,
+        Err(e) => failed(cx, Topic::Servers, &e).await,
     }
 }
 
 async fn watch(cx: &Context, after: Revision) {
     match cx.store.watch(Topic::Servers, after, WAIT_MS).await {
         Ok(Watched::Changes(listing)) => {
-            succeeded(cx, Topic::Servers, "watch");
+            succeeded(cx, Topic::Servers);
             note_read(cx, listing.as_of);
             for update in listing.updates {
                 take_in(cx, update, Naming::Fresh);
@@ -137,7 +137,7 @@
             .write();
             list(cx).await;
         }
-        Err(e) => failed(cx, Topic::Servers, "watch", &e).await,
+        Err(e) => failed(cx, Topic::Servers, &e).await,
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::listener::listen;
 use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
+use crate::measured_store::MeasuredStore;
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::peers::Peers;
@@ -105,15 +106,17 @@
     pub async fn start(settings: Settings, outside: Outside) -> Result<Gateway, Error> {
         let belief = Belief::new(&settings);
         let peers = Peers::new(&settings.name, records::member(&settings));
+        let metrics = Metrics::new();
+        let store = MeasuredStore::new(outside.store, metrics.store_calls.clone());
         let cx = Rc::new(Context {
             seeds: RefCell::new(settings.seeds.clone()),
             settings,
             codec: outside.codec,
-            store: outside.store,
+            store: Rc::new(store),
             engines: outside.engines,
             pool: Pool::default(),
             peers,
-            metrics: Metrics::new(),
+            metrics,
             log: outside.log,
             belief: RefCell::new(belief),
             phase: Cell::new(Phase::Serving),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod belief;
 mod belief_event;
+mod belief_gauges;
 mod body;
 mod clock;
 mod codec;
@@ -26,6 +27,7 @@
 mod listener;
 mod log_event;
 mod log_sink;
+mod measured_store;
 mod metrics;
 mod orders;
 mod peers;
--- /dev/null
+++ b/crates/gateway/src/measured_store.rs
@@ -0,0 +1,83 @@
+//! The store, with the time and outcome of every call measured.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use futures::future::LocalBoxFuture;
+use futures::FutureExt;
+use prometheus::HistogramVec;
+
+use crate::clock::now;
+use crate::store::Committed;
+use crate::store::LeaseId;
+use crate::store::Listing;
+use crate::store::Revision;
+use crate::store::Store;
+use crate::store::StoreError;
+use crate::store::Topic;
+use crate::store::Watched;
+use crate::store::Write;
+
+/// A store whose calls are measured.
+pub struct MeasuredStore {
+    store: Rc<dyn Store>,
+    calls: HistogramVec,
+}
+
+impl MeasuredStore {
+    /// Measures the calls of `store` in `calls`, by call and outcome, in seconds.
+    pub fn new(store: Rc<dyn Store>, calls: HistogramVec) -> MeasuredStore {
+        MeasuredStore { store, calls }
+    }
+
+    async fn measure<F, T>(&self, call: &'static str, done: F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let sent_at = now();
+        let result = done.await;
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(StoreError::Refused { .. }) => "refused",
+            Err(StoreError::Unanswered { .. }) => "unanswered",
+        };
+        let took = now().micros_since(sent_at) as f64 / 1_000_000.0;
+        let calls = self.calls.with_label_values(&[call, outcome]);
+        calls.observe(took);
+        result
+    }
+}
+
+impl Store for MeasuredStore {
+    fn list(&self, topic: Topic) -> LocalBoxFuture<'_, Result<Listing, StoreError>> {
+        self.measure("list", self.store.list(topic)).boxed_local()
+    }
+
+    fn watch(
+        &self,
+        topic: Topic,
+        after: Revision,
+        wait_ms: u64,
+    ) -> LocalBoxFuture<'_, Result<Watched, StoreError>> {
+        let done = self.store.watch(topic, after, wait_ms);
+        self.measure("watch", done).boxed_local()
+    }
+
+    fn commit(&self, writes: Vec<Write>) -> LocalBoxFuture<'_, Result<Committed, StoreError>> {
+        let done = self.store.commit(writes);
+        self.measure("commit", done).boxed_local()
+    }
+
+    fn grant(&self, ttl_ms: u64) -> LocalBoxFuture<'_, Result<LeaseId, StoreError>> {
+        let done = self.store.grant(ttl_ms);
+        self.measure("grant", done).boxed_local()
+    }
+
+    fn renew(&self, lease: LeaseId) -> LocalBoxFuture<'_, Result<bool, StoreError>> {
+        self.measure("renew", self.store.renew(lease)).boxed_local()
+    }
+
+    fn end(&self, lease: LeaseId) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        self.measure("end", self.store.end(lease)).boxed_local()
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,20 +1,27 @@
 //! Counters and histograms.
 
+use policy::Time;
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::belief::Belief;
+use crate::belief_gauges::BeliefGauges;
 use crate::process_event::failed;
 use crate::process_event::Step;
 
 /// Bounds of histograms of times, in seconds.
 const SECONDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
+/// The same for decisions, which take microseconds.
+const DECISION_SECONDS: [f64; 7] = [0.00001, 0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01];
+
 /// Counters and histograms of a gateway.
 pub struct Metrics {
     registry: Registry,
@@ -22,13 +29,16 @@
     pub requests: IntCounterVec,
     /// Attempts that ended without a whole answer, by how.
     pub attempts: IntCounterVec,
-    /// Calls to the store, by call and outcome.
-    pub store_calls: IntCounterVec,
+    /// Time of calls to the store by call and outcome, in seconds.
+    pub store_calls: HistogramVec,
     /// Orders to engines, by answer.
     pub orders: IntCounterVec,
-    /// Version of the configuration in force.
-    pub configuration_version: IntGauge,
+    beliefs: BeliefGauges,
     lines_dropped: IntGauge,
+    /// Time to choose a backend server, in seconds.
+    pub decision: Histogram,
+    /// Time that requests are believed to wait at the server that was chosen, in seconds.
+    pub expected_wait: Histogram,
     /// Time from a request's head to its answer's head, in seconds.
     pub first_answer: Histogram,
     /// Time from a request's head to the end of its answer, in seconds.
@@ -47,31 +57,41 @@
                 "Attempts without a whole answer",
                 &["end"],
             ),
-            store_calls: counters(
+            store_calls: store_calls(&registry),
+            orders: counters(&registry, "orders", "Orders to engines", &["answer"]),
+            beliefs: BeliefGauges::new(&registry),
+            lines_dropped: lines_dropped(&registry),
+            decision: histogram(
                 &registry,
-                "store_calls",
-                "Calls to the store",
-                &["call", "outcome"],
+                "decision_seconds",
+                "Time to choose a backend server",
+                &DECISION_SECONDS,
             ),
-            orders: counters(&registry, "orders", "Orders to engines", &["answer"]),
-            configuration_version: gauge(
+            expected_wait: histogram(
                 &registry,
-                "configuration_version",
-                "Configuration in force",
+                "expected_wait_seconds",
+                "Time that requests are believed to wait at the chosen server",
+                &SECONDS,
             ),
-            lines_dropped: gauge(&registry, "log_lines_dropped", "Log lines dropped"),
             first_answer: histogram(
                 &registry,
                 "first_answer_seconds",
                 "Time to an answer's head",
+                &SECONDS,
+            ),
+            whole_answer: histogram(
+                &registry,
+                "whole_answer_seconds",
+                "Time to an answer's end",
+                &SECONDS,
             ),
-            whole_answer: histogram(&registry, "whole_answer_seconds", "Time to an answer's end"),
             registry,
         }
     }
 
     /// Returns all metrics as text; `lines_dropped` is what the log has dropped so far.
-    pub fn text(&self, lines_dropped: u64) -> Vec<u8> {
+    pub fn text(&self, now: Time, belief: &mut Belief, lines_dropped: u64) -> Vec<u8> {
+        self.beliefs.set(now, belief);
         self.lines_dropped
             .set(i64::try_from(lines_dropped).unwrap_or(i64::MAX));
         let mut buf = Vec::new();
@@ -97,16 +117,27 @@
     counters
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(format!("turmerichollow_{name}"), help).expect("names are valid");
+fn lines_dropped(registry: &Registry) -> IntGauge {
+    let name = "turmerichollow_log_lines_dropped";
+    let gauge = IntGauge::new(name, "Log lines dropped").expect("names are valid");
     registry
         .register(Box::new(gauge.clone()))
         .expect("names differ");
     gauge
 }
 
-fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
-    let opts = HistogramOpts::new(format!("turmerichollow_{name}"), help).buckets(SECONDS.to_vec());
+fn store_calls(registry: &Registry) -> HistogramVec {
+    let name = "turmerichollow_store_call_seconds";
+    let opts = HistogramOpts::new(name, "Time of calls to the store").buckets(SECONDS.to_vec());
+    let calls = HistogramVec::new(opts, &["call", "outcome"]).expect("names are valid");
+    registry
+        .register(Box::new(calls.clone()))
+        .expect("names differ");
+    calls
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    let opts = HistogramOpts::new(format!("turmerichollow_{name}"), help).buckets(buckets.to_vec());
     let histogram = Histogram::with_opts(opts).expect("names are valid");
     registry
         .register(Box::new(histogram.clone()))
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -5,6 +5,7 @@
 use http::StatusCode;
 
 use crate::body::AnswerBody;
+use crate::clock::now;
 use crate::context::Context;
 use crate::snapshot::servers;
 use crate::snapshot::snapshot;
@@ -20,7 +21,9 @@
 
 /// Returns counters and histograms.
 pub fn metrics(cx: &Context) -> Response<AnswerBody> {
-    page(StatusCode::OK, cx.metrics.text(cx.log.dropped()).into())
+    let mut belief = cx.belief.borrow_mut();
+    let text = cx.metrics.text(now(), &mut belief, cx.log.dropped());
+    page(StatusCode::OK, text.into())
 }
 
 /// Returns what other routers take while the store is away.
