A server's 503 without promise is quoted to nobody; soak with failing links

Soak: loopback proxies before every backend server and between each router and the store are delayed, silent, cut one way or reset, beside the faults that were there. `SOAK_LOGS` keeps the routers' logs.

It answers 502 now for every route.

Clocks are not in the soak: no decision of the gateway reads the time of day.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -301,8 +301,8 @@
     fn deliver(mut self, answer: WholeAnswer) -> Response<AnswerBody> {
         let status = answer.response.status();
         let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-        if promises && !self.route.kind.may_repeat() {
-            // The backend server ran the request, so its status would promise too much.
+        if promises {
+            // The backend server may have run the request, so its status would promise too much.
             return self.give_up(Refusal::Unknown);
         }
         let outcome = if status.is_success() {
--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -1,15 +1,18 @@
 //! Randomised run of `turmerichollow forward` as real processes, with faults from outside them.
 //!
 //! Routers are killed, stopped, paused and started again, the store turns calls
-//! away, and backend servers misbehave, in series and overlapping. Callers and
-//! backend servers keep the ledger. `SOAK_SEEDS=a..b` runs other seeds.
+//! away, backend servers misbehave, and links to both are delayed, reset, cut one
+//! way or silent, in series and overlapping. Callers and backend servers keep the
+//! ledger. `SOAK_SEEDS=a..b` runs other seeds, `SOAK_LOGS=dir` keeps the routers' logs.
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::fs::File;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -36,6 +39,8 @@
 use common::fake_runner::Manner;
 use common::fake_store::FakeStore;
 use common::free_address;
+use common::proxy::Link;
+use common::proxy::Proxy;
 
 /// Routers that run at once.
 const ROUTERS: usize = 3;
@@ -63,6 +68,15 @@
     Manner::Unclear,
 ];
 
+/// Ways in which links fail.
+const LINKS: [Link; 5] = [
+    Link::Delayed(30),
+    Link::Delayed(400),
+    Link::OneWay,
+    Link::Silent,
+    Link::Resetting,
+];
+
 /// Kinds of requests, by their routes.
 const PATHS: [&str; 4] = ["/once/a", "/plain/a", "/stream/a", "/fixed/a"];
 
@@ -127,12 +141,23 @@
     }
 }
 
+/// Opens the log of a router, if logs are kept.
+fn log_file(settings: &Path) -> Stdio {
+    let Some(dir) = std::env::var_os("SOAK_LOGS") else {
+        return Stdio::null();
+    };
+    let name = settings.with_extension("log");
+    let path = Path::new(&dir).join(name.file_name().unwrap());
+    let file = File::options().create(true).append(true).open(path);
+    file.unwrap().into()
+}
+
 fn spawn(settings: &PathBuf) -> Child {
     Command::new(env!("CARGO_BIN_EXE_turmerichollow"))
         .arg("forward")
         .arg("--settings")
         .arg(settings)
-        .stdout(Stdio::null())
+        .stdout(log_file(settings))
         .spawn()
         .unwrap()
 }
@@ -148,6 +173,8 @@
     seed: u64,
     store: FakeStore,
     runners: Vec<FakeRunner>,
+    /// Links to the backend servers, and then of each router to the store.
+    links: Vec<Proxy>,
     routers: Vec<RouterProcess>,
     ledger: RefCell<Vec<Seen>>,
     calm: Cell<bool>,
@@ -158,18 +185,27 @@
     async fn start(seed: u64) -> Rc<World> {
         let store = FakeStore::start().await;
         store.put("op/config", &configuration(1));
-        let mut runners = Vec::new();
+        let (mut runners, mut links) = (Vec::new(), Vec::new());
         for i in 0..RUNNERS {
             let runner = FakeRunner::start(&format!("i-{i}")).await;
-            store.put(&format!("servers/i-{i}"), &runner.entry("ready"));
+            let link = Proxy::start(runner.address).await;
+            let entry = runner.entry_at(link.address, "ready");
+            store.put(&format!("servers/i-{i}"), &entry);
             runners.push(runner);
+            links.push(link);
         }
         let dir = TempDir::new().unwrap();
-        let names = (0..ROUTERS).map(|i| format!("router-{i}"));
-        let routers = names.map(|name| RouterProcess::start(&dir, &name, store.address));
+        let mut routers = Vec::new();
+        for i in 0..ROUTERS {
+            let link = Proxy::start(store.address).await;
+            let name = format!("soak-{seed}-router-{i}");
+            routers.push(RouterProcess::start(&dir, &name, link.address));
+            links.push(link);
+        }
         Rc::new(World {
             seed,
-            routers: routers.collect(),
+            routers,
+            links,
             store,
             runners,
             ledger: RefCell::default(),
@@ -262,6 +298,12 @@
             let version = 2 + for_ms;
             world.store.put("op/config", &configuration(version));
         }
+        6..=8 => {
+            let link = &world.links[which % world.links.len()];
+            link.set(LINKS[which % LINKS.len()]);
+            sleep(pause).await;
+            link.set(Link::Open);
+        }
         _ => {
             runner.manner.set(MANNERS[which % MANNERS.len()]);
             sleep(pause).await;
@@ -278,7 +320,7 @@
         let gap_ms = rng.random_range(50..600).min(left_ms);
         left_ms -= gap_ms;
         sleep(Duration::from_millis(gap_ms)).await;
-        let (kind, which) = (rng.random_range(0..10), rng.random_range(0..1_000));
+        let (kind, which) = (rng.random_range(0..12), rng.random_range(0..1_000));
         let for_ms = rng.random_range(100..1_500);
         faults.push(spawn_local(fault(Rc::clone(&world), kind, which, for_ms)));
     }
