--- a/crates/router/src/forward_command.rs
+++ b/crates/router/src/forward_command.rs
@@ -19,8 +19,7 @@
 use gateway::Settings;
 use tokio::task::LocalSet;
 
-use crate::BAD_SETTINGS;
-use crate::FAILED;
+use crate::process_start::start;
 
 /// Variable that names the file of settings where no option does.
 const SETTINGS_VARIABLE: &str = "TURMERICHOLLOW_SETTINGS";
@@ -44,28 +43,8 @@
         let path = self
             .settings
             .or_else(|| env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
-        let Some(path) = path else {
-            eprintln!("--settings: expected a file, or its name in {SETTINGS_VARIABLE}");
-            return ExitCode::from(BAD_SETTINGS);
-        };
-        let settings = match Settings::read(&path) {
-            Ok(settings) => settings,
-            Err(e) => {
-                eprintln!("{e}");
-                return ExitCode::from(BAD_SETTINGS);
-            }
-        };
-        if self.check {
-            println!("{}: ok", path.display());
-            return ExitCode::SUCCESS;
-        }
-        match forward(settings, path) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(e) => {
-                eprintln!("{e}");
-                ExitCode::from(FAILED)
-            }
-        }
+        let missing = format!("a file, or its name in {SETTINGS_VARIABLE}");
+        start(path, self.check, &missing, Settings::read, forward)
     }
 }
 
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,6 +1,7 @@
 //! The router process.
 
 mod forward_command;
+mod process_start;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,12 +24,7 @@
 use tokio::signal::unix::SignalKind;
 
 use crate::forward_command::ForwardCommand;
-
-/// Exit code for settings that can't be used.
-const BAD_SETTINGS: u8 = 2;
-
-/// Exit code for a router that can't run.
-const FAILED: u8 = 1;
+use crate::process_start::start;
 
 /// Router for language-model traffic whose prompts share long prefixes.
 #[derive(FromArgs)]
@@ -64,28 +60,13 @@
     if let Some(Command::Forward(command)) = args.command {
         return command.run();
     }
-    let Some(path) = args.settings else {
-        eprintln!("--settings: expected a file");
-        return ExitCode::from(BAD_SETTINGS);
-    };
-    let settings = match Settings::read(&path) {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("{e}");
-            return ExitCode::from(BAD_SETTINGS);
-        }
-    };
-    if args.check {
-        println!("{}: ok", path.display());
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("{e}");
-            ExitCode::from(FAILED)
-        }
-    }
+    start(
+        args.settings,
+        args.check,
+        "a file",
+        Settings::read,
+        |settings, _| run(settings),
+    )
 }
 
 fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
