relay: routers add up when a store's link is free, and save only then

Cause: every long part was saved once.

Change: the configuration gives the speed of a store's link and the bytes of a token; a transfer's time on the link goes with the news of a part, and each router adds up when the link will be free. First readings are saved while it is free within 150 ms, parts that come again within 400 ms, and nothing is fetched after a wait of 1 s.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -202,7 +202,7 @@
             scope: relay::cache_scope(version, workspace),
         }),
         fetch_from,
-        save_to: choice.save_to,
+        save_to: choice.save_to(),
         body_len: has_body.then_some(x.body.len()),
     };
     let mut req = Request::new(Full::new(x.body.clone()));
@@ -233,7 +233,7 @@
         part: choice.anchor,
         held: choice.held,
         fetch: choice.fetch_from.map_or("none", PartSource::kind),
-        saves: choice.save_to.is_some(),
+        saves: choice.save_to().is_some(),
         entry_age_ms: now.millis_since(server.seen_at),
         left_ms: x.left_ms(),
     };
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -32,14 +32,12 @@
 pub fn note_part(x: &Exchange, choice: &Choice) {
     if let Some(part) = choice.anchor {
         let mut belief = x.cx.belief.borrow_mut();
-        belief.holdings.note(now(), part, choice.server);
-        if let Some(store) = choice.save_to {
-            belief.holdings.note_saved(now(), part, store);
-        }
+        let holdings = &mut belief.holdings;
+        holdings.note(now(), part, choice.server, choice.transfer);
         x.cx.peers.tell_part(SentPart {
             part,
             server: choice.server,
-            saved_to: choice.save_to,
+            transfer: choice.transfer,
         });
     }
 }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -150,7 +150,7 @@
             cx.peers.tell_part(SentPart {
                 part: PartKey(told.part),
                 server: key,
-                saved_to: told.saved_to,
+                transfer: told.transfer,
             });
         }
     }
@@ -192,7 +192,7 @@
         Some(ToldPart {
             part: sent.part.0,
             server: mark(sent.server)?,
-            saved_to: sent.saved_to,
+            transfer: sent.transfer,
         })
     });
     let switches = cx.peers.switches.borrow();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use relay::Strike;
 use relay::ToldLoad;
 use relay::Topology;
+use relay::Transfer;
 use tokio::sync::Notify;
 
 use crate::clock::now;
@@ -45,8 +46,8 @@
     pub part: PartKey,
     /// Engine.
     pub server: ServerKey,
-    /// Store to which the engine saves it, if it does.
-    pub saved_to: Option<SocketAddr>,
+    /// What happens to it at a store meanwhile.
+    pub transfer: Option<Transfer>,
 }
 
 /// Other routers and what they are to hear.
--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -21,6 +21,8 @@
 use crate::PrefixStore;
 use crate::PrefixStores;
 use crate::ServerKey;
+use crate::TransferKind::Fetch;
+use crate::TransferKind::Save;
 
 /// Size from which a part is followed, in tokens.
 const LARGE_TOKENS: u32 = 1_000;
@@ -33,8 +35,18 @@
 /// milliseconds: on heavy days its memory turns over in about as long.
 const FRESH_MS: u64 = 5_000;
 
-/// Time that fetching a part from a store counts as, in milliseconds.
-const STORE_FETCH_MS: f64 = 100.0;
+/// Time that fetching a part from a store counts as beside its transfer, in milliseconds.
+const FETCH_MS: f64 = 40.0;
+
+/// Wait for a store's link from which nothing is fetched, in milliseconds: after
+/// two seconds an engine reads the part itself.
+const MAX_FETCH_WAIT_MS: u64 = 1_000;
+
+/// Wait for a store's link up to which a part is saved that comes again, in milliseconds.
+const SAVE_AGAIN_WAIT_MS: u64 = 400;
+
+/// The same for a part that comes for the first time.
+const SAVE_FIRST_WAIT_MS: u64 = 150;
 
 /// Time that a second copy of a held part counts as that is fetched, in milliseconds.
 const FETCHED_COPY_MS: f64 = 200.0;
@@ -112,7 +124,10 @@
         let fresh = holders.iter().filter(|holder| self.is_fresh(holder));
         let fresh: Vec<Holder> = fresh.copied().collect();
         let store = self.stores.near(&server.entry.domain);
-        let keeps = |store: &&PrefixStore| self.holdings.is_saved(self.now, part, store.address);
+        let keeps = |store: &&PrefixStore| {
+            let wait_ms = self.holdings.link_wait_ms(self.now, store.address);
+            wait_ms < MAX_FETCH_WAIT_MS && self.holdings.is_saved(self.now, part, store.address)
+        };
         let keeper = store.filter(keeps);
         choice.anchor = Some(part);
         choice.held = fresh.iter().any(|holder| holder.server == choice.server);
@@ -120,22 +135,44 @@
             Some(store) => Some(PartSource::Store(store.address)),
             None => self.engine_source(part, &fresh, choice.server, server),
         };
-        choice.save_to = store.filter(|_| keeper.is_none()).map(|s| s.address);
         if choice.held || keeper.is_some() {
             choice.reading_ms = reading_ms(tokens, all - tokens);
         }
+        choice.transfer = match (keeper, store) {
+            (Some(_), _) if choice.held => None,
+            (Some(keeper), _) => Some(self.stores.transfer(Fetch, server, keeper, tokens)),
+            (None, Some(store)) if self.may_save(store, !holders.is_empty()) => {
+                Some(self.stores.transfer(Save, server, store, all))
+            }
+            (None, _) => None,
+        };
         if choice.held {
             return;
         }
         let rank = self.rank(part, server) as f64;
         choice.cost_ms += match (keeper, fresh.is_empty()) {
-            (Some(_), true) => STORE_FETCH_MS + rank * FETCHED_RANK_MS,
-            (Some(_), false) => STORE_FETCH_MS + rank * FETCHED_RANK_MS + FETCHED_COPY_MS,
+            (Some(keeper), is_lost) => {
+                let wait_ms = self.holdings.link_wait_ms(self.now, keeper.address);
+                let link_ms = choice.transfer.map_or(0, |fetch| fetch.link_ms);
+                let copy_ms = if is_lost { 0.0 } else { FETCHED_COPY_MS };
+                FETCH_MS + wait_ms as f64 + f64::from(link_ms) + copy_ms + rank * FETCHED_RANK_MS
+            }
             (None, false) => SECOND_COPY_MS,
             (None, true) => rank * RANK_MS + self.lost_part_ms(part, store),
         };
     }
 
+    /// Tells whether a part is saved to a store: one that comes again rather than
+    /// one that comes first, as the store's link carries fetches too.
+    fn may_save(&self, store: &PrefixStore, comes_again: bool) -> bool {
+        let limit_ms = if comes_again {
+            SAVE_AGAIN_WAIT_MS
+        } else {
+            SAVE_FIRST_WAIT_MS
+        };
+        self.holdings.link_wait_ms(self.now, store.address) <= limit_ms
+    }
+
     /// Returns the time that reading a part again counts as which no engine is
     /// believed to hold any more, beside the time itself.
     fn lost_part_ms(&self, part: PartKey, store: Option<&PrefixStore>) -> f64 {
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -94,6 +94,8 @@
     pub max_connections: Option<u32>,
     /// Tokens that a model engine's memory holds, none for a plain service.
     pub memory_tokens: Option<u64>,
+    /// Bytes that a token takes there, 0 for a plain service.
+    pub token_bytes: u64,
     /// Where prompt parts are kept beyond the engines' memories, if this service does that.
     pub prefix_store: Option<PrefixStore>,
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,7 +1,6 @@
 //! What routers tell each other several times a second.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
 
 use policy::Time;
 use serde::Deserialize;
@@ -12,6 +11,7 @@
 use crate::Load;
 use crate::PartKey;
 use crate::Strike;
+use crate::Transfer;
 
 /// A router's requests at one backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,8 +31,8 @@
     pub part: u64,
     /// Mark of the engine.
     pub server: u64,
-    /// Store to which the engine saves it, if it does.
-    pub saved_to: Option<SocketAddr>,
+    /// What happens to it at a store meanwhile.
+    pub transfer: Option<Transfer>,
 }
 
 /// An engine that takes new weights.
@@ -115,10 +115,7 @@
         self.apply_loads(now, fleet, own.unwrap_or_default());
         for told in &self.parts {
             if let Some(key) = fleet.by_mark(told.server) {
-                holdings.note(now, PartKey(told.part), key);
-                if let Some(store) = told.saved_to {
-                    holdings.note_saved(now, PartKey(told.part), store);
-                }
+                holdings.note(now, PartKey(told.part), key, told.transfer);
             }
         }
         for told in &self.switches {
--- a/crates/relay/src/holdings.rs
+++ b/crates/relay/src/holdings.rs
@@ -7,6 +7,8 @@
 use policy::Time;
 
 use crate::ServerKey;
+use crate::Transfer;
+use crate::TransferKind;
 
 /// Time for which a part that isn't used is believed to be held, in milliseconds.
 const HELD_MS: u64 = 30_000;
@@ -14,6 +16,10 @@
 /// Time for which a store is believed to keep a part, in milliseconds.
 const SAVED_MS: u64 = 20_000;
 
+/// Time within which the same news comes again, in milliseconds: routers repeat
+/// theirs for 600 ms.
+const NEWS_MS: u64 = 800;
+
 /// Engines that are remembered for one part.
 const MAX_HOLDERS: usize = 4;
 
@@ -50,28 +56,52 @@
 pub struct Holdings {
     by_part: HashMap<PartKey, Vec<Holder>>,
     saved: HashMap<PartKey, Vec<Saved>>,
+    /// When the link of each store will be free.
+    links: HashMap<SocketAddr, Time>,
     swept_at: Time,
 }
 
 impl Holdings {
-    /// Notes that `server` reads or has read a part.
-    pub fn note(&mut self, now: Time, part: PartKey, server: ServerKey) {
+    /// Notes that `server` reads or has read a part, and what happens to the part
+    /// at a store meanwhile. The same news may come several times.
+    pub fn note(
+        &mut self,
+        now: Time,
+        part: PartKey,
+        server: ServerKey,
+        transfer: Option<Transfer>,
+    ) {
         self.sweep(now);
         let holders = self.by_part.entry(part).or_default();
-        holders.retain(|holder| holder.server != server);
+        let known = holders.iter().position(|holder| holder.server == server);
+        let known = known.map(|index| holders.remove(index));
         if holders.len() == MAX_HOLDERS {
             holders.remove(0);
         }
         let used_at = now;
         holders.push(Holder { server, used_at });
+        let is_news = known.is_none_or(|known| now.millis_since(known.used_at) >= NEWS_MS);
+        if let Some(transfer) = transfer.filter(|_| is_news) {
+            self.note_transfer(now, part, transfer);
+        }
+    }
+
+    fn note_transfer(&mut self, now: Time, part: PartKey, transfer: Transfer) {
+        let free_at = self.links.entry(transfer.store).or_insert(now);
+        *free_at = (*free_at).max(now).plus_millis(u64::from(transfer.link_ms));
+        if transfer.kind == TransferKind::Save {
+            let store = transfer.store;
+            let until = now.plus_millis(SAVED_MS);
+            let saved = self.saved.entry(part).or_default();
+            saved.retain(|saved| saved.store != store);
+            saved.push(Saved { store, until });
+        }
     }
 
-    /// Notes that an engine saves a part to the store at `store`.
-    pub fn note_saved(&mut self, now: Time, part: PartKey, store: SocketAddr) {
-        let until = now.plus_millis(SAVED_MS);
-        let saved = self.saved.entry(part).or_default();
-        saved.retain(|saved| saved.store != store);
-        saved.push(Saved { store, until });
+    /// Returns the time until a store's link is free, in milliseconds.
+    pub fn link_wait_ms(&self, now: Time, store: SocketAddr) -> u64 {
+        let free_at = self.links.get(&store);
+        free_at.map_or(0, |free_at| free_at.millis_since(now))
     }
 
     /// Tells whether the store at `store` is believed to keep a part.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -63,6 +63,8 @@
 pub use placement::Unplaceable;
 pub use prefix_store::PrefixStore;
 pub use prefix_store::PrefixStores;
+pub use prefix_store::Transfer;
+pub use prefix_store::TransferKind;
 pub use retry::AttemptEnd;
 pub use retry::Progress;
 pub use retry::Retry;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -15,6 +15,8 @@
 use crate::Fleet;
 use crate::PrefixStores;
 use crate::ServerKey;
+use crate::Transfer;
+use crate::TransferKind;
 use crate::Weights;
 use crate::Workspace;
 
@@ -108,8 +110,8 @@
     pub held: bool,
     /// Engine from which it can take the part that it lacks.
     pub fetch_from: Option<PartSource>,
-    /// Store to which it sends the parts that it has read.
-    pub save_to: Option<SocketAddr>,
+    /// What happens to that part at a store.
+    pub transfer: Option<Transfer>,
     /// Key of the large shared part.
     pub anchor: Option<PartKey>,
     /// Estimate of the choice with all that it costs, in milliseconds.
@@ -135,6 +137,14 @@
     }
 }
 
+impl Choice {
+    /// Returns the store to which the engine sends the parts that it has read.
+    pub fn save_to(&self) -> Option<SocketAddr> {
+        let save = self.transfer.filter(|t| t.kind == TransferKind::Save);
+        save.map(|save| save.store)
+    }
+}
+
 /// Why no backend server takes a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unplaceable {
@@ -284,7 +294,7 @@
             wait_ms,
             held: false,
             fetch_from: None,
-            save_to: None,
+            transfer: None,
             anchor: None,
             cost_ms: wait_ms + self.handicap_ms(ask, server),
         };
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -114,7 +114,7 @@
         .unwrap();
     scene
         .holdings
-        .note(scene.now, first.anchor.unwrap(), holder);
+        .note(scene.now, first.anchor.unwrap(), holder, None);
     let second = scene.place(&LONG).unwrap();
     assert_eq!(second.server, holder);
     assert!(second.held);
@@ -127,7 +127,7 @@
     let first = scene.place(&LONG).unwrap();
     scene
         .holdings
-        .note(scene.now, first.anchor.unwrap(), first.server);
+        .note(scene.now, first.anchor.unwrap(), first.server, None);
     scene.fleet.begin(scene.now, first.server, 300);
     assert_eq!(scene.place(&LONG).unwrap().server, first.server);
     scene.fleet.begin(scene.now, first.server, 3_000);
@@ -151,7 +151,7 @@
     let first = scene.place(&LONG).unwrap();
     scene
         .holdings
-        .note(scene.now, first.anchor.unwrap(), first.server);
+        .note(scene.now, first.anchor.unwrap(), first.server, None);
     scene.load_all(2_000);
     assert_eq!(scene.place(&LONG).unwrap().server, first.server);
 }
--- a/crates/relay/tests/prefix_stores.rs
+++ b/crates/relay/tests/prefix_stores.rs
@@ -11,6 +11,7 @@
 use common::at;
 use common::entry;
 use common::part;
+use common::SERVICE;
 use policy::Time;
 use relay::Ask;
 use relay::CallerLimits;
@@ -18,6 +19,7 @@
 use relay::Configuration;
 use relay::Fleet;
 use relay::Holdings;
+use relay::PartKey;
 use relay::PartSource;
 use relay::Placement;
 use relay::PrefixStore;
@@ -25,6 +27,7 @@
 use relay::PromptPart;
 use relay::ServerKey;
 use relay::ServiceSpec;
+use relay::Transfer;
 use relay::Weights;
 
 const LONG: [PromptPart; 2] = [
@@ -58,9 +61,11 @@
         name: name.into(),
         max_connections: None,
         memory_tokens: None,
+        token_bytes: 0,
         prefix_store: Some(PrefixStore {
             address: store_address(port),
             domain: domain.into(),
+            link_mbps: 290_000,
         }),
     }
 }
@@ -76,7 +81,14 @@
 
 impl Scene {
     /// Four engines in each of two failure domains, each a region of its own.
-    fn new(stores: Vec<ServiceSpec>) -> Scene {
+    fn new(mut services: Vec<ServiceSpec>) -> Scene {
+        services.push(ServiceSpec {
+            name: SERVICE.into(),
+            max_connections: None,
+            memory_tokens: Some(129_306),
+            token_bytes: 163_840,
+            prefix_store: None,
+        });
         let limits = CallerLimits {
             max_head_bytes: 1,
             max_body_bytes: 1,
@@ -93,7 +105,7 @@
             fleet,
             holdings: Holdings::default(),
             weights: Weights::new(5_000, 2_500),
-            configuration: Configuration::new(1, Vec::new(), Vec::new(), stores, limits),
+            configuration: Configuration::new(1, Vec::new(), Vec::new(), services, limits),
             regions: [("a".into(), "east".into()), ("b".into(), "west".into())].into(),
             now: at(10),
         }
@@ -122,10 +134,8 @@
     fn send(&mut self, parts: &[PromptPart]) -> Choice {
         let choice = self.place(parts);
         let part = choice.anchor.unwrap();
-        self.holdings.note(self.now, part, choice.server);
-        if let Some(store) = choice.save_to {
-            self.holdings.note_saved(self.now, part, store);
-        }
+        let holdings = &mut self.holdings;
+        holdings.note(self.now, part, choice.server, choice.transfer);
         choice
     }
 
@@ -160,8 +170,8 @@
     } else {
         2
     };
-    assert_eq!(first.save_to, Some(store_address(near)));
-    assert_eq!(second.save_to, None);
+    assert_eq!(first.save_to(), Some(store_address(near)));
+    assert_eq!(second.save_to(), None);
 }
 
 #[test]
@@ -171,7 +181,7 @@
     scene.wait(100);
     let again = scene.place(&parts);
     assert!(again.held);
-    assert_eq!(again.save_to, None);
+    assert_eq!(again.save_to(), None);
 }
 
 #[test]
@@ -233,7 +243,7 @@
 fn short_shared_parts_go_to_no_store() {
     let scene = Scene::new(vec![store("s", "a", 1)]);
     let choice = scene.place(&SHORT);
-    assert_eq!(choice.save_to, None);
+    assert_eq!(choice.save_to(), None);
     assert_eq!(choice.fetch_from, None);
 }
 
@@ -258,3 +268,44 @@
     };
     assert_eq!(stores.near("b"), None);
 }
+
+#[test]
+fn a_link_that_is_busy_is_kept_for_fetches() {
+    let mut scene = Scene::new(vec![store("s", "a", 1), store("t", "b", 2)]);
+    let prompts = (500..600).map(|id| [part(id, 13_300), LONG[1]]);
+    let choices: Vec<Choice> = prompts.map(|parts| scene.send(&parts)).collect();
+    let saved = choices.iter().filter(|choice| choice.save_to().is_some());
+    assert!((2..10).contains(&saved.count()));
+}
+
+#[test]
+fn the_same_news_of_a_transfer_counts_once() {
+    let mut scene = Scene::new(vec![store("s", "a", 1), store("t", "b", 2)]);
+    let choice = scene.send(&LONG);
+    let store = choice.save_to().unwrap();
+    let once_ms = scene.holdings.link_wait_ms(scene.now, store);
+    let part = choice.anchor.unwrap();
+    for _ in 0..4 {
+        let holdings = &mut scene.holdings;
+        holdings.note(scene.now, part, choice.server, choice.transfer);
+    }
+    assert!(once_ms > 50);
+    assert_eq!(scene.holdings.link_wait_ms(scene.now, store), once_ms);
+}
+
+#[test]
+fn a_part_behind_a_long_wait_for_the_link_is_read_again() {
+    let mut scene = Scene::new(vec![store("s", "a", 1)]);
+    let parts = scene.send_into("a");
+    scene.wait(EVICTED_MS);
+    let fetch = scene.place(&parts);
+    let busy = Transfer {
+        link_ms: 1_500,
+        ..fetch.transfer.unwrap()
+    };
+    scene
+        .holdings
+        .note(scene.now, PartKey(77), fetch.server, Some(busy));
+    let again = scene.place(&parts);
+    assert!(!matches!(again.fetch_from, Some(PartSource::Store(_))));
+}
