gateway: a switch of weights is told again while it lasts, and is old news once done

Cause: routers were told once that an engine turns requests away, for 1.8 s; after that up to 62 requests a tenth of a second went to it and came back. And that news, repeated for 0.6 s, was believed again after the engine had its new weights.

Change: a switch names its model and version, so it is void for an engine that has them; the router that orders tells it again when less than 400 ms are left and the engine is still at work.

Tests: a_switch_that_is_told_again_after_the_engine_has_the_weights_is_old_news, an_engine_is_known_to_be_at_work_until_it_reports_the_new_weights.

--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -22,6 +22,7 @@
 use crate::clock::now;
 use crate::context::Context;
 use crate::peers::SentPart;
+use crate::peers::Switch;
 use crate::process_event::failed;
 use crate::process_event::failed_with;
 use crate::process_event::Step;
@@ -157,7 +158,12 @@
     for told in &message.switches {
         if let Some(key) = belief.fleet.by_mark(told.server) {
             let until = now().plus_millis(u64::from(told.for_ms));
-            cx.peers.tell_switch(key, until);
+            cx.peers.tell_switch(Switch {
+                server: key,
+                model: told.model.clone(),
+                version: told.version,
+                until,
+            });
         }
     }
     for strike in &message.strikes {
@@ -197,10 +203,12 @@
     });
     let switches = cx.peers.switches.borrow();
     let switches = switches.iter().filter_map(|recent| {
-        let (server, until) = recent.told;
-        let for_ms = u32::try_from(until.millis_since(now)).ok()?;
+        let switch = &recent.told;
+        let for_ms = u32::try_from(switch.until.millis_since(now)).ok()?;
         Some(ToldSwitch {
-            server: mark(server)?,
+            server: mark(switch.server)?,
+            model: switch.model.clone(),
+            version: switch.version,
             for_ms,
         })
     });
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::Time;
 use relay::Observed;
 use relay::OrderStep;
 use relay::Reply;
@@ -17,6 +18,7 @@
 use crate::context::Context;
 use crate::engines::WeightsOrder;
 use crate::log_event::LogEvent;
+use crate::peers::Switch;
 use crate::records::end_tenure;
 
 /// Time between looks at what is due.
@@ -29,6 +31,10 @@
 /// away, in milliseconds; it is told to be back sooner.
 const SWITCH_MS: u64 = 1_800;
 
+/// Time before the end of an announcement at which it is renewed if the engine
+/// is still at work, in milliseconds.
+const RENEWAL_MS: u64 = 400;
+
 /// Gives the orders that are due until the process ends.
 pub async fn run(cx: Rc<Context>) {
     loop {
@@ -54,7 +60,11 @@
 
 async fn carry_out(cx: Rc<Context>, step: OrderStep) {
     match step {
-        OrderStep::Announce(server) => announce(&cx, server),
+        OrderStep::Announce {
+            server,
+            model,
+            version,
+        } => announce(&cx, server, &model, version),
         OrderStep::Report(server) => report(&cx, server).await,
         OrderStep::Order {
             server,
@@ -65,12 +75,17 @@
     }
 }
 
-fn announce(cx: &Context, key: ServerKey) {
+fn announce(cx: &Context, key: ServerKey, model: &str, version: u64) {
     let until = now().plus_millis(SWITCH_MS);
     if let Some(server) = cx.belief.borrow_mut().fleet.get_mut(key) {
-        server.switching_until = until;
+        server.expect_switch(model, version, until);
     }
-    cx.peers.tell_switch(key, until);
+    cx.peers.tell_switch(Switch {
+        server: key,
+        model: model.to_owned(),
+        version,
+        until,
+    });
 }
 
 async fn report(cx: &Context, key: ServerKey) {
@@ -81,8 +96,18 @@
     if let Some(observed) = &observed {
         saw(cx, key, observed);
     }
-    let mut belief = cx.belief.borrow_mut();
-    belief.plan.on_report(now(), key, observed.as_ref());
+    let work = {
+        let mut belief = cx.belief.borrow_mut();
+        belief.plan.on_report(now(), key, observed.as_ref());
+        let server = belief.fleet.get(key);
+        let expected = server.map_or(Time(0), |server| server.switching_until);
+        let is_late = expected < now().plus_millis(RENEWAL_MS);
+        belief.plan.work(key).filter(|_| is_late)
+    };
+    // An engine that finishes long runs first takes longer than was announced.
+    if let Some((model, version)) = work {
+        announce(cx, key, &model, version);
+    }
 }
 
 fn saw(cx: &Context, key: ServerKey, observed: &Observed) {
@@ -99,7 +124,7 @@
         let mut belief = cx.belief.borrow_mut();
         return belief.plan.on_reply(now(), key, Reply::Conflict);
     };
-    announce(cx, key);
+    announce(cx, key, &model, version);
     let order = WeightsOrder {
         engine: Arc::clone(&engine),
         model: Arc::clone(&model),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,9 @@
 /// Time for which a change is repeated in messages, as datagrams get lost, in milliseconds.
 const REPEAT_MS: u64 = 600;
 
+/// Time by which a switch must last longer than was told to be news, in milliseconds.
+const SWITCH_STEP_MS: u64 = 500;
+
 #[derive(Clone, Debug)]
 struct Peer {
     name: String,
@@ -50,6 +53,19 @@
     pub transfer: Option<Transfer>,
 }
 
+/// An engine that takes new weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Switch {
+    /// Engine.
+    pub server: ServerKey,
+    /// Model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u64,
+    /// Until when it is expected to turn requests away.
+    pub until: Time,
+}
+
 /// Other routers and what they are to hear.
 pub struct Peers {
     /// Hash of this router's name.
@@ -58,8 +74,8 @@
     pub topology: RefCell<Topology>,
     /// Parts that were sent to engines.
     pub parts: RefCell<Vec<Recent<SentPart>>>,
-    /// Engines that take new weights, and until when.
-    pub switches: RefCell<Vec<Recent<(ServerKey, Time)>>>,
+    /// Engines that take new weights.
+    pub switches: RefCell<Vec<Recent<Switch>>>,
     /// Weights that engines were seen to have.
     pub weights: RefCell<Vec<Recent<(ServerKey, String, u64)>>>,
     /// Requests that ran on backend servers which broke off.
@@ -174,16 +190,22 @@
         tell(&self.parts, sent);
     }
 
-    /// Notes an engine that takes new weights until some time; told at once.
-    pub fn tell_switch(&self, server: ServerKey, until: Time) {
+    /// Notes an engine that takes new weights; told at once if it is news.
+    pub fn tell_switch(&self, switch: Switch) {
         let mut switches = self.switches.borrow_mut();
         // The end of one switch differs by the way that the news took.
-        let known = switches.iter().any(|recent| recent.told.0 == server);
-        if !known {
-            let told = (server, until);
-            switches.push(Recent { at: now(), told });
-            self.wake.notify_one();
+        let is_known = |known: &Switch| {
+            known.server == switch.server
+                && known.version >= switch.version
+                && known.until.plus_millis(SWITCH_STEP_MS) > switch.until
+        };
+        if switches.iter().any(|recent| is_known(&recent.told)) {
+            return;
         }
+        switches.retain(|recent| recent.told.server != switch.server);
+        let told = switch;
+        switches.push(Recent { at: now(), told });
+        self.wake.notify_one();
     }
 
     /// Notes weights that an engine was seen to have; told at once.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -151,6 +151,14 @@
         true
     }
 
+    /// Takes in that it is to turn requests away until some time, for it takes
+    /// new weights; old news if it has them.
+    pub fn expect_switch(&mut self, model: &str, version: u64, until: Time) {
+        if self.weights(model).is_none_or(|has| has < version) {
+            self.switching_until = self.switching_until.max(until);
+        }
+    }
+
     /// Tells whether it may get new requests.
     pub fn takes_requests(&self, now: Time) -> bool {
         self.entry.state == ServerState::Ready
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -36,10 +36,14 @@
 }
 
 /// An engine that takes new weights.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldSwitch {
     /// Mark of the engine.
     pub server: u64,
+    /// Model.
+    pub model: String,
+    /// Version of its weights; an engine that has them is done.
+    pub version: u64,
     /// For how long it is expected to turn requests away, in milliseconds.
     pub for_ms: u32,
 }
@@ -121,7 +125,8 @@
         for told in &self.switches {
             let key = fleet.by_mark(told.server);
             if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
-                server.switching_until = now.plus_millis(u64::from(told.for_ms));
+                let until = now.plus_millis(u64::from(told.for_ms));
+                server.expect_switch(&told.model, told.version, until);
             }
         }
         for told in &self.weights {
--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -70,7 +70,14 @@
 pub enum OrderStep {
     /// Tell all routers that an engine is about to take weights: requests that
     /// wait in its queue when the order comes would be turned away.
-    Announce(ServerKey),
+    Announce {
+        /// Engine.
+        server: ServerKey,
+        /// Model.
+        model: Arc<str>,
+        /// Version of its weights.
+        version: u64,
+    },
     /// Ask an engine for its report.
     Report(ServerKey),
     /// Order an engine to take weights.
@@ -179,7 +186,7 @@
             }
             if let Some(step) = self.begin(now, key, &model, version) {
                 // An engine that is only asked may be dead, and must not hold a place.
-                working += usize::from(matches!(step, OrderStep::Announce(_)));
+                working += usize::from(matches!(step, OrderStep::Announce { .. }));
                 steps.push(step);
             }
         }
@@ -271,6 +278,16 @@
         }
     }
 
+    /// Returns the model and version that an engine is at work on, or may be.
+    pub fn work(&self, key: ServerKey) -> Option<(Arc<str>, u64)> {
+        match &self.engines.get(&key)?.phase {
+            Phase::Sent { model, version, .. } | Phase::Working { model, version, .. } => {
+                Some((Arc::clone(model), *version))
+            }
+            _ => None,
+        }
+    }
+
     /// Tells whether an engine is at work on an order, or may be.
     pub fn is_working(&self, key: ServerKey) -> bool {
         let engine = self.engines.get(&key);
@@ -317,7 +334,11 @@
             Phase::Known { accepted } => {
                 engine.phase = Phase::Announced { accepted };
                 engine.next_at = now.plus_millis(ANNOUNCED_MS);
-                Some(OrderStep::Announce(key))
+                Some(OrderStep::Announce {
+                    server: key,
+                    model: Arc::clone(model),
+                    version,
+                })
             }
             Phase::Announced { accepted } => {
                 engine.phase = Phase::Sent {
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -13,6 +13,7 @@
 use relay::Holdings;
 use relay::ServerState;
 use relay::ToldLoad;
+use relay::ToldSwitch;
 
 #[test]
 fn an_id_that_starts_again_is_another_lifetime() {
@@ -128,3 +129,31 @@
     assert_eq!(fleet.get(key).unwrap().load(at(100)).requests, 3);
     assert_eq!(fleet.get(key).unwrap().load(at(2_000)).requests, 0);
 }
+
+#[test]
+fn a_switch_that_is_told_again_after_the_engine_has_the_weights_is_old_news() {
+    // Arrange
+    let mut fleet = fleet(1, 1);
+    let key = fleet.by_id("e0").unwrap();
+    let message = Gossip {
+        switches: vec![ToldSwitch {
+            server: fleet.get(key).unwrap().mark,
+            model: MODEL.to_owned(),
+            version: 2,
+            for_ms: 1_800,
+        }],
+        ..Gossip::default()
+    };
+    let holdings = &mut Holdings::default();
+    message.apply(at(0), &mut fleet, holdings, None);
+    assert!(!fleet.get(key).unwrap().takes_requests(at(10)));
+
+    // Act
+    let server = fleet.get_mut(key).unwrap();
+    server.saw_weights(MODEL, 2);
+    server.switching_until = at(500);
+    message.apply(at(510), &mut fleet, holdings, None);
+
+    // Assert
+    assert!(fleet.get(key).unwrap().takes_requests(at(520)));
+}
--- a/crates/relay/tests/order_plan.rs
+++ b/crates/relay/tests/order_plan.rs
@@ -43,11 +43,19 @@
             accepted,
             ..
         } => Some((*server, *version, *accepted)),
-        OrderStep::Announce(_) | OrderStep::Report(_) => None,
+        OrderStep::Announce { .. } | OrderStep::Report(_) => None,
     });
     orders.collect()
 }
 
+fn announce(server: ServerKey, version: u64) -> OrderStep {
+    OrderStep::Announce {
+        server,
+        model: MODEL.into(),
+        version,
+    }
+}
+
 /// Takes an engine through report and announcement, and returns its order.
 fn first_order(plan: &mut OrderPlan, fleet: &Fleet, weights: &Weights, accepted: u64) -> OrderStep {
     let key = keys(fleet)[0];
@@ -69,10 +77,7 @@
         [OrderStep::Report(key)]
     );
     plan.on_report(at(10), key, Some(&observed(1, false, 4)));
-    assert_eq!(
-        plan.due(at(20), &fleet, &weights, 100),
-        [OrderStep::Announce(key)]
-    );
+    assert_eq!(plan.due(at(20), &fleet, &weights, 100), [announce(key, 2)]);
     assert_eq!(plan.due(at(30), &fleet, &weights, 100), []);
     let steps = plan.due(at(130), &fleet, &weights, 100);
     assert_eq!(orders(&steps), [(key, 2, 4)]);
@@ -169,7 +174,7 @@
                     plan.on_report(now, *key, Some(&observed(1, false, 0)));
                 }
                 OrderStep::Order { server, .. } => ordered.push(*server),
-                OrderStep::Announce(_) => {}
+                OrderStep::Announce { .. } => {}
             }
         }
     }
@@ -192,7 +197,7 @@
         plan.on_report(at(10), key, Some(&observed(2, false, 0)));
     }
     let steps = plan.due(at(20), &fleet, &weights, HALF);
-    assert_eq!(steps, [OrderStep::Announce(far)]);
+    assert_eq!(steps, [announce(far, 5)]);
 }
 
 #[test]
@@ -204,3 +209,23 @@
     let mut plan = OrderPlan::default();
     assert_eq!(plan.due(at(0), &fleet, &weights(2), 100), []);
 }
+
+#[test]
+fn an_engine_is_known_to_be_at_work_until_it_reports_the_new_weights() {
+    // Arrange
+    let fleet = fleet(1, 1);
+    let key = keys(&fleet)[0];
+    let mut plan = OrderPlan::default();
+    let weights = weights(2);
+    first_order(&mut plan, &fleet, &weights, 0);
+    plan.on_reply(at(210), key, Reply::Accepted);
+
+    // Act
+    plan.on_report(at(2_500), key, Some(&observed(1, true, 1)));
+    let while_busy = plan.work(key);
+    plan.on_report(at(3_500), key, Some(&observed(2, false, 1)));
+
+    // Assert
+    assert_eq!(while_busy, Some((MODEL.into(), 2)));
+    assert_eq!(plan.work(key), None);
+}
