relay: a decision looks a prompt's parts up once, not once an engine

For each engine that it weighed, a decision hashed the scope and the part anew, looked its holders up, counted all engines that come before as home, and searched a source and a transfer of which only the chosen engine's is used: work that grows with the square of the engines. Now the parts are looked up once (once a version of the weights), the order of homes is kept as its first four weights (homes.rs), and only the chosen engine is given its source and transfer.

--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -1,4 +1,4 @@
-//! What an engine's cache is worth to a request.
+//! What engines' caches are worth to a request.
 //!
 //! Each shared part has a home, the same on every router: the engine that comes
 //! first by rendezvous hashing among those that take requests. Large parts are
@@ -6,10 +6,13 @@
 //! for a while. Engines near a store of prompt parts save them there, and fetch
 //! those that no engine holds any more.
 
+use std::collections::BTreeMap;
+
 use policy::Time;
 
 use crate::holdings::Holdings;
 use crate::holdings::PartKey;
+use crate::homes::Homes;
 use crate::large_part::LargePart;
 use crate::placement::Choice;
 use crate::placement::Prompt;
@@ -23,17 +26,14 @@
 /// Size from which a part is followed, in tokens.
 const LARGE_TOKENS: u32 = 1_000;
 
-/// Places in the order of homes that are told apart.
-const MAX_RANK: usize = 4;
-
 /// Time that each token of a small shared part counts as which is read again, in
 /// milliseconds, and the tokens up to which it does.
 const SMALL_MISS_MS_PER_TOKEN: f64 = 1.0;
 const MAX_SMALL_TOKENS: u32 = 150;
 
-/// Judges engines by what they hold.
+/// What is known when a request is placed.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Affinity<'a> {
+pub(crate) struct Known<'a> {
     /// Backend servers.
     pub fleet: &'a Fleet,
     /// Which engines hold which parts.
@@ -46,47 +46,91 @@
     pub ready: &'a [(ServerKey, &'a BackendServer)],
 }
 
-impl Affinity<'_> {
-    /// Adds to a choice what its engine has to read, and what going there costs.
-    pub(crate) fn judge(&self, prompt: &Prompt<'_>, server: &BackendServer, choice: &mut Choice) {
-        let all: u64 = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum();
-        choice.reading_ms = reading_ms(0, all);
+/// The shared parts of a prompt.
+#[derive(Debug)]
+enum Shared<'a> {
+    None,
+    /// Small ones; their home is that of the innermost, which has the others too.
+    Small {
+        homes: Homes,
+        /// Time that going elsewhere counts as, in milliseconds.
+        miss_ms: f64,
+    },
+    /// A large one, under each version of the weights.
+    Large(BTreeMap<u64, LargePart<'a>>),
+}
+
+/// What engines' caches are worth to one prompt.
+#[derive(Debug)]
+pub(crate) struct Affinity<'a> {
+    /// Tokens in the prompt.
+    tokens: u64,
+    shared: Shared<'a>,
+}
+
+impl<'a> Affinity<'a> {
+    /// Looks up what is shared of a prompt.
+    pub(crate) fn new(known: Known<'a>, prompt: &Prompt<'_>) -> Affinity<'a> {
+        let tokens = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum();
         let shared = prompt.parts.split_last().map(|(_, shared)| shared);
-        let (Some(shared), Some(weights)) = (shared, choice.weights) else {
+        let shared = shared.unwrap_or_default();
+        let large = shared.iter().find(|part| part.tokens >= LARGE_TOKENS);
+        let shared = match (large, shared.last()) {
+            (Some(large), _) => Shared::Large(large_parts(known, prompt, large, tokens)),
+            (None, Some(innermost)) => Shared::Small {
+                homes: Homes::new(PartKey::new(prompt.model, "", innermost.id), known.ready),
+                miss_ms: small_miss_ms(shared),
+            },
+            (None, None) => Shared::None,
+        };
+        Affinity { tokens, shared }
+    }
+
+    /// Adds to a choice what its engine has to read, and what going there costs.
+    pub(crate) fn judge(&self, server: &BackendServer, choice: &mut Choice) {
+        choice.reading_ms = reading_ms(0, self.tokens);
+        let Some(weights) = choice.weights else {
             return;
         };
-        let large = shared.iter().find(|part| part.tokens >= LARGE_TOKENS);
-        match large {
-            Some(large) => {
-                let scope = crate::cache_scope(weights, prompt.workspace);
-                let part = PartKey::new(prompt.model, &scope, large.id);
-                LargePart::new(self, part, large.tokens, all).judge(server, choice);
+        match &self.shared {
+            Shared::Large(parts) => parts[&weights].judge(server, choice),
+            Shared::Small { homes, miss_ms } if homes.rank(server) > 0 => {
+                choice.cost_ms += miss_ms;
             }
-            None => choice.cost_ms += self.small_miss_ms(prompt.model, shared, server),
+            Shared::Small { .. } | Shared::None => {}
         }
     }
 
-    /// Returns the time that going elsewhere than to the home of small shared
-    /// parts counts as. Their home is that of the innermost, which has the others too.
-    fn small_miss_ms(&self, model: &str, shared: &[PromptPart], server: &BackendServer) -> f64 {
-        let Some(innermost) = shared.last() else {
-            return 0.0;
-        };
-        let part = PartKey::new(model, "", innermost.id);
-        if self.rank(part, server) == 0 {
-            return 0.0;
+    /// Adds to the choice that was made what its engine is told of the large part.
+    pub(crate) fn equip(&self, choice: &mut Choice) {
+        if let (Shared::Large(parts), Some(weights)) = (&self.shared, choice.weights) {
+            parts[&weights].equip(choice);
         }
-        let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-        f64::from(tokens.min(MAX_SMALL_TOKENS)) * SMALL_MISS_MS_PER_TOKEN
     }
+}
 
-    /// Returns how many engines come before `server` as home of a part.
-    pub(crate) fn rank(&self, part: PartKey, server: &BackendServer) -> usize {
-        let weight = policy::rendezvous_weight(part.0, server.mark);
-        let before = self
-            .ready
-            .iter()
-            .filter(|(_, other)| policy::rendezvous_weight(part.0, other.mark) > weight);
-        before.count().min(MAX_RANK)
+/// Looks up a large part under each version of the weights that an engine has.
+fn large_parts<'a>(
+    known: Known<'a>,
+    prompt: &Prompt<'_>,
+    large: &PromptPart,
+    tokens: u64,
+) -> BTreeMap<u64, LargePart<'a>> {
+    let mut parts = BTreeMap::new();
+    for (_, server) in known.ready {
+        let Some(weights) = server.weights(prompt.model) else {
+            continue;
+        };
+        parts.entry(weights).or_insert_with(|| {
+            let scope = crate::cache_scope(weights, prompt.workspace);
+            let part = PartKey::new(prompt.model, &scope, large.id);
+            LargePart::new(known, part, large.tokens, tokens)
+        });
     }
+    parts
+}
+
+fn small_miss_ms(shared: &[PromptPart]) -> f64 {
+    let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+    f64::from(tokens.min(MAX_SMALL_TOKENS)) * SMALL_MISS_MS_PER_TOKEN
 }
--- a/crates/relay/src/large_part.rs
+++ b/crates/relay/src/large_part.rs
@@ -3,9 +3,11 @@
 //! The part is held by the engines that used it lately, or kept by a store, or it
 //! has to be read: what an engine lacks decides what going there costs.
 
-use crate::affinity::Affinity;
+use crate::affinity::Known;
 use crate::holdings::Holder;
 use crate::holdings::PartKey;
+use crate::homes;
+use crate::homes::Homes;
 use crate::placement::Choice;
 use crate::placement::PartSource;
 use crate::reading::reading_ms;
@@ -60,8 +62,9 @@
 /// The large shared part of a prompt, and who is believed to have it.
 #[derive(Debug)]
 pub(crate) struct LargePart<'a> {
-    affinity: &'a Affinity<'a>,
+    known: Known<'a>,
     part: PartKey,
+    homes: Homes,
     /// Tokens in it.
     tokens: u64,
     /// Tokens in the whole prompt.
@@ -74,17 +77,13 @@
 
 impl<'a> LargePart<'a> {
     /// Looks up who has a part of `tokens` in a prompt of `all` tokens.
-    pub(crate) fn new(
-        affinity: &'a Affinity<'a>,
-        part: PartKey,
-        tokens: u32,
-        all: u64,
-    ) -> LargePart<'a> {
-        let holders = affinity.holdings.holders(part);
-        let is_fresh = |holder: &Holder| affinity.now.millis_since(holder.used_at) < FRESH_MS;
+    pub(crate) fn new(known: Known<'a>, part: PartKey, tokens: u32, all: u64) -> LargePart<'a> {
+        let holders = known.holdings.holders(part);
+        let is_fresh = |holder: &Holder| known.now.millis_since(holder.used_at) < FRESH_MS;
         LargePart {
-            affinity,
+            known,
             part,
+            homes: Homes::new(part, known.ready),
             tokens: u64::from(tokens),
             all,
             holders,
@@ -94,19 +93,8 @@
 
     /// Adds to a choice what its engine has to read, and what going there costs.
     pub(crate) fn judge(&self, server: &BackendServer, choice: &mut Choice) {
-        let store = self.affinity.stores.near(&server.entry.domain);
-        let keeper = store.filter(|store| self.is_fetchable(store));
-        choice.anchor = Some(self.part);
+        let (store, keeper) = self.store_and_keeper(server);
         choice.held = self.fresh.iter().any(|h| h.server == choice.server);
-        choice.fetch_from = match keeper {
-            Some(store) => Some(PartSource::Store(store.address)),
-            None => self.engine_source(choice.server, server),
-        };
-        choice.transfer = match keeper {
-            Some(keeper) if !choice.held => Some(self.fetch(server, keeper)),
-            Some(_) => None,
-            None => store.and_then(|store| self.save(server, store)),
-        };
         if choice.held || keeper.is_some() {
             choice.reading_ms = reading_ms(self.tokens, self.all - self.tokens);
         }
@@ -118,22 +106,50 @@
         }
     }
 
+    /// Adds to the choice that was made from where its engine takes the part, and
+    /// whether it saves it.
+    pub(crate) fn equip(&self, choice: &mut Choice) {
+        let Some(server) = self.known.fleet.get(choice.server) else {
+            return;
+        };
+        let (store, keeper) = self.store_and_keeper(server);
+        choice.anchor = Some(self.part);
+        choice.fetch_from = match keeper {
+            Some(keeper) => Some(PartSource::Store(keeper.address)),
+            None => self.engine_source(choice.server, server),
+        };
+        choice.transfer = match keeper {
+            Some(keeper) if !choice.held => Some(self.fetch(server, keeper)),
+            Some(_) => None,
+            None => store.and_then(|store| self.save(server, store)),
+        };
+    }
+
+    /// Returns the store near an engine, and the same if the part can be fetched there.
+    fn store_and_keeper(
+        &self,
+        server: &BackendServer,
+    ) -> (Option<&'a PrefixStore>, Option<&'a PrefixStore>) {
+        let store = self.known.stores.near(&server.entry.domain);
+        (store, store.filter(|store| self.is_fetchable(store)))
+    }
+
     /// Tells whether a store keeps the part and can send it soon.
     fn is_fetchable(&self, store: &PrefixStore) -> bool {
-        let Affinity { holdings, now, .. } = *self.affinity;
+        let Known { holdings, now, .. } = self.known;
         let is_near = holdings.link_wait_ms(now, store.address) < MAX_FETCH_WAIT_MS;
         is_near && holdings.is_saved(now, self.part, store.address)
     }
 
     fn fetch(&self, server: &BackendServer, keeper: &PrefixStore) -> Transfer {
-        let stores = &self.affinity.stores;
+        let stores = &self.known.stores;
         stores.transfer(TransferKind::Fetch, server, keeper, self.tokens)
     }
 
     /// Returns the transfer by which the part is saved, if it is to be: one that
     /// comes again rather than one that comes first, as the link carries fetches too.
     fn save(&self, server: &BackendServer, store: &PrefixStore) -> Option<Transfer> {
-        let Affinity { holdings, now, .. } = *self.affinity;
+        let Known { holdings, now, .. } = self.known;
         let limit_ms = if self.holders.is_empty() {
             SAVE_FIRST_WAIT_MS
         } else {
@@ -142,13 +158,13 @@
         if holdings.link_wait_ms(now, store.address) > limit_ms {
             return None;
         }
-        let stores = &self.affinity.stores;
+        let stores = &self.known.stores;
         Some(stores.transfer(TransferKind::Save, server, store, self.all))
     }
 
     /// Returns the time that fetching the part from a store counts as.
     fn fetch_ms(&self, server: &BackendServer, keeper: &PrefixStore) -> f64 {
-        let Affinity { holdings, now, .. } = *self.affinity;
+        let Known { holdings, now, .. } = self.known;
         let wait_ms = holdings.link_wait_ms(now, keeper.address) as f64;
         let link_ms = f64::from(self.fetch(server, keeper).link_ms);
         let copy_ms = if self.fresh.is_empty() {
@@ -156,7 +172,7 @@
         } else {
             FETCHED_COPY_MS
         };
-        let rank = self.affinity.rank(self.part, server) as f64;
+        let rank = self.homes.rank(server) as f64;
         FETCH_MS + wait_ms + link_ms + copy_ms + rank * FETCHED_RANK_MS
     }
 
@@ -165,8 +181,8 @@
         if !self.fresh.is_empty() {
             return SECOND_COPY_MS;
         }
-        let Affinity { holdings, now, .. } = *self.affinity;
-        let mut miss_ms = self.affinity.rank(self.part, server) as f64 * RANK_MS;
+        let Known { holdings, now, .. } = self.known;
+        let mut miss_ms = self.homes.rank(server) as f64 * RANK_MS;
         if holdings.is_saved_anywhere(now, self.part) {
             miss_ms += KEPT_ELSEWHERE_MS;
         }
@@ -195,16 +211,16 @@
     /// Returns the engine that is most likely to hold the part if nobody is known to.
     fn next_home(&self, besides: ServerKey, server: &BackendServer) -> Option<ServerKey> {
         let weights = &server.entry.weights;
-        let others = self.affinity.ready.iter();
+        let others = self.known.ready.iter();
         let others =
             others.filter(|(key, other)| *key != besides && &other.entry.weights == weights);
         others
-            .max_by_key(|(_, other)| policy::rendezvous_weight(self.part.0, other.mark))
+            .max_by_key(|(_, other)| homes::weight(self.part, other))
             .map(|(key, _)| *key)
     }
 
     fn can_give(&self, key: ServerKey) -> bool {
-        let server = self.affinity.fleet.get(key);
-        server.is_some_and(|server| server.silent_ms(self.affinity.now) < SILENT_MS)
+        let server = self.known.fleet.get(key);
+        server.is_some_and(|server| server.silent_ms(self.known.now) < SILENT_MS)
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod gossip;
 mod holdings;
+mod homes;
 mod large_part;
 mod order_plan;
 mod placement;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -9,6 +9,7 @@
 use policy::Time;
 
 use crate::affinity::Affinity;
+use crate::affinity::Known;
 use crate::holdings::Holdings;
 use crate::holdings::PartKey;
 use crate::BackendServer;
@@ -232,13 +233,24 @@
             let retry_after_ms = self.back_in_ms(&untried);
             return Err(Unplaceable::NoneReady { retry_after_ms });
         }
+        let known = Known {
+            fleet: self.fleet,
+            holdings: self.holdings,
+            stores: self.stores,
+            now: self.now,
+            ready: &ready,
+        };
+        let affinity = ask.prompt.as_ref().map(|p| Affinity::new(known, p));
         let open = ready.iter().filter(|(_, server)| self.has_room(server));
-        let choices = open.map(|(key, server)| self.estimate(ask, *key, server, &ready));
+        let choices = open.map(|(key, server)| self.estimate(ask, *key, server, affinity.as_ref()));
         let best = choices.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
-        let best = best.ok_or(Unplaceable::Full {
+        let mut best = best.ok_or(Unplaceable::Full {
             retry_after_ms: RETRY_AFTER_MS.0 * 2,
         })?;
         self.check_wait(ask, &best)?;
+        if let Some(affinity) = &affinity {
+            affinity.equip(&mut best);
+        }
         Ok(best)
     }
 
@@ -284,7 +296,7 @@
         ask: &Ask<'_>,
         key: ServerKey,
         server: &BackendServer,
-        ready: &[Candidate<'_>],
+        affinity: Option<&Affinity<'_>>,
     ) -> Choice {
         let wait_ms = wait_ms(server, self.now);
         let mut choice = Choice {
@@ -298,16 +310,9 @@
             anchor: None,
             cost_ms: wait_ms + self.handicap_ms(ask, server),
         };
-        if let Some(prompt) = &ask.prompt {
+        if let (Some(prompt), Some(affinity)) = (&ask.prompt, affinity) {
             choice.weights = server.weights(prompt.model);
-            let affinity = Affinity {
-                fleet: self.fleet,
-                holdings: self.holdings,
-                stores: self.stores,
-                now: self.now,
-                ready,
-            };
-            affinity.judge(prompt, server, &mut choice);
+            affinity.judge(server, &mut choice);
             choice.cost_ms += choice.reading_ms + self.staleness_ms(prompt.model, choice.weights);
         }
         choice
