--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,6 @@
 use relay::AttemptEnd;
 use relay::Choice;
 use relay::PartSource;
-use relay::RouteKind;
 use relay::ServerKey;
 use tokio::time::interval;
 use tokio::time::timeout;
@@ -271,8 +270,3 @@
         x.cx.pool.give_back(server, lease, keep_ms);
     }
 }
-
-/// Tells whether a stream of this kind may go on elsewhere.
-pub fn resumable(kind: RouteKind) -> bool {
-    kind == RouteKind::Stream { resumable: true }
-}
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -10,7 +10,6 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::attempt::resumable;
 use crate::attempt::Attempt;
 use crate::body::AnswerBody;
 use crate::body::BrokenOff;
@@ -75,7 +74,7 @@
         }
         let verdict = x.after(AttemptEnd::Unknown, &reason, &choice);
         let next = match verdict {
-            Verdict::Again if resumable(x.route.kind) => resume(&mut x).await,
+            Verdict::Again if x.route.kind.may_repeat() => resume(&mut x).await,
             _ => None,
         };
         match next {
--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -290,10 +290,7 @@
 
     /// Tells whether an engine is at work on an order, or may be.
     pub fn is_working(&self, key: ServerKey) -> bool {
-        let engine = self.engines.get(&key);
-        engine.is_some_and(|engine| {
-            matches!(engine.phase, Phase::Sent { .. } | Phase::Working { .. })
-        })
+        self.work(key).is_some()
     }
 
     fn is_announced(&self, key: ServerKey) -> bool {
