--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,90 @@
+//! Connections of this process to others.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::body::Body;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use crate::process_event::failed_with;
+use crate::process_event::Step;
+
+/// Time for which sent bytes may stay unacknowledged before a connection is given up.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Idle time after which a connection is probed, and the time between probes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Why there is no connection to a peer.
+#[derive(Debug, Snafu)]
+#[snafu(display("{step} {peer}: {reason}"))]
+pub struct ConnectError {
+    /// What was being done.
+    pub step: &'static str,
+    /// Address of the peer.
+    pub peer: SocketAddr,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// Connects to `peer` within `limit`. The connection lives in a task of its own,
+/// until both sides are done with it or the task is aborted.
+pub async fn connect<B>(
+    peer: SocketAddr,
+    limit: Duration,
+) -> Result<(SendRequest<B>, AbortHandle), ConnectError>
+where
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let error = |step, reason: String| ConnectError { step, peer, reason };
+    let stream = match timeout(limit, TcpStream::connect(peer)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return Err(error("connect to", e.to_string())),
+        Err(_) => return Err(error("connect to", "timeout".to_owned())),
+    };
+    configure(&stream).map_err(|e| error("configure socket to", e.to_string()))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| error("handshake with", describe(&e)))?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(e) = connection.await {
+            failed_with(Step::KeptConnection, &peer, &describe(&e));
+        }
+    });
+    Ok((sender, task.abort_handle()))
+}
+
+/// Makes a connection notice that its peer has fallen silent.
+pub fn configure(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+/// Returns an error with its causes.
+pub fn describe(e: &dyn std::error::Error) -> String {
+    let mut text = e.to_string();
+    let mut source = e.source();
+    while let Some(e) = source {
+        text.push_str(": ");
+        text.push_str(&e.to_string());
+        source = e.source();
+    }
+    text
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -21,12 +21,12 @@
 use tokio::time::sleep;
 
 use crate::body::AnswerBody;
+use crate::connection::configure;
+use crate::connection::describe;
 use crate::context::Context;
 use crate::context::Phase;
 use crate::intake;
 use crate::intake::Aborted;
-use crate::pool::configure;
-use crate::pool::describe;
 use crate::process_event::failed;
 use crate::process_event::Step;
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,7 +5,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,32 +13,21 @@
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use policy::Time;
 use relay::Fleet;
 use relay::ServerKey;
 use snafu::Snafu;
-use socket2::SockRef;
-use socket2::TcpKeepalive;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
 
 use crate::clock::now;
-use crate::process_event::failed_with;
-use crate::process_event::Step;
+use crate::connection::connect;
+use crate::connection::describe;
+use crate::connection::ConnectError;
 
 /// Time within which a connection must be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time for which sent bytes may stay unacknowledged before a connection is given up.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// Idle time after which a connection is probed, and the time between probes.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-
 /// Time for which a connection is kept whose server names no time, in milliseconds.
 const KEEP_MS: u64 = 500;
 
@@ -73,6 +61,16 @@
     },
 }
 
+impl From<ConnectError> for SendError {
+    fn from(e: ConnectError) -> SendError {
+        SendError::Unsent {
+            step: e.step,
+            peer: e.peer,
+            reason: e.reason,
+        }
+    }
+}
+
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -115,7 +113,11 @@
                 Err(Failed::Broken(reason)) => return BrokenSnafu { peer, reason }.fail(),
             }
         }
-        let mut lease = connect(peer).await?;
+        let (sender, task) = connect(peer, CONNECT_TIMEOUT).await?;
+        let mut lease = Lease {
+            sender: Some(sender),
+            task,
+        };
         match exchange(&mut lease, req).await {
             Ok(answer) => Ok((answer, lease)),
             Err(Failed::Unsent(_)) => UnsentSnafu {
@@ -206,49 +208,3 @@
         },
     }
 }
-
-async fn connect(peer: SocketAddr) -> Result<Lease, SendError> {
-    let unsent = |step, reason: String| SendError::Unsent { step, peer, reason };
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(unsent("connect to", e.to_string())),
-        Err(_) => return Err(unsent("connect to", "timeout".to_owned())),
-    };
-    configure(&stream).map_err(|e| unsent("configure socket to", e.to_string()))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| unsent("handshake with", e.to_string()))?;
-    let task = tokio::task::spawn_local(async move {
-        if let Err(e) = connection.await {
-            failed_with(Step::KeptConnection, &peer, &describe(&e));
-        }
-    });
-    Ok(Lease {
-        sender: Some(sender),
-        task: task.abort_handle(),
-    })
-}
-
-/// Makes a connection notice that its peer has fallen silent.
-pub fn configure(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
-}
-
-/// Returns an error with its causes.
-pub fn describe(e: &dyn std::error::Error) -> String {
-    let mut text = e.to_string();
-    let mut source = e.source();
-    while let Some(e) = source {
-        text.push_str(": ");
-        text.push_str(&e.to_string());
-        source = e.source();
-    }
-    text
-}
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -9,8 +9,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Limited;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use relay::Configuration;
 use relay::Naming;
 use relay::ServerEntry;
@@ -18,13 +16,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::Snafu;
-use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::clock::now;
+use crate::connection::connect;
+use crate::connection::describe;
 use crate::context::Context;
-use crate::pool::describe;
 use crate::process_event::failed;
 use crate::process_event::Step;
 
@@ -179,11 +177,8 @@
 where
     T: DeserializeOwned,
 {
-    let stream = TcpStream::connect(peer).await.map_err(|e| e.to_string())?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| describe(&e))?;
-    let task = tokio::task::spawn_local(connection);
+    let connected = connect(peer, CALL_TIMEOUT).await;
+    let (mut sender, task) = connected.map_err(|e| e.to_string())?;
     let req = Request::builder()
         .uri(path)
         .header(http::header::HOST, peer.to_string())
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -14,11 +14,11 @@
 use crate::body::AnswerBody;
 use crate::body::BrokenOff;
 use crate::clock::now;
+use crate::connection::describe;
 use crate::evidence::strike;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_SLACK_MS;
 use crate::log_event::LogEvent;
-use crate::pool::describe;
 use crate::request_event::RequestEvent;
 use crate::timing::until;
 
