gateway, router: bodies of answers are one type of http-body-util

Each crate had its own enum of whole bytes or events with the same three methods. Both are Either of Full and events now; what is their own is how the next events come.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 use tokio::time::interval;
 use tokio::time::timeout;
 
-use crate::body::AnswerBody;
+use crate::body::whole;
 use crate::clock::now;
 use crate::codec::AnswerHead;
 use crate::codec::ExpectedWeights;
@@ -160,7 +160,7 @@
         };
         x.cx.pool
             .give_back(self.choice.server, self.lease, self.facts.keep_ms);
-        let mut response = Response::new(AnswerBody::whole(body));
+        let mut response = Response::new(whole(body));
         *response.status_mut() = self.head.status;
         *response.headers_mut() = x.cx.codec.returned(&self.head);
         Ok(WholeAnswer {
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,15 +1,14 @@
 //! Bodies of answers to callers.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use http_body_util::Either;
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::SizeHint;
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
@@ -18,55 +17,29 @@
 #[snafu(display("the stream broke off"))]
 pub struct BrokenOff;
 
-/// Body of an answer.
-pub enum AnswerBody {
-    /// Whole bytes.
-    Whole(Full<Bytes>),
-    /// Events of a stream, as they come.
-    Events(mpsc::Receiver<Result<Bytes, BrokenOff>>),
-}
+/// Body of an answer: whole bytes, or events of a stream as they come.
+pub type AnswerBody = Either<Full<Bytes>, Events>;
 
-impl AnswerBody {
-    /// Returns a body of whole bytes.
-    pub fn whole(bytes: Bytes) -> AnswerBody {
-        AnswerBody::Whole(Full::new(bytes))
-    }
+/// Returns a body of whole bytes.
+pub fn whole<B, E>(bytes: B) -> Either<Full<Bytes>, E>
+where
+    B: Into<Bytes>,
+{
+    Either::Left(Full::new(bytes.into()))
 }
 
-impl Body for AnswerBody {
+/// Events of a stream, as they come.
+pub struct Events(pub mpsc::Receiver<Result<Bytes, BrokenOff>>);
+
+impl Body for Events {
     type Data = Bytes;
     type Error = BrokenOff;
 
     fn poll_frame(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match self.get_mut() {
-            AnswerBody::Whole(body) => {
-                let frame = Pin::new(body).poll_frame(cx);
-                frame.map(|frame| frame.map(|frame| frame.map_err(never)))
-            }
-            AnswerBody::Events(rx) => rx
-                .poll_recv(cx)
-                .map(|event| event.map(|event| event.map(Frame::data))),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            AnswerBody::Whole(body) => body.is_end_stream(),
-            AnswerBody::Events(_) => false,
-        }
+        let event = self.0.poll_recv(cx);
+        event.map(|event| event.map(|event| event.map(Frame::data)))
     }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            AnswerBody::Whole(body) => body.size_hint(),
-            AnswerBody::Events(_) => SizeHint::default(),
-        }
-    }
-}
-
-fn never(e: Infallible) -> BrokenOff {
-    match e {}
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 
 pub use belief_event::BeliefEvent;
 pub use belief_event::OrderGiven;
+pub use body::whole;
 pub use clock::now;
 pub use codec::AnswerHead;
 pub use codec::BadHead;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use http::StatusCode;
 
+use crate::body::whole;
 use crate::body::AnswerBody;
 
 /// Why a request gets no backend server's answer.
@@ -63,7 +64,7 @@
     /// Returns the answer.
     pub fn answer(self) -> Response<AnswerBody> {
         let text = format!("{{\"reason\":\"{}\"}}\n", self.reason());
-        let mut answer = Response::new(AnswerBody::whole(Bytes::from(text)));
+        let mut answer = Response::new(whole(Bytes::from(text)));
         *answer.status_mut() = self.status();
         let json = HeaderValue::from_static("application/json");
         answer.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -4,6 +4,7 @@
 use http::Response;
 use http::StatusCode;
 
+use crate::body::whole;
 use crate::body::AnswerBody;
 use crate::clock::now;
 use crate::context::Context;
@@ -36,7 +37,7 @@
 }
 
 fn page(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::whole(body));
+    let mut response = Response::new(whole(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -4,6 +4,7 @@
 use http::header::CONTENT_LENGTH;
 use http::Response;
 use http_body_util::BodyExt;
+use http_body_util::Either;
 use relay::AttemptEnd;
 use relay::EventSplitter;
 use relay::Verdict;
@@ -13,6 +14,7 @@
 use crate::attempt::Attempt;
 use crate::body::AnswerBody;
 use crate::body::BrokenOff;
+use crate::body::Events;
 use crate::clock::now;
 use crate::connection::describe;
 use crate::evidence::strike;
@@ -42,7 +44,7 @@
 /// Answers with a stream, which goes on as a task of its own.
 pub fn start(x: Exchange, attempt: Attempt) -> Response<AnswerBody> {
     let (tx, rx) = mpsc::channel(WAITING_EVENTS);
-    let mut response = Response::new(AnswerBody::Events(rx));
+    let mut response = Response::new(Either::Right(Events(rx)));
     *response.status_mut() = attempt.head.status;
     *response.headers_mut() = x.cx.codec.returned(&attempt.head);
     response.headers_mut().remove(CONTENT_LENGTH);
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 
+use gateway::whole;
 use http::header::CACHE_CONTROL;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::HeaderValue;
 use http::Method;
 use http::Response;
+use http_body_util::Either;
 use hyper::body::Incoming;
 use policy::content_chain;
 use policy::CallId;
@@ -65,7 +67,7 @@
         let req = CompletionRequest::parse(shape, &body)?;
         let resumed = self.resumed(&headers)?;
         if resumed.as_ref().is_some_and(|id| id.last) {
-            return Ok(events(AnswerBody::whole(DONE)));
+            return Ok(events(whole(DONE)));
         }
         let call = self.next_call();
         let stream = req.stream;
@@ -152,7 +154,7 @@
         match first {
             Some(first @ GenerationItem::Token(_)) if stream => {
                 let body = EventBody::new(first, self.rx, self.writer);
-                events(AnswerBody::Events(Box::new(body)))
+                events(Either::Right(Box::new(body)))
             }
             first => self.collect(first).await,
         }
@@ -199,7 +201,7 @@
     fn whole(mut self, text: &str) -> Response<AnswerBody> {
         self.usage.total_tokens = self.usage.prompt_tokens + self.usage.completion_tokens;
         let json = self.writer.whole(text, self.usage);
-        let mut res = Response::new(AnswerBody::whole(json));
+        let mut res = Response::new(whole(json));
         res.headers_mut().insert(CONTENT_TYPE, JSON);
         res
     }
--- a/crates/router/src/event_body.rs
+++ b/crates/router/src/event_body.rs
@@ -1,9 +1,15 @@
 //! A generation as server-sent events.
 
+use std::convert::Infallible;
+use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use http_body_util::Either;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
 use tokio::sync::mpsc::Receiver;
 
 use crate::clock;
@@ -15,6 +21,9 @@
 /// Bytes that a frame is filled up to before it is handed on.
 const FRAME_BYTES: usize = 16 * 1_024;
 
+/// Body of a response: known in whole, or events as they come.
+pub type AnswerBody = Either<Full<Bytes>, Box<EventBody>>;
+
 /// A generation as server-sent events.
 ///
 /// The stream ends with `[DONE]` after the last token, or else with an event
@@ -42,7 +51,7 @@
     }
 
     /// Returns the next events, all those that are there; none after the end.
-    pub fn poll_events(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+    fn poll_events(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
         if self.ended {
             return Poll::Ready(None);
         }
@@ -95,5 +104,18 @@
     }
 }
 
+impl Body for EventBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let events = self.poll_events(cx);
+        events.map(|buf| buf.map(|buf| Ok(Frame::data(buf))))
+    }
+}
+
 /// The event that ends a whole stream.
 pub const DONE: &[u8] = b"data: [DONE]\n\n";
--- a/crates/router/src/explain.rs
+++ b/crates/router/src/explain.rs
@@ -1,6 +1,7 @@
 //! Answers questions where a completion would go.
 
 use bytes::Bytes;
+use gateway::whole;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::HeaderValue;
@@ -47,7 +48,7 @@
         match self.node.explain(req).await {
             Some(Ok(explanation)) => {
                 let json = serde_json::to_vec(&explanation).expect("an explanation is plain JSON");
-                let mut res = Response::new(AnswerBody::whole(Bytes::from(json)));
+                let mut res = Response::new(whole(Bytes::from(json)));
                 res.headers_mut().insert(CONTENT_TYPE, JSON);
                 Ok(res)
             }
--- a/crates/router/src/handler.rs
+++ b/crates/router/src/handler.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gateway::whole;
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
@@ -135,7 +136,7 @@
     }
 
     fn metrics_text(&self) -> Response<AnswerBody> {
-        let mut res = Response::new(AnswerBody::whole(self.metrics.text()));
+        let mut res = Response::new(whole(self.metrics.text()));
         res.headers_mut().insert(CONTENT_TYPE, METRICS_TEXT);
         res
     }
@@ -166,7 +167,7 @@
 }
 
 fn text(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
-    let mut res = Response::new(AnswerBody::whole(text));
+    let mut res = Response::new(whole(text));
     *res.status_mut() = status;
     res
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,7 +5,6 @@
 //! tokens pass from engine to caller without passing the actor
 //! (`Generation`).
 
-mod answer_body;
 mod body;
 mod call_command;
 mod call_headers;
@@ -72,7 +71,6 @@
 pub use crate::settings::Settings;
 pub use crate::settings_error::SettingsError;
 
-use crate::answer_body::AnswerBody;
 use crate::call_command::CallCommand;
 use crate::call_headers::CallHeaders;
 use crate::completion_request::CompletionRequest;
@@ -86,6 +84,7 @@
 use crate::engine_attempt::EngineAttempt;
 use crate::engine_watches::EngineWatches;
 use crate::engine_watches::WatchedEngine;
+use crate::event_body::AnswerBody;
 use crate::event_body::EventBody;
 use crate::front::Front;
 use crate::generation::Generation;
--- a/crates/router/src/problem.rs
+++ b/crates/router/src/problem.rs
@@ -1,6 +1,7 @@
 //! Refusals as `application/problem+json`.
 
 use bytes::Bytes;
+use gateway::whole;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
 use http::HeaderValue;
@@ -89,7 +90,7 @@
 
     /// Returns the problem as a whole response.
     pub fn response(&self) -> Response<AnswerBody> {
-        let mut res = Response::new(AnswerBody::whole(Bytes::from(self.json())));
+        let mut res = Response::new(whole(Bytes::from(self.json())));
         *res.status_mut() = StatusCode::from_u16(self.status).expect("statuses are constants");
         res.headers_mut().insert(CONTENT_TYPE, PROBLEM_JSON);
         if let Some(seconds) = self.retry_after {
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -4,6 +4,7 @@
 
 use backend::ServiceRequest;
 use bytes::Bytes;
+use gateway::whole;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::HeaderValue;
@@ -105,7 +106,7 @@
 
 fn respond(answer: &StoredAnswer, repeat: bool) -> Response<AnswerBody> {
     let body = Bytes::copy_from_slice(&answer.body);
-    let mut res = Response::new(AnswerBody::whole(body));
+    let mut res = Response::new(whole(body));
     *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     if let Some(Ok(value)) = answer.content_type.as_deref().map(HeaderValue::from_str) {
         res.headers_mut().insert(CONTENT_TYPE, value);
