--- a/crates/gateway/src/belief_gauges.rs
+++ b/crates/gateway/src/belief_gauges.rs
@@ -8,6 +8,7 @@
 
 use crate::belief::Belief;
 use crate::fleet_summary::FleetSummary;
+use crate::metrics::register;
 
 /// Gauges of what a gateway believes.
 pub struct BeliefGauges {
@@ -98,18 +99,13 @@
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(format!("turmerichollow_{name}"), help).expect("names are valid");
-    registry
-        .register(Box::new(gauge.clone()))
-        .expect("names differ");
-    gauge
+    register(
+        registry,
+        IntGauge::new(format!("turmerichollow_{name}"), help),
+    )
 }
 
 fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
     let opts = Opts::new(format!("turmerichollow_{name}"), help);
-    let gauges = IntGaugeVec::new(opts, &[label]).expect("names are valid");
-    registry
-        .register(Box::new(gauges.clone()))
-        .expect("names differ");
-    gauges
+    register(registry, IntGaugeVec::new(opts, &[label]))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms.
 
 use policy::Time;
+use prometheus::core::Collector;
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -108,39 +109,35 @@
     }
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let opts = Opts::new(format!("turmerichollow_{name}_total"), help);
-    let counters = IntCounterVec::new(opts, labels).expect("names are valid");
+/// Registers a collector; its name and labels are constants of this crate.
+pub(crate) fn register<C>(registry: &Registry, collector: prometheus::Result<C>) -> C
+where
+    C: Collector + Clone + 'static,
+{
+    let collector = collector.expect("names are valid");
     registry
-        .register(Box::new(counters.clone()))
+        .register(Box::new(collector.clone()))
         .expect("names differ");
-    counters
+    collector
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let opts = Opts::new(format!("turmerichollow_{name}_total"), help);
+    register(registry, IntCounterVec::new(opts, labels))
 }
 
 fn lines_dropped(registry: &Registry) -> IntGauge {
     let name = "turmerichollow_log_lines_dropped";
-    let gauge = IntGauge::new(name, "Log lines dropped").expect("names are valid");
-    registry
-        .register(Box::new(gauge.clone()))
-        .expect("names differ");
-    gauge
+    register(registry, IntGauge::new(name, "Log lines dropped"))
 }
 
 fn store_calls(registry: &Registry) -> HistogramVec {
     let name = "turmerichollow_store_call_seconds";
     let opts = HistogramOpts::new(name, "Time of calls to the store").buckets(SECONDS.to_vec());
-    let calls = HistogramVec::new(opts, &["call", "outcome"]).expect("names are valid");
-    registry
-        .register(Box::new(calls.clone()))
-        .expect("names differ");
-    calls
+    register(registry, HistogramVec::new(opts, &["call", "outcome"]))
 }
 
 fn histogram(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
     let opts = HistogramOpts::new(format!("turmerichollow_{name}"), help).buckets(buckets.to_vec());
-    let histogram = Histogram::with_opts(opts).expect("names are valid");
-    registry
-        .register(Box::new(histogram.clone()))
-        .expect("names differ");
-    histogram
+    register(registry, Histogram::with_opts(opts))
 }
