--- a/crates/router/src/call_headers.rs
+++ b/crates/router/src/call_headers.rs
@@ -2,7 +2,10 @@
 
 use http::HeaderMap;
 use http::HeaderValue;
+use policy::CallId;
+use policy::CallRequest;
 use policy::Time;
+use policy::Work;
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -41,6 +44,18 @@
 }
 
 impl CallHeaders {
+    /// Returns the call that they go with.
+    pub fn into_call(self, call: CallId, fingerprint: u64, work: Work) -> CallRequest {
+        CallRequest {
+            call,
+            token_sha256: self.token_sha256,
+            priority: self.priority,
+            deadline: self.deadline,
+            fingerprint,
+            work,
+        }
+    }
+
     /// Reads the headers of a request.
     pub fn parse(headers: &HeaderMap) -> Result<CallHeaders, Rejection> {
         Ok(CallHeaders {
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -74,18 +74,8 @@
         let writer = writer(call, &req, arrival);
         let fingerprint = fingerprint::of(&head, &body);
         let (work, source) = work_and_source(req, resumed);
-        let rx = self.generate(
-            CallRequest {
-                call,
-                token_sha256: headers.token_sha256,
-                priority: headers.priority,
-                deadline: headers.deadline,
-                fingerprint,
-                work,
-            },
-            source,
-            stream,
-        );
+        let req = headers.into_call(call, fingerprint, work);
+        let rx = self.generate(req, source, stream);
         let answer = Answer {
             rx,
             writer,
--- a/crates/router/src/explain.rs
+++ b/crates/router/src/explain.rs
@@ -8,7 +8,6 @@
 use http::Method;
 use http::Response;
 use hyper::body::Incoming;
-use policy::CallRequest;
 
 use crate::clock;
 use crate::completion::work_and_source;
@@ -37,14 +36,7 @@
         let body = self.read_body(body).await?;
         let req = CompletionRequest::parse(shape, &body)?;
         let (work, _) = work_and_source(req, None);
-        let req = CallRequest {
-            call: self.next_call(),
-            token_sha256: headers.token_sha256,
-            priority: headers.priority,
-            deadline: headers.deadline,
-            fingerprint: fingerprint::of(&head, &body),
-            work,
-        };
+        let req = headers.into_call(self.next_call(), fingerprint::of(&head, &body), work);
         match self.node.explain(req).await {
             Some(Ok(explanation)) => {
                 let json = serde_json::to_vec(&explanation).expect("an explanation is plain JSON");
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -43,24 +43,19 @@
         let content_type = content_type(&head)?;
         let body = self.read_body(body).await?;
         self.metrics.on_call("service");
-        let req = CallRequest {
-            call: self.next_call(),
-            token_sha256: headers.token_sha256,
-            priority: headers.priority,
-            deadline: headers.deadline,
-            fingerprint: fingerprint::of(&head, &body),
-            work: Work::Service(ServiceCall {
-                service: path.service,
-                method: head.method.as_str().to_owned(),
-                path: path.path,
-                key: headers.key.clone(),
-            }),
-        };
+        let key = headers.key.clone();
+        let work = Work::Service(ServiceCall {
+            service: path.service,
+            method: head.method.as_str().to_owned(),
+            path: path.path,
+            key: key.clone(),
+        });
+        let req = headers.into_call(self.next_call(), fingerprint::of(&head, &body), work);
         let sent = ServiceRequest {
             method: head.method.as_str().to_owned(),
             path: path.target,
             content_type,
-            key: headers.key,
+            key,
             body,
         };
         match self.run_service(req, sent).await {
