--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -16,6 +16,18 @@
 pub const MODEL: &str = "long";
 pub const SERVICE: &str = "engines";
 
+/// A long prompt: a large shared part, and its own.
+pub const LONG: [PromptPart; 2] = [
+    PromptPart {
+        id: 1,
+        tokens: 13_300,
+    },
+    PromptPart {
+        id: 2,
+        tokens: 3_700,
+    },
+];
+
 pub fn at(ms: u64) -> Time {
     Time::from_millis(1_000_000 + ms)
 }
--- a/crates/relay/tests/order_plan.rs
+++ b/crates/relay/tests/order_plan.rs
@@ -66,6 +66,27 @@
     steps.into_iter().next().expect("an order is due")
 }
 
+/// One engine that was ordered to take the second version.
+struct Ordered {
+    fleet: Fleet,
+    key: ServerKey,
+    plan: OrderPlan,
+    weights: Weights,
+}
+
+fn ordered(accepted: u64) -> Ordered {
+    let fleet = fleet(1, 1);
+    let weights = weights(2);
+    let mut plan = OrderPlan::default();
+    first_order(&mut plan, &fleet, &weights, accepted);
+    Ordered {
+        key: keys(&fleet)[0],
+        fleet,
+        plan,
+        weights,
+    }
+}
+
 #[test]
 fn an_engine_is_asked_then_announced_then_ordered_with_its_count_of_orders() {
     let fleet = fleet(1, 1);
@@ -85,11 +106,12 @@
 
 #[test]
 fn an_order_without_answer_is_sent_again_at_once_under_the_same_count() {
-    let fleet = fleet(1, 1);
-    let key = keys(&fleet)[0];
-    let mut plan = OrderPlan::default();
-    let weights = weights(2);
-    first_order(&mut plan, &fleet, &weights, 4);
+    let Ordered {
+        fleet,
+        key,
+        mut plan,
+        weights,
+    } = ordered(4);
     plan.on_reply(at(210), key, Reply::Unknown);
     let again = plan.due(at(220), &fleet, &weights, 100);
     assert_eq!(orders(&again), [(key, 2, 4)]);
@@ -97,11 +119,12 @@
 
 #[test]
 fn an_engine_that_counts_otherwise_is_asked_and_ordered_under_its_own_count() {
-    let fleet = fleet(1, 1);
-    let key = keys(&fleet)[0];
-    let mut plan = OrderPlan::default();
-    let weights = weights(2);
-    first_order(&mut plan, &fleet, &weights, 4);
+    let Ordered {
+        fleet,
+        key,
+        mut plan,
+        weights,
+    } = ordered(4);
     plan.on_reply(at(210), key, Reply::Conflict);
     let asked = plan.due(at(600), &fleet, &weights, 100);
     assert_eq!(asked, [OrderStep::Report(key)]);
@@ -113,11 +136,12 @@
 
 #[test]
 fn a_report_that_lags_is_no_reason_to_order_again() {
-    let fleet = fleet(1, 1);
-    let key = keys(&fleet)[0];
-    let mut plan = OrderPlan::default();
-    let weights = weights(2);
-    first_order(&mut plan, &fleet, &weights, 0);
+    let Ordered {
+        fleet,
+        key,
+        mut plan,
+        weights,
+    } = ordered(0);
     plan.on_reply(at(210), key, Reply::Accepted);
     plan.on_report(at(520), key, Some(&observed(1, false, 0)));
     assert_eq!(orders(&plan.due(at(530), &fleet, &weights, 100)), []);
@@ -213,11 +237,7 @@
 #[test]
 fn an_engine_is_known_to_be_at_work_until_it_reports_the_new_weights() {
     // Arrange
-    let fleet = fleet(1, 1);
-    let key = keys(&fleet)[0];
-    let mut plan = OrderPlan::default();
-    let weights = weights(2);
-    first_order(&mut plan, &fleet, &weights, 0);
+    let Ordered { key, mut plan, .. } = ordered(0);
     plan.on_reply(at(210), key, Reply::Accepted);
 
     // Act
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -10,6 +10,7 @@
 use common::fleet;
 use common::keys;
 use common::part;
+use common::LONG;
 use common::MODEL;
 use policy::Time;
 use relay::Choice;
@@ -23,17 +24,6 @@
 use relay::Unplaceable;
 use relay::Weights;
 
-const LONG: [PromptPart; 2] = [
-    PromptPart {
-        id: 1,
-        tokens: 13_300,
-    },
-    PromptPart {
-        id: 2,
-        tokens: 3_700,
-    },
-];
-
 const SHORT: [PromptPart; 3] = [
     PromptPart { id: 11, tokens: 55 },
     PromptPart { id: 12, tokens: 37 },
--- a/crates/relay/tests/prefix_stores.rs
+++ b/crates/relay/tests/prefix_stores.rs
@@ -11,6 +11,7 @@
 use common::at;
 use common::entry;
 use common::part;
+use common::LONG;
 use common::SERVICE;
 use policy::Time;
 use relay::Ask;
@@ -30,17 +31,6 @@
 use relay::Transfer;
 use relay::Weights;
 
-const LONG: [PromptPart; 2] = [
-    PromptPart {
-        id: 1,
-        tokens: 13_300,
-    },
-    PromptPart {
-        id: 2,
-        tokens: 3_700,
-    },
-];
-
 const SHORT: [PromptPart; 2] = [
     PromptPart { id: 11, tokens: 90 },
     PromptPart {
--- a/crates/relay/tests/retry.rs
+++ b/crates/relay/tests/retry.rs
@@ -30,6 +30,19 @@
     ]
 }
 
+/// A request that may run once, and has one attempt.
+const ONCE: Retry = Retry {
+    kind: RouteKind::Once,
+    max_attempts: 1,
+};
+
+/// After one send that did not run.
+const SENT_ONCE: Progress = Progress {
+    sends: 1,
+    runs: 0,
+    left_ms: 500,
+};
+
 proptest! {
     #[test]
     fn a_request_is_called_not_run_only_if_no_attempt_ran(
@@ -61,37 +74,19 @@
 
 #[test]
 fn a_rejected_request_goes_on_at_another_server() {
-    let retry = Retry {
-        kind: RouteKind::Once,
-        max_attempts: 1,
-    };
-    let progress = Progress {
-        sends: 1,
-        runs: 0,
-        left_ms: 500,
-    };
     assert_eq!(
-        retry.after(AttemptEnd::Rejected, progress, || true),
+        ONCE.after(AttemptEnd::Rejected, SENT_ONCE, || true),
         Verdict::Again
     );
     assert_eq!(
-        retry.after(AttemptEnd::Rejected, progress, || false),
+        ONCE.after(AttemptEnd::Rejected, SENT_ONCE, || false),
         Verdict::NotRun
     );
 }
 
 #[test]
 fn a_connection_that_failed_costs_none_of_the_budget() {
-    let retry = Retry {
-        kind: RouteKind::Once,
-        max_attempts: 1,
-    };
-    let progress = Progress {
-        sends: 1,
-        runs: 0,
-        left_ms: 500,
-    };
-    let spent = retry.after(AttemptEnd::Unsent, progress, || panic!("spent"));
+    let spent = ONCE.after(AttemptEnd::Unsent, SENT_ONCE, || panic!("spent"));
     assert_eq!(spent, Verdict::Again);
 }
 
