--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -36,8 +36,7 @@
     pub reason: String,
 }
 
-/// Connects to `peer` within `limit`. The connection lives in a task of its own,
-/// until both sides are done with it or the task is aborted.
+/// Connects to `peer` within `limit`; returns as [`begin`] does.
 pub async fn connect<B>(
     peer: SocketAddr,
     limit: Duration,
@@ -54,9 +53,22 @@
         Err(_) => return Err(error("connect to", "timeout".to_owned())),
     };
     configure(&stream).map_err(|e| error("configure socket to", e.to_string()))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| error("handshake with", describe(&e)))?;
+    let begun = begin(peer, stream).await;
+    begun.map_err(|e| error("handshake with", describe(&e)))
+}
+
+/// Begins to speak HTTP with `peer`. The connection lives in a task of its own,
+/// until both sides are done with it or the task is aborted.
+pub async fn begin<B>(
+    peer: SocketAddr,
+    stream: TcpStream,
+) -> Result<(SendRequest<B>, AbortHandle), hyper::Error>
+where
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move {
         if let Err(e) = connection.await {
             failed_with(Step::KeptConnection, &peer, &describe(&e));
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -16,11 +16,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::Snafu;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::clock::now;
-use crate::connection::connect;
+use crate::connection::begin;
 use crate::connection::describe;
 use crate::context::Context;
 use crate::process_event::failed;
@@ -177,8 +178,9 @@
 where
     T: DeserializeOwned,
 {
-    let connected = connect(peer, CALL_TIMEOUT).await;
-    let (mut sender, task) = connected.map_err(|e| e.to_string())?;
+    let stream = TcpStream::connect(peer).await.map_err(|e| e.to_string())?;
+    let begun = begin(peer, stream).await;
+    let (mut sender, task) = begun.map_err(|e| describe(&e))?;
     let req = Request::builder()
         .uri(path)
         .header(http::header::HOST, peer.to_string())
