--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -36,7 +36,8 @@
     pub reason: String,
 }
 
-/// Connects to `peer` within `limit`; returns as [`begin`] does.
+/// Connects to `peer` within `limit`. The connection lives in a task of its own,
+/// until both sides are done with it or the task is aborted.
 pub async fn connect<B>(
     peer: SocketAddr,
     limit: Duration,
