relay, gateway: routers share which servers respond and which incarnations are over

Cause: among hundreds of routers each sends a server a request once in many seconds. Alone it learns that a server is dead or was replaced only by losing a request to it, and each router learns that anew.

Change: load reports carry when a server last responded and since when it has not; silence towards all routers costs like silence towards this one. An incarnation is over once another registers at its address or a 421 names another server, and one router announces it to all. BackendServer has a file of its own.

Ruled out: avoiding a server on one router's word (a router that is cut off would make all avoid sound servers).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -141,6 +141,24 @@
         }
     }
 
+    /// Records that an incarnation of a backend server is over, as another server has its
+    /// address, and announces it to other routers if it is new.
+    pub fn mark_ended(&self, key: ServerKey) {
+        let mut view = self.view.borrow_mut();
+        if !view.fleet.mark_ended(key) {
+            return;
+        }
+        let Some(server) = view.fleet.get(key) else {
+            return;
+        };
+        ViewEvent::ServerEnded {
+            server: &server.registration.id,
+            address: server.registration.address,
+        }
+        .write();
+        self.peers.announce_ended(server.instance_hash);
+    }
+
     /// Adds or updates a backend server's registration.
     pub fn apply_registration(&self, registration: Registration, source: &str) {
         let change = self.view.borrow_mut().fleet.apply(now(), registration);
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -18,10 +18,6 @@
 /// unresponsive, in milliseconds.
 pub const AVOID_FAILED_MS: u64 = 700;
 
-/// Time for which a backend server is avoided whose address belongs to another one by
-/// now, in milliseconds.
-const AVOID_MISDIRECTED_MS: u64 = 5_000;
-
 /// Records a strike: the request was in flight on a backend server that failed.
 pub fn record_strike(x: &Exchange, key: ServerKey) {
     let server = x.cx.view.borrow().fleet.get(key).map(|s| s.instance_hash);
@@ -60,6 +56,7 @@
         let until = now().plus_millis(ms);
         server.avoid_until = server.avoid_until.max(until);
         server.failures += 1;
+        server.record_failure(now());
     }
 }
 
@@ -75,13 +72,14 @@
     forget_part(x, choice);
     let mut view = x.cx.view.borrow_mut();
     let model = x.parsed.prompt.as_ref().map(|prompt| prompt.model.as_str());
-    let Some(server) = view.fleet.get_mut(choice.server) else {
-        return "server is no longer registered";
-    };
     if misdirected {
-        server.avoid_until = now().plus_millis(AVOID_MISDIRECTED_MS);
+        drop(view);
+        x.cx.mark_ended(choice.server);
         return "address belongs to another server";
     }
+    let Some(server) = view.fleet.get_mut(choice.server) else {
+        return "server is no longer registered";
+    };
     let until = now().plus_millis(AVOID_REJECTED_MS);
     server.avoid_until = server.avoid_until.max(until);
     if head.status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -169,6 +169,9 @@
     for strike in &message.strikes {
         cx.peers.announce_strike(*strike);
     }
+    for ended in &message.ended {
+        cx.peers.announce_ended(*ended);
+    }
     for update in &message.weights {
         if let Some(key) = view.fleet.by_instance_hash(update.server) {
             cx.peers
@@ -184,15 +187,11 @@
     let view = cx.view.borrow();
     let fleet = &view.fleet;
     let instance_hash = |key: ServerKey| fleet.get(key).map(|server| server.instance_hash);
-    let loads = fleet.iter().map(|(_, server)| {
-        let load = server.load_with(now, |router| is_hub && topology.is_in_region(router));
-        LoadUpdate {
-            server: server.instance_hash,
-            requests: load.requests,
-            prefill_ms: load.prefill_ms,
-        }
-    });
-    let loads: Vec<LoadUpdate> = loads.filter(|load| load.requests > 0).collect();
+    let counts = |router| is_hub && topology.is_in_region(router);
+    let loads = fleet
+        .iter()
+        .filter_map(|(_, server)| LoadUpdate::new(now, server, counts));
+    let loads: Vec<LoadUpdate> = loads.collect();
     let parts = cx.peers.parts.borrow();
     let parts = parts.iter().rev().take(MAX_PARTS).filter_map(|announced| {
         let sent = announced.value;
@@ -227,6 +226,7 @@
         .iter()
         .map(|announced| announced.value)
         .take(MAX_STRIKES);
+    let ended = cx.peers.ended.borrow();
     let named = view.weights.newest_with_ages(now);
     let named = named.map(|(model, version, age_ms)| AnnouncementUpdate {
         model: model.to_string(),
@@ -250,5 +250,6 @@
         switches: switches.collect(),
         weights: weights.collect(),
         strikes: strikes.collect(),
+        ended: ended.iter().map(|announced| announced.value).collect(),
     }
 }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -152,6 +152,9 @@
     if reply == OrderResponse::Fenced {
         end_lease_term(cx, "fenced by a newer holder");
     }
+    if reply == OrderResponse::OtherLifetime {
+        cx.mark_ended(key);
+    }
     if reply == OrderResponse::Holds {
         cx.record_weights(key, &model, version);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -82,6 +82,8 @@
     pub weights: RefCell<Vec<Announced<(ServerKey, String, u64)>>>,
     /// Strikes against requests that were in flight on failed backend servers.
     pub strikes: RefCell<Vec<Announced<Strike>>>,
+    /// Instance hashes of incarnations of backend servers that are over.
+    pub ended: RefCell<Vec<Announced<u64>>>,
     /// Loads in this router's latest message.
     pub sent_loads: RefCell<Vec<LoadUpdate>>,
     /// Wakes the gossip task, so that it sends a message at once.
@@ -101,6 +103,7 @@
             switches: RefCell::default(),
             weights: RefCell::default(),
             strikes: RefCell::default(),
+            ended: RefCell::default(),
             sent_loads: RefCell::default(),
             wake: Notify::new(),
             by_hash: RefCell::default(),
@@ -230,6 +233,14 @@
         }
     }
 
+    /// Announces at once that an incarnation of a backend server is over, unless that is
+    /// being announced already.
+    pub fn announce_ended(&self, instance_hash: u64) {
+        if announce(&self.ended, instance_hash) {
+            self.wake.notify_one();
+        }
+    }
+
     /// Removes announcements that were repeated long enough.
     pub fn remove_expired(&self) {
         let now = now();
@@ -244,6 +255,7 @@
         self.strikes
             .borrow_mut()
             .retain(|strike| is_recent(strike.at));
+        self.ended.borrow_mut().retain(|ended| is_recent(ended.at));
     }
 }
 
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -71,6 +71,13 @@
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
     },
+    /// An incarnation of a backend server is over, as another server has its address.
+    ServerEnded {
+        /// Its id.
+        server: &'a str,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// A strike was recorded: a request was in flight on a backend server when that server
     /// failed.
     Strike(Strike),
@@ -180,6 +187,9 @@
             ViewEvent::ServerRemoved { server, source } => {
                 write!(f, "event=server_removed server={server} source={source}")
             }
+            ViewEvent::ServerEnded { server, address } => {
+                write!(f, "event=server_ended server={server} address={address}")
+            }
             ViewEvent::Strike(strike) => write!(
                 f,
                 "event=strike request={:016x} server={:016x}",
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -174,6 +174,8 @@
     let (server, source) = ("e1", "peer");
     assert_snapshot!(ViewEvent::ServerDraining { server, source }, @"event=server_draining server=e1 source=peer");
     assert_snapshot!(ViewEvent::ServerRemoved { server, source }, @"event=server_removed server=e1 source=peer");
+    let address = registration.address;
+    assert_snapshot!(ViewEvent::ServerEnded { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
     let strike = Strike {
         request: 0x1f,
         server: 0x2f,
--- /dev/null
+++ b/crates/relay/src/backend_server.rs
@@ -0,0 +1,265 @@
+//! One incarnation of a backend server, and what this router knows about it.
+
+use std::collections::HashMap;
+
+use policy::Time;
+
+use crate::responses::Responses;
+use crate::Registration;
+use crate::ServerState;
+
+/// Time for which another router's report is valid, in milliseconds.
+const OTHER_REPORT_TTL_MS: u64 = 1_500;
+
+/// Time after the last response or failure for which it is reported to other routers, in
+/// milliseconds.
+const REPORTED_MS: u64 = 2_000;
+
+/// Factor by which prefill may exceed its estimate before an engine counts as unresponsive.
+const PREFILL_SLACK_FACTOR: u64 = 2;
+
+/// Requests in flight at a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Number of requests.
+    pub requests: u32,
+    /// Estimated prefill time outstanding for them, in milliseconds.
+    pub prefill_ms: u64,
+}
+
+/// What another router, or the hub of a region, reported.
+#[derive(Clone, Copy, Debug)]
+struct OtherReport {
+    load: Load,
+    responses: Responses,
+    valid_until: Time,
+}
+
+/// One incarnation of a backend server.
+#[derive(Clone, Debug)]
+pub struct BackendServer {
+    /// Its registration, with the newest version of each model's weights seen anywhere.
+    pub registration: Registration,
+    /// Hash of its id and start time; the same on every router.
+    pub instance_hash: u64,
+    /// When its registration was last received.
+    pub seen_at: Time,
+    /// Time until which it gets no requests because it rejected one or failed.
+    pub avoid_until: Time,
+    /// Time until which it is expected to reject requests because it loads new weights.
+    pub switching_until: Time,
+    /// Number of consecutive failures.
+    pub failures: u32,
+    /// Time since which it has not responded to this router; none if no response is awaited.
+    pub unresponsive_since: Option<Time>,
+    /// Whether it is known to be over although its registration remains.
+    pub(crate) ended: bool,
+    /// When its registration was first found missing, if it is marked missing.
+    pub(crate) missing_since: Option<Time>,
+    /// This router's requests in flight.
+    own: Load,
+    /// When it last responded to this router.
+    responded_at: Option<Time>,
+    /// First and last failure since it responded to this router.
+    failed: Option<(Time, Time)>,
+    /// Reports of other routers, by the hash of the router's or region's name.
+    others: HashMap<u64, OtherReport>,
+}
+
+impl BackendServer {
+    pub(crate) fn new(now: Time, registration: Registration) -> BackendServer {
+        let instance_hash = policy::name_hash(&registration.id) ^ registration.started_ms;
+        BackendServer {
+            registration,
+            instance_hash,
+            seen_at: now,
+            avoid_until: Time(0),
+            switching_until: Time(0),
+            failures: 0,
+            unresponsive_since: None,
+            ended: false,
+            missing_since: None,
+            own: Load::default(),
+            responded_at: None,
+            failed: None,
+            others: HashMap::new(),
+        }
+    }
+
+    /// Returns for how long it has not responded to requests, in milliseconds, minus
+    /// `PREFILL_SLACK_FACTOR` times the estimated prefill time outstanding for all routers.
+    /// Counts the time without a response to this router, and that to any router.
+    pub fn unresponsive_ms(&self, now: Time) -> u64 {
+        let since = self.unresponsive_since;
+        let own_ms = since.map_or(0, |since| now.millis_since(since));
+        let shared_ms = self.responses(now).shared_silence_ms(now);
+        let slack_ms = self.load(now).prefill_ms * PREFILL_SLACK_FACTOR;
+        own_ms.max(shared_ms).saturating_sub(slack_ms)
+    }
+
+    /// Returns this router's requests in flight.
+    pub fn own_load(&self) -> Load {
+        self.own
+    }
+
+    /// Returns the requests of all routers in flight, as far as this router knows.
+    pub fn load(&self, now: Time) -> Load {
+        self.load_with(now, |_| true)
+    }
+
+    /// Returns the requests of this router and of the routers for which `counts` is true.
+    pub fn load_with<F>(&self, now: Time, counts: F) -> Load
+    where
+        F: Fn(u64) -> bool,
+    {
+        let counted = self
+            .valid_reports(now)
+            .filter(|(router, _)| counts(*router));
+        counted.fold(self.own, |sum, (_, other)| Load {
+            requests: sum.requests + other.load.requests,
+            prefill_ms: sum.prefill_ms + other.load.prefill_ms,
+        })
+    }
+
+    /// Returns what all routers observed of its responses, as far as this router knows.
+    pub fn responses(&self, now: Time) -> Responses {
+        self.responses_with(now, |_| true)
+    }
+
+    /// Returns what this router and the routers for which `counts` is true observed of its
+    /// responses.
+    pub fn responses_with<F>(&self, now: Time, counts: F) -> Responses
+    where
+        F: Fn(u64) -> bool,
+    {
+        let counted = self
+            .valid_reports(now)
+            .filter(|(router, _)| counts(*router));
+        counted.fold(self.own_responses(now), |sum, (_, other)| {
+            sum.merge(other.responses)
+        })
+    }
+
+    /// Returns the age of the oldest valid report of another router, in milliseconds.
+    pub fn load_age_ms(&self, now: Time) -> u64 {
+        let ages = self
+            .valid_reports(now)
+            .map(|(_, other)| OTHER_REPORT_TTL_MS - other.valid_until.millis_since(now));
+        ages.max().unwrap_or(0)
+    }
+
+    /// Records another router's report.
+    pub fn set_other_report(&mut self, now: Time, router: u64, load: Load, responses: Responses) {
+        let report = OtherReport {
+            load,
+            responses,
+            valid_until: now.plus_millis(OTHER_REPORT_TTL_MS),
+        };
+        self.others.insert(router, report);
+    }
+
+    /// Removes another router's report.
+    pub(crate) fn clear_other_report(&mut self, router: u64) {
+        self.others.remove(&router);
+    }
+
+    /// Returns the version of its weights of `model`.
+    pub fn weights(&self, model: &str) -> Option<u64> {
+        self.registration.weights.get(model).copied()
+    }
+
+    /// Records a version of its weights if it is newer than the known one, and returns
+    /// whether it is. A model that isn't registered is ignored.
+    pub fn record_weights(&mut self, model: &str, version: u64) -> bool {
+        let Some(known) = self.registration.weights.get_mut(model) else {
+            return false;
+        };
+        if *known >= version {
+            return false;
+        }
+        *known = version;
+        true
+    }
+
+    /// Records that it is expected to reject requests until `until` while it loads
+    /// `version` of a model's weights. Ignored if it already has that version.
+    pub fn expect_switch(&mut self, model: &str, version: u64, until: Time) {
+        if self.weights(model).is_none_or(|has| has < version) {
+            self.switching_until = self.switching_until.max(until);
+        }
+    }
+
+    /// Returns whether it may get new requests.
+    pub fn takes_requests(&self, now: Time) -> bool {
+        self.is_ready() && self.avoid_until <= now && self.switching_until <= now
+    }
+
+    /// Returns whether it runs and isn't draining, as far as this router knows.
+    pub fn is_ready(&self) -> bool {
+        self.registration.state == ServerState::Ready && !self.ended
+    }
+
+    /// Records that a request of this router failed without a response.
+    pub fn record_failure(&mut self, now: Time) {
+        let first = self.failed.map_or(now, |(first, _)| first);
+        self.failed = Some((first, now));
+    }
+
+    pub(crate) fn begin_request(&mut self, now: Time, prefill_ms: u64) {
+        self.own.requests += 1;
+        self.own.prefill_ms += prefill_ms;
+        self.unresponsive_since.get_or_insert(now);
+    }
+
+    pub(crate) fn end_prefill(&mut self, now: Time, prefill_ms: u64) {
+        self.own.prefill_ms = self.own.prefill_ms.saturating_sub(prefill_ms);
+        self.unresponsive_since = (self.own.requests > 1).then_some(now);
+        self.responded_at = Some(now);
+        self.failed = None;
+    }
+
+    pub(crate) fn end_request(&mut self, prefill_ms: u64) {
+        self.own.requests = self.own.requests.saturating_sub(1);
+        self.own.prefill_ms = self.own.prefill_ms.saturating_sub(prefill_ms);
+        if self.own.requests == 0 {
+            self.unresponsive_since = None;
+        }
+    }
+
+    /// Applies a newer registration of the same incarnation. Returns whether it began to drain.
+    pub(crate) fn update_registration(
+        &mut self,
+        now: Time,
+        mut registration: Registration,
+    ) -> bool {
+        let previous_state = self.registration.state;
+        for (model, version) in &self.registration.weights {
+            if let Some(reported) = registration.weights.get_mut(model) {
+                *reported = (*reported).max(*version);
+            }
+        }
+        if previous_state == ServerState::Draining {
+            registration.state = ServerState::Draining;
+        }
+        self.seen_at = now;
+        self.missing_since = None;
+        self.registration = registration;
+        previous_state == ServerState::Ready && self.registration.state == ServerState::Draining
+    }
+
+    /// Returns what this router alone observed of its responses.
+    fn own_responses(&self, now: Time) -> Responses {
+        let is_recent = |at: Time| now.millis_since(at) < REPORTED_MS;
+        let failed = self.failed.filter(|(_, last)| is_recent(*last));
+        let silent_since = [self.unresponsive_since, failed.map(|(first, _)| first)];
+        Responses {
+            responded_at: self.responded_at.filter(|at| is_recent(*at)),
+            silent_since: silent_since.into_iter().flatten().min(),
+        }
+    }
+
+    fn valid_reports(&self, now: Time) -> impl Iterator<Item = (u64, &OtherReport)> {
+        let reports = self.others.iter().map(|(router, other)| (*router, other));
+        reports.filter(move |(_, other)| other.valid_until > now)
+    }
+}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,10 +1,12 @@
 //! Backend servers, their incarnations, and what this router knows about each.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use policy::Time;
 
+use crate::BackendServer;
 use crate::Registration;
 use crate::ServerState;
 
@@ -12,12 +14,6 @@
 /// milliseconds. The platform restores those of live servers within two seconds.
 const RESTORE_PERIOD_MS: u64 = 2_100;
 
-/// Time for which another router's load report is valid, in milliseconds.
-const OTHER_LOAD_TTL_MS: u64 = 1_500;
-
-/// Factor by which prefill may exceed its estimate before an engine counts as unresponsive.
-const PREFILL_SLACK_FACTOR: u64 = 2;
-
 /// Key of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerKey {
@@ -25,15 +21,6 @@
     generation: u32,
 }
 
-/// Requests in flight at a backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Number of requests.
-    pub requests: u32,
-    /// Estimated prefill time outstanding for them, in milliseconds.
-    pub prefill_ms: u64,
-}
-
 /// Change to the set of backend servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetChange {
@@ -45,137 +32,6 @@
     Removed(Arc<str>),
 }
 
-/// Load that another router, or the hub of another region, reported.
-#[derive(Clone, Copy, Debug)]
-struct OtherLoad {
-    load: Load,
-    valid_until: Time,
-}
-
-/// One incarnation of a backend server.
-#[derive(Clone, Debug)]
-pub struct BackendServer {
-    /// Its registration, with the newest version of each model's weights seen anywhere.
-    pub registration: Registration,
-    /// Hash of its id and start time; the same on every router.
-    pub instance_hash: u64,
-    /// When its registration was last received.
-    pub seen_at: Time,
-    /// Time until which it gets no requests because it rejected one or failed.
-    pub avoid_until: Time,
-    /// Time until which it is expected to reject requests because it loads new weights.
-    pub switching_until: Time,
-    /// Number of consecutive failures.
-    pub failures: u32,
-    /// Time since which it has not responded to this router; none if no response is awaited.
-    pub unresponsive_since: Option<Time>,
-    /// This router's requests in flight.
-    own: Load,
-    /// Loads that other routers reported, by the hash of the router's or region's name.
-    others: HashMap<u64, OtherLoad>,
-    /// When its registration was first found missing, if it is marked missing.
-    missing_since: Option<Time>,
-}
-
-impl BackendServer {
-    fn new(now: Time, registration: Registration) -> BackendServer {
-        let instance_hash = policy::name_hash(&registration.id) ^ registration.started_ms;
-        BackendServer {
-            registration,
-            instance_hash,
-            seen_at: now,
-            avoid_until: Time(0),
-            switching_until: Time(0),
-            failures: 0,
-            unresponsive_since: None,
-            own: Load::default(),
-            others: HashMap::new(),
-            missing_since: None,
-        }
-    }
-
-    /// Returns for how long it has not responded to requests, in milliseconds, minus
-    /// `PREFILL_SLACK_FACTOR` times the estimated prefill time outstanding for all routers.
-    pub fn unresponsive_ms(&self, now: Time) -> u64 {
-        let since = self.unresponsive_since;
-        let elapsed_ms = since.map_or(0, |since| now.millis_since(since));
-        elapsed_ms.saturating_sub(self.load(now).prefill_ms * PREFILL_SLACK_FACTOR)
-    }
-
-    /// Returns this router's requests in flight.
-    pub fn own_load(&self) -> Load {
-        self.own
-    }
-
-    /// Returns the requests of all routers in flight, as far as this router knows.
-    pub fn load(&self, now: Time) -> Load {
-        self.load_with(now, |_| true)
-    }
-
-    /// Returns the requests of this router and of the routers for which `counts` is true.
-    pub fn load_with<F>(&self, now: Time, counts: F) -> Load
-    where
-        F: Fn(u64) -> bool,
-    {
-        let valid = self
-            .others
-            .iter()
-            .filter(|(_, other)| other.valid_until > now);
-        let counted = valid.filter(|(router, _)| counts(**router));
-        counted.fold(self.own, |sum, (_, other)| Load {
-            requests: sum.requests + other.load.requests,
-            prefill_ms: sum.prefill_ms + other.load.prefill_ms,
-        })
-    }
-
-    /// Returns the age of the oldest valid load report of another router, in milliseconds.
-    pub fn load_age_ms(&self, now: Time) -> u64 {
-        let valid = self.others.values().filter(|other| other.valid_until > now);
-        let ages = valid
-            .map(|other| OTHER_LOAD_TTL_MS.saturating_sub(other.valid_until.millis_since(now)));
-        ages.max().unwrap_or(0)
-    }
-
-    /// Records another router's load report.
-    pub fn set_other_load(&mut self, now: Time, router: u64, load: Load) {
-        let valid_until = now.plus_millis(OTHER_LOAD_TTL_MS);
-        self.others.insert(router, OtherLoad { load, valid_until });
-    }
-
-    /// Returns the version of its weights of `model`.
-    pub fn weights(&self, model: &str) -> Option<u64> {
-        self.registration.weights.get(model).copied()
-    }
-
-    /// Records a version of its weights if it is newer than the known one, and returns
-    /// whether it is. A model that isn't registered is ignored.
-    pub fn record_weights(&mut self, model: &str, version: u64) -> bool {
-        let Some(known) = self.registration.weights.get_mut(model) else {
-            return false;
-        };
-        if *known >= version {
-            return false;
-        }
-        *known = version;
-        true
-    }
-
-    /// Records that it is expected to reject requests until `until` while it loads
-    /// `version` of a model's weights. Ignored if it already has that version.
-    pub fn expect_switch(&mut self, model: &str, version: u64, until: Time) {
-        if self.weights(model).is_none_or(|has| has < version) {
-            self.switching_until = self.switching_until.max(until);
-        }
-    }
-
-    /// Returns whether it may get new requests.
-    pub fn takes_requests(&self, now: Time) -> bool {
-        self.registration.state == ServerState::Ready
-            && self.avoid_until <= now
-            && self.switching_until <= now
-    }
-}
-
 /// Place of a backend server in `Fleet`; `generation` grows whenever it is vacated.
 #[derive(Clone, Debug, Default)]
 struct Slot {
@@ -200,7 +56,8 @@
                 .get_mut(key)
                 .expect("the index contains only registered servers");
             if server.registration.started_ms == registration.started_ms {
-                return update_registration(now, server, registration)
+                return server
+                    .update_registration(now, registration)
                     .then_some(FleetChange::Draining(key));
             }
             self.remove(&registration.id);
@@ -341,9 +198,9 @@
             .filter(move |(_, server)| &*server.registration.service == service)
     }
 
-    /// Removes another router's load report from the backend servers for whose instance hash
+    /// Removes another router's report from the backend servers for whose instance hash
     /// `keep` is false.
-    pub fn clear_other_load<F>(&mut self, router: u64, keep: F)
+    pub fn clear_other_reports<F>(&mut self, router: u64, keep: F)
     where
         F: Fn(u64) -> bool,
     {
@@ -352,16 +209,14 @@
             .iter_mut()
             .filter_map(|slot| slot.server.as_mut());
         for server in servers.filter(|server| !keep(server.instance_hash)) {
-            server.others.remove(&router);
+            server.clear_other_report(router);
         }
     }
 
     /// Counts a request that this router dispatches; `prefill_ms` is its estimated prefill time.
     pub fn begin_request(&mut self, now: Time, key: ServerKey, prefill_ms: u64) {
         if let Some(server) = self.get_mut(key) {
-            server.own.requests += 1;
-            server.own.prefill_ms += prefill_ms;
-            server.unresponsive_since.get_or_insert(now);
+            server.begin_request(now, prefill_ms);
         }
     }
 
@@ -369,19 +224,36 @@
     /// restarts the server's time without a response.
     pub fn end_prefill(&mut self, now: Time, key: ServerKey, prefill_ms: u64) {
         if let Some(server) = self.get_mut(key) {
-            server.own.prefill_ms = server.own.prefill_ms.saturating_sub(prefill_ms);
-            server.unresponsive_since = (server.own.requests > 1).then_some(now);
+            server.end_prefill(now, prefill_ms);
         }
     }
 
     /// Uncounts a request of this router; `prefill_ms` is the prefill time still counted for it.
     pub fn end_request(&mut self, key: ServerKey, prefill_ms: u64) {
         if let Some(server) = self.get_mut(key) {
-            server.own.requests = server.own.requests.saturating_sub(1);
-            server.own.prefill_ms = server.own.prefill_ms.saturating_sub(prefill_ms);
-            if server.own.requests == 0 {
-                server.unresponsive_since = None;
-            }
+            server.end_request(prefill_ms);
+        }
+    }
+
+    /// Records that an incarnation is over, although it is still registered. Returns whether
+    /// that is new.
+    pub fn mark_ended(&mut self, key: ServerKey) -> bool {
+        let server = self.get_mut(key);
+        server.is_some_and(|server| !std::mem::replace(&mut server.ended, true))
+    }
+
+    /// Marks all incarnations ended that were followed by another one at their address.
+    fn mark_replaced(&mut self, address: SocketAddr) {
+        let servers = self
+            .slots
+            .iter_mut()
+            .filter_map(|slot| slot.server.as_mut());
+        let mut at_address: Vec<_> = servers
+            .filter(|server| server.registration.address == address)
+            .collect();
+        let newest = at_address.iter().map(|s| s.registration.started_ms).max();
+        for server in &mut at_address {
+            server.ended |= Some(server.registration.started_ms) < newest;
         }
     }
 
@@ -396,31 +268,12 @@
             index: u32::try_from(index).expect("fewer than 2^32 servers"),
             generation: slot.generation,
         };
+        let address = registration.address;
         let server = BackendServer::new(now, registration);
         self.by_id.insert(server.registration.id.clone(), key);
         self.by_instance_hash.insert(server.instance_hash, key);
         slot.server = Some(server);
+        self.mark_replaced(address);
         key
     }
 }
-
-/// Applies a newer registration of the same incarnation. Returns whether it began to drain.
-fn update_registration(
-    now: Time,
-    server: &mut BackendServer,
-    mut registration: Registration,
-) -> bool {
-    let previous_state = server.registration.state;
-    for (model, version) in &server.registration.weights {
-        if let Some(reported) = registration.weights.get_mut(model) {
-            *reported = (*reported).max(*version);
-        }
-    }
-    if previous_state == ServerState::Draining {
-        registration.state = ServerState::Draining;
-    }
-    server.seen_at = now;
-    server.missing_since = None;
-    server.registration = registration;
-    previous_state == ServerState::Ready && server.registration.state == ServerState::Draining
-}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -6,10 +6,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BackendServer;
 use crate::Fleet;
 use crate::Load;
 use crate::PartKey;
 use crate::Residency;
+use crate::Responses;
 use crate::Strike;
 use crate::Transfer;
 
@@ -23,6 +25,41 @@
     /// Estimated prefill time outstanding for them, in milliseconds.
     #[serde(rename = "reading_ms")]
     pub prefill_ms: u64,
+    /// Time since it last responded, in milliseconds; none if it has not done so lately.
+    pub responded_ms: Option<u32>,
+    /// Time for which requests have been awaiting a response or failing without one, in
+    /// milliseconds; none if none is.
+    pub silent_ms: Option<u32>,
+}
+
+impl LoadUpdate {
+    /// Returns the update about a backend server, with the requests of this router and of
+    /// the routers for which `counts` is true; none if there is nothing to report.
+    pub fn new<F>(now: Time, server: &BackendServer, counts: F) -> Option<LoadUpdate>
+    where
+        F: Fn(u64) -> bool,
+    {
+        let load = server.load_with(now, &counts);
+        let responses = server.responses_with(now, &counts);
+        let age_ms = |at: Time| u32::try_from(now.millis_since(at)).unwrap_or(u32::MAX);
+        let update = LoadUpdate {
+            server: server.instance_hash,
+            requests: load.requests,
+            prefill_ms: load.prefill_ms,
+            responded_ms: responses.responded_at.map(age_ms),
+            silent_ms: responses.silent_since.map(age_ms),
+        };
+        (load.requests > 0 || responses != Responses::default()).then_some(update)
+    }
+
+    /// Returns the reported responses, as of `now`.
+    fn responses(&self, now: Time) -> Responses {
+        let time = |age_ms: u32| Time(now.0.saturating_sub(u64::from(age_ms) * 1_000));
+        Responses {
+            responded_at: self.responded_ms.map(time),
+            silent_since: self.silent_ms.map(time),
+        }
+    }
 }
 
 /// Update: a prompt part was sent to an engine, which is expected to cache it.
@@ -96,7 +133,8 @@
     pub fleet: Option<FleetUpdate>,
     /// Newest announced versions of weights.
     pub named: Vec<AnnouncementUpdate>,
-    /// Loads of all backend servers with requests in flight; the others have none.
+    /// Loads of backend servers with requests in flight, and of those that responded or
+    /// failed lately; the others have none.
     pub loads: Vec<LoadUpdate>,
     /// Parts that were recently sent to engines.
     pub parts: Vec<PartUpdate>,
@@ -106,6 +144,8 @@
     pub weights: Vec<WeightsUpdate>,
     /// Strikes that were recently recorded.
     pub strikes: Vec<Strike>,
+    /// Instance hashes of incarnations that were recently found to be over.
+    pub ended: Vec<u64>,
 }
 
 impl Gossip {
@@ -132,6 +172,11 @@
                 server.expect_switch(&update.model, update.version, until);
             }
         }
+        for ended in &self.ended {
+            if let Some(key) = fleet.by_instance_hash(*ended) {
+                fleet.mark_ended(key);
+            }
+        }
         for update in &self.weights {
             let key = fleet.by_instance_hash(update.server);
             if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
@@ -157,9 +202,9 @@
             };
             let key = fleet.by_instance_hash(update.server);
             if let Some(server) = key.and_then(|key| fleet.get_mut(key)) {
-                server.set_other_load(now, source, load);
+                server.set_other_report(now, source, load, update.responses(now));
             }
         }
-        fleet.clear_other_load(source, |instance_hash| reported.contains(&instance_hash));
+        fleet.clear_other_reports(source, |instance_hash| reported.contains(&instance_hash));
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! facts are passed in, and decisions are returned. The package `gateway` carries them out.
 
 mod affinity;
+mod backend_server;
 mod cache_scope;
 mod configuration;
 mod engine_priority;
@@ -18,6 +19,7 @@
 mod registration;
 mod rendezvous;
 mod residency;
+mod responses;
 mod retry;
 mod retry_budget;
 mod shared_prefix;
@@ -25,6 +27,8 @@
 mod topology;
 mod weights;
 
+pub use backend_server::BackendServer;
+pub use backend_server::Load;
 pub use cache_scope::cache_scope;
 pub use configuration::CallerLimits;
 pub use configuration::Configuration;
@@ -37,10 +41,8 @@
 pub use event_splitter::EventSplitter;
 pub use event_splitter::SplitError;
 pub use event_splitter::StreamEvent;
-pub use fleet::BackendServer;
 pub use fleet::Fleet;
 pub use fleet::FleetChange;
-pub use fleet::Load;
 pub use fleet::ServerKey;
 pub use gossip::AnnouncementUpdate;
 pub use gossip::FleetUpdate;
@@ -70,6 +72,7 @@
 pub use residency::Holder;
 pub use residency::PartKey;
 pub use residency::Residency;
+pub use responses::Responses;
 pub use retry::AttemptEnd;
 pub use retry::Progress;
 pub use retry::RetryPolicy;
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -102,6 +102,8 @@
         server: fleet.get(key).unwrap().instance_hash,
         requests,
         prefill_ms,
+        responded_ms: None,
+        silent_ms: None,
     };
     let own = [load_update(1, 100)];
     let sum = Gossip {
@@ -125,6 +127,8 @@
             server: instance_hash,
             requests: 3,
             prefill_ms: 30,
+            responded_ms: None,
+            silent_ms: None,
         }],
         ..Gossip::default()
     };
