--- a/crates/relay/src/order_plan.rs
+++ b/crates/relay/src/order_plan.rs
@@ -12,7 +12,6 @@
 use crate::BackendServer;
 use crate::Fleet;
 use crate::ServerKey;
-use crate::ServerState;
 use crate::Weights;
 
 /// Interval of polling an engine that executes an order, in milliseconds.
@@ -92,6 +91,13 @@
     },
 }
 
+/// Attempt at sending one order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Attempt {
+    First,
+    Retry,
+}
+
 /// Progress of one engine. `accepted` is the number of orders it has accepted.
 #[derive(Clone, Debug)]
 enum Phase {
@@ -102,10 +108,11 @@
     /// The number of accepted orders is known, and no order is being executed.
     CountKnown { accepted: u64 },
     /// All routers were notified that an order is about to be sent, or to be sent again.
-    Announced { accepted: u64 },
+    Announced { accepted: u64, attempt: Attempt },
     /// An order was sent and has no response yet.
     Sent {
         accepted: u64,
+        attempt: Attempt,
         model: Arc<str>,
         version: u64,
     },
@@ -190,7 +197,7 @@
             if busy >= limit && !self.is_announced(key) {
                 continue;
             }
-            if server.registration.state != ServerState::Ready || self.is_executing(key) {
+            if !server.is_ready() || self.is_executing(key) {
                 continue;
             }
             if let Some(step) = self.advance(now, key, &model, version) {
@@ -254,6 +261,7 @@
         };
         let Phase::Sent {
             accepted,
+            attempt,
             model,
             version,
         } = engine.phase.clone()
@@ -274,13 +282,16 @@
                 engine.phase = Phase::CountKnown { accepted };
                 engine.next_at = now.plus_millis(POLL_INTERVAL_MS);
             }
-            OrderResponse::Unknown => {
+            OrderResponse::Unknown if attempt == Attempt::First => {
                 // The order is retried with the same number of accepted orders. If the first
                 // attempt is executed after all, the engine rejects the second, or vice versa.
-                engine.phase = Phase::Announced { accepted };
+                let attempt = Attempt::Retry;
+                engine.phase = Phase::Announced { accepted, attempt };
                 engine.next_at = now;
             }
-            OrderResponse::Conflict
+            // After two attempts the engine may be dead, and must not count against the limit.
+            OrderResponse::Unknown
+            | OrderResponse::Conflict
             | OrderResponse::Fenced
             | OrderResponse::Invalid
             | OrderResponse::OtherLifetime => {
@@ -341,7 +352,8 @@
                 Some(OrderStep::Report(key))
             }
             Phase::CountKnown { accepted } => {
-                engine.phase = Phase::Announced { accepted };
+                let attempt = Attempt::First;
+                engine.phase = Phase::Announced { accepted, attempt };
                 engine.next_at = now.plus_millis(ANNOUNCEMENT_LEAD_MS);
                 Some(OrderStep::Announce {
                     server: key,
@@ -349,9 +361,10 @@
                     version,
                 })
             }
-            Phase::Announced { accepted } => {
+            Phase::Announced { accepted, attempt } => {
                 engine.phase = Phase::Sent {
                     accepted,
+                    attempt,
                     model: Arc::clone(model),
                     version,
                 };
--- a/crates/relay/tests/order_plan.rs
+++ b/crates/relay/tests/order_plan.rs
@@ -120,6 +120,27 @@
     assert_eq!(orders(&again), [(key, 2, 4)]);
 }
 
+#[test]
+fn an_engine_that_leaves_two_orders_without_a_response_is_polled_and_frees_its_place() {
+    // Arrange
+    let PlanWithOrder {
+        mut plan,
+        fleet,
+        weights,
+        key,
+    } = plan_with_order(0);
+    plan.on_reply(at(210), key, OrderResponse::Unknown);
+    plan.due_steps(at(220), &fleet, &weights, 100);
+
+    // Act
+    plan.on_reply(at(620), key, OrderResponse::Unknown);
+
+    // Assert
+    assert!(!plan.is_executing(key));
+    let steps = plan.due_steps(at(1_000), &fleet, &weights, 100);
+    assert_eq!(steps, [OrderStep::Report(key)]);
+}
+
 #[test]
 fn after_a_conflict_the_engine_is_polled_and_ordered_with_its_own_number() {
     let PlanWithOrder {
