gateway: above sixteen routers, hubs read the store for their regions

Routers that start together all thought themselves alone and contended for the order lease (3 calls each). A reader's watch could last longer than the age up to which others rely on it, so that all of them read for a moment. A store that was away was asked three times a second by each router.

Change: a router with a fresh hub takes configuration, weights, registrations and the list of routers from it, and reads the store itself once the hub's reading is old or it stays 1.2 s behind the hub's configuration; it asks a lost store each 1.5 to 3 s. The records of routers are listed a second after the start. The router after the hub in a region gives orders, so that losing one router costs not both.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -54,17 +54,25 @@
     pub as_of: Revision,
     /// When it read them.
     pub read_at: Time,
+    /// Hash of the routers that it has read, see `Peers::digest`.
+    pub routers: Option<u64>,
 }
 
 impl PeerSync {
     /// Converts the announcement of `reader`, received at `now`.
-    pub fn new(now: Time, reader: SocketAddr, update: FleetUpdate) -> PeerSync {
+    pub fn new(
+        now: Time,
+        reader: SocketAddr,
+        update: FleetUpdate,
+        routers: Option<u64>,
+    ) -> PeerSync {
         let age_us = u64::from(update.age_ms) * 1_000;
         PeerSync {
             reader,
             digest: update.digest,
             as_of: update.as_of,
             read_at: Time(now.0.saturating_sub(age_us)),
+            routers,
         }
     }
 
@@ -86,6 +94,8 @@
     pub fleet: Fleet,
     /// Whether the registrations of backend servers were read at least once.
     pub fleet_known: bool,
+    /// Whether the list of routers was read from the store at least once.
+    pub routers_known: bool,
     /// Progress of this router's own reading of the registrations; none before the first,
     /// and while it relies on another router.
     pub own_sync: Option<OwnSync>,
@@ -122,6 +132,7 @@
             weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
             fleet: Fleet::default(),
             fleet_known: false,
+            routers_known: false,
             own_sync: None,
             peer_sync: None,
             store_unreachable_until: Time(0),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
+use crate::cluster_view::PeerSync;
 use crate::codec::Codec;
 use crate::connection_pool::ConnectionPool;
 use crate::engines::Engines;
@@ -91,6 +92,7 @@
         .write();
         view.configuration_since = now();
         view.configuration = Some(Rc::new(configuration));
+        self.peers.wake.notify_one();
     }
 
     /// Records an announced version of a model's weights, and logs it if it is new.
@@ -110,6 +112,7 @@
                 source,
             }
             .write();
+            self.peers.wake.notify_one();
         }
     }
 
@@ -197,11 +200,33 @@
         self.phase.get() == Phase::Serving && view.configuration.is_some() && view.fleet_known
     }
 
-    /// Returns whether this router may take the order lease while it is free: every
-    /// router in a full mesh, only hubs otherwise.
+    /// Returns whether this router may take the order lease while it is free.
     pub fn may_give_orders(&self) -> bool {
+        self.peers.topology.borrow_mut().may_give_orders(now())
+    }
+
+    /// Returns the latest announced progress of the router that reads the store for this one;
+    /// none if it is too old, or if this router is to read the store itself.
+    pub fn fresh_peer_sync(&self) -> Option<PeerSync> {
+        let now = now();
+        let reader = self.peers.topology.borrow_mut().registration_reader(now);
+        if reader == self.peers.own_hash {
+            return None;
+        }
+        let view = self.view.borrow();
+        view.peer_sync.filter(|peer_sync| peer_sync.is_fresh(now))
+    }
+
+    /// Like [`Context::fresh_peer_sync`], but none in a full mesh, where each router follows
+    /// the operators and the other routers in the store itself.
+    pub fn fresh_hub_sync(&self) -> Option<PeerSync> {
+        self.fresh_peer_sync().filter(|_| self.relies_on_hub())
+    }
+
+    /// Returns whether a hub is to read the store for this router.
+    pub fn relies_on_hub(&self) -> bool {
         let mut topology = self.peers.topology.borrow_mut();
-        topology.is_full_mesh() || topology.is_hub(now())
+        !topology.is_full_mesh() && !topology.is_hub(now())
     }
 
     /// Runs `f` with the retry budget of a service, after dividing the reserve by the
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::Time;
 use rand::Rng;
 use relay::Announcement;
 use tokio::time::sleep;
@@ -29,20 +30,37 @@
 /// The same pause on all other routers, longer because the platform charges for each call.
 const ROUTERS_PAUSE: Duration = Duration::from_millis(4_000);
 
-/// Pause after a failed call, in milliseconds; a random time of up to half as much is added.
-const RETRY_PAUSE_MS: u64 = 250;
+/// Shortest and longest pause after a failed call, in milliseconds.
+const RETRY_PAUSE_MS: (u64, u64) = (250, 375);
 
 /// Interval at which the other topics check whether the operators' topic has
 /// reached the store again.
 const STORE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Shortest and longest pause after a failed call of a router that a hub serves, in
+/// milliseconds: the hub's messages show sooner that the store is back.
+const HUB_RETRY_PAUSE_MS: (u64, u64) = (1_500, 3_000);
+
+/// Time for which the hub must have had a newer configuration before a router that it serves
+/// reads the store, in milliseconds. It fetches the configuration from the hub before.
+const BEHIND_HUB_MS: u64 = 1_200;
+
+/// Delay of the first listing of the routers' records. Routers that start together have
+/// registered by then, so that all choose the same hubs and only those contend for the
+/// order lease.
+const FIRST_ROUTERS_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Follows one topic until the process ends.
 pub async fn run(cx: Rc<Context>, topic: Topic) {
+    if topic == Topic::Routers {
+        sleep(FIRST_ROUTERS_DELAY).await;
+    }
     loop {
         let mut after = match cx.store.list(topic).await {
             Ok(listing) => {
                 record_success(&cx, topic);
                 if topic == Topic::Routers {
+                    cx.view.borrow_mut().routers_known = true;
                     records::remove_unlisted(&cx, &listing.updates);
                 }
                 for update in listing.updates {
@@ -64,6 +82,9 @@
 /// Waits for changes, applies them and returns the revision for the next watch;
 /// none if the topic must be listed again.
 async fn watch(cx: &Context, topic: Topic, after: Revision) -> Option<Revision> {
+    while is_served_by_hub(cx, topic) {
+        sleep(STORE_POLL_INTERVAL).await;
+    }
     if topic == Topic::Routers {
         let pause = if cx.may_give_orders() {
             CANDIDATE_PAUSE
@@ -92,6 +113,20 @@
     }
 }
 
+/// Returns whether a hub reads a topic for this router, and passes on what it reads. Takes
+/// over when the hub last had a response. The order lease isn't passed on.
+fn is_served_by_hub(cx: &Context, topic: Topic) -> bool {
+    if topic == Topic::Routers && cx.may_give_orders() {
+        return false;
+    }
+    let Some(hub) = cx.fresh_hub_sync() else {
+        return false;
+    };
+    record_response(cx, "hub", hub.read_at);
+    let version = cx.view.borrow().configuration.as_ref().map(|c| c.version);
+    version.is_some_and(|version| !cx.peers.is_behind(version, BEHIND_HUB_MS))
+}
+
 /// Applies one update of the store.
 pub fn apply_update(cx: &Context, update: StoreUpdate, announcement: Announcement) {
     match update {
@@ -117,17 +152,22 @@
 
 /// Records a successful call to the store.
 pub fn record_success(cx: &Context, topic: Topic) {
+    record_response(cx, topic.name(), now());
+}
+
+/// Records that the store responded at `responded_at`, to a call for `topic`.
+fn record_response(cx: &Context, topic: &'static str, responded_at: Time) {
     let mut view = cx.view.borrow_mut();
     if view.store_failing {
         ProcessEvent::StoreRegained {
-            topic: topic.name(),
+            topic,
             away_ms: now().millis_since(view.store_responded_at),
         }
         .write();
         view.store_unreachable_until = now();
     }
     view.store_failing = false;
-    view.store_responded_at = now();
+    view.store_responded_at = view.store_responded_at.max(responded_at);
 }
 
 /// Records a failed call to the store, and waits until the next may be made.
@@ -144,8 +184,13 @@
         view.store_failing = true;
         view.store_unreachable_until = now();
     }
-    let spread = rand::rng().random_range(0..=RETRY_PAUSE_MS / 2);
-    sleep(Duration::from_millis(RETRY_PAUSE_MS + spread)).await;
+    let (shortest_ms, longest_ms) = if cx.relies_on_hub() {
+        HUB_RETRY_PAUSE_MS
+    } else {
+        RETRY_PAUSE_MS
+    };
+    let pause_ms = rand::rng().random_range(shortest_ms..=longest_ms);
+    sleep(Duration::from_millis(pause_ms)).await;
     // The platform charges for failed calls too, so only one topic retries.
     while topic != Topic::Operators && cx.view.borrow().store_failing {
         sleep(STORE_POLL_INTERVAL).await;
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -30,8 +30,9 @@
 use crate::store::Topic;
 use crate::store::WatchResult;
 
-/// Time for which a watch waits for changes, in milliseconds.
-const WATCH_WAIT_MS: u64 = 1_000;
+/// Time for which a watch waits for changes, in milliseconds. With the pause and two messages
+/// it stays below the age up to which others rely on what was read.
+const WATCH_WAIT_MS: u64 = 500;
 
 /// Pause between two watches. It bounds how long a draining server still gets
 /// requests, for which the platform sets a limit.
@@ -51,7 +52,7 @@
 pub async fn run(cx: Rc<Context>) {
     let mut fetched_at = Time(0);
     loop {
-        match fresh_peer_sync(&cx) {
+        match cx.fresh_peer_sync() {
             Some(peer_sync) => {
                 cx.view.borrow_mut().own_sync = None;
                 sync_from_peer(&cx, peer_sync, &mut fetched_at).await;
@@ -62,17 +63,6 @@
     }
 }
 
-/// Returns the latest announced progress of another router; none if it is too old, or if
-/// this router is to read the store itself.
-fn fresh_peer_sync(cx: &Context) -> Option<PeerSync> {
-    let now = now();
-    if cx.peers.topology.borrow_mut().registration_reader(now) == cx.peers.own_hash {
-        return None;
-    }
-    let view = cx.view.borrow();
-    view.peer_sync.filter(|peer_sync| peer_sync.is_fresh(now))
-}
-
 async fn sync_from_peer(cx: &Context, peer_sync: PeerSync, fetched_at: &mut Time) {
     let is_same = {
         let view = cx.view.borrow();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::process_event::ProcessEvent;
 use crate::process_event::StopPhase;
 use crate::records;
+use crate::router_feed;
 use crate::settings::Settings;
 use crate::settings_file::SettingsFile;
 use crate::snapshot;
@@ -105,7 +106,7 @@
     /// Opens all ports and starts all tasks. Must be called within a `LocalSet`.
     pub async fn start(settings: Settings, services: ExternalServices) -> Result<Gateway, Error> {
         let view = ClusterView::new(&settings);
-        let peers = Peers::new(&settings.name, records::member(&settings));
+        let peers = Peers::new(records::own_entry(&settings));
         let metrics = Metrics::new();
         let store = MeasuredStore::new(services.store, metrics.store_calls.clone());
         let cx = Rc::new(Context {
@@ -244,6 +245,7 @@
     fn spawn_tasks(&self) {
         let cx = &self.cx;
         tokio::task::spawn_local(fleet_feed::run(Rc::clone(cx)));
+        tokio::task::spawn_local(router_feed::run(Rc::clone(cx)));
         for topic in [Topic::Operators, Topic::Routers] {
             tokio::task::spawn_local(feed::run(Rc::clone(cx), topic));
         }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -134,7 +134,7 @@
     );
     if let Some(update) = message.fleet {
         let reader = cx.peers.address(message.from).unwrap_or(from);
-        view.peer_sync = Some(PeerSync::new(now, reader, update));
+        view.peer_sync = Some(PeerSync::new(now, reader, update, message.routers));
     }
     for strike in &message.strikes {
         view.strikes.add(now, *strike);
@@ -251,5 +251,6 @@
         weights: weights.collect(),
         strikes: strikes.collect(),
         ended: ended.iter().map(|announced| announced.value).collect(),
+        routers: view.routers_known.then(|| cx.peers.digest()),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,8 @@
 mod records;
 mod refusal;
 mod request_event;
+mod router_entry;
+mod router_feed;
 mod settings;
 mod settings_file;
 mod settings_json;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,6 @@
 
 use policy::Time;
 use relay::LoadUpdate;
-use relay::Member;
 use relay::PartKey;
 use relay::ServerKey;
 use relay::Strike;
@@ -16,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::now;
+use crate::router_entry::RouterEntry;
 
 /// Time without a message after which a router no longer counts as reachable, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 3_000;
@@ -28,8 +28,7 @@
 
 #[derive(Clone, Debug)]
 struct Peer {
-    name: String,
-    address: SocketAddr,
+    entry: RouterEntry,
     /// When it last sent a message; when it was added before the first.
     last_message_at: Time,
     /// Version of its configuration, 0 while unknown.
@@ -88,17 +87,19 @@
     pub sent_loads: RefCell<Vec<LoadUpdate>>,
     /// Wakes the gossip task, so that it sends a message at once.
     pub wake: Notify,
+    own_entry: RouterEntry,
     by_hash: RefCell<HashMap<u64, Peer>>,
     behind_since: Cell<Option<Time>>,
 }
 
 impl Peers {
-    /// Returns the state of a router that knows no other; `name` is its own.
-    pub fn new(name: &str, member: Member) -> Peers {
-        let own_hash = policy::name_hash(name);
+    /// Returns the state of a router that knows no other; `own_entry` is its own.
+    pub fn new(own_entry: RouterEntry) -> Peers {
+        let own_hash = own_entry.hash();
         Peers {
             own_hash,
-            topology: RefCell::new(Topology::new(own_hash, member)),
+            topology: RefCell::new(Topology::new(own_hash, own_entry.member)),
+            own_entry,
             parts: RefCell::default(),
             switches: RefCell::default(),
             weights: RefCell::default(),
@@ -111,18 +112,25 @@
         }
     }
 
-    /// Adds a router, or updates its address.
-    pub fn add(&self, name: &str, address: SocketAddr, member: Member) {
-        let hash = policy::name_hash(name);
+    /// Adds a router, or updates its address. Returns whether that is new.
+    pub fn add(&self, entry: RouterEntry) -> bool {
+        let hash = entry.hash();
+        if hash == self.own_hash {
+            return false;
+        }
         let mut peers = self.by_hash.borrow_mut();
-        let peer = peers.entry(hash).or_insert_with(|| Peer {
-            name: name.to_owned(),
-            address,
-            last_message_at: now(),
-            configuration: 0,
-        });
-        peer.address = address;
-        self.topology.borrow_mut().add(hash, member);
+        let peer = peers.get(&hash);
+        if peer.is_some_and(|peer| peer.entry == entry) {
+            return false;
+        }
+        self.topology.borrow_mut().add(hash, entry.member);
+        let peer = Peer {
+            last_message_at: peer.map_or(now(), |peer| peer.last_message_at),
+            configuration: peer.map_or(0, |peer| peer.configuration),
+            entry,
+        };
+        peers.insert(hash, peer);
+        true
     }
 
     /// Removes a router.
@@ -135,7 +143,23 @@
     /// Returns the names of the other routers.
     pub fn names(&self) -> Vec<String> {
         let peers = self.by_hash.borrow();
-        peers.values().map(|peer| peer.name.clone()).collect()
+        let names = peers.values().map(|peer| &peer.entry.name);
+        names.cloned().collect()
+    }
+
+    /// Returns the entries of all routers, including this one.
+    pub fn entries(&self) -> Vec<RouterEntry> {
+        let peers = self.by_hash.borrow();
+        let others = peers.values().map(|peer| peer.entry.clone());
+        others.chain([self.own_entry.clone()]).collect()
+    }
+
+    /// Returns a hash of all routers and their addresses, including this one. It is the same
+    /// on routers that know the same ones.
+    pub fn digest(&self) -> u64 {
+        let peers = self.by_hash.borrow();
+        let others = peers.values().map(|peer| peer.entry.digest());
+        others.fold(self.own_entry.digest(), |digest, entry| digest ^ entry)
     }
 
     /// Returns how many routers there are, this one included.
@@ -155,17 +179,19 @@
 
     /// Returns the address of a router.
     pub fn address(&self, hash: u64) -> Option<SocketAddr> {
-        self.by_hash.borrow().get(&hash).map(|peer| peer.address)
+        let peers = self.by_hash.borrow();
+        peers.get(&hash).map(|peer| peer.entry.address)
     }
 
     /// Returns the address of the router with the newest configuration, if that is newer
-    /// than `version`.
+    /// than `version`; one in this router's region if there is one.
     pub fn peer_ahead(&self, version: u64) -> Option<SocketAddr> {
         let peers = self.by_hash.borrow();
         let ahead = peers.values().filter(|peer| peer.configuration > version);
+        let region = self.own_entry.member.region;
         ahead
-            .max_by_key(|peer| peer.configuration)
-            .map(|peer| peer.address)
+            .max_by_key(|peer| (peer.entry.member.region == region, peer.configuration))
+            .map(|peer| peer.entry.address)
     }
 
     /// Returns whether another router has had a configuration newer than `version` for
@@ -190,7 +216,7 @@
             .iter()
             .filter(|(_, peer)| now.millis_since(peer.last_message_at) < PEER_TIMEOUT_MS);
         live.min_by_key(|(hash, _)| policy::rendezvous_weight(seed, **hash))
-            .map(|(_, peer)| peer.address)
+            .map(|(_, peer)| peer.entry.address)
     }
 
     /// Announces a prompt part that was sent to an engine, in the next regular message.
--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -142,6 +142,8 @@
     SnapshotFetch,
     /// Fetching the registrations from another router.
     ServersFetch,
+    /// Fetching the list of routers from another router.
+    RoutersFetch,
     /// Encoding the metrics.
     Metrics,
     /// Encoding a header.
@@ -168,6 +170,7 @@
             Step::Snapshot => "snapshot_failed",
             Step::SnapshotFetch => "snapshot_unanswered",
             Step::ServersFetch => "servers_unanswered",
+            Step::RoutersFetch => "routers_unanswered",
             Step::Metrics => "metrics_failed",
             Step::Header => "header_unwritable",
         }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -22,6 +22,7 @@
 use crate::process_event::log_failure;
 use crate::process_event::ProcessEvent;
 use crate::process_event::Step;
+use crate::router_entry::RouterEntry;
 use crate::settings::Settings;
 use crate::store::CommitOutcome;
 use crate::store::LeaseId;
@@ -76,8 +77,7 @@
 /// Applies the deletion of a record.
 pub fn remove_record(cx: &Context, name: &str) {
     if let Some(name) = name.strip_prefix(MEMBER) {
-        ViewEvent::RouterRemoved { peer: name }.write();
-        cx.peers.remove(name);
+        remove_router(cx, name);
     } else if name == ORDER_LEASE_RECORD {
         cx.view.borrow_mut().order_lease_revision = None;
         ViewEvent::NoOrderHolder.write();
@@ -107,18 +107,14 @@
 }
 
 fn apply_member(cx: &Context, name: &str, value: &Bytes) {
-    if name == &*cx.settings.name {
-        return;
-    }
     match serde_json::from_slice::<MemberRecord>(value) {
         Ok(record) => {
-            let address = record.address;
-            ViewEvent::RouterAdded {
-                peer: name,
-                address,
-            }
-            .write();
-            cx.peers.add(name, address, Member::from(&record));
+            let entry = RouterEntry {
+                name: name.to_owned(),
+                address: record.address,
+                member: Member::from(&record),
+            };
+            add_router(cx, entry);
         }
         Err(e) => ProcessEvent::EntryUnreadable {
             key: name,
@@ -128,6 +124,22 @@
     }
 }
 
+/// Adds a router to those that this one knows.
+pub fn add_router(cx: &Context, entry: RouterEntry) {
+    let address = entry.address;
+    let name = entry.name.clone();
+    if cx.peers.add(entry) {
+        let peer = &name;
+        ViewEvent::RouterAdded { peer, address }.write();
+    }
+}
+
+/// Removes a router from those that this one knows.
+pub fn remove_router(cx: &Context, name: &str) {
+    ViewEvent::RouterRemoved { peer: name }.write();
+    cx.peers.remove(name);
+}
+
 /// Registration of a live router, as JSON in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct MemberRecord {
@@ -154,9 +166,14 @@
     }
 }
 
-/// Returns this router's entry in the gossip topology.
-pub fn member(settings: &Settings) -> Member {
-    Member::from(&member_record(settings))
+/// Returns this router's own entry in the list of routers.
+pub fn own_entry(settings: &Settings) -> RouterEntry {
+    let record = member_record(settings);
+    RouterEntry {
+        name: settings.name.to_string(),
+        address: record.address,
+        member: Member::from(&record),
+    }
 }
 
 /// Keeps this router registered until the process ends.
@@ -210,6 +227,7 @@
             let view = cx.view.borrow();
             view.order_lease_revision.is_none()
                 && view.fleet_known
+                && view.routers_known
                 && cx.phase.get() == Phase::Serving
                 && cx.may_give_orders()
         };
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -27,6 +27,7 @@
 use crate::context::Context;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
+use crate::router_entry::RouterEntry;
 
 /// Timeout of a call to another router.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -75,6 +76,16 @@
     to_json(&servers.collect::<Vec<_>>())
 }
 
+/// Returns the entries of all routers that this one knows as JSON.
+pub fn routers_json(cx: &Context) -> Vec<u8> {
+    to_json(&cx.peers.entries())
+}
+
+/// Fetches the entries of all routers that another one knows.
+pub async fn fetch_routers(peer: SocketAddr) -> Result<Vec<RouterEntry>, SnapshotError> {
+    fetch(peer, "/routers").await
+}
+
 /// Fetches the registrations of backend servers from another router.
 pub async fn fetch_servers(peer: SocketAddr) -> Result<Vec<Registration>, SnapshotError> {
     fetch(peer, "/servers").await
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -9,6 +9,7 @@
 use crate::body::ResponseBody;
 use crate::clock::now;
 use crate::context::Context;
+use crate::snapshot::routers_json;
 use crate::snapshot::servers_json;
 use crate::snapshot::snapshot_json;
 
@@ -29,9 +30,10 @@
 }
 
 /// Returns the pages that other routers fetch: this router's snapshot, or only the
-/// registrations of backend servers.
+/// registrations of backend servers or of routers.
 pub fn bootstrap(cx: &Context, path: &str) -> Response<ResponseBody> {
     match path {
+        "/routers" => page(StatusCode::OK, routers_json(cx).into()),
         "/servers" => page(StatusCode::OK, servers_json(cx).into()),
         "/snapshot" => page(StatusCode::OK, snapshot_json(cx).into()),
         _ => page(StatusCode::NOT_FOUND, Bytes::new()),
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -146,6 +146,8 @@
     pub strikes: Vec<Strike>,
     /// Instance hashes of incarnations that were recently found to be over.
     pub ended: Vec<u64>,
+    /// Hash of the registered routers, if the sender reads them from the store itself.
+    pub routers: Option<u64>,
 }
 
 impl Gossip {
--- a/crates/relay/src/topology.rs
+++ b/crates/relay/src/topology.rs
@@ -10,6 +10,8 @@
 use std::collections::BTreeMap;
 
 use policy::Time;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Number of routers up to which all exchange messages directly.
 const DIRECT_ROUTERS: usize = 16;
@@ -21,7 +23,7 @@
 const HUB_EXCLUSION_MS: u64 = 4_000;
 
 /// A router as the others know it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Hash of the name of its region.
     pub region: u64,
@@ -106,6 +108,18 @@
         !self.is_full_mesh() && self.hub(now, region) == self.me
     }
 
+    /// Returns whether this router may give orders to engines: any in a full mesh, otherwise
+    /// the one that follows the hub of its region. So losing the router that gives orders
+    /// costs no region its hub.
+    pub fn may_give_orders(&mut self, now: Time) -> bool {
+        if self.is_full_mesh() {
+            return true;
+        }
+        let region = Some(self.region());
+        let hub = self.hub(now, region);
+        self.preferred_hub(region, Some(hub)) == self.me
+    }
+
     /// Returns the router that reads registrations from the store for this one; may be itself.
     pub fn registration_reader(&mut self, now: Time) -> u64 {
         let region = (!self.is_full_mesh()).then(|| self.region());
@@ -152,7 +166,7 @@
             }
         }
         self.excluded_until.retain(|_, until| *until > now);
-        let hub = self.preferred_hub(region);
+        let hub = self.preferred_hub(region, None);
         let chosen = self.chosen.get(&region);
         if chosen.is_none_or(|chosen| chosen.hub != hub) {
             let last_message_at = now;
@@ -167,12 +181,12 @@
         hub
     }
 
-    /// Returns the router of a region, or of all, with the highest capacity that isn't
-    /// excluded; this router if there is none. Rendezvous hashing breaks ties.
-    fn preferred_hub(&self, region: Option<u64>) -> u64 {
+    /// Returns the router of a region, or of all, with the highest capacity that is neither
+    /// excluded nor `except`; this router if there is none. Rendezvous hashing breaks ties.
+    fn preferred_hub(&self, region: Option<u64>, except: Option<u64>) -> u64 {
         let members = self.members.iter().filter(|(router, member)| {
             let in_region = region.is_none_or(|region| member.region == region);
-            in_region && !self.excluded_until.contains_key(router)
+            in_region && Some(**router) != except && !self.excluded_until.contains_key(router)
         });
         let first = members.max_by_key(|(router, m)| {
             (
--- a/crates/relay/tests/topology.rs
+++ b/crates/relay/tests/topology.rs
@@ -46,6 +46,22 @@
     assert_eq!(hubs.len(), 3);
 }
 
+#[test]
+fn one_router_in_each_region_may_give_orders_and_it_is_not_the_hub() {
+    let may_give_orders: Vec<u64> = (1..=295)
+        .filter(|me| topology(*me, 295).may_give_orders(at(0)))
+        .collect();
+    assert_eq!(may_give_orders.len(), 3);
+    for me in may_give_orders {
+        assert!(!topology(me, 295).is_hub(at(0)));
+    }
+}
+
+#[test]
+fn every_router_of_a_full_mesh_may_give_orders() {
+    assert!((1..=9).all(|me| topology(me, 9).may_give_orders(at(0))));
+}
+
 #[test]
 fn the_router_with_the_highest_capacity_is_the_hub() {
     let mut topology = topology(1, 30);
