relay: a shared prefix ends with the innermost large part and includes those before it

Cause: the first part of 1,000 tokens or more was taken as the prefix.

Prompts with one shared part are treated as before.

--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -23,9 +23,13 @@
 use crate::PrefixStores;
 use crate::ServerKey;
 
-/// Size from which a shared part is tracked as a shared prefix, in tokens.
+/// Size from which shared parts are tracked as a shared prefix, in tokens.
 const MIN_TRACKED_TOKENS: u32 = 1_000;
 
+/// Fraction of the largest shared part that a part within it must have for the prefix to
+/// extend to it. A smaller one is shared by fewer requests and saves little.
+const MIN_NESTED_FRACTION: u32 = 2;
+
 /// Cost of each token of small shared parts that must be prefilled again, in
 /// milliseconds, and the number of tokens up to which the cost grows.
 const SMALL_MISS_COST_MS_PER_TOKEN: f64 = 1.0;
@@ -74,10 +78,9 @@
         let tokens = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum();
         let shared = prompt.parts.split_last().map(|(_, shared)| shared);
         let shared = shared.unwrap_or_default();
-        let large = shared.iter().find(|part| part.tokens >= MIN_TRACKED_TOKENS);
-        let shared = match (large, shared.last()) {
-            (Some(large), _) => {
-                SharedParts::Large(prefixes_by_version(state, prompt, large, tokens))
+        let shared = match (tracked_prefix(shared), shared.last()) {
+            (Some(prefix), _) => {
+                SharedParts::Large(prefixes_by_version(state, prompt, prefix, tokens))
             }
             (None, Some(innermost)) => SharedParts::Small {
                 ranking: RendezvousRanking::new(
@@ -117,11 +120,25 @@
     }
 }
 
+/// Returns the shared prefix to track: the id of its innermost part and the length of all its
+/// parts. It ends with the innermost part that isn't small against the largest one, so that
+/// sessions whose long histories begin with the same few instructions are told apart.
+fn tracked_prefix(shared: &[PromptPart]) -> Option<PromptPart> {
+    let largest = shared.iter().map(|part| part.tokens).max()?;
+    let is_large = |part: &PromptPart| part.tokens >= largest.div_ceil(MIN_NESTED_FRACTION);
+    let end = shared.iter().rposition(is_large)?;
+    let prefix = PromptPart {
+        id: shared[end].id,
+        tokens: shared[..=end].iter().map(|part| part.tokens).sum(),
+    };
+    (prefix.tokens >= MIN_TRACKED_TOKENS).then_some(prefix)
+}
+
 /// Looks up a shared prefix under each version of the weights that a ready engine has.
 fn prefixes_by_version<'a>(
     state: PlacementState<'a>,
     prompt: &Prompt<'_>,
-    large: &PromptPart,
+    prefix: PromptPart,
     tokens: u64,
 ) -> BTreeMap<u64, SharedPrefix<'a>> {
     let mut parts = BTreeMap::new();
@@ -131,8 +148,8 @@
         };
         parts.entry(weights).or_insert_with(|| {
             let scope = crate::cache_scope(weights, prompt.workspace);
-            let part = PartKey::new(prompt.model, &scope, large.id);
-            SharedPrefix::new(state, part, large.tokens, tokens)
+            let part = PartKey::new(prompt.model, &scope, prefix.id);
+            SharedPrefix::new(state, part, prefix.tokens, tokens)
         });
     }
     parts
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -73,6 +73,19 @@
     }
 }
 
+/// Returns a cluster of one engine that caches the shared prefixes of some prompts.
+fn caching_prefixes_of(prompts: &[&[PromptPart]]) -> TestCluster {
+    let mut cluster = TestCluster::new(1);
+    for parts in prompts {
+        let choice = cluster.place(parts).unwrap();
+        let prefix = choice.shared_prefix.unwrap();
+        cluster
+            .residency
+            .record(cluster.now, prefix, choice.server, None);
+    }
+    cluster
+}
+
 #[test]
 fn requests_of_one_session_go_to_one_engine() {
     let cluster = TestCluster::new(6);
@@ -94,6 +107,44 @@
     assert_eq!(chosen.len(), 6);
 }
 
+#[test]
+fn sessions_with_long_histories_spread_though_they_begin_with_the_same_instructions() {
+    let cluster = TestCluster::new(6);
+    let mut chosen: Vec<_> = (0..60)
+        .map(|session| [part(1, 1_200), part(1_000 + session, 4_900), part(2, 6_600)])
+        .map(|parts| cluster.place(&parts).unwrap().server)
+        .collect();
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen.len(), 6);
+}
+
+#[test]
+fn a_shared_prefix_includes_the_instructions_before_a_long_history() {
+    let nested = [part(1, 600), part(5, 4_900), part(2, 6_600)];
+    let single = [part(9, 5_500), part(2, 6_600)];
+    let other_history = [part(1, 600), part(6, 4_900), part(2, 6_600)];
+    let cluster = caching_prefixes_of(&[&nested, &single]);
+    let nested = cluster.place(&nested).unwrap();
+    assert!(nested.caches_prefix);
+    assert_eq!(
+        nested.prefill_ms,
+        cluster.place(&single).unwrap().prefill_ms
+    );
+    assert!(!cluster.place(&other_history).unwrap().caches_prefix);
+}
+
+#[test]
+fn sessions_with_short_histories_share_the_engine_of_their_long_first_part() {
+    let cluster = TestCluster::new(6);
+    let mut chosen: Vec<_> = (0..60)
+        .map(|session| [LONG[0], part(1_000 + session, 600), LONG[1]])
+        .map(|parts| cluster.place(&parts).unwrap().server)
+        .collect();
+    chosen.dedup();
+    assert_eq!(chosen.len(), 1);
+}
+
 #[test]
 fn a_request_goes_to_the_engine_that_caches_its_prefix_and_reuses_it() {
     let mut cluster = TestCluster::new(6);
