--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -217,8 +217,9 @@
         view.peer_sync.filter(|peer_sync| peer_sync.is_fresh(now))
     }
 
-    /// Like [`Context::fresh_peer_sync`], but none in a full mesh, where each router follows
-    /// the operators and the other routers in the store itself.
+    /// Returns the latest announced progress of a hub that reads the store for this router; none
+    /// if it is too old, if this router is a hub, or in a full mesh, where each router follows
+    /// the operators and the other routers itself.
     pub fn fresh_hub_sync(&self) -> Option<PeerSync> {
         self.fresh_peer_sync().filter(|_| self.relies_on_hub())
     }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -155,7 +155,8 @@
     record_response(cx, topic.name(), now());
 }
 
-/// Records that the store responded at `responded_at`, to a call for `topic`.
+/// Records that the store responded at `responded_at`; `topic` is what was read, or `hub` if
+/// a hub had the response.
 fn record_response(cx: &Context, topic: &'static str, responded_at: Time) {
     let mut view = cx.view.borrow_mut();
     if view.store_failing {
--- /dev/null
+++ b/crates/gateway/src/gossip_message.rs
@@ -0,0 +1,117 @@
+//! Builds the gossip messages of this router from its view and its announcements.
+
+use policy::Time;
+use relay::AnnouncementUpdate;
+use relay::Fleet;
+use relay::FleetUpdate;
+use relay::Gossip;
+use relay::LoadUpdate;
+use relay::PartUpdate;
+use relay::ServerKey;
+use relay::SwitchUpdate;
+use relay::WeightsUpdate;
+
+use crate::clock::now;
+use crate::cluster_view::ClusterView;
+use crate::context::Context;
+use crate::peers::Peers;
+
+/// Most prompt parts in one message.
+const MAX_PARTS: usize = 60;
+
+/// Most strikes in one message.
+const MAX_STRIKES: usize = 60;
+
+/// Returns the next message, and records the loads in it as sent. A hub reports for its region.
+pub fn build_message(cx: &Context) -> Gossip {
+    let now = now();
+    let peers = &cx.peers;
+    let mut topology = peers.topology.borrow_mut();
+    let is_hub = topology.is_hub(now);
+    let view = cx.view.borrow();
+    let fleet = &view.fleet;
+    let counts = |router| is_hub && topology.is_in_region(router);
+    let servers = fleet.iter().map(|(_, server)| server);
+    let loads: Vec<_> = servers
+        .filter_map(|server| LoadUpdate::new(now, server, counts))
+        .collect();
+    *peers.sent_loads.borrow_mut() = loads.clone();
+    let strikes = peers.strikes.borrow();
+    let ended = peers.ended.borrow();
+    Gossip {
+        from: peers.own_hash,
+        region: is_hub.then(|| topology.region()),
+        configuration: view.configuration.as_ref().map_or(0, |c| c.version),
+        fleet: fleet_update(now, &view),
+        named: announcement_updates(now, &view),
+        loads,
+        parts: part_updates(peers, fleet),
+        switches: switch_updates(now, peers, fleet),
+        weights: weights_updates(peers, fleet),
+        strikes: strikes.iter().take(MAX_STRIKES).map(|s| s.value).collect(),
+        ended: ended.iter().map(|announced| announced.value).collect(),
+        routers: view.routers_known.then(|| peers.digest()),
+    }
+}
+
+fn fleet_update(now: Time, view: &ClusterView) -> Option<FleetUpdate> {
+    view.own_sync.map(|sync| FleetUpdate {
+        digest: view.fleet.digest(),
+        as_of: sync.as_of,
+        age_ms: u32::try_from(now.millis_since(sync.read_at)).unwrap_or(u32::MAX),
+    })
+}
+
+fn announcement_updates(now: Time, view: &ClusterView) -> Vec<AnnouncementUpdate> {
+    let named = view.weights.newest_with_ages(now);
+    let updates = named.map(|(model, version, age_ms)| AnnouncementUpdate {
+        model: model.to_string(),
+        version,
+        age_ms,
+    });
+    updates.collect()
+}
+
+fn part_updates(peers: &Peers, fleet: &Fleet) -> Vec<PartUpdate> {
+    let parts = peers.parts.borrow();
+    let updates = parts.iter().rev().take(MAX_PARTS).filter_map(|announced| {
+        let sent = announced.value;
+        Some(PartUpdate {
+            part: sent.part.0,
+            server: instance_hash(fleet, sent.server)?,
+            transfer: sent.transfer,
+        })
+    });
+    updates.collect()
+}
+
+fn switch_updates(now: Time, peers: &Peers, fleet: &Fleet) -> Vec<SwitchUpdate> {
+    let switches = peers.switches.borrow();
+    let updates = switches.iter().filter_map(|announced| {
+        let switch = &announced.value;
+        Some(SwitchUpdate {
+            server: instance_hash(fleet, switch.server)?,
+            model: switch.model.clone(),
+            version: switch.version,
+            for_ms: u32::try_from(switch.until.millis_since(now)).ok()?,
+        })
+    });
+    updates.collect()
+}
+
+fn weights_updates(peers: &Peers, fleet: &Fleet) -> Vec<WeightsUpdate> {
+    let weights = peers.weights.borrow();
+    let updates = weights.iter().filter_map(|announced| {
+        let (server, model, version) = &announced.value;
+        Some(WeightsUpdate {
+            server: instance_hash(fleet, *server)?,
+            model: model.clone(),
+            version: *version,
+        })
+    });
+    updates.collect()
+}
+
+fn instance_hash(fleet: &Fleet, key: ServerKey) -> Option<u64> {
+    fleet.get(key).map(|server| server.instance_hash)
+}
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -5,15 +5,8 @@
 use std::time::Duration;
 
 use relay::Announcement;
-use relay::AnnouncementUpdate;
-use relay::FleetUpdate;
 use relay::Gossip;
-use relay::LoadUpdate;
 use relay::PartKey;
-use relay::PartUpdate;
-use relay::ServerKey;
-use relay::SwitchUpdate;
-use relay::WeightsUpdate;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
@@ -21,6 +14,7 @@
 use crate::cluster_view::ClusterView;
 use crate::cluster_view::PeerSync;
 use crate::context::Context;
+use crate::gossip_message::build_message;
 use crate::peers::SentPart;
 use crate::peers::WeightsSwitch;
 use crate::process_event::log_failure;
@@ -33,12 +27,6 @@
 /// Longest time between two messages where routers send through hubs.
 const HUB_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Most prompt parts in one message.
-const MAX_PARTS: usize = 60;
-
-/// Most strikes in one message.
-const MAX_STRIKES: usize = 60;
-
 /// Largest message that can be received, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16_384;
 
@@ -179,78 +167,3 @@
         }
     }
 }
-
-fn build_message(cx: &Context) -> Gossip {
-    let now = now();
-    let mut topology = cx.peers.topology.borrow_mut();
-    let is_hub = topology.is_hub(now);
-    let view = cx.view.borrow();
-    let fleet = &view.fleet;
-    let instance_hash = |key: ServerKey| fleet.get(key).map(|server| server.instance_hash);
-    let counts = |router| is_hub && topology.is_in_region(router);
-    let loads = fleet
-        .iter()
-        .filter_map(|(_, server)| LoadUpdate::new(now, server, counts));
-    let loads: Vec<LoadUpdate> = loads.collect();
-    let parts = cx.peers.parts.borrow();
-    let parts = parts.iter().rev().take(MAX_PARTS).filter_map(|announced| {
-        let sent = announced.value;
-        Some(PartUpdate {
-            part: sent.part.0,
-            server: instance_hash(sent.server)?,
-            transfer: sent.transfer,
-        })
-    });
-    let switches = cx.peers.switches.borrow();
-    let switches = switches.iter().filter_map(|announced| {
-        let switch = &announced.value;
-        let for_ms = u32::try_from(switch.until.millis_since(now)).ok()?;
-        Some(SwitchUpdate {
-            server: instance_hash(switch.server)?,
-            model: switch.model.clone(),
-            version: switch.version,
-            for_ms,
-        })
-    });
-    let weights = cx.peers.weights.borrow();
-    let weights = weights.iter().filter_map(|announced| {
-        let (server, model, version) = &announced.value;
-        Some(WeightsUpdate {
-            server: instance_hash(*server)?,
-            model: model.clone(),
-            version: *version,
-        })
-    });
-    let strikes = cx.peers.strikes.borrow();
-    let strikes = strikes
-        .iter()
-        .map(|announced| announced.value)
-        .take(MAX_STRIKES);
-    let ended = cx.peers.ended.borrow();
-    let named = view.weights.newest_with_ages(now);
-    let named = named.map(|(model, version, age_ms)| AnnouncementUpdate {
-        model: model.to_string(),
-        version,
-        age_ms,
-    });
-    let fleet_update = view.own_sync.map(|sync| FleetUpdate {
-        digest: fleet.digest(),
-        as_of: sync.as_of,
-        age_ms: u32::try_from(now.millis_since(sync.read_at)).unwrap_or(u32::MAX),
-    });
-    *cx.peers.sent_loads.borrow_mut() = loads.clone();
-    Gossip {
-        from: cx.peers.own_hash,
-        region: is_hub.then(|| topology.region()),
-        configuration: view.configuration.as_ref().map_or(0, |c| c.version),
-        fleet: fleet_update,
-        named: named.collect(),
-        loads,
-        parts: parts.collect(),
-        switches: switches.collect(),
-        weights: weights.collect(),
-        strikes: strikes.collect(),
-        ended: ended.iter().map(|announced| announced.value).collect(),
-        routers: view.routers_known.then(|| cx.peers.digest()),
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod fleet_summary;
 mod frontend;
 mod gateway;
+mod gossip_message;
 mod gossip_task;
 mod in_flight;
 mod intake;
--- a/crates/relay/src/residency.rs
+++ b/crates/relay/src/residency.rs
@@ -136,14 +136,6 @@
         }
     }
 
-    /// Removes an engine from all parts.
-    pub fn remove_server(&mut self, server: ServerKey) {
-        for holders in self.by_part.values_mut() {
-            holders.retain(|holder| holder.server != server);
-        }
-        self.by_part.retain(|_, holders| !holders.is_empty());
-    }
-
     fn sweep(&mut self, now: Time) {
         if now.millis_since(self.swept_at) < HOLDER_TTL_MS {
             return;
