gateway: weights that a rejection names are announced to the other routers

Cause: an order that is carried out late, or that another router gave, leaves an engine on newer weights than routers know. Change: what a 421 names is logged, announced and ends the expected switch, as weights in a response do.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -117,13 +117,14 @@
     }
 
     /// Records the weights that an engine reported. If they are new, ends the engine's
-    /// expected switch and announces the weights to other routers.
-    pub fn record_weights(&self, key: ServerKey, model: &str, version: u64) {
+    /// expected switch and announces the weights to other routers. Returns whether they are new.
+    pub fn record_weights(&self, key: ServerKey, model: &str, version: u64) -> bool {
         let mut view = self.view.borrow_mut();
         let Some(server) = view.fleet.get_mut(key) else {
-            return;
+            return false;
         };
-        if server.record_weights(model, version) {
+        let is_new = server.record_weights(model, version);
+        if is_new {
             server.switching_until = now();
             ViewEvent::WeightsLoaded {
                 server: &server.registration.id,
@@ -133,6 +134,7 @@
             .write();
             self.peers.announce_weights(key, model, version);
         }
+        is_new
     }
 
     /// Records that a request was in flight on a backend server when that server
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -85,14 +85,22 @@
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         return "rejected by the server";
     }
+    drop(view);
     if let (Some(model), Some(version)) = (model, parsed.weights) {
-        if server.record_weights(model, version) {
-            server.avoid_until = now();
+        if x.cx.record_weights(choice.server, model, version) {
+            stop_avoiding(x, choice.server);
         }
     }
     "weights version differs"
 }
 
+/// Lets a backend server get requests again at once.
+fn stop_avoiding(x: &Exchange, key: ServerKey) {
+    if let Some(server) = x.cx.view.borrow_mut().fleet.get_mut(key) {
+        server.avoid_until = now();
+    }
+}
+
 /// Returns whether another backend server, which uses the address by now, rejected the
 /// request with status 421.
 pub fn is_misdirected(
