--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -122,7 +122,7 @@
 
 /// Returns the shared prefix to track: the id of its innermost part and the length of all its
 /// parts. It ends with the innermost part that isn't small against the largest one, so that
-/// sessions whose long histories begin with the same few instructions are told apart.
+/// sessions whose long histories begin with the same few instructions get keys of their own.
 fn tracked_prefix(shared: &[PromptPart]) -> Option<PromptPart> {
     let largest = shared.iter().map(|part| part.tokens).max()?;
     let is_large = |part: &PromptPart| part.tokens >= largest.div_ceil(MIN_NESTED_FRACTION);
