gateway: log a registration that is missing and kept, with the age of the outage that excuses it

The logs did not say that a missing registration is kept, nor why, so the hypotheses could not be told apart. One line for each registration when it is first found missing. No change of behaviour.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -270,6 +270,18 @@
                     ViewEvent::ServerDraining { server, source }.write();
                 }
             }
+            Some(FleetChange::Missing(key)) => {
+                let view = self.view.borrow();
+                let outage_age_ms = now().millis_since(view.store_unreachable_until);
+                if let Some(server) = view.fleet.get(key) {
+                    ViewEvent::ServerMissing {
+                        server: &server.registration.id,
+                        outage_age_ms,
+                        source,
+                    }
+                    .write();
+                }
+            }
             Some(FleetChange::Removed(id)) => {
                 let server = &*id;
                 ViewEvent::ServerRemoved { server, source }.write();
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -64,6 +64,15 @@
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
     },
+    /// A backend server's registration is missing, and kept because the platform may restore it.
+    ServerMissing {
+        /// Its id.
+        server: &'a str,
+        /// Time since the end of the outage of the store that may have removed it.
+        outage_age_ms: u64,
+        /// Where it was learned: `store` or `peer`.
+        source: &'a str,
+    },
     /// A backend server's registration ended.
     ServerRemoved {
         /// Its id.
@@ -184,6 +193,14 @@
             ViewEvent::ServerDraining { server, source } => {
                 write!(f, "event=server_draining server={server} source={source}")
             }
+            ViewEvent::ServerMissing {
+                server,
+                outage_age_ms,
+                source,
+            } => write!(
+                f,
+                "event=server_missing server={server} outage_age_ms={outage_age_ms} source={source}"
+            ),
             ViewEvent::ServerRemoved { server, source } => {
                 write!(f, "event=server_removed server={server} source={source}")
             }
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -173,6 +173,12 @@
     assert_snapshot!(added, @"event=server_added server=e1 service=engines domain=a address=10.0.0.1:80 state=Ready weights=[3] source=store");
     let (server, source) = ("e1", "peer");
     assert_snapshot!(ViewEvent::ServerDraining { server, source }, @"event=server_draining server=e1 source=peer");
+    let missing = ViewEvent::ServerMissing {
+        server,
+        outage_age_ms: 250,
+        source,
+    };
+    assert_snapshot!(missing, @"event=server_missing server=e1 outage_age_ms=250 source=peer");
     assert_snapshot!(ViewEvent::ServerRemoved { server, source }, @"event=server_removed server=e1 source=peer");
     let address = registration.address;
     assert_snapshot!(ViewEvent::ServerEnded { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -28,6 +28,8 @@
     Added(ServerKey),
     /// A known incarnation began to drain.
     Draining(ServerKey),
+    /// The registration is missing, and kept because the platform may restore it.
+    Missing(ServerKey),
     /// The registration of this server id ended.
     Removed(Arc<str>),
 }
@@ -87,11 +89,7 @@
             return self.remove(id);
         }
         let key = self.by_id(id)?;
-        let server = self
-            .get_mut(key)
-            .expect("the index contains only registered servers");
-        server.missing_since.get_or_insert(now);
-        None
+        self.mark_missing(now, key)
     }
 
     /// Replaces all registrations. Those not in `registrations` are removed or, while the
@@ -111,14 +109,12 @@
         let is_restore_period_over = self.is_restore_period_over(now, outage_until);
         let ids: Vec<Arc<str>> = self.by_id.keys().cloned().collect();
         for id in ids.into_iter().filter(|id| !present.contains(id)) {
-            let key = self.by_id[&id];
-            let server = self
-                .get_mut(key)
-                .expect("the index contains only registered servers");
-            server.missing_since.get_or_insert(now);
-            if is_restore_period_over {
-                changes.extend(self.remove(&id));
-            }
+            let change = if is_restore_period_over {
+                self.remove(&id)
+            } else {
+                self.mark_missing(now, self.by_id[&id])
+            };
+            changes.extend(change);
         }
         changes
     }
@@ -242,6 +238,14 @@
         server.is_some_and(|server| !std::mem::replace(&mut server.ended, true))
     }
 
+    /// Marks a registration missing. Returns the change if it was not marked before.
+    fn mark_missing(&mut self, now: Time, key: ServerKey) -> Option<FleetChange> {
+        let server = self.get_mut(key)?;
+        let is_new = server.missing_since.is_none();
+        server.missing_since.get_or_insert(now);
+        is_new.then_some(FleetChange::Missing(key))
+    }
+
     /// Marks all incarnations ended that were followed by another one at their address.
     fn mark_replaced(&mut self, address: SocketAddr) {
         let servers = self
