gateway, relay: registrations carry up to where and when they were read, and the outage that excuses missing ones

Cause: three values described the registrations and lay apart from them. (1) The outage that excuses missing entries was this router's own last failed call, also for lists that others read without trouble; each failure moved it, so nothing was removed during a cut and for 2.1 s and a round after it. (3) The repeated old announcement of a cut-off reader replaced fresh ones, the reader itself used nobody's, and a feed whose call had failed waited for the operators' topic whatever its peers said.

An outage counts only if no router read the store meanwhile. Announcements are kept by router: the designated reader's if fresh, else the latest; routers that read for themselves leave it to one. A router that can't reach the store takes the registrations from another at once. The period of grace ends with a listing at its end, not up to a round later.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -1,29 +1,25 @@
 //! What one router knows of the configuration, backend servers, weights and peers.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use policy::Time;
+use relay::restored_by;
 use relay::Configuration;
 use relay::Fleet;
-use relay::FleetUpdate;
 use relay::LeaseTerm;
 use relay::OrderPlan;
+use relay::PeerReadings;
+use relay::Reading;
 use relay::Residency;
 use relay::RetryBudget;
+use relay::Revision;
 use relay::Strikes;
 use relay::Weights;
 
 use crate::clock::now;
 use crate::settings::Settings;
-use crate::store::Revision;
-
-/// Age in milliseconds up to which registrations read by another router are used.
-/// A router that starts reading the store itself at this age still stops sending
-/// to a draining server in time.
-const MAX_PEER_SYNC_AGE_MS: u64 = 1_700;
 
 /// Allowance for network and engine queue between the dispatch of a request and
 /// its start on the engine, in milliseconds.
@@ -34,54 +30,6 @@
 /// snapshots, which a router reads at its start, don't contain that time.
 const EARLIER_WEIGHTS_DUE_MS: u64 = 2_500;
 
-/// Progress of this router's own reading of the registrations in the store.
-#[derive(Clone, Copy, Debug)]
-pub struct OwnSync {
-    /// Revision of the store up to which the registrations were read.
-    pub as_of: Revision,
-    /// When they were read.
-    pub read_at: Time,
-}
-
-/// Progress of another router that reads the registrations on behalf of this one.
-#[derive(Clone, Copy, Debug)]
-pub struct PeerSync {
-    /// Address of the router that reads them.
-    pub reader: SocketAddr,
-    /// Hash of the registrations that this router read.
-    pub digest: u64,
-    /// Revision of the store up to which it read them.
-    pub as_of: Revision,
-    /// When it read them.
-    pub read_at: Time,
-    /// Hash of the routers that it has read, see `Peers::digest`.
-    pub routers: Option<u64>,
-}
-
-impl PeerSync {
-    /// Converts the announcement of `reader`, received at `now`.
-    pub fn new(
-        now: Time,
-        reader: SocketAddr,
-        update: FleetUpdate,
-        routers: Option<u64>,
-    ) -> PeerSync {
-        let age_us = u64::from(update.age_ms) * 1_000;
-        PeerSync {
-            reader,
-            digest: update.digest,
-            as_of: update.as_of,
-            read_at: Time(now.0.saturating_sub(age_us)),
-            routers,
-        }
-    }
-
-    /// Returns whether the registrations were read recently enough to be used.
-    pub fn is_fresh(&self, now: Time) -> bool {
-        now.millis_since(self.read_at) < MAX_PEER_SYNC_AGE_MS
-    }
-}
-
 /// What one router knows of the configuration, backend servers, weights and peers.
 pub struct ClusterView {
     /// Configuration in force.
@@ -92,17 +40,19 @@
     pub weights: Weights,
     /// Backend servers and the load on each.
     pub fleet: Fleet,
-    /// Whether the registrations of backend servers were read at least once.
-    pub fleet_known: bool,
+    /// Whether this router reads the registrations of backend servers from the store itself.
+    pub reads_registrations: bool,
+    /// Announcements of the routers that read the registrations.
+    pub peer_readings: PeerReadings,
     /// Whether the list of routers was read from the store at least once.
     pub routers_known: bool,
-    /// Progress of this router's own reading of the registrations; none before the first,
-    /// and while it relies on another router.
-    pub own_sync: Option<OwnSync>,
-    /// Latest announcement of a router that reads the registrations.
-    pub peer_sync: Option<PeerSync>,
-    /// Time up to which the store, or the network to it, was last unreachable; 0 for never.
+    /// Time up to which the store was last unreachable to this router; 0 for never.
     pub store_unreachable_until: Time,
+    /// When that outage began.
+    pub store_lost_at: Time,
+    /// Time since which this router would know of an outage of the store: its start, or an
+    /// earlier time that another router told.
+    pub knows_outages_since: Time,
     /// When the store last responded to a listing or watch; the start of the router before
     /// the first response.
     pub store_responded_at: Time,
@@ -131,11 +81,12 @@
             configuration_since: now(),
             weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
             fleet: Fleet::default(),
-            fleet_known: false,
+            reads_registrations: false,
+            peer_readings: PeerReadings::default(),
             routers_known: false,
-            own_sync: None,
-            peer_sync: None,
             store_unreachable_until: Time(0),
+            store_lost_at: Time(0),
+            knows_outages_since: now(),
             store_responded_at: now(),
             store_failing: false,
             residency: Residency::default(),
@@ -146,4 +97,42 @@
             order_plan: OrderPlan::default(),
         }
     }
+
+    /// Returns the end of the store's last outage, as far as this router knows. If another router
+    /// read the store meanwhile, only this one was cut off, and the store lost nothing.
+    pub fn store_outage_until(&self, now: Time) -> Time {
+        let own = self.store_unreachable_until;
+        let peers = self.peer_readings.outage_until(now, self.store_lost_at);
+        peers.map_or(own, |peers| peers.min(own))
+    }
+
+    /// Returns the reading of registrations that arrive from the store at `now`, and remembers
+    /// what other routers know of outages.
+    pub fn new_reading(&mut self, now: Time, as_of: Revision) -> Reading {
+        self.store_unreachable_until = self.store_outage_until(now);
+        if let Some(peers) = self.peer_readings.outage_until(now, Time(0)) {
+            self.knows_outages_since = self.knows_outages_since.min(peers);
+        }
+        Reading {
+            as_of,
+            read_at: now,
+            outage_until: self.store_unreachable_until,
+        }
+    }
+
+    /// Returns the reading of the registrations for other routers; none before the first. For
+    /// them, an outage may have ended just before this router started.
+    pub fn announced_reading(&self) -> Option<Reading> {
+        let reading = self.fleet.reading()?;
+        Some(Reading {
+            outage_until: reading.outage_until.max(self.knows_outages_since),
+            ..reading
+        })
+    }
+
+    /// Returns whether a list of registrations is due for the missing ones, on a router that
+    /// reads the store itself.
+    pub fn must_list_registrations(&self, now: Time) -> bool {
+        self.fleet.has_missing() && restored_by(self.store_outage_until(now)) <= now
+    }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,6 +9,8 @@
 use relay::Announcement;
 use relay::Configuration;
 use relay::FleetChange;
+use relay::PeerReading;
+use relay::Reading;
 use relay::Registration;
 use relay::RetryBudget;
 use relay::ServerKey;
@@ -16,7 +18,6 @@
 
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
-use crate::cluster_view::PeerSync;
 use crate::codec::Codec;
 use crate::connection_pool::ConnectionPool;
 use crate::engines::Engines;
@@ -175,21 +176,24 @@
     pub fn remove_registration(&self, id: &str, source: &str) {
         let change = {
             let mut view = self.view.borrow_mut();
-            let unreachable_until = view.store_unreachable_until;
-            view.fleet
-                .remove_or_mark_missing(now(), id, unreachable_until)
+            let outage_until = view.store_outage_until(now());
+            view.fleet.remove_or_mark_missing(now(), id, outage_until)
         };
         self.on_fleet_change(change, source);
     }
 
-    /// Replaces all registrations by `registrations`. Missing ones are removed or kept as by
-    /// [`Context::remove_registration`].
-    pub fn replace_registrations(&self, registrations: Vec<Registration>, source: &str) {
+    /// Replaces all registrations by `registrations`, unless newer ones are known. Missing ones
+    /// are removed or kept as by [`Context::remove_registration`], by the outage that the router
+    /// saw which read them.
+    pub fn replace_registrations(
+        &self,
+        registrations: Vec<Registration>,
+        reading: Reading,
+        source: &str,
+    ) {
         let changes = {
             let mut view = self.view.borrow_mut();
-            let unreachable_until = view.store_unreachable_until;
-            view.fleet_known = true;
-            view.fleet.replace(now(), registrations, unreachable_until)
+            view.fleet.replace(now(), registrations, reading)
         };
         for change in changes {
             self.on_fleet_change(Some(change), source);
@@ -199,7 +203,9 @@
     /// Returns whether requests can be served.
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
-        self.phase.get() == Phase::Serving && view.configuration.is_some() && view.fleet_known
+        self.phase.get() == Phase::Serving
+            && view.configuration.is_some()
+            && view.fleet.reading().is_some()
     }
 
     /// Returns whether this router may take the order lease while it is free.
@@ -207,23 +213,25 @@
         self.peers.topology.borrow_mut().may_give_orders(now())
     }
 
-    /// Returns the latest announced progress of the router that reads the store for this one;
-    /// none if it is too old, or if this router is to read the store itself.
-    pub fn fresh_peer_sync(&self) -> Option<PeerSync> {
+    /// Returns the announcement of the router whose registrations this one uses; none if there is
+    /// no fresh one, or if this router is to read the store itself and reaches it.
+    pub fn peer_reading(&self) -> Option<PeerReading> {
         let now = now();
         let reader = self.peers.topology.borrow_mut().registration_reader(now);
-        if reader == self.peers.own_hash {
+        let view = self.view.borrow();
+        if reader == self.peers.own_hash && !view.store_failing {
             return None;
         }
-        let view = self.view.borrow();
-        view.peer_sync.filter(|peer_sync| peer_sync.is_fresh(now))
+        let reads = view.reads_registrations && !view.store_failing;
+        let own = reads.then_some(self.peers.own_hash);
+        view.peer_readings.best(now, reader, own)
     }
 
-    /// Returns the latest announced progress of a hub that reads the store for this router; none
-    /// if it is too old, if this router is a hub, or in a full mesh, where each router follows
-    /// the operators and the other routers itself.
-    pub fn fresh_hub_sync(&self) -> Option<PeerSync> {
-        self.fresh_peer_sync().filter(|_| self.relies_on_hub())
+    /// Returns the announcement of a hub that reads the store for this router; none if it is too
+    /// old, if this router is a hub, or in a full mesh, where each router follows the operators
+    /// and the other routers itself.
+    pub fn fresh_hub_reading(&self) -> Option<PeerReading> {
+        self.peer_reading().filter(|_| self.relies_on_hub())
     }
 
     /// Returns whether a hub is to read the store for this router.
@@ -272,7 +280,9 @@
             }
             Some(FleetChange::Missing(key)) => {
                 let view = self.view.borrow();
-                let outage_age_ms = now().millis_since(view.store_unreachable_until);
+                let outage_until = view.fleet.reading().map(|reading| reading.outage_until);
+                let outage_until = outage_until.unwrap_or(view.store_unreachable_until);
+                let outage_age_ms = now().millis_since(outage_until);
                 if let Some(server) = view.fleet.get(key) {
                     ViewEvent::ServerMissing {
                         server: &server.registration.id,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,6 +6,7 @@
 use policy::Time;
 use rand::Rng;
 use relay::Announcement;
+use relay::Revision;
 use tokio::time::sleep;
 
 use crate::clock::now;
@@ -13,7 +14,6 @@
 use crate::log_event::LogEvent;
 use crate::process_event::ProcessEvent;
 use crate::records;
-use crate::store::Revision;
 use crate::store::StoreError;
 use crate::store::StoreUpdate;
 use crate::store::Topic;
@@ -119,10 +119,10 @@
     if topic == Topic::Routers && cx.may_give_orders() {
         return false;
     }
-    let Some(hub) = cx.fresh_hub_sync() else {
+    let Some(hub) = cx.fresh_hub_reading() else {
         return false;
     };
-    record_response(cx, "hub", hub.read_at);
+    record_response(cx, "hub", hub.reading.read_at);
     let version = cx.view.borrow().configuration.as_ref().map(|c| c.version);
     version.is_some_and(|version| !cx.peers.is_behind(version, BEHIND_HUB_MS))
 }
@@ -171,7 +171,8 @@
     view.store_responded_at = view.store_responded_at.max(responded_at);
 }
 
-/// Records a failed call to the store, and waits until the next may be made.
+/// Records a failed call to the store, and waits until the next may be made, or until
+/// registrations can be taken from another router.
 pub async fn record_failure(cx: &Context, topic: Topic, e: &StoreError) {
     {
         let mut view = cx.view.borrow_mut();
@@ -181,19 +182,33 @@
                 reason: e,
             }
             .write();
+            view.store_lost_at = now();
         }
         view.store_failing = true;
         view.store_unreachable_until = now();
     }
-    let (shortest_ms, longest_ms) = if cx.relies_on_hub() {
+    let (shortest_ms, longest_ms) = retry_pause_ms(cx);
+    let retry_at = now().plus_millis(rand::rng().random_range(shortest_ms..=longest_ms));
+    while must_wait(cx, topic, retry_at) {
+        let left = Duration::from_millis(retry_at.millis_since(now()).max(1));
+        sleep(left.min(STORE_POLL_INTERVAL)).await;
+    }
+}
+
+fn retry_pause_ms(cx: &Context) -> (u64, u64) {
+    if cx.relies_on_hub() {
         HUB_RETRY_PAUSE_MS
     } else {
         RETRY_PAUSE_MS
-    };
-    let pause_ms = rand::rng().random_range(shortest_ms..=longest_ms);
-    sleep(Duration::from_millis(pause_ms)).await;
-    // The platform charges for failed calls too, so only one topic retries.
-    while topic != Topic::Operators && cx.view.borrow().store_failing {
-        sleep(STORE_POLL_INTERVAL).await;
     }
 }
+
+/// Returns whether the next call of a topic has to wait after a failed one.
+fn must_wait(cx: &Context, topic: Topic, retry_at: Time) -> bool {
+    if topic == Topic::Servers && cx.peer_reading().is_some() {
+        return false;
+    }
+    // The platform charges for failed calls too, so only one topic retries.
+    let waits_for_operators = topic != Topic::Operators && cx.view.borrow().store_failing;
+    now() < retry_at || waits_for_operators
+}
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use policy::Time;
+use relay::restored_by;
 use relay::Announcement;
+use relay::PeerReading;
+use relay::Revision;
 use tokio::time::sleep;
 
 use crate::clock::now;
-use crate::cluster_view::OwnSync;
-use crate::cluster_view::PeerSync;
 use crate::context::Context;
 use crate::feed::apply_update;
 use crate::feed::record_failure;
@@ -25,7 +26,6 @@
 use crate::process_event::Step;
 use crate::snapshot;
 use crate::store::Listing;
-use crate::store::Revision;
 use crate::store::StoreUpdate;
 use crate::store::Topic;
 use crate::store::WatchResult;
@@ -52,81 +52,88 @@
 pub async fn run(cx: Rc<Context>) {
     let mut fetched_at = Time(0);
     loop {
-        match cx.fresh_peer_sync() {
-            Some(peer_sync) => {
-                cx.view.borrow_mut().own_sync = None;
-                sync_from_peer(&cx, peer_sync, &mut fetched_at).await;
-                sleep(PEER_POLL_INTERVAL).await;
-            }
+        let peer = cx.peer_reading();
+        cx.view.borrow_mut().reads_registrations = peer.is_none();
+        match peer {
+            Some(peer) => sync_from_peer(&cx, peer, &mut fetched_at).await,
             None => sync_from_store(&cx).await,
         }
     }
 }
 
-async fn sync_from_peer(cx: &Context, peer_sync: PeerSync, fetched_at: &mut Time) {
-    let is_same = {
-        let view = cx.view.borrow();
-        view.fleet_known && view.fleet.digest() == peer_sync.digest
-    };
-    let pause_ms = if is_same {
+/// Takes the registrations from another router if it has others than this one, and waits until
+/// its announcement is to be checked again.
+async fn sync_from_peer(cx: &Context, peer: PeerReading, fetched_at: &mut Time) {
+    let pause_ms = if has_same_registrations(cx, &peer) {
         REFRESH_INTERVAL_MS
     } else {
         MIN_FETCH_INTERVAL_MS
     };
-    if now().millis_since(*fetched_at) < pause_ms {
-        return;
+    let is_older = cx.view.borrow().fleet.is_newer_than(peer.reading);
+    if is_older || now().millis_since(*fetched_at) < pause_ms {
+        return sleep(PEER_POLL_INTERVAL).await;
     }
     *fetched_at = now();
-    match snapshot::fetch_servers(peer_sync.reader).await {
-        Ok(servers) => cx.replace_registrations(servers, "peer"),
-        Err(e) => log_peer_failure(Step::ServersFetch, &peer_sync.reader, &e),
+    match snapshot::fetch_servers(peer.address).await {
+        Ok(list) => {
+            list.apply(cx);
+            sleep(PEER_POLL_INTERVAL).await;
+        }
+        Err(e) => {
+            log_peer_failure(Step::ServersFetch, &peer.address, &e);
+            let mut view = cx.view.borrow_mut();
+            view.peer_readings.ignore(now(), peer.router);
+        }
     }
 }
 
+/// Returns whether this router knows the same registrations as another one, and no list is due
+/// for missing ones. If they are the same, they are as new as the other's reading.
+fn has_same_registrations(cx: &Context, peer: &PeerReading) -> bool {
+    let mut view = cx.view.borrow_mut();
+    let fleet = &mut view.fleet;
+    if fleet.reading().is_none() || fleet.digest() != peer.digest {
+        return false;
+    }
+    fleet.advance(peer.reading);
+    !fleet.is_list_due(now())
+}
+
 /// Reads registrations from the store once, with a watch if possible, else a listing.
 async fn sync_from_store(cx: &Context) {
     let after = {
         let view = cx.view.borrow();
-        let own_sync = view.own_sync.map(|sync| sync.as_of);
-        let peer_sync = view.peer_sync.map(|peer_sync| peer_sync.as_of);
-        own_sync.or(peer_sync.filter(|_| view.fleet_known))
+        let reading = view.fleet.reading();
+        reading.filter(|_| !view.must_list_registrations(now()))
     };
-    let after = after.filter(|_| !must_list(cx));
     match after {
-        Some(after) => watch(cx, after).await,
+        Some(reading) => watch(cx, reading.as_of).await,
         None => list(cx).await,
     }
 }
 
-/// Returns whether registrations that went missing in a store outage should be restored by now.
-fn must_list(cx: &Context) -> bool {
-    let view = cx.view.borrow();
-    view.fleet.has_missing()
-        && view
-            .fleet
-            .is_restore_period_over(now(), view.store_unreachable_until)
-}
-
 async fn list(cx: &Context) {
     match cx.store.list(Topic::Servers).await {
         Ok(listing) => {
             record_success(cx, Topic::Servers);
             apply_listing(cx, listing);
-            sleep(READ_PAUSE).await;
+            sleep(time_to_next_call(cx)).await;
         }
         Err(e) => record_failure(cx, Topic::Servers, &e).await,
     }
 }
 
 async fn watch(cx: &Context, after: Revision) {
-    match cx.store.watch(Topic::Servers, after, WATCH_WAIT_MS).await {
+    let wait_ms = WATCH_WAIT_MS.min(millis_to_list(cx));
+    match cx.store.watch(Topic::Servers, after, wait_ms).await {
         Ok(WatchResult::Changes(listing)) => {
             record_success(cx, Topic::Servers);
-            record_sync(cx, listing.as_of);
+            let reading = cx.view.borrow_mut().new_reading(now(), listing.as_of);
             for update in listing.updates {
                 apply_update(cx, update, Announcement::Fresh);
             }
-            sleep(READ_PAUSE).await;
+            cx.view.borrow_mut().fleet.advance(reading);
+            sleep(time_to_next_call(cx)).await;
         }
         Ok(WatchResult::HistoryGone) => {
             ProcessEvent::HistoryGone {
@@ -140,13 +147,8 @@
     }
 }
 
-fn record_sync(cx: &Context, as_of: Revision) {
-    let read_at = now();
-    cx.view.borrow_mut().own_sync = Some(OwnSync { as_of, read_at });
-}
-
 fn apply_listing(cx: &Context, listing: Listing) {
-    record_sync(cx, listing.as_of);
+    let reading = cx.view.borrow_mut().new_reading(now(), listing.as_of);
     let mut registrations = Vec::new();
     for update in listing.updates {
         match update {
@@ -154,5 +156,22 @@
             other => apply_update(cx, other, Announcement::Earlier),
         }
     }
-    cx.replace_registrations(registrations, "store");
+    cx.replace_registrations(registrations, reading, "store");
+}
+
+/// Returns the pause until the next call, which is shorter if a list is due before.
+fn time_to_next_call(cx: &Context) -> Duration {
+    READ_PAUSE.min(Duration::from_millis(millis_to_list(cx)))
+}
+
+/// Returns the time until missing registrations are to be listed, at least 1; the maximum if
+/// none is missing.
+fn millis_to_list(cx: &Context) -> u64 {
+    let view = cx.view.borrow();
+    if !view.fleet.has_missing() {
+        return u64::MAX;
+    }
+    let now = now();
+    let list_at = restored_by(view.store_outage_until(now));
+    list_at.millis_since(now).max(1)
 }
--- a/crates/gateway/src/gossip_message.rs
+++ b/crates/gateway/src/gossip_message.rs
@@ -7,6 +7,7 @@
 use relay::Gossip;
 use relay::LoadUpdate;
 use relay::PartUpdate;
+use relay::ReadingUpdate;
 use relay::ServerKey;
 use relay::SwitchUpdate;
 use relay::WeightsUpdate;
@@ -55,10 +56,12 @@
 }
 
 fn fleet_update(now: Time, view: &ClusterView) -> Option<FleetUpdate> {
-    view.own_sync.map(|sync| FleetUpdate {
+    let reading = view
+        .announced_reading()
+        .filter(|_| view.reads_registrations)?;
+    Some(FleetUpdate {
         digest: view.fleet.digest(),
-        as_of: sync.as_of,
-        age_ms: u32::try_from(now.millis_since(sync.read_at)).unwrap_or(u32::MAX),
+        reading: ReadingUpdate::new(now, reading),
     })
 }
 
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -7,12 +7,12 @@
 use relay::Announcement;
 use relay::Gossip;
 use relay::PartKey;
+use relay::PeerReading;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
-use crate::cluster_view::PeerSync;
 use crate::context::Context;
 use crate::gossip_message::build_message;
 use crate::peers::SentPart;
@@ -121,8 +121,14 @@
         own_region.then_some(own_loads.as_slice()),
     );
     if let Some(update) = message.fleet {
-        let reader = cx.peers.address(message.from).unwrap_or(from);
-        view.peer_sync = Some(PeerSync::new(now, reader, update, message.routers));
+        let announcement = PeerReading {
+            router: message.from,
+            address: cx.peers.address(message.from).unwrap_or(from),
+            digest: update.digest,
+            reading: update.reading.reading(now),
+            routers: message.routers,
+        };
+        view.peer_readings.record(now, announcement);
     }
     for strike in &message.strikes {
         view.strikes.add(now, *strike);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -90,7 +90,6 @@
 pub use store::Listing;
 pub use store::Record;
 pub use store::RecordWrite;
-pub use store::Revision;
 pub use store::Store;
 pub use store::StoreError;
 pub use store::StoreUpdate;
--- a/crates/gateway/src/measured_store.rs
+++ b/crates/gateway/src/measured_store.rs
@@ -6,13 +6,13 @@
 use futures::future::LocalBoxFuture;
 use futures::FutureExt;
 use prometheus::HistogramVec;
+use relay::Revision;
 
 use crate::clock::now;
 use crate::store::CommitOutcome;
 use crate::store::LeaseId;
 use crate::store::Listing;
 use crate::store::RecordWrite;
-use crate::store::Revision;
 use crate::store::Store;
 use crate::store::StoreError;
 use crate::store::Topic;
--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 
 use log::Level;
+use relay::Revision;
 
 use crate::log_event::LogEvent;
 use crate::log_event::LogValue;
-use crate::store::Revision;
 
 /// An event of the process itself, or a failure of something that it uses.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -226,7 +226,7 @@
         let is_free = {
             let view = cx.view.borrow();
             view.order_lease_revision.is_none()
-                && view.fleet_known
+                && view.fleet.reading().is_some()
                 && view.routers_known
                 && cx.phase.get() == Phase::Serving
                 && cx.may_give_orders()
--- a/crates/gateway/src/router_feed.rs
+++ b/crates/gateway/src/router_feed.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use relay::PeerReading;
 use tokio::time::sleep;
 
-use crate::cluster_view::PeerSync;
 use crate::context::Context;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
@@ -25,7 +25,7 @@
 pub async fn run(cx: Rc<Context>) {
     loop {
         sleep(POLL_INTERVAL).await;
-        let hub = cx.fresh_hub_sync();
+        let hub = cx.fresh_hub_reading();
         if let Some(hub) = hub.filter(|hub| has_other_routers(&cx, hub)) {
             fetch(&cx, &hub).await;
             sleep(FETCH_PAUSE).await;
@@ -33,15 +33,15 @@
     }
 }
 
-fn has_other_routers(cx: &Context, hub: &PeerSync) -> bool {
+fn has_other_routers(cx: &Context, hub: &PeerReading) -> bool {
     hub.routers
         .is_some_and(|digest| digest != cx.peers.digest())
 }
 
-async fn fetch(cx: &Context, hub: &PeerSync) {
-    match snapshot::fetch_routers(hub.reader).await {
+async fn fetch(cx: &Context, hub: &PeerReading) {
+    match snapshot::fetch_routers(hub.address).await {
         Ok(routers) => replace(cx, routers),
-        Err(e) => log_peer_failure(Step::RoutersFetch, &hub.reader, &e),
+        Err(e) => log_peer_failure(Step::RoutersFetch, &hub.address, &e),
     }
 }
 
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -12,16 +12,19 @@
 use http_body_util::Limited;
 use relay::Announcement;
 use relay::Configuration;
+use relay::ReadingUpdate;
 use relay::Registration;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
+use snafu::OptionExt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::clock::now;
+use crate::cluster_view::ClusterView;
 use crate::connection::error_chain;
 use crate::connection::start_http;
 use crate::context::Context;
@@ -63,17 +66,41 @@
     pub configuration: Option<Configuration>,
     /// Newest announced version of weights, by model.
     pub named: Vec<(String, u64)>,
-    /// Registrations of backend servers.
-    pub servers: Vec<Registration>,
-    /// Time since the store last responded to that router, in milliseconds.
-    pub age_ms: u64,
+    /// Registrations of backend servers; none before the router has read them.
+    pub servers: Option<ServerList>,
+}
+
+/// Registrations of backend servers, as JSON for other routers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ServerList {
+    /// Up to where and when they were read from the store.
+    pub reading: ReadingUpdate,
+    /// The registrations.
+    pub registrations: Vec<Registration>,
+}
+
+impl ServerList {
+    /// Returns the registrations that this router knows; none before it has read them.
+    fn new(view: &ClusterView) -> Option<ServerList> {
+        let reading = view.announced_reading()?;
+        let servers = view.fleet.registered();
+        let registrations = servers.map(|server| server.registration.clone());
+        Some(ServerList {
+            reading: ReadingUpdate::new(now(), reading),
+            registrations: registrations.collect(),
+        })
+    }
+
+    /// Applies the list to what this router knows.
+    pub fn apply(self, cx: &Context) {
+        let reading = self.reading.reading(now());
+        cx.replace_registrations(self.registrations, reading, "peer");
+    }
 }
 
 /// Returns the registrations of backend servers as JSON.
 pub fn servers_json(cx: &Context) -> Vec<u8> {
-    let view = cx.view.borrow();
-    let servers = view.fleet.registered().map(|server| &server.registration);
-    to_json(&servers.collect::<Vec<_>>())
+    to_json(&ServerList::new(&cx.view.borrow()))
 }
 
 /// Returns the entries of all routers that this one knows as JSON.
@@ -87,8 +114,12 @@
 }
 
 /// Fetches the registrations of backend servers from another router.
-pub async fn fetch_servers(peer: SocketAddr) -> Result<Vec<Registration>, SnapshotError> {
-    fetch(peer, "/servers").await
+pub async fn fetch_servers(peer: SocketAddr) -> Result<ServerList, SnapshotError> {
+    let list: Option<ServerList> = fetch(peer, "/servers").await?;
+    list.context(SnapshotSnafu {
+        peer,
+        reason: "no registrations read yet",
+    })
 }
 
 fn to_json<T>(value: &T) -> Vec<u8>
@@ -107,16 +138,11 @@
 /// Returns this router's snapshot as JSON.
 pub fn snapshot_json(cx: &Context) -> Vec<u8> {
     let view = cx.view.borrow();
-    let servers = view
-        .fleet
-        .registered()
-        .map(|server| server.registration.clone());
     let named = view.weights.newest();
     let snapshot = Snapshot {
         configuration: view.configuration.as_deref().cloned(),
         named: named.map(|(m, v)| (m.to_string(), v)).collect(),
-        servers: servers.collect(),
-        age_ms: now().millis_since(view.store_responded_at),
+        servers: ServerList::new(&view),
     };
     to_json(&snapshot)
 }
@@ -173,9 +199,8 @@
     for (model, version) in snapshot.named {
         cx.apply_announced_weights(&model, version, Announcement::Earlier, "peer");
     }
-    let own_age_ms = now().millis_since(cx.view.borrow().store_responded_at);
-    if snapshot.age_ms < own_age_ms && !snapshot.servers.is_empty() {
-        cx.replace_registrations(snapshot.servers, "peer");
+    if let Some(servers) = snapshot.servers {
+        servers.apply(cx);
     }
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,11 +8,9 @@
 use futures::future::LocalBoxFuture;
 use relay::Configuration;
 use relay::Registration;
+use relay::Revision;
 use snafu::Snafu;
 
-/// Version of the store's contents, which grows with each change.
-pub type Revision = u64;
-
 /// Reason why a call to the store failed.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -9,10 +9,10 @@
 use relay::Announcement;
 use relay::OrderResponse;
 use relay::Registration;
+use relay::Revision;
 use relay::Strike;
 
 use crate::log_event::LogEvent;
-use crate::store::Revision;
 
 /// A change of what this router knows of the configuration, servers, weights and peers.
 #[derive(Clone, Debug)]
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -6,14 +6,12 @@
 
 use policy::Time;
 
+use crate::reading::restored_by;
 use crate::BackendServer;
+use crate::Reading;
 use crate::Registration;
 use crate::ServerState;
 
-/// Time for which a missing registration is kept after an outage of the store, in
-/// milliseconds. The platform restores those of live servers within two seconds.
-const RESTORE_PERIOD_MS: u64 = 2_100;
-
 /// Key of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerKey {
@@ -47,9 +45,30 @@
     slots: Vec<Slot>,
     by_id: HashMap<Arc<str>, ServerKey>,
     by_instance_hash: HashMap<u64, ServerKey>,
+    /// Up to where the registrations were read; none before the first list.
+    reading: Option<Reading>,
 }
 
 impl Fleet {
+    /// Returns up to where and when the registrations were read; none before the first list.
+    pub fn reading(&self) -> Option<Reading> {
+        self.reading
+    }
+
+    /// Records that the registrations are those up to `reading`, after the changes since the
+    /// last one were applied. Ignored if it is older than what is known.
+    pub fn advance(&mut self, reading: Reading) {
+        if !self.is_newer_than(reading) {
+            self.reading = Some(reading);
+        }
+    }
+
+    /// Returns whether the registrations were read up to a later revision than `reading`.
+    pub fn is_newer_than(&self, reading: Reading) -> bool {
+        self.reading
+            .is_some_and(|known| known.as_of > reading.as_of)
+    }
+
     /// Applies a registration. Returns what changed, if anything.
     pub fn apply(&mut self, now: Time, registration: Registration) -> Option<FleetChange> {
         let known = self.by_id.get(&registration.id).copied();
@@ -85,28 +104,33 @@
         id: &str,
         outage_until: Time,
     ) -> Option<FleetChange> {
-        if self.is_restore_period_over(now, outage_until) {
+        if restored_by(outage_until) <= now {
             return self.remove(id);
         }
         let key = self.by_id(id)?;
         self.mark_missing(now, key)
     }
 
-    /// Replaces all registrations. Those not in `registrations` are removed or, while the
-    /// platform may still restore them after an outage until `outage_until`, marked missing.
+    /// Replaces all registrations by those of `reading`, unless what is known is newer. Those not
+    /// in `registrations` are removed or, while the platform may still restore them after the
+    /// outage that the reader saw, marked missing.
     pub fn replace(
         &mut self,
         now: Time,
         registrations: Vec<Registration>,
-        outage_until: Time,
+        reading: Reading,
     ) -> Vec<FleetChange> {
         let mut changes = Vec::new();
+        if self.is_newer_than(reading) {
+            return changes;
+        }
+        self.reading = Some(reading);
         let mut present = std::collections::HashSet::new();
         for registration in registrations {
             present.insert(registration.id.clone());
             changes.extend(self.apply(now, registration));
         }
-        let is_restore_period_over = self.is_restore_period_over(now, outage_until);
+        let is_restore_period_over = reading.restored_by() <= now;
         let ids: Vec<Arc<str>> = self.by_id.keys().cloned().collect();
         for id in ids.into_iter().filter(|id| !present.contains(id)) {
             let change = if is_restore_period_over {
@@ -119,18 +143,19 @@
         changes
     }
 
-    /// Returns whether the platform has had the time to restore all registrations that
-    /// were lost in an outage of the store until `outage_until`.
-    pub fn is_restore_period_over(&self, now: Time, outage_until: Time) -> bool {
-        now >= outage_until.plus_millis(RESTORE_PERIOD_MS)
-    }
-
     /// Returns whether any registration is marked missing.
     pub fn has_missing(&self) -> bool {
         self.iter()
             .any(|(_, server)| server.missing_since.is_some())
     }
 
+    /// Returns whether registrations are marked missing that the platform would have restored
+    /// by now, so that a new list decides about them.
+    pub fn is_list_due(&self, now: Time) -> bool {
+        let restored_by = self.reading.map(|reading| reading.restored_by());
+        restored_by.is_some_and(|at| at <= now) && self.has_missing()
+    }
+
     /// Returns the backend servers that this router announces to others: all but those
     /// whose registration is missing and kept only for a while.
     pub fn registered(&self) -> impl Iterator<Item = &BackendServer> {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::Fleet;
 use crate::Load;
 use crate::PartKey;
+use crate::ReadingUpdate;
 use crate::Residency;
 use crate::Responses;
 use crate::Strike;
@@ -102,10 +103,8 @@
 pub struct FleetUpdate {
     /// Hash of all incarnations and their states, see `Fleet::digest`.
     pub digest: u64,
-    /// Revision of the store at which they were read.
-    pub as_of: u64,
-    /// Time since they were read, in milliseconds.
-    pub age_ms: u32,
+    /// Up to where and when they were read.
+    pub reading: ReadingUpdate,
 }
 
 /// Newest announced version of a model's weights.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -9,7 +9,9 @@
 use relay::PlacementRequest;
 use relay::Prompt;
 use relay::PromptPart;
+use relay::Reading;
 use relay::Registration;
+use relay::Revision;
 use relay::ServerKey;
 use relay::ServerState;
 
@@ -45,6 +47,15 @@
     }
 }
 
+/// Returns a reading of the store at a revision, some time after an outage.
+pub fn reading(as_of: Revision, outage_until: Time) -> Reading {
+    Reading {
+        as_of,
+        read_at: at(0),
+        outage_until,
+    }
+}
+
 pub fn fleet(count: usize, weights: u64) -> Fleet {
     let mut fleet = Fleet::default();
     for i in 0..count {
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use common::at;
 use common::fleet;
+use common::reading;
 use common::registration;
 use common::MODEL;
 use policy::Time;
@@ -51,10 +52,10 @@
 #[test]
 fn a_server_missing_after_a_store_outage_is_kept_for_two_seconds_and_then_removed() {
     let mut fleet = fleet(2, 1);
-    let outage_end = at(1_000);
-    fleet.replace(at(1_100), vec![registration("e0", 1)], outage_end);
+    let after_outage = |revision| reading(revision, at(1_000));
+    fleet.replace(at(1_100), vec![registration("e0", 1)], after_outage(5));
     assert!(fleet.by_id("e1").is_some());
-    fleet.replace(at(3_200), vec![registration("e0", 1)], outage_end);
+    fleet.replace(at(3_200), vec![registration("e0", 1)], after_outage(6));
     assert!(fleet.by_id("e1").is_none());
 }
 
@@ -62,7 +63,11 @@
 fn a_server_marked_missing_is_not_announced_to_other_routers() {
     let mut fleet = fleet(2, 1);
     let digest_of_one = common::fleet(1, 1).digest();
-    fleet.replace(at(1_100), vec![registration("e0", 1)], at(1_000));
+    fleet.replace(
+        at(1_100),
+        vec![registration("e0", 1)],
+        reading(5, at(1_000)),
+    );
     assert!(fleet.by_id("e1").is_some());
     let announced: Vec<_> = fleet
         .registered()
@@ -75,10 +80,44 @@
 #[test]
 fn a_server_missing_without_a_store_outage_is_removed_at_once() {
     let mut fleet = fleet(2, 1);
-    fleet.replace(at(10_000), vec![registration("e0", 1)], Time(0));
+    fleet.replace(at(10_000), vec![registration("e0", 1)], reading(5, Time(0)));
     assert!(fleet.by_id("e1").is_none());
 }
 
+#[test]
+fn a_list_brings_back_no_server_that_left_after_the_list_was_read() {
+    // Arrange
+    let mut fleet = fleet(2, 1);
+    let both = vec![registration("e0", 1), registration("e1", 1)];
+    fleet.replace(at(100), both.clone(), reading(5, Time(0)));
+    fleet.remove("e1");
+    fleet.advance(reading(7, Time(0)));
+
+    // Act
+    let changes = fleet.replace(at(300), both, reading(6, Time(0)));
+
+    // Assert
+    assert_eq!(changes, []);
+    assert!(fleet.by_id("e1").is_none());
+}
+
+#[test]
+fn a_position_older_than_the_registrations_does_not_replace_theirs() {
+    let mut fleet = fleet(1, 1);
+    fleet.advance(reading(7, Time(0)));
+    fleet.advance(reading(6, Time(0)));
+    assert_eq!(fleet.reading().unwrap().as_of, 7);
+}
+
+#[test]
+fn a_list_is_due_for_missing_servers_once_the_platform_has_restored_the_others() {
+    let mut fleet = fleet(2, 1);
+    let list = vec![registration("e0", 1)];
+    fleet.replace(at(1_100), list, reading(5, at(1_000)));
+    assert!(!fleet.is_list_due(at(3_000)));
+    assert!(fleet.is_list_due(at(3_100)));
+}
+
 #[test]
 fn the_digest_depends_on_states_but_not_on_the_order_of_registration() {
     let one = fleet(3, 1);
