gateway, relay: what a router waits for before it reads registrations fits the bound, in the worst order of events

(1) A router whose hub is lost waited up to 3 s after a failed call, but the platform expects it to know who left 3 s after the store is back: now up to 2 s; 3 s stay while the hub's reading is fresh.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use relay::Announcement;
 use relay::Revision;
+use relay::StoreAccess;
 use tokio::time::sleep;
 
 use crate::clock::now;
@@ -30,17 +31,10 @@
 /// The same pause on all other routers, longer because the platform charges for each call.
 const ROUTERS_PAUSE: Duration = Duration::from_millis(4_000);
 
-/// Shortest and longest pause after a failed call, in milliseconds.
-const RETRY_PAUSE_MS: (u64, u64) = (250, 375);
-
 /// Interval at which the other topics check whether the operators' topic has
 /// reached the store again.
 const STORE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Shortest and longest pause after a failed call of a router that a hub serves, in
-/// milliseconds: the hub's messages show sooner that the store is back.
-const HUB_RETRY_PAUSE_MS: (u64, u64) = (1_500, 3_000);
-
 /// Time for which the hub must have had a newer configuration before a router that it serves
 /// reads the store, in milliseconds. It fetches the configuration from the hub before.
 const BEHIND_HUB_MS: u64 = 1_200;
@@ -187,19 +181,21 @@
         view.store_failing = true;
         view.store_unreachable_until = now();
     }
-    let (shortest_ms, longest_ms) = retry_pause_ms(cx);
-    let retry_at = now().plus_millis(rand::rng().random_range(shortest_ms..=longest_ms));
+    let pause_ms = store_access(cx).retry_pause_ms();
+    let retry_at = now().plus_millis(rand::rng().random_range(pause_ms));
     while must_wait(cx, topic, retry_at) {
         let left = Duration::from_millis(retry_at.millis_since(now()).max(1));
         sleep(left.min(STORE_POLL_INTERVAL)).await;
     }
 }
 
-fn retry_pause_ms(cx: &Context) -> (u64, u64) {
-    if cx.relies_on_hub() {
-        HUB_RETRY_PAUSE_MS
-    } else {
-        RETRY_PAUSE_MS
+fn store_access(cx: &Context) -> StoreAccess {
+    if !cx.relies_on_hub() {
+        return StoreAccess::Direct;
+    }
+    match cx.fresh_hub_reading() {
+        Some(_) => StoreAccess::ThroughHub,
+        None => StoreAccess::HubLost,
     }
 }
 
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -32,8 +32,9 @@
 use crate::process_event::Step;
 use crate::router_entry::RouterEntry;
 
-/// Timeout of a call to another router.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout of a call to another router. A router that fetches registrations in vain still reads
+/// the store in time to stop sending to a draining server.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Largest snapshot, in bytes.
 const MAX_BYTES: usize = 8 << 20;
