gateway: a router whose own registration lapsed gets the messages of the others

A router that is cut off for as long as its lease is forgotten by the others, and after its return sends to them but gets nothing until it has registered again, up to 5 s; cut off once more meanwhile, it knows nothing. Now routers send also to those unregistered ones that sent them a message within the last second, 64 at most.

--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -52,17 +52,16 @@
             }
         };
         let recipients = cx.peers.topology.borrow_mut().recipients(now());
-        send(&cx, &socket, &recipients, &bytes).await;
+        let mut addresses = cx.peers.addresses(&recipients);
+        addresses.extend(cx.peers.unregistered());
+        send(&socket, &addresses, &bytes).await;
     }
 }
 
-async fn send(cx: &Context, socket: &UdpSocket, recipients: &[u64], bytes: &[u8]) {
-    for hash in recipients {
-        let Some(address) = cx.peers.address(*hash) else {
-            continue;
-        };
+async fn send(socket: &UdpSocket, addresses: &[SocketAddr], bytes: &[u8]) {
+    for address in addresses {
         if let Err(e) = socket.send_to(bytes, address).await {
-            log_peer_failure(Step::GossipSend, &address, &e);
+            log_peer_failure(Step::GossipSend, address, &e);
         }
     }
 }
@@ -83,7 +82,7 @@
             Ok(message) => {
                 apply(&cx, from, &message);
                 let recipients = forward_recipients(&cx, &message);
-                send(&cx, &socket, &recipients, bytes).await;
+                send(&socket, &cx.peers.addresses(&recipients), bytes).await;
             }
             Err(e) => log_peer_failure(Step::GossipRead, &from, &e),
         }
@@ -106,6 +105,9 @@
 fn apply(cx: &Context, from: SocketAddr, message: &Gossip) {
     let now = now();
     cx.peers.on_message(message.from, message.configuration);
+    if message.region.is_none() {
+        cx.peers.record_unregistered(message.from, from);
+    }
     for update in &message.named {
         let announcement = Announcement::Ago(update.age_ms);
         cx.apply_announced_weights(&update.model, update.version, announcement, "peer");
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,12 @@
 /// Time for which an announcement is repeated in messages, as datagrams get lost, in milliseconds.
 const ANNOUNCE_MS: u64 = 600;
 
+/// Time for which an unregistered router gets messages after it sent one, in milliseconds.
+const UNREGISTERED_MS: u64 = 1_000;
+
+/// Maximum number of unregistered routers that get messages.
+const MAX_UNREGISTERED: usize = 64;
+
 /// Time by which a switch must last longer than announced to be announced again, in milliseconds.
 const MIN_SWITCH_EXTENSION_MS: u64 = 500;
 
@@ -35,6 +41,14 @@
     configuration: u64,
 }
 
+/// A router that sends messages but isn't registered, as its lease expired while it was cut off
+/// from the store. It gets messages too, so that it knows what the others know.
+#[derive(Clone, Copy, Debug)]
+struct UnregisteredPeer {
+    address: SocketAddr,
+    valid_until: Time,
+}
+
 /// An announcement that is repeated in messages for a while.
 #[derive(Clone, Debug)]
 pub struct Announced<T> {
@@ -89,6 +103,7 @@
     pub wake: Notify,
     own_entry: RouterEntry,
     by_hash: RefCell<HashMap<u64, Peer>>,
+    unregistered: RefCell<HashMap<u64, UnregisteredPeer>>,
     behind_since: Cell<Option<Time>>,
 }
 
@@ -108,6 +123,7 @@
             sent_loads: RefCell::default(),
             wake: Notify::new(),
             by_hash: RefCell::default(),
+            unregistered: RefCell::default(),
             behind_since: Cell::default(),
         }
     }
@@ -177,12 +193,44 @@
         }
     }
 
+    /// Records that a message of a router came from `address`, if that router isn't registered.
+    pub fn record_unregistered(&self, hash: u64, address: SocketAddr) {
+        let now = now();
+        let mut unregistered = self.unregistered.borrow_mut();
+        unregistered.retain(|_, peer| peer.valid_until > now);
+        let is_registered = self.by_hash.borrow().contains_key(&hash);
+        if !is_registered && hash != self.own_hash && unregistered.len() < MAX_UNREGISTERED {
+            let valid_until = now.plus_millis(UNREGISTERED_MS);
+            unregistered.insert(
+                hash,
+                UnregisteredPeer {
+                    address,
+                    valid_until,
+                },
+            );
+        }
+    }
+
+    /// Returns the addresses of the unregistered routers that sent a message lately.
+    pub fn unregistered(&self) -> Vec<SocketAddr> {
+        let now = now();
+        let unregistered = self.unregistered.borrow();
+        let recent = unregistered.values().filter(|peer| peer.valid_until > now);
+        recent.map(|peer| peer.address).collect()
+    }
+
     /// Returns the address of a router.
     pub fn address(&self, hash: u64) -> Option<SocketAddr> {
         let peers = self.by_hash.borrow();
         peers.get(&hash).map(|peer| peer.entry.address)
     }
 
+    /// Returns the addresses of routers; those that are not known are left out.
+    pub fn addresses(&self, hashes: &[u64]) -> Vec<SocketAddr> {
+        let known = hashes.iter().filter_map(|hash| self.address(*hash));
+        known.collect()
+    }
+
     /// Returns the address of the router with the newest configuration, if that is newer
     /// than `version`; one in this router's region if there is one.
     pub fn peer_ahead(&self, version: u64) -> Option<SocketAddr> {
