gateway, relay, adapter: a store that comes back from an older copy begins an era

In a drill the store may come back from a copy some seconds old: revisions run back and are given out again, what routers wrote since is gone, leases too. A router went on watching from its old number, never saw what stood under numbers given out twice, never wrote its entry again but with its lease's next renewal, and took a list of the new era for an old one.

Change: a revision is a pair of era and number, one type, compared era first; preconditions name no revision at all. A rise, by the store or by a peer's message: all topics are listed again, the entry is written again within 1.5 s, spread; the term of the order lease ends, and the next holder waits until the former's term is over in any case; its fencing token is higher. Configuration, weights and leavings known stay; a registration that the copy lacks is kept for the 2.1 s of an outage; one that had been removed is ignored for that time though the copy holds it. Routers missing from the list get 5 s. Lists of an earlier era are refused.

Log: store_era, entry_rewritten; two counters.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -46,6 +46,10 @@
     pub peer_readings: PeerReadings,
     /// Whether the list of routers was read from the store at least once.
     pub routers_known: bool,
+    /// Latest era of the store, see [`Revision`]; 0 while unknown.
+    pub store_era: u64,
+    /// When that era was noticed; none if it was the first.
+    pub era_since: Option<Time>,
     /// Time up to which the store was last unreachable to this router; 0 for never.
     pub store_unreachable_until: Time,
     /// When that outage began.
@@ -84,6 +88,8 @@
             reads_registrations: false,
             peer_readings: PeerReadings::default(),
             routers_known: false,
+            store_era: 0,
+            era_since: None,
             store_unreachable_until: Time(0),
             store_lost_at: Time(0),
             knows_outages_since: now(),
@@ -130,9 +136,14 @@
         })
     }
 
-    /// Returns whether a list of registrations is due for the missing ones, on a router that
-    /// reads the store itself.
+    /// Returns whether a router that reads the store itself must list the registrations: in a new
+    /// era, and once the platform has restored those that are not missing for good.
     pub fn must_list_registrations(&self, now: Time) -> bool {
-        self.fleet.has_missing() && restored_by(self.store_outage_until(now)) <= now
+        let is_of_earlier_era = self
+            .fleet
+            .reading()
+            .is_some_and(|reading| reading.as_of.era < self.store_era);
+        let is_restored = restored_by(self.store_outage_until(now)) <= now;
+        is_of_earlier_era || (self.fleet.has_missing() && is_restored)
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -15,6 +15,7 @@
 use relay::RetryBudget;
 use relay::ServerKey;
 use relay::Strike;
+use tokio::sync::Notify;
 
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
@@ -71,6 +72,8 @@
     pub log: LogSink,
     /// What this router knows of the configuration, servers, weights and peers.
     pub view: RefCell<ClusterView>,
+    /// Wakes the task that keeps this router registered when an era of the store begins.
+    pub era_began: Notify,
     /// Stage of this process between start and exit.
     pub phase: Cell<Phase>,
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -15,10 +15,12 @@
 use crate::log_event::LogEvent;
 use crate::process_event::ProcessEvent;
 use crate::records;
+use crate::store::Listing;
 use crate::store::StoreError;
 use crate::store::StoreUpdate;
 use crate::store::Topic;
 use crate::store::WatchResult;
+use crate::store_era::note_era;
 
 /// Time for which a watch waits for changes, in milliseconds. Above the 20 s of
 /// history that the platform keeps, a watch without changes would end in a listing.
@@ -44,35 +46,50 @@
 /// order lease.
 const FIRST_ROUTERS_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Time by which routers have written their entries again after an era of the store began, in
+/// milliseconds. Those that have not are gone.
+const REWRITE_PERIOD_MS: u64 = 5_000;
+
 /// Follows one topic until the process ends.
 pub async fn run(cx: Rc<Context>, topic: Topic) {
     if topic == Topic::Routers {
         sleep(FIRST_ROUTERS_DELAY).await;
     }
+    let mut era = 0;
     loop {
-        let mut after = match cx.store.list(topic).await {
-            Ok(listing) => {
-                record_success(&cx, topic);
-                if topic == Topic::Routers {
-                    cx.view.borrow_mut().routers_known = true;
-                    records::remove_unlisted(&cx, &listing.updates);
-                }
-                for update in listing.updates {
-                    apply_update(&cx, update, Announcement::Earlier);
-                }
-                listing.as_of
-            }
+        let listing = match cx.store.list(topic).await {
+            Ok(listing) => listing,
             Err(e) => {
                 record_failure(&cx, topic, &e).await;
                 continue;
             }
         };
+        record_success(&cx, topic);
+        let mut after = listing.as_of;
+        let is_new_era = std::mem::replace(&mut era, after.era) < after.era;
+        apply_listing(&cx, topic, listing, is_new_era);
+        let rewritten_by = now().plus_millis(REWRITE_PERIOD_MS);
         while let Some(next) = watch(&cx, topic, after).await {
             after = next;
+            if is_new_era && topic == Topic::Routers && now() >= rewritten_by {
+                break;
+            }
         }
     }
 }
 
+fn apply_listing(cx: &Context, topic: Topic, listing: Listing, is_new_era: bool) {
+    if topic == Topic::Routers {
+        let was_known = std::mem::replace(&mut cx.view.borrow_mut().routers_known, true);
+        // The other routers are about to write the entries again that the store has lost.
+        let keeps_members = was_known && is_new_era;
+        records::remove_unlisted(cx, &listing.updates, keeps_members);
+    }
+    for update in listing.updates {
+        apply_update(cx, update, Announcement::Earlier);
+    }
+}
+
 /// Waits for changes, applies them and returns the revision for the next watch;
 /// none if the topic must be listed again.
 async fn watch(cx: &Context, topic: Topic, after: Revision) -> Option<Revision> {
@@ -146,6 +163,7 @@
 
 /// Records a successful call to the store.
 pub fn record_success(cx: &Context, topic: Topic) {
+    note_era(cx, cx.store.era(), "store");
     record_response(cx, topic.name(), now());
 }
 
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -128,11 +128,7 @@
     match cx.store.watch(Topic::Servers, after, wait_ms).await {
         Ok(WatchResult::Changes(listing)) => {
             record_success(cx, Topic::Servers);
-            let reading = cx.view.borrow_mut().new_reading(now(), listing.as_of);
-            for update in listing.updates {
-                apply_update(cx, update, Announcement::Fresh);
-            }
-            cx.view.borrow_mut().fleet.advance(reading);
+            apply_changes(cx, listing);
             sleep(time_to_next_call(cx)).await;
         }
         Ok(WatchResult::HistoryGone) => {
@@ -147,6 +143,18 @@
     }
 }
 
+/// Applies changes, unless another router delivered newer registrations meanwhile.
+fn apply_changes(cx: &Context, listing: Listing) {
+    let reading = cx.view.borrow_mut().new_reading(now(), listing.as_of);
+    if cx.view.borrow().fleet.is_newer_than(reading) {
+        return;
+    }
+    for update in listing.updates {
+        apply_update(cx, update, Announcement::Fresh);
+    }
+    cx.view.borrow_mut().fleet.advance(reading);
+}
+
 fn apply_listing(cx: &Context, listing: Listing) {
     let reading = cx.view.borrow_mut().new_reading(now(), listing.as_of);
     let mut registrations = Vec::new();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::clock::now;
@@ -120,6 +121,7 @@
             metrics,
             log: services.log,
             view: RefCell::new(view),
+            era_began: Notify::new(),
             phase: Cell::new(Phase::Serving),
         });
         let (close_tx, close_rx) = watch::channel(false);
--- a/crates/gateway/src/gossip_message.rs
+++ b/crates/gateway/src/gossip_message.rs
@@ -42,6 +42,7 @@
     Gossip {
         from: peers.own_hash,
         region: is_hub.then(|| topology.region()),
+        era: view.store_era,
         configuration: view.configuration.as_ref().map_or(0, |c| c.version),
         fleet: fleet_update(now, &view),
         named: announcement_updates(now, &view),
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -20,6 +20,7 @@
 use crate::process_event::log_failure;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
+use crate::store_era::note_era;
 
 /// Longest time between two messages in a full mesh, where each router sends to all others.
 const FULL_MESH_INTERVAL: Duration = Duration::from_millis(150);
@@ -108,6 +109,7 @@
     if message.region.is_none() {
         cx.peers.record_unregistered(message.from, from);
     }
+    note_era(cx, message.era, "peer");
     for update in &message.named {
         let announcement = Announcement::Ago(update.age_ms);
         cx.apply_announced_weights(&update.model, update.version, announcement, "peer");
--- a/crates/gateway/src/measured_store.rs
+++ b/crates/gateway/src/measured_store.rs
@@ -49,6 +49,10 @@
 }
 
 impl Store for MeasuredStore {
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
+
     fn list(&self, topic: Topic) -> LocalBoxFuture<'_, Result<Listing, StoreError>> {
         self.measure("list", self.store.list(topic)).boxed_local()
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -34,6 +35,10 @@
     pub store_calls: HistogramVec,
     /// Orders to engines, by reply.
     pub orders: IntCounterVec,
+    /// Times that the store came back from an older copy.
+    pub store_eras: IntCounter,
+    /// Times that this router wrote its entry again after that.
+    pub entries_rewritten: IntCounter,
     view_gauges: ViewGauges,
     lines_dropped: IntGauge,
     /// Time to choose a backend server, in seconds.
@@ -60,6 +65,16 @@
             ),
             store_calls: store_calls(&registry),
             orders: counters(&registry, "orders", "Orders to engines", &["answer"]),
+            store_eras: counter(
+                &registry,
+                "store_eras",
+                "Times that the store came back from an older copy",
+            ),
+            entries_rewritten: counter(
+                &registry,
+                "entries_rewritten",
+                "Own entries written again after that",
+            ),
             view_gauges: ViewGauges::new(&registry),
             lines_dropped: lines_dropped(&registry),
             decision: histogram(
@@ -123,6 +138,11 @@
     collector
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let name = format!("turmerichollow_{name}_total");
+    register(registry, IntCounter::new(name, help))
+}
+
 fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let opts = Opts::new(format!("turmerichollow_{name}_total"), help);
     register(registry, IntCounterVec::new(opts, labels))
--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -35,6 +35,20 @@
         /// Time since the last response before the outage.
         away_ms: u64,
     },
+    /// The store is back from an older copy of its contents.
+    StoreEra {
+        /// Era before.
+        before: u64,
+        /// Era that has begun.
+        era: u64,
+        /// Where it was learned: `store` or `peer`.
+        source: &'a str,
+    },
+    /// This router has written its entry again, as the store may have lost it.
+    EntryRewritten {
+        /// Era in which it was written.
+        era: u64,
+    },
     /// An entry of the store, or a router's record, can't be decoded.
     EntryUnreadable {
         /// Key of the entry, or name of the router.
@@ -227,6 +241,15 @@
             ProcessEvent::StoreRegained { topic, away_ms } => {
                 write!(f, "event=store_regained topic={topic} away_ms={away_ms}")
             }
+            ProcessEvent::StoreEra {
+                before,
+                era,
+                source,
+            } => write!(
+                f,
+                "event=store_era before={before} era={era} source={source}"
+            ),
+            ProcessEvent::EntryRewritten { era } => write!(f, "event=entry_rewritten era={era}"),
             ProcessEvent::EntryUnreadable { key, reason } => write!(
                 f,
                 "event=entry_unreadable key={key:?} reason={:?}",
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::clock::now;
 use crate::context::Context;
@@ -26,10 +27,13 @@
 use crate::settings::Settings;
 use crate::store::CommitOutcome;
 use crate::store::LeaseId;
+use crate::store::Precondition;
 use crate::store::Record;
 use crate::store::RecordWrite;
 use crate::store::StoreError;
 use crate::store::StoreUpdate;
+use crate::store_era::note_era;
+use crate::store_era::until_turn_to_rewrite;
 use crate::view_event::ViewEvent;
 
 /// Prefix of the names of the records with which live routers register, each under a lease.
@@ -68,7 +72,7 @@
         let holder = String::from_utf8_lossy(&record.value).into_owned();
         ViewEvent::OrderHolder {
             holder: &holder,
-            fence: record.revision,
+            fence: record.revision.fencing_token(),
         }
         .write();
     }
@@ -86,9 +90,10 @@
 
 /// Removes all records that a listing doesn't name: the store's history may have
 /// dropped their deletions before this router read them.
-pub fn remove_unlisted(cx: &Context, listed: &[StoreUpdate]) {
+/// The entries of the other routers stay if `keeps_members` is set.
+pub fn remove_unlisted(cx: &Context, listed: &[StoreUpdate], keeps_members: bool) {
     let listed: HashSet<&str> = listed.iter().filter_map(record_name).collect();
-    let peers = cx.peers.names().into_iter();
+    let peers = cx.peers.names().into_iter().filter(|_| !keeps_members);
     let mut unlisted: Vec<String> = peers.map(|name| format!("{MEMBER}{name}")).collect();
     if cx.view.borrow().order_lease_revision.is_some() {
         unlisted.push(ORDER_LEASE_RECORD.to_owned());
@@ -178,9 +183,18 @@
 
 /// Keeps this router registered until the process ends.
 pub async fn keep_registered(cx: Rc<Context>) {
+    let mut first_era = None;
     loop {
         match register(&cx).await {
-            Ok(Some(lease)) => renew_registration(&cx, lease).await,
+            Ok(Some(lease)) => {
+                note_era(&cx, cx.store.era(), "store");
+                if *first_era.get_or_insert(lease.era) < lease.era {
+                    first_era = Some(lease.era);
+                    cx.metrics.entries_rewritten.inc();
+                    ProcessEvent::EntryRewritten { era: lease.era }.write();
+                }
+                renew_registration(&cx, lease).await;
+            }
             Ok(None) => {}
             Err(e) => log_failure(Step::Register, &e),
         }
@@ -197,7 +211,7 @@
     ));
     let write = RecordWrite {
         name: name.clone(),
-        expected: None,
+        precondition: Precondition::None,
         value,
         lease: Some(lease),
     };
@@ -209,7 +223,12 @@
 
 async fn renew_registration(cx: &Context, lease: LeaseId) {
     loop {
-        sleep(MEMBER_RENEWAL).await;
+        if timeout(MEMBER_RENEWAL, until_turn_to_rewrite(cx, lease.era))
+            .await
+            .is_ok()
+        {
+            return;
+        }
         match cx.store.renew(lease).await {
             Ok(true) => {}
             Ok(false) => return,
@@ -256,24 +275,26 @@
     let lease = cx.store.grant(ttl_ms).await?;
     let write = RecordWrite {
         name: ORDER_LEASE_RECORD.to_owned(),
-        expected: Some(0),
+        precondition: Precondition::Absent,
         value: Some(Bytes::from(cx.settings.name.to_string())),
         lease: Some(lease),
     };
-    let fence = match cx.store.commit(vec![write]).await? {
+    let revision = match cx.store.commit(vec![write]).await? {
         CommitOutcome::Committed(revision) => revision,
         CommitOutcome::Conflict | CommitOutcome::LeaseExpired => {
             cx.store.end(lease).await?;
             return Ok(None);
         }
     };
-    let wait_ms = if cx.settings.fenced {
-        FENCED_WAIT_MS
-    } else {
-        cx.settings.order_lease_ms
-    };
+    note_era(cx, cx.store.era(), "store");
+    // A lease that an earlier era granted does not hold the record.
+    if revision.era != lease.era {
+        return Ok(None);
+    }
+    let wait_ms = order_wait_ms(cx);
+    let fence = revision.fencing_token();
     let mut view = cx.view.borrow_mut();
-    view.order_lease_revision = Some(fence);
+    view.order_lease_revision = Some(revision);
     view.lease_term = Some(LeaseTerm {
         fence,
         from: now().plus_millis(wait_ms),
@@ -284,6 +305,21 @@
     Ok(Some(lease))
 }
 
+/// Returns the time until the orders of an earlier lease term are over. After the store has lost
+/// records, its holder may not know yet that the term has ended.
+fn order_wait_ms(cx: &Context) -> u64 {
+    let unfenced_ms = cx.settings.order_lease_ms;
+    if !cx.settings.fenced {
+        return unfenced_ms;
+    }
+    let era_since = cx.view.borrow().era_since;
+    let earlier_term_ms = era_since.map_or(0, |since| {
+        let ends_at = since.plus_millis(unfenced_ms);
+        ends_at.millis_since(now())
+    });
+    earlier_term_ms.max(FENCED_WAIT_MS)
+}
+
 async fn hold_order_lease(cx: &Context, lease: LeaseId) {
     let ttl_ms = order_lease_ttl_ms(cx);
     loop {
@@ -299,7 +335,9 @@
             return end_lease_term(cx, "stopping");
         }
         let sent_at = now();
-        match cx.store.renew(lease).await {
+        let renewed = cx.store.renew(lease).await;
+        note_era(cx, cx.store.era(), "store");
+        match renewed {
             Ok(true) => renew_lease_term(cx, sent_at, ttl_ms),
             Ok(false) => return end_lease_term(cx, "lease expired"),
             Err(e) => log_failure(Step::Renewal, &e),
--- a/crates/gateway/src/router_feed.rs
+++ b/crates/gateway/src/router_feed.rs
@@ -40,7 +40,8 @@
 
 async fn fetch(cx: &Context, hub: &PeerReading) {
     match snapshot::fetch_routers(hub.address).await {
-        Ok(routers) => replace(cx, routers),
+        Ok(list) if list.era < cx.view.borrow().store_era => {}
+        Ok(list) => replace(cx, list.entries),
         Err(e) => log_peer_failure(Step::RoutersFetch, &hub.address, &e),
     }
 }
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -104,13 +104,25 @@
     to_json(&ServerList::new(&cx.view.borrow()))
 }
 
+/// Entries of all routers that one of them knows, as JSON for other routers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RouterList {
+    /// Latest era of the store that the sender knows.
+    pub era: u64,
+    /// Entries of the routers, the sender included.
+    pub entries: Vec<RouterEntry>,
+}
+
 /// Returns the entries of all routers that this one knows as JSON.
 pub fn routers_json(cx: &Context) -> Vec<u8> {
-    to_json(&cx.peers.entries())
+    to_json(&RouterList {
+        era: cx.view.borrow().store_era,
+        entries: cx.peers.entries(),
+    })
 }
 
 /// Fetches the entries of all routers that another one knows.
-pub async fn fetch_routers(peer: SocketAddr) -> Result<Vec<RouterEntry>, SnapshotError> {
+pub async fn fetch_routers(peer: SocketAddr) -> Result<RouterList, SnapshotError> {
     fetch(peer, "/routers").await
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -117,23 +117,39 @@
     HistoryGone,
 }
 
-/// Id of a lease that the store granted.
+/// A lease that the store granted. A lease of an earlier era has ended, whatever the store says
+/// about its id now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Era of the store that granted it.
+    pub era: u64,
+    /// Its id in that era.
+    pub id: u64,
+}
 
 /// A conditional write of one record.
 #[derive(Clone, Debug)]
 pub struct RecordWrite {
     /// Name of the record.
     pub name: String,
-    /// Revision that the record must have, 0 if it must not exist; none for any.
-    pub expected: Option<Revision>,
+    /// What must hold for the record.
+    pub precondition: Precondition,
     /// New content; none deletes the record.
     pub value: Option<Bytes>,
     /// Lease with which the record expires; none keeps it until it is deleted.
     pub lease: Option<LeaseId>,
 }
 
+/// What must hold for a record that is written. No revision is compared: numbers of an earlier
+/// era may name other changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Precondition {
+    /// Nothing.
+    None,
+    /// The record must not exist.
+    Absent,
+}
+
 /// Outcome of an atomic set of writes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CommitOutcome {
@@ -145,8 +161,12 @@
     LeaseExpired,
 }
 
-/// Client of the platform's store.
+/// Client of the platform's store. Responses of an earlier era than the latest are errors.
 pub trait Store {
+    /// Returns the latest era of the store that a response named; 0 before the first. The era
+    /// grows each time the store comes back from an older copy of its contents.
+    fn era(&self) -> u64;
+
     /// Reads all entries of a topic.
     fn list(&self, topic: Topic) -> LocalBoxFuture<'_, Result<Listing, StoreError>>;
 
--- /dev/null
+++ b/crates/gateway/src/store_era.rs
@@ -0,0 +1,64 @@
+//! What a router does when the store comes back from an older copy of its contents.
+//!
+//! Revisions and leases of an earlier era mean nothing in the new one. So all topics are listed
+//! again, this router's entry is written again, and its term of the order lease is over. What it
+//! knows of the operators' entries and of servers that left stays in force.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::clock::now;
+use crate::context::Context;
+use crate::log_event::LogEvent;
+use crate::process_event::ProcessEvent;
+use crate::records::end_lease_term;
+
+/// Longest delay of rewriting this router's entry, in milliseconds. It spreads the routers.
+const REWRITE_SPREAD_MS: u64 = 1_500;
+
+/// Takes note of an era of the store that a response (`store`) or another router (`peer`) named.
+pub fn note_era(cx: &Context, era: u64, source: &'static str) {
+    let before = {
+        let mut view = cx.view.borrow_mut();
+        if era <= view.store_era {
+            return;
+        }
+        let before = std::mem::replace(&mut view.store_era, era);
+        view.peer_readings.begin_era(era);
+        before
+    };
+    if before != 0 {
+        begin_era(cx, before, era, source);
+    }
+}
+
+fn begin_era(cx: &Context, before: u64, era: u64, source: &'static str) {
+    ProcessEvent::StoreEra {
+        before,
+        era,
+        source,
+    }
+    .write();
+    cx.metrics.store_eras.inc();
+    {
+        let mut view = cx.view.borrow_mut();
+        let now = now();
+        view.era_since = Some(now);
+        // Registrations that the copy lacks may be written again.
+        view.store_lost_at = now;
+        view.store_unreachable_until = now;
+    }
+    end_lease_term(cx, "the store is back from an older copy");
+    cx.era_began.notify_one();
+    cx.peers.wake.notify_one();
+}
+
+/// Waits until an era has begun after `era`, and then for this router's turn to write.
+pub async fn until_turn_to_rewrite(cx: &Context, era: u64) {
+    while cx.view.borrow().store_era <= era {
+        cx.era_began.notified().await;
+    }
+    let delay_ms = rand::rng().random_range(0..REWRITE_SPREAD_MS);
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+}
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -9,7 +9,6 @@
 use relay::Announcement;
 use relay::OrderResponse;
 use relay::Registration;
-use relay::Revision;
 use relay::Strike;
 
 use crate::log_event::LogEvent;
@@ -107,14 +106,14 @@
         /// Name of the router.
         holder: &'a str,
         /// Fencing token of its orders.
-        fence: Revision,
+        fence: u64,
     },
     /// No router holds the order lease.
     NoOrderHolder,
     /// This router has taken the order lease, and gives orders after a wait.
     LeaseTermBegan {
         /// Fencing token of its orders.
-        fence: Revision,
+        fence: u64,
         /// Time until it gives orders, so that an earlier holder's orders are over.
         wait_ms: u64,
     },
@@ -139,7 +138,7 @@
     /// Precondition: number of orders that the engine must have accepted before.
     pub accepted_before: u64,
     /// Fencing token of the order.
-    pub fence: Revision,
+    pub fence: u64,
     /// The engine's reply.
     pub reply: OrderResponse,
 }
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -20,6 +20,7 @@
 use relay::OrderResponse;
 use relay::PartKey;
 use relay::Registration;
+use relay::Revision;
 use relay::ServerState;
 use relay::Strike;
 use relay::Unplaceable;
@@ -270,9 +271,17 @@
     assert_snapshot!(regained, @"event=store_regained topic=operators away_ms=7061");
     let gone = ProcessEvent::HistoryGone {
         topic: "routers",
-        after: 11,
+        after: Revision { era: 0, number: 11 },
     };
     assert_snapshot!(gone, @"event=history_gone topic=routers after=11");
+    let era = ProcessEvent::StoreEra {
+        before: 1,
+        era: 2,
+        source: "peer",
+    };
+    assert_snapshot!(era, @"event=store_era before=1 era=2 source=peer");
+    let rewritten = ProcessEvent::EntryRewritten { era: 2 };
+    assert_snapshot!(rewritten, @"event=entry_rewritten era=2");
     let unreadable = ProcessEvent::EntryUnreadable {
         key: "servers/e1",
         reason: &"missing field",
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -66,12 +66,16 @@
     others: HashMap<u64, OtherReport>,
 }
 
+/// Returns the hash of an incarnation's id and start time; the same on every router.
+pub(crate) fn instance_hash(registration: &Registration) -> u64 {
+    policy::name_hash(&registration.id) ^ registration.started_ms
+}
+
 impl BackendServer {
     pub(crate) fn new(now: Time, registration: Registration) -> BackendServer {
-        let instance_hash = policy::name_hash(&registration.id) ^ registration.started_ms;
         BackendServer {
+            instance_hash: instance_hash(&registration),
             registration,
-            instance_hash,
             seen_at: now,
             avoid_until: Time(0),
             switching_until: Time(0),
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,17 +1,23 @@
 //! Backend servers, their incarnations, and what this router knows about each.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use policy::Time;
 
+use crate::backend_server::instance_hash;
 use crate::reading::restored_by;
 use crate::BackendServer;
 use crate::Reading;
 use crate::Registration;
 use crate::ServerState;
 
+/// Time for which a removed incarnation is remembered, in milliseconds. The store may come back
+/// from a copy that is some seconds old.
+const REMEMBERED_MS: u64 = 30_000;
+
 /// Key of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerKey {
@@ -47,6 +53,11 @@
     by_instance_hash: HashMap<u64, ServerKey>,
     /// Up to where the registrations were read; none before the first list.
     reading: Option<Reading>,
+    /// Incarnations whose registrations ended, and the time until which that is remembered.
+    removed: BTreeMap<u64, Time>,
+    /// Time until which registrations of removed incarnations are ignored, as the store has come
+    /// back from a copy that may hold them.
+    ignores_removed_until: Time,
 }
 
 impl Fleet {
@@ -71,6 +82,9 @@
 
     /// Applies a registration. Returns what changed, if anything.
     pub fn apply(&mut self, now: Time, registration: Registration) -> Option<FleetChange> {
+        if self.is_from_copy(now, &registration) {
+            return None;
+        }
         let known = self.by_id.get(&registration.id).copied();
         if let Some(key) = known {
             let server = self
@@ -81,18 +95,21 @@
                     .update_registration(now, registration)
                     .then_some(FleetChange::Draining(key));
             }
-            self.remove(&registration.id);
+            self.remove(now, &registration.id);
         }
         Some(FleetChange::Added(self.add(now, registration)))
     }
 
     /// Removes the registration of server `id`.
-    pub fn remove(&mut self, id: &str) -> Option<FleetChange> {
+    pub fn remove(&mut self, now: Time, id: &str) -> Option<FleetChange> {
         let key = self.by_id.remove(id)?;
         let slot = &mut self.slots[key.index as usize];
         let server = slot.server.take()?;
         slot.generation += 1;
         self.by_instance_hash.remove(&server.instance_hash);
+        self.removed.retain(|_, until| *until > now);
+        self.removed
+            .insert(server.instance_hash, now.plus_millis(REMEMBERED_MS));
         Some(FleetChange::Removed(server.registration.id))
     }
 
@@ -105,7 +122,7 @@
         outage_until: Time,
     ) -> Option<FleetChange> {
         if restored_by(outage_until) <= now {
-            return self.remove(id);
+            return self.remove(now, id);
         }
         let key = self.by_id(id)?;
         self.mark_missing(now, key)
@@ -124,6 +141,9 @@
         if self.is_newer_than(reading) {
             return changes;
         }
+        if self.is_of_earlier_era(reading) {
+            self.ignores_removed_until = reading.restored_by();
+        }
         self.reading = Some(reading);
         let mut present = std::collections::HashSet::new();
         for registration in registrations {
@@ -134,7 +154,7 @@
         let ids: Vec<Arc<str>> = self.by_id.keys().cloned().collect();
         for id in ids.into_iter().filter(|id| !present.contains(id)) {
             let change = if is_restore_period_over {
-                self.remove(&id)
+                self.remove(now, &id)
             } else {
                 self.mark_missing(now, self.by_id[&id])
             };
@@ -263,6 +283,22 @@
         server.is_some_and(|server| !std::mem::replace(&mut server.ended, true))
     }
 
+    /// Returns whether the registrations were read in an earlier era of the store than `reading`.
+    fn is_of_earlier_era(&self, reading: Reading) -> bool {
+        self.reading
+            .is_some_and(|known| known.as_of.era < reading.as_of.era)
+    }
+
+    /// Returns whether a registration is that of an incarnation that was removed, and may stand
+    /// in the store only because it came back from an older copy.
+    fn is_from_copy(&self, now: Time, registration: &Registration) -> bool {
+        now < self.ignores_removed_until
+            && self
+                .removed
+                .get(&instance_hash(registration))
+                .is_some_and(|until| *until > now)
+    }
+
     /// Marks a registration missing. Returns the change if it was not marked before.
     fn mark_missing(&mut self, now: Time, key: ServerKey) -> Option<FleetChange> {
         let server = self.get_mut(key)?;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -126,6 +126,8 @@
     /// Hash of the region whose routers' loads are summed up in `loads`; none if the
     /// loads are the sender's alone.
     pub region: Option<u64>,
+    /// Latest era of the store that the sender knows, see [`Revision`](crate::Revision).
+    pub era: u64,
     /// Version of the sender's configuration.
     pub configuration: u64,
     /// State of the registrations, if the sender reads them from the store itself.
--- a/crates/relay/src/peer_readings.rs
+++ b/crates/relay/src/peer_readings.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerReadings {
     by_router: BTreeMap<u64, PeerReading>,
+    /// Latest era of the store; readings of earlier ones are not used.
+    era: u64,
     /// Routers that failed to deliver, and the time until which they are ignored.
     ignored_until: BTreeMap<u64, Time>,
 }
@@ -37,11 +39,20 @@
 impl PeerReadings {
     /// Records an announcement, and drops those that have become too old to be used.
     pub fn record(&mut self, now: Time, announcement: PeerReading) {
-        self.by_router.insert(announcement.router, announcement);
+        if announcement.reading.as_of.era >= self.era {
+            self.by_router.insert(announcement.router, announcement);
+        }
         self.by_router.retain(|_, peer| peer.reading.is_fresh(now));
         self.ignored_until.retain(|_, until| *until > now);
     }
 
+    /// Drops readings of eras of the store before `era`, and ignores those that still arrive.
+    pub fn begin_era(&mut self, era: u64) {
+        self.era = era;
+        self.by_router
+            .retain(|_, peer| peer.reading.as_of.era >= era);
+    }
+
     /// Ignores a router for a while that failed to deliver what it announced.
     pub fn ignore(&mut self, now: Time, router: u64) {
         let until = now.plus_millis(FAILED_FETCH_MS);
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -4,8 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Version of the store's contents, which grows with each change.
-pub type Revision = u64;
+use crate::Revision;
 
 /// Time for which a missing registration is kept after an outage of the store, in
 /// milliseconds. The platform restores those of live servers within two seconds.
@@ -50,7 +49,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadingUpdate {
     /// Revision of the store up to which the registrations were read.
-    pub as_of: u64,
+    pub as_of: Revision,
     /// Time since they were read, in milliseconds.
     pub age_ms: u32,
     /// Time since the end of the last outage, in milliseconds.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -48,9 +48,14 @@
 }
 
 /// Returns a reading of the store at a revision, some time after an outage.
-pub fn reading(as_of: Revision, outage_until: Time) -> Reading {
+pub fn reading(number: u64, outage_until: Time) -> Reading {
+    reading_in(1, number, outage_until)
+}
+
+/// Returns a reading of the store at a revision of an era.
+pub fn reading_in(era: u64, number: u64, outage_until: Time) -> Reading {
     Reading {
-        as_of,
+        as_of: Revision { era, number },
         read_at: at(0),
         outage_until,
     }
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -5,6 +5,7 @@
 use common::at;
 use common::fleet;
 use common::reading;
+use common::reading_in;
 use common::registration;
 use common::MODEL;
 use policy::Time;
@@ -90,7 +91,7 @@
     let mut fleet = fleet(2, 1);
     let both = vec![registration("e0", 1), registration("e1", 1)];
     fleet.replace(at(100), both.clone(), reading(5, Time(0)));
-    fleet.remove("e1");
+    fleet.remove(at(200), "e1");
     fleet.advance(reading(7, Time(0)));
 
     // Act
@@ -101,12 +102,43 @@
     assert!(fleet.by_id("e1").is_none());
 }
 
+#[test]
+fn a_store_back_from_an_older_copy_brings_back_no_server_that_left_until_it_says_so_again() {
+    // Arrange
+    let mut fleet = fleet(2, 1);
+    fleet.advance(reading(9, Time(0)));
+    fleet.remove(at(200), "e1");
+    let both = vec![registration("e0", 1), registration("e1", 1)];
+
+    // Act
+    fleet.replace(at(1_000), both.clone(), reading_in(2, 3, at(1_000)));
+    let from_copy = fleet.by_id("e1");
+    fleet.replace(at(3_200), both, reading_in(2, 8, at(1_000)));
+
+    // Assert
+    assert!(from_copy.is_none());
+    assert!(fleet.by_id("e1").is_some());
+}
+
+#[test]
+fn a_list_of_an_earlier_era_of_the_store_is_ignored_whatever_its_number() {
+    let mut fleet = fleet(1, 1);
+    fleet.replace(
+        at(100),
+        vec![registration("e0", 1)],
+        reading_in(2, 3, Time(0)),
+    );
+    let changes = fleet.replace(at(200), vec![], reading_in(1, 900, Time(0)));
+    assert_eq!(changes, []);
+    assert!(fleet.by_id("e0").is_some());
+}
+
 #[test]
 fn a_position_older_than_the_registrations_does_not_replace_theirs() {
     let mut fleet = fleet(1, 1);
     fleet.advance(reading(7, Time(0)));
     fleet.advance(reading(6, Time(0)));
-    assert_eq!(fleet.reading().unwrap().as_of, 7);
+    assert_eq!(fleet.reading().unwrap().as_of.number, 7);
 }
 
 #[test]
--- a/crates/relay/tests/peer_readings.rs
+++ b/crates/relay/tests/peer_readings.rs
@@ -7,6 +7,7 @@
 use relay::PeerReading;
 use relay::PeerReadings;
 use relay::Reading;
+use relay::Revision;
 
 const PREFERRED: u64 = 1;
 
@@ -16,7 +17,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         digest: 1,
         reading: Reading {
-            as_of: 5,
+            as_of: Revision { era: 1, number: 5 },
             read_at,
             outage_until: Time(0),
         },
@@ -81,3 +82,11 @@
     let readings = readings(&[announcement(2, at(2_000))]);
     assert_eq!(readings.outage_until(at(3_000), at(2_100)), None);
 }
+
+#[test]
+fn a_reading_of_an_earlier_era_of_the_store_is_not_used() {
+    let mut readings = readings(&[announcement(2, at(2_900))]);
+    readings.begin_era(2);
+    readings.record(at(3_000), announcement(3, at(2_950)));
+    assert_eq!(best(&readings, None), None);
+}
