gateway, relay: a server that says in a response that it leaves gets no more requests

A server that leaves says so in its responses, header Server-Leaving, maybe before the store knows it, or while the router that passes the response on can't reach the store. Nothing read it: requests went on until the registration was read. Change: the incarnation is marked for good. Other routers learn it from each message, as long as the server is registered as ready, and from the lists that they fetch at their start; the digest of registrations is not touched, so that nobody fetches in vain. Log: server_draining source=response; counter servers_leaving_by_response.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -134,6 +134,9 @@
             ));
         }
         in_flight.end_prefill();
+        if parsed.leaving && !misdirected {
+            x.cx.mark_leaving(choice.server, "response");
+        }
         if misdirected || parsed.not_run {
             let reason = handle_rejection(x, choice, &head, &parsed, misdirected);
             drain_and_release(x, choice.server, body, connection, parsed.keep_alive_ms).await;
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -95,6 +95,8 @@
     pub signed: bool,
     /// Version of the weights that produced it.
     pub weights: Option<u64>,
+    /// Whether the backend server says that it leaves.
+    pub leaving: bool,
     /// Keep-alive timeout that the backend server announces, in milliseconds.
     pub keep_alive_ms: Option<u64>,
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -168,6 +168,26 @@
         self.peers.announce_ended(server.instance_hash);
     }
 
+    /// Records that a backend server has said in a response that it leaves. `source` says to
+    /// whom: `response` to this router, `peer` to another.
+    pub fn mark_leaving(&self, key: ServerKey, source: &str) {
+        if self.view.borrow_mut().fleet.mark_leaving(key) {
+            self.metrics.leaving_by_response.inc();
+            self.on_fleet_change(Some(FleetChange::Draining(key)), source);
+            self.peers.wake.notify_one();
+        }
+    }
+
+    /// Records which servers have told other routers that they leave, by instance hash.
+    pub fn apply_leaving(&self, leaving: &[u64]) {
+        for instance_hash in leaving {
+            let key = self.view.borrow().fleet.by_instance_hash(*instance_hash);
+            if let Some(key) = key {
+                self.mark_leaving(key, "peer");
+            }
+        }
+    }
+
     /// Adds or updates a backend server's registration.
     pub fn apply_registration(&self, registration: Registration, source: &str) {
         let change = self.view.borrow_mut().fleet.apply(now(), registration);
--- a/crates/gateway/src/gossip_message.rs
+++ b/crates/gateway/src/gossip_message.rs
@@ -23,6 +23,9 @@
 /// Most strikes in one message.
 const MAX_STRIKES: usize = 60;
 
+/// Most servers that have said that they leave, in one message.
+const MAX_LEAVING: usize = 200;
+
 /// Returns the next message, and records the loads in it as sent. A hub reports for its region.
 pub fn build_message(cx: &Context) -> Gossip {
     let now = now();
@@ -52,6 +55,7 @@
         weights: weights_updates(peers, fleet),
         strikes: strikes.iter().take(MAX_STRIKES).map(|s| s.value).collect(),
         ended: ended.iter().map(|announced| announced.value).collect(),
+        leaving: fleet.leaving().take(MAX_LEAVING).collect(),
         routers: view.routers_known.then(|| peers.digest()),
     }
 }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -114,6 +114,7 @@
         let announcement = Announcement::Ago(update.age_ms);
         cx.apply_announced_weights(&update.model, update.version, announcement, "peer");
     }
+    cx.apply_leaving(&message.leaving);
     let own_region = message.region == Some(cx.peers.topology.borrow().region());
     let own_loads = cx.peers.sent_loads.borrow();
     let mut view = cx.view.borrow_mut();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub store_calls: HistogramVec,
     /// Orders to engines, by reply.
     pub orders: IntCounterVec,
+    /// Backend servers that said in a response that they leave, before their registration did.
+    pub leaving_by_response: IntCounter,
     /// Times that the store came back from an older copy.
     pub store_eras: IntCounter,
     /// Times that this router wrote its entry again after that.
@@ -65,6 +67,11 @@
             ),
             store_calls: store_calls(&registry),
             orders: counters(&registry, "orders", "Orders to engines", &["answer"]),
+            leaving_by_response: counter(
+                &registry,
+                "servers_leaving_by_response",
+                "Servers that said in a response that they leave, before they were registered so",
+            ),
             store_eras: counter(
                 &registry,
                 "store_eras",
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -78,6 +78,8 @@
     pub reading: ReadingUpdate,
     /// The registrations.
     pub registrations: Vec<Registration>,
+    /// Instance hashes of the servers that have said in a response that they leave.
+    pub leaving: Vec<u64>,
 }
 
 impl ServerList {
@@ -89,6 +91,7 @@
         Some(ServerList {
             reading: ReadingUpdate::new(now(), reading),
             registrations: registrations.collect(),
+            leaving: view.fleet.leaving().collect(),
         })
     }
 
@@ -96,6 +99,7 @@
     pub fn apply(self, cx: &Context) {
         let reading = self.reading.reading(now());
         cx.replace_registrations(self.registrations, reading, "peer");
+        cx.apply_leaving(&self.leaving);
     }
 }
 
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -60,7 +60,7 @@
     ServerDraining {
         /// Its id.
         server: &'a str,
-        /// Where it was learned: `store` or `peer`.
+        /// Where it was learned: `store`, `peer`, or `response` for one of its own.
         source: &'a str,
     },
     /// A backend server's registration is missing, and kept because the platform may restore it.
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -52,6 +52,8 @@
     pub failures: u32,
     /// Time since which it has not responded to this router; none if no response is awaited.
     pub unresponsive_since: Option<Time>,
+    /// Whether it has said in a response, to this router or another, that it leaves.
+    pub(crate) says_leaving: bool,
     /// Whether it is known to be over although its registration remains.
     pub(crate) ended: bool,
     /// When its registration was first found missing, if it is marked missing.
@@ -81,6 +83,7 @@
             switching_until: Time(0),
             failures: 0,
             unresponsive_since: None,
+            says_leaving: false,
             ended: false,
             missing_since: None,
             own: Load::default(),
@@ -200,7 +203,7 @@
 
     /// Returns whether it runs and isn't draining, as far as this router knows.
     pub fn is_ready(&self) -> bool {
-        self.registration.state == ServerState::Ready && !self.ended
+        self.registration.state == ServerState::Ready && !self.ended && !self.says_leaving
     }
 
     /// Records that a request of this router failed without a response.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -45,6 +45,13 @@
     server: Option<BackendServer>,
 }
 
+/// What is remembered of an incarnation whose registration ended.
+#[derive(Clone, Copy, Debug)]
+struct RemovedServer {
+    says_leaving: bool,
+    remembered_until: Time,
+}
+
 /// All registered backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -53,8 +60,8 @@
     by_instance_hash: HashMap<u64, ServerKey>,
     /// Up to where the registrations were read; none before the first list.
     reading: Option<Reading>,
-    /// Incarnations whose registrations ended, and the time until which that is remembered.
-    removed: BTreeMap<u64, Time>,
+    /// Incarnations whose registrations ended lately, by instance hash.
+    removed: BTreeMap<u64, RemovedServer>,
     /// Time until which registrations of removed incarnations are ignored, as the store has come
     /// back from a copy that may hold them.
     ignores_removed_until: Time,
@@ -107,9 +114,13 @@
         let server = slot.server.take()?;
         slot.generation += 1;
         self.by_instance_hash.remove(&server.instance_hash);
-        self.removed.retain(|_, until| *until > now);
         self.removed
-            .insert(server.instance_hash, now.plus_millis(REMEMBERED_MS));
+            .retain(|_, removed| removed.remembered_until > now);
+        let removed = RemovedServer {
+            says_leaving: server.says_leaving,
+            remembered_until: now.plus_millis(REMEMBERED_MS),
+        };
+        self.removed.insert(server.instance_hash, removed);
         Some(FleetChange::Removed(server.registration.id))
     }
 
@@ -296,7 +307,7 @@
             && self
                 .removed
                 .get(&instance_hash(registration))
-                .is_some_and(|until| *until > now)
+                .is_some_and(|removed| removed.remembered_until > now)
     }
 
     /// Marks a registration missing. Returns the change if it was not marked before.
@@ -307,6 +318,27 @@
         is_new.then_some(FleetChange::Missing(key))
     }
 
+    /// Records that an incarnation has said in a response that it leaves. Returns whether that is
+    /// new, and not known by its registration either.
+    pub fn mark_leaving(&mut self, key: ServerKey) -> bool {
+        let Some(server) = self.get_mut(key) else {
+            return false;
+        };
+        let is_new = server.is_ready();
+        server.says_leaving = true;
+        is_new
+    }
+
+    /// Returns the instance hashes of the servers that have said that they leave, but are
+    /// registered as ready.
+    pub fn leaving(&self) -> impl Iterator<Item = u64> + '_ {
+        let servers = self.iter().map(|(_, server)| server);
+        let leaving = servers.filter(|server| {
+            server.says_leaving && server.registration.state == ServerState::Ready
+        });
+        leaving.map(|server| server.instance_hash)
+    }
+
     /// Marks all incarnations ended that were followed by another one at their address.
     fn mark_replaced(&mut self, address: SocketAddr) {
         let servers = self
@@ -334,7 +366,9 @@
             generation: slot.generation,
         };
         let address = registration.address;
-        let server = BackendServer::new(now, registration);
+        let mut server = BackendServer::new(now, registration);
+        let removed = self.removed.get(&server.instance_hash);
+        server.says_leaving = removed.is_some_and(|removed| removed.says_leaving);
         self.by_id.insert(server.registration.id.clone(), key);
         self.by_instance_hash.insert(server.instance_hash, key);
         slot.server = Some(server);
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -147,6 +147,9 @@
     pub strikes: Vec<Strike>,
     /// Instance hashes of incarnations that were recently found to be over.
     pub ended: Vec<u64>,
+    /// Instance hashes of the servers that have said in a response that they leave, but are
+    /// registered as ready. They stand in each message, so that a router that starts learns them.
+    pub leaving: Vec<u64>,
     /// Hash of the registered routers, if the sender reads them from the store itself.
     pub routers: Option<u64>,
 }
