gateway, relay: a server that rejects a request with 503 and Retry-After gets none until then

Nothing read the header: a server that asked for two seconds got 15 of 20 requests half a second later, and callers were told to return after 0.15 to 0.8 s though all servers had asked for longer. Now the time is stored with the incarnation and honoured by placement, so by first attempts, retries and resumed streams; nothing is probed before. If all servers have asked for time, the caller is refused at once with the earliest return plus a spread of a quarter of it. Values that are no time (negative, a date) are counted and count as any rejection; more than ten minutes are cut to ten and counted. Log: server_retry_after, retry_later= in unplaced; counters held_back and retry_after_invalid.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -36,6 +36,7 @@
 use crate::evidence::is_misdirected;
 use crate::evidence::record_part;
 use crate::evidence::record_response;
+use crate::evidence::record_retry_after;
 use crate::evidence::record_strike;
 use crate::evidence::AVOID_FAILED_MS;
 use crate::exchange::Exchange;
@@ -134,8 +135,11 @@
             ));
         }
         in_flight.end_prefill();
-        if parsed.leaving && !misdirected {
-            x.cx.mark_leaving(choice.server, "response");
+        if !misdirected {
+            record_retry_after(x, choice.server, &head, &parsed);
+            if parsed.leaving {
+                x.cx.mark_leaving(choice.server, "response");
+            }
         }
         if misdirected || parsed.not_run {
             let reason = handle_rejection(x, choice, &head, &parsed, misdirected);
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -82,6 +82,15 @@
     pub scope: String,
 }
 
+/// Time for which a backend server wants no other request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// Time in milliseconds.
+    Millis(u64),
+    /// A value that is no time.
+    Invalid,
+}
+
 /// Fields read from a response's head.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -95,6 +104,8 @@
     pub signed: bool,
     /// Version of the weights that produced it.
     pub weights: Option<u64>,
+    /// Time for which the backend server wants no other request, if it names one.
+    pub retry_after: Option<RetryAfter>,
     /// Whether the backend server says that it leaves.
     pub leaving: bool,
     /// Keep-alive timeout that the backend server announces, in milliseconds.
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -8,12 +8,18 @@
 
 use crate::clock::now;
 use crate::codec::ResponseHead;
+use crate::codec::RetryAfter;
 use crate::exchange::Exchange;
+use crate::log_event::LogEvent;
 use crate::peers::SentPart;
+use crate::view_event::ViewEvent;
 
 /// Time for which a backend server is avoided after it rejected a request, in milliseconds.
 const AVOID_REJECTED_MS: u64 = 250;
 
+/// Longest time for which a backend server may ask for no requests, in milliseconds.
+const MAX_RETRY_AFTER_MS: u64 = 600_000;
+
 /// Time for which a backend server is avoided after it failed or was unreachable or
 /// unresponsive, in milliseconds.
 pub const AVOID_FAILED_MS: u64 = 700;
@@ -101,6 +107,40 @@
     }
 }
 
+/// Records for how long a backend server that rejected a request with status 503 wants no other.
+pub fn record_retry_after(
+    x: &Exchange,
+    key: ServerKey,
+    head: &response::Parts,
+    parsed: &ResponseHead,
+) {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let asked_ms = match parsed.retry_after {
+        None => return,
+        Some(RetryAfter::Invalid) => {
+            x.cx.metrics.retry_after_invalid.inc();
+            return;
+        }
+        Some(RetryAfter::Millis(ms)) => ms,
+    };
+    if asked_ms > MAX_RETRY_AFTER_MS {
+        x.cx.metrics.retry_after_invalid.inc();
+    }
+    let retry_after_ms = asked_ms.min(MAX_RETRY_AFTER_MS);
+    let mut view = x.cx.view.borrow_mut();
+    if let Some(server) = view.fleet.get_mut(key) {
+        server.retry_at = server.retry_at.max(now().plus_millis(retry_after_ms));
+        ViewEvent::ServerRetryAfter {
+            server: &server.registration.id,
+            retry_after_ms,
+            asked_ms,
+        }
+        .write();
+    }
+}
+
 /// Returns whether another backend server, which uses the address by now, rejected the
 /// request with status 421.
 pub fn is_misdirected(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -320,11 +320,15 @@
     }
 
     fn refuse_unplaced(mut self, e: Unplaceable) -> Response<ResponseBody> {
+        let fleet = FleetSummary::new(&self.cx.view.borrow(), &self.service, now());
+        if fleet.retry_later > 0 {
+            self.cx.metrics.held_back.inc();
+        }
         RequestEvent::Unplaced {
             id: &self.parsed.id,
             service: &self.service,
             cause: e,
-            fleet: FleetSummary::new(&self.cx.view.borrow(), &self.service, now()),
+            fleet,
         }
         .write();
         if self.executions > 0 {
--- a/crates/gateway/src/fleet_summary.rs
+++ b/crates/gateway/src/fleet_summary.rs
@@ -17,6 +17,8 @@
     pub ready: usize,
     /// Servers that are avoided after a failure.
     pub avoided: usize,
+    /// Servers that have asked for no requests for a while.
+    pub retry_later: usize,
     /// Servers that switch to new weights.
     pub switching: usize,
     /// Time since the store last responded, in milliseconds.
@@ -29,11 +31,13 @@
         let servers: Vec<_> = view.fleet.of_service(service).collect();
         let ready = servers.iter().filter(|(_, s)| s.takes_requests(now));
         let avoided = servers.iter().filter(|(_, s)| s.avoid_until > now);
+        let retry_later = servers.iter().filter(|(_, s)| s.retry_at > now);
         let switching = servers.iter().filter(|(_, s)| s.switching_until > now);
         FleetSummary {
             servers: servers.len(),
             ready: ready.count(),
             avoided: avoided.count(),
+            retry_later: retry_later.count(),
             switching: switching.count(),
             store_age_ms: now.millis_since(view.store_responded_at),
         }
@@ -44,8 +48,13 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "servers={} ready={} avoided={} switching={} store_age_ms={}",
-            self.servers, self.ready, self.avoided, self.switching, self.store_age_ms
+            "servers={} ready={} avoided={} retry_later={} switching={} store_age_ms={}",
+            self.servers,
+            self.ready,
+            self.avoided,
+            self.retry_later,
+            self.switching,
+            self.store_age_ms
         )
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub use codec::PromptHead;
 pub use codec::RequestHead;
 pub use codec::ResponseHead;
+pub use codec::RetryAfter;
 pub use connection::connect;
 pub use connection::error_chain;
 pub use connection::ConnectError;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,10 @@
     pub orders: IntCounterVec,
     /// Backend servers that said in a response that they leave, before their registration did.
     pub leaving_by_response: IntCounter,
+    /// Requests refused while backend servers had asked for none.
+    pub held_back: IntCounter,
+    /// Retry-after times of backend servers that are no time or too long.
+    pub retry_after_invalid: IntCounter,
     /// Times that the store came back from an older copy.
     pub store_eras: IntCounter,
     /// Times that this router wrote its entry again after that.
@@ -72,6 +76,16 @@
                 "servers_leaving_by_response",
                 "Servers that said in a response that they leave, before they were registered so",
             ),
+            held_back: counter(
+                &registry,
+                "held_back",
+                "Requests refused while servers had asked for none",
+            ),
+            retry_after_invalid: counter(
+                &registry,
+                "retry_after_invalid",
+                "Retry-after times of servers that are no time or too long",
+            ),
             store_eras: counter(
                 &registry,
                 "store_eras",
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -86,6 +86,15 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// A backend server has asked this router for no requests for a while.
+    ServerRetryAfter {
+        /// Its id.
+        server: &'a str,
+        /// Time for which it gets none.
+        retry_after_ms: u64,
+        /// Time for which it asked; longer if it was cut.
+        asked_ms: u64,
+    },
     /// A strike was recorded: a request was in flight on a backend server when that server
     /// failed.
     Strike(Strike),
@@ -206,6 +215,14 @@
             ViewEvent::ServerEnded { server, address } => {
                 write!(f, "event=server_ended server={server} address={address}")
             }
+            ViewEvent::ServerRetryAfter {
+                server,
+                retry_after_ms,
+                asked_ms,
+            } => write!(
+                f,
+                "event=server_retry_after server={server} retry_after_ms={retry_after_ms} asked_ms={asked_ms}"
+            ),
             ViewEvent::Strike(strike) => write!(
                 f,
                 "event=strike request={:016x} server={:016x}",
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -103,11 +103,12 @@
             servers: 12,
             ready: 9,
             avoided: 2,
+            retry_later: 0,
             switching: 1,
             store_age_ms: 80,
         },
     };
-    assert_snapshot!(unplaced, @r#"event=unplaced id="q1" service=engines reason=too_late cause=TooLate { retry_after_ms: 200, wait_ms: 1500, reading_ms: 310 } servers=12 ready=9 avoided=2 switching=1 store_age_ms=80"#);
+    assert_snapshot!(unplaced, @r#"event=unplaced id="q1" service=engines reason=too_late cause=TooLate { retry_after_ms: 200, wait_ms: 1500, reading_ms: 310 } servers=12 ready=9 avoided=2 retry_later=0 switching=1 store_age_ms=80"#);
     assert_snapshot!(RequestEvent::Ended(ended("too_late")), @r#"event=request id="q1" route=r-1 workspace=w1 service=engines configuration=7 outcome=too_late status=503 server=none sends=1 runs=0 took_ms=600 left_ms=5371"#);
     let resume = RequestEvent::ResumeFailed {
         id: "q1",
@@ -181,6 +182,12 @@
     };
     assert_snapshot!(missing, @"event=server_missing server=e1 outage_age_ms=250 source=peer");
     assert_snapshot!(ViewEvent::ServerRemoved { server, source }, @"event=server_removed server=e1 source=peer");
+    let retry_after = ViewEvent::ServerRetryAfter {
+        server,
+        retry_after_ms: 600_000,
+        asked_ms: 900_000,
+    };
+    assert_snapshot!(retry_after, @"event=server_retry_after server=e1 retry_after_ms=600000 asked_ms=900000");
     let address = registration.address;
     assert_snapshot!(ViewEvent::ServerEnded { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
     let strike = Strike {
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -46,6 +46,8 @@
     pub seen_at: Time,
     /// Time until which it gets no requests because it rejected one or failed.
     pub avoid_until: Time,
+    /// Time until which it has asked this router for no requests.
+    pub retry_at: Time,
     /// Time until which it is expected to reject requests because it loads new weights.
     pub switching_until: Time,
     /// Number of consecutive failures.
@@ -80,6 +82,7 @@
             registration,
             seen_at: now,
             avoid_until: Time(0),
+            retry_at: Time(0),
             switching_until: Time(0),
             failures: 0,
             unresponsive_since: None,
@@ -198,7 +201,14 @@
 
     /// Returns whether it may get new requests.
     pub fn takes_requests(&self, now: Time) -> bool {
-        self.is_ready() && self.avoid_until <= now && self.switching_until <= now
+        self.is_ready() && self.ready_at() <= now
+    }
+
+    /// Returns the time from which it may get new requests, as far as this router knows.
+    pub fn ready_at(&self) -> Time {
+        self.avoid_until
+            .max(self.switching_until)
+            .max(self.retry_at)
     }
 
     /// Returns whether it runs and isn't draining, as far as this router knows.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -60,6 +60,9 @@
 /// Minimum and maximum of the time after which callers are told to retry, in milliseconds.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (150, 800);
 
+/// Part of the time that servers have asked for over which the return of callers is spread.
+const RETRY_SPREAD_DIVISOR: u64 = 4;
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -235,7 +238,7 @@
             .copied()
             .collect();
         if ready.is_empty() {
-            let retry_after_ms = self.first_ready_in_ms(&untried);
+            let retry_after_ms = self.first_ready_in_ms(request, &untried);
             return Err(Unplaceable::NoneReady { retry_after_ms });
         }
         let state = PlacementState {
@@ -293,13 +296,20 @@
         requests < f64::from(server.registration.slots.max(1)) * MAX_REQUESTS_PER_SLOT
     }
 
-    fn first_ready_in_ms(&self, servers: &[Candidate<'_>]) -> u64 {
-        let ready_at = servers
-            .iter()
-            .map(|(_, server)| server.avoid_until.max(server.switching_until));
-        let first = ready_at.filter(|at| *at > self.now).min();
-        let wait = first.map_or(RETRY_AFTER_RANGE_MS.1, |at| at.millis_since(self.now));
-        wait.clamp(RETRY_AFTER_RANGE_MS.0, RETRY_AFTER_RANGE_MS.1)
+    /// Returns the time after which a caller should retry, in milliseconds. If the servers have
+    /// asked for no requests until then, callers are spread over the time after it.
+    fn first_ready_in_ms(&self, request: &PlacementRequest<'_>, servers: &[Candidate<'_>]) -> u64 {
+        let servers = servers.iter().map(|(_, server)| server);
+        let waiting = servers.filter(|server| server.is_ready() && server.ready_at() > self.now);
+        let Some(first) = waiting.min_by_key(|server| server.ready_at()) else {
+            return RETRY_AFTER_RANGE_MS.1;
+        };
+        let wait_ms = first.ready_at().millis_since(self.now);
+        if first.retry_at < first.ready_at() {
+            return wait_ms.clamp(RETRY_AFTER_RANGE_MS.0, RETRY_AFTER_RANGE_MS.1);
+        }
+        let spread_ms = (wait_ms / RETRY_SPREAD_DIVISOR).max(RETRY_AFTER_RANGE_MS.0);
+        wait_ms + request.seed % spread_ms
     }
 
     fn estimate(
