--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -1,7 +1,7 @@
 //! Randomized soak test of `turmerichollow forward` as real processes, with injected faults.
 //!
 //! Routers are killed, terminated, paused and restarted, the store refuses calls, backend
-//! servers misbehave, and the network links to both are delayed, reset, blocked in one direction
+//! servers misbehave, the store comes back from an older copy, and the network links to both are delayed, reset, blocked in one direction
 //! or in both, one after the other and overlapping. The responses that callers received are then
 //! checked against the executions that backend servers counted. `SOAK_SEEDS=a..b` runs other
 //! seeds, `SOAK_LOGS=dir` keeps the routers' logs.
@@ -58,6 +58,9 @@
 /// Time after the last fault within which every router must serve again, in milliseconds.
 const RECOVERY_MS: u64 = 6_000;
 
+/// Distinguishes the random numbers of the store's eras from those of the other faults.
+const ERA_SEED: u64 = 0x4552_4100_0000;
+
 /// Ways in which backend servers misbehave.
 const BEHAVIORS: [Behavior; 7] = [
     Behavior::Rejects,
@@ -345,6 +348,30 @@
     }
 }
 
+/// Lets the store come back from a copy that is some seconds old, in some seeds while all routers
+/// are killed. What the operators wrote since is written again soon after.
+async fn restore_older_copy(world: Rc<World>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(world.seed ^ ERA_SEED);
+    for _ in 0..rng.random_range(1..3) {
+        sleep(Duration::from_millis(rng.random_range(200..1_500))).await;
+        world.store.take_copy();
+        sleep(Duration::from_millis(rng.random_range(200..1_500))).await;
+        let configuration = world.store.get("op/config").unwrap();
+        world.store.down.set(true);
+        if rng.random_range(0..3) == 0 {
+            for router in &world.routers {
+                let id = router.signal(Signal::KILL);
+                router.restart(id).await;
+            }
+        }
+        sleep(Duration::from_millis(rng.random_range(50..1_000))).await;
+        world.store.restore_copy();
+        world.store.down.set(false);
+        sleep(Duration::from_millis(rng.random_range(0..1_000))).await;
+        world.store.put_bytes("op/config", &configuration);
+    }
+}
+
 async fn wait_until_all_serve(world: &World) {
     for router in &world.routers {
         let caller = Caller::new(router.address);
@@ -375,7 +402,9 @@
         let callers: Vec<_> = (0..CALLERS)
             .map(|caller| spawn_local(run_caller(Rc::clone(&world), caller)))
             .collect();
+        let restores = spawn_local(restore_older_copy(Rc::clone(&world)));
         inject_faults(Rc::clone(&world)).await;
+        restores.await.unwrap();
         wait_until_all_serve(&world).await;
         world.stopping.set(true);
         for caller in callers {
