--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -26,6 +26,7 @@
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::server_event::ServerEvent;
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::view_event::ViewEvent;
@@ -130,7 +131,7 @@
         let is_new = server.record_weights(model, version);
         if is_new {
             server.switching_until = now();
-            ViewEvent::WeightsLoaded {
+            ServerEvent::WeightsLoaded {
                 server: &server.registration.id,
                 model,
                 version,
@@ -160,7 +161,7 @@
         let Some(server) = view.fleet.get(key) else {
             return;
         };
-        ViewEvent::ServerEnded {
+        ServerEvent::Ended {
             server: &server.registration.id,
             address: server.registration.address,
         }
@@ -283,43 +284,50 @@
     fn on_fleet_change(&self, change: Option<FleetChange>, source: &str) {
         match change {
             None => {}
-            Some(FleetChange::Added(key)) => {
-                let view = self.view.borrow();
-                if let Some(server) = view.fleet.get(key) {
-                    let registration = &server.registration;
-                    ViewEvent::ServerAdded {
-                        registration,
-                        source,
-                    }
-                    .write();
-                }
-            }
-            Some(FleetChange::Draining(key)) => {
-                let view = self.view.borrow();
-                if let Some(server) = view.fleet.get(key) {
-                    let server = &*server.registration.id;
-                    ViewEvent::ServerDraining { server, source }.write();
-                }
-            }
-            Some(FleetChange::Missing(key)) => {
-                let view = self.view.borrow();
-                let outage_until = view.fleet.reading().map(|reading| reading.outage_until);
-                let outage_until = outage_until.unwrap_or(view.store_unreachable_until);
-                let outage_age_ms = now().millis_since(outage_until);
-                if let Some(server) = view.fleet.get(key) {
-                    ViewEvent::ServerMissing {
-                        server: &server.registration.id,
-                        outage_age_ms,
-                        source,
-                    }
-                    .write();
-                }
-            }
             Some(FleetChange::Removed(id)) => {
                 let server = &*id;
-                ViewEvent::ServerRemoved { server, source }.write();
+                ServerEvent::Removed { server, source }.write();
                 self.pool.sweep(&self.view.borrow().fleet);
             }
+            Some(FleetChange::Added(key)) => self.log_server(key, |registration| {
+                ServerEvent::Added {
+                    registration,
+                    source,
+                }
+                .write();
+            }),
+            Some(FleetChange::Draining(key)) => self.log_server(key, |registration| {
+                let server = &*registration.id;
+                ServerEvent::Draining { server, source }.write();
+            }),
+            Some(FleetChange::Missing(key)) => self.log_server(key, |registration| {
+                ServerEvent::Missing {
+                    server: &registration.id,
+                    outage_age_ms: self.outage_age_ms(),
+                    source,
+                }
+                .write();
+            }),
         }
     }
+
+    /// Logs an event of a backend server, if it is still known.
+    fn log_server<F>(&self, key: ServerKey, log: F)
+    where
+        F: FnOnce(&Registration),
+    {
+        let view = self.view.borrow();
+        if let Some(server) = view.fleet.get(key) {
+            log(&server.registration);
+        }
+    }
+
+    /// Returns the time since the outage of the store that excuses missing registrations, in
+    /// milliseconds.
+    fn outage_age_ms(&self) -> u64 {
+        let view = self.view.borrow();
+        let reading = view.fleet.reading();
+        let outage_until = reading.map_or(view.store_unreachable_until, |r| r.outage_until);
+        now().millis_since(outage_until)
+    }
 }
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -12,7 +12,7 @@
 use crate::exchange::Exchange;
 use crate::log_event::LogEvent;
 use crate::peers::SentPart;
-use crate::view_event::ViewEvent;
+use crate::server_event::ServerEvent;
 
 /// Time for which a backend server is avoided after it rejected a request, in milliseconds.
 const AVOID_REJECTED_MS: u64 = 250;
@@ -132,7 +132,7 @@
     let mut view = x.cx.view.borrow_mut();
     if let Some(server) = view.fleet.get_mut(key) {
         server.retry_at = server.retry_at.max(now().plus_millis(retry_after_ms));
-        ViewEvent::ServerRetryAfter {
+        ServerEvent::RetryAfter {
             server: &server.registration.id,
             retry_after_ms,
             asked_ms,
--- /dev/null
+++ b/crates/gateway/src/server_event.rs
@@ -0,0 +1,127 @@
+//! Log events for what this router learns of backend servers. Times are in milliseconds.
+
+use std::fmt;
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::net::SocketAddr;
+
+use log::Level;
+use relay::Registration;
+
+use crate::log_event::LogEvent;
+
+/// A change of what this router knows of a backend server.
+#[derive(Clone, Debug)]
+pub enum ServerEvent<'a> {
+    /// An engine has loaded a version of weights.
+    WeightsLoaded {
+        /// Id of the engine.
+        server: &'a str,
+        /// Name of the model.
+        model: &'a str,
+        /// Version that the engine has now.
+        version: u64,
+    },
+    /// A backend server was registered.
+    Added {
+        /// Its registration.
+        registration: &'a Registration,
+        /// Where it was learned: `store` or `peer`.
+        source: &'a str,
+    },
+    /// A backend server has begun to drain.
+    Draining {
+        /// Its id.
+        server: &'a str,
+        /// Where it was learned: `store`, `peer`, or `response` for one of its own.
+        source: &'a str,
+    },
+    /// A backend server's registration is missing, and kept because the platform may restore it.
+    Missing {
+        /// Its id.
+        server: &'a str,
+        /// Time since the end of the outage of the store that may have removed it.
+        outage_age_ms: u64,
+        /// Where it was learned: `store` or `peer`.
+        source: &'a str,
+    },
+    /// A backend server's registration ended.
+    Removed {
+        /// Its id.
+        server: &'a str,
+        /// Where it was learned: `store` or `peer`.
+        source: &'a str,
+    },
+    /// An incarnation of a backend server is over, as another server has its address.
+    Ended {
+        /// Its id.
+        server: &'a str,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// A backend server has asked this router for no requests for a while.
+    RetryAfter {
+        /// Its id.
+        server: &'a str,
+        /// Time for which it gets none.
+        retry_after_ms: u64,
+        /// Time for which it asked; longer if it was cut.
+        asked_ms: u64,
+    },
+}
+
+impl LogEvent for ServerEvent<'_> {
+    fn level(&self) -> Level {
+        Level::Info
+    }
+}
+
+impl Display for ServerEvent<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            ServerEvent::WeightsLoaded {
+                server,
+                model,
+                version,
+            } => write!(
+                f,
+                "event=weights_taken server={server} model={model:?} version={version}"
+            ),
+            ServerEvent::Added { registration, source } => write!(
+                f,
+                "event=server_added server={} service={} domain={} address={} state={:?} weights={:?} source={source}",
+                registration.id,
+                registration.service,
+                registration.domain,
+                registration.address,
+                registration.state,
+                registration.weights.values().collect::<Vec<_>>()
+            ),
+            ServerEvent::Draining { server, source } => {
+                write!(f, "event=server_draining server={server} source={source}")
+            }
+            ServerEvent::Missing {
+                server,
+                outage_age_ms,
+                source,
+            } => write!(
+                f,
+                "event=server_missing server={server} outage_age_ms={outage_age_ms} source={source}"
+            ),
+            ServerEvent::Removed { server, source } => {
+                write!(f, "event=server_removed server={server} source={source}")
+            }
+            ServerEvent::Ended { server, address } => {
+                write!(f, "event=server_ended server={server} address={address}")
+            }
+            ServerEvent::RetryAfter {
+                server,
+                retry_after_ms,
+                asked_ms,
+            } => write!(
+                f,
+                "event=server_retry_after server={server} retry_after_ms={retry_after_ms} asked_ms={asked_ms}"
+            ),
+        }
+    }
+}
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -8,7 +8,6 @@
 use log::Level;
 use relay::Announcement;
 use relay::OrderResponse;
-use relay::Registration;
 use relay::Strike;
 
 use crate::log_event::LogEvent;
@@ -40,61 +39,6 @@
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
     },
-    /// An engine has loaded a version of weights.
-    WeightsLoaded {
-        /// Id of the engine.
-        server: &'a str,
-        /// Name of the model.
-        model: &'a str,
-        /// Version that the engine has now.
-        version: u64,
-    },
-    /// A backend server was registered.
-    ServerAdded {
-        /// Its registration.
-        registration: &'a Registration,
-        /// Where it was learned: `store` or `peer`.
-        source: &'a str,
-    },
-    /// A backend server has begun to drain.
-    ServerDraining {
-        /// Its id.
-        server: &'a str,
-        /// Where it was learned: `store`, `peer`, or `response` for one of its own.
-        source: &'a str,
-    },
-    /// A backend server's registration is missing, and kept because the platform may restore it.
-    ServerMissing {
-        /// Its id.
-        server: &'a str,
-        /// Time since the end of the outage of the store that may have removed it.
-        outage_age_ms: u64,
-        /// Where it was learned: `store` or `peer`.
-        source: &'a str,
-    },
-    /// A backend server's registration ended.
-    ServerRemoved {
-        /// Its id.
-        server: &'a str,
-        /// Where it was learned: `store` or `peer`.
-        source: &'a str,
-    },
-    /// An incarnation of a backend server is over, as another server has its address.
-    ServerEnded {
-        /// Its id.
-        server: &'a str,
-        /// Its address.
-        address: SocketAddr,
-    },
-    /// A backend server has asked this router for no requests for a while.
-    ServerRetryAfter {
-        /// Its id.
-        server: &'a str,
-        /// Time for which it gets none.
-        retry_after_ms: u64,
-        /// Time for which it asked; longer if it was cut.
-        asked_ms: u64,
-    },
     /// A strike was recorded: a request was in flight on a backend server when that server
     /// failed.
     Strike(Strike),
@@ -180,49 +124,6 @@
                 f,
                 "event=weights_named model={model:?} version={version} naming={announcement:?} source={source}"
             ),
-            ViewEvent::WeightsLoaded {
-                server,
-                model,
-                version,
-            } => write!(
-                f,
-                "event=weights_taken server={server} model={model:?} version={version}"
-            ),
-            ViewEvent::ServerAdded { registration, source } => write!(
-                f,
-                "event=server_added server={} service={} domain={} address={} state={:?} weights={:?} source={source}",
-                registration.id,
-                registration.service,
-                registration.domain,
-                registration.address,
-                registration.state,
-                registration.weights.values().collect::<Vec<_>>()
-            ),
-            ViewEvent::ServerDraining { server, source } => {
-                write!(f, "event=server_draining server={server} source={source}")
-            }
-            ViewEvent::ServerMissing {
-                server,
-                outage_age_ms,
-                source,
-            } => write!(
-                f,
-                "event=server_missing server={server} outage_age_ms={outage_age_ms} source={source}"
-            ),
-            ViewEvent::ServerRemoved { server, source } => {
-                write!(f, "event=server_removed server={server} source={source}")
-            }
-            ViewEvent::ServerEnded { server, address } => {
-                write!(f, "event=server_ended server={server} address={address}")
-            }
-            ViewEvent::ServerRetryAfter {
-                server,
-                retry_after_ms,
-                asked_ms,
-            } => write!(
-                f,
-                "event=server_retry_after server={server} retry_after_ms={retry_after_ms} asked_ms={asked_ms}"
-            ),
             ViewEvent::Strike(strike) => write!(
                 f,
                 "event=strike request={:016x} server={:016x}",
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -10,6 +10,7 @@
 use gateway::ProcessEvent;
 use gateway::RequestEnded;
 use gateway::RequestEvent;
+use gateway::ServerEvent;
 use gateway::Step;
 use gateway::StopPhase;
 use gateway::ViewEvent;
@@ -157,7 +158,7 @@
         source: "peer",
     };
     assert_snapshot!(named, @r#"event=weights_named model="m0" version=4 naming=Ago(120) source=peer"#);
-    let taken = ViewEvent::WeightsLoaded {
+    let taken = ServerEvent::WeightsLoaded {
         server: "e1",
         model: "m0",
         version: 4,
@@ -168,28 +169,28 @@
 #[test]
 fn lines_of_the_fleet() {
     let registration = registration();
-    let added = ViewEvent::ServerAdded {
+    let added = ServerEvent::Added {
         registration: &registration,
         source: "store",
     };
     assert_snapshot!(added, @"event=server_added server=e1 service=engines domain=a address=10.0.0.1:80 state=Ready weights=[3] source=store");
     let (server, source) = ("e1", "peer");
-    assert_snapshot!(ViewEvent::ServerDraining { server, source }, @"event=server_draining server=e1 source=peer");
-    let missing = ViewEvent::ServerMissing {
+    assert_snapshot!(ServerEvent::Draining { server, source }, @"event=server_draining server=e1 source=peer");
+    let missing = ServerEvent::Missing {
         server,
         outage_age_ms: 250,
         source,
     };
     assert_snapshot!(missing, @"event=server_missing server=e1 outage_age_ms=250 source=peer");
-    assert_snapshot!(ViewEvent::ServerRemoved { server, source }, @"event=server_removed server=e1 source=peer");
-    let retry_after = ViewEvent::ServerRetryAfter {
+    assert_snapshot!(ServerEvent::Removed { server, source }, @"event=server_removed server=e1 source=peer");
+    let retry_after = ServerEvent::RetryAfter {
         server,
         retry_after_ms: 600_000,
         asked_ms: 900_000,
     };
     assert_snapshot!(retry_after, @"event=server_retry_after server=e1 retry_after_ms=600000 asked_ms=900000");
     let address = registration.address;
-    assert_snapshot!(ViewEvent::ServerEnded { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
+    assert_snapshot!(ServerEvent::Ended { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
     let strike = Strike {
         request: 0x1f,
         server: 0x2f,
--- /dev/null
+++ b/crates/router/tests/soak/router_process.rs
@@ -0,0 +1,103 @@
+//! A router as a process of its own, which faults signal and restart.
+
+use std::cell::RefCell;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use rustix::process::kill_process;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+use crate::common::free_address;
+
+/// A router process that is restarted after it ends.
+pub struct RouterProcess {
+    settings: PathBuf,
+    pub address: SocketAddr,
+    child: RefCell<Child>,
+}
+
+impl RouterProcess {
+    /// Starts a router whose store is at an address.
+    pub fn start(dir: &TempDir, name: &str, store: SocketAddr) -> RouterProcess {
+        let address = free_address();
+        let settings = dir.path().join(format!("{name}.json"));
+        let text = json!({
+            "name": name, "domain": "a", "regions": { "a": "r" },
+            "listen": {
+                "callers": address, "readiness": free_address(),
+                "peer_port": free_address().port(), "metrics_port": free_address().port(),
+            },
+            "store": store, "stop_s": 3, "repeat_ratio": 0.2, "repeat_reserve": 60, "fenced": true,
+        });
+        std::fs::write(&settings, text.to_string()).unwrap();
+        RouterProcess {
+            child: RefCell::new(spawn(&settings)),
+            settings,
+            address,
+        }
+    }
+
+    /// Sends a signal to the process and returns its process id.
+    pub fn signal(&self, signal: Signal) -> u32 {
+        let child = self.child.borrow();
+        // Signalling fails if the process has just ended, and is not needed then.
+        let _ = kill_process(Pid::from_child(&child), signal);
+        child.id()
+    }
+
+    /// Restarts the router once process `id` has ended, unless another fault already did.
+    pub async fn restart(&self, id: u32) {
+        while !self.is_replaced(id) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Replaces process `id` if it has ended. Returns whether another process runs now.
+    fn is_replaced(&self, id: u32) -> bool {
+        let mut child = self.child.borrow_mut();
+        if child.id() == id && child.try_wait().unwrap().is_some() {
+            *child = spawn(&self.settings);
+        }
+        child.id() != id
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        let mut child = self.child.borrow_mut();
+        // The process may have ended already.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+/// Returns the log file of a router if `SOAK_LOGS` is set, otherwise a null output.
+fn log_file(settings: &Path) -> Stdio {
+    let Some(dir) = std::env::var_os("SOAK_LOGS") else {
+        return Stdio::null();
+    };
+    let name = settings.with_extension("log");
+    let path = Path::new(&dir).join(name.file_name().unwrap());
+    let file = File::options().create(true).append(true).open(path);
+    file.unwrap().into()
+}
+
+fn spawn(settings: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_turmerichollow"))
+        .arg("forward")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(log_file(settings))
+        .spawn()
+        .unwrap()
+}
