gateway: the list of routers is read again after a new era only, not after each start

Found in reading the diff: the first listing counted as one of a new era, so each router listed the routers once more after five seconds.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -55,7 +55,7 @@
     /// When that outage began.
     pub store_lost_at: Time,
     /// Time since which this router would know of an outage of the store: its start, or an
-    /// earlier time that another router told.
+    /// earlier time that another router reported.
     pub knows_outages_since: Time,
     /// When the store last responded to a listing or watch; the start of the router before
     /// the first response.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -169,8 +169,8 @@
         self.peers.announce_ended(server.instance_hash);
     }
 
-    /// Records that a backend server has said in a response that it leaves. `source` says to
-    /// whom: `response` to this router, `peer` to another.
+    /// Records that a backend server has said in a response that it leaves. `source` is
+    /// `response` for a response to this router, `peer` for one to another.
     pub fn mark_leaving(&self, key: ServerKey, source: &str) {
         if self.view.borrow_mut().fleet.mark_leaving(key) {
             self.metrics.leaving_by_response.inc();
@@ -179,7 +179,8 @@
         }
     }
 
-    /// Records which servers have told other routers that they leave, by instance hash.
+    /// Records the servers that have said in responses to other routers that they leave, by
+    /// instance hash.
     pub fn apply_leaving(&self, leaving: &[u64]) {
         for instance_hash in leaving {
             let key = self.view.borrow().fleet.by_instance_hash(*instance_hash);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -55,6 +55,7 @@
     if topic == Topic::Routers {
         sleep(FIRST_ROUTERS_DELAY).await;
     }
+    // Era of the last listing; 0 before the first.
     let mut era = 0;
     loop {
         let listing = match cx.store.list(topic).await {
@@ -66,7 +67,8 @@
         };
         record_success(&cx, topic);
         let mut after = listing.as_of;
-        let is_new_era = std::mem::replace(&mut era, after.era) < after.era;
+        let is_new_era = era != 0 && era < after.era;
+        era = after.era;
         apply_listing(&cx, topic, listing, is_new_era);
         let rewritten_by = now().plus_millis(REWRITE_PERIOD_MS);
         while let Some(next) = watch(&cx, topic, after).await {
@@ -80,10 +82,9 @@
 
 fn apply_listing(cx: &Context, topic: Topic, listing: Listing, is_new_era: bool) {
     if topic == Topic::Routers {
-        let was_known = std::mem::replace(&mut cx.view.borrow_mut().routers_known, true);
-        // The other routers are about to write the entries again that the store has lost.
-        let keeps_members = was_known && is_new_era;
-        records::remove_unlisted(cx, &listing.updates, keeps_members);
+        cx.view.borrow_mut().routers_known = true;
+        // In a new era the other routers are about to write their entries again.
+        records::remove_unlisted(cx, &listing.updates, is_new_era);
     }
     for update in listing.updates {
         apply_update(cx, update, Announcement::Earlier);
