--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -76,8 +76,12 @@
     /// Records that the registrations are those up to `reading`, after the changes since the
     /// last one were applied. Ignored if it is older than what is known.
     pub fn advance(&mut self, reading: Reading) {
-        if !self.is_newer_than(reading) {
-            self.reading = Some(reading);
+        if self.is_newer_than(reading) {
+            return;
+        }
+        let known = self.reading.replace(reading);
+        if known.is_some_and(|known| known.as_of.era < reading.as_of.era) {
+            self.ignores_removed_until = reading.restored_by();
         }
     }
 
@@ -152,10 +156,7 @@
         if self.is_newer_than(reading) {
             return changes;
         }
-        if self.is_of_earlier_era(reading) {
-            self.ignores_removed_until = reading.restored_by();
-        }
-        self.reading = Some(reading);
+        self.advance(reading);
         let mut present = std::collections::HashSet::new();
         for registration in registrations {
             present.insert(registration.id.clone());
@@ -294,12 +295,6 @@
         server.is_some_and(|server| !std::mem::replace(&mut server.ended, true))
     }
 
-    /// Returns whether the registrations were read in an earlier era of the store than `reading`.
-    fn is_of_earlier_era(&self, reading: Reading) -> bool {
-        self.reading
-            .is_some_and(|known| known.as_of.era < reading.as_of.era)
-    }
-
     /// Returns whether a registration is that of an incarnation that was removed, and may stand
     /// in the store only because it came back from an older copy.
     fn is_from_copy(&self, now: Time, registration: &Registration) -> bool {
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -120,6 +120,17 @@
     assert!(fleet.by_id("e1").is_some());
 }
 
+#[test]
+fn registrations_from_an_older_copy_are_ignored_too_if_the_era_came_without_a_list() {
+    let mut fleet = fleet(2, 1);
+    fleet.advance(reading(9, Time(0)));
+    fleet.remove(at(200), "e1");
+    fleet.advance(reading_in(2, 3, at(1_000)));
+    let both = vec![registration("e0", 1), registration("e1", 1)];
+    fleet.replace(at(1_500), both, reading_in(2, 4, at(1_000)));
+    assert!(fleet.by_id("e1").is_none());
+}
+
 #[test]
 fn a_list_of_an_earlier_era_of_the_store_is_ignored_whatever_its_number() {
     let mut fleet = fleet(1, 1);
