gateway: log the fingerprint of a request with each failed attempt

Change: attempt_ended carries request=<fingerprint> or request=none. Result: tests of log lines pass; no logic is changed.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -244,6 +244,7 @@
             id: &self.parsed.id,
             service: &self.service,
             server: &self.server_name(choice.server),
+            fingerprint: self.fingerprint,
             end,
             reason,
             verdict,
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -83,6 +83,7 @@
         id: "q1",
         service: "engines",
         server: "e1",
+        fingerprint: None,
         end: AttemptEnd::Unsent,
         reason: "connect to 10.0.0.1:80: timeout",
         verdict: Verdict::Again,
@@ -91,7 +92,13 @@
         left_ms: 5_371,
         budget_left: 12,
     };
-    assert_snapshot!(RequestEvent::AttemptEnded(attempt), @r#"event=attempt_ended id="q1" service=engines server=e1 end=Unsent reason="connect to 10.0.0.1:80: timeout" verdict=Again sends=1 runs=0 left_ms=5371 budget_left=12"#);
+    assert_snapshot!(RequestEvent::AttemptEnded(attempt.clone()), @r#"event=attempt_ended id="q1" request=none service=engines server=e1 end=Unsent reason="connect to 10.0.0.1:80: timeout" verdict=Again sends=1 runs=0 left_ms=5371 budget_left=12"#);
+    let recognized = AttemptEnded {
+        fingerprint: Some(0x2f),
+        ..attempt.clone()
+    };
+    let line = RequestEvent::AttemptEnded(recognized).to_string();
+    assert!(line.contains(" request=000000000000002f "), "{line}");
     let unplaced = RequestEvent::Unplaced {
         id: "q1",
         service: "engines",
