--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http::response;
 use http::Request;
 use http::Response;
@@ -12,6 +14,7 @@
 use http::Version;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use relay::AttemptEnd;
 use relay::Choice;
@@ -27,9 +30,9 @@
 use crate::codec::ExpectedWeights;
 use crate::codec::ForwardHead;
 use crate::codec::ResponseHead;
+use crate::connection::broken_end;
 use crate::connection::error_chain;
 use crate::connection_pool::PooledConnection;
-use crate::connection_pool::SendError;
 use crate::evidence::avoid;
 use crate::evidence::forget_part;
 use crate::evidence::handle_rejection;
@@ -37,7 +40,6 @@
 use crate::evidence::record_part;
 use crate::evidence::record_response;
 use crate::evidence::record_retry_after;
-use crate::evidence::record_strike;
 use crate::evidence::AVOID_FAILED_MS;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_GRACE_MS;
@@ -104,14 +106,7 @@
             Err(e) => {
                 forget_part(x, choice);
                 avoid(x, choice.server, AVOID_FAILED_MS);
-                let end = match e {
-                    SendError::Unsent { .. } => AttemptEnd::Unsent,
-                    SendError::Broken { .. } => AttemptEnd::Unknown,
-                };
-                if end == AttemptEnd::Unknown {
-                    record_strike(x, choice.server);
-                }
-                Err(AttemptFailure::new(end, e.to_string()))
+                Err(AttemptFailure::new(e.end(), e.to_string()))
             }
         }
     }
@@ -171,11 +166,12 @@
     /// Reads the response body to its end and returns the connection to the pool.
     pub async fn read_body(self, x: &Exchange) -> Result<FullResponse, AttemptFailure> {
         let limit = duration_until(x.deadline.plus_millis(DEADLINE_GRACE_MS));
+        let end = self.whole_end();
         let body = match timeout(limit, self.body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
                 avoid(x, self.choice.server, AVOID_FAILED_MS / 4);
-                return Err(AttemptFailure::new(AttemptEnd::Unknown, error_chain(&e)));
+                return Err(AttemptFailure::new(broken_end(&e), error_chain(&e)));
             }
             Err(_) => return Err(AttemptFailure::timed_out()),
         };
@@ -190,8 +186,23 @@
         Ok(FullResponse {
             response,
             server: self.choice.server,
+            end,
         })
     }
+
+    /// Returns how the attempt ends if the response is read up to where its body ends.
+    pub fn whole_end(&self) -> AttemptEnd {
+        if !self.status().is_success() {
+            return AttemptEnd::Failed;
+        }
+        let has_length = self.head.headers.contains_key(CONTENT_LENGTH);
+        let is_chunked = self.head.headers.contains_key(TRANSFER_ENCODING);
+        if has_length || is_chunked || self.body.is_end_stream() {
+            AttemptEnd::Completed
+        } else {
+            AttemptEnd::Closed
+        }
+    }
 }
 
 fn server_address(x: &Exchange, key: ServerKey) -> Option<(Arc<str>, SocketAddr)> {
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -16,6 +16,8 @@
     pub response: Response<ResponseBody>,
     /// Backend server that sent it.
     pub server: ServerKey,
+    /// How the attempt ended.
+    pub end: AttemptEnd,
 }
 
 /// An attempt that failed: without a complete response, or with an error response.
@@ -56,9 +58,10 @@
     /// Returns the failure of an attempt whose backend server sent an error response.
     pub fn from_response(full: FullResponse) -> AttemptFailure {
         let reason = format!("status {}", full.response.status().as_u16());
+        let end = full.end;
         AttemptFailure {
             error_response: Some(full),
-            ..AttemptFailure::new(AttemptEnd::Failed, reason)
+            ..AttemptFailure::new(end, reason)
         }
     }
 }
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -7,6 +7,7 @@
 use policy::Time;
 use relay::restored_by;
 use relay::Configuration;
+use relay::CrashEvidence;
 use relay::Fleet;
 use relay::LeaseTerm;
 use relay::OrderPlan;
@@ -15,7 +16,6 @@
 use relay::Residency;
 use relay::RetryBudget;
 use relay::Revision;
-use relay::Strikes;
 use relay::Weights;
 
 use crate::clock::now;
@@ -64,8 +64,8 @@
     pub store_failing: bool,
     /// Which engines cache which prompt parts.
     pub residency: Residency,
-    /// Strikes, by which requests that crash backend servers are found.
-    pub strikes: Strikes,
+    /// What is known of requests that may crash backend servers.
+    pub crash_evidence: CrashEvidence,
     /// Retry budgets, by service.
     pub budgets: HashMap<Arc<str>, RetryBudget>,
     /// Revision of the order lease's record; none while no router holds the lease.
@@ -96,7 +96,7 @@
             store_responded_at: now(),
             store_failing: false,
             residency: Residency::default(),
-            strikes: Strikes::default(),
+            crash_evidence: CrashEvidence::default(),
             budgets: HashMap::new(),
             order_lease_revision: None,
             lease_term: None,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client connections to other processes.
 
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use relay::AttemptEnd;
 use snafu::Snafu;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -91,6 +93,26 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Returns how an attempt ended whose connection failed while a response was due. A peer that can't
+/// be reached, or sends invalid bytes, may be alive.
+pub fn broken_end(e: &hyper::Error) -> AttemptEnd {
+    let io_error = e.source().and_then(|source| source.downcast_ref());
+    let is_closed = io_error.is_some_and(|e: &io::Error| {
+        matches!(
+            e.kind(),
+            io::ErrorKind::BrokenPipe
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::ConnectionReset
+                | io::ErrorKind::UnexpectedEof
+        )
+    });
+    if e.is_incomplete_message() || is_closed {
+        AttemptEnd::BrokenOff
+    } else {
+        AttemptEnd::Unknown
+    }
+}
+
 /// Returns the texts of an error and its sources, separated by colons.
 pub fn error_chain(e: &dyn std::error::Error) -> String {
     let mut text = e.to_string();
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -15,12 +15,14 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use policy::Time;
+use relay::AttemptEnd;
 use relay::Fleet;
 use relay::ServerKey;
 use snafu::Snafu;
 use tokio::task::AbortHandle;
 
 use crate::clock::now;
+use crate::connection::broken_end;
 use crate::connection::connect;
 use crate::connection::error_chain;
 use crate::connection::ConnectError;
@@ -59,9 +61,21 @@
         peer: SocketAddr,
         /// Description of the error.
         reason: String,
+        /// How the attempt ended.
+        end: AttemptEnd,
     },
 }
 
+impl SendError {
+    /// Returns how the attempt ended.
+    pub fn end(&self) -> AttemptEnd {
+        match self {
+            SendError::Unsent { .. } => AttemptEnd::Unsent,
+            SendError::Broken { end, .. } => *end,
+        }
+    }
+}
+
 impl From<ConnectError> for SendError {
     fn from(e: ConnectError) -> SendError {
         SendError::Unsent {
@@ -111,7 +125,7 @@
             match try_send(&mut connection, req).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendFailure::Unsent(unsent)) => req = *unsent,
-                Err(SendFailure::Broken(reason)) => return BrokenSnafu { peer, reason }.fail(),
+                Err(SendFailure::Broken(e)) => return Err(broken(peer, &e)),
             }
         }
         let (sender, task) = connect(peer, CONNECT_TIMEOUT).await?;
@@ -127,7 +141,7 @@
                 reason: "connection closed",
             }
             .fail(),
-            Err(SendFailure::Broken(reason)) => BrokenSnafu { peer, reason }.fail(),
+            Err(SendFailure::Broken(e)) => Err(broken(peer, &e)),
         }
     }
 
@@ -203,7 +217,15 @@
 
 enum SendFailure {
     Unsent(Box<Request<Full<Bytes>>>),
-    Broken(String),
+    Broken(hyper::Error),
+}
+
+fn broken(peer: SocketAddr, e: &hyper::Error) -> SendError {
+    SendError::Broken {
+        peer,
+        reason: error_chain(e),
+        end: broken_end(e),
+    }
 }
 
 async fn try_send(
@@ -218,7 +240,7 @@
         Ok(response) => Ok(response),
         Err(mut e) => match e.take_message() {
             Some(unsent) => Err(SendFailure::Unsent(Box::new(unsent))),
-            None => Err(SendFailure::Broken(error_chain(&e.into_error()))),
+            None => Err(SendFailure::Broken(e.into_error())),
         },
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use relay::Admission;
 use relay::Announcement;
 use relay::Configuration;
 use relay::FleetChange;
@@ -14,7 +15,8 @@
 use relay::Registration;
 use relay::RetryBudget;
 use relay::ServerKey;
-use relay::Strike;
+use relay::SuspectKey;
+use relay::SuspicionUpdate;
 use tokio::sync::Notify;
 
 use crate::clock::now;
@@ -142,13 +144,64 @@
         is_new
     }
 
-    /// Records that a request was in flight on a backend server when that server
-    /// failed, and announces the strike to other routers if it is new.
-    pub fn record_strike(&self, strike: Strike) {
-        if self.view.borrow_mut().strikes.add(now(), strike) {
-            ViewEvent::Strike(strike).write();
-            self.peers.announce_strike(strike);
+    /// Accuses a suspect of the crash of a backend server, given by its instance hash, and tells
+    /// the other routers if that is new.
+    pub fn accuse(&self, suspect: SuspectKey, server: u64) {
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        let was_blocked = evidence.is_blocked(now(), suspect);
+        let Some(crashes) = evidence.accuse(now(), suspect, server) else {
+            return;
+        };
+        ViewEvent::Strike {
+            suspect,
+            server,
+            crashes,
+        }
+        .write();
+        if !was_blocked && evidence.is_blocked(now(), suspect) {
+            let source = "own";
+            ViewEvent::Blocked { suspect, source }.write();
+        }
+        self.peers.wake.notify_one();
+    }
+
+    /// Records that a request of a suspect was run to its end.
+    pub fn acquit(&self, suspect: SuspectKey) {
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        let crashes = evidence.acquit(now(), suspect);
+        if crashes > 0 {
+            ViewEvent::Acquitted { suspect, crashes }.write();
+            self.peers.wake.notify_one();
+        }
+    }
+
+    /// Adds what another router knows of a suspect.
+    pub fn merge_suspicion(&self, update: &SuspicionUpdate) {
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        if evidence.merge(now(), update) {
+            let suspect = update.suspect;
+            let source = "peer";
+            ViewEvent::Blocked { suspect, source }.write();
+        }
+    }
+
+    /// Returns whether a request with these suspects may be sent to a backend server now.
+    pub fn admission(&self, suspects: &[SuspectKey]) -> Admission {
+        let view = self.view.borrow();
+        let topology = self.peers.topology.borrow();
+        let rank = |suspect: SuspectKey| topology.rank_for(suspect.0);
+        view.crash_evidence.admission(now(), suspects, rank)
+    }
+
+    /// Records that a request is sent as a trial of its blocked suspects.
+    pub fn begin_trial(&self, suspects: &[SuspectKey]) {
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        for suspect in suspects {
+            if evidence.begin_trial(now(), *suspect) {
+                ViewEvent::Trial { suspect: *suspect }.write();
+            }
         }
+        self.peers.wake.notify_one();
     }
 
     /// Records that an incarnation of a backend server is over, as another server has its
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -2,9 +2,10 @@
 
 use http::response;
 use http::StatusCode;
+use relay::AttemptEnd;
 use relay::Choice;
 use relay::ServerKey;
-use relay::Strike;
+use relay::Testimony;
 
 use crate::clock::now;
 use crate::codec::ResponseHead;
@@ -24,11 +25,23 @@
 /// unresponsive, in milliseconds.
 pub const AVOID_FAILED_MS: u64 = 700;
 
-/// Records a strike: the request was in flight on a backend server that failed.
-pub fn record_strike(x: &Exchange, key: ServerKey) {
-    let server = x.cx.view.borrow().fleet.get(key).map(|s| s.instance_hash);
-    if let (Some(request), Some(server)) = (x.fingerprint, server) {
-        x.cx.record_strike(Strike { request, server });
+/// Records what the end of the request's latest attempt proves.
+pub fn record_end(x: &Exchange, end: AttemptEnd) {
+    match end.testimony() {
+        Testimony::Crashed => {
+            let Some(server) = x.instance_hash else {
+                return;
+            };
+            for suspect in &x.suspects {
+                x.cx.accuse(*suspect, server);
+            }
+        }
+        Testimony::RanToEnd => {
+            for suspect in &x.suspects {
+                x.cx.acquit(*suspect);
+            }
+        }
+        Testimony::Nothing => {}
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use policy::Time;
 use rand::Rng;
+use relay::Admission;
 use relay::AttemptEnd;
 use relay::Choice;
 use relay::Placement;
@@ -18,6 +19,7 @@
 use relay::RetryPolicy;
 use relay::Route;
 use relay::ServerKey;
+use relay::SuspectKey;
 use relay::Unplaceable;
 use relay::Verdict;
 use relay::Workspace;
@@ -30,6 +32,7 @@
 use crate::clock::now;
 use crate::codec::RequestHead;
 use crate::context::Context;
+use crate::evidence::record_end;
 use crate::fleet_summary::FleetSummary;
 use crate::log_event::LogEvent;
 use crate::refusal::Refusal;
@@ -68,9 +71,12 @@
     pub deadline: Time,
     /// Version of the configuration under which it was accepted.
     pub configuration: u64,
-    /// Hash that recognizes the same request under another id; none for requests
-    /// without a body, as those can't be told apart.
-    pub fingerprint: Option<u64>,
+    /// Fingerprint that recognizes the same request under another id.
+    pub fingerprint: SuspectKey,
+    /// What crashes of its backend servers are blamed on.
+    pub suspects: Vec<SuspectKey>,
+    /// Instance hash of the backend server of the latest attempt.
+    pub instance_hash: Option<u64>,
     /// Backend servers of the attempts so far.
     pub tried: Vec<ServerKey>,
     /// Attempts so far, of any outcome.
@@ -97,8 +103,10 @@
     pub arrived_at: Time,
     /// Version of the configuration under which it was accepted.
     pub configuration: u64,
-    /// Hash that recognizes the same request under another id; none without a body.
-    pub fingerprint: Option<u64>,
+    /// Fingerprint that recognizes the same request under another id.
+    pub fingerprint: SuspectKey,
+    /// What crashes of its backend servers are blamed on.
+    pub suspects: Vec<SuspectKey>,
 }
 
 impl Exchange {
@@ -121,6 +129,8 @@
             arrived_at: accepted.arrived_at,
             configuration: accepted.configuration,
             fingerprint: accepted.fingerprint,
+            suspects: accepted.suspects,
+            instance_hash: None,
             tried: Vec::new(),
             attempts: 0,
             executions: 0,
@@ -140,12 +150,18 @@
                 Ok(choice) => choice,
                 Err(e) => return self.refuse_unplaced(e),
             };
+            if let Err(until) = self.admit() {
+                return self.refuse_blocked(until);
+            }
             let failure = match self.start_attempt(&choice).await {
                 Ok(attempt) if self.is_stream(&attempt) => {
                     return stream_relay::start(self, attempt);
                 }
                 Ok(attempt) => match attempt.read_body(&self).await {
-                    Ok(full) if self.is_final(&full) => return self.respond(full),
+                    Ok(full) if self.is_final(&full) => {
+                        record_end(&self, full.end);
+                        return self.respond(full);
+                    }
                     Ok(full) => AttemptFailure::from_response(full),
                     Err(failure) => failure,
                 },
@@ -206,10 +222,24 @@
         result
     }
 
+    /// Checks that none of the request's suspects is blocked; otherwise returns the time until
+    /// which one is. If the request is to be sent as a trial, records that.
+    pub fn admit(&self) -> Result<(), Time> {
+        match self.cx.admission(&self.suspects) {
+            Admission::Free => Ok(()),
+            Admission::Trial => {
+                self.cx.begin_trial(&self.suspects);
+                Ok(())
+            }
+            Admission::Blocked(until) => Err(until),
+        }
+    }
+
     /// Sends the request to a backend server and waits for the response head.
     pub async fn start_attempt(&mut self, choice: &Choice) -> Result<Attempt, AttemptFailure> {
         self.attempts += 1;
         self.tried.push(choice.server);
+        self.instance_hash = self.find_instance_hash(choice.server);
         let limit = duration_until(self.deadline.plus_millis(DEADLINE_GRACE_MS));
         match timeout(limit, Attempt::start(self, choice)).await {
             Ok(result) => result,
@@ -217,9 +247,10 @@
         }
     }
 
-    /// Counts a failed attempt, decides whether to retry, and logs the decision.
+    /// Records a failed attempt, decides whether to retry, and logs the decision.
     pub fn decide_retry(&mut self, end: AttemptEnd, reason: &str, choice: &Choice) -> Verdict {
-        if matches!(end, AttemptEnd::Failed | AttemptEnd::Unknown) {
+        record_end(self, end);
+        if end.may_have_run() {
             self.executions += 1;
         }
         let progress = Progress {
@@ -257,6 +288,11 @@
         verdict
     }
 
+    fn find_instance_hash(&self, key: ServerKey) -> Option<u64> {
+        let view = self.cx.view.borrow();
+        view.fleet.get(key).map(|server| server.instance_hash)
+    }
+
     /// Returns the id of a backend server, or `gone` once it is not registered, for logs.
     pub fn server_name(&self, key: ServerKey) -> String {
         let view = self.cx.view.borrow();
@@ -341,6 +377,14 @@
         })
     }
 
+    /// Refuses the request, as it crashes servers; it may be tried again at `until`.
+    fn refuse_blocked(&mut self, until: Time) -> Response<ResponseBody> {
+        if self.executions > 0 {
+            return self.refuse(Refusal::Unknown);
+        }
+        self.refuse(Refusal::crashes_servers(now(), until))
+    }
+
     /// Ends the request with a response of the gateway's own.
     pub fn refuse(&mut self, refusal: Refusal) -> Response<ResponseBody> {
         self.finish(refusal.reason(), refusal.status().as_u16(), None);
--- a/crates/gateway/src/gossip_message.rs
+++ b/crates/gateway/src/gossip_message.rs
@@ -20,9 +20,6 @@
 /// Most prompt parts in one message.
 const MAX_PARTS: usize = 60;
 
-/// Most strikes in one message.
-const MAX_STRIKES: usize = 60;
-
 /// Most servers that have said that they leave, in one message.
 const MAX_LEAVING: usize = 200;
 
@@ -32,6 +29,7 @@
     let peers = &cx.peers;
     let mut topology = peers.topology.borrow_mut();
     let is_hub = topology.is_hub(now);
+    let suspicions = cx.view.borrow_mut().crash_evidence.next_updates(now);
     let view = cx.view.borrow();
     let fleet = &view.fleet;
     let counts = |router| is_hub && topology.is_in_region(router);
@@ -40,7 +38,6 @@
         .filter_map(|server| LoadUpdate::new(now, server, counts))
         .collect();
     *peers.sent_loads.borrow_mut() = loads.clone();
-    let strikes = peers.strikes.borrow();
     let ended = peers.ended.borrow();
     Gossip {
         from: peers.own_hash,
@@ -53,7 +50,7 @@
         parts: part_updates(peers, fleet),
         switches: switch_updates(now, peers, fleet),
         weights: weights_updates(peers, fleet),
-        strikes: strikes.iter().take(MAX_STRIKES).map(|s| s.value).collect(),
+        suspicions,
         ended: ended.iter().map(|announced| announced.value).collect(),
         leaving: fleet.leaving().take(MAX_LEAVING).collect(),
         routers: view.routers_known.then(|| peers.digest()),
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -115,6 +115,9 @@
         cx.apply_announced_weights(&update.model, update.version, announcement, "peer");
     }
     cx.apply_leaving(&message.leaving);
+    for update in &message.suspicions {
+        cx.merge_suspicion(update);
+    }
     let own_region = message.region == Some(cx.peers.topology.borrow().region());
     let own_loads = cx.peers.sent_loads.borrow();
     let mut view = cx.view.borrow_mut();
@@ -135,9 +138,6 @@
         };
         view.peer_readings.record(now, announcement);
     }
-    for strike in &message.strikes {
-        view.strikes.add(now, *strike);
-    }
     if message.region.is_none() && !cx.peers.topology.borrow().is_full_mesh() {
         reannounce(cx, view, message);
     }
@@ -165,9 +165,6 @@
             });
         }
     }
-    for strike in &message.strikes {
-        cx.peers.announce_strike(*strike);
-    }
     for ended in &message.ended {
         cx.peers.announce_ended(*ended);
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -11,8 +11,10 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use relay::Admission;
 use relay::Configuration;
 use relay::Route;
+use relay::SuspectKey;
 use relay::Workspace;
 use snafu::Snafu;
 
@@ -30,9 +32,6 @@
 /// Retry-after time while this router has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 300;
 
-/// Retry-after time of poison requests, which crash backend servers, in milliseconds.
-const POISON_REQUEST_RETRY_AFTER_MS: u64 = 30_000;
-
 /// Retry-after time while this router shuts down, in milliseconds; short, as another
 /// router serves the retry.
 const STOPPING_RETRY_AFTER_MS: u64 = 50;
@@ -124,13 +123,10 @@
         .map_err(|refusal| NotAccepted::Refused(refusal, version))?;
     let body = read_body(body, configuration.limits.max_body_bytes, version).await?;
     let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
-    let strikes = &cx.view.borrow().strikes;
-    if fingerprint.is_some_and(|fingerprint| strikes.is_poison(now(), fingerprint)) {
-        return Err(not_run(
-            "crashes_servers",
-            POISON_REQUEST_RETRY_AFTER_MS,
-            version,
-        ));
+    let suspects = vec![fingerprint];
+    if let Admission::Blocked(until) = cx.admission(&suspects) {
+        let refusal = Refusal::crashes_servers(now(), until);
+        return Err(NotAccepted::Refused(refusal, version));
     }
     Ok(Accepted {
         head,
@@ -141,6 +137,7 @@
         arrived_at,
         configuration: version,
         fingerprint,
+        suspects,
     })
 }
 
@@ -179,16 +176,15 @@
     Ok((Arc::clone(route), workspace.cloned()))
 }
 
-fn fingerprint(workspace: Option<&Workspace>, head: &request::Parts, body: &[u8]) -> Option<u64> {
-    if body.is_empty() {
-        return None;
-    }
+/// Returns the fingerprint of a request: the hash of its workspace, method, path and body. It
+/// comes again with the same ones; no body is a body too.
+fn fingerprint(workspace: Option<&Workspace>, head: &request::Parts, body: &[u8]) -> SuspectKey {
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let workspace = workspace.map_or("", |workspace| &*workspace.name);
     let hashes = [workspace, head.method.as_str(), path]
         .into_iter()
         .map(policy::name_hash);
-    Some(hashes.fold(policy::bytes_hash(body), policy::rendezvous_weight))
+    SuspectKey(hashes.fold(policy::bytes_hash(body), policy::rendezvous_weight))
 }
 
 fn refuse(cx: &Context, refusal: Refusal) -> Response<ResponseBody> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,6 @@
 use relay::LoadUpdate;
 use relay::PartKey;
 use relay::ServerKey;
-use relay::Strike;
 use relay::Topology;
 use relay::Transfer;
 use tokio::sync::Notify;
@@ -93,8 +92,6 @@
     pub switches: RefCell<Vec<Announced<WeightsSwitch>>>,
     /// Weights that engines reported: engine, model and version.
     pub weights: RefCell<Vec<Announced<(ServerKey, String, u64)>>>,
-    /// Strikes against requests that were in flight on failed backend servers.
-    pub strikes: RefCell<Vec<Announced<Strike>>>,
     /// Instance hashes of incarnations of backend servers that are over.
     pub ended: RefCell<Vec<Announced<u64>>>,
     /// Loads in this router's latest message.
@@ -118,7 +115,6 @@
             parts: RefCell::default(),
             switches: RefCell::default(),
             weights: RefCell::default(),
-            strikes: RefCell::default(),
             ended: RefCell::default(),
             sent_loads: RefCell::default(),
             wake: Notify::new(),
@@ -300,13 +296,6 @@
         }
     }
 
-    /// Announces a strike at once, unless it is being announced already.
-    pub fn announce_strike(&self, strike: Strike) {
-        if announce(&self.strikes, strike) {
-            self.wake.notify_one();
-        }
-    }
-
     /// Announces at once that an incarnation of a backend server is over, unless that is
     /// being announced already.
     pub fn announce_ended(&self, instance_hash: u64) {
@@ -326,9 +315,6 @@
         self.weights
             .borrow_mut()
             .retain(|weights| is_recent(weights.at));
-        self.strikes
-            .borrow_mut()
-            .retain(|strike| is_recent(strike.at));
         self.ended.borrow_mut().retain(|ended| is_recent(ended.at));
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -6,10 +6,14 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use policy::Time;
 
 use crate::body::full_body;
 use crate::body::ResponseBody;
 
+/// Shortest retry-after time of a request that crashes backend servers, in milliseconds.
+const MIN_CRASHING_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Reason why a request gets no response of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -35,6 +39,14 @@
 }
 
 impl Refusal {
+    /// Returns the refusal of a request that crashes servers, which may be tried again at `until`.
+    pub fn crashes_servers(now: Time, until: Time) -> Refusal {
+        Refusal::NotRun {
+            reason: "crashes_servers",
+            retry_after_ms: until.millis_since(now).max(MIN_CRASHING_RETRY_AFTER_MS),
+        }
+    }
+
     /// Returns the HTTP status of the response.
     pub fn status(self) -> StatusCode {
         match self {
--- a/crates/gateway/src/request_event.rs
+++ b/crates/gateway/src/request_event.rs
@@ -7,6 +7,7 @@
 use log::Level;
 use relay::AttemptEnd;
 use relay::PartKey;
+use relay::SuspectKey;
 use relay::Unplaceable;
 use relay::Verdict;
 
@@ -103,8 +104,8 @@
     pub service: &'a str,
     /// Id of the backend server.
     pub server: &'a str,
-    /// Fingerprint of the request, by which routers recognize it; none if it has none.
-    pub fingerprint: Option<u64>,
+    /// Fingerprint of the request, by which routers recognize it.
+    pub fingerprint: SuspectKey,
     /// How the attempt ended.
     pub end: AttemptEnd,
     /// Why.
@@ -227,12 +228,11 @@
 
 impl Display for AttemptEnded<'_> {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let fingerprint = self.fingerprint;
-        let request = fingerprint.map_or_else(|| "none".to_owned(), |hash| format!("{hash:016x}"));
         write!(
             f,
-            "event=attempt_ended id={:?} request={request} service={} server={} end={:?} reason={:?} verdict={:?} sends={} runs={} left_ms={} budget_left={}",
+            "event=attempt_ended id={:?} request={:016x} service={} server={} end={:?} reason={:?} verdict={:?} sends={} runs={} left_ms={} budget_left={}",
             self.id,
+            self.fingerprint.0,
             self.service,
             self.server,
             self.end,
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -17,8 +17,9 @@
 use crate::body::IncompleteStream;
 use crate::body::ResponseBody;
 use crate::clock::now;
+use crate::connection::broken_end;
 use crate::connection::error_chain;
-use crate::evidence::record_strike;
+use crate::evidence::record_end;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_GRACE_MS;
 use crate::log_event::LogEvent;
@@ -33,9 +34,9 @@
 /// How the stream of one attempt ended.
 enum StreamEnd {
     /// The backend server ended it regularly.
-    Complete,
+    Complete(AttemptEnd),
     /// It failed, for the reason given.
-    Broken(String),
+    Failed(AttemptEnd, String),
     /// The caller has closed the connection.
     CallerLeft,
     /// The deadline has passed.
@@ -61,21 +62,23 @@
     loop {
         let server = attempt.choice.server;
         let choice = attempt.choice.clone();
-        let reason = match relay_attempt(&x, attempt, &mut splitter, &tx).await {
-            StreamEnd::Complete => return x.finish("served", status, Some(server)),
+        let (end, reason) = match relay_attempt(&x, attempt, &mut splitter, &tx).await {
+            StreamEnd::Complete(end) => {
+                record_end(&x, end);
+                return x.finish("served", status, Some(server));
+            }
             StreamEnd::CallerLeft => return x.finish("caller_left", status, Some(server)),
             StreamEnd::TimedOut => {
                 x.finish("stream_timed_out", status, Some(server));
                 break;
             }
-            StreamEnd::Broken(reason) => reason,
+            StreamEnd::Failed(end, reason) => (end, reason),
         };
-        record_strike(&x, server);
         splitter.discard_partial_event();
         if splitter.last_id().is_some() {
             x.parsed.last_event = splitter.last_id();
         }
-        let verdict = x.decide_retry(AttemptEnd::Unknown, &reason, &choice);
+        let verdict = x.decide_retry(end, &reason, &choice);
         let next = match verdict {
             Verdict::Again if x.route.kind.may_retry() => resume(&mut x).await,
             _ => None,
@@ -107,6 +110,14 @@
                 return None;
             }
         };
+        if x.admit().is_err() {
+            RequestEvent::ResumeFailed {
+                id: &x.parsed.id,
+                reason: "crashes_servers",
+            }
+            .write();
+            return None;
+        }
         let failure = match x.start_attempt(&choice).await {
             Ok(attempt) if attempt.status().is_success() => return Some(attempt),
             Ok(attempt) => {
@@ -127,24 +138,26 @@
     splitter: &mut EventSplitter,
     tx: &Sender,
 ) -> StreamEnd {
-    let end = x.deadline.plus_millis(DEADLINE_GRACE_MS);
+    let whole_end = attempt.whole_end();
+    let give_up_at = x.deadline.plus_millis(DEADLINE_GRACE_MS);
     loop {
         let frame = tokio::select! {
-            frame = timeout(duration_until(end), attempt.body.frame()) => frame,
+            frame = timeout(duration_until(give_up_at), attempt.body.frame()) => frame,
             () = tx.closed() => return StreamEnd::CallerLeft,
         };
         let frame = match frame {
             Err(_) => return StreamEnd::TimedOut,
             Ok(None) if splitter.has_partial_event() => {
-                return StreamEnd::Broken("stream ended within an event".to_owned());
+                let reason = "stream ended within an event".to_owned();
+                return StreamEnd::Failed(AttemptEnd::BrokenOff, reason);
             }
             Ok(None) => {
                 let server = attempt.choice.server;
                 let keep_alive_ms = attempt.parsed.keep_alive_ms;
                 x.cx.pool.release(server, attempt.connection, keep_alive_ms);
-                return StreamEnd::Complete;
+                return StreamEnd::Complete(whole_end);
             }
-            Ok(Some(Err(e))) => return StreamEnd::Broken(error_chain(&e)),
+            Ok(Some(Err(e))) => return StreamEnd::Failed(broken_end(&e), error_chain(&e)),
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(bytes) = frame.into_data() else {
@@ -160,7 +173,7 @@
                     }
                 }
                 Ok(None) => break,
-                Err(e) => return StreamEnd::Broken(e.to_string()),
+                Err(e) => return StreamEnd::Failed(AttemptEnd::Unknown, e.to_string()),
             }
         }
     }
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -8,7 +8,7 @@
 use log::Level;
 use relay::Announcement;
 use relay::OrderResponse;
-use relay::Strike;
+use relay::SuspectKey;
 
 use crate::log_event::LogEvent;
 
@@ -39,9 +39,35 @@
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
     },
-    /// A strike was recorded: a request was in flight on a backend server when that server
-    /// failed.
-    Strike(Strike),
+    /// A strike was recorded: requests of a suspect were in flight on a backend server when that
+    /// server ended.
+    Strike {
+        /// Fingerprint of the suspect.
+        suspect: SuspectKey,
+        /// Instance hash of the server.
+        server: u64,
+        /// Number of crashes that the suspect is accused of.
+        crashes: usize,
+    },
+    /// Requests of a suspect are refused from now on.
+    Blocked {
+        /// Fingerprint of the suspect.
+        suspect: SuspectKey,
+        /// Where the last crash was learned: `own`, `peer` or `store`.
+        source: &'a str,
+    },
+    /// A request of a blocked suspect is sent as a trial.
+    Trial {
+        /// Fingerprint of the suspect.
+        suspect: SuspectKey,
+    },
+    /// A request of a suspect was run to its end, so that it does not crash servers.
+    Acquitted {
+        /// Fingerprint of the suspect.
+        suspect: SuspectKey,
+        /// Number of crashes that it was accused of.
+        crashes: usize,
+    },
     /// A router has registered.
     RouterAdded {
         /// Name of the router.
@@ -124,10 +150,25 @@
                 f,
                 "event=weights_named model={model:?} version={version} naming={announcement:?} source={source}"
             ),
-            ViewEvent::Strike(strike) => write!(
+            ViewEvent::Strike {
+                suspect,
+                server,
+                crashes,
+            } => write!(
+                f,
+                "event=strike request={:016x} server={server:016x} crashes={crashes}",
+                suspect.0
+            ),
+            ViewEvent::Blocked { suspect, source } => {
+                write!(f, "event=blocked request={:016x} source={source}", suspect.0)
+            }
+            ViewEvent::Trial { suspect } => {
+                write!(f, "event=trial request={:016x}", suspect.0)
+            }
+            ViewEvent::Acquitted { suspect, crashes } => write!(
                 f,
-                "event=strike request={:016x} server={:016x}",
-                strike.request, strike.server
+                "event=acquitted request={:016x} crashes={crashes}",
+                suspect.0
             ),
             ViewEvent::RouterAdded { peer, address } => {
                 write!(f, "event=router_added peer={peer:?} address={address}")
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -23,7 +23,7 @@
 use relay::Registration;
 use relay::Revision;
 use relay::ServerState;
-use relay::Strike;
+use relay::SuspectKey;
 use relay::Unplaceable;
 use relay::Verdict;
 
@@ -83,7 +83,7 @@
         id: "q1",
         service: "engines",
         server: "e1",
-        fingerprint: None,
+        fingerprint: SuspectKey(0x2f),
         end: AttemptEnd::Unsent,
         reason: "connect to 10.0.0.1:80: timeout",
         verdict: Verdict::Again,
@@ -92,13 +92,7 @@
         left_ms: 5_371,
         budget_left: 12,
     };
-    assert_snapshot!(RequestEvent::AttemptEnded(attempt.clone()), @r#"event=attempt_ended id="q1" request=none service=engines server=e1 end=Unsent reason="connect to 10.0.0.1:80: timeout" verdict=Again sends=1 runs=0 left_ms=5371 budget_left=12"#);
-    let recognized = AttemptEnded {
-        fingerprint: Some(0x2f),
-        ..attempt.clone()
-    };
-    let line = RequestEvent::AttemptEnded(recognized).to_string();
-    assert!(line.contains(" request=000000000000002f "), "{line}");
+    assert_snapshot!(RequestEvent::AttemptEnded(attempt), @r#"event=attempt_ended id="q1" request=000000000000002f service=engines server=e1 end=Unsent reason="connect to 10.0.0.1:80: timeout" verdict=Again sends=1 runs=0 left_ms=5371 budget_left=12"#);
     let unplaced = RequestEvent::Unplaced {
         id: "q1",
         service: "engines",
@@ -198,11 +192,21 @@
     assert_snapshot!(retry_after, @"event=server_retry_after server=e1 retry_after_ms=600000 asked_ms=900000");
     let address = registration.address;
     assert_snapshot!(ServerEvent::Ended { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
-    let strike = Strike {
-        request: 0x1f,
+}
+
+#[test]
+fn lines_of_requests_that_crash_servers() {
+    let suspect = SuspectKey(0x1f);
+    let strike = ViewEvent::Strike {
+        suspect,
         server: 0x2f,
+        crashes: 2,
     };
-    assert_snapshot!(ViewEvent::Strike(strike), @"event=strike request=000000000000001f server=000000000000002f");
+    assert_snapshot!(strike, @"event=strike request=000000000000001f server=000000000000002f crashes=2");
+    let source = "peer";
+    assert_snapshot!(ViewEvent::Blocked { suspect, source }, @"event=blocked request=000000000000001f source=peer");
+    assert_snapshot!(ViewEvent::Trial { suspect }, @"event=trial request=000000000000001f");
+    assert_snapshot!(ViewEvent::Acquitted { suspect, crashes: 2 }, @"event=acquitted request=000000000000001f crashes=2");
 }
 
 #[test]
--- /dev/null
+++ b/crates/relay/src/crash_evidence.rs
@@ -0,0 +1,227 @@
+//! Finds what crashes backend servers: requests that crash each server that runs them.
+//!
+//! Callers send such a request again with new ids, through any router. All that was in flight at
+//! a backend server when it ended is accused of it. Only what is guilty is never run to its end,
+//! so that a complete response acquits. What stays accused of several crashes is blocked, and
+//! tried again rarely, one request at a time.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use policy::Time;
+
+use crate::recent_times::RecentTimes;
+use crate::suspicion::SuspectKey;
+use crate::suspicion::Suspicion;
+use crate::suspicion::SuspicionUpdate;
+
+/// Maximum number of suspects that are kept.
+const MAX_SUSPECTS: usize = 4_096;
+
+/// Number of messages that carry a new state of a suspect.
+const SENDS: u32 = 5;
+
+/// Maximum number of new states, of repeated ones and of blocked suspects in one message.
+const MAX_NEW_UPDATES: usize = 60;
+const MAX_REPEATED_UPDATES: usize = 8;
+const MAX_BLOCKED_UPDATES: usize = 24;
+
+/// Time by which the number of routers that may try a blocked suspect doubles, in milliseconds.
+const TURN_MS: u64 = 1_000;
+
+/// Whether a request may be sent to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may.
+    Free,
+    /// It may, as the trial of a blocked suspect.
+    Trial,
+    /// It may not before this time.
+    Blocked(Time),
+}
+
+/// What this router knows of the suspects.
+#[derive(Clone, Debug, Default)]
+pub struct CrashEvidence {
+    suspicions: HashMap<SuspectKey, Suspicion>,
+    /// When a request of each suspect was last run to its end for this router.
+    completed: RecentTimes,
+}
+
+impl CrashEvidence {
+    /// Accuses a suspect of the crash of a backend server, given by its instance hash. Returns
+    /// the number of crashes that it is accused of now, or none if that is not new.
+    pub fn accuse(&mut self, now: Time, suspect: SuspectKey, server: u64) -> Option<usize> {
+        let completed_at = self.completed.last(suspect.0);
+        let suspicion = self.suspicion_mut(now, suspect);
+        if !suspicion.add_crash(now, server) {
+            return None;
+        }
+        if let Some(at) = completed_at {
+            suspicion.complete(now, at);
+        }
+        suspicion.sends = 0;
+        Some(suspicion.counted(now))
+    }
+
+    /// Records that a request of a suspect was run to its end. Returns the number of crashes
+    /// that it was accused of until now.
+    pub fn acquit(&mut self, now: Time, suspect: SuspectKey) -> usize {
+        self.completed.record(now, suspect.0);
+        let Some(suspicion) = self.suspicions.get_mut(&suspect) else {
+            return 0;
+        };
+        let crashes = suspicion.counted(now);
+        if suspicion.complete(now, now) {
+            suspicion.sends = 0;
+        }
+        crashes
+    }
+
+    /// Adds what another router knows of a suspect. Returns whether the suspect is blocked by it.
+    pub fn merge(&mut self, now: Time, update: &SuspicionUpdate) -> bool {
+        let completed_at = self.completed.last(update.suspect.0);
+        let suspicion = self.suspicion_mut(now, update.suspect);
+        let was_blocked = suspicion.is_blocked(now);
+        let mut is_new = suspicion.merge(now, update);
+        if let Some(at) = completed_at {
+            is_new |= suspicion.complete(now, at);
+        }
+        if is_new {
+            suspicion.sends = 0;
+        } else if suspicion.is_news_for(now, update) {
+            suspicion.sends = suspicion.sends.min(SENDS - 1);
+        }
+        !was_blocked && suspicion.is_blocked(now)
+    }
+
+    /// Returns whether a request with these suspects may be sent now. `rank` returns the number
+    /// of routers whose turn to try a suspect comes before this one's.
+    pub fn admission<F>(&self, now: Time, suspects: &[SuspectKey], rank: F) -> Admission
+    where
+        F: Fn(SuspectKey) -> usize,
+    {
+        let admissions = suspects
+            .iter()
+            .map(|suspect| self.admission_of(now, *suspect, &rank));
+        admissions.fold(Admission::Free, Admission::stricter)
+    }
+
+    fn admission_of<F>(&self, now: Time, suspect: SuspectKey, rank: &F) -> Admission
+    where
+        F: Fn(SuspectKey) -> usize,
+    {
+        let suspicion = self.suspicions.get(&suspect);
+        let Some(suspicion) = suspicion.filter(|suspicion| suspicion.is_blocked(now)) else {
+            return Admission::Free;
+        };
+        let trial_at = suspicion.trial_at(now);
+        if now < trial_at {
+            return Admission::Blocked(trial_at);
+        }
+        let turns = now.millis_since(trial_at) / TURN_MS;
+        if has_turn(rank(suspect), turns) {
+            Admission::Trial
+        } else {
+            Admission::Blocked(now.plus_millis(TURN_MS))
+        }
+    }
+
+    /// Records that a request is sent as a trial of a suspect. Returns whether the suspect is
+    /// blocked; otherwise nothing is recorded.
+    pub fn begin_trial(&mut self, now: Time, suspect: SuspectKey) -> bool {
+        let suspicion = self.suspicions.get_mut(&suspect);
+        let Some(suspicion) = suspicion.filter(|suspicion| suspicion.is_blocked(now)) else {
+            return false;
+        };
+        suspicion.begin_trial(now);
+        suspicion.sends = 0;
+        true
+    }
+
+    /// Returns whether requests of a suspect are refused.
+    pub fn is_blocked(&self, now: Time, suspect: SuspectKey) -> bool {
+        let suspicion = self.suspicions.get(&suspect);
+        suspicion.is_some_and(|suspicion| suspicion.is_blocked(now))
+    }
+
+    /// Returns the number of blocked suspects.
+    pub fn count_blocked(&self, now: Time) -> usize {
+        let suspicions = self.suspicions.values();
+        suspicions.filter(|s| s.is_blocked(now)).count()
+    }
+
+    /// Returns what the next message to other routers tells of suspects: new states in several
+    /// messages, blocked suspects in each, and all others in turn, for routers that were cut off
+    /// or have just started.
+    pub fn next_updates(&mut self, now: Time) -> Vec<SuspicionUpdate> {
+        self.suspicions
+            .retain(|_, suspicion| suspicion.sends < SENDS || suspicion.is_kept(now));
+        let mut order: Vec<_> = self
+            .suspicions
+            .iter_mut()
+            .map(|(key, suspicion)| (Reverse(suspicion.counted(now)), *key, suspicion))
+            .collect();
+        order.sort_by_key(|(counted, key, suspicion)| (suspicion.sends, *counted, *key));
+        let (mut new, mut repeated, mut blocked) = (0, 0, 0);
+        let mut updates = Vec::new();
+        for (_, key, suspicion) in order {
+            let places = if suspicion.sends < SENDS {
+                (&mut new, MAX_NEW_UPDATES)
+            } else if suspicion.is_blocked(now) {
+                (&mut blocked, MAX_BLOCKED_UPDATES)
+            } else {
+                (&mut repeated, MAX_REPEATED_UPDATES)
+            };
+            let (taken, max) = places;
+            if *taken < max {
+                *taken += 1;
+                suspicion.sends = suspicion.sends.saturating_add(1);
+                updates.push(suspicion.update(now, key));
+            }
+        }
+        updates
+    }
+
+    fn suspicion_mut(&mut self, now: Time, suspect: SuspectKey) -> &mut Suspicion {
+        if self.suspicions.len() >= MAX_SUSPECTS && !self.suspicions.contains_key(&suspect) {
+            self.drop_least_suspected(now);
+        }
+        self.suspicions.entry(suspect).or_default()
+    }
+
+    /// Drops the acquitted, and then a quarter of the others: those that are accused of the
+    /// fewest crashes, the earliest ones first.
+    fn drop_least_suspected(&mut self, now: Time) {
+        self.suspicions
+            .retain(|_, suspicion| suspicion.counted(now) > 0);
+        let excess = self.suspicions.len().saturating_sub(MAX_SUSPECTS * 3 / 4);
+        let mut order: Vec<_> = self
+            .suspicions
+            .iter()
+            .map(|(key, suspicion)| (suspicion.counted(now), suspicion.last_crash(now), *key))
+            .collect();
+        order.sort_unstable();
+        for (_, _, key) in order.into_iter().take(excess) {
+            self.suspicions.remove(&key);
+        }
+    }
+}
+
+impl Admission {
+    fn stricter(self, other: Admission) -> Admission {
+        match (self, other) {
+            (Admission::Blocked(a), Admission::Blocked(b)) => Admission::Blocked(a.max(b)),
+            (Admission::Blocked(at), _) | (_, Admission::Blocked(at)) => Admission::Blocked(at),
+            (Admission::Trial, _) | (_, Admission::Trial) => Admission::Trial,
+            (Admission::Free, Admission::Free) => Admission::Free,
+        }
+    }
+}
+
+/// Returns whether it is the turn of the router of a rank: that of the first one at once, and of
+/// twice as many after each further turn.
+fn has_turn(rank: usize, turns: u64) -> bool {
+    let shift = u32::try_from(turns.min(20)).unwrap_or(20);
+    rank < 1 << shift
+}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -13,7 +13,7 @@
 use crate::ReadingUpdate;
 use crate::Residency;
 use crate::Responses;
-use crate::Strike;
+use crate::SuspicionUpdate;
 use crate::Transfer;
 
 /// Load of one backend server, as counted by one router or one region.
@@ -143,8 +143,8 @@
     pub switches: Vec<SwitchUpdate>,
     /// Versions of weights that engines were recently seen to have.
     pub weights: Vec<WeightsUpdate>,
-    /// Strikes that were recently recorded.
-    pub strikes: Vec<Strike>,
+    /// What the sender knows of suspects.
+    pub suspicions: Vec<SuspicionUpdate>,
     /// Instance hashes of incarnations that were recently found to be over.
     pub ended: Vec<u64>,
     /// Instance hashes of the servers that have said in a response that they leave, but are
--- a/crates/relay/src/retry.rs
+++ b/crates/relay/src/retry.rs
@@ -1,5 +1,6 @@
 //! Decides what follows an attempt that ends without a complete response.
 
+use crate::AttemptEnd;
 use crate::RouteKind;
 
 /// Maximum number of attempts dispatched for a request, whatever its route allows.
@@ -8,19 +9,6 @@
 /// Time left to the deadline below which no further attempt is made, in milliseconds.
 const MIN_TIME_LEFT_MS: u64 = 20;
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptEnd {
-    /// No byte of the request left this router.
-    Unsent,
-    /// The backend server responded that it did not and will not execute the request.
-    Rejected,
-    /// The backend server executed the request and responded that it failed.
-    Failed,
-    /// The request may have been executed: its response broke off, or there was none.
-    Unknown,
-}
-
 /// Attempts made for a request so far, and the time that is left.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
@@ -39,7 +27,7 @@
     Again,
     /// No retry: the request was not and will not be executed.
     NotRun,
-    /// No retry: the backend server's error response is forwarded to the caller.
+    /// No retry: the backend server's response is forwarded to the caller.
     Failure,
     /// No retry: the request may have been executed.
     Unknown,
@@ -78,7 +66,8 @@
     fn allows(&self, end: AttemptEnd, progress: Progress) -> bool {
         match end {
             AttemptEnd::Unsent | AttemptEnd::Rejected => true,
-            AttemptEnd::Failed | AttemptEnd::Unknown => {
+            AttemptEnd::Completed | AttemptEnd::Closed => false,
+            AttemptEnd::Failed | AttemptEnd::BrokenOff | AttemptEnd::Unknown => {
                 self.kind.may_retry() && progress.executions < self.max_attempts
             }
         }
@@ -86,8 +75,8 @@
 
     fn final_outcome(&self, end: AttemptEnd, progress: Progress) -> Verdict {
         match end {
-            AttemptEnd::Failed => Verdict::Failure,
-            AttemptEnd::Unknown => Verdict::Unknown,
+            AttemptEnd::Completed | AttemptEnd::Closed | AttemptEnd::Failed => Verdict::Failure,
+            AttemptEnd::BrokenOff | AttemptEnd::Unknown => Verdict::Unknown,
             AttemptEnd::Unsent | AttemptEnd::Rejected if progress.executions > 0 => {
                 Verdict::Unknown
             }
--- /dev/null
+++ b/crates/relay/src/suspicion.rs
@@ -0,0 +1,200 @@
+//! What is known of one suspect: something that requests have in common, and that may crash the
+//! backend servers that run them.
+
+use policy::Time;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of crashed incarnations from which a suspect is blocked.
+pub(crate) const BLOCKING_CRASHES: usize = 3;
+
+/// Maximum number of crashes that are kept for a suspect.
+const MAX_CRASHES: usize = 8;
+
+/// Time for which a crash counts, in milliseconds.
+const CRASH_TTL_MS: u64 = 1_800_000;
+
+/// Time after a complete response in which crashes don't count, in milliseconds. Whatever is in
+/// flight at several servers that fail together was mostly run to its end elsewhere just before.
+const EXCUSED_MS: u64 = 4_000;
+
+/// Time from the block of a suspect to its first trial, in milliseconds.
+const FIRST_TRIAL_MS: u64 = 30_000;
+
+/// Longest time between two trials, in milliseconds.
+const MAX_TRIAL_MS: u64 = 600_000;
+
+/// Time after a complete response for which an acquitted suspect is kept, in milliseconds: another
+/// router may still accuse it.
+const ACQUITTED_TTL_MS: u64 = 60_000;
+
+/// Key of a suspect: hash of what its requests have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SuspectKey(pub u64);
+
+/// End of an incarnation of a backend server that was running requests of a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    /// Instance hash of the backend server.
+    server: u64,
+    at: Time,
+}
+
+/// The evidence for and against one suspect. Merged from several routers in any order, it
+/// becomes the same on all of them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Suspicion {
+    /// Crashes of different incarnations, oldest first.
+    crashes: Vec<Crash>,
+    /// When a request of the suspect last had a complete response.
+    completed_at: Option<Time>,
+    /// Number of trials, and when the latest began.
+    trials: u32,
+    tried_at: Time,
+    /// Era of the store in which the block was recorded.
+    pub(crate) recorded_in: Option<u64>,
+    /// Number of messages that have carried the present state.
+    pub(crate) sends: u32,
+}
+
+impl Suspicion {
+    /// Adds a crash. Returns whether it is new.
+    pub(crate) fn add_crash(&mut self, at: Time, server: u64) -> bool {
+        if self.crashes.iter().any(|crash| crash.server == server) {
+            return false;
+        }
+        let index = self.crashes.partition_point(|crash| crash.at <= at);
+        self.crashes.insert(index, Crash { server, at });
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Records a complete response. Returns whether crashes count no longer because of it.
+    pub(crate) fn complete(&mut self, now: Time, at: Time) -> bool {
+        let before = self.counted(now);
+        self.completed_at = self.completed_at.max(Some(at));
+        self.counted(now) < before
+    }
+
+    /// Records that a trial begins.
+    pub(crate) fn begin_trial(&mut self, now: Time) {
+        self.trials += 1;
+        self.tried_at = now;
+    }
+
+    /// Returns the number of crashes that count.
+    pub(crate) fn counted(&self, now: Time) -> usize {
+        self.counted_crashes(now).count()
+    }
+
+    /// Returns whether requests of the suspect are refused.
+    pub(crate) fn is_blocked(&self, now: Time) -> bool {
+        self.counted(now) >= BLOCKING_CRASHES
+    }
+
+    /// Returns from when one request of a blocked suspect may be tried.
+    pub(crate) fn trial_at(&self, now: Time) -> Time {
+        let crashed_at = self.last_crash(now).unwrap_or_default();
+        let pause_ms = FIRST_TRIAL_MS << (2 * self.trials.min(4));
+        let since = crashed_at.max(self.tried_at);
+        since.plus_millis(pause_ms.min(MAX_TRIAL_MS))
+    }
+
+    /// Returns when the latest crash that counts happened.
+    pub(crate) fn last_crash(&self, now: Time) -> Option<Time> {
+        self.counted_crashes(now).map(|crash| crash.at).last()
+    }
+
+    fn counted_crashes(&self, now: Time) -> impl Iterator<Item = &Crash> {
+        let excused_until = self.completed_at.map(|at| at.plus_millis(EXCUSED_MS));
+        self.crashes.iter().filter(move |crash| {
+            Some(crash.at) > excused_until && now.millis_since(crash.at) < CRASH_TTL_MS
+        })
+    }
+
+    /// Adds what another router knows. Returns whether any of it is new.
+    pub(crate) fn merge(&mut self, now: Time, update: &SuspicionUpdate) -> bool {
+        let before = self.counted(now);
+        let mut is_new = false;
+        for crash in &update.crashes {
+            is_new |= self.add_crash(time_of(now, crash.age_ms), crash.server);
+        }
+        if let Some(age_ms) = update.completed_age_ms {
+            self.complete(now, time_of(now, age_ms));
+        }
+        if update.trials > self.trials {
+            self.trials = update.trials;
+            self.tried_at = time_of(now, update.tried_age_ms);
+            is_new = true;
+        }
+        if update.recorded_in > self.recorded_in {
+            self.recorded_in = update.recorded_in;
+        }
+        is_new || self.counted(now) != before
+    }
+
+    /// Returns whether the router that sent `update` still counts crashes that don't count here.
+    pub(crate) fn is_news_for(&self, now: Time, update: &SuspicionUpdate) -> bool {
+        let mut other = Suspicion::default();
+        other.merge(now, update);
+        other.counted(now) > self.counted(now)
+    }
+
+    /// Returns whether it is still of use: accused, or acquitted lately.
+    pub(crate) fn is_kept(&self, now: Time) -> bool {
+        let completed_at = self.completed_at.unwrap_or_default();
+        self.counted(now) > 0 || now.millis_since(completed_at) < ACQUITTED_TTL_MS
+    }
+
+    /// Returns the state in the form of a message.
+    pub(crate) fn update(&self, now: Time, suspect: SuspectKey) -> SuspicionUpdate {
+        let crashes = self.crashes.iter().map(|crash| CrashUpdate {
+            server: crash.server,
+            age_ms: age_ms(now, crash.at),
+        });
+        SuspicionUpdate {
+            suspect,
+            crashes: crashes.collect(),
+            completed_age_ms: self.completed_at.map(|at| age_ms(now, at)),
+            trials: self.trials,
+            tried_age_ms: age_ms(now, self.tried_at),
+            recorded_in: self.recorded_in,
+        }
+    }
+}
+
+/// Update: a crash of which a suspect is accused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashUpdate {
+    /// Instance hash of the backend server.
+    pub server: u64,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Update: all that a router knows of one suspect. Times are ages, as clocks of routers differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspicionUpdate {
+    /// The suspect.
+    pub suspect: SuspectKey,
+    /// Crashes that it is accused of.
+    pub crashes: Vec<CrashUpdate>,
+    /// Time since the latest complete response, in milliseconds.
+    pub completed_age_ms: Option<u32>,
+    /// Number of trials.
+    pub trials: u32,
+    /// Time since the latest trial, in milliseconds.
+    pub tried_age_ms: u32,
+    /// Era of the store in which the block was recorded.
+    pub recorded_in: Option<u64>,
+}
+
+fn age_ms(now: Time, at: Time) -> u32 {
+    u32::try_from(now.millis_since(at)).unwrap_or(u32::MAX)
+}
+
+fn time_of(now: Time, age_ms: u32) -> Time {
+    Time(now.0.saturating_sub(u64::from(age_ms) * 1_000))
+}
--- a/crates/relay/src/topology.rs
+++ b/crates/relay/src/topology.rs
@@ -94,6 +94,14 @@
         member.is_some_and(|member| member.region == self.region())
     }
 
+    /// Returns the number of routers that come before this one in the order for `hash`.
+    pub fn rank_for(&self, hash: u64) -> usize {
+        let weight = |router: u64| policy::rendezvous_weight(hash, router);
+        let own = weight(self.me);
+        let routers = self.members.keys();
+        routers.filter(|router| weight(**router) > own).count()
+    }
+
     /// Records that a message of a router arrived.
     pub fn record_message(&mut self, now: Time, router: u64) {
         self.excluded_until.remove(&router);
--- /dev/null
+++ b/crates/relay/tests/crash_evidence.rs
@@ -0,0 +1,253 @@
+//! Detection of requests that crash the backend servers that run them.
+
+mod common;
+
+use common::at;
+use relay::Admission;
+use relay::CrashEvidence;
+use relay::SuspectKey;
+
+const GUILTY: SuspectKey = SuspectKey(1);
+const SOUND: SuspectKey = SuspectKey(2);
+
+/// Time from the block to the first trial, in milliseconds.
+const FIRST_TRIAL_MS: u64 = 30_000;
+
+/// Returns evidence with three crashes of a suspect, in the first three milliseconds.
+fn blocked(suspect: SuspectKey) -> CrashEvidence {
+    let mut evidence = CrashEvidence::default();
+    for server in 0..3 {
+        evidence.accuse(at(server), suspect, 10 + server);
+    }
+    evidence
+}
+
+/// Returns whether the first router in the order may send a request of a suspect at a time.
+fn admission(evidence: &CrashEvidence, ms: u64, suspect: SuspectKey) -> Admission {
+    evidence.admission(at(ms), &[suspect], |_| 0)
+}
+
+fn is_blocked(evidence: &CrashEvidence, ms: u64, suspect: SuspectKey) -> bool {
+    matches!(admission(evidence, ms, suspect), Admission::Blocked(_))
+}
+
+/// Sends all that a router tells in `messages` messages to another one.
+fn send(from: &mut CrashEvidence, to: &mut CrashEvidence, ms: u64, messages: usize) {
+    for _ in 0..messages {
+        for update in from.next_updates(at(ms)) {
+            to.merge(at(ms), &update);
+        }
+    }
+}
+
+#[test]
+fn a_suspect_is_blocked_after_crashes_of_three_incarnations() {
+    let mut evidence = CrashEvidence::default();
+    for server in [10, 11] {
+        evidence.accuse(at(0), GUILTY, server);
+    }
+    assert_eq!(admission(&evidence, 1, GUILTY), Admission::Free);
+    evidence.accuse(at(2), GUILTY, 12);
+    assert!(is_blocked(&evidence, 3, GUILTY));
+}
+
+#[test]
+fn a_crash_counts_once_whoever_tells_of_it() {
+    let mut evidence = CrashEvidence::default();
+    assert_eq!(evidence.accuse(at(0), GUILTY, 10), Some(1));
+    assert_eq!(evidence.accuse(at(1), GUILTY, 10), None);
+    assert_eq!(evidence.accuse(at(2), GUILTY, 11), Some(2));
+    assert!(!is_blocked(&evidence, 3, GUILTY));
+}
+
+#[test]
+fn requests_that_were_in_flight_beside_the_guilty_one_are_not_blocked() {
+    let mut evidence = blocked(GUILTY);
+    for server in 0..3 {
+        evidence.accuse(at(server), SuspectKey(100 + server), 10 + server);
+    }
+    assert!(is_blocked(&evidence, 5, GUILTY));
+    assert!(!is_blocked(&evidence, 5, SuspectKey(100)));
+}
+
+#[test]
+fn a_complete_response_acquits_a_request_and_unblocks_it() {
+    let mut evidence = blocked(SOUND);
+    assert_eq!(evidence.acquit(at(10), SOUND), 3);
+    assert_eq!(admission(&evidence, 11, SOUND), Admission::Free);
+}
+
+// Pattern: all servers of a service fail together while a popular request runs on each of them.
+#[test]
+fn a_popular_request_is_not_blocked_when_many_servers_fail_together() {
+    let mut evidence = CrashEvidence::default();
+    evidence.acquit(at(0), SOUND);
+    for server in 0..6 {
+        evidence.accuse(at(200 + server), SOUND, 10 + server);
+    }
+    assert!(!is_blocked(&evidence, 300, SOUND));
+}
+
+#[test]
+fn crashes_long_after_the_latest_complete_response_count() {
+    let mut evidence = CrashEvidence::default();
+    evidence.acquit(at(0), GUILTY);
+    for server in 0..3 {
+        evidence.accuse(at(10_000 + server), GUILTY, 10 + server);
+    }
+    assert!(is_blocked(&evidence, 10_010, GUILTY));
+}
+
+#[test]
+fn a_complete_response_at_one_router_acquits_at_all() {
+    let mut first = blocked(SOUND);
+    let mut second = CrashEvidence::default();
+    send(&mut first, &mut second, 10, 1);
+    assert!(is_blocked(&second, 11, SOUND));
+
+    second.acquit(at(20), SOUND);
+    send(&mut second, &mut first, 30, 1);
+
+    assert!(!is_blocked(&first, 31, SOUND));
+}
+
+#[test]
+fn a_router_that_knows_a_complete_response_answers_an_accusation_of_another() {
+    let mut accuser = CrashEvidence::default();
+    let mut witness = CrashEvidence::default();
+    witness.acquit(at(0), SOUND);
+    for server in 0..3 {
+        accuser.accuse(at(100), SOUND, 10 + server);
+    }
+    assert!(is_blocked(&accuser, 101, SOUND));
+
+    send(&mut accuser, &mut witness, 110, 1);
+    send(&mut witness, &mut accuser, 120, 1);
+
+    assert!(!is_blocked(&witness, 130, SOUND));
+    assert!(!is_blocked(&accuser, 130, SOUND));
+}
+
+#[test]
+fn crashes_that_three_routers_saw_count_together() {
+    let mut routers = vec![CrashEvidence::default(); 3];
+    for (server, router) in routers.iter_mut().enumerate() {
+        router.accuse(at(0), GUILTY, server as u64);
+    }
+    let mut fourth = CrashEvidence::default();
+    for router in &mut routers {
+        send(router, &mut fourth, 10, 1);
+    }
+    assert!(is_blocked(&fourth, 11, GUILTY));
+}
+
+#[test]
+fn a_router_that_starts_long_after_the_crashes_learns_who_is_blocked_with_the_first_message() {
+    let mut old = blocked(GUILTY);
+    for i in 0..500 {
+        old.accuse(at(4), SuspectKey(1_000 + i), 50);
+    }
+    let mut lost = CrashEvidence::default();
+    send(&mut old, &mut lost, 100, 100);
+
+    let mut started = CrashEvidence::default();
+    send(&mut old, &mut started, 20_000, 1);
+
+    assert!(is_blocked(&started, 20_001, GUILTY));
+}
+
+#[test]
+fn a_router_that_was_cut_off_learns_all_suspects_in_turn() {
+    let mut connected = CrashEvidence::default();
+    for i in 0..200 {
+        connected.accuse(at(0), SuspectKey(i), 50);
+    }
+    let mut lost = CrashEvidence::default();
+    send(&mut connected, &mut lost, 10, 40);
+    let mut cut_off = CrashEvidence::default();
+
+    send(&mut connected, &mut cut_off, 3_000, 30);
+
+    for i in 0..200 {
+        assert_eq!(cut_off.accuse(at(3_001), SuspectKey(i), 50), None, "{i}");
+    }
+}
+
+#[test]
+fn the_newest_strikes_of_a_flood_are_told_first() {
+    let mut busy = CrashEvidence::default();
+    for i in 0..400 {
+        busy.accuse(at(0), SuspectKey(100 + i), 50);
+    }
+    let mut other = CrashEvidence::default();
+    send(&mut busy, &mut other, 10, 7);
+    for server in 0..3 {
+        busy.accuse(at(20), GUILTY, 60 + server);
+    }
+
+    send(&mut busy, &mut other, 30, 1);
+
+    assert!(is_blocked(&other, 31, GUILTY));
+}
+
+#[test]
+fn a_blocked_request_is_tried_once_and_then_more_rarely() {
+    let mut evidence = blocked(GUILTY);
+    assert!(is_blocked(&evidence, FIRST_TRIAL_MS - 100, GUILTY));
+    let later = FIRST_TRIAL_MS + 100;
+    assert_eq!(admission(&evidence, later, GUILTY), Admission::Trial);
+
+    evidence.begin_trial(at(later), GUILTY);
+
+    assert!(is_blocked(&evidence, later + 1, GUILTY));
+    assert!(is_blocked(&evidence, later + 2 * FIRST_TRIAL_MS, GUILTY));
+}
+
+#[test]
+fn a_trial_by_one_router_is_the_trial_of_all() {
+    let mut first = blocked(GUILTY);
+    let mut second = CrashEvidence::default();
+    send(&mut first, &mut second, 10, 1);
+    let later = FIRST_TRIAL_MS + 100;
+
+    first.begin_trial(at(later), GUILTY);
+    send(&mut first, &mut second, later + 10, 1);
+
+    assert!(is_blocked(&second, later + 20, GUILTY));
+}
+
+#[test]
+fn of_300_routers_one_may_begin_a_trial_at_first_and_all_in_the_end() {
+    let evidence = blocked(GUILTY);
+    let may_try = |ms| {
+        let trials = (0..300).filter(|rank| {
+            let admission = evidence.admission(at(ms), &[GUILTY], |_| *rank);
+            admission == Admission::Trial
+        });
+        trials.count()
+    };
+    assert_eq!(may_try(FIRST_TRIAL_MS + 500), 1);
+    assert_eq!(may_try(FIRST_TRIAL_MS + 12_000), 300);
+}
+
+#[test]
+fn memory_stays_bounded_under_a_flood_and_keeps_the_guilty() {
+    let mut evidence = blocked(GUILTY);
+    for i in 0..50_000 {
+        evidence.accuse(at(10), SuspectKey(1_000 + i), 50);
+    }
+    assert!(is_blocked(&evidence, 20, GUILTY));
+    let mut all = 0;
+    for _ in 0..100 {
+        let updates = evidence.next_updates(at(20));
+        all = all.max(updates.len());
+    }
+    assert!(all <= 100, "{all}");
+}
+
+#[test]
+fn a_request_with_several_suspects_is_refused_if_one_is_blocked() {
+    let evidence = blocked(GUILTY);
+    let admission = evidence.admission(at(10), &[SOUND, GUILTY], |_| 0);
+    assert!(matches!(admission, Admission::Blocked(_)));
+}
