gateway, relay: blocked requests are recorded in the store

Cause: what routers knew of requests that crash servers was lost when all of them were killed, so that such a request could crash three more servers after each kill. Change: one router at a time (rendezvous, twice as many each second) writes a record of a blocked request, again in a new era of the store; routers read it with the routers' records as they start. The record of an acquitted request is deleted.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -175,12 +175,11 @@
         }
     }
 
-    /// Adds what another router knows of a suspect.
-    pub fn merge_suspicion(&self, update: &SuspicionUpdate) {
+    /// Adds what another router (`peer`) or a record in the store (`store`) tells of a suspect.
+    pub fn merge_suspicion(&self, update: &SuspicionUpdate, source: &str) {
         let evidence = &mut self.view.borrow_mut().crash_evidence;
         if evidence.merge(now(), update) {
             let suspect = update.suspect;
-            let source = "peer";
             ViewEvent::Blocked { suspect, source }.write();
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::context::Context;
 use crate::context::Phase;
+use crate::crash_records;
 use crate::engines::Engines;
 use crate::feed;
 use crate::fleet_feed;
@@ -253,6 +254,7 @@
         }
         tokio::task::spawn_local(records::keep_registered(Rc::clone(cx)));
         tokio::task::spawn_local(records::contend_for_order_lease(Rc::clone(cx)));
+        tokio::task::spawn_local(crash_records::run(Rc::clone(cx)));
         tokio::task::spawn_local(orders::run(Rc::clone(cx)));
         tokio::task::spawn_local(snapshot::run(Rc::clone(cx)));
         tokio::task::spawn_local(sweep(Rc::clone(cx)));
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -116,7 +116,7 @@
     }
     cx.apply_leaving(&message.leaving);
     for update in &message.suspicions {
-        cx.merge_suspicion(update);
+        cx.merge_suspicion(update, "peer");
     }
     let own_region = message.region == Some(cx.peers.topology.borrow().region());
     let own_loads = cx.peers.sent_loads.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod connection_pool;
 mod context;
+mod crash_records;
 mod engines;
 mod evidence;
 mod exchange;
--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -138,6 +138,8 @@
     OrderLease,
     /// Releasing the order lease.
     Release,
+    /// Writing or deleting the record of a request that crashes servers.
+    CrashRecord,
     /// Requesting an engine's report.
     Report,
     /// Sending an order to an engine.
@@ -175,6 +177,7 @@
             Step::Renewal => "renewal_failed",
             Step::OrderLease => "take_over_failed",
             Step::Release => "release_failed",
+            Step::CrashRecord => "crash_record_failed",
             Step::Report => "report_failed",
             Step::Order => "order_failed",
             Step::Gossip => "gossip_failed",
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -19,6 +19,7 @@
 use crate::clock::now;
 use crate::context::Context;
 use crate::context::Phase;
+use crate::crash_records;
 use crate::log_event::LogEvent;
 use crate::process_event::log_failure;
 use crate::process_event::ProcessEvent;
@@ -65,6 +66,9 @@
 
 /// Applies a record that was written.
 pub fn apply_record(cx: &Context, record: Record) {
+    if crash_records::apply_record(cx, &record) {
+        return;
+    }
     if let Some(name) = record.name.strip_prefix(MEMBER) {
         apply_member(cx, name, &record.value);
     } else if record.name == ORDER_LEASE_RECORD {
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -29,6 +29,15 @@
 /// Time by which the number of routers that may try a blocked suspect doubles, in milliseconds.
 const TURN_MS: u64 = 1_000;
 
+/// A change that is due in the records of blocked suspects in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordChange {
+    /// The suspect is blocked, and its record is to be written.
+    Write(SuspectKey),
+    /// The suspect is no longer blocked, and its record is to be deleted.
+    Delete(SuspectKey),
+}
+
 /// Whether a request may be sent to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -183,6 +192,39 @@
         updates
     }
 
+    /// Returns the next change of the records in an era of the store that this router is to make.
+    /// `rank` returns the number of routers whose turn for a suspect comes before this one's.
+    pub fn record_change<F>(&self, now: Time, era: u64, rank: F) -> Option<RecordChange>
+    where
+        F: Fn(SuspectKey) -> usize,
+    {
+        self.suspicions.iter().find_map(|(key, suspicion)| {
+            if suspicion.is_blocked(now) {
+                let crashed_at = suspicion.last_crash(now).unwrap_or_default();
+                let turns = now.millis_since(crashed_at) / TURN_MS;
+                let is_due = suspicion.recorded_in < Some(era) && has_turn(rank(*key), turns);
+                is_due.then_some(RecordChange::Write(*key))
+            } else {
+                let is_due = suspicion.recorded_in.is_some() && rank(*key) == 0;
+                is_due.then_some(RecordChange::Delete(*key))
+            }
+        })
+    }
+
+    /// Records that a suspect's record stands in the store in this era, or in none.
+    pub fn set_recorded(&mut self, suspect: SuspectKey, era: Option<u64>) {
+        if let Some(suspicion) = self.suspicions.get_mut(&suspect) {
+            suspicion.recorded_in = era;
+            suspicion.sends = 0;
+        }
+    }
+
+    /// Returns what is known of a suspect; none if it isn't one.
+    pub fn update(&self, now: Time, suspect: SuspectKey) -> Option<SuspicionUpdate> {
+        let suspicion = self.suspicions.get(&suspect)?;
+        Some(suspicion.update(now, suspect))
+    }
+
     fn suspicion_mut(&mut self, now: Time, suspect: SuspectKey) -> &mut Suspicion {
         if self.suspicions.len() >= MAX_SUSPECTS && !self.suspicions.contains_key(&suspect) {
             self.drop_least_suspected(now);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -49,6 +49,7 @@
 pub use configuration::Workspace;
 pub use crash_evidence::Admission;
 pub use crash_evidence::CrashEvidence;
+pub use crash_evidence::RecordChange;
 pub use engine_priority::engine_priority;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::SplitError;
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -129,8 +129,8 @@
             self.tried_at = time_of(now, update.tried_age_ms);
             is_new = true;
         }
-        if update.recorded_in > self.recorded_in {
-            self.recorded_in = update.recorded_in;
+        if self.is_blocked(now) {
+            self.recorded_in = self.recorded_in.max(update.recorded_in);
         }
         is_new || self.counted(now) != before
     }
@@ -145,7 +145,15 @@
     /// Returns whether it is still of use: accused, or acquitted lately.
     pub(crate) fn is_kept(&self, now: Time) -> bool {
         let completed_at = self.completed_at.unwrap_or_default();
-        self.counted(now) > 0 || now.millis_since(completed_at) < ACQUITTED_TTL_MS
+        let is_acquitted_lately = now.millis_since(completed_at) < ACQUITTED_TTL_MS;
+        self.counted(now) > 0 || is_acquitted_lately || self.may_have_record(now)
+    }
+
+    /// Returns whether a record of its block may still stand in the store.
+    fn may_have_record(&self, now: Time) -> bool {
+        let crashed_at = self.crashes.last().map(|crash| crash.at);
+        let kept_ms = CRASH_TTL_MS + ACQUITTED_TTL_MS;
+        self.recorded_in.is_some() && crashed_at.is_some_and(|at| now.millis_since(at) < kept_ms)
     }
 
     /// Returns the state in the form of a message.
--- a/crates/relay/tests/crash_evidence.rs
+++ b/crates/relay/tests/crash_evidence.rs
@@ -5,6 +5,7 @@
 use common::at;
 use relay::Admission;
 use relay::CrashEvidence;
+use relay::RecordChange;
 use relay::SuspectKey;
 
 const GUILTY: SuspectKey = SuspectKey(1);
@@ -251,3 +252,36 @@
     let admission = evidence.admission(at(10), &[SOUND, GUILTY], |_| 0);
     assert!(matches!(admission, Admission::Blocked(_)));
 }
+
+#[test]
+fn a_block_is_recorded_by_one_router_and_again_in_a_new_era_of_the_store() {
+    let mut evidence = blocked(GUILTY);
+    let due = |evidence: &CrashEvidence, era, rank| evidence.record_change(at(100), era, |_| rank);
+    assert_eq!(due(&evidence, 1, 0), Some(RecordChange::Write(GUILTY)));
+    assert_eq!(due(&evidence, 1, 1), None);
+
+    evidence.set_recorded(GUILTY, Some(1));
+
+    assert_eq!(due(&evidence, 1, 0), None);
+    assert_eq!(due(&evidence, 2, 0), Some(RecordChange::Write(GUILTY)));
+}
+
+#[test]
+fn a_block_is_recorded_by_another_router_if_the_first_one_does_not() {
+    let evidence = blocked(GUILTY);
+    let change = evidence.record_change(at(2_500), 1, |_| 3);
+    assert_eq!(change, Some(RecordChange::Write(GUILTY)));
+}
+
+#[test]
+fn the_record_of_an_acquitted_suspect_is_deleted() {
+    let mut evidence = blocked(SOUND);
+    evidence.set_recorded(SOUND, Some(1));
+    evidence.acquit(at(50), SOUND);
+
+    let change = evidence.record_change(at(100), 1, |_| 0);
+
+    assert_eq!(change, Some(RecordChange::Delete(SOUND)));
+    evidence.set_recorded(SOUND, None);
+    assert_eq!(evidence.record_change(at(100), 1, |_| 0), None);
+}
