gateway: bytes without end are given up by their number, not at a deadline

Cause: a server in trouble may send bytes without end until the caller closes. Only events had a limit. Measured on the code before (release build, loopback, one request): a body 1.6 GB and 2.2 s, then 504; the body of a rejection 221 MB; interim heads keep the thread busy, 200 MB and 1.4 s (7.6 s in a debug build, past the deadline); a head is limited by hyper, an event by the splitter. Change: a connection reads no more than it is allowed: 256 KiB up to the head, 64 KiB of a rejection, 4 MiB of a response that names no length, 16 MiB of one that does. Calls to the store and to engines have the limit of 4 MiB too. It is no strike: the server lives. Left: many such responses at once add up, each up to its limit.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -32,6 +32,7 @@
 use crate::codec::ResponseHead;
 use crate::connection::broken_end;
 use crate::connection::error_chain;
+use crate::connection::MAX_RESPONSE_BYTES;
 use crate::connection_pool::PooledConnection;
 use crate::evidence::avoid;
 use crate::evidence::forget_part;
@@ -58,6 +59,12 @@
 /// the longest time spent on draining a rejection's body.
 const UNRESPONSIVE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Most bytes that are read of a response that names its length.
+const MAX_SIZED_RESPONSE_BYTES: u64 = 16 << 20;
+
+/// Most bytes that are read of a rejection's body.
+const MAX_REJECTION_BYTES: u64 = 64 << 10;
+
 /// An attempt whose response head was received and accepted.
 pub struct Attempt {
     /// Placement decision that led to this attempt.
@@ -137,6 +144,7 @@
             }
         }
         if misdirected || parsed.not_run {
+            connection.allow(MAX_REJECTION_BYTES);
             let reason = handle_rejection(x, choice, &head, &parsed, misdirected);
             drain_and_release(x, choice.server, body, connection, parsed.keep_alive_ms).await;
             return Err(AttemptFailure::new(AttemptEnd::Rejected, reason));
@@ -167,6 +175,10 @@
     pub async fn read_body(self, x: &Exchange) -> Result<FullResponse, AttemptFailure> {
         let limit = duration_until(x.deadline.plus_millis(DEADLINE_GRACE_MS));
         let end = self.whole_end();
+        self.connection.allow(match self.body.size_hint().exact() {
+            Some(_) => MAX_SIZED_RESPONSE_BYTES,
+            None => MAX_RESPONSE_BYTES,
+        });
         let body = match timeout(limit, self.body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -17,6 +17,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::limited_stream::LimitedStream;
+use crate::limited_stream::ReadAllowance;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
 
@@ -26,6 +28,9 @@
 /// Idle time before the first TCP keepalive probe, and the time between probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
+/// Most bytes that are read of a response that doesn't name its length.
+pub const MAX_RESPONSE_BYTES: u64 = 4 << 20;
+
 /// Reason why a connection could not be established.
 #[derive(Debug, Snafu)]
 #[snafu(display("{step} {peer}: {reason}"))]
@@ -38,12 +43,19 @@
     pub reason: String,
 }
 
-/// Connects to `peer` within `limit` and starts HTTP on the connection. A task of its
-/// own drives the connection until it is closed or the returned handle aborts the task.
-pub async fn connect<B>(
-    peer: SocketAddr,
-    limit: Duration,
-) -> Result<(SendRequest<B>, AbortHandle), ConnectError>
+/// An open HTTP connection. A task of its own drives it until it is closed or the task is aborted.
+#[derive(Debug)]
+pub struct Connection<B> {
+    /// Sends requests over it.
+    pub sender: SendRequest<B>,
+    /// Aborts the task that drives it, which closes it.
+    pub task: AbortHandle,
+    /// Bytes that may still be read from it.
+    pub allowance: ReadAllowance,
+}
+
+/// Connects to `peer` within `limit` and starts HTTP on the connection.
+pub async fn connect<B>(peer: SocketAddr, limit: Duration) -> Result<Connection<B>, ConnectError>
 where
     B: Body + 'static,
     B::Data: Send,
@@ -60,24 +72,28 @@
     result.map_err(|e| error("handshake with", error_chain(&e)))
 }
 
-/// Starts HTTP on a stream to `peer`. A task of its own drives the connection until
-/// it is closed or the returned handle aborts the task.
+/// Starts HTTP on a stream to `peer`.
 pub async fn start_http<B>(
     peer: SocketAddr,
     stream: TcpStream,
-) -> Result<(SendRequest<B>, AbortHandle), hyper::Error>
+) -> Result<Connection<B>, hyper::Error>
 where
     B: Body + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let (stream, allowance) = LimitedStream::new(stream, MAX_RESPONSE_BYTES);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move {
         if let Err(e) = connection.await {
             log_peer_failure(Step::ClientConnection, &peer, &error_chain(&e));
         }
     });
-    Ok((sender, task.abort_handle()))
+    Ok(Connection {
+        sender,
+        task: task.abort_handle(),
+        allowance,
+    })
 }
 
 /// Sets the socket options by which a connection detects an unreachable peer, and
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -13,19 +13,18 @@
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use policy::Time;
 use relay::AttemptEnd;
 use relay::Fleet;
 use relay::ServerKey;
 use snafu::Snafu;
-use tokio::task::AbortHandle;
 
 use crate::clock::now;
 use crate::connection::broken_end;
 use crate::connection::connect;
 use crate::connection::error_chain;
 use crate::connection::ConnectError;
+use crate::connection::Connection;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -37,6 +36,9 @@
 /// reused, in milliseconds.
 const KEEP_ALIVE_MARGIN_MS: u64 = 400;
 
+/// Most bytes that are read until the head of a response is complete.
+const MAX_HEAD_BYTES: u64 = 256 << 10;
+
 /// Most idle connections kept for each backend server.
 const MAX_IDLE: usize = 24;
 
@@ -87,22 +89,27 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
+    connection: Connection<Full<Bytes>>,
     reusable_until: Time,
 }
 
 /// A connection in use. Dropping it without returning it to the pool closes the
 /// connection at once, so that the backend server cancels the request.
-pub struct PooledConnection {
-    sender: Option<SendRequest<Full<Bytes>>>,
-    task: AbortHandle,
+pub struct PooledConnection(Option<Connection<Full<Bytes>>>);
+
+impl PooledConnection {
+    /// Allows `bytes` more bytes of the response to be read.
+    pub fn allow(&self, bytes: u64) {
+        if let Some(connection) = &self.0 {
+            connection.allowance.set(bytes);
+        }
+    }
 }
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        if self.sender.is_some() {
-            self.task.abort();
+        if let Some(connection) = &self.0 {
+            connection.task.abort();
         }
     }
 }
@@ -128,11 +135,8 @@
                 Err(SendFailure::Broken(e)) => return Err(broken(peer, &e)),
             }
         }
-        let (sender, task) = connect(peer, CONNECT_TIMEOUT).await?;
-        let mut connection = PooledConnection {
-            sender: Some(sender),
-            task,
-        };
+        let connection = connect(peer, CONNECT_TIMEOUT).await?;
+        let mut connection = PooledConnection(Some(connection));
         match try_send(&mut connection, req).await {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::Unsent(_)) => UnsentSnafu {
@@ -153,7 +157,7 @@
         mut connection: PooledConnection,
         keep_alive_ms: Option<u64>,
     ) {
-        let Some(sender) = connection.sender.take() else {
+        let Some(connection) = connection.0.take() else {
             return;
         };
         let keep_alive_ms = keep_alive_ms.map_or(DEFAULT_KEEP_ALIVE_MS, |ms| {
@@ -161,13 +165,12 @@
         });
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(server).or_default();
-        if idle.len() >= MAX_IDLE || sender.is_closed() {
+        if idle.len() >= MAX_IDLE || connection.sender.is_closed() {
             connection.task.abort();
             return;
         }
         idle.push(IdleConnection {
-            sender,
-            task: connection.task.clone(),
+            connection,
             reusable_until: now().plus_millis(keep_alive_ms),
         });
     }
@@ -178,12 +181,12 @@
         let mut idle = self.idle.borrow_mut();
         idle.retain(|server, connections| {
             let is_registered = fleet.get(*server).is_some();
-            connections.retain(|connection| {
+            connections.retain(|idle| {
                 let is_reusable = is_registered
-                    && connection.reusable_until > now
-                    && !connection.sender.is_closed();
+                    && idle.reusable_until > now
+                    && !idle.connection.sender.is_closed();
                 if !is_reusable {
-                    connection.task.abort();
+                    idle.connection.task.abort();
                 }
                 is_reusable
             });
@@ -193,8 +196,8 @@
 
     /// Closes all idle connections to a backend server.
     pub fn clear(&self, server: ServerKey) {
-        for connection in self.idle.borrow_mut().remove(&server).into_iter().flatten() {
-            connection.task.abort();
+        for idle in self.idle.borrow_mut().remove(&server).into_iter().flatten() {
+            idle.connection.task.abort();
         }
     }
 
@@ -202,12 +205,13 @@
         let now = now();
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(&server)?;
-        while let Some(connection) = idle.pop() {
-            if connection.reusable_until > now && connection.sender.is_ready() {
-                return Some(PooledConnection {
-                    sender: Some(connection.sender),
-                    task: connection.task,
-                });
+        while let Some(IdleConnection {
+            connection,
+            reusable_until,
+        }) = idle.pop()
+        {
+            if reusable_until > now && connection.sender.is_ready() {
+                return Some(PooledConnection(Some(connection)));
             }
             connection.task.abort();
         }
@@ -232,11 +236,9 @@
     connection: &mut PooledConnection,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendFailure> {
-    let sender = connection
-        .sender
-        .as_mut()
-        .expect("a connection in use has a sender");
-    match sender.try_send_request(req).await {
+    let connection = connection.0.as_mut().expect("a connection in use is open");
+    connection.allowance.set(MAX_HEAD_BYTES);
+    match connection.sender.try_send_request(req).await {
         Ok(response) => Ok(response),
         Err(mut e) => match e.take_message() {
             Some(unsent) => Err(SendFailure::Unsent(Box::new(unsent))),
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -241,20 +241,22 @@
 {
     let stream = TcpStream::connect(peer).await.map_err(|e| e.to_string())?;
     let result = start_http(peer, stream).await;
-    let (mut sender, task) = result.map_err(|e| error_chain(&e))?;
+    let mut connection = result.map_err(|e| error_chain(&e))?;
+    connection.allowance.set(MAX_BYTES as u64);
     let req = Request::builder()
         .uri(path)
         .header(http::header::HOST, peer.to_string())
         .body(Empty::<Bytes>::new())
         .map_err(|e| e.to_string())?;
-    let response = sender
+    let response = connection
+        .sender
         .send_request(req)
         .await
         .map_err(|e| error_chain(&e))?;
     let body = Limited::new(response.into_body(), MAX_BYTES)
         .collect()
         .await;
-    task.abort();
+    connection.task.abort();
     let body = body.map_err(|e| e.to_string())?.to_bytes();
     serde_json::from_slice(&body).map_err(|e| e.to_string())
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -139,6 +139,8 @@
     tx: &Sender,
 ) -> StreamEnd {
     let whole_end = attempt.whole_end();
+    // The splitter limits each event; the events of a stream have no limit together.
+    attempt.connection.allow(u64::MAX);
     let give_up_at = x.deadline.plus_millis(DEADLINE_GRACE_MS);
     loop {
         let frame = tokio::select! {
