--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -188,7 +188,7 @@
     pub fn admission(&self, suspects: &[SuspectKey]) -> Admission {
         let view = self.view.borrow();
         let topology = self.peers.topology.borrow();
-        let rank = |suspect: SuspectKey| topology.rank_for(suspect.0);
+        let rank = |suspect: SuspectKey| topology.rank_for(suspect.hash());
         view.crash_evidence.admission(now(), suspects, rank)
     }
 
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -25,7 +25,7 @@
 use crate::store::RecordWrite;
 use crate::store::StoreError;
 
-/// Prefix of the names of the records; the suspect's key in hexadecimal follows.
+/// Prefix of the names of the records; the suspect's key follows.
 const PREFIX: &str = "crashing/";
 
 /// Interval at which this router checks which records it is to write or delete.
@@ -102,9 +102,9 @@
 }
 
 fn parse(key: &str, value: &[u8]) -> Result<(SuspectKey, CrashRecord), String> {
-    let suspect = u64::from_str_radix(key, 16).map_err(|e| e.to_string())?;
+    let suspect = key.parse::<SuspectKey>().map_err(|e| e.to_string())?;
     let content = serde_json::from_slice(value).map_err(|e| e.to_string())?;
-    Ok((SuspectKey(suspect), content))
+    Ok((suspect, content))
 }
 
 fn next_change(cx: &Context) -> Option<RecordChange> {
@@ -114,7 +114,7 @@
     }
     let era = view.store_era.unwrap_or(0);
     let topology = cx.peers.topology.borrow();
-    let rank = |suspect: SuspectKey| topology.rank_for(suspect.0);
+    let rank = |suspect: SuspectKey| topology.rank_for(suspect.hash());
     view.crash_evidence.record_change(now(), era, rank)
 }
 
@@ -125,7 +125,7 @@
     };
     let is_written = value.is_some();
     let write = RecordWrite {
-        name: format!("{PREFIX}{:016x}", suspect.0),
+        name: format!("{PREFIX}{suspect}"),
         precondition: Precondition::None,
         value,
         lease: None,
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -123,7 +123,7 @@
         .map_err(|refusal| NotAccepted::Refused(refusal, version))?;
     let body = read_body(body, configuration.limits.max_body_bytes, version).await?;
     let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
-    let suspects = vec![fingerprint];
+    let suspects = suspects(fingerprint, &parsed);
     if let Admission::Blocked(until) = cx.admission(&suspects) {
         let refusal = Refusal::crashes_servers(now(), until);
         return Err(NotAccepted::Refused(refusal, version));
@@ -184,7 +184,16 @@
     let hashes = [workspace, head.method.as_str(), path]
         .into_iter()
         .map(policy::name_hash);
-    SuspectKey(hashes.fold(policy::bytes_hash(body), policy::rendezvous_weight))
+    SuspectKey::Request(hashes.fold(policy::bytes_hash(body), policy::rendezvous_weight))
+}
+
+/// Returns what crashes are blamed on: the request, and each shared part of its prompt.
+fn suspects(fingerprint: SuspectKey, parsed: &RequestHead) -> Vec<SuspectKey> {
+    let prompt = parsed.prompt.as_ref();
+    let parts = prompt.map(|prompt| SuspectKey::parts(&prompt.model, &prompt.parts));
+    let mut suspects = parts.unwrap_or_default();
+    suspects.push(fingerprint);
+    suspects
 }
 
 fn refuse(cx: &Context, refusal: Refusal) -> Response<ResponseBody> {
--- a/crates/gateway/src/request_event.rs
+++ b/crates/gateway/src/request_event.rs
@@ -230,9 +230,9 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "event=attempt_ended id={:?} request={:016x} service={} server={} end={:?} reason={:?} verdict={:?} sends={} runs={} left_ms={} budget_left={}",
+            "event=attempt_ended id={:?} {} service={} server={} end={:?} reason={:?} verdict={:?} sends={} runs={} left_ms={} budget_left={}",
             self.id,
-            self.fingerprint.0,
+            self.fingerprint,
             self.service,
             self.server,
             self.end,
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -42,7 +42,7 @@
     /// A strike was recorded: requests of a suspect were in flight on a backend server when that
     /// server ended.
     Strike {
-        /// Fingerprint of the suspect.
+        /// The suspect.
         suspect: SuspectKey,
         /// Instance hash of the server.
         server: u64,
@@ -51,19 +51,19 @@
     },
     /// Requests of a suspect are refused from now on.
     Blocked {
-        /// Fingerprint of the suspect.
+        /// The suspect.
         suspect: SuspectKey,
         /// Where the last crash was learned: `own`, `peer` or `store`.
         source: &'a str,
     },
     /// A request of a blocked suspect is sent as a trial.
     Trial {
-        /// Fingerprint of the suspect.
+        /// The suspect.
         suspect: SuspectKey,
     },
     /// A request of a suspect was run to its end, so that it does not crash servers.
     Acquitted {
-        /// Fingerprint of the suspect.
+        /// The suspect.
         suspect: SuspectKey,
         /// Number of crashes that it was accused of.
         crashes: usize,
@@ -156,20 +156,15 @@
                 crashes,
             } => write!(
                 f,
-                "event=strike request={:016x} server={server:016x} crashes={crashes}",
-                suspect.0
+                "event=strike {suspect} server={server:016x} crashes={crashes}"
             ),
             ViewEvent::Blocked { suspect, source } => {
-                write!(f, "event=blocked request={:016x} source={source}", suspect.0)
+                write!(f, "event=blocked {suspect} source={source}")
             }
-            ViewEvent::Trial { suspect } => {
-                write!(f, "event=trial request={:016x}", suspect.0)
+            ViewEvent::Trial { suspect } => write!(f, "event=trial {suspect}"),
+            ViewEvent::Acquitted { suspect, crashes } => {
+                write!(f, "event=acquitted {suspect} crashes={crashes}")
             }
-            ViewEvent::Acquitted { suspect, crashes } => write!(
-                f,
-                "event=acquitted request={:016x} crashes={crashes}",
-                suspect.0
-            ),
             ViewEvent::RouterAdded { peer, address } => {
                 write!(f, "event=router_added peer={peer:?} address={address}")
             }
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -83,7 +83,7 @@
         id: "q1",
         service: "engines",
         server: "e1",
-        fingerprint: SuspectKey(0x2f),
+        fingerprint: SuspectKey::Request(0x2f),
         end: AttemptEnd::Unsent,
         reason: "connect to 10.0.0.1:80: timeout",
         verdict: Verdict::Again,
@@ -196,7 +196,7 @@
 
 #[test]
 fn lines_of_requests_that_crash_servers() {
-    let suspect = SuspectKey(0x1f);
+    let suspect = SuspectKey::Request(0x1f);
     let strike = ViewEvent::Strike {
         suspect,
         server: 0x2f,
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -1,19 +1,22 @@
-//! Finds what crashes backend servers: requests that crash each server that runs them.
+//! Finds what crashes backend servers: requests that crash each server that runs them, and parts of
+//! prompts that crash each engine that begins to answer them.
 //!
-//! Callers send such a request again with new ids, through any router. All that was in flight at
-//! a backend server when it ended is accused of it. Only what is guilty is never run to its end,
+//! Callers send such a request again with new ids, through any router; of prompts with such a part
+//! no two are alike. All that was in flight at a backend server when it ended is accused of it. Only what is guilty is never run to its end,
 //! so that a complete response acquits. What stays accused of several crashes is blocked, and
 //! tried again rarely, one request at a time.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use policy::Time;
 
+use crate::message_room::MessageRoom;
 use crate::recent_times::RecentTimes;
-use crate::suspicion::SuspectKey;
 use crate::suspicion::Suspicion;
 use crate::suspicion::SuspicionUpdate;
+use crate::SuspectKey;
 
 /// Maximum number of suspects that are kept.
 const MAX_SUSPECTS: usize = 4_096;
@@ -21,11 +24,6 @@
 /// Number of messages that carry a new state of a suspect.
 const SENDS: u32 = 5;
 
-/// Maximum number of new states, of repeated ones and of blocked suspects in one message.
-const MAX_NEW_UPDATES: usize = 60;
-const MAX_REPEATED_UPDATES: usize = 8;
-const MAX_BLOCKED_UPDATES: usize = 24;
-
 /// Time by which the number of routers that may try a blocked suspect doubles, in milliseconds.
 const TURN_MS: u64 = 1_000;
 
@@ -61,7 +59,7 @@
     /// Accuses a suspect of the crash of a backend server, given by its instance hash. Returns
     /// the number of crashes that it is accused of now, or none if that is not new.
     pub fn accuse(&mut self, now: Time, suspect: SuspectKey, server: u64) -> Option<usize> {
-        let completed_at = self.completed.last(suspect.0);
+        let completed_at = self.completed.last(suspect.hash());
         let suspicion = self.suspicion_mut(now, suspect);
         if !suspicion.add_crash(now, server) {
             return None;
@@ -76,7 +74,7 @@
     /// Records that a request of a suspect was run to its end. Returns the number of crashes
     /// that it was accused of until now.
     pub fn acquit(&mut self, now: Time, suspect: SuspectKey) -> usize {
-        self.completed.record(now, suspect.0);
+        self.completed.record(now, suspect.hash());
         let Some(suspicion) = self.suspicions.get_mut(&suspect) else {
             return 0;
         };
@@ -89,9 +87,9 @@
 
     /// Adds what another router knows of a suspect. Returns whether the suspect is blocked by it.
     pub fn merge(&mut self, now: Time, update: &SuspicionUpdate) -> bool {
-        let completed_at = self.completed.last(update.suspect.0);
+        let completed_at = self.completed.last(update.suspect.hash());
+        let was_blocked = self.is_blocked(now, update.suspect);
         let suspicion = self.suspicion_mut(now, update.suspect);
-        let was_blocked = suspicion.is_blocked(now);
         let mut is_new = suspicion.merge(now, update);
         if let Some(at) = completed_at {
             is_new |= suspicion.complete(now, at);
@@ -101,7 +99,7 @@
         } else if suspicion.is_news_for(now, update) {
             suspicion.sends = suspicion.sends.min(SENDS - 1);
         }
-        !was_blocked && suspicion.is_blocked(now)
+        !was_blocked && self.is_blocked(now, update.suspect)
     }
 
     /// Returns whether a request with these suspects may be sent now. `rank` returns the number
@@ -120,8 +118,7 @@
     where
         F: Fn(SuspectKey) -> usize,
     {
-        let suspicion = self.suspicions.get(&suspect);
-        let Some(suspicion) = suspicion.filter(|suspicion| suspicion.is_blocked(now)) else {
+        let Some(suspicion) = self.blocked(now, suspect) else {
             return Admission::Free;
         };
         let trial_at = suspicion.trial_at(now);
@@ -139,10 +136,10 @@
     /// Records that a request is sent as a trial of a suspect. Returns whether the suspect is
     /// blocked; otherwise nothing is recorded.
     pub fn begin_trial(&mut self, now: Time, suspect: SuspectKey) -> bool {
-        let suspicion = self.suspicions.get_mut(&suspect);
-        let Some(suspicion) = suspicion.filter(|suspicion| suspicion.is_blocked(now)) else {
+        if !self.is_blocked(now, suspect) {
             return false;
-        };
+        }
+        let suspicion = self.suspicion_mut(now, suspect);
         suspicion.begin_trial(now);
         suspicion.sends = 0;
         true
@@ -150,14 +147,29 @@
 
     /// Returns whether requests of a suspect are refused.
     pub fn is_blocked(&self, now: Time, suspect: SuspectKey) -> bool {
-        let suspicion = self.suspicions.get(&suspect);
-        suspicion.is_some_and(|suspicion| suspicion.is_blocked(now))
+        self.blocked(now, suspect).is_some()
     }
 
     /// Returns the number of blocked suspects.
     pub fn count_blocked(&self, now: Time) -> usize {
-        let suspicions = self.suspicions.values();
-        suspicions.filter(|s| s.is_blocked(now)).count()
+        self.blocked_suspects(now).len()
+    }
+
+    /// Returns what is known of a suspect if it is blocked: if it is accused of enough crashes that
+    /// no other suspect explains, one that is accused of them and of more.
+    fn blocked(&self, now: Time, suspect: SuspectKey) -> Option<&Suspicion> {
+        let suspicion = self.suspicions.get(&suspect)?;
+        if !suspicion.has_case(now) {
+            return None;
+        }
+        let crashes = suspicion.counted(now);
+        let others = self.suspicions.values();
+        let stronger: Vec<_> = others
+            .filter(|other| other.counted(now) > crashes && other.has_case(now))
+            .collect();
+        let is_explained = |server| stronger.iter().any(|s| s.is_accused_of(now, server));
+        let is_blocked = suspicion.is_blocked(now, is_explained);
+        is_blocked.then_some(suspicion)
     }
 
     /// Returns what the next message to other routers tells of suspects: new states in several
@@ -166,25 +178,19 @@
     pub fn next_updates(&mut self, now: Time) -> Vec<SuspicionUpdate> {
         self.suspicions
             .retain(|_, suspicion| suspicion.sends < SENDS || suspicion.is_kept(now));
+        let blocked = self.blocked_suspects(now);
         let mut order: Vec<_> = self
             .suspicions
             .iter_mut()
             .map(|(key, suspicion)| (Reverse(suspicion.counted(now)), *key, suspicion))
             .collect();
         order.sort_by_key(|(counted, key, suspicion)| (suspicion.sends, *counted, *key));
-        let (mut new, mut repeated, mut blocked) = (0, 0, 0);
+        let mut room = MessageRoom::default();
         let mut updates = Vec::new();
         for (_, key, suspicion) in order {
-            let places = if suspicion.sends < SENDS {
-                (&mut new, MAX_NEW_UPDATES)
-            } else if suspicion.is_blocked(now) {
-                (&mut blocked, MAX_BLOCKED_UPDATES)
-            } else {
-                (&mut repeated, MAX_REPEATED_UPDATES)
-            };
-            let (taken, max) = places;
-            if *taken < max {
-                *taken += 1;
+            let is_new = suspicion.sends < SENDS;
+            let is_blocked = blocked.contains(&key);
+            if room.take(is_new, is_blocked, suspicion.crash_count()) {
                 suspicion.sends = suspicion.sends.saturating_add(1);
                 updates.push(suspicion.update(now, key));
             }
@@ -192,6 +198,13 @@
         updates
     }
 
+    fn blocked_suspects(&self, now: Time) -> HashSet<SuspectKey> {
+        let suspects = self.suspicions.keys().copied();
+        suspects
+            .filter(|suspect| self.is_blocked(now, *suspect))
+            .collect()
+    }
+
     /// Returns the next change of the records in an era of the store that this router is to make.
     /// `rank` returns the number of routers whose turn for a suspect comes before this one's.
     pub fn record_change<F>(&self, now: Time, era: u64, rank: F) -> Option<RecordChange>
@@ -199,7 +212,7 @@
         F: Fn(SuspectKey) -> usize,
     {
         self.suspicions.iter().find_map(|(key, suspicion)| {
-            if suspicion.is_blocked(now) {
+            if self.is_blocked(now, *key) {
                 let crashed_at = suspicion.last_crash(now).unwrap_or_default();
                 let turns = now.millis_since(crashed_at) / TURN_MS;
                 let is_due = suspicion.recorded_in < Some(era) && has_turn(rank(*key), turns);
@@ -229,7 +242,9 @@
         if self.suspicions.len() >= MAX_SUSPECTS && !self.suspicions.contains_key(&suspect) {
             self.drop_least_suspected(now);
         }
-        self.suspicions.entry(suspect).or_default()
+        self.suspicions
+            .entry(suspect)
+            .or_insert_with(|| Suspicion::new(suspect))
     }
 
     /// Drops the acquitted, and then a quarter of the others: those that are accused of the
--- a/crates/relay/src/recent_times.rs
+++ b/crates/relay/src/recent_times.rs
@@ -5,7 +5,7 @@
 use policy::Time;
 
 /// Number of hashes from which a new generation begins.
-const MAX_GENERATION: usize = 4_096;
+const MAX_GENERATION: usize = 8_192;
 
 /// Time after which a new generation begins, in milliseconds.
 const GENERATION_MS: u64 = 30_000;
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -5,11 +5,17 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::SuspectKey;
+
 /// Number of crashed incarnations from which a suspect is blocked.
-pub(crate) const BLOCKING_CRASHES: usize = 3;
+const BLOCKING_CRASHES: usize = 3;
+
+/// The same for a part of prompts that had a complete response before. Prompts that crash engines
+/// have sound parts too, whose requests are mostly run to their end.
+const SOUND_PART_BLOCKING_CRASHES: usize = 5;
 
 /// Maximum number of crashes that are kept for a suspect.
-const MAX_CRASHES: usize = 8;
+const MAX_CRASHES: usize = 12;
 
 /// Time for which a crash counts, in milliseconds.
 const CRASH_TTL_MS: u64 = 1_800_000;
@@ -28,10 +34,6 @@
 /// router may still accuse it.
 const ACQUITTED_TTL_MS: u64 = 60_000;
 
-/// Key of a suspect: hash of what its requests have in common.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct SuspectKey(pub u64);
-
 /// End of an incarnation of a backend server that was running requests of a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Crash {
@@ -42,8 +44,10 @@
 
 /// The evidence for and against one suspect. Merged from several routers in any order, it
 /// becomes the same on all of them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Suspicion {
+    /// Whether the suspect is a part of prompts.
+    is_part: bool,
     /// Crashes of different incarnations, oldest first.
     crashes: Vec<Crash>,
     /// When a request of the suspect last had a complete response.
@@ -58,6 +62,19 @@
 }
 
 impl Suspicion {
+    /// Returns what is known of a suspect at first: nothing.
+    pub(crate) fn new(suspect: SuspectKey) -> Suspicion {
+        Suspicion {
+            is_part: matches!(suspect, SuspectKey::Part(_)),
+            crashes: Vec::new(),
+            completed_at: None,
+            trials: 0,
+            tried_at: Time(0),
+            recorded_in: None,
+            sends: 0,
+        }
+    }
+
     /// Adds a crash. Returns whether it is new.
     pub(crate) fn add_crash(&mut self, at: Time, server: u64) -> bool {
         if self.crashes.iter().any(|crash| crash.server == server) {
@@ -84,14 +101,46 @@
         self.tried_at = now;
     }
 
+    /// Returns the number of crashes that are kept, whether they count or not.
+    pub(crate) fn crash_count(&self) -> usize {
+        self.crashes.len()
+    }
+
     /// Returns the number of crashes that count.
     pub(crate) fn counted(&self, now: Time) -> usize {
         self.counted_crashes(now).count()
     }
 
-    /// Returns whether requests of the suspect are refused.
-    pub(crate) fn is_blocked(&self, now: Time) -> bool {
-        self.counted(now) >= BLOCKING_CRASHES
+    /// Returns whether enough crashes count to block the suspect, if nothing else explains them.
+    pub(crate) fn has_case(&self, now: Time) -> bool {
+        self.is_enough(self.counted(now))
+    }
+
+    /// Returns whether the suspect is to be blocked, given which crashes of backend servers another
+    /// suspect explains.
+    pub(crate) fn is_blocked<F>(&self, now: Time, is_explained: F) -> bool
+    where
+        F: Fn(u64) -> bool,
+    {
+        let crashes = self.counted_crashes(now);
+        let unexplained = crashes.filter(|crash| !is_explained(crash.server));
+        self.is_enough(unexplained.count())
+    }
+
+    /// Returns whether a crash of a backend server counts against the suspect.
+    pub(crate) fn is_accused_of(&self, now: Time, server: u64) -> bool {
+        let mut crashes = self.counted_crashes(now);
+        crashes.any(|crash| crash.server == server)
+    }
+
+    fn is_enough(&self, crashes: usize) -> bool {
+        let is_sound_part = self.is_part && self.completed_at.is_some();
+        let blocking_crashes = if is_sound_part {
+            SOUND_PART_BLOCKING_CRASHES
+        } else {
+            BLOCKING_CRASHES
+        };
+        crashes >= blocking_crashes
     }
 
     /// Returns from when one request of a blocked suspect may be tried.
@@ -129,17 +178,19 @@
             self.tried_at = time_of(now, update.tried_age_ms);
             is_new = true;
         }
-        if self.is_blocked(now) {
+        if self.has_case(now) {
             self.recorded_in = self.recorded_in.max(update.recorded_in);
         }
         is_new || self.counted(now) != before
     }
 
-    /// Returns whether the router that sent `update` still counts crashes that don't count here.
+    /// Returns whether the router that sent `update` does not know that the suspect is sound, or
+    /// counts crashes that don't count here.
     pub(crate) fn is_news_for(&self, now: Time, update: &SuspicionUpdate) -> bool {
-        let mut other = Suspicion::default();
+        let mut other = Suspicion::new(update.suspect);
         other.merge(now, update);
-        other.counted(now) > self.counted(now)
+        let is_sound_here = self.completed_at.is_some() && other.completed_at.is_none();
+        is_sound_here || other.counted(now) > self.counted(now)
     }
 
     /// Returns whether it is still of use: accused, or acquitted lately.
--- a/crates/relay/tests/crash_evidence.rs
+++ b/crates/relay/tests/crash_evidence.rs
@@ -8,8 +8,8 @@
 use relay::RecordChange;
 use relay::SuspectKey;
 
-const GUILTY: SuspectKey = SuspectKey(1);
-const SOUND: SuspectKey = SuspectKey(2);
+const GUILTY: SuspectKey = SuspectKey::Request(1);
+const SOUND: SuspectKey = SuspectKey::Request(2);
 
 /// Time from the block to the first trial, in milliseconds.
 const FIRST_TRIAL_MS: u64 = 30_000;
@@ -65,10 +65,10 @@
 fn requests_that_were_in_flight_beside_the_guilty_one_are_not_blocked() {
     let mut evidence = blocked(GUILTY);
     for server in 0..3 {
-        evidence.accuse(at(server), SuspectKey(100 + server), 10 + server);
+        evidence.accuse(at(server), SuspectKey::Request(100 + server), 10 + server);
     }
     assert!(is_blocked(&evidence, 5, GUILTY));
-    assert!(!is_blocked(&evidence, 5, SuspectKey(100)));
+    assert!(!is_blocked(&evidence, 5, SuspectKey::Request(100)));
 }
 
 #[test]
@@ -146,7 +146,7 @@
 fn a_router_that_starts_long_after_the_crashes_learns_who_is_blocked_with_the_first_message() {
     let mut old = blocked(GUILTY);
     for i in 0..500 {
-        old.accuse(at(4), SuspectKey(1_000 + i), 50);
+        old.accuse(at(4), SuspectKey::Request(1_000 + i), 50);
     }
     let mut lost = CrashEvidence::default();
     send(&mut old, &mut lost, 100, 100);
@@ -161,7 +161,7 @@
 fn a_router_that_was_cut_off_learns_all_suspects_in_turn() {
     let mut connected = CrashEvidence::default();
     for i in 0..200 {
-        connected.accuse(at(0), SuspectKey(i), 50);
+        connected.accuse(at(0), SuspectKey::Request(i), 50);
     }
     let mut lost = CrashEvidence::default();
     send(&mut connected, &mut lost, 10, 40);
@@ -170,7 +170,11 @@
     send(&mut connected, &mut cut_off, 3_000, 30);
 
     for i in 0..200 {
-        assert_eq!(cut_off.accuse(at(3_001), SuspectKey(i), 50), None, "{i}");
+        assert_eq!(
+            cut_off.accuse(at(3_001), SuspectKey::Request(i), 50),
+            None,
+            "{i}"
+        );
     }
 }
 
@@ -178,7 +182,7 @@
 fn the_newest_strikes_of_a_flood_are_told_first() {
     let mut busy = CrashEvidence::default();
     for i in 0..400 {
-        busy.accuse(at(0), SuspectKey(100 + i), 50);
+        busy.accuse(at(0), SuspectKey::Request(100 + i), 50);
     }
     let mut other = CrashEvidence::default();
     send(&mut busy, &mut other, 10, 7);
@@ -235,7 +239,7 @@
 fn memory_stays_bounded_under_a_flood_and_keeps_the_guilty() {
     let mut evidence = blocked(GUILTY);
     for i in 0..50_000 {
-        evidence.accuse(at(10), SuspectKey(1_000 + i), 50);
+        evidence.accuse(at(10), SuspectKey::Request(1_000 + i), 50);
     }
     assert!(is_blocked(&evidence, 20, GUILTY));
     let mut all = 0;
@@ -285,3 +289,46 @@
     evidence.set_recorded(SOUND, None);
     assert_eq!(evidence.record_change(at(100), 1, |_| 0), None);
 }
+
+// Pattern: a sound request ran beside the guilty one on three servers that crashed.
+#[test]
+fn crashes_that_another_suspect_explains_do_not_count() {
+    let mut evidence = blocked(SOUND);
+    for server in 0..3 {
+        evidence.accuse(at(server), GUILTY, 10 + server);
+    }
+    assert!(is_blocked(&evidence, 5, SOUND));
+
+    evidence.accuse(at(100), GUILTY, 50);
+
+    assert!(is_blocked(&evidence, 101, GUILTY));
+    assert!(!is_blocked(&evidence, 101, SOUND));
+}
+
+#[test]
+fn a_part_that_was_sound_before_is_blocked_after_more_crashes() {
+    let part = SuspectKey::Part(7);
+    let mut evidence = CrashEvidence::default();
+    evidence.acquit(at(0), part);
+    for server in 0..4 {
+        evidence.accuse(at(10_000), part, server);
+    }
+    assert!(!is_blocked(&evidence, 10_001, part));
+    evidence.accuse(at(10_000), part, 4);
+    assert!(is_blocked(&evidence, 10_001, part));
+}
+
+#[test]
+fn messages_about_suspects_fit_a_datagram() {
+    let mut evidence = CrashEvidence::default();
+    for server in 0..12 {
+        for suspect in 0..300 {
+            let server = u64::MAX - 100 * suspect - server;
+            evidence.accuse(at(0), SuspectKey::Request(u64::MAX - suspect), server);
+        }
+    }
+    for _ in 0..30 {
+        let bytes = postcard::to_stdvec(&evidence.next_updates(at(100_000))).unwrap();
+        assert!(bytes.len() <= 8_000, "{}", bytes.len());
+    }
+}
