relay, gateway: ends that prove something only with what their server does next

Cause: where answers have no length, their end may be the server's end too, so that none acquitted anything: after an ordinary crash of several engines all their sound parts stayed blocked until a trial. An attempt that was given up, or whose caller had left, proved nothing even if its server ended. If the server responds to a later request, an answer without length was complete; if another attempt there breaks off, they count as crashes. A gauge shows the number of blocked suspects.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,6 +38,7 @@
 use crate::evidence::forget_part;
 use crate::evidence::handle_rejection;
 use crate::evidence::is_misdirected;
+use crate::evidence::record_alive;
 use crate::evidence::record_part;
 use crate::evidence::record_response;
 use crate::evidence::record_retry_after;
@@ -138,6 +139,7 @@
         }
         in_flight.end_prefill();
         if !misdirected {
+            record_alive(x);
             record_retry_after(x, choice.server, &head, &parsed);
             if parsed.leaving {
                 x.cx.mark_leaving(choice.server, "response");
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -16,6 +16,7 @@
 use relay::Residency;
 use relay::RetryBudget;
 use relay::Revision;
+use relay::UnsettledEnds;
 use relay::Weights;
 
 use crate::clock::now;
@@ -66,6 +67,8 @@
     pub residency: Residency,
     /// What is known of requests that may crash backend servers.
     pub crash_evidence: CrashEvidence,
+    /// Ends of attempts that are evidence only with what their backend server does next.
+    pub unsettled: UnsettledEnds,
     /// Retry budgets, by service.
     pub budgets: HashMap<Arc<str>, RetryBudget>,
     /// Revision of the order lease's record; none while no router holds the lease.
@@ -97,6 +100,7 @@
             store_failing: false,
             residency: Residency::default(),
             crash_evidence: CrashEvidence::default(),
+            unsettled: UnsettledEnds::default(),
             budgets: HashMap::new(),
             order_lease_revision: None,
             lease_term: None,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use policy::Time;
 use relay::Admission;
 use relay::Announcement;
 use relay::Configuration;
@@ -144,37 +145,56 @@
         is_new
     }
 
-    /// Accuses a suspect of the crash of a backend server, given by its instance hash, and tells
-    /// the other routers if that is new.
-    pub fn accuse(&self, suspect: SuspectKey, server: u64) {
+    /// Accuses suspects of the crash of a backend server, given by its instance hash, and tells the
+    /// other routers what is new.
+    pub fn accuse(&self, suspects: &[SuspectKey], server: u64) {
         let evidence = &mut self.view.borrow_mut().crash_evidence;
-        let was_blocked = evidence.is_blocked(now(), suspect);
-        let Some(crashes) = evidence.accuse(now(), suspect, server) else {
-            return;
-        };
-        ViewEvent::Strike {
-            suspect,
-            server,
-            crashes,
-        }
-        .write();
-        if !was_blocked && evidence.is_blocked(now(), suspect) {
-            let source = "own";
-            ViewEvent::Blocked { suspect, source }.write();
+        for suspect in suspects.iter().copied() {
+            let was_blocked = evidence.is_blocked(now(), suspect);
+            let Some(crashes) = evidence.accuse(now(), suspect, server) else {
+                continue;
+            };
+            ViewEvent::Strike {
+                suspect,
+                server,
+                crashes,
+            }
+            .write();
+            if !was_blocked && evidence.is_blocked(now(), suspect) {
+                let source = "own";
+                ViewEvent::Blocked { suspect, source }.write();
+            }
+            self.peers.wake.notify_one();
         }
-        self.peers.wake.notify_one();
     }
 
-    /// Records that a request of a suspect was run to its end.
-    pub fn acquit(&self, suspect: SuspectKey) {
+    /// Records that a request of suspects was run to its end.
+    pub fn acquit(&self, suspects: &[SuspectKey]) {
         let evidence = &mut self.view.borrow_mut().crash_evidence;
-        let crashes = evidence.acquit(now(), suspect);
-        if crashes > 0 {
-            ViewEvent::Acquitted { suspect, crashes }.write();
-            self.peers.wake.notify_one();
+        for suspect in suspects.iter().copied() {
+            let crashes = evidence.acquit(now(), suspect);
+            if crashes > 0 {
+                ViewEvent::Acquitted { suspect, crashes }.write();
+                self.peers.wake.notify_one();
+            }
         }
     }
 
+    /// Records that a backend server, given by its instance hash, has ended.
+    pub fn settle_ended(&self, server: u64) {
+        let ended = self.view.borrow_mut().unsettled.server_ended(now(), server);
+        self.accuse(&ended, server);
+    }
+
+    /// Records that a backend server has responded to a request sent at `sent_at`.
+    pub fn settle_alive(&self, server: u64, sent_at: Time) {
+        let complete = {
+            let unsettled = &mut self.view.borrow_mut().unsettled;
+            unsettled.server_lives(now(), server, sent_at)
+        };
+        self.acquit(&complete);
+    }
+
     /// Adds what another router (`peer`) or a record in the store (`store`) tells of a suspect.
     pub fn merge_suspicion(&self, update: &SuspicionUpdate, source: &str) {
         let evidence = &mut self.view.borrow_mut().crash_evidence;
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -27,24 +27,37 @@
 
 /// Records what the end of the request's latest attempt proves.
 pub fn record_end(x: &Exchange, end: AttemptEnd) {
+    let Some(server) = x.latest_server else {
+        return;
+    };
+    let add_unsettled = |is_complete_if_alive| {
+        let unsettled = &mut x.cx.view.borrow_mut().unsettled;
+        unsettled.add(
+            now(),
+            server.instance_hash,
+            &x.suspects,
+            is_complete_if_alive,
+        );
+    };
     match end.testimony() {
         Testimony::Crashed => {
-            let Some(server) = x.instance_hash else {
-                return;
-            };
-            for suspect in &x.suspects {
-                x.cx.accuse(*suspect, server);
-            }
-        }
-        Testimony::RanToEnd => {
-            for suspect in &x.suspects {
-                x.cx.acquit(*suspect);
-            }
+            x.cx.accuse(&x.suspects, server.instance_hash);
+            x.cx.settle_ended(server.instance_hash);
         }
+        Testimony::RanToEnd => x.cx.acquit(&x.suspects),
+        Testimony::RanToEndIfAlive => add_unsettled(true),
+        Testimony::CrashedIfEnded => add_unsettled(false),
         Testimony::Nothing => {}
     }
 }
 
+/// Records that the backend server of the latest attempt has responded.
+pub fn record_alive(x: &Exchange) {
+    if let Some(server) = x.latest_server {
+        x.cx.settle_alive(server.instance_hash, server.sent_at);
+    }
+}
+
 /// Records and announces that an engine is sent the prompt's shared prefix.
 pub fn record_part(x: &Exchange, choice: &Choice) {
     if let Some(part) = choice.shared_prefix {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -75,8 +75,8 @@
     pub fingerprint: SuspectKey,
     /// What crashes of its backend servers are blamed on.
     pub suspects: Vec<SuspectKey>,
-    /// Instance hash of the backend server of the latest attempt.
-    pub instance_hash: Option<u64>,
+    /// Backend server of the latest attempt; none before the first.
+    pub latest_server: Option<AttemptedServer>,
     /// Backend servers of the attempts so far.
     pub tried: Vec<ServerKey>,
     /// Attempts so far, of any outcome.
@@ -87,6 +87,16 @@
     finished: bool,
 }
 
+/// Backend server of an attempt. It is known from the start, as the server's registration may be
+/// gone when the attempt ends.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptedServer {
+    /// Its instance hash.
+    pub instance_hash: u64,
+    /// When the attempt began.
+    pub sent_at: Time,
+}
+
 /// A request that was read in full and passed all checks.
 pub struct Accepted {
     /// Head that the caller sent.
@@ -130,7 +140,7 @@
             configuration: accepted.configuration,
             fingerprint: accepted.fingerprint,
             suspects: accepted.suspects,
-            instance_hash: None,
+            latest_server: None,
             tried: Vec::new(),
             attempts: 0,
             executions: 0,
@@ -239,7 +249,7 @@
     pub async fn start_attempt(&mut self, choice: &Choice) -> Result<Attempt, AttemptFailure> {
         self.attempts += 1;
         self.tried.push(choice.server);
-        self.instance_hash = self.find_instance_hash(choice.server);
+        self.latest_server = self.attempted_server(choice.server);
         let limit = duration_until(self.deadline.plus_millis(DEADLINE_GRACE_MS));
         match timeout(limit, Attempt::start(self, choice)).await {
             Ok(result) => result,
@@ -288,9 +298,13 @@
         verdict
     }
 
-    fn find_instance_hash(&self, key: ServerKey) -> Option<u64> {
+    fn attempted_server(&self, key: ServerKey) -> Option<AttemptedServer> {
         let view = self.cx.view.borrow();
-        view.fleet.get(key).map(|server| server.instance_hash)
+        let server = view.fleet.get(key)?;
+        Some(AttemptedServer {
+            instance_hash: server.instance_hash,
+            sent_at: now(),
+        })
     }
 
     /// Returns the id of a backend server, or `gone` once it is not registered, for logs.
@@ -395,6 +409,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         if !self.finished {
+            record_end(self, AttemptEnd::Unknown);
             let server = self.tried.last().copied();
             self.finish("caller_left", 0, server);
         }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -67,8 +67,12 @@
                 record_end(&x, end);
                 return x.finish("served", status, Some(server));
             }
-            StreamEnd::CallerLeft => return x.finish("caller_left", status, Some(server)),
+            StreamEnd::CallerLeft => {
+                record_end(&x, AttemptEnd::Unknown);
+                return x.finish("caller_left", status, Some(server));
+            }
             StreamEnd::TimedOut => {
+                record_end(&x, AttemptEnd::Unknown);
                 x.finish("stream_timed_out", status, Some(server));
                 break;
             }
--- a/crates/gateway/src/view_gauges.rs
+++ b/crates/gateway/src/view_gauges.rs
@@ -19,12 +19,18 @@
     weights_age_ms: IntGaugeVec,
     retries_left: IntGaugeVec,
     servers_ready: IntGaugeVec,
+    suspects_blocked: IntGauge,
 }
 
 impl ViewGauges {
     /// Creates and registers the gauges.
     pub fn new(registry: &Registry) -> ViewGauges {
         ViewGauges {
+            suspects_blocked: gauge(
+                registry,
+                "suspects_blocked",
+                "Requests and parts of prompts that are refused as they crash servers",
+            ),
             configuration_version: gauge(
                 registry,
                 "configuration_version",
@@ -75,6 +81,8 @@
         self.configuration_age_ms.set(clamped(age_ms));
         let silence_ms = now.millis_since(view.store_responded_at);
         self.store_silence_ms.set(clamped(silence_ms));
+        let blocked = view.crash_evidence.count_blocked(now);
+        self.suspects_blocked.set(clamped(blocked as u64));
         for (model, version, age_ms) in view.weights.newest_with_ages(now) {
             let labels = [&**model];
             let of_model = self.weights_version.with_label_values(&labels);
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -27,6 +27,10 @@
     Crashed,
     /// The request was run to its end, so that it isn't one that crashes servers.
     RanToEnd,
+    /// It was run to its end if the backend server lives, and crashed it otherwise.
+    RanToEndIfAlive,
+    /// It crashed the backend server if that has ended.
+    CrashedIfEnded,
     /// Neither.
     Nothing,
 }
@@ -38,11 +42,9 @@
         match self {
             AttemptEnd::BrokenOff => Testimony::Crashed,
             AttemptEnd::Completed => Testimony::RanToEnd,
-            AttemptEnd::Unsent
-            | AttemptEnd::Rejected
-            | AttemptEnd::Closed
-            | AttemptEnd::Failed
-            | AttemptEnd::Unknown => Testimony::Nothing,
+            AttemptEnd::Closed => Testimony::RanToEndIfAlive,
+            AttemptEnd::Unknown => Testimony::CrashedIfEnded,
+            AttemptEnd::Unsent | AttemptEnd::Rejected | AttemptEnd::Failed => Testimony::Nothing,
         }
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod suspect_key;
 mod suspicion;
 mod topology;
+mod unsettled;
 mod weights;
 
 pub use attempt_end::AttemptEnd;
@@ -105,5 +106,6 @@
 pub use suspicion::SuspicionUpdate;
 pub use topology::Member;
 pub use topology::Topology;
+pub use unsettled::UnsettledEnds;
 pub use weights::Announcement;
 pub use weights::Weights;
