relay: what peers tell of crashes fills no room; excuses last 2 s

Cause, by reading (no test failed): a suspect with more crashes than are kept dropped the oldest and took them again from the next message as new; crashes that don't count took the room of those that do. A part that was sound until it became guilty was excused of crashes for 4 s. Change: a crash that a peer tells of is added only if it counts and there is room; those that don't count go first; the excuse after a complete response is 2 s.

--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -2,9 +2,9 @@
 //! prompts that crash each engine that begins to answer them.
 //!
 //! Callers send such a request again with new ids, through any router; of prompts with such a part
-//! no two are alike. All that was in flight at a backend server when it ended is accused of it. Only what is guilty is never run to its end,
-//! so that a complete response acquits. What stays accused of several crashes is blocked, and
-//! tried again rarely, one request at a time.
+//! no two are alike. All that was in flight at a backend server when it ended is accused of it.
+//! Only what is guilty is never run to its end, so that a complete response acquits. What stays
+//! accused of several crashes is blocked, and tried again rarely, one request at a time.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -22,7 +22,7 @@
 
 /// Time after a complete response in which crashes don't count, in milliseconds. Whatever is in
 /// flight at several servers that fail together was mostly run to its end elsewhere just before.
-const EXCUSED_MS: u64 = 4_000;
+const EXCUSED_MS: u64 = 2_000;
 
 /// Time from the block of a suspect to its first trial, in milliseconds.
 const FIRST_TRIAL_MS: u64 = 30_000;
@@ -75,19 +75,49 @@
         }
     }
 
-    /// Adds a crash. Returns whether it is new.
-    pub(crate) fn add_crash(&mut self, at: Time, server: u64) -> bool {
-        if self.crashes.iter().any(|crash| crash.server == server) {
+    /// Adds a crash that this router has seen. Returns whether it is new.
+    pub(crate) fn add_crash(&mut self, now: Time, server: u64) -> bool {
+        if self.knows_crash(server) {
             return false;
         }
-        let index = self.crashes.partition_point(|crash| crash.at <= at);
-        self.crashes.insert(index, Crash { server, at });
-        if self.crashes.len() > MAX_CRASHES {
+        self.drop_uncounted_if_full(now);
+        if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(0);
         }
+        self.insert(Crash { server, at: now });
         true
     }
 
+    /// Adds a crash that another router tells of, if it counts and there is room. Returns whether
+    /// it was added.
+    fn add_told_crash(&mut self, now: Time, crash: Crash) -> bool {
+        if self.knows_crash(crash.server) || !self.counts(now, &crash) {
+            return false;
+        }
+        self.drop_uncounted_if_full(now);
+        // Routers that keep different crashes must not tell each other of them without end.
+        if self.crashes.len() >= MAX_CRASHES {
+            return false;
+        }
+        self.insert(crash);
+        true
+    }
+
+    fn knows_crash(&self, server: u64) -> bool {
+        self.crashes.iter().any(|crash| crash.server == server)
+    }
+
+    fn drop_uncounted_if_full(&mut self, now: Time) {
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes = self.counted_crashes(now).copied().collect();
+        }
+    }
+
+    fn insert(&mut self, crash: Crash) {
+        let index = self.crashes.partition_point(|other| other.at <= crash.at);
+        self.crashes.insert(index, crash);
+    }
+
     /// Records a complete response. Returns whether crashes count no longer because of it.
     pub(crate) fn complete(&mut self, now: Time, at: Time) -> bool {
         let before = self.counted(now);
@@ -157,22 +187,28 @@
     }
 
     fn counted_crashes(&self, now: Time) -> impl Iterator<Item = &Crash> {
+        self.crashes
+            .iter()
+            .filter(move |crash| self.counts(now, crash))
+    }
+
+    fn counts(&self, now: Time, crash: &Crash) -> bool {
         let excused_until = self.completed_at.map(|at| at.plus_millis(EXCUSED_MS));
-        self.crashes.iter().filter(move |crash| {
-            Some(crash.at) > excused_until && now.millis_since(crash.at) < CRASH_TTL_MS
-        })
+        Some(crash.at) > excused_until && now.millis_since(crash.at) < CRASH_TTL_MS
     }
 
     /// Adds what another router knows. Returns whether any of it is new.
     pub(crate) fn merge(&mut self, now: Time, update: &SuspicionUpdate) -> bool {
         let before = self.counted(now);
-        let mut is_new = false;
-        for crash in &update.crashes {
-            is_new |= self.add_crash(time_of(now, crash.age_ms), crash.server);
-        }
         if let Some(age_ms) = update.completed_age_ms {
             self.complete(now, time_of(now, age_ms));
         }
+        let mut is_new = false;
+        for crash in &update.crashes {
+            let at = time_of(now, crash.age_ms);
+            let server = crash.server;
+            is_new |= self.add_told_crash(now, Crash { server, at });
+        }
         if update.trials > self.trials {
             self.trials = update.trials;
             self.tried_at = time_of(now, update.tried_age_ms);
--- a/crates/relay/tests/crash_evidence.rs
+++ b/crates/relay/tests/crash_evidence.rs
@@ -332,3 +332,44 @@
         assert!(bytes.len() <= 5_000, "{}", bytes.len());
     }
 }
+
+// Guards against routers that tell each other of old crashes without end, as each keeps others.
+#[test]
+fn routers_that_know_more_crashes_than_they_keep_fall_silent() {
+    let mut first = CrashEvidence::default();
+    let mut second = CrashEvidence::default();
+    for server in 0..30 {
+        first.accuse(at(0), SOUND, server);
+        second.accuse(at(0), SOUND, 100 + server);
+    }
+    send(&mut first, &mut second, 100, 6);
+    send(&mut second, &mut first, 100, 6);
+    first.acquit(at(200), SOUND);
+    for _ in 0..20 {
+        send(&mut first, &mut second, 300, 1);
+        send(&mut second, &mut first, 300, 1);
+    }
+
+    let updates = [first.next_updates(at(400)), second.next_updates(at(400))];
+
+    assert!(updates.concat().is_empty());
+}
+
+// Pattern: a popular part was in flight at many engines that ended in the course of a day.
+#[test]
+fn crashes_that_do_not_count_leave_room_for_those_that_do() {
+    let mut evidence = CrashEvidence::default();
+    for server in 0..20 {
+        let ms = 1_000 * server;
+        evidence.accuse(at(ms), GUILTY, server);
+        evidence.acquit(at(ms + 1), GUILTY);
+    }
+    let mut other = CrashEvidence::default();
+    for server in 0..3 {
+        other.accuse(at(60_000), GUILTY, 100 + server);
+    }
+
+    send(&mut other, &mut evidence, 60_010, 1);
+
+    assert!(is_blocked(&evidence, 60_020, GUILTY));
+}
