relay, gateway: a suspect is tried early if a server that broke off has not ended

Cause: servers that break off connections without ending, all of a service for more than two seconds, are accused like servers that crash. A popular sound request was then refused for 30 s after the trouble. Change: the first trial comes 6 s after the last crash if one of the accused incarnations is still registered, by a fresh reading well after an outage of the store; a server that has ended is removed sooner. It is one request, the next trial comes 120 s later, as before.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -210,7 +210,9 @@
         let view = self.view.borrow();
         let topology = self.peers.topology.borrow();
         let rank = |suspect: SuspectKey| topology.rank_for(suspect.hash());
-        view.crash_evidence.admission(now(), suspects, rank)
+        let is_registered = |server| view.fleet.is_registered(now(), server);
+        let evidence = &view.crash_evidence;
+        evidence.admission(now(), suspects, rank, is_registered)
     }
 
     /// Records that a request is sent as a trial of its blocked suspects.
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -109,25 +109,40 @@
     }
 
     /// Returns whether a request with these suspects may be sent now. `rank` returns the number
-    /// of routers whose turn to try a suspect comes before this one's.
-    pub fn admission<F>(&self, now: Time, suspects: &[SuspectKey], rank: F) -> Admission
+    /// of routers whose turn to try a suspect comes before this one's, `is_registered` whether the
+    /// backend server with an instance hash is still registered.
+    pub fn admission<F, G>(
+        &self,
+        now: Time,
+        suspects: &[SuspectKey],
+        rank: F,
+        is_registered: G,
+    ) -> Admission
     where
         F: Fn(SuspectKey) -> usize,
+        G: Fn(u64) -> bool,
     {
         let admissions = suspects
             .iter()
-            .map(|suspect| self.admission_of(now, *suspect, &rank));
+            .map(|suspect| self.admission_of(now, *suspect, &rank, &is_registered));
         admissions.fold(Admission::Free, Admission::stricter)
     }
 
-    fn admission_of<F>(&self, now: Time, suspect: SuspectKey, rank: &F) -> Admission
+    fn admission_of<F, G>(
+        &self,
+        now: Time,
+        suspect: SuspectKey,
+        rank: &F,
+        is_registered: &G,
+    ) -> Admission
     where
         F: Fn(SuspectKey) -> usize,
+        G: Fn(u64) -> bool,
     {
         let Some(suspicion) = self.blocked(now, suspect) else {
             return Admission::Free;
         };
-        let trial_at = suspicion.trial_at(now);
+        let trial_at = suspicion.trial_at(now, is_registered);
         if now < trial_at {
             return Admission::Blocked(trial_at);
         }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -18,6 +18,10 @@
 /// from a copy that is some seconds old.
 const REMEMBERED_MS: u64 = 30_000;
 
+/// Time after an outage of the store in which servers may be registered that have ended, in
+/// milliseconds.
+const AFTER_OUTAGE_MS: u64 = 6_000;
+
 /// Key of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerKey {
@@ -227,6 +231,17 @@
         self.by_instance_hash.get(&instance_hash).copied()
     }
 
+    /// Returns whether the incarnation with a given `instance_hash` is still registered, by a reading
+    /// that is fresh and long enough after an outage of the store.
+    pub fn is_registered(&self, now: Time, instance_hash: u64) -> bool {
+        let is_reliable = self.reading.is_some_and(|reading| {
+            reading.is_fresh(now) && now.millis_since(reading.outage_until) > AFTER_OUTAGE_MS
+        });
+        let key = self.by_instance_hash(instance_hash);
+        let server = key.and_then(|key| self.get(key));
+        is_reliable && server.is_some_and(|s| !s.ended && s.missing_since.is_none())
+    }
+
     /// Returns the key of the current incarnation of server `id`.
     pub fn by_id(&self, id: &str) -> Option<ServerKey> {
         self.by_id.get(id).copied()
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -27,6 +27,10 @@
 /// Time from the block of a suspect to its first trial, in milliseconds.
 const FIRST_TRIAL_MS: u64 = 30_000;
 
+/// The same if a backend server that broke off is still registered by then. The registration of one
+/// that has ended is removed sooner.
+const EARLY_TRIAL_MS: u64 = 6_000;
+
 /// Longest time between two trials, in milliseconds.
 const MAX_TRIAL_MS: u64 = 600_000;
 
@@ -173,9 +177,20 @@
         crashes >= blocking_crashes
     }
 
-    /// Returns from when one request of a blocked suspect may be tried.
-    pub(crate) fn trial_at(&self, now: Time) -> Time {
+    /// Returns from when one request of a blocked suspect may be tried. The first trial is early if
+    /// one of the backend servers is still registered, and so has not ended.
+    pub(crate) fn trial_at<F>(&self, now: Time, is_registered: F) -> Time
+    where
+        F: Fn(u64) -> bool,
+    {
         let crashed_at = self.last_crash(now).unwrap_or_default();
+        let early_at = crashed_at.plus_millis(EARLY_TRIAL_MS);
+        let mut crashes = self.counted_crashes(now);
+        let is_early =
+            self.trials == 0 && early_at <= now && crashes.any(|crash| is_registered(crash.server));
+        if is_early {
+            return early_at;
+        }
         let pause_ms = FIRST_TRIAL_MS << (2 * self.trials.min(4));
         let since = crashed_at.max(self.tried_at);
         since.plus_millis(pause_ms.min(MAX_TRIAL_MS))
--- a/crates/relay/tests/crash_evidence.rs
+++ b/crates/relay/tests/crash_evidence.rs
@@ -25,7 +25,7 @@
 
 /// Returns whether the first router in the order may send a request of a suspect at a time.
 fn admission(evidence: &CrashEvidence, ms: u64, suspect: SuspectKey) -> Admission {
-    evidence.admission(at(ms), &[suspect], |_| 0)
+    evidence.admission(at(ms), &[suspect], |_| 0, |_| false)
 }
 
 fn is_blocked(evidence: &CrashEvidence, ms: u64, suspect: SuspectKey) -> bool {
@@ -226,7 +226,7 @@
     let evidence = blocked(GUILTY);
     let may_try = |ms| {
         let trials = (0..300).filter(|rank| {
-            let admission = evidence.admission(at(ms), &[GUILTY], |_| *rank);
+            let admission = evidence.admission(at(ms), &[GUILTY], |_| *rank, |_| false);
             admission == Admission::Trial
         });
         trials.count()
@@ -253,7 +253,7 @@
 #[test]
 fn a_request_with_several_suspects_is_refused_if_one_is_blocked() {
     let evidence = blocked(GUILTY);
-    let admission = evidence.admission(at(10), &[SOUND, GUILTY], |_| 0);
+    let admission = evidence.admission(at(10), &[SOUND, GUILTY], |_| 0, |_| false);
     assert!(matches!(admission, Admission::Blocked(_)));
 }
 
@@ -373,3 +373,28 @@
 
     assert!(is_blocked(&evidence, 60_020, GUILTY));
 }
+
+// Pattern: all servers of a service break off connections for a while, but none ends.
+#[test]
+fn a_suspect_is_tried_early_if_a_server_that_broke_off_is_still_registered() {
+    let mut evidence = blocked(SOUND);
+    let admission = |evidence: &CrashEvidence, ms, registered: u64| {
+        evidence.admission(at(ms), &[SOUND], |_| 0, |server| server == registered)
+    };
+    assert!(matches!(
+        admission(&evidence, 5_000, 11),
+        Admission::Blocked(_)
+    ));
+    assert!(matches!(
+        admission(&evidence, 6_500, 99),
+        Admission::Blocked(_)
+    ));
+    assert_eq!(admission(&evidence, 6_500, 11), Admission::Trial);
+
+    evidence.begin_trial(at(6_500), SOUND);
+
+    assert!(matches!(
+        admission(&evidence, 30_000, 11),
+        Admission::Blocked(_)
+    ));
+}
--- a/crates/relay/tests/crashing_parts.rs
+++ b/crates/relay/tests/crashing_parts.rs
@@ -172,7 +172,7 @@
             suspects.push(GUILTY);
         }
         let router = rng.random_range(0..storm.routers);
-        let admission = routers[router].admission(at(ms), &suspects, |_| router);
+        let admission = routers[router].admission(at(ms), &suspects, |_| router, |_| false);
         let is_free = admission == Admission::Free;
         if is_guilty && is_free {
             outcome.guilty_ms.push(ms);
