router: the process soak sends a request that crashes servers

A caller sends it through all faults; servers start again as new incarnations. Once routers are in touch it may reach servers three times at most.

--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -1,8 +1,9 @@
 //! Randomized soak test of `turmerichollow forward` as real processes, with injected faults.
 //!
 //! Routers are killed, terminated, paused and restarted, the store refuses calls, backend
-//! servers misbehave, the store comes back from an older copy, and the network links to both are delayed, reset, blocked in one direction
-//! or in both, one after the other and overlapping. The responses that callers received are then
+//! servers misbehave, a request crashes each server that runs it, the store comes back from an
+//! older copy, and the network links to both are delayed, reset, blocked in one direction or in
+//! both, one after the other and overlapping. The responses that callers received are then
 //! checked against the executions that backend servers counted. `SOAK_SEEDS=a..b` runs other
 //! seeds, `SOAK_LOGS=dir` keeps the routers' logs.
 
@@ -73,6 +74,19 @@
     Link::Resetting,
 ];
 
+/// Path of the request that crashes servers.
+const CRASHING_PATH: &str = "/plain/crash";
+
+/// Time after a crash at which a server starts again, and between two requests that crash servers.
+const RESTART: Duration = Duration::from_millis(700);
+const CRASHING_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after the last fault from which routers count as in touch.
+const STABLE: Duration = Duration::from_millis(3_000);
+
+/// How often a request that has crashed three servers may reach servers from routers in touch.
+const MAX_CRASHING_ARRIVALS: usize = 3;
+
 /// Kinds of requests, by their routes.
 const PATHS: [&str; 4] = ["/once/a", "/plain/a", "/stream/a", "/fixed/a"];
 
@@ -102,6 +116,7 @@
         let (mut servers, mut links) = (Vec::new(), Vec::new());
         for i in 0..SERVERS {
             let server = FakeServer::start(&format!("i-{i}")).await;
+            server.crashes_on.replace(CRASHING_PATH.to_owned());
             let link = Proxy::start(server.address).await;
             let registration = server.registration_at(link.address, "ready");
             store.put(&format!("servers/i-{i}"), &registration);
@@ -135,6 +150,12 @@
             .sum()
     }
 
+    /// Returns how often the request that crashes servers has reached one.
+    fn crashing_arrivals(&self) -> usize {
+        let servers = self.servers.iter();
+        servers.map(|server| server.arrivals(CRASHING_PATH)).sum()
+    }
+
     fn check(&self, record: &RecordedResponse) {
         let RecordedResponse { id, path, response } = record;
         let at = format!("seed {} id {id} {path}", self.seed);
@@ -191,6 +212,45 @@
     }
 }
 
+/// Sends the request that crashes servers to all routers in turn.
+async fn send_crashing_requests(world: Rc<World>) {
+    while !world.stopping.get() {
+        for router in &world.routers {
+            Caller::new(router.address).get(CRASHING_PATH).await;
+            sleep(CRASHING_INTERVAL).await;
+        }
+    }
+}
+
+/// Starts servers again that have crashed, as new incarnations.
+async fn restart_crashed_servers(world: Rc<World>) {
+    while !world.stopping.get() {
+        sleep(RESTART).await;
+        for (server, link) in world.servers.iter().zip(&world.links) {
+            if server.is_down.get() {
+                server.restart().await;
+                let registration = server.registration_at(link.address, "ready");
+                let key = format!("servers/{}", server.id);
+                world.store.put(&key, &registration);
+            }
+        }
+    }
+}
+
+/// Checks that the request that crashes servers hardly reaches any once routers are in touch.
+async fn check_crashing_requests(world: &World) {
+    sleep(STABLE).await;
+    let before = world.crashing_arrivals();
+    sleep(STABLE).await;
+    let later = world.crashing_arrivals() - before;
+    assert!(before >= 3, "seed {}: only {before} crashes", world.seed);
+    assert!(
+        later <= MAX_CRASHING_ARRIVALS,
+        "seed {}: {later} arrivals after {before}",
+        world.seed
+    );
+}
+
 /// Injects one fault for `duration_ms` milliseconds and then removes it.
 async fn inject_fault(world: Rc<World>, fault_kind: u32, target: usize, duration_ms: u64) {
     let router = &world.routers[target % ROUTERS];
@@ -312,12 +372,15 @@
         let callers: Vec<_> = (0..CALLERS)
             .map(|caller| spawn_local(run_caller(Rc::clone(&world), caller)))
             .collect();
+        let crashes = spawn_local(send_crashing_requests(Rc::clone(&world)));
+        let restarts = spawn_local(restart_crashed_servers(Rc::clone(&world)));
         let restores = spawn_local(restore_older_copy(Rc::clone(&world)));
         inject_faults(Rc::clone(&world)).await;
         restores.await.unwrap();
         wait_until_all_serve(&world).await;
+        check_crashing_requests(&world).await;
         world.stopping.set(true);
-        for caller in callers {
+        for caller in callers.into_iter().chain([crashes, restarts]) {
             caller.await.unwrap();
         }
         let responses = world.responses.borrow();
