--- a/crates/relay/tests/crash_evidence.rs
+++ b/crates/relay/tests/crash_evidence.rs
@@ -398,3 +398,10 @@
         Admission::Blocked(_)
     ));
 }
+
+#[test]
+fn a_suspect_is_free_again_half_an_hour_after_its_last_crash() {
+    let evidence = blocked(GUILTY);
+    assert_ne!(admission(&evidence, 1_700_000, GUILTY), Admission::Free);
+    assert_eq!(admission(&evidence, 1_801_000, GUILTY), Admission::Free);
+}
