--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,9 +25,11 @@
 use relay::Workspace;
 use tokio::time::timeout;
 
+use crate::accepted::Accepted;
 use crate::attempt::Attempt;
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FullResponse;
+use crate::attempted_server::AttemptedServer;
 use crate::body::ResponseBody;
 use crate::clock::now;
 use crate::codec::RequestHead;
@@ -87,38 +89,6 @@
     finished: bool,
 }
 
-/// Backend server of an attempt. It is known from the start, as the server's registration may be
-/// gone when the attempt ends.
-#[derive(Clone, Copy, Debug)]
-pub struct AttemptedServer {
-    /// Its instance hash.
-    pub instance_hash: u64,
-    /// When the attempt began.
-    pub sent_at: Time,
-}
-
-/// A request that was read in full and passed all checks.
-pub struct Accepted {
-    /// Head that the caller sent.
-    pub head: request::Parts,
-    /// Fields read from the head.
-    pub parsed: RequestHead,
-    /// Body that the caller sent.
-    pub body: Bytes,
-    /// Route that matched.
-    pub route: Arc<Route>,
-    /// Workspace of the caller's key.
-    pub workspace: Option<Arc<Workspace>>,
-    /// When its head was read.
-    pub arrived_at: Time,
-    /// Version of the configuration under which it was accepted.
-    pub configuration: u64,
-    /// Fingerprint that recognizes the same request under another id.
-    pub fingerprint: SuspectKey,
-    /// What crashes of its backend servers are blamed on.
-    pub suspects: Vec<SuspectKey>,
-}
-
 impl Exchange {
     /// Sets the deadline and picks the service of a request.
     pub fn new(cx: Rc<Context>, accepted: Accepted) -> Exchange {
@@ -249,7 +219,7 @@
     pub async fn start_attempt(&mut self, choice: &Choice) -> Result<Attempt, AttemptFailure> {
         self.attempts += 1;
         self.tried.push(choice.server);
-        self.latest_server = self.attempted_server(choice.server);
+        self.latest_server = AttemptedServer::new(&self.cx, choice.server);
         let limit = duration_until(self.deadline.plus_millis(DEADLINE_GRACE_MS));
         match timeout(limit, Attempt::start(self, choice)).await {
             Ok(result) => result,
@@ -298,15 +268,6 @@
         verdict
     }
 
-    fn attempted_server(&self, key: ServerKey) -> Option<AttemptedServer> {
-        let view = self.cx.view.borrow();
-        let server = view.fleet.get(key)?;
-        Some(AttemptedServer {
-            instance_hash: server.instance_hash,
-            sent_at: now(),
-        })
-    }
-
     /// Returns the id of a backend server, or `gone` once it is not registered, for logs.
     pub fn server_name(&self, key: ServerKey) -> String {
         let view = self.cx.view.borrow();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -18,12 +18,12 @@
 use relay::Workspace;
 use snafu::Snafu;
 
+use crate::accepted::Accepted;
 use crate::body::ResponseBody;
 use crate::clock::now;
 use crate::codec::RequestHead;
 use crate::context::Context;
 use crate::context::Phase;
-use crate::exchange::Accepted;
 use crate::exchange::Exchange;
 use crate::log_event::LogEvent;
 use crate::refusal::Refusal;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,10 @@
 //! no other thread uses needs no locks. External services are reached through the
 //! traits [`Codec`], [`Store`] and [`Engines`].
 
+mod accepted;
 mod attempt;
 mod attempt_failure;
+mod attempted_server;
 mod body;
 mod clock;
 mod cluster_view;
@@ -50,6 +52,7 @@
 mod store;
 mod store_era;
 mod stream_relay;
+mod suspects;
 mod timing;
 mod view_event;
 mod view_gauges;
--- /dev/null
+++ b/crates/gateway/src/suspects.rs
@@ -0,0 +1,94 @@
+//! What a router records about suspects, and what it lets through.
+
+use policy::Time;
+use relay::Admission;
+use relay::SuspectKey;
+use relay::SuspicionUpdate;
+
+use crate::clock::now;
+use crate::context::Context;
+use crate::log_event::LogEvent;
+use crate::view_event::ViewEvent;
+
+impl Context {
+    /// Accuses suspects of the crash of a backend server, given by its instance hash, and tells the
+    /// other routers what is new.
+    pub fn accuse(&self, suspects: &[SuspectKey], server: u64) {
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        for suspect in suspects.iter().copied() {
+            let was_blocked = evidence.is_blocked(now(), suspect);
+            let Some(crashes) = evidence.accuse(now(), suspect, server) else {
+                continue;
+            };
+            ViewEvent::Strike {
+                suspect,
+                server,
+                crashes,
+            }
+            .write();
+            if !was_blocked && evidence.is_blocked(now(), suspect) {
+                let source = "own";
+                ViewEvent::Blocked { suspect, source }.write();
+            }
+            self.peers.wake.notify_one();
+        }
+    }
+
+    /// Records that a request of suspects was run to its end.
+    pub fn acquit(&self, suspects: &[SuspectKey]) {
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        for suspect in suspects.iter().copied() {
+            let crashes = evidence.acquit(now(), suspect);
+            if crashes > 0 {
+                ViewEvent::Acquitted { suspect, crashes }.write();
+                self.peers.wake.notify_one();
+            }
+        }
+    }
+
+    /// Records that a backend server, given by its instance hash, has ended.
+    pub fn settle_ended(&self, server: u64) {
+        let ended = self.view.borrow_mut().unsettled.server_ended(now(), server);
+        self.accuse(&ended, server);
+    }
+
+    /// Records that a backend server has responded to a request sent at `sent_at`.
+    pub fn settle_alive(&self, server: u64, sent_at: Time) {
+        let complete = {
+            let unsettled = &mut self.view.borrow_mut().unsettled;
+            unsettled.server_lives(now(), server, sent_at)
+        };
+        self.acquit(&complete);
+    }
+
+    /// Adds what another router (`peer`) or a record in the store (`store`) tells of a suspect.
+    pub fn merge_suspicion(&self, update: &SuspicionUpdate, source: &str) {
+        let is_hub = self.peers.topology.borrow_mut().is_hub(now());
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        if evidence.merge(now(), update, is_hub) {
+            let suspect = update.suspect;
+            ViewEvent::Blocked { suspect, source }.write();
+        }
+    }
+
+    /// Returns whether a request with these suspects may be sent to a backend server now.
+    pub fn admission(&self, suspects: &[SuspectKey]) -> Admission {
+        let view = self.view.borrow();
+        let topology = self.peers.topology.borrow();
+        let rank = |suspect: SuspectKey| topology.rank_for(suspect.hash());
+        let is_registered = |server| view.fleet.is_registered(now(), server);
+        let evidence = &view.crash_evidence;
+        evidence.admission(now(), suspects, rank, is_registered)
+    }
+
+    /// Records that a request is sent as a trial of its blocked suspects.
+    pub fn begin_trial(&self, suspects: &[SuspectKey]) {
+        let evidence = &mut self.view.borrow_mut().crash_evidence;
+        for suspect in suspects {
+            if evidence.begin_trial(now(), *suspect) {
+                ViewEvent::Trial { suspect: *suspect }.write();
+            }
+        }
+        self.peers.wake.notify_one();
+    }
+}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::age::age_ms;
+use crate::age::time_of;
 use crate::BackendServer;
 use crate::Fleet;
 use crate::Load;
@@ -42,23 +44,21 @@
     {
         let load = server.load_with(now, &counts);
         let responses = server.responses_with(now, &counts);
-        let age_ms = |at: Time| u32::try_from(now.millis_since(at)).unwrap_or(u32::MAX);
         let update = LoadUpdate {
             server: server.instance_hash,
             requests: load.requests,
             prefill_ms: load.prefill_ms,
-            responded_ms: responses.responded_at.map(age_ms),
-            silent_ms: responses.silent_since.map(age_ms),
+            responded_ms: responses.responded_at.map(|at| age_ms(now, at)),
+            silent_ms: responses.silent_since.map(|at| age_ms(now, at)),
         };
         (load.requests > 0 || responses != Responses::default()).then_some(update)
     }
 
     /// Returns the reported responses, as of `now`.
     fn responses(&self, now: Time) -> Responses {
-        let time = |age_ms: u32| Time(now.0.saturating_sub(u64::from(age_ms) * 1_000));
         Responses {
-            responded_at: self.responded_ms.map(time),
-            silent_since: self.silent_ms.map(time),
+            responded_at: self.responded_ms.map(|age_ms| time_of(now, age_ms)),
+            silent_since: self.silent_ms.map(|age_ms| time_of(now, age_ms)),
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! facts are passed in, and decisions are returned. The package `gateway` carries them out.
 
 mod affinity;
+mod age;
 mod attempt_end;
 mod backend_server;
 mod cache_scope;
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -4,6 +4,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::age::age_ms;
+use crate::age::time_of;
 use crate::Revision;
 
 /// Time for which a missing registration is kept after an outage of the store, in
@@ -59,21 +61,19 @@
 impl ReadingUpdate {
     /// Returns the message's form of a reading.
     pub fn new(now: Time, reading: Reading) -> ReadingUpdate {
-        let age_ms = |at| u32::try_from(now.millis_since(at)).unwrap_or(u32::MAX);
         ReadingUpdate {
             as_of: reading.as_of,
-            age_ms: age_ms(reading.read_at),
-            outage_age_ms: age_ms(reading.outage_until),
+            age_ms: age_ms(now, reading.read_at),
+            outage_age_ms: age_ms(now, reading.outage_until),
         }
     }
 
     /// Returns the reading that a message received at `now` describes.
     pub fn reading(&self, now: Time) -> Reading {
-        let time = |age_ms: u32| Time(now.0.saturating_sub(u64::from(age_ms) * 1_000));
         Reading {
             as_of: self.as_of,
-            read_at: time(self.age_ms),
-            outage_until: time(self.outage_age_ms),
+            read_at: time_of(now, self.age_ms),
+            outage_until: time_of(now, self.outage_age_ms),
         }
     }
 }
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::age::age_ms;
+use crate::age::time_of;
 use crate::SuspectKey;
 
 /// Number of crashed incarnations from which a suspect is blocked.
@@ -301,11 +303,3 @@
     /// Era of the store in which the block was recorded.
     pub recorded_in: Option<u64>,
 }
-
-fn age_ms(now: Time, at: Time) -> u32 {
-    u32::try_from(now.millis_since(at)).unwrap_or(u32::MAX)
-}
-
-fn time_of(now: Time, age_ms: u32) -> Time {
-    Time(now.0.saturating_sub(u64::from(age_ms) * 1_000))
-}
