relay, gateway: strike, suspect and cleared are the only terms for what crashes servers

No logic changes. Suspicion, accusation, acquittal, testimony and guilt were metaphors beside the terms of the glossary; a crash that counts against a suspect was called crash here and strike there.

--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use relay::CrashUpdate;
 use relay::RecordChange;
+use relay::StrikeUpdate;
 use relay::SuspectKey;
-use relay::SuspicionUpdate;
+use relay::SuspectUpdate;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::sleep;
@@ -41,9 +41,9 @@
     crashed: Vec<u64>,
 }
 
-impl From<&SuspicionUpdate> for CrashRecord {
-    fn from(update: &SuspicionUpdate) -> CrashRecord {
-        let crashed = update.crashes.iter().map(|crash| crash.server);
+impl From<&SuspectUpdate> for CrashRecord {
+    fn from(update: &SuspectUpdate) -> CrashRecord {
+        let crashed = update.strikes.iter().map(|strike| strike.server);
         CrashRecord {
             crashed: crashed.collect(),
         }
@@ -53,14 +53,14 @@
 impl CrashRecord {
     /// Returns the update for a router that reads the record in an era of the store. The crashes
     /// count from now on, as the record has no time.
-    fn update(&self, suspect: SuspectKey, era: u64) -> SuspicionUpdate {
-        let crashes = self.crashed.iter().map(|server| CrashUpdate {
+    fn update(&self, suspect: SuspectKey, era: u64) -> SuspectUpdate {
+        let strikes = self.crashed.iter().map(|server| StrikeUpdate {
             server: *server,
             age_ms: 0,
         });
-        SuspicionUpdate {
+        SuspectUpdate {
             suspect,
-            crashes: crashes.collect(),
+            strikes: strikes.collect(),
             completed_age_ms: None,
             trials: 0,
             tried_age_ms: 0,
@@ -90,7 +90,7 @@
     };
     match parse(path, &record.value) {
         Ok((suspect, content)) => {
-            cx.merge_suspicion(&content.update(suspect, record.revision.era), "store");
+            cx.merge_suspect(&content.update(suspect, record.revision.era), "store");
         }
         Err(reason) => ProcessEvent::EntryUnreadable {
             key: &record.name,
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -3,9 +3,9 @@
 use http::response;
 use http::StatusCode;
 use relay::AttemptEnd;
+use relay::AttemptProof;
 use relay::Choice;
 use relay::ServerKey;
-use relay::Testimony;
 
 use crate::clock::now;
 use crate::codec::ResponseHead;
@@ -39,15 +39,15 @@
             is_complete_if_alive,
         );
     };
-    match end.testimony() {
-        Testimony::Crashed => {
-            x.cx.accuse(&x.suspects, server.instance_hash);
+    match end.proof() {
+        AttemptProof::Crashed => {
+            x.cx.add_strikes(&x.suspects, server.instance_hash);
             x.cx.settle_ended(server.instance_hash);
         }
-        Testimony::RanToEnd => x.cx.acquit(&x.suspects),
-        Testimony::RanToEndIfAlive => add_unsettled(true),
-        Testimony::CrashedIfEnded => add_unsettled(false),
-        Testimony::Nothing => {}
+        AttemptProof::RanToEnd => x.cx.clear_suspects(&x.suspects),
+        AttemptProof::RanToEndIfAlive => add_unsettled(true),
+        AttemptProof::CrashedIfEnded => add_unsettled(false),
+        AttemptProof::Nothing => {}
     }
 }
 
--- a/crates/gateway/src/gossip_message.rs
+++ b/crates/gateway/src/gossip_message.rs
@@ -29,7 +29,7 @@
     let peers = &cx.peers;
     let mut topology = peers.topology.borrow_mut();
     let is_hub = topology.is_hub(now);
-    let suspicions = cx.view.borrow_mut().crash_evidence.next_updates(now);
+    let suspects = cx.view.borrow_mut().crash_evidence.next_updates(now);
     let view = cx.view.borrow();
     let fleet = &view.fleet;
     let counts = |router| is_hub && topology.is_in_region(router);
@@ -50,7 +50,7 @@
         parts: part_updates(peers, fleet),
         switches: switch_updates(now, peers, fleet),
         weights: weights_updates(peers, fleet),
-        suspicions,
+        suspects,
         ended: ended.iter().map(|announced| announced.value).collect(),
         leaving: fleet.leaving().take(MAX_LEAVING).collect(),
         routers: view.routers_known.then(|| peers.digest()),
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -115,8 +115,8 @@
         cx.apply_announced_weights(&update.model, update.version, announcement, "peer");
     }
     cx.apply_leaving(&message.leaving);
-    for update in &message.suspicions {
-        cx.merge_suspicion(update, "peer");
+    for update in &message.suspects {
+        cx.merge_suspect(update, "peer");
     }
     let own_region = message.region == Some(cx.peers.topology.borrow().region());
     let own_loads = cx.peers.sent_loads.borrow();
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -3,7 +3,7 @@
 use policy::Time;
 use relay::Admission;
 use relay::SuspectKey;
-use relay::SuspicionUpdate;
+use relay::SuspectUpdate;
 
 use crate::clock::now;
 use crate::context::Context;
@@ -11,19 +11,19 @@
 use crate::view_event::ViewEvent;
 
 impl Context {
-    /// Accuses suspects of the crash of a backend server, given by its instance hash, and tells the
-    /// other routers what is new.
-    pub fn accuse(&self, suspects: &[SuspectKey], server: u64) {
+    /// Adds a strike against each suspect for the crash of a backend server, given by its instance
+    /// hash, and sends the new ones to the other routers.
+    pub fn add_strikes(&self, suspects: &[SuspectKey], server: u64) {
         let evidence = &mut self.view.borrow_mut().crash_evidence;
         for suspect in suspects.iter().copied() {
             let was_blocked = evidence.is_blocked(now(), suspect);
-            let Some(crashes) = evidence.accuse(now(), suspect, server) else {
+            let Some(strikes) = evidence.add_strike(now(), suspect, server) else {
                 continue;
             };
             ViewEvent::Strike {
                 suspect,
                 server,
-                crashes,
+                strikes,
             }
             .write();
             if !was_blocked && evidence.is_blocked(now(), suspect) {
@@ -34,13 +34,13 @@
         }
     }
 
-    /// Records that a request of suspects was run to its end.
-    pub fn acquit(&self, suspects: &[SuspectKey]) {
+    /// Clears suspects, as a request of theirs was run to its end.
+    pub fn clear_suspects(&self, suspects: &[SuspectKey]) {
         let evidence = &mut self.view.borrow_mut().crash_evidence;
         for suspect in suspects.iter().copied() {
-            let crashes = evidence.acquit(now(), suspect);
-            if crashes > 0 {
-                ViewEvent::Acquitted { suspect, crashes }.write();
+            let strikes = evidence.clear(now(), suspect);
+            if strikes > 0 {
+                ViewEvent::Cleared { suspect, strikes }.write();
                 self.peers.wake.notify_one();
             }
         }
@@ -49,7 +49,7 @@
     /// Records that a backend server, given by its instance hash, has ended.
     pub fn settle_ended(&self, server: u64) {
         let ended = self.view.borrow_mut().unsettled.server_ended(now(), server);
-        self.accuse(&ended, server);
+        self.add_strikes(&ended, server);
     }
 
     /// Records that a backend server has responded to a request sent at `sent_at`.
@@ -58,11 +58,12 @@
             let unsettled = &mut self.view.borrow_mut().unsettled;
             unsettled.server_lives(now(), server, sent_at)
         };
-        self.acquit(&complete);
+        self.clear_suspects(&complete);
     }
 
-    /// Adds what another router (`peer`) or a record in the store (`store`) tells of a suspect.
-    pub fn merge_suspicion(&self, update: &SuspicionUpdate, source: &str) {
+    /// Merges the state of a suspect that another router (`peer`) sent or a record in the store
+    /// (`store`) holds.
+    pub fn merge_suspect(&self, update: &SuspectUpdate, source: &str) {
         let is_hub = self.peers.topology.borrow_mut().is_hub(now());
         let evidence = &mut self.view.borrow_mut().crash_evidence;
         if evidence.merge(now(), update, is_hub) {
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -46,14 +46,14 @@
         suspect: SuspectKey,
         /// Instance hash of the server.
         server: u64,
-        /// Number of crashes that the suspect is accused of.
-        crashes: usize,
+        /// Number of strikes against the suspect that count.
+        strikes: usize,
     },
     /// Requests of a suspect are refused from now on.
     Blocked {
         /// The suspect.
         suspect: SuspectKey,
-        /// Where the last crash was learned: `own`, `peer` or `store`.
+        /// Where the last strike was learned: `own`, `peer` or `store`.
         source: &'a str,
     },
     /// A request of a blocked suspect is sent as a trial.
@@ -62,11 +62,11 @@
         suspect: SuspectKey,
     },
     /// A request of a suspect was run to its end, so that it does not crash servers.
-    Acquitted {
+    Cleared {
         /// The suspect.
         suspect: SuspectKey,
-        /// Number of crashes that it was accused of.
-        crashes: usize,
+        /// Number of strikes that counted until now.
+        strikes: usize,
     },
     /// A router has registered.
     RouterAdded {
@@ -153,17 +153,17 @@
             ViewEvent::Strike {
                 suspect,
                 server,
-                crashes,
+                strikes,
             } => write!(
                 f,
-                "event=strike {suspect} server={server:016x} crashes={crashes}"
+                "event=strike {suspect} server={server:016x} strikes={strikes}"
             ),
             ViewEvent::Blocked { suspect, source } => {
                 write!(f, "event=blocked {suspect} source={source}")
             }
             ViewEvent::Trial { suspect } => write!(f, "event=trial {suspect}"),
-            ViewEvent::Acquitted { suspect, crashes } => {
-                write!(f, "event=acquitted {suspect} crashes={crashes}")
+            ViewEvent::Cleared { suspect, strikes } => {
+                write!(f, "event=cleared {suspect} strikes={strikes}")
             }
             ViewEvent::RouterAdded { peer, address } => {
                 write!(f, "event=router_added peer={peer:?} address={address}")
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -200,13 +200,13 @@
     let strike = ViewEvent::Strike {
         suspect,
         server: 0x2f,
-        crashes: 2,
+        strikes: 2,
     };
-    assert_snapshot!(strike, @"event=strike request=000000000000001f server=000000000000002f crashes=2");
+    assert_snapshot!(strike, @"event=strike request=000000000000001f server=000000000000002f strikes=2");
     let source = "peer";
     assert_snapshot!(ViewEvent::Blocked { suspect, source }, @"event=blocked request=000000000000001f source=peer");
     assert_snapshot!(ViewEvent::Trial { suspect }, @"event=trial request=000000000000001f");
-    assert_snapshot!(ViewEvent::Acquitted { suspect, crashes: 2 }, @"event=acquitted request=000000000000001f crashes=2");
+    assert_snapshot!(ViewEvent::Cleared { suspect, strikes: 2 }, @"event=cleared request=000000000000001f strikes=2");
 }
 
 #[test]
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -22,7 +22,7 @@
 
 /// What the end of an attempt says about its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Testimony {
+pub enum AttemptProof {
     /// The backend server seems to have ended while it ran the request.
     Crashed,
     /// The request was run to its end, so that it isn't one that crashes servers.
@@ -38,13 +38,13 @@
 impl AttemptEnd {
     /// Returns what it says about the request. A failed response proves nothing: a server may
     /// fail a request before it begins to run it.
-    pub fn testimony(self) -> Testimony {
+    pub fn proof(self) -> AttemptProof {
         match self {
-            AttemptEnd::BrokenOff => Testimony::Crashed,
-            AttemptEnd::Completed => Testimony::RanToEnd,
-            AttemptEnd::Closed => Testimony::RanToEndIfAlive,
-            AttemptEnd::Unknown => Testimony::CrashedIfEnded,
-            AttemptEnd::Unsent | AttemptEnd::Rejected | AttemptEnd::Failed => Testimony::Nothing,
+            AttemptEnd::BrokenOff => AttemptProof::Crashed,
+            AttemptEnd::Completed => AttemptProof::RanToEnd,
+            AttemptEnd::Closed => AttemptProof::RanToEndIfAlive,
+            AttemptEnd::Unknown => AttemptProof::CrashedIfEnded,
+            AttemptEnd::Unsent | AttemptEnd::Rejected | AttemptEnd::Failed => AttemptProof::Nothing,
         }
     }
 
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -2,9 +2,9 @@
 //! prompts that crash each engine that begins to answer them.
 //!
 //! Callers send such a request again with new ids, through any router; of prompts with such a part
-//! no two are alike. All that was in flight at a backend server when it ended is accused of it.
-//! Only what is guilty is never run to its end, so that a complete response acquits. What stays
-//! accused of several crashes is blocked, and tried again rarely, one request at a time.
+//! no two are alike. All that was in flight at a backend server when it ended gets a strike. A
+//! poison request is never run to its end, so that a complete response clears its suspects. A
+//! suspect with several strikes is blocked, and tried again rarely, one request at a time.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -14,8 +14,8 @@
 
 use crate::message_room::MessageRoom;
 use crate::recent_times::RecentTimes;
-use crate::suspicion::Suspicion;
-use crate::suspicion::SuspicionUpdate;
+use crate::suspect_state::SuspectState;
+use crate::suspect_state::SuspectUpdate;
 use crate::SuspectKey;
 
 /// Maximum number of suspects that are kept.
@@ -50,60 +50,60 @@
 /// What this router knows of the suspects.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
-    suspicions: HashMap<SuspectKey, Suspicion>,
+    suspects: HashMap<SuspectKey, SuspectState>,
     /// When a request of each suspect was last run to its end for this router.
     completed: RecentTimes,
 }
 
 impl CrashEvidence {
-    /// Accuses a suspect of the crash of a backend server, given by its instance hash. Returns
-    /// the number of crashes that it is accused of now, or none if that is not new.
-    pub fn accuse(&mut self, now: Time, suspect: SuspectKey, server: u64) -> Option<usize> {
+    /// Adds a strike against a suspect for the crash of a backend server, given by its instance
+    /// hash. Returns the number of strikes that count now, or none if that is not new.
+    pub fn add_strike(&mut self, now: Time, suspect: SuspectKey, server: u64) -> Option<usize> {
         let completed_at = self.completed.last(suspect.hash());
-        let suspicion = self.suspicion_mut(now, suspect);
-        if !suspicion.add_crash(now, server) {
+        let state = self.state_mut(now, suspect);
+        if !state.add_strike(now, server) {
             return None;
         }
         if let Some(at) = completed_at {
-            suspicion.complete(now, at);
+            state.complete(now, at);
         }
-        suspicion.sends = 0;
-        Some(suspicion.counted(now))
+        state.sends = 0;
+        Some(state.counted(now))
     }
 
-    /// Records that a request of a suspect was run to its end. Returns the number of crashes
-    /// that it was accused of until now.
-    pub fn acquit(&mut self, now: Time, suspect: SuspectKey) -> usize {
+    /// Records that a request of a suspect was run to its end. Returns the number of strikes
+    /// that counted until now.
+    pub fn clear(&mut self, now: Time, suspect: SuspectKey) -> usize {
         self.completed.record(now, suspect.hash());
-        let Some(suspicion) = self.suspicions.get_mut(&suspect) else {
+        let Some(state) = self.suspects.get_mut(&suspect) else {
             return 0;
         };
-        let crashes = suspicion.counted(now);
-        if suspicion.complete(now, now) {
-            suspicion.sends = 0;
+        let strikes = state.counted(now);
+        if state.complete(now, now) {
+            state.sends = 0;
         }
-        crashes
+        strikes
     }
 
     /// Adds what another router knows of a suspect. What is new goes on to other routers if this
-    /// one forwards, as hubs do, or if more than one crash counts. Returns whether the suspect is
+    /// one forwards, as hubs do, or if more than one strike counts. Returns whether the suspect is
     /// blocked by it.
-    pub fn merge(&mut self, now: Time, update: &SuspicionUpdate, forwards: bool) -> bool {
+    pub fn merge(&mut self, now: Time, update: &SuspectUpdate, forwards: bool) -> bool {
         let completed_at = self.completed.last(update.suspect.hash());
         let was_blocked = self.is_blocked(now, update.suspect);
-        let is_known = self.suspicions.contains_key(&update.suspect);
-        let suspicion = self.suspicion_mut(now, update.suspect);
+        let is_known = self.suspects.contains_key(&update.suspect);
+        let state = self.state_mut(now, update.suspect);
         if !is_known {
-            suspicion.sends = SENDS;
+            state.sends = SENDS;
         }
-        let mut is_new = suspicion.merge(now, update);
+        let mut is_new = state.merge(now, update);
         if let Some(at) = completed_at {
-            is_new |= suspicion.complete(now, at);
+            is_new |= state.complete(now, at);
         }
-        if is_new && (forwards || suspicion.counted(now) > 1) {
-            suspicion.sends = 0;
-        } else if suspicion.is_news_for(now, update) {
-            suspicion.sends = suspicion.sends.min(SENDS - 1);
+        if is_new && (forwards || state.counted(now) > 1) {
+            state.sends = 0;
+        } else if state.is_unknown_to_sender(now, update) {
+            state.sends = state.sends.min(SENDS - 1);
         }
         !was_blocked && self.is_blocked(now, update.suspect)
     }
@@ -139,10 +139,10 @@
         F: Fn(SuspectKey) -> usize,
         G: Fn(u64) -> bool,
     {
-        let Some(suspicion) = self.blocked(now, suspect) else {
+        let Some(state) = self.blocked(now, suspect) else {
             return Admission::Free;
         };
-        let trial_at = suspicion.trial_at(now, is_registered);
+        let trial_at = state.trial_at(now, is_registered);
         if now < trial_at {
             return Admission::Blocked(trial_at);
         }
@@ -160,9 +160,9 @@
         if !self.is_blocked(now, suspect) {
             return false;
         }
-        let suspicion = self.suspicion_mut(now, suspect);
-        suspicion.begin_trial(now);
-        suspicion.sends = 0;
+        let state = self.state_mut(now, suspect);
+        state.begin_trial(now);
+        state.sends = 0;
         true
     }
 
@@ -176,54 +176,54 @@
         self.blocked_suspects(now).len()
     }
 
-    /// Returns what is known of a suspect if it is blocked: if it is accused of enough crashes that
-    /// no other suspect explains, one that is accused of them and of more.
-    fn blocked(&self, now: Time, suspect: SuspectKey) -> Option<&Suspicion> {
-        let suspicion = self.suspicions.get(&suspect)?;
-        if !suspicion.has_case(now) {
+    /// Returns the state of a suspect if it is blocked: if it has enough strikes that no other suspect
+    /// explains, one that has them and more.
+    fn blocked(&self, now: Time, suspect: SuspectKey) -> Option<&SuspectState> {
+        let state = self.suspects.get(&suspect)?;
+        if !state.has_enough_strikes(now) {
             return None;
         }
-        let crashes = suspicion.counted(now);
-        let others = self.suspicions.values();
+        let strikes = state.counted(now);
+        let others = self.suspects.values();
         let stronger: Vec<_> = others
-            .filter(|other| other.counted(now) > crashes && other.has_case(now))
+            .filter(|other| other.counted(now) > strikes && other.has_enough_strikes(now))
             .collect();
-        let is_explained = |server| stronger.iter().any(|s| s.is_accused_of(now, server));
-        let is_blocked = suspicion.is_blocked(now, is_explained);
-        is_blocked.then_some(suspicion)
+        let is_explained = |server| stronger.iter().any(|s| s.has_counted_strike(now, server));
+        let is_blocked = state.is_blocked(now, is_explained);
+        is_blocked.then_some(state)
     }
 
-    /// Returns what the next message to other routers tells of suspects: new states in several
+    /// Returns the states of suspects for the next message to other routers: new ones in several
     /// messages, blocked suspects in each, and all others in turn, for routers that were cut off
     /// or have just started.
-    pub fn next_updates(&mut self, now: Time) -> Vec<SuspicionUpdate> {
-        self.suspicions
-            .retain(|_, suspicion| suspicion.sends < SENDS || suspicion.is_kept(now));
+    pub fn next_updates(&mut self, now: Time) -> Vec<SuspectUpdate> {
+        self.suspects
+            .retain(|_, state| state.sends < SENDS || state.is_kept(now));
         let blocked = self.blocked_suspects(now);
         let mut order: Vec<_> = self
-            .suspicions
+            .suspects
             .iter_mut()
-            .map(|(key, suspicion)| (Reverse(suspicion.counted(now)), *key, suspicion))
+            .map(|(key, state)| (Reverse(state.counted(now)), *key, state))
             .collect();
-        order.sort_by_key(|(counted, key, suspicion)| (suspicion.sends, *counted, *key));
+        order.sort_by_key(|(counted, key, state)| (state.sends, *counted, *key));
         let mut room = MessageRoom::default();
         let mut updates = Vec::new();
-        for (Reverse(counted), key, suspicion) in order {
-            let is_new = suspicion.sends < SENDS;
+        for (Reverse(counted), key, state) in order {
+            let is_new = state.sends < SENDS;
             if !is_new && counted == 0 {
                 continue;
             }
             let is_blocked = blocked.contains(&key);
-            if room.take(is_new, is_blocked, suspicion.crash_count()) {
-                suspicion.sends = suspicion.sends.saturating_add(1);
-                updates.push(suspicion.update(now, key));
+            if room.take(is_new, is_blocked, state.strike_count()) {
+                state.sends = state.sends.saturating_add(1);
+                updates.push(state.update(now, key));
             }
         }
         updates
     }
 
     fn blocked_suspects(&self, now: Time) -> HashSet<SuspectKey> {
-        let suspects = self.suspicions.keys().copied();
+        let suspects = self.suspects.keys().copied();
         suspects
             .filter(|suspect| self.is_blocked(now, *suspect))
             .collect()
@@ -235,14 +235,14 @@
     where
         F: Fn(SuspectKey) -> usize,
     {
-        self.suspicions.iter().find_map(|(key, suspicion)| {
+        self.suspects.iter().find_map(|(key, state)| {
             if self.is_blocked(now, *key) {
-                let crashed_at = suspicion.last_crash(now).unwrap_or_default();
+                let crashed_at = state.last_strike(now).unwrap_or_default();
                 let turns = now.millis_since(crashed_at) / TURN_MS;
-                let is_due = suspicion.recorded_in < Some(era) && has_turn(rank(*key), turns);
+                let is_due = state.recorded_in < Some(era) && has_turn(rank(*key), turns);
                 is_due.then_some(RecordChange::Write(*key))
             } else {
-                let is_due = suspicion.recorded_in.is_some() && rank(*key) == 0;
+                let is_due = state.recorded_in.is_some() && rank(*key) == 0;
                 is_due.then_some(RecordChange::Delete(*key))
             }
         })
@@ -250,41 +250,40 @@
 
     /// Records that a suspect's record stands in the store in this era, or in none.
     pub fn set_recorded(&mut self, suspect: SuspectKey, era: Option<u64>) {
-        if let Some(suspicion) = self.suspicions.get_mut(&suspect) {
-            suspicion.recorded_in = era;
-            suspicion.sends = 0;
+        if let Some(state) = self.suspects.get_mut(&suspect) {
+            state.recorded_in = era;
+            state.sends = 0;
         }
     }
 
     /// Returns what is known of a suspect; none if it isn't one.
-    pub fn update(&self, now: Time, suspect: SuspectKey) -> Option<SuspicionUpdate> {
-        let suspicion = self.suspicions.get(&suspect)?;
-        Some(suspicion.update(now, suspect))
+    pub fn update(&self, now: Time, suspect: SuspectKey) -> Option<SuspectUpdate> {
+        let state = self.suspects.get(&suspect)?;
+        Some(state.update(now, suspect))
     }
 
-    fn suspicion_mut(&mut self, now: Time, suspect: SuspectKey) -> &mut Suspicion {
-        if self.suspicions.len() >= MAX_SUSPECTS && !self.suspicions.contains_key(&suspect) {
+    fn state_mut(&mut self, now: Time, suspect: SuspectKey) -> &mut SuspectState {
+        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&suspect) {
             self.drop_least_suspected(now);
         }
-        self.suspicions
+        self.suspects
             .entry(suspect)
-            .or_insert_with(|| Suspicion::new(suspect))
+            .or_insert_with(|| SuspectState::new(suspect))
     }
 
-    /// Drops the acquitted, and then a quarter of the others: those that are accused of the
-    /// fewest crashes, the earliest ones first.
+    /// Drops the cleared ones, and then a quarter of the others: those with the fewest strikes, the
+    /// earliest ones first.
     fn drop_least_suspected(&mut self, now: Time) {
-        self.suspicions
-            .retain(|_, suspicion| suspicion.counted(now) > 0);
-        let excess = self.suspicions.len().saturating_sub(MAX_SUSPECTS * 3 / 4);
+        self.suspects.retain(|_, state| state.counted(now) > 0);
+        let excess = self.suspects.len().saturating_sub(MAX_SUSPECTS * 3 / 4);
         let mut order: Vec<_> = self
-            .suspicions
+            .suspects
             .iter()
-            .map(|(key, suspicion)| (suspicion.counted(now), suspicion.last_crash(now), *key))
+            .map(|(key, state)| (state.counted(now), state.last_strike(now), *key))
             .collect();
         order.sort_unstable();
         for (_, _, key) in order.into_iter().take(excess) {
-            self.suspicions.remove(&key);
+            self.suspects.remove(&key);
         }
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -15,7 +15,7 @@
 use crate::ReadingUpdate;
 use crate::Residency;
 use crate::Responses;
-use crate::SuspicionUpdate;
+use crate::SuspectUpdate;
 use crate::Transfer;
 
 /// Load of one backend server, as counted by one router or one region.
@@ -144,7 +144,7 @@
     /// Versions of weights that engines were recently seen to have.
     pub weights: Vec<WeightsUpdate>,
     /// What the sender knows of suspects.
-    pub suspicions: Vec<SuspicionUpdate>,
+    pub suspects: Vec<SuspectUpdate>,
     /// Instance hashes of incarnations that were recently found to be over.
     pub ended: Vec<u64>,
     /// Instance hashes of the servers that have said in a response that they leave, but are
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspect_state.rs
@@ -9,22 +9,22 @@
 use crate::age::time_of;
 use crate::SuspectKey;
 
-/// Number of crashed incarnations from which a suspect is blocked.
-const BLOCKING_CRASHES: usize = 3;
+/// Number of strikes, each by another incarnation, from which a suspect is blocked.
+const BLOCKING_STRIKES: usize = 3;
 
 /// The same for a part of prompts that had a complete response before. Prompts that crash engines
 /// have sound parts too, whose requests are mostly run to their end.
-const SOUND_PART_BLOCKING_CRASHES: usize = 5;
+const SOUND_PART_BLOCKING_STRIKES: usize = 5;
 
-/// Maximum number of crashes that are kept for a suspect.
-const MAX_CRASHES: usize = 12;
+/// Maximum number of strikes that are kept for a suspect.
+const MAX_STRIKES: usize = 12;
 
-/// Time for which a crash counts, in milliseconds.
-const CRASH_TTL_MS: u64 = 1_800_000;
+/// Time for which a strike counts, in milliseconds.
+const STRIKE_TTL_MS: u64 = 1_800_000;
 
-/// Time after a complete response in which crashes don't count, in milliseconds. Whatever is in
+/// Time after a complete response in which strikes don't count, in milliseconds. Whatever is in
 /// flight at several servers that fail together was mostly run to its end elsewhere just before.
-const EXCUSED_MS: u64 = 2_000;
+const UNCOUNTED_MS: u64 = 2_000;
 
 /// Time from the block of a suspect to its first trial, in milliseconds.
 const FIRST_TRIAL_MS: u64 = 30_000;
@@ -36,13 +36,13 @@
 /// Longest time between two trials, in milliseconds.
 const MAX_TRIAL_MS: u64 = 600_000;
 
-/// Time after a complete response for which an acquitted suspect is kept, in milliseconds: another
-/// router may still accuse it.
-const ACQUITTED_TTL_MS: u64 = 60_000;
+/// Time after a complete response for which a cleared suspect is kept, in milliseconds: another
+/// router may still count strikes against it.
+const CLEARED_TTL_MS: u64 = 60_000;
 
 /// End of an incarnation of a backend server that was running requests of a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
+struct Strike {
     /// Instance hash of the backend server.
     server: u64,
     at: Time,
@@ -51,11 +51,11 @@
 /// The evidence for and against one suspect. Merged from several routers in any order, it
 /// becomes the same on all of them.
 #[derive(Clone, Debug)]
-pub(crate) struct Suspicion {
+pub(crate) struct SuspectState {
     /// Whether the suspect is a part of prompts.
     is_part: bool,
-    /// Crashes of different incarnations, oldest first.
-    crashes: Vec<Crash>,
+    /// Strikes of different incarnations, oldest first.
+    strikes: Vec<Strike>,
     /// When a request of the suspect last had a complete response.
     completed_at: Option<Time>,
     /// Number of trials, and when the latest began.
@@ -67,12 +67,12 @@
     pub(crate) sends: u32,
 }
 
-impl Suspicion {
+impl SuspectState {
     /// Returns what is known of a suspect at first: nothing.
-    pub(crate) fn new(suspect: SuspectKey) -> Suspicion {
-        Suspicion {
+    pub(crate) fn new(suspect: SuspectKey) -> SuspectState {
+        SuspectState {
             is_part: matches!(suspect, SuspectKey::Part(_)),
-            crashes: Vec::new(),
+            strikes: Vec::new(),
             completed_at: None,
             trials: 0,
             tried_at: Time(0),
@@ -81,50 +81,50 @@
         }
     }
 
-    /// Adds a crash that this router has seen. Returns whether it is new.
-    pub(crate) fn add_crash(&mut self, now: Time, server: u64) -> bool {
-        if self.knows_crash(server) {
+    /// Adds a strike for a crash that this router has seen. Returns whether it is new.
+    pub(crate) fn add_strike(&mut self, now: Time, server: u64) -> bool {
+        if self.has_strike(server) {
             return false;
         }
         self.drop_uncounted_if_full(now);
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
+        if self.strikes.len() >= MAX_STRIKES {
+            self.strikes.remove(0);
         }
-        self.insert(Crash { server, at: now });
+        self.insert(Strike { server, at: now });
         true
     }
 
-    /// Adds a crash that another router tells of, if it counts and there is room. Returns whether
+    /// Adds a strike that another router sent, if it counts and there is room. Returns whether
     /// it was added.
-    fn add_told_crash(&mut self, now: Time, crash: Crash) -> bool {
-        if self.knows_crash(crash.server) || !self.counts(now, &crash) {
+    fn add_peer_strike(&mut self, now: Time, strike: Strike) -> bool {
+        if self.has_strike(strike.server) || !self.counts(now, &strike) {
             return false;
         }
         self.drop_uncounted_if_full(now);
-        // Routers that keep different crashes must not tell each other of them without end.
-        if self.crashes.len() >= MAX_CRASHES {
+        // Routers that keep different strikes must not send them to each other without end.
+        if self.strikes.len() >= MAX_STRIKES {
             return false;
         }
-        self.insert(crash);
+        self.insert(strike);
         true
     }
 
-    fn knows_crash(&self, server: u64) -> bool {
-        self.crashes.iter().any(|crash| crash.server == server)
+    fn has_strike(&self, server: u64) -> bool {
+        self.strikes.iter().any(|strike| strike.server == server)
     }
 
     fn drop_uncounted_if_full(&mut self, now: Time) {
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes = self.counted_crashes(now).copied().collect();
+        if self.strikes.len() >= MAX_STRIKES {
+            self.strikes = self.counted_strikes(now).copied().collect();
         }
     }
 
-    fn insert(&mut self, crash: Crash) {
-        let index = self.crashes.partition_point(|other| other.at <= crash.at);
-        self.crashes.insert(index, crash);
+    fn insert(&mut self, strike: Strike) {
+        let index = self.strikes.partition_point(|other| other.at <= strike.at);
+        self.strikes.insert(index, strike);
     }
 
-    /// Records a complete response. Returns whether crashes count no longer because of it.
+    /// Records a complete response. Returns whether strikes count no longer because of it.
     pub(crate) fn complete(&mut self, now: Time, at: Time) -> bool {
         let before = self.counted(now);
         self.completed_at = self.completed_at.max(Some(at));
@@ -137,18 +137,18 @@
         self.tried_at = now;
     }
 
-    /// Returns the number of crashes that are kept, whether they count or not.
-    pub(crate) fn crash_count(&self) -> usize {
-        self.crashes.len()
+    /// Returns the number of strikes that are kept, whether they count or not.
+    pub(crate) fn strike_count(&self) -> usize {
+        self.strikes.len()
     }
 
-    /// Returns the number of crashes that count.
+    /// Returns the number of strikes that count.
     pub(crate) fn counted(&self, now: Time) -> usize {
-        self.counted_crashes(now).count()
+        self.counted_strikes(now).count()
     }
 
-    /// Returns whether enough crashes count to block the suspect, if nothing else explains them.
-    pub(crate) fn has_case(&self, now: Time) -> bool {
+    /// Returns whether enough strikes count to block the suspect, if no other suspect explains them.
+    pub(crate) fn has_enough_strikes(&self, now: Time) -> bool {
         self.is_enough(self.counted(now))
     }
 
@@ -158,25 +158,25 @@
     where
         F: Fn(u64) -> bool,
     {
-        let crashes = self.counted_crashes(now);
-        let unexplained = crashes.filter(|crash| !is_explained(crash.server));
+        let strikes = self.counted_strikes(now);
+        let unexplained = strikes.filter(|strike| !is_explained(strike.server));
         self.is_enough(unexplained.count())
     }
 
-    /// Returns whether a crash of a backend server counts against the suspect.
-    pub(crate) fn is_accused_of(&self, now: Time, server: u64) -> bool {
-        let mut crashes = self.counted_crashes(now);
-        crashes.any(|crash| crash.server == server)
+    /// Returns whether a strike by the crash of a backend server counts.
+    pub(crate) fn has_counted_strike(&self, now: Time, server: u64) -> bool {
+        let mut strikes = self.counted_strikes(now);
+        strikes.any(|strike| strike.server == server)
     }
 
-    fn is_enough(&self, crashes: usize) -> bool {
+    fn is_enough(&self, strikes: usize) -> bool {
         let is_sound_part = self.is_part && self.completed_at.is_some();
-        let blocking_crashes = if is_sound_part {
-            SOUND_PART_BLOCKING_CRASHES
+        let blocking_strikes = if is_sound_part {
+            SOUND_PART_BLOCKING_STRIKES
         } else {
-            BLOCKING_CRASHES
+            BLOCKING_STRIKES
         };
-        crashes >= blocking_crashes
+        strikes >= blocking_strikes
     }
 
     /// Returns from when one request of a blocked suspect may be tried. The first trial is early if
@@ -185,11 +185,12 @@
     where
         F: Fn(u64) -> bool,
     {
-        let crashed_at = self.last_crash(now).unwrap_or_default();
+        let crashed_at = self.last_strike(now).unwrap_or_default();
         let early_at = crashed_at.plus_millis(EARLY_TRIAL_MS);
-        let mut crashes = self.counted_crashes(now);
-        let is_early =
-            self.trials == 0 && early_at <= now && crashes.any(|crash| is_registered(crash.server));
+        let mut strikes = self.counted_strikes(now);
+        let is_early = self.trials == 0
+            && early_at <= now
+            && strikes.any(|strike| is_registered(strike.server));
         if is_early {
             return early_at;
         }
@@ -198,78 +199,78 @@
         since.plus_millis(pause_ms.min(MAX_TRIAL_MS))
     }
 
-    /// Returns when the latest crash that counts happened.
-    pub(crate) fn last_crash(&self, now: Time) -> Option<Time> {
-        self.counted_crashes(now).map(|crash| crash.at).last()
+    /// Returns the time of the latest strike that counts.
+    pub(crate) fn last_strike(&self, now: Time) -> Option<Time> {
+        self.counted_strikes(now).map(|strike| strike.at).last()
     }
 
-    fn counted_crashes(&self, now: Time) -> impl Iterator<Item = &Crash> {
-        self.crashes
+    fn counted_strikes(&self, now: Time) -> impl Iterator<Item = &Strike> {
+        self.strikes
             .iter()
-            .filter(move |crash| self.counts(now, crash))
+            .filter(move |strike| self.counts(now, strike))
     }
 
-    fn counts(&self, now: Time, crash: &Crash) -> bool {
-        let excused_until = self.completed_at.map(|at| at.plus_millis(EXCUSED_MS));
-        Some(crash.at) > excused_until && now.millis_since(crash.at) < CRASH_TTL_MS
+    fn counts(&self, now: Time, strike: &Strike) -> bool {
+        let uncounted_until = self.completed_at.map(|at| at.plus_millis(UNCOUNTED_MS));
+        Some(strike.at) > uncounted_until && now.millis_since(strike.at) < STRIKE_TTL_MS
     }
 
     /// Adds what another router knows. Returns whether any of it is new.
-    pub(crate) fn merge(&mut self, now: Time, update: &SuspicionUpdate) -> bool {
+    pub(crate) fn merge(&mut self, now: Time, update: &SuspectUpdate) -> bool {
         let before = self.counted(now);
         if let Some(age_ms) = update.completed_age_ms {
             self.complete(now, time_of(now, age_ms));
         }
         let mut is_new = false;
-        for crash in &update.crashes {
-            let at = time_of(now, crash.age_ms);
-            let server = crash.server;
-            is_new |= self.add_told_crash(now, Crash { server, at });
+        for strike in &update.strikes {
+            let at = time_of(now, strike.age_ms);
+            let server = strike.server;
+            is_new |= self.add_peer_strike(now, Strike { server, at });
         }
         if update.trials > self.trials {
             self.trials = update.trials;
             self.tried_at = time_of(now, update.tried_age_ms);
             is_new = true;
         }
-        if self.has_case(now) {
+        if self.has_enough_strikes(now) {
             self.recorded_in = self.recorded_in.max(update.recorded_in);
         }
         is_new || self.counted(now) != before
     }
 
-    /// Returns whether the router that sent `update` counts several crashes, and does not know that
+    /// Returns whether the router that sent `update` counts several strikes, and does not know that
     /// the suspect is sound, or that some of them don't count.
-    pub(crate) fn is_news_for(&self, now: Time, update: &SuspicionUpdate) -> bool {
-        let mut other = Suspicion::new(update.suspect);
+    pub(crate) fn is_unknown_to_sender(&self, now: Time, update: &SuspectUpdate) -> bool {
+        let mut other = SuspectState::new(update.suspect);
         other.merge(now, update);
-        let is_sound_here = self.completed_at.is_some() && other.completed_at.is_none();
-        let is_accused_more = other.counted(now) > self.counted(now);
-        other.counted(now) > 1 && (is_sound_here || is_accused_more)
+        let is_cleared_here = self.completed_at.is_some() && other.completed_at.is_none();
+        let sender_counts_more = other.counted(now) > self.counted(now);
+        other.counted(now) > 1 && (is_cleared_here || sender_counts_more)
     }
 
-    /// Returns whether it is still of use: accused, or acquitted lately.
+    /// Returns whether it is still of use: with strikes that count, or cleared lately.
     pub(crate) fn is_kept(&self, now: Time) -> bool {
         let completed_at = self.completed_at.unwrap_or_default();
-        let is_acquitted_lately = now.millis_since(completed_at) < ACQUITTED_TTL_MS;
-        self.counted(now) > 0 || is_acquitted_lately || self.may_have_record(now)
+        let was_cleared_lately = now.millis_since(completed_at) < CLEARED_TTL_MS;
+        self.counted(now) > 0 || was_cleared_lately || self.may_have_record(now)
     }
 
     /// Returns whether a record of its block may still stand in the store.
     fn may_have_record(&self, now: Time) -> bool {
-        let crashed_at = self.crashes.last().map(|crash| crash.at);
-        let kept_ms = CRASH_TTL_MS + ACQUITTED_TTL_MS;
+        let crashed_at = self.strikes.last().map(|strike| strike.at);
+        let kept_ms = STRIKE_TTL_MS + CLEARED_TTL_MS;
         self.recorded_in.is_some() && crashed_at.is_some_and(|at| now.millis_since(at) < kept_ms)
     }
 
     /// Returns the state in the form of a message.
-    pub(crate) fn update(&self, now: Time, suspect: SuspectKey) -> SuspicionUpdate {
-        let crashes = self.crashes.iter().map(|crash| CrashUpdate {
-            server: crash.server,
-            age_ms: age_ms(now, crash.at),
+    pub(crate) fn update(&self, now: Time, suspect: SuspectKey) -> SuspectUpdate {
+        let strikes = self.strikes.iter().map(|strike| StrikeUpdate {
+            server: strike.server,
+            age_ms: age_ms(now, strike.at),
         });
-        SuspicionUpdate {
+        SuspectUpdate {
             suspect,
-            crashes: crashes.collect(),
+            strikes: strikes.collect(),
             completed_age_ms: self.completed_at.map(|at| age_ms(now, at)),
             trials: self.trials,
             tried_age_ms: age_ms(now, self.tried_at),
@@ -278,9 +279,9 @@
     }
 }
 
-/// Update: a crash of which a suspect is accused.
+/// Update: a strike against a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashUpdate {
+pub struct StrikeUpdate {
     /// Instance hash of the backend server.
     pub server: u64,
     /// Time since the crash, in milliseconds.
@@ -289,11 +290,11 @@
 
 /// Update: all that a router knows of one suspect. Times are ages, as clocks of routers differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspicionUpdate {
+pub struct SuspectUpdate {
     /// The suspect.
     pub suspect: SuspectKey,
-    /// Crashes that it is accused of.
-    pub crashes: Vec<CrashUpdate>,
+    /// Strikes against it.
+    pub strikes: Vec<StrikeUpdate>,
     /// Time since the latest complete response, in milliseconds.
     pub completed_age_ms: Option<u32>,
     /// Number of trials.
--- a/crates/relay/tests/crashing_parts.rs
+++ b/crates/relay/tests/crashing_parts.rs
@@ -1,7 +1,7 @@
 //! Parts of prompts that crash engines, seen by many routers at once, with no network.
 //!
 //! A router serves requests, sees engines end, and sends messages that arrive some time later or
-//! never. The simulation counts how often the guilty part reaches engines, and how many sound
+//! never. The simulation counts how often the poison part reaches engines, and how many sound
 //! requests are refused.
 
 mod common;
@@ -14,7 +14,7 @@
 use relay::CrashEvidence;
 use relay::PromptPart;
 use relay::SuspectKey;
-use relay::SuspicionUpdate;
+use relay::SuspectUpdate;
 
 /// Seeds of each storm.
 const SEEDS: u64 = 8;
@@ -26,13 +26,13 @@
 /// Time for which a request runs, in milliseconds.
 const RUN_MS: u64 = 120;
 
-/// Crashes after which a part counts as guilty, and how many of its requests may reach engines
+/// Crashes after which a part counts as poison, and how many of its requests may reach engines
 /// later than `STABLE_MS` milliseconds after that.
 const CRASHES: usize = 5;
 const STABLE_MS: u64 = 3_000;
 const MAX_LATER: usize = 3;
 
-const GUILTY: SuspectKey = SuspectKey::Part(1);
+const POISON: SuspectKey = SuspectKey::Part(1);
 
 /// What a storm is made of.
 #[derive(Clone, Copy)]
@@ -40,7 +40,7 @@
     routers: usize,
     for_ms: u64,
     /// Guilty and sound requests in a second, over all routers.
-    guilty_rate: f64,
+    poison_rate: f64,
     sound_rate: f64,
     /// Sound parts that prompts share, of which each has one besides the caller's first part.
     sound_parts: u64,
@@ -60,7 +60,7 @@
     Storm {
         routers: 9,
         for_ms: 60_000,
-        guilty_rate: 2.0,
+        poison_rate: 2.0,
         sound_rate: 200.0,
         sound_parts: 40,
         loss: 0.0,
@@ -77,13 +77,13 @@
     router: usize,
     suspects: Vec<SuspectKey>,
     ends_ms: u64,
-    is_guilty: bool,
+    is_poison: bool,
 }
 
 #[derive(Debug, Default)]
 struct Outcome {
-    /// Times at which guilty requests reached engines.
-    guilty_ms: Vec<u64>,
+    /// Times at which poison requests reached engines.
+    poison_ms: Vec<u64>,
     /// Times at which engines crashed under them.
     crashes_ms: Vec<u64>,
     sound: usize,
@@ -91,12 +91,12 @@
 }
 
 impl Outcome {
-    /// Returns how many guilty requests came too late.
+    /// Returns how many poison requests came too late.
     fn later(&self) -> usize {
         let Some(fifth) = self.crashes_ms.get(CRASHES - 1) else {
             return 0;
         };
-        let late = self.guilty_ms.iter().filter(|ms| **ms > fifth + STABLE_MS);
+        let late = self.poison_ms.iter().filter(|ms| **ms > fifth + STABLE_MS);
         late.count()
     }
 }
@@ -105,9 +105,9 @@
 fn play(storm: Storm, seed: u64) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut routers = vec![CrashEvidence::default(); storm.routers];
-    let mut records: Vec<SuspicionUpdate> = Vec::new();
+    let mut records: Vec<SuspectUpdate> = Vec::new();
     let mut runs: Vec<Run> = Vec::new();
-    let mut messages: Vec<(u64, usize, SuspicionUpdate)> = Vec::new();
+    let mut messages: Vec<(u64, usize, SuspectUpdate)> = Vec::new();
     let mut outcome = Outcome::default();
     let mut engine = 0;
     for ms in (0..storm.for_ms).step_by(STEP_MS as usize) {
@@ -145,8 +145,8 @@
             }
             *arrives_ms > ms
         });
-        if let Some(update) = routers[0].update(at(ms), GUILTY) {
-            if routers[0].is_blocked(at(ms), GUILTY) {
+        if let Some(update) = routers[0].update(at(ms), POISON) {
+            if routers[0].is_blocked(at(ms), POISON) {
                 records = vec![update];
             }
         }
@@ -163,21 +163,21 @@
     outcome: &mut Outcome,
 ) {
     let step_s = STEP_MS as f64 / 1_000.0;
-    let mut left = (storm.guilty_rate + storm.sound_rate) * step_s;
+    let mut left = (storm.poison_rate + storm.sound_rate) * step_s;
     while rng.random_bool(left.min(1.0)) {
         left -= 1.0;
-        let is_guilty = rng.random_bool(storm.guilty_rate / (storm.guilty_rate + storm.sound_rate));
+        let is_poison = rng.random_bool(storm.poison_rate / (storm.poison_rate + storm.sound_rate));
         let mut suspects = sound_suspects(storm, rng);
-        if is_guilty {
-            suspects.push(GUILTY);
+        if is_poison {
+            suspects.push(POISON);
         }
         let router = rng.random_range(0..storm.routers);
         let admission = routers[router].admission(at(ms), &suspects, |_| router, |_| false);
         let is_free = admission == Admission::Free;
-        if is_guilty && is_free {
-            outcome.guilty_ms.push(ms);
+        if is_poison && is_free {
+            outcome.poison_ms.push(ms);
         }
-        if !is_guilty {
+        if !is_poison {
             outcome.sound += 1;
             outcome.sound_refused += usize::from(!is_free);
         }
@@ -187,7 +187,7 @@
                 router,
                 suspects,
                 ends_ms,
-                is_guilty,
+                is_poison,
             });
         }
         if left <= 0.0 {
@@ -203,7 +203,7 @@
     vec![SuspectKey::Part(10), SuspectKey::Part(100 + part)]
 }
 
-/// Ends the runs that are due. A guilty one ends its engine with a few others.
+/// Ends the runs that are due. A poison one ends its engine with a few others.
 fn end_runs(
     ms: u64,
     rng: &mut ChaCha8Rng,
@@ -214,27 +214,27 @@
 ) {
     while let Some(index) = runs.iter().position(|run| run.ends_ms <= ms) {
         let run = runs.swap_remove(index);
-        if !run.is_guilty {
+        if !run.is_poison {
             for suspect in &run.suspects {
-                routers[run.router].acquit(at(ms), *suspect);
+                routers[run.router].clear(at(ms), *suspect);
             }
             continue;
         }
         *engine += 1;
         outcome.crashes_ms.push(ms);
-        accuse(ms, routers, &run, *engine);
+        add_strike(ms, routers, &run, *engine);
         for _ in 0..2 {
             if !runs.is_empty() {
                 let other = runs.swap_remove(rng.random_range(0..runs.len()));
-                accuse(ms, routers, &other, *engine);
+                add_strike(ms, routers, &other, *engine);
             }
         }
     }
 }
 
-fn accuse(ms: u64, routers: &mut [CrashEvidence], run: &Run, engine: u64) {
+fn add_strike(ms: u64, routers: &mut [CrashEvidence], run: &Run, engine: u64) {
     for suspect in &run.suspects {
-        routers[run.router].accuse(at(ms), *suspect, engine);
+        routers[run.router].add_strike(at(ms), *suspect, engine);
     }
 }
 
@@ -252,9 +252,9 @@
                 router: rng.random_range(0..storm.routers),
                 suspects: sound_suspects(storm, rng),
                 ends_ms: ms,
-                is_guilty: false,
+                is_poison: false,
             };
-            accuse(ms, routers, &run, *engine);
+            add_strike(ms, routers, &run, *engine);
         }
     }
 }
@@ -266,7 +266,7 @@
     rng: &mut ChaCha8Rng,
     from: usize,
     routers: &mut [CrashEvidence],
-    messages: &mut Vec<(u64, usize, SuspicionUpdate)>,
+    messages: &mut Vec<(u64, usize, SuspectUpdate)>,
 ) {
     let is_cut = |router| router < storm.cut && ms < storm.cut_until_ms;
     let updates = routers[from].next_updates(at(ms));
@@ -329,21 +329,21 @@
 }
 
 #[test]
-fn a_guilty_part_is_found_and_sound_requests_are_served() {
+fn a_poison_part_is_found_and_sound_requests_are_served() {
     check("calm", storm(), SEEDS);
 }
 
 #[test]
-fn many_guilty_requests_at_once_are_found() {
+fn many_poison_requests_at_once_are_found() {
     let storm = Storm {
-        guilty_rate: 30.0,
+        poison_rate: 30.0,
         ..storm()
     };
     check("flood", storm, SEEDS);
 }
 
 #[test]
-fn rare_sound_parts_are_served_beside_the_guilty_one() {
+fn rare_sound_parts_are_served_beside_the_poison_one() {
     let storm = Storm {
         sound_rate: 20.0,
         sound_parts: 200,
@@ -353,7 +353,7 @@
 }
 
 #[test]
-fn a_guilty_part_is_found_while_messages_get_lost() {
+fn a_poison_part_is_found_while_messages_get_lost() {
     let storm = Storm {
         loss: 0.3,
         ..storm()
@@ -362,7 +362,7 @@
 }
 
 #[test]
-fn routers_that_were_cut_off_learn_of_the_guilty_part() {
+fn routers_that_were_cut_off_learn_of_the_poison_part() {
     let storm = Storm {
         cut: 3,
         cut_until_ms: 12_000,
@@ -371,17 +371,17 @@
     for seed in 0..SEEDS {
         let outcome = play(storm, seed);
         let in_touch_ms = storm.cut_until_ms + STABLE_MS;
-        let late = outcome.guilty_ms.iter().filter(|ms| **ms > in_touch_ms);
+        let late = outcome.poison_ms.iter().filter(|ms| **ms > in_touch_ms);
         assert!(late.count() <= MAX_LATER, "seed {seed}");
     }
 }
 
 #[test]
-fn three_hundred_routers_find_the_guilty_part() {
+fn three_hundred_routers_find_the_poison_part() {
     let storm = Storm {
         routers: 300,
         for_ms: 12_000,
-        guilty_rate: 4.0,
+        poison_rate: 4.0,
         sound_rate: 400.0,
         sound_parts: 300,
         ..storm()
@@ -392,7 +392,7 @@
 #[test]
 fn an_ordinary_crash_of_many_engines_blocks_no_part() {
     let storm = Storm {
-        guilty_rate: 0.0,
+        poison_rate: 0.0,
         ordinary_crash_ms: Some(20_000),
         ordinary_crashes: 12,
         sound_parts: 300,
@@ -406,7 +406,7 @@
 }
 
 #[test]
-fn an_ordinary_crash_amid_a_storm_keeps_the_guilty_part_blocked() {
+fn an_ordinary_crash_amid_a_storm_keeps_the_poison_part_blocked() {
     let storm = Storm {
         ordinary_crash_ms: Some(20_000),
         ordinary_crashes: 4,
