--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,7 @@
 use crate::evidence::handle_rejection;
 use crate::evidence::is_misdirected;
 use crate::evidence::record_alive;
+use crate::evidence::record_limit;
 use crate::evidence::record_part;
 use crate::evidence::record_response;
 use crate::evidence::record_retry_after;
@@ -141,6 +142,7 @@
         if !misdirected {
             record_alive(x);
             record_retry_after(x, choice.server, &head, &parsed);
+            record_limit(x, choice.server, &parsed);
             if parsed.leaving {
                 x.cx.mark_leaving(choice.server, "response");
             }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -8,6 +8,7 @@
 use http::response;
 use http::HeaderMap;
 use relay::PromptPart;
+use relay::RateLimit;
 use snafu::Snafu;
 
 /// Reason why a request's head is invalid.
@@ -91,6 +92,15 @@
     Invalid,
 }
 
+/// Limit that a backend server names on the requests of all routers together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedLimit {
+    /// The limit, the lowest if there are several; none if no value is a rate.
+    pub limit: Option<RateLimit>,
+    /// Whether a value was no rate, out of range, or contradicted by another.
+    pub is_doubtful: bool,
+}
+
 /// Fields read from a response's head.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -108,6 +118,8 @@
     pub retry_after: Option<RetryAfter>,
     /// Whether the backend server says that it leaves.
     pub leaving: bool,
+    /// Limit on its requests that the backend server names, if any.
+    pub named_limit: Option<NamedLimit>,
     /// Keep-alive timeout that the backend server announces, in milliseconds.
     pub keep_alive_ms: Option<u64>,
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,10 +6,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use policy::Time;
 use relay::Announcement;
 use relay::Configuration;
 use relay::FleetChange;
 use relay::PeerReading;
+use relay::RateLimit;
 use relay::Reading;
 use relay::Registration;
 use relay::RetryBudget;
@@ -169,6 +171,26 @@
         }
     }
 
+    /// Records the limit on its requests that a backend server names to a request sent at
+    /// `sent_at`, or that it names none.
+    pub fn record_limit(&self, key: ServerKey, limit: Option<RateLimit>, sent_at: Time) {
+        let mut view = self.view.borrow_mut();
+        let Some(server) = view.fleet.get_mut(key) else {
+            return;
+        };
+        let before = server.limit();
+        if !server.record_limit(now(), limit, sent_at) {
+            return;
+        }
+        ServerEvent::Limit {
+            server: &server.registration.id,
+            before,
+            limit: server.limit(),
+            source: "response",
+        }
+        .write();
+    }
+
     /// Records the servers that have said in responses to other routers that they leave, by
     /// instance hash.
     pub fn apply_leaving(&self, leaving: &[u64]) {
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -167,6 +167,19 @@
     }
 }
 
+/// Records the limit on its requests that a backend server names in a response, or that it names
+/// none.
+pub fn record_limit(x: &Exchange, key: ServerKey, parsed: &ResponseHead) {
+    let named = parsed.named_limit;
+    if named.is_some_and(|named| named.is_doubtful) {
+        x.cx.metrics.server_limit_invalid.inc();
+    }
+    let limit = named.and_then(|named| named.limit);
+    if let (Some(server), true) = (x.latest_server, named.is_none() || limit.is_some()) {
+        x.cx.record_limit(key, limit, server.sent_at);
+    }
+}
+
 /// Returns whether another backend server, which uses the address by now, rejected the
 /// request with status 421.
 pub fn is_misdirected(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,6 +63,7 @@
 pub use codec::Codec;
 pub use codec::ExpectedWeights;
 pub use codec::ForwardHead;
+pub use codec::NamedLimit;
 pub use codec::PromptHead;
 pub use codec::RequestHead;
 pub use codec::ResponseHead;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     pub held_back: IntCounter,
     /// Retry-after times of backend servers that are no time or too long.
     pub retry_after_invalid: IntCounter,
+    /// Limits of backend servers that are no rate, out of range or contradictory.
+    pub server_limit_invalid: IntCounter,
     /// Times that the store came back from an older copy.
     pub store_eras: IntCounter,
     /// Times that this router wrote its entry again after that.
@@ -86,6 +88,11 @@
                 "retry_after_invalid",
                 "Retry-after times of servers that are no time or too long",
             ),
+            server_limit_invalid: counter(
+                &registry,
+                "server_limit_invalid",
+                "Limits of servers that are no rate, out of range or contradictory",
+            ),
             store_eras: counter(
                 &registry,
                 "store_eras",
--- a/crates/gateway/src/server_event.rs
+++ b/crates/gateway/src/server_event.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use log::Level;
+use relay::RateLimit;
 use relay::Registration;
 
 use crate::log_event::LogEvent;
@@ -68,6 +69,18 @@
         /// Time for which it asked; longer if it was cut.
         asked_ms: u64,
     },
+    /// A backend server has named another limit on the requests of all routers together, or none
+    /// any more.
+    Limit {
+        /// Its id.
+        server: &'a str,
+        /// Limit that was known before.
+        before: Option<RateLimit>,
+        /// Limit that it names.
+        limit: Option<RateLimit>,
+        /// Where it was learned: `response` for one to this router, or `peer`.
+        source: &'a str,
+    },
 }
 
 impl LogEvent for ServerEvent<'_> {
@@ -122,6 +135,24 @@
                 f,
                 "event=server_retry_after server={server} retry_after_ms={retry_after_ms} asked_ms={asked_ms}"
             ),
+            ServerEvent::Limit {
+                server,
+                before,
+                limit,
+                source,
+            } => write!(
+                f,
+                "event=server_limit server={server} per_s={} before={} source={source}",
+                per_second(*limit),
+                per_second(*before)
+            ),
         }
     }
 }
+
+fn per_second(limit: Option<RateLimit>) -> String {
+    limit.map_or_else(
+        || "none".to_owned(),
+        |limit| format!("{:.1}", limit.to_per_second()),
+    )
+}
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -20,6 +20,7 @@
 use relay::AttemptEnd;
 use relay::OrderResponse;
 use relay::PartKey;
+use relay::RateLimit;
 use relay::Registration;
 use relay::Revision;
 use relay::ServerState;
@@ -190,6 +191,13 @@
         asked_ms: 900_000,
     };
     assert_snapshot!(retry_after, @"event=server_retry_after server=e1 retry_after_ms=600000 asked_ms=900000");
+    let limit = ServerEvent::Limit {
+        server,
+        before: None,
+        limit: RateLimit::per_second(3.3),
+        source: "response",
+    };
+    assert_snapshot!(limit, @"event=server_limit server=e1 per_s=3.3 before=none source=response");
     let address = registration.address;
     assert_snapshot!(ServerEvent::Ended { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
 }
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -5,6 +5,8 @@
 use policy::Time;
 
 use crate::responses::Responses;
+use crate::LimitStatement;
+use crate::RateLimit;
 use crate::Registration;
 use crate::ServerState;
 
@@ -56,6 +58,8 @@
     pub unresponsive_since: Option<Time>,
     /// Whether it has said in a response, to this router or another, that it leaves.
     pub(crate) says_leaving: bool,
+    /// What it last said of a limit on its requests; none if it never named one.
+    pub(crate) limit_statement: Option<LimitStatement>,
     /// Whether it is known to be over although its registration remains.
     pub(crate) ended: bool,
     /// When its registration was first found missing, if it is marked missing.
@@ -87,6 +91,7 @@
             failures: 0,
             unresponsive_since: None,
             says_leaving: false,
+            limit_statement: None,
             ended: false,
             missing_since: None,
             own: Load::default(),
@@ -199,6 +204,20 @@
         }
     }
 
+    /// Returns the limit on its requests; none if it names none.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.limit_statement?.limit
+    }
+
+    /// Records the limit that a response names to a request sent at `sent_at`, or that it names
+    /// none. Returns whether the limit has changed.
+    pub fn record_limit(&mut self, now: Time, limit: Option<RateLimit>, sent_at: Time) -> bool {
+        let before = self.limit();
+        let known = self.limit_statement;
+        self.limit_statement = LimitStatement::after_response(known, limit, sent_at, now);
+        self.limit() != before
+    }
+
     /// Returns whether it may get new requests.
     pub fn takes_requests(&self, now: Time) -> bool {
         self.is_ready() && self.ready_at() <= now
