--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -12,6 +12,7 @@
 use relay::LeaseTerm;
 use relay::OrderPlan;
 use relay::PeerReadings;
+use relay::PermitIssuer;
 use relay::Reading;
 use relay::Residency;
 use relay::RetryBudget;
@@ -73,6 +74,8 @@
     pub budgets: HashMap<Arc<str>, RetryBudget>,
     /// Revision of the order lease's record; none while no router holds the lease.
     pub order_lease_revision: Option<Revision>,
+    /// Issues permits for limited backend servers, where this router is the issuer.
+    pub permit_issuer: PermitIssuer,
     /// Term of the order lease, while this router holds it.
     pub lease_term: Option<LeaseTerm>,
     /// Orders given and due in that lease term.
@@ -103,6 +106,7 @@
             unsettled: UnsettledEnds::default(),
             budgets: HashMap::new(),
             order_lease_revision: None,
+            permit_issuer: PermitIssuer::new(now()),
             lease_term: None,
             order_plan: OrderPlan::default(),
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,12 +10,15 @@
 use relay::Announcement;
 use relay::Configuration;
 use relay::FleetChange;
+use relay::LimitUpdate;
 use relay::PeerReading;
 use relay::RateLimit;
 use relay::Reading;
 use relay::Registration;
 use relay::RetryBudget;
 use relay::ServerKey;
+use relay::ServerStatement;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::clock::now;
@@ -26,7 +29,12 @@
 use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
+use crate::peer_message::PeerMessage;
 use crate::peers::Peers;
+use crate::permits::PendingPermits;
+use crate::process_event::log_failure;
+use crate::process_event::log_peer_failure;
+use crate::process_event::Step;
 use crate::server_event::ServerEvent;
 use crate::settings::Settings;
 use crate::store::Store;
@@ -68,6 +76,10 @@
     pub pool: ConnectionPool,
     /// Other routers, and what is to be announced to them.
     pub peers: Peers,
+    /// Socket for datagrams from and to other routers.
+    pub peer_socket: UdpSocket,
+    /// Permits that were asked of other routers.
+    pub pending_permits: PendingPermits,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Log of this process.
@@ -191,14 +203,53 @@
         .write();
     }
 
-    /// Records the servers that have said in responses to other routers that they leave, by
-    /// instance hash.
-    pub fn apply_leaving(&self, leaving: &[u64]) {
-        for instance_hash in leaving {
-            let key = self.view.borrow().fleet.by_instance_hash(*instance_hash);
-            if let Some(key) = key {
+    /// Merges what a backend server said of its limit to another router.
+    pub fn merge_limit(&self, key: ServerKey, update: LimitUpdate) {
+        let mut view = self.view.borrow_mut();
+        let Some(server) = view.fleet.get_mut(key) else {
+            return;
+        };
+        let before = server.limit();
+        if !server.merge_limit(update.statement(now())) {
+            return;
+        }
+        ServerEvent::Limit {
+            server: &server.registration.id,
+            before,
+            limit: server.limit(),
+            source: "peer",
+        }
+        .write();
+    }
+
+    /// Records what backend servers have said of themselves in responses to other routers.
+    pub fn apply_statements(&self, statements: &[ServerStatement]) {
+        for statement in statements {
+            let key = self.view.borrow().fleet.by_instance_hash(statement.server);
+            let Some(key) = key else {
+                continue;
+            };
+            if statement.leaving {
                 self.mark_leaving(key, "peer");
             }
+            if let Some(update) = statement.limit {
+                self.merge_limit(key, update);
+            }
+        }
+    }
+
+    /// Sends a datagram to another router.
+    pub async fn send_to_peer(&self, address: SocketAddr, message: &PeerMessage) {
+        match postcard::to_stdvec(message) {
+            Ok(bytes) => self.send_bytes_to_peer(address, &bytes).await,
+            Err(e) => log_failure(Step::Gossip, &e),
+        }
+    }
+
+    /// Sends an encoded datagram to another router.
+    pub async fn send_bytes_to_peer(&self, address: SocketAddr, bytes: &[u8]) {
+        if let Err(e) = self.peer_socket.send_to(bytes, address).await {
+            log_peer_failure(Step::GossipSend, &address, &e);
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use relay::ServerKey;
 use relay::SuspectKey;
 use relay::Unplaceable;
+use relay::Urgency;
 use relay::Verdict;
 use relay::Workspace;
 use tokio::time::timeout;
@@ -37,6 +38,7 @@
 use crate::evidence::record_end;
 use crate::fleet_summary::FleetSummary;
 use crate::log_event::LogEvent;
+use crate::permits::may_send;
 use crate::refusal::Refusal;
 use crate::request_event::AttemptEnded;
 use crate::request_event::RequestEnded;
@@ -51,6 +53,12 @@
 /// the backend server's own timeout response may be in transit.
 pub const DEADLINE_GRACE_MS: u64 = 120;
 
+/// Maximum number of backend servers for which a request asks for a permit in turn.
+const MAX_PERMIT_REQUESTS: usize = 4;
+
+/// Time after which a caller may return whose request got no permit, in milliseconds.
+const NO_PERMIT_RETRY_AFTER_MS: u64 = 500;
+
 /// A request being served, with its attempts so far.
 pub struct Exchange {
     /// State of this router.
@@ -126,7 +134,7 @@
         self.cx
             .with_retry_budget(&service, |budget| budget.record_request(now()));
         loop {
-            let choice = match self.choose_server() {
+            let choice = match self.place(Urgency::Normal).await {
                 Ok(choice) => choice,
                 Err(e) => return self.refuse_unplaced(e),
             };
@@ -165,8 +173,31 @@
         self.deadline.millis_since(now())
     }
 
+    /// Chooses the backend server of the next attempt, and takes a permit if it limits its
+    /// requests.
+    pub async fn place(&mut self, urgency: Urgency) -> Result<Choice, Unplaceable> {
+        for _ in 0..MAX_PERMIT_REQUESTS {
+            let choice = self.choose_server()?;
+            if may_send(&self.cx, choice.server, urgency).await
+                && self.takes_requests(choice.server)
+            {
+                return Ok(choice);
+            }
+        }
+        Err(Unplaceable::NoneReady {
+            retry_after_ms: NO_PERMIT_RETRY_AFTER_MS,
+        })
+    }
+
+    /// Returns whether a backend server still takes requests, after the time that a permit took.
+    fn takes_requests(&self, key: ServerKey) -> bool {
+        let view = self.cx.view.borrow();
+        let server = view.fleet.get(key);
+        server.is_some_and(|server| server.takes_requests(now()))
+    }
+
     /// Chooses the backend server of the next attempt.
-    pub fn choose_server(&mut self) -> Result<Choice, Unplaceable> {
+    fn choose_server(&mut self) -> Result<Choice, Unplaceable> {
         let view = self.cx.view.borrow();
         let prompt = self.parsed.prompt.as_ref().map(|prompt| Prompt {
             model: &prompt.model,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::peers::Peers;
+use crate::permits::PendingPermits;
 use crate::process_event::ProcessEvent;
 use crate::process_event::StopPhase;
 use crate::records;
@@ -111,7 +112,10 @@
         let peers = Peers::new(records::own_entry(&settings));
         let metrics = Metrics::new();
         let store = MeasuredStore::new(services.store, metrics.store_calls.clone());
+        let peer_socket = open_peer_socket(&settings).await?;
         let cx = Rc::new(Context {
+            peer_socket,
+            pending_permits: PendingPermits::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             settings,
             codec: services.codec,
@@ -214,18 +218,12 @@
         let metrics = SocketAddr::new(addresses.callers.ip(), addresses.metrics_port);
         self.serve(open("metrics", metrics)?, |cx, _| status_pages::metrics(cx));
         self.serve(
-            open("other routers", self.peer_address())?,
+            open("other routers", peer_address(&cx.settings))?,
             status_pages::bootstrap,
         );
         if let Some(address) = addresses.bootstrap {
             self.serve(open("new routers", address)?, status_pages::bootstrap);
         }
-        let address = self.peer_address();
-        let socket = UdpSocket::bind(address).await.context(ListenSnafu {
-            what: "messages of other routers",
-            address,
-        })?;
-        tokio::task::spawn_local(gossip_task::run(Rc::clone(cx), socket));
         Ok(())
     }
 
@@ -240,13 +238,9 @@
         }));
     }
 
-    fn peer_address(&self) -> SocketAddr {
-        let listen = &self.cx.settings.listen;
-        SocketAddr::new(listen.callers.ip(), listen.peer_port)
-    }
-
     fn spawn_tasks(&self) {
         let cx = &self.cx;
+        tokio::task::spawn_local(gossip_task::run(Rc::clone(cx)));
         tokio::task::spawn_local(fleet_feed::run(Rc::clone(cx)));
         tokio::task::spawn_local(router_feed::run(Rc::clone(cx)));
         for topic in [Topic::Operators, Topic::Routers] {
@@ -261,6 +255,19 @@
     }
 }
 
+fn peer_address(settings: &Settings) -> SocketAddr {
+    let listen = &settings.listen;
+    SocketAddr::new(listen.callers.ip(), listen.peer_port)
+}
+
+async fn open_peer_socket(settings: &Settings) -> Result<UdpSocket, Error> {
+    let address = peer_address(settings);
+    UdpSocket::bind(address).await.context(ListenSnafu {
+        what: "messages of other routers",
+        address,
+    })
+}
+
 fn open(what: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
     listen(address).context(ListenSnafu { what, address })
 }
--- a/crates/gateway/src/gossip_message.rs
+++ b/crates/gateway/src/gossip_message.rs
@@ -20,8 +20,8 @@
 /// Most prompt parts in one message.
 const MAX_PARTS: usize = 60;
 
-/// Most servers that have said that they leave, in one message.
-const MAX_LEAVING: usize = 200;
+/// Most servers in one message that have said something of themselves.
+const MAX_STATEMENTS: usize = 200;
 
 /// Returns the next message, and records the loads in it as sent. A hub reports for its region.
 pub fn build_message(cx: &Context) -> Gossip {
@@ -52,7 +52,7 @@
         weights: weights_updates(peers, fleet),
         suspects,
         ended: ended.iter().map(|announced| announced.value).collect(),
-        leaving: fleet.leaving().take(MAX_LEAVING).collect(),
+        statements: fleet.statements(now).take(MAX_STATEMENTS).collect(),
         routers: view.routers_known.then(|| peers.digest()),
     }
 }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -8,15 +8,16 @@
 use relay::Gossip;
 use relay::PartKey;
 use relay::PeerReading;
-use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::context::Context;
 use crate::gossip_message::build_message;
+use crate::peer_message::PeerMessage;
 use crate::peers::SentPart;
 use crate::peers::WeightsSwitch;
+use crate::permits;
 use crate::process_event::log_failure;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
@@ -32,9 +33,8 @@
 const MAX_MESSAGE_BYTES: usize = 65_507;
 
 /// Sends and receives messages until the process ends.
-pub async fn run(cx: Rc<Context>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
-    tokio::task::spawn_local(receive(Rc::clone(&cx), Rc::clone(&socket)));
+pub async fn run(cx: Rc<Context>) {
+    tokio::task::spawn_local(receive(Rc::clone(&cx)));
     loop {
         let interval = if cx.peers.topology.borrow().is_full_mesh() {
             FULL_MESH_INTERVAL
@@ -43,7 +43,7 @@
         };
         // An announcement or the timeout: a message is sent in either case.
         let _ = timeout(interval, cx.peers.wake.notified()).await;
-        let message = build_message(&cx);
+        let message = PeerMessage::Gossip(Box::new(build_message(&cx)));
         cx.peers.remove_expired();
         let bytes = match postcard::to_stdvec(&message) {
             Ok(bytes) => bytes,
@@ -55,22 +55,20 @@
         let recipients = cx.peers.topology.borrow_mut().recipients(now());
         let mut addresses = cx.peers.addresses(&recipients);
         addresses.extend(cx.peers.unregistered());
-        send(&socket, &addresses, &bytes).await;
+        send(&cx, &addresses, &bytes).await;
     }
 }
 
-async fn send(socket: &UdpSocket, addresses: &[SocketAddr], bytes: &[u8]) {
+async fn send(cx: &Context, addresses: &[SocketAddr], bytes: &[u8]) {
     for address in addresses {
-        if let Err(e) = socket.send_to(bytes, address).await {
-            log_peer_failure(Step::GossipSend, address, &e);
-        }
+        cx.send_bytes_to_peer(*address, bytes).await;
     }
 }
 
-async fn receive(cx: Rc<Context>, socket: Rc<UdpSocket>) {
+async fn receive(cx: Rc<Context>) {
     let mut buf = vec![0; MAX_MESSAGE_BYTES];
     loop {
-        let (len, from) = match socket.recv_from(&mut buf).await {
+        let (len, from) = match cx.peer_socket.recv_from(&mut buf).await {
             Ok(received) => received,
             Err(e) => {
                 log_failure(Step::GossipReceive, &e);
@@ -79,12 +77,14 @@
             }
         };
         let bytes = &buf[..len];
-        match postcard::from_bytes::<Gossip>(bytes) {
-            Ok(message) => {
+        match postcard::from_bytes::<PeerMessage>(bytes) {
+            Ok(PeerMessage::Gossip(message)) => {
                 apply(&cx, from, &message);
                 let recipients = forward_recipients(&cx, &message);
-                send(&socket, &cx.peers.addresses(&recipients), bytes).await;
+                send(&cx, &cx.peers.addresses(&recipients), bytes).await;
             }
+            Ok(PeerMessage::PermitRequest(request)) => permits::answer(&cx, from, request).await,
+            Ok(PeerMessage::PermitResponse(response)) => permits::settle(&cx, response),
             Err(e) => log_peer_failure(Step::GossipRead, &from, &e),
         }
     }
@@ -114,7 +114,7 @@
         let announcement = Announcement::Ago(update.age_ms);
         cx.apply_announced_weights(&update.model, update.version, announcement, "peer");
     }
-    cx.apply_leaving(&message.leaving);
+    cx.apply_statements(&message.statements);
     for update in &message.suspects {
         cx.merge_suspect(update, "peer");
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     pub held_back: IntCounter,
     /// Retry-after times of backend servers that are no time or too long.
     pub retry_after_invalid: IntCounter,
+    /// Permits asked for requests to limited backend servers, by outcome.
+    pub permits: IntCounterVec,
     /// Limits of backend servers that are no rate, out of range or contradictory.
     pub server_limit_invalid: IntCounter,
     /// Times that the store came back from an older copy.
@@ -88,6 +90,12 @@
                 "retry_after_invalid",
                 "Retry-after times of servers that are no time or too long",
             ),
+            permits: counters(
+                &registry,
+                "permits",
+                "Permits asked for requests to limited servers",
+                &["outcome"],
+            ),
             server_limit_invalid: counter(
                 &registry,
                 "server_limit_invalid",
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -10,6 +10,7 @@
 use relay::OrderResponse;
 use relay::OrderStep;
 use relay::ServerKey;
+use relay::Urgency;
 use tokio::time::sleep;
 
 use crate::clock::now;
@@ -17,6 +18,7 @@
 use crate::engines::WeightsOrder;
 use crate::log_event::LogEvent;
 use crate::peers::WeightsSwitch;
+use crate::permits::may_send;
 use crate::records::end_lease_term;
 use crate::view_event::OrderGiven;
 use crate::view_event::ViewEvent;
@@ -92,6 +94,9 @@
     let Some((_, address)) = address(cx, key) else {
         return;
     };
+    if !may_send(cx, key, Urgency::Urgent).await {
+        return;
+    }
     let observed = cx.engines.report(address).await;
     if let Some(observed) = &observed {
         record_report(cx, key, observed);
@@ -119,6 +124,12 @@
 }
 
 async fn order(cx: &Context, key: ServerKey, model: Arc<str>, version: u64, accepted: u64) {
+    if !may_send(cx, key, Urgency::Urgent).await {
+        let mut view = cx.view.borrow_mut();
+        return view
+            .order_plan
+            .on_reply(now(), key, OrderResponse::Conflict);
+    }
     let lease_term = cx.view.borrow().lease_term;
     let (Some((engine, address)), Some(lease_term)) = (address(cx, key), lease_term) else {
         let mut view = cx.view.borrow_mut();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,9 @@
 /// Time without a message after which a router no longer counts as reachable, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 3_000;
 
+/// Time without a message after which another router issues permits in its place, in milliseconds.
+const ISSUER_TIMEOUT_MS: u64 = 900;
+
 /// Time for which an announcement is repeated in messages, as datagrams get lost, in milliseconds.
 const ANNOUNCE_MS: u64 = 600;
 
@@ -263,6 +266,19 @@
             .map(|(_, peer)| peer.entry.address)
     }
 
+    /// Returns the router that issues permits for a backend server, by its instance hash and the
+    /// hash of its region.
+    pub fn permit_issuer(&self, region: u64, server: u64) -> u64 {
+        let now = now();
+        let peers = self.by_hash.borrow();
+        let is_reachable = |hash: u64| {
+            let peer = peers.get(&hash);
+            peer.is_some_and(|peer| now.millis_since(peer.last_message_at) < ISSUER_TIMEOUT_MS)
+        };
+        let mut topology = self.topology.borrow_mut();
+        topology.permit_issuer(now, region, server, is_reachable)
+    }
+
     /// Announces a prompt part that was sent to an engine, in the next regular message.
     pub fn announce_part(&self, sent: SentPart) {
         announce(&self.parts, sent);
--- /dev/null
+++ b/crates/gateway/src/permits.rs
@@ -0,0 +1,161 @@
+//! Permits for requests to backend servers that limit them, asked of the router that issues them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use relay::LimitUpdate;
+use relay::Permit;
+use relay::RateLimit;
+use relay::ServerKey;
+use relay::Urgency;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::clock::now;
+use crate::context::Context;
+use crate::log_event::LogEvent;
+use crate::peer_message::PeerMessage;
+use crate::peer_message::PermitRequest;
+use crate::peer_message::PermitResponse;
+use crate::server_event::ServerEvent;
+
+/// Time in which the issuer must respond, several times that of a message to another region and
+/// back.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time after which a router asks again if the issuer did not respond, in milliseconds.
+const NO_RESPONSE_RETRY_MS: u64 = 250;
+
+/// Requests for permits that have not been answered yet.
+#[derive(Default)]
+pub struct PendingPermits {
+    next_id: Cell<u64>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
+}
+
+impl PendingPermits {
+    fn begin(&self) -> (u64, oneshot::Receiver<Permit>) {
+        let id = self.next_id.get();
+        self.next_id.set(id.wrapping_add(1));
+        let (tx, rx) = oneshot::channel();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|_, tx| !tx.is_closed());
+        waiting.insert(id, tx);
+        (id, rx)
+    }
+}
+
+/// Returns whether a request may be sent to a backend server now: always if it names no limit.
+/// Otherwise the server gets no request of this router until a permit may be due.
+pub async fn may_send(cx: &Context, key: ServerKey, urgency: Urgency) -> bool {
+    let Some(request) = permit_request(cx, key, urgency) else {
+        return true;
+    };
+    let issuer = cx.peers.permit_issuer(request.region, request.server);
+    let permit = if issuer == cx.peers.own_hash {
+        Some(issue(cx, &request))
+    } else {
+        ask(cx, issuer, request).await
+    };
+    let outcome = match permit {
+        Some(Permit::Granted) => "granted",
+        Some(Permit::Denied { .. }) => "denied",
+        None => "no_response",
+    };
+    cx.metrics.permits.with_label_values(&[outcome]).inc();
+    let retry_after_ms = match permit {
+        Some(Permit::Granted) => return true,
+        Some(Permit::Denied { retry_after_ms }) => retry_after_ms,
+        None => NO_RESPONSE_RETRY_MS,
+    };
+    let mut view = cx.view.borrow_mut();
+    if let Some(server) = view.fleet.get_mut(key) {
+        server.permit_at = now().plus_millis(retry_after_ms);
+        ServerEvent::PermitDenied {
+            server: &server.registration.id,
+            limit: server.limit(),
+            issuer,
+            outcome,
+            retry_after_ms,
+        }
+        .write();
+    }
+    false
+}
+
+/// Answers another router that asks for a permit; one that takes this router for the issuer by
+/// mistake gets none.
+pub async fn answer(cx: &Context, from: SocketAddr, request: PermitRequest) {
+    let issuer = cx.peers.permit_issuer(request.region, request.server);
+    let permit = if issuer == cx.peers.own_hash {
+        issue(cx, &request)
+    } else {
+        Permit::Denied {
+            retry_after_ms: NO_RESPONSE_RETRY_MS,
+        }
+    };
+    let response = PermitResponse {
+        id: request.id,
+        permit,
+    };
+    cx.send_to_peer(from, &PeerMessage::PermitResponse(response))
+        .await;
+}
+
+/// Passes the issuer's decision on to the request that waits for it.
+pub fn settle(cx: &Context, response: PermitResponse) {
+    let waiting = cx.pending_permits.waiting.borrow_mut().remove(&response.id);
+    if let Some(tx) = waiting {
+        // Fails if the request has been given up meanwhile.
+        let _ = tx.send(response.permit);
+    }
+}
+
+fn permit_request(cx: &Context, key: ServerKey, urgency: Urgency) -> Option<PermitRequest> {
+    let view = cx.view.borrow();
+    let server = view.fleet.get(key)?;
+    server.limit()?;
+    let domain = &server.registration.domain;
+    let region = cx.settings.regions.get(domain).unwrap_or(domain);
+    Some(PermitRequest {
+        id: 0,
+        server: server.instance_hash,
+        region: policy::name_hash(region),
+        limit: server.limit_update(now())?,
+        urgency,
+    })
+}
+
+/// Decides as the issuer. The later of what both routers know of the limit counts.
+fn issue(cx: &Context, request: &PermitRequest) -> Permit {
+    let now = now();
+    let limit = known_limit(cx, request.server, request.limit);
+    let Some(limit) = limit else {
+        return Permit::Granted;
+    };
+    let issuer = &mut cx.view.borrow_mut().permit_issuer;
+    issuer.ask(now, request.server, limit, request.urgency)
+}
+
+fn known_limit(cx: &Context, server: u64, update: LimitUpdate) -> Option<RateLimit> {
+    let key = cx.view.borrow().fleet.by_instance_hash(server);
+    let Some(key) = key else {
+        return update.limit;
+    };
+    cx.merge_limit(key, update);
+    cx.view.borrow().fleet.get(key)?.limit()
+}
+
+/// Asks another router; none if it does not respond in time.
+async fn ask(cx: &Context, issuer: u64, request: PermitRequest) -> Option<Permit> {
+    let address = cx.peers.address(issuer)?;
+    let (id, rx) = cx.pending_permits.begin();
+    let message = PeerMessage::PermitRequest(PermitRequest { id, ..request });
+    cx.send_to_peer(address, &message).await;
+    let permit = timeout(RESPONSE_TIMEOUT, rx).await;
+    cx.pending_permits.waiting.borrow_mut().remove(&id);
+    permit.ok()?.ok()
+}
--- a/crates/gateway/src/server_event.rs
+++ b/crates/gateway/src/server_event.rs
@@ -69,6 +69,19 @@
         /// Time for which it asked; longer if it was cut.
         asked_ms: u64,
     },
+    /// A backend server that limits its requests gets none of this router for a while.
+    PermitDenied {
+        /// Its id.
+        server: &'a str,
+        /// Limit that it names.
+        limit: Option<RateLimit>,
+        /// Hash of the name of the router that issues permits for it.
+        issuer: u64,
+        /// Why: `denied` or `no_response`.
+        outcome: &'a str,
+        /// Time until this router asks again.
+        retry_after_ms: u64,
+    },
     /// A backend server has named another limit on the requests of all routers together, or none
     /// any more.
     Limit {
@@ -135,6 +148,17 @@
                 f,
                 "event=server_retry_after server={server} retry_after_ms={retry_after_ms} asked_ms={asked_ms}"
             ),
+            ServerEvent::PermitDenied {
+                server,
+                limit,
+                issuer,
+                outcome,
+                retry_after_ms,
+            } => write!(
+                f,
+                "event=permit_denied server={server} per_s={} issuer={issuer:016x} reason={outcome} retry_after_ms={retry_after_ms}",
+                per_second(*limit)
+            ),
             ServerEvent::Limit {
                 server,
                 before,
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -14,6 +14,7 @@
 use relay::Configuration;
 use relay::ReadingUpdate;
 use relay::Registration;
+use relay::ServerStatement;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
@@ -78,8 +79,8 @@
     pub reading: ReadingUpdate,
     /// The registrations.
     pub registrations: Vec<Registration>,
-    /// Instance hashes of the servers that have said in a response that they leave.
-    pub leaving: Vec<u64>,
+    /// What the servers have said of themselves in responses.
+    pub statements: Vec<ServerStatement>,
 }
 
 impl ServerList {
@@ -91,7 +92,7 @@
         Some(ServerList {
             reading: ReadingUpdate::new(now(), reading),
             registrations: registrations.collect(),
-            leaving: view.fleet.leaving().collect(),
+            statements: view.fleet.statements(now()).collect(),
         })
     }
 
@@ -99,7 +100,7 @@
     pub fn apply(self, cx: &Context) {
         let reading = self.reading.reading(now());
         cx.replace_registrations(self.registrations, reading, "peer");
-        cx.apply_leaving(&self.leaving);
+        cx.apply_statements(&self.statements);
     }
 }
 
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -8,6 +8,7 @@
 use http_body_util::Either;
 use relay::AttemptEnd;
 use relay::EventSplitter;
+use relay::Urgency;
 use relay::Verdict;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -103,7 +104,7 @@
 /// take it or no retry is allowed.
 async fn resume(x: &mut Exchange) -> Option<Attempt> {
     loop {
-        let choice = match x.choose_server() {
+        let choice = match x.place(Urgency::Urgent).await {
             Ok(choice) => choice,
             Err(e) => {
                 RequestEvent::ResumeFailed {
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -6,9 +6,11 @@
 
 use crate::responses::Responses;
 use crate::LimitStatement;
+use crate::LimitUpdate;
 use crate::RateLimit;
 use crate::Registration;
 use crate::ServerState;
+use crate::ServerStatement;
 
 /// Time for which another router's report is valid, in milliseconds.
 const OTHER_REPORT_TTL_MS: u64 = 1_500;
@@ -50,6 +52,8 @@
     pub avoid_until: Time,
     /// Time until which it has asked this router for no requests.
     pub retry_at: Time,
+    /// Time until which this router gets no permit for a request to it.
+    pub permit_at: Time,
     /// Time until which it is expected to reject requests because it loads new weights.
     pub switching_until: Time,
     /// Number of consecutive failures.
@@ -87,6 +91,7 @@
             seen_at: now,
             avoid_until: Time(0),
             retry_at: Time(0),
+            permit_at: Time(0),
             switching_until: Time(0),
             failures: 0,
             unresponsive_since: None,
@@ -218,6 +223,31 @@
         self.limit() != before
     }
 
+    /// Merges what it said of a limit to another router. Returns whether the limit has changed.
+    pub fn merge_limit(&mut self, other: LimitStatement) -> bool {
+        let before = self.limit();
+        let known = self.limit_statement;
+        self.limit_statement = Some(known.map_or(other, |known| known.merge(other)));
+        self.limit() != before
+    }
+
+    /// Returns what it has said of a limit, for another router; none if it never named one.
+    pub fn limit_update(&self, now: Time) -> Option<LimitUpdate> {
+        let statement = self.limit_statement?;
+        Some(LimitUpdate::new(now, statement))
+    }
+
+    /// Returns what it has said of itself that other routers are to know, if anything.
+    pub(crate) fn statement(&self, now: Time) -> Option<ServerStatement> {
+        let leaving = self.says_leaving && self.registration.state == ServerState::Ready;
+        let limit = self.limit_statement.filter(|said| said.is_announced(now));
+        (leaving || limit.is_some()).then(|| ServerStatement {
+            server: self.instance_hash,
+            leaving,
+            limit: limit.map(|said| LimitUpdate::new(now, said)),
+        })
+    }
+
     /// Returns whether it may get new requests.
     pub fn takes_requests(&self, now: Time) -> bool {
         self.is_ready() && self.ready_at() <= now
@@ -228,6 +258,7 @@
         self.avoid_until
             .max(self.switching_until)
             .max(self.retry_at)
+            .max(self.permit_at)
     }
 
     /// Returns whether it runs and isn't draining, as far as this router knows.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -10,9 +10,11 @@
 use crate::backend_server::instance_hash;
 use crate::reading::restored_by;
 use crate::BackendServer;
+use crate::LimitStatement;
 use crate::Reading;
 use crate::Registration;
 use crate::ServerState;
+use crate::ServerStatement;
 
 /// Time for which a removed incarnation is remembered, in milliseconds. The store may come back
 /// from a copy that is some seconds old.
@@ -53,6 +55,7 @@
 #[derive(Clone, Copy, Debug)]
 struct RemovedServer {
     says_leaving: bool,
+    limit_statement: Option<LimitStatement>,
     remembered_until: Time,
 }
 
@@ -126,6 +129,7 @@
             .retain(|_, removed| removed.remembered_until > now);
         let removed = RemovedServer {
             says_leaving: server.says_leaving,
+            limit_statement: server.limit_statement,
             remembered_until: now.plus_millis(REMEMBERED_MS),
         };
         self.removed.insert(server.instance_hash, removed);
@@ -339,14 +343,10 @@
         is_new
     }
 
-    /// Returns the instance hashes of the servers that have said that they leave, but are
-    /// registered as ready.
-    pub fn leaving(&self) -> impl Iterator<Item = u64> + '_ {
-        let servers = self.iter().map(|(_, server)| server);
-        let leaving = servers.filter(|server| {
-            server.says_leaving && server.registration.state == ServerState::Ready
-        });
-        leaving.map(|server| server.instance_hash)
+    /// Returns what servers have said of themselves that other routers are to know.
+    pub fn statements(&self, now: Time) -> impl Iterator<Item = ServerStatement> + '_ {
+        self.iter()
+            .filter_map(move |(_, server)| server.statement(now))
     }
 
     /// Marks all incarnations ended that were followed by another one at their address.
@@ -377,8 +377,10 @@
         };
         let address = registration.address;
         let mut server = BackendServer::new(now, registration);
-        let removed = self.removed.get(&server.instance_hash);
-        server.says_leaving = removed.is_some_and(|removed| removed.says_leaving);
+        if let Some(removed) = self.removed.get(&server.instance_hash) {
+            server.says_leaving = removed.says_leaving;
+            server.limit_statement = removed.limit_statement;
+        }
         self.by_id.insert(server.registration.id.clone(), key);
         self.by_instance_hash.insert(server.instance_hash, key);
         slot.server = Some(server);
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -15,6 +15,7 @@
 use crate::ReadingUpdate;
 use crate::Residency;
 use crate::Responses;
+use crate::ServerStatement;
 use crate::SuspectUpdate;
 use crate::Transfer;
 
@@ -147,9 +148,8 @@
     pub suspects: Vec<SuspectUpdate>,
     /// Instance hashes of incarnations that were recently found to be over.
     pub ended: Vec<u64>,
-    /// Instance hashes of the servers that have said in a response that they leave, but are
-    /// registered as ready. They stand in each message, so that a router that starts learns them.
-    pub leaving: Vec<u64>,
+    /// What backend servers have said of themselves in responses.
+    pub statements: Vec<ServerStatement>,
     /// Hash of the registered routers, if the sender reads them from the store itself.
     pub routers: Option<u64>,
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -27,6 +27,10 @@
 /// Cost of sending a request into another failure domain, in milliseconds.
 const CROSS_DOMAIN_COST_MS: f64 = 25.0;
 
+/// Cost of a backend server that limits its requests, in milliseconds: its room is kept for what
+/// no other can do as well.
+const LIMITED_COST_MS: f64 = 50.0;
+
 /// Cost of a response computed with replaced weights, in milliseconds.
 const REPLACED_WEIGHTS_COST_MS: f64 = 600.0;
 
@@ -63,6 +67,11 @@
 /// Part of the time that servers have asked for over which the return of callers is spread.
 const RETRY_SPREAD_DIVISOR: u64 = 4;
 
+/// Requests of a limited server over whose time the return of callers is spread, and the longest
+/// such time in milliseconds.
+const LIMITED_RETURN_TURNS: u64 = 4;
+const MAX_LIMITED_SPREAD_MS: u64 = 2_000;
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -297,7 +306,7 @@
     }
 
     /// Returns the time after which a caller should retry, in milliseconds. If the servers have
-    /// asked for no requests until then, callers are spread over the time after it.
+    /// asked for no requests until then, or limit them, callers are spread over the time after it.
     fn first_ready_in_ms(&self, request: &PlacementRequest<'_>, servers: &[Candidate<'_>]) -> u64 {
         let servers = servers.iter().map(|(_, server)| server);
         let waiting = servers.filter(|server| server.is_ready() && server.ready_at() > self.now);
@@ -305,10 +314,15 @@
             return RETRY_AFTER_RANGE_MS.1;
         };
         let wait_ms = first.ready_at().millis_since(self.now);
-        if first.retry_at < first.ready_at() {
+        if first.retry_at.max(first.permit_at) < first.ready_at() {
             return wait_ms.clamp(RETRY_AFTER_RANGE_MS.0, RETRY_AFTER_RANGE_MS.1);
         }
-        let spread_ms = (wait_ms / RETRY_SPREAD_DIVISOR).max(RETRY_AFTER_RANGE_MS.0);
+        let turns_ms = first.limit().map_or(0, |limit| {
+            limit.interval_us() * LIMITED_RETURN_TURNS / 1_000
+        });
+        let spread_ms = (wait_ms / RETRY_SPREAD_DIVISOR)
+            .max(RETRY_AFTER_RANGE_MS.0)
+            .max(turns_ms.min(MAX_LIMITED_SPREAD_MS));
         wait_ms + request.seed % spread_ms
     }
 
@@ -340,7 +354,7 @@
         choice
     }
 
-    /// Returns the cost of failures, missing responses and crossing failure domains, in
+    /// Returns the cost of failures, missing responses, limits and crossing failure domains, in
     /// milliseconds, plus a fraction of a millisecond that breaks ties.
     fn penalty_ms(&self, request: &PlacementRequest<'_>, server: &BackendServer) -> f64 {
         let failures = f64::from(server.failures.min(MAX_COUNTED_FAILURES));
@@ -352,10 +366,12 @@
         } else {
             CROSS_DOMAIN_COST_MS
         };
+        let limited = server.limit().map_or(0.0, |_| LIMITED_COST_MS);
         let tie_breaker = policy::rendezvous_weight(request.seed, server.instance_hash) % 1_000;
         failures * FAILURE_COST_MS
             + unresponsive_ms as f64 * UNRESPONSIVE_COST_FACTOR
             + cross_domain
+            + limited
             + tie_breaker as f64 / 1_000.0
     }
 
--- a/crates/relay/src/topology.rs
+++ b/crates/relay/src/topology.rs
@@ -134,6 +134,25 @@
         self.hub(now, region)
     }
 
+    /// Returns the router that issues permits for a backend server, by its instance hash and the
+    /// hash of its region: in a full mesh one of those for which `is_reachable` is true, in that
+    /// region if there is one, otherwise the hub of that region.
+    pub fn permit_issuer<F>(&mut self, now: Time, region: u64, server: u64, is_reachable: F) -> u64
+    where
+        F: Fn(u64) -> bool,
+    {
+        let weight = |hash: u64| policy::rendezvous_weight(server, hash);
+        if self.is_full_mesh() {
+            let members = self.members.iter();
+            let usable = members.filter(|(hash, _)| **hash == self.me || is_reachable(**hash));
+            let issuer = usable.max_by_key(|(hash, m)| (m.region == region, weight(**hash)));
+            return issuer.map_or(self.me, |(hash, _)| *hash);
+        }
+        let regions = self.members.values().map(|member| member.region);
+        let region = regions.max_by_key(|other| (*other == region, weight(*other)));
+        self.hub(now, region)
+    }
+
     /// Returns the routers to which this one sends its messages.
     pub fn recipients(&mut self, now: Time) -> Vec<u64> {
         let me = self.me;
