--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -178,7 +178,7 @@
     pub async fn place(&mut self, urgency: Urgency) -> Result<Choice, Unplaceable> {
         for _ in 0..MAX_PERMIT_REQUESTS {
             let choice = self.choose_server()?;
-            if may_send(&self.cx, choice.server, urgency).await
+            if may_send(&self.cx, &self.parsed.id, choice.server, urgency).await
                 && self.takes_requests(choice.server)
             {
                 return Ok(choice);
--- a/crates/gateway/src/fleet_summary.rs
+++ b/crates/gateway/src/fleet_summary.rs
@@ -19,6 +19,8 @@
     pub avoided: usize,
     /// Servers that have asked for no requests for a while.
     pub retry_later: usize,
+    /// Servers that limit their requests, and for which no permit is due.
+    pub limited: usize,
     /// Servers that switch to new weights.
     pub switching: usize,
     /// Time since the store last responded, in milliseconds.
@@ -32,12 +34,14 @@
         let ready = servers.iter().filter(|(_, s)| s.takes_requests(now));
         let avoided = servers.iter().filter(|(_, s)| s.avoid_until > now);
         let retry_later = servers.iter().filter(|(_, s)| s.retry_at > now);
+        let limited = servers.iter().filter(|(_, s)| s.permit_at > now);
         let switching = servers.iter().filter(|(_, s)| s.switching_until > now);
         FleetSummary {
             servers: servers.len(),
             ready: ready.count(),
             avoided: avoided.count(),
             retry_later: retry_later.count(),
+            limited: limited.count(),
             switching: switching.count(),
             store_age_ms: now.millis_since(view.store_responded_at),
         }
@@ -48,11 +52,12 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "servers={} ready={} avoided={} retry_later={} switching={} store_age_ms={}",
+            "servers={} ready={} avoided={} retry_later={} limited={} switching={} store_age_ms={}",
             self.servers,
             self.ready,
             self.avoided,
             self.retry_later,
+            self.limited,
             self.switching,
             self.store_age_ms
         )
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -94,7 +94,7 @@
     let Some((_, address)) = address(cx, key) else {
         return;
     };
-    if !may_send(cx, key, Urgency::Urgent).await {
+    if !may_send(cx, "report", key, Urgency::Urgent).await {
         return;
     }
     let observed = cx.engines.report(address).await;
@@ -124,7 +124,7 @@
 }
 
 async fn order(cx: &Context, key: ServerKey, model: Arc<str>, version: u64, accepted: u64) {
-    if !may_send(cx, key, Urgency::Urgent).await {
+    if !may_send(cx, "order", key, Urgency::Urgent).await {
         let mut view = cx.view.borrow_mut();
         return view
             .order_plan
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -20,6 +20,7 @@
 use crate::peer_message::PeerMessage;
 use crate::peer_message::PermitRequest;
 use crate::peer_message::PermitResponse;
+use crate::server_event::PermitDecision;
 use crate::server_event::ServerEvent;
 
 /// Time in which the issuer must respond, several times that of a message to another region and
@@ -48,42 +49,44 @@
     }
 }
 
-/// Returns whether a request may be sent to a backend server now: always if it names no limit.
-/// Otherwise the server gets no request of this router until a permit may be due.
-pub async fn may_send(cx: &Context, key: ServerKey, urgency: Urgency) -> bool {
+/// Returns whether the request `id` may be sent to a backend server now: always if that names no
+/// limit. Otherwise the server gets no request of this router until a permit may be due.
+pub async fn may_send(cx: &Context, id: &str, key: ServerKey, urgency: Urgency) -> bool {
     let Some(request) = permit_request(cx, key, urgency) else {
         return true;
     };
+    let asked_at = now();
     let issuer = cx.peers.permit_issuer(request.region, request.server);
     let permit = if issuer == cx.peers.own_hash {
         Some(issue(cx, &request))
     } else {
         ask(cx, issuer, request).await
     };
-    let outcome = match permit {
-        Some(Permit::Granted) => "granted",
-        Some(Permit::Denied { .. }) => "denied",
-        None => "no_response",
+    let (outcome, retry_after_ms) = match permit {
+        Some(Permit::Granted) => ("granted", 0),
+        Some(Permit::Denied { retry_after_ms }) => ("denied", retry_after_ms),
+        None => ("no_response", NO_RESPONSE_RETRY_MS),
     };
     cx.metrics.permits.with_label_values(&[outcome]).inc();
-    let retry_after_ms = match permit {
-        Some(Permit::Granted) => return true,
-        Some(Permit::Denied { retry_after_ms }) => retry_after_ms,
-        None => NO_RESPONSE_RETRY_MS,
-    };
+    let now = now();
     let mut view = cx.view.borrow_mut();
     if let Some(server) = view.fleet.get_mut(key) {
-        server.permit_at = now().plus_millis(retry_after_ms);
-        ServerEvent::PermitDenied {
+        if permit != Some(Permit::Granted) {
+            server.permit_at = now.plus_millis(retry_after_ms);
+        }
+        let decision = PermitDecision {
+            id,
             server: &server.registration.id,
             limit: server.limit(),
+            limit_age_ms: u64::from(request.limit.age_ms),
             issuer,
             outcome,
             retry_after_ms,
-        }
-        .write();
+            took_ms: now.millis_since(asked_at),
+        };
+        ServerEvent::Permit(decision).write();
     }
-    false
+    permit == Some(Permit::Granted)
 }
 
 /// Answers another router that asks for a permit; one that takes this router for the issuer by
--- a/crates/gateway/src/server_event.rs
+++ b/crates/gateway/src/server_event.rs
@@ -69,19 +69,8 @@
         /// Time for which it asked; longer if it was cut.
         asked_ms: u64,
     },
-    /// A backend server that limits its requests gets none of this router for a while.
-    PermitDenied {
-        /// Its id.
-        server: &'a str,
-        /// Limit that it names.
-        limit: Option<RateLimit>,
-        /// Hash of the name of the router that issues permits for it.
-        issuer: u64,
-        /// Why: `denied` or `no_response`.
-        outcome: &'a str,
-        /// Time until this router asks again.
-        retry_after_ms: u64,
-    },
+    /// A permit was asked for a request to a backend server that limits them.
+    Permit(PermitDecision<'a>),
     /// A backend server has named another limit on the requests of all routers together, or none
     /// any more.
     Limit {
@@ -96,6 +85,27 @@
     },
 }
 
+/// Whether a request may be sent to a backend server that limits them, and why.
+#[derive(Clone, Debug)]
+pub struct PermitDecision<'a> {
+    /// Id that the caller gave the request; `order` or `report` for one of this router's own.
+    pub id: &'a str,
+    /// Id of the backend server.
+    pub server: &'a str,
+    /// Limit that it names.
+    pub limit: Option<RateLimit>,
+    /// Time since it named that.
+    pub limit_age_ms: u64,
+    /// Hash of the name of the router that issues permits for it.
+    pub issuer: u64,
+    /// Outcome: `granted`, `denied` or `no_response`.
+    pub outcome: &'a str,
+    /// Time until this router asks again, if it got none.
+    pub retry_after_ms: u64,
+    /// Time that the decision took.
+    pub took_ms: u64,
+}
+
 impl LogEvent for ServerEvent<'_> {
     fn level(&self) -> Level {
         Level::Info
@@ -148,17 +158,7 @@
                 f,
                 "event=server_retry_after server={server} retry_after_ms={retry_after_ms} asked_ms={asked_ms}"
             ),
-            ServerEvent::PermitDenied {
-                server,
-                limit,
-                issuer,
-                outcome,
-                retry_after_ms,
-            } => write!(
-                f,
-                "event=permit_denied server={server} per_s={} issuer={issuer:016x} reason={outcome} retry_after_ms={retry_after_ms}",
-                per_second(*limit)
-            ),
+            ServerEvent::Permit(decision) => decision.fmt(f),
             ServerEvent::Limit {
                 server,
                 before,
@@ -174,6 +174,23 @@
     }
 }
 
+impl Display for PermitDecision<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "event=permit id={:?} server={} per_s={} limit_age_ms={} issuer={:016x} outcome={} retry_after_ms={} took_ms={}",
+            self.id,
+            self.server,
+            per_second(self.limit),
+            self.limit_age_ms,
+            self.issuer,
+            self.outcome,
+            self.retry_after_ms,
+            self.took_ms
+        )
+    }
+}
+
 fn per_second(limit: Option<RateLimit>) -> String {
     limit.map_or_else(
         || "none".to_owned(),
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -7,6 +7,7 @@
 use gateway::FleetSummary;
 use gateway::LogEvent;
 use gateway::OrderGiven;
+use gateway::PermitDecision;
 use gateway::ProcessEvent;
 use gateway::RequestEnded;
 use gateway::RequestEvent;
@@ -107,11 +108,12 @@
             ready: 9,
             avoided: 2,
             retry_later: 0,
+            limited: 2,
             switching: 1,
             store_age_ms: 80,
         },
     };
-    assert_snapshot!(unplaced, @r#"event=unplaced id="q1" service=engines reason=too_late cause=TooLate { retry_after_ms: 200, wait_ms: 1500, reading_ms: 310 } servers=12 ready=9 avoided=2 retry_later=0 switching=1 store_age_ms=80"#);
+    assert_snapshot!(unplaced, @r#"event=unplaced id="q1" service=engines reason=too_late cause=TooLate { retry_after_ms: 200, wait_ms: 1500, reading_ms: 310 } servers=12 ready=9 avoided=2 retry_later=0 limited=2 switching=1 store_age_ms=80"#);
     assert_snapshot!(RequestEvent::Ended(ended("too_late")), @r#"event=request id="q1" route=r-1 workspace=w1 service=engines configuration=7 outcome=too_late status=503 server=none sends=1 runs=0 took_ms=600 left_ms=5371"#);
     let resume = RequestEvent::ResumeFailed {
         id: "q1",
@@ -198,6 +200,17 @@
         source: "response",
     };
     assert_snapshot!(limit, @"event=server_limit server=e1 per_s=3.3 before=none source=response");
+    let permit = ServerEvent::Permit(PermitDecision {
+        id: "q1",
+        server,
+        limit: RateLimit::per_second(3.3),
+        limit_age_ms: 1_200,
+        issuer: 0x1f,
+        outcome: "denied",
+        retry_after_ms: 240,
+        took_ms: 16,
+    });
+    assert_snapshot!(permit, @r#"event=permit id="q1" server=e1 per_s=3.3 limit_age_ms=1200 issuer=000000000000001f outcome=denied retry_after_ms=240 took_ms=16"#);
     let address = registration.address;
     assert_snapshot!(ServerEvent::Ended { server, address }, @"event=server_ended server=e1 address=10.0.0.1:80");
 }
