--- a/crates/relay/tests/limited_server.rs
+++ b/crates/relay/tests/limited_server.rs
@@ -130,7 +130,7 @@
 
 impl Simulation {
     fn step(&mut self, ms: u64) {
-        if ms % MESSAGE_MS == 0 {
+        if ms.is_multiple_of(MESSAGE_MS) {
             self.exchange_messages(ms);
         }
         if ms % KILL_MS == KILL_MS - 1 {
