--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -279,7 +279,9 @@
     let load = server.load(now);
     let sent = AttemptSent {
         id: &x.parsed.id,
+        resumes: x.parsed.resumes.as_deref(),
         server: server_id,
+        build: &server.registration.build,
         cost_ms: choice.cost_ms,
         wait_ms: choice.wait_ms,
         prefill_ms: choice.prefill_ms,
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -43,6 +43,8 @@
     pub max_wait_ms: Option<u64>,
     /// Id of the last event that the caller has received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// Id of the earlier request that brought the first event of the stream that it resumes.
+    pub resumes: Option<String>,
     /// Model and prompt, if it is for a model.
     pub prompt: Option<PromptHead>,
 }
--- a/crates/gateway/src/request_event.rs
+++ b/crates/gateway/src/request_event.rs
@@ -67,8 +67,12 @@
 pub struct AttemptSent<'a> {
     /// Id that the caller gave the request.
     pub id: &'a str,
+    /// Id of the earlier request that brought the first event of the stream that it resumes.
+    pub resumes: Option<&'a str>,
     /// Id of the backend server.
     pub server: &'a str,
+    /// Version of the server's software.
+    pub build: &'a str,
     /// Estimated total cost of the choice, by which candidates are compared.
     pub cost_ms: f64,
     /// Estimated time in the engine's queue.
@@ -207,9 +211,11 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "event=sent id={:?} server={} cost_ms={:.0} wait_ms={:.0} reading_ms={:.0} requests={} load_age_ms={} weights={} part={:016x} held={} fetch={} save={} entry_age_ms={} left_ms={}",
+            "event=sent id={:?} resumes={:?} server={} build={:?} cost_ms={:.0} wait_ms={:.0} reading_ms={:.0} requests={} load_age_ms={} weights={} part={:016x} held={} fetch={} save={} entry_age_ms={} left_ms={}",
             self.id,
+            self.resumes.unwrap_or("none"),
             self.server,
+            self.build,
             self.cost_ms,
             self.wait_ms,
             self.prefill_ms,
--- a/crates/gateway/src/server_event.rs
+++ b/crates/gateway/src/server_event.rs
@@ -125,12 +125,13 @@
             ),
             ServerEvent::Added { registration, source } => write!(
                 f,
-                "event=server_added server={} service={} domain={} address={} state={:?} weights={:?} source={source}",
+                "event=server_added server={} service={} domain={} address={} state={:?} build={:?} weights={:?} source={source}",
                 registration.id,
                 registration.service,
                 registration.domain,
                 registration.address,
                 registration.state,
+                registration.build,
                 registration.weights.values().collect::<Vec<_>>()
             ),
             ServerEvent::Draining { server, source } => {
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -32,7 +32,9 @@
 fn sent() -> AttemptSent<'static> {
     AttemptSent {
         id: "q1",
+        resumes: None,
         server: "e1",
+        build: "v1.1",
         cost_ms: 617.4,
         wait_ms: 359.0,
         prefill_ms: 232.0,
@@ -73,6 +75,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "a".into(),
         slots: 24,
+        build: "v1.1".into(),
         state: ServerState::Ready,
         weights: BTreeMap::from([("m0".into(), 3)]),
     }
@@ -80,7 +83,7 @@
 
 #[test]
 fn lines_of_a_request() {
-    assert_snapshot!(RequestEvent::AttemptSent(sent()), @r#"event=sent id="q1" server=e1 cost_ms=617 wait_ms=359 reading_ms=232 requests=20 load_age_ms=140 weights=3 part=00000000000000ab held=false fetch=store save=true entry_age_ms=701 left_ms=5971"#);
+    assert_snapshot!(RequestEvent::AttemptSent(sent()), @r#"event=sent id="q1" resumes="none" server=e1 build="v1.1" cost_ms=617 wait_ms=359 reading_ms=232 requests=20 load_age_ms=140 weights=3 part=00000000000000ab held=false fetch=store save=true entry_age_ms=701 left_ms=5971"#);
     let attempt = AttemptEnded {
         id: "q1",
         service: "engines",
@@ -177,7 +180,7 @@
         registration: &registration,
         source: "store",
     };
-    assert_snapshot!(added, @"event=server_added server=e1 service=engines domain=a address=10.0.0.1:80 state=Ready weights=[3] source=store");
+    assert_snapshot!(added, @r#"event=server_added server=e1 service=engines domain=a address=10.0.0.1:80 state=Ready build="v1.1" weights=[3] source=store"#);
     let (server, source) = ("e1", "peer");
     assert_snapshot!(ServerEvent::Draining { server, source }, @"event=server_draining server=e1 source=peer");
     let missing = ServerEvent::Missing {
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -32,6 +32,8 @@
     pub domain: Arc<str>,
     /// Number of requests that it executes at a time.
     pub slots: u32,
+    /// Version of its software.
+    pub build: Arc<str>,
     /// State that it reports of itself.
     pub state: ServerState,
     /// Version of the weights of each of its models; empty for a plain service.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -42,6 +42,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "a".into(),
         slots: 24,
+        build: "v1".into(),
         state: ServerState::Ready,
         weights: BTreeMap::from([(Arc::from(MODEL), weights)]),
     }
