--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -17,6 +17,7 @@
 use relay::Residency;
 use relay::RetryBudget;
 use relay::Revision;
+use relay::StreamOrigins;
 use relay::UnsettledEnds;
 use relay::Weights;
 
@@ -74,6 +75,10 @@
     pub budgets: HashMap<Arc<str>, RetryBudget>,
     /// Revision of the order lease's record; none while no router holds the lease.
     pub order_lease_revision: Option<Revision>,
+    /// Builds at which streams began.
+    pub stream_origins: StreamOrigins,
+    /// When this router started.
+    pub started_at: Time,
     /// Issues permits for limited backend servers, where this router is the issuer.
     pub permit_issuer: PermitIssuer,
     /// Term of the order lease, while this router holds it.
@@ -106,6 +111,8 @@
             unsettled: UnsettledEnds::default(),
             budgets: HashMap::new(),
             order_lease_revision: None,
+            stream_origins: StreamOrigins::default(),
+            started_at: now(),
             permit_issuer: PermitIssuer::new(now()),
             lease_term: None,
             order_plan: OrderPlan::default(),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,10 +8,12 @@
 
 use policy::Time;
 use relay::Announcement;
+use relay::Build;
 use relay::Configuration;
 use relay::FleetChange;
 use relay::LimitUpdate;
 use relay::PeerReading;
+use relay::Permit;
 use relay::RateLimit;
 use relay::Reading;
 use relay::Registration;
@@ -31,13 +33,14 @@
 use crate::metrics::Metrics;
 use crate::peer_message::PeerMessage;
 use crate::peers::Peers;
-use crate::permits::PendingPermits;
+use crate::pending_replies::PendingReplies;
 use crate::process_event::log_failure;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
 use crate::server_event::ServerEvent;
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::stream_builds;
 use crate::view_event::ViewEvent;
 
 /// Fraction of the configured retry ratio that the budget grants. The time windows
@@ -79,7 +82,9 @@
     /// Socket for datagrams from and to other routers.
     pub peer_socket: UdpSocket,
     /// Permits that were asked of other routers.
-    pub pending_permits: PendingPermits,
+    pub pending_permits: PendingReplies<Permit>,
+    /// Builds of streams that were asked of other routers.
+    pub pending_builds: PendingReplies<Option<Build>>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Log of this process.
@@ -246,6 +251,27 @@
         }
     }
 
+    /// Sends a datagram to another router without waiting for room in the socket's buffer.
+    pub fn try_send_to_peer(&self, address: SocketAddr, message: &PeerMessage) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(e) => return log_failure(Step::Gossip, &e),
+        };
+        if let Err(e) = self.peer_socket.try_send_to(&bytes, address) {
+            log_peer_failure(Step::GossipSend, &address, &e);
+        }
+    }
+
+    /// Returns whether this router's registrations are recent, and it has known them for `ms`
+    /// milliseconds.
+    pub fn is_history_known(&self, ms: u64) -> bool {
+        let view = self.view.borrow();
+        let now = now();
+        let reading = view.fleet.reading();
+        reading.is_some_and(|reading| reading.is_fresh(now))
+            && now.millis_since(view.started_at) >= ms
+    }
+
     /// Sends an encoded datagram to another router.
     pub async fn send_bytes_to_peer(&self, address: SocketAddr, bytes: &[u8]) {
         if let Err(e) = self.peer_socket.send_to(bytes, address).await {
@@ -353,13 +379,16 @@
                 ServerEvent::Removed { server, source }.write();
                 self.pool.sweep(&self.view.borrow().fleet);
             }
-            Some(FleetChange::Added(key)) => self.log_server(key, |registration| {
-                ServerEvent::Added {
-                    registration,
-                    source,
-                }
-                .write();
-            }),
+            Some(FleetChange::Added(key)) => {
+                self.log_server(key, |registration| {
+                    ServerEvent::Added {
+                        registration,
+                        source,
+                    }
+                    .write();
+                });
+                self.tell_streams_if_first_of_build(key);
+            }
             Some(FleetChange::Draining(key)) => self.log_server(key, |registration| {
                 let server = &*registration.id;
                 ServerEvent::Draining { server, source }.write();
@@ -375,6 +404,27 @@
         }
     }
 
+    /// Tells other routers of the streams that began here, if a server is the first of its build.
+    fn tell_streams_if_first_of_build(&self, key: ServerKey) {
+        let service = {
+            let view = self.view.borrow();
+            let Some(server) = view.fleet.get(key) else {
+                return;
+            };
+            let service = &server.registration.service;
+            let of_build = view.fleet.of_service(service);
+            if of_build
+                .filter(|(_, other)| other.build == server.build)
+                .count()
+                > 1
+            {
+                return;
+            }
+            Arc::clone(service)
+        };
+        stream_builds::tell_all(self, &service);
+    }
+
     /// Logs an event of a backend server, if it is still known.
     fn log_server<F>(&self, key: ServerKey, log: F)
     where
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Serves one request of a caller, from its head to the end of the response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -11,14 +12,11 @@
 use relay::Admission;
 use relay::AttemptEnd;
 use relay::Choice;
-use relay::Placement;
-use relay::PlacementRequest;
-use relay::PrefixStores;
 use relay::Progress;
-use relay::Prompt;
 use relay::RetryPolicy;
 use relay::Route;
 use relay::ServerKey;
+use relay::StreamBuild;
 use relay::SuspectKey;
 use relay::Unplaceable;
 use relay::Urgency;
@@ -38,11 +36,12 @@
 use crate::evidence::record_end;
 use crate::fleet_summary::FleetSummary;
 use crate::log_event::LogEvent;
-use crate::permits::may_send;
 use crate::refusal::Refusal;
 use crate::request_event::AttemptEnded;
 use crate::request_event::RequestEnded;
 use crate::request_event::RequestEvent;
+use crate::server_choice::place;
+use crate::stream_builds;
 use crate::stream_relay;
 use crate::timing::duration_until;
 
@@ -53,12 +52,6 @@
 /// the backend server's own timeout response may be in transit.
 pub const DEADLINE_GRACE_MS: u64 = 120;
 
-/// Maximum number of backend servers for which a request asks for a permit in turn.
-const MAX_PERMIT_REQUESTS: usize = 4;
-
-/// Time after which a caller may return whose request got no permit, in milliseconds.
-const NO_PERMIT_RETRY_AFTER_MS: u64 = 500;
-
 /// A request being served, with its attempts so far.
 pub struct Exchange {
     /// State of this router.
@@ -85,6 +78,8 @@
     pub fingerprint: SuspectKey,
     /// What crashes of its backend servers are blamed on.
     pub suspects: Vec<SuspectKey>,
+    /// Where the response may go on, if it is a stream.
+    pub stream_build: Cell<StreamBuild>,
     /// Backend server of the latest attempt; none before the first.
     pub latest_server: Option<AttemptedServer>,
     /// Backend servers of the attempts so far.
@@ -93,7 +88,8 @@
     pub attempts: u32,
     /// Attempts that the backend server ran or may have run.
     pub executions: u32,
-    seed: u64,
+    /// Number that differs from request to request.
+    pub seed: u64,
     finished: bool,
 }
 
@@ -118,6 +114,7 @@
             configuration: accepted.configuration,
             fingerprint: accepted.fingerprint,
             suspects: accepted.suspects,
+            stream_build: Cell::default(),
             latest_server: None,
             tried: Vec::new(),
             attempts: 0,
@@ -133,8 +130,11 @@
         let service = Arc::clone(&self.service);
         self.cx
             .with_retry_budget(&service, |budget| budget.record_request(now()));
+        if self.route.kind.streams() && !stream_builds::resolve(&self).await {
+            return self.refuse(Refusal::unknown_stream());
+        }
         loop {
-            let choice = match self.place(Urgency::Normal).await {
+            let choice = match place(&self, Urgency::Normal).await {
                 Ok(choice) => choice,
                 Err(e) => return self.refuse_unplaced(e),
             };
@@ -173,66 +173,6 @@
         self.deadline.millis_since(now())
     }
 
-    /// Chooses the backend server of the next attempt, and takes a permit if it limits its
-    /// requests.
-    pub async fn place(&mut self, urgency: Urgency) -> Result<Choice, Unplaceable> {
-        for _ in 0..MAX_PERMIT_REQUESTS {
-            let choice = self.choose_server()?;
-            if may_send(&self.cx, &self.parsed.id, choice.server, urgency).await
-                && self.takes_requests(choice.server)
-            {
-                return Ok(choice);
-            }
-        }
-        Err(Unplaceable::NoneReady {
-            retry_after_ms: NO_PERMIT_RETRY_AFTER_MS,
-        })
-    }
-
-    /// Returns whether a backend server still takes requests, after the time that a permit took.
-    fn takes_requests(&self, key: ServerKey) -> bool {
-        let view = self.cx.view.borrow();
-        let server = view.fleet.get(key);
-        server.is_some_and(|server| server.takes_requests(now()))
-    }
-
-    /// Chooses the backend server of the next attempt.
-    fn choose_server(&mut self) -> Result<Choice, Unplaceable> {
-        let view = self.cx.view.borrow();
-        let prompt = self.parsed.prompt.as_ref().map(|prompt| Prompt {
-            model: &prompt.model,
-            parts: &prompt.parts,
-            workspace: self.workspace.as_deref(),
-        });
-        let request = PlacementRequest {
-            service: &self.service,
-            objective_ms: self.route.objective_ms,
-            deadline: self.deadline,
-            prompt,
-            tried: &self.tried,
-            seed: self.seed,
-        };
-        let placement = Placement {
-            fleet: &view.fleet,
-            residency: &view.residency,
-            weights: &view.weights,
-            stores: PrefixStores {
-                configuration: view.configuration.as_deref(),
-                regions: &self.cx.settings.regions,
-            },
-            domain: &self.cx.settings.domain,
-            now: now(),
-        };
-        let result = placement.choose(&request);
-        let metrics = &self.cx.metrics;
-        let took_us = now().micros_since(placement.now);
-        metrics.decision.observe(took_us as f64 / 1_000_000.0);
-        if let Ok(choice) = &result {
-            metrics.expected_wait.observe(choice.wait_ms / 1_000.0);
-        }
-        result
-    }
-
     /// Checks that none of the request's suspects is blocked; otherwise returns the time until
     /// which one is. If the request is to be sent as a trial, records that.
     pub fn admit(&self) -> Result<(), Time> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,7 +40,7 @@
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::peers::Peers;
-use crate::permits::PendingPermits;
+use crate::pending_replies::PendingReplies;
 use crate::process_event::ProcessEvent;
 use crate::process_event::StopPhase;
 use crate::records;
@@ -115,7 +115,8 @@
         let peer_socket = open_peer_socket(&settings).await?;
         let cx = Rc::new(Context {
             peer_socket,
-            pending_permits: PendingPermits::default(),
+            pending_permits: PendingReplies::default(),
+            pending_builds: PendingReplies::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             settings,
             codec: services.codec,
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -22,6 +22,7 @@
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
 use crate::store_era::note_era;
+use crate::stream_builds;
 
 /// Longest time between two messages in a full mesh, where each router sends to all others.
 const FULL_MESH_INTERVAL: Duration = Duration::from_millis(150);
@@ -84,7 +85,17 @@
                 send(&cx, &cx.peers.addresses(&recipients), bytes).await;
             }
             Ok(PeerMessage::PermitRequest(request)) => permits::answer(&cx, from, request).await,
-            Ok(PeerMessage::PermitResponse(response)) => permits::settle(&cx, response),
+            Ok(PeerMessage::PermitResponse(response)) => {
+                cx.pending_permits.settle(response.id, response.permit);
+            }
+            Ok(PeerMessage::StreamOrigins(streams)) => {
+                let origins = &mut cx.view.borrow_mut().stream_origins;
+                for origin in streams {
+                    origins.record(now(), origin);
+                }
+            }
+            Ok(PeerMessage::StreamQuery(query)) => stream_builds::answer(&cx, from, query).await,
+            Ok(PeerMessage::StreamReply(reply)) => cx.pending_builds.settle(reply.id, reply.build),
             Err(e) => log_peer_failure(Step::GossipRead, &from, &e),
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub retry_after_invalid: IntCounter,
     /// Permits asked for requests to limited backend servers, by outcome.
     pub permits: IntCounterVec,
+    /// Streams that callers take up, by how their build is known.
+    pub streams_taken_up: IntCounterVec,
     /// Limits of backend servers that are no rate, out of range or contradictory.
     pub server_limit_invalid: IntCounter,
     /// Times that the store came back from an older copy.
@@ -96,6 +98,12 @@
                 "Permits asked for requests to limited servers",
                 &["outcome"],
             ),
+            streams_taken_up: counters(
+                &registry,
+                "streams_taken_up",
+                "Streams that callers take up, by how the version of their server is known",
+                &["source"],
+            ),
             server_limit_invalid: counter(
                 &registry,
                 "server_limit_invalid",
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -1,8 +1,11 @@
 //! Datagrams that routers send each other.
 
+use relay::Build;
 use relay::Gossip;
 use relay::LimitUpdate;
 use relay::Permit;
+use relay::StreamId;
+use relay::StreamOrigin;
 use relay::Urgency;
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,6 +19,12 @@
     PermitRequest(PermitRequest),
     /// Answers such a message.
     PermitResponse(PermitResponse),
+    /// Tells at which builds streams began.
+    StreamOrigins(Vec<StreamOrigin>),
+    /// Asks for the build of a stream.
+    StreamQuery(StreamQuery),
+    /// Answers such a message.
+    StreamReply(StreamReply),
 }
 
 /// Asks the issuer for a permit.
@@ -41,3 +50,21 @@
     /// The decision.
     pub permit: Permit,
 }
+
+/// Asks for the build at which a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamQuery {
+    /// Number of the question among those of its sender.
+    pub id: u64,
+    /// The stream.
+    pub stream: StreamId,
+}
+
+/// What a router knows of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamReply {
+    /// Number of the question that it answers.
+    pub id: u64,
+    /// The build; none if the router doesn't know the stream.
+    pub build: Option<Build>,
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,8 +19,8 @@
 /// Time without a message after which a router no longer counts as reachable, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 3_000;
 
-/// Time without a message after which another router issues permits in its place, in milliseconds.
-const ISSUER_TIMEOUT_MS: u64 = 900;
+/// Time without a message after which a router is given nothing to do for others, in milliseconds.
+const REACHABLE_MS: u64 = 900;
 
 /// Time for which an announcement is repeated in messages, as datagrams get lost, in milliseconds.
 const ANNOUNCE_MS: u64 = 600;
@@ -269,14 +269,31 @@
     /// Returns the router that issues permits for a backend server, by its instance hash and the
     /// hash of its region.
     pub fn permit_issuer(&self, region: u64, server: u64) -> u64 {
-        let now = now();
-        let peers = self.by_hash.borrow();
-        let is_reachable = |hash: u64| {
-            let peer = peers.get(&hash);
-            peer.is_some_and(|peer| now.millis_since(peer.last_message_at) < ISSUER_TIMEOUT_MS)
-        };
         let mut topology = self.topology.borrow_mut();
-        topology.permit_issuer(now, region, server, is_reachable)
+        topology.permit_issuer(now(), region, server, |hash| self.is_reachable(hash))
+    }
+
+    /// Returns up to `count` other routers to which something is entrusted, by its hash: in a full
+    /// mesh only those that are reachable.
+    pub fn keepers(&self, hash: u64, count: usize) -> Vec<u64> {
+        let topology = self.topology.borrow();
+        let is_full_mesh = topology.is_full_mesh();
+        topology.keepers(hash, count, |router| {
+            !is_full_mesh || self.is_reachable(router)
+        })
+    }
+
+    /// Returns up to `count` registered routers that may have been entrusted with something, by its
+    /// hash: those that other routers choose, and the next ones.
+    pub fn registered_keepers(&self, hash: u64, count: usize) -> Vec<u64> {
+        self.topology.borrow().keepers(hash, count, |_| true)
+    }
+
+    /// Returns whether a router sent a message lately.
+    fn is_reachable(&self, hash: u64) -> bool {
+        let peers = self.by_hash.borrow();
+        let peer = peers.get(&hash);
+        peer.is_some_and(|peer| now().millis_since(peer.last_message_at) < REACHABLE_MS)
     }
 
     /// Announces a prompt part that was sent to an engine, in the next regular message.
--- /dev/null
+++ b/crates/gateway/src/pending_replies.rs
@@ -0,0 +1,45 @@
+//! Replies of other routers that are awaited.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Replies to this router's questions, by the number of the question.
+pub struct PendingReplies<T> {
+    next_id: Cell<u64>,
+    waiting: RefCell<HashMap<u64, UnboundedSender<T>>>,
+}
+
+impl<T> Default for PendingReplies<T> {
+    fn default() -> PendingReplies<T> {
+        PendingReplies {
+            next_id: Cell::default(),
+            waiting: RefCell::default(),
+        }
+    }
+}
+
+impl<T> PendingReplies<T> {
+    /// Returns the number of a new question, and what receives the replies to it.
+    pub fn begin(&self) -> (u64, UnboundedReceiver<T>) {
+        let id = self.next_id.get();
+        self.next_id.set(id.wrapping_add(1));
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|_, tx| !tx.is_closed());
+        waiting.insert(id, tx);
+        (id, rx)
+    }
+
+    /// Passes a reply on to whoever asked; it is dropped if nobody waits for it any more.
+    pub fn settle(&self, id: u64, reply: T) {
+        if let Some(tx) = self.waiting.borrow().get(&id) {
+            // Fails if the question was given up just now.
+            let _ = tx.send(reply);
+        }
+    }
+}
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,8 +1,5 @@
 //! Permits for requests to backend servers that limit them, asked of the router that issues them.
 
-use std::cell::Cell;
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,7 +8,6 @@
 use relay::RateLimit;
 use relay::ServerKey;
 use relay::Urgency;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::clock::now;
@@ -30,25 +26,6 @@
 /// Time after which a router asks again if the issuer did not respond, in milliseconds.
 const NO_RESPONSE_RETRY_MS: u64 = 250;
 
-/// Requests for permits that have not been answered yet.
-#[derive(Default)]
-pub struct PendingPermits {
-    next_id: Cell<u64>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
-}
-
-impl PendingPermits {
-    fn begin(&self) -> (u64, oneshot::Receiver<Permit>) {
-        let id = self.next_id.get();
-        self.next_id.set(id.wrapping_add(1));
-        let (tx, rx) = oneshot::channel();
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.retain(|_, tx| !tx.is_closed());
-        waiting.insert(id, tx);
-        (id, rx)
-    }
-}
-
 /// Returns whether the request `id` may be sent to a backend server now: always if that names no
 /// limit. Otherwise the server gets no request of this router until a permit may be due.
 pub async fn may_send(cx: &Context, id: &str, key: ServerKey, urgency: Urgency) -> bool {
@@ -108,15 +85,6 @@
         .await;
 }
 
-/// Passes the issuer's decision on to the request that waits for it.
-pub fn settle(cx: &Context, response: PermitResponse) {
-    let waiting = cx.pending_permits.waiting.borrow_mut().remove(&response.id);
-    if let Some(tx) = waiting {
-        // Fails if the request has been given up meanwhile.
-        let _ = tx.send(response.permit);
-    }
-}
-
 fn permit_request(cx: &Context, key: ServerKey, urgency: Urgency) -> Option<PermitRequest> {
     let view = cx.view.borrow();
     let server = view.fleet.get(key)?;
@@ -155,10 +123,8 @@
 /// Asks another router; none if it does not respond in time.
 async fn ask(cx: &Context, issuer: u64, request: PermitRequest) -> Option<Permit> {
     let address = cx.peers.address(issuer)?;
-    let (id, rx) = cx.pending_permits.begin();
+    let (id, mut rx) = cx.pending_permits.begin();
     let message = PeerMessage::PermitRequest(PermitRequest { id, ..request });
     cx.send_to_peer(address, &message).await;
-    let permit = timeout(RESPONSE_TIMEOUT, rx).await;
-    cx.pending_permits.waiting.borrow_mut().remove(&id);
-    permit.ok()?.ok()
+    timeout(RESPONSE_TIMEOUT, rx.recv()).await.ok()?
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -14,6 +14,10 @@
 /// Shortest retry-after time of a request that crashes backend servers, in milliseconds.
 const MIN_CRASHING_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Retry-after time of a stream that no reachable router knows, in milliseconds. Others may be reachable
+/// by then.
+const UNKNOWN_STREAM_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Reason why a request gets no response of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -47,6 +51,14 @@
         }
     }
 
+    /// Returns the refusal of a stream that can't go on, as it isn't known at which build it began.
+    pub fn unknown_stream() -> Refusal {
+        Refusal::NotRun {
+            reason: "unknown_stream",
+            retry_after_ms: UNKNOWN_STREAM_RETRY_AFTER_MS,
+        }
+    }
+
     /// Returns the HTTP status of the response.
     pub fn status(self) -> StatusCode {
         match self {
--- a/crates/gateway/src/request_event.rs
+++ b/crates/gateway/src/request_event.rs
@@ -53,6 +53,21 @@
         /// Why.
         reason: &'a str,
     },
+    /// A caller takes a stream up, which may go on only at the build that began it.
+    TakenUp {
+        /// Id that the caller gave the request.
+        id: &'a str,
+        /// Id of the request that brought the stream's first event, if the caller names it.
+        resumes: Option<&'a str>,
+        /// How the build is known: `own`, `peer`, `only_build` or `unknown`.
+        source: &'a str,
+        /// Number of other routers that answered.
+        answers: usize,
+        /// Number of builds that the service's servers have or had lately.
+        builds: usize,
+        /// Time that it took to find out.
+        took_ms: u64,
+    },
     /// No backend server can resume a stream.
     ResumeFailed {
         /// Id that the caller gave the request.
@@ -200,6 +215,18 @@
             RequestEvent::RequestBrokeOff { id, reason } => {
                 write!(f, "event=request_broke_off id={id:?} reason={reason:?}")
             }
+            RequestEvent::TakenUp {
+                id,
+                resumes,
+                source,
+                answers,
+                builds,
+                took_ms,
+            } => write!(
+                f,
+                "event=taken_up id={id:?} resumes={:?} source={source} answers={answers} builds={builds} took_ms={took_ms}",
+                resumes.unwrap_or("none")
+            ),
             RequestEvent::ResumeFailed { id, reason } => {
                 write!(f, "event=resume_failed id={id:?} reason={reason}")
             }
--- /dev/null
+++ b/crates/gateway/src/server_choice.rs
@@ -0,0 +1,78 @@
+//! Chooses the backend server of a request's next attempt.
+
+use relay::Choice;
+use relay::Placement;
+use relay::PlacementRequest;
+use relay::PrefixStores;
+use relay::Prompt;
+use relay::ServerKey;
+use relay::Unplaceable;
+use relay::Urgency;
+
+use crate::clock::now;
+use crate::exchange::Exchange;
+use crate::permits::may_send;
+
+/// Maximum number of backend servers for which a request asks for a permit in turn.
+const MAX_PERMIT_REQUESTS: usize = 4;
+
+/// Time after which a caller may return whose request got no permit, in milliseconds.
+const NO_PERMIT_RETRY_AFTER_MS: u64 = 500;
+
+/// Chooses the backend server of the next attempt, and takes a permit if it limits its requests.
+pub async fn place(x: &Exchange, urgency: Urgency) -> Result<Choice, Unplaceable> {
+    for _ in 0..MAX_PERMIT_REQUESTS {
+        let choice = choose(x)?;
+        let is_permitted = may_send(&x.cx, &x.parsed.id, choice.server, urgency).await;
+        if is_permitted && takes_requests(x, choice.server) {
+            return Ok(choice);
+        }
+    }
+    Err(Unplaceable::NoneReady {
+        retry_after_ms: NO_PERMIT_RETRY_AFTER_MS,
+    })
+}
+
+/// Returns whether a backend server still takes requests, after the time that a permit took.
+fn takes_requests(x: &Exchange, key: ServerKey) -> bool {
+    let view = x.cx.view.borrow();
+    let server = view.fleet.get(key);
+    server.is_some_and(|server| server.takes_requests(now()))
+}
+
+fn choose(x: &Exchange) -> Result<Choice, Unplaceable> {
+    let view = x.cx.view.borrow();
+    let prompt = x.parsed.prompt.as_ref().map(|prompt| Prompt {
+        model: &prompt.model,
+        parts: &prompt.parts,
+        workspace: x.workspace.as_deref(),
+    });
+    let request = PlacementRequest {
+        service: &x.service,
+        objective_ms: x.route.objective_ms,
+        deadline: x.deadline,
+        prompt,
+        stream_build: x.stream_build.get(),
+        tried: &x.tried,
+        seed: x.seed,
+    };
+    let placement = Placement {
+        fleet: &view.fleet,
+        residency: &view.residency,
+        weights: &view.weights,
+        stores: PrefixStores {
+            configuration: view.configuration.as_deref(),
+            regions: &x.cx.settings.regions,
+        },
+        domain: &x.cx.settings.domain,
+        now: now(),
+    };
+    let result = placement.choose(&request);
+    let metrics = &x.cx.metrics;
+    let took_us = now().micros_since(placement.now);
+    metrics.decision.observe(took_us as f64 / 1_000_000.0);
+    if let Ok(choice) = &result {
+        metrics.expected_wait.observe(choice.wait_ms / 1_000.0);
+    }
+    result
+}
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -25,6 +25,8 @@
 use crate::exchange::DEADLINE_GRACE_MS;
 use crate::log_event::LogEvent;
 use crate::request_event::RequestEvent;
+use crate::server_choice::place;
+use crate::stream_builds;
 use crate::timing::duration_until;
 
 /// Events buffered for a slow caller before the backend server's stream is no longer read.
@@ -104,7 +106,7 @@
 /// take it or no retry is allowed.
 async fn resume(x: &mut Exchange) -> Option<Attempt> {
     loop {
-        let choice = match x.place(Urgency::Urgent).await {
+        let choice = match place(x, Urgency::Urgent).await {
             Ok(choice) => choice,
             Err(e) => {
                 RequestEvent::ResumeFailed {
@@ -175,6 +177,7 @@
         loop {
             match splitter.next_event() {
                 Ok(Some(event)) => {
+                    stream_builds::bind(x, attempt.choice.server);
                     if tx.send(Ok(event.bytes)).await.is_err() {
                         return StreamEnd::CallerLeft;
                     }
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -127,6 +127,15 @@
 
 #[test]
 fn lines_of_a_refused_request() {
+    let taken_up = RequestEvent::TakenUp {
+        id: "q2",
+        resumes: Some("q1"),
+        source: "peer",
+        answers: 2,
+        builds: 2,
+        took_ms: 3,
+    };
+    assert_snapshot!(taken_up, @r#"event=taken_up id="q2" resumes="q1" source=peer answers=2 builds=2 took_ms=3"#);
     let unnamed = RequestEvent::Refused {
         id: None,
         configuration: None,
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -5,6 +5,7 @@
 use policy::Time;
 
 use crate::responses::Responses;
+use crate::Build;
 use crate::LimitStatement;
 use crate::LimitUpdate;
 use crate::RateLimit;
@@ -46,6 +47,8 @@
     pub registration: Registration,
     /// Hash of its id and start time; the same on every router.
     pub instance_hash: u64,
+    /// Version of its software.
+    pub build: Build,
     /// When its registration was last received.
     pub seen_at: Time,
     /// Time until which it gets no requests because it rejected one or failed.
@@ -87,6 +90,7 @@
     pub(crate) fn new(now: Time, registration: Registration) -> BackendServer {
         BackendServer {
             instance_hash: instance_hash(&registration),
+            build: Build::new(&registration.build),
             registration,
             seen_at: now,
             avoid_until: Time(0),
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::backend_server::instance_hash;
 use crate::reading::restored_by;
 use crate::BackendServer;
+use crate::Build;
 use crate::LimitStatement;
 use crate::Reading;
 use crate::Registration;
@@ -52,8 +53,10 @@
 }
 
 /// What is remembered of an incarnation whose registration ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RemovedServer {
+    service: Arc<str>,
+    build: Build,
     says_leaving: bool,
     limit_statement: Option<LimitStatement>,
     remembered_until: Time,
@@ -128,6 +131,8 @@
         self.removed
             .retain(|_, removed| removed.remembered_until > now);
         let removed = RemovedServer {
+            service: Arc::clone(&server.registration.service),
+            build: server.build,
             says_leaving: server.says_leaving,
             limit_statement: server.limit_statement,
             remembered_until: now.plus_millis(REMEMBERED_MS),
@@ -270,6 +275,21 @@
             .filter(move |(_, server)| &*server.registration.service == service)
     }
 
+    /// Returns the builds of a service's servers, of those too whose registrations ended lately.
+    pub fn builds(&self, now: Time, service: &str) -> Vec<Build> {
+        let present = self.of_service(service).map(|(_, server)| server.build);
+        let removed = self
+            .removed
+            .values()
+            .filter(|removed| &*removed.service == service && removed.remembered_until > now);
+        let mut builds: Vec<Build> = present
+            .chain(removed.map(|removed| removed.build))
+            .collect();
+        builds.sort_unstable();
+        builds.dedup();
+        builds
+    }
+
     /// Removes another router's report from the backend servers for whose instance hash
     /// `keep` is false.
     pub fn clear_other_reports<F>(&mut self, router: u64, keep: F)
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -16,6 +16,7 @@
 use crate::Fleet;
 use crate::PrefixStores;
 use crate::ServerKey;
+use crate::StreamBuild;
 use crate::Transfer;
 use crate::TransferKind;
 use crate::Weights;
@@ -103,6 +104,8 @@
     pub deadline: Time,
     /// The prompt, if the service runs models.
     pub prompt: Option<Prompt<'a>>,
+    /// Where the request's stream may go on, if the response is one.
+    pub stream_build: StreamBuild,
     /// Backend servers that the request was dispatched to before.
     pub tried: &'a [ServerKey],
     /// Number that differs from request to request; breaks ties between equal candidates.
@@ -163,8 +166,8 @@
 /// Reason why no backend server can take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unplaceable {
-    /// No registered backend server runs the service and the model, apart from those that
-    /// the request was dispatched to before.
+    /// No registered backend server runs the service and the model, at the build of the request's
+    /// stream, apart from those that the request was dispatched to before.
     NoServer,
     /// All are draining, avoided after a rejection or a failure, loading weights, or still
     /// have weights on which no request may begin any more.
@@ -236,7 +239,7 @@
         let untried: Vec<Candidate<'_>> = self
             .fleet
             .of_service(request.service)
-            .filter(|(key, server)| !request.tried.contains(key) && serves_model(server, request))
+            .filter(|(key, server)| !request.tried.contains(key) && may_serve(server, request))
             .collect();
         if untried.is_empty() {
             return Err(Unplaceable::NoServer);
@@ -402,6 +405,15 @@
     load.prefill_ms as f64 + f64::from(load.requests) * QUEUED_REQUEST_MS
 }
 
+/// Returns whether a backend server has the request's model, and the build at which its stream began.
+fn may_serve(server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
+    let is_at_build = match request.stream_build {
+        StreamBuild::Any => true,
+        StreamBuild::Only(build) => server.build == build,
+    };
+    is_at_build && serves_model(server, request)
+}
+
 fn serves_model(server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
     let Some(prompt) = &request.prompt else {
         return true;
--- /dev/null
+++ b/crates/relay/src/stream_origins.rs
@@ -0,0 +1,151 @@
+//! At which build streams began.
+//!
+//! A caller may take a stream up at any router, often because the one that served it was killed. So
+//! that router tells a few others the build before it passes the first event on.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use policy::Time;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Build;
+
+/// Time for which a stream's build is known after its first event, in milliseconds; longer than
+/// a caller waits.
+const KEPT_MS: u64 = 30_000;
+
+/// Maximum number of streams that are known.
+const MAX_STREAMS: usize = 20_000;
+
+/// A stream, as the hash of the id of the request that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamId(u64);
+
+impl StreamId {
+    /// Returns the stream that began in response to the request `id`.
+    pub fn new(id: &str) -> StreamId {
+        StreamId(policy::name_hash(id))
+    }
+
+    /// Returns the hash by which routers are chosen that are told of the stream.
+    pub fn hash(self) -> u64 {
+        self.0
+    }
+}
+
+/// The build at which a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamId,
+    /// The build.
+    pub build: Build,
+}
+
+/// Where a stream may go on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StreamBuild {
+    /// At any build, as no event has been passed on.
+    #[default]
+    Any,
+    /// Only at this build.
+    Only(Build),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownStream {
+    build: Build,
+    /// Hash of the name of its service, if it began at this router.
+    began_here: Option<u64>,
+}
+
+/// The builds of the streams that began at this router, or of which others have told it.
+#[derive(Clone, Debug, Default)]
+pub struct StreamOrigins {
+    by_stream: HashMap<StreamId, KnownStream>,
+    /// Streams in the order in which they were recorded, with the time until which they are kept.
+    kept_until: VecDeque<(Time, StreamId)>,
+}
+
+impl StreamOrigins {
+    /// Records a stream of a service that begins at this router.
+    pub fn begin(&mut self, now: Time, origin: StreamOrigin, service: &str) {
+        self.insert(now, origin, Some(policy::name_hash(service)));
+    }
+
+    /// Records a stream that began at another router.
+    pub fn record(&mut self, now: Time, origin: StreamOrigin) {
+        self.insert(now, origin, None);
+    }
+
+    /// Returns the build of a stream, if it is known.
+    pub fn build(&self, stream: StreamId) -> Option<Build> {
+        Some(self.by_stream.get(&stream)?.build)
+    }
+
+    /// Returns the streams of a service that began at this router.
+    pub fn begun_here(&self, service: &str) -> Vec<StreamOrigin> {
+        let service = policy::name_hash(service);
+        let streams = self.by_stream.iter();
+        let here = streams.filter(|(_, known)| known.began_here == Some(service));
+        here.map(|(stream, known)| StreamOrigin {
+            stream: *stream,
+            build: known.build,
+        })
+        .collect()
+    }
+
+    fn insert(&mut self, now: Time, origin: StreamOrigin, began_here: Option<u64>) {
+        self.remove_expired(now);
+        let known = KnownStream {
+            build: origin.build,
+            began_here,
+        };
+        // The first event binds the stream; what comes later tells the same or is wrong.
+        if let std::collections::hash_map::Entry::Vacant(vacant) =
+            self.by_stream.entry(origin.stream)
+        {
+            vacant.insert(known);
+            let until = now.plus_millis(KEPT_MS);
+            self.kept_until.push_back((until, origin.stream));
+        }
+    }
+
+    fn remove_expired(&mut self, now: Time) {
+        while let Some((until, stream)) = self.kept_until.front().copied() {
+            if until > now && self.kept_until.len() < MAX_STREAMS {
+                return;
+            }
+            self.kept_until.pop_front();
+            self.by_stream.remove(&stream);
+        }
+    }
+}
+
+/// What is known of the build of a stream that a caller takes up.
+#[derive(Clone, Debug)]
+pub struct TakenUp {
+    /// Its build, as this router or another knows it.
+    pub known: Option<Build>,
+    /// Number of other routers that have answered.
+    pub answers: usize,
+    /// Whether this router's registrations are recent, and reach back as far as a stream can last.
+    pub is_history_known: bool,
+    /// Builds of the service's servers within that time.
+    pub builds: Vec<Build>,
+}
+
+impl TakenUp {
+    /// Returns the build at which the stream may go on; none if that isn't known. Routers tell each
+    /// other nothing while a service has only one build, at which then all streams began.
+    pub fn build(&self) -> Option<Build> {
+        let is_certain = self.answers > 0 || self.is_history_known;
+        match (self.known, &self.builds[..]) {
+            (Some(build), _) => Some(build),
+            (None, [only]) if is_certain => Some(*only),
+            (None, _) => None,
+        }
+    }
+}
--- a/crates/relay/src/topology.rs
+++ b/crates/relay/src/topology.rs
@@ -7,7 +7,9 @@
 //! unresponsive one for a while. Two hubs in a region at a time cost extra messages but
 //! never correctness.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use policy::Time;
 use serde::Deserialize;
@@ -153,6 +155,27 @@
         self.hub(now, region)
     }
 
+    /// Returns up to `count` other routers for which `is_usable` is true, by rendezvous hashing of
+    /// `hash`: the first of each region, then the rest.
+    pub fn keepers<F>(&self, hash: u64, count: usize, is_usable: F) -> Vec<u64>
+    where
+        F: Fn(u64) -> bool,
+    {
+        let members = self.members.iter();
+        let mut usable: Vec<(u64, u64)> = members
+            .filter(|(router, _)| **router != self.me && is_usable(**router))
+            .map(|(router, member)| (*router, member.region))
+            .collect();
+        usable.sort_by_key(|(router, _)| Reverse(policy::rendezvous_weight(hash, *router)));
+        let mut regions = BTreeSet::new();
+        let (mut first, rest): (Vec<_>, Vec<_>) = usable
+            .into_iter()
+            .partition(|(_, region)| regions.insert(*region));
+        first.extend(rest);
+        first.truncate(count);
+        first.into_iter().map(|(router, _)| router).collect()
+    }
+
     /// Returns the routers to which this one sends its messages.
     pub fn recipients(&mut self, now: Time) -> Vec<u64> {
         let me = self.me;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use relay::Revision;
 use relay::ServerKey;
 use relay::ServerState;
+use relay::StreamBuild;
 
 pub const MODEL: &str = "long";
 pub const SERVICE: &str = "engines";
@@ -88,6 +89,7 @@
             parts,
             workspace: None,
         }),
+        stream_build: StreamBuild::Any,
         tried: &[],
         seed: 7,
     }
