--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -255,7 +255,7 @@
         priority: relay::engine_priority(&x.route, workspace, choice.prefill_ms),
         weights: choice.weights.map(|version| ExpectedWeights {
             version,
-            scope: relay::cache_scope(version, workspace),
+            scope: relay::cache_scope(version, choice.build, workspace),
         }),
         fetch_from,
         save_to: choice.save_to(),
--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -19,6 +19,7 @@
 use crate::residency::Residency;
 use crate::shared_prefix::SharedPrefix;
 use crate::BackendServer;
+use crate::Build;
 use crate::Fleet;
 use crate::PrefixStores;
 use crate::ServerKey;
@@ -60,8 +61,15 @@
         /// Cost of any engine but the first in the ranking, in milliseconds.
         miss_cost_ms: f64,
     },
-    /// A shared prefix, by the version of the weights that it would be computed with.
-    Large(BTreeMap<u64, SharedPrefix<'a>>),
+    /// A shared prefix, by what it would be computed with.
+    Large(BTreeMap<EngineVersion, SharedPrefix<'a>>),
+}
+
+/// What a cached part is computed with; engines of different versions share none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct EngineVersion {
+    weights: u64,
+    build: Build,
 }
 
 /// Cache affinity of one prompt, from which candidate engines are scored.
@@ -101,7 +109,10 @@
             return;
         };
         match &self.shared {
-            SharedParts::Large(parts) => parts[&weights].estimate(server, choice),
+            SharedParts::Large(parts) => {
+                let build = choice.build;
+                parts[&EngineVersion { weights, build }].estimate(server, choice);
+            }
             SharedParts::Small {
                 ranking,
                 miss_cost_ms,
@@ -115,7 +126,8 @@
     /// Sets where the chosen engine gets the shared prefix from and whether it saves it.
     pub(crate) fn plan_transfer(&self, choice: &mut Choice) {
         if let (SharedParts::Large(parts), Some(weights)) = (&self.shared, choice.weights) {
-            parts[&weights].plan_transfer(choice);
+            let build = choice.build;
+            parts[&EngineVersion { weights, build }].plan_transfer(choice);
         }
     }
 }
@@ -134,20 +146,22 @@
     (prefix.tokens >= MIN_TRACKED_TOKENS).then_some(prefix)
 }
 
-/// Looks up a shared prefix under each version of the weights that a ready engine has.
+/// Looks up a shared prefix under each version that a ready engine has.
 fn prefixes_by_version<'a>(
     state: PlacementState<'a>,
     prompt: &Prompt<'_>,
     prefix: PromptPart,
     tokens: u64,
-) -> BTreeMap<u64, SharedPrefix<'a>> {
+) -> BTreeMap<EngineVersion, SharedPrefix<'a>> {
     let mut parts = BTreeMap::new();
     for (_, server) in state.ready {
         let Some(weights) = server.weights(prompt.model) else {
             continue;
         };
-        parts.entry(weights).or_insert_with(|| {
-            let scope = crate::cache_scope(weights, prompt.workspace);
+        let build = server.build;
+        let version = EngineVersion { weights, build };
+        parts.entry(version).or_insert_with(|| {
+            let scope = crate::cache_scope(weights, build, prompt.workspace);
             let part = PartKey::new(prompt.model, &scope, prefix.id);
             SharedPrefix::new(state, part, prefix.tokens, tokens)
         });
--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -1,5 +1,9 @@
 //! Versions of backend servers' software.
 
+use std::fmt;
+use std::fmt::Display;
+use std::fmt::Formatter;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -14,3 +18,9 @@
         Build(policy::name_hash(name))
     }
 }
+
+impl Display for Build {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -13,6 +13,7 @@
 use crate::residency::PartKey;
 use crate::residency::Residency;
 use crate::BackendServer;
+use crate::Build;
 use crate::Fleet;
 use crate::PrefixStores;
 use crate::ServerKey;
@@ -117,6 +118,8 @@
 pub struct Choice {
     /// Backend server.
     pub server: ServerKey,
+    /// Version of the backend server's software.
+    pub build: Build,
     /// Version of the weights that the backend server is expected to have.
     pub weights: Option<u64>,
     /// Estimated prefill time of the prompt, in milliseconds.
@@ -339,6 +342,7 @@
         let wait_ms = wait_ms(server, self.now);
         let mut choice = Choice {
             server: key,
+            build: server.build,
             weights: None,
             prefill_ms: 0.0,
             wait_ms,
--- a/crates/relay/src/shared_prefix.rs
+++ b/crates/relay/src/shared_prefix.rs
@@ -218,12 +218,15 @@
     }
 
     /// Returns the engine other than `except` that most likely caches the prefix if no
-    /// responsive one is recorded: the first by rendezvous hashing with the same weights.
+    /// responsive one is recorded: the first by rendezvous hashing with the same weights and build.
     fn next_ranked_engine(&self, except: ServerKey, server: &BackendServer) -> Option<ServerKey> {
         let weights = &server.registration.weights;
         let others = self.state.ready.iter();
-        let others =
-            others.filter(|(key, other)| *key != except && &other.registration.weights == weights);
+        let others = others.filter(|(key, other)| {
+            let is_same_version =
+                &other.registration.weights == weights && other.build == server.build;
+            *key != except && is_same_version
+        });
         others
             .max_by_key(|(_, other)| rendezvous::engine_weight(self.part, other))
             .map(|(key, _)| *key)
