--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -95,7 +95,7 @@
             configuration: None,
             configuration_since: now(),
             weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
-            fleet: Fleet::default(),
+            fleet: Fleet::new(settings.heartbeat_ms),
             reads_registrations: false,
             peer_readings: PeerReadings::default(),
             routers_known: false,
@@ -138,6 +138,7 @@
             as_of,
             read_at: now,
             outage_until: self.store_unreachable_until,
+            outages_known_since: Time(0),
         }
     }
 
@@ -146,7 +147,7 @@
     pub fn announced_reading(&self) -> Option<Reading> {
         let reading = self.fleet.reading()?;
         Some(Reading {
-            outage_until: reading.outage_until.max(self.knows_outages_since),
+            outages_known_since: reading.outages_known_since.max(self.knows_outages_since),
             ..reading
         })
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -441,7 +441,8 @@
     fn outage_age_ms(&self) -> u64 {
         let view = self.view.borrow();
         let reading = view.fleet.reading();
-        let outage_until = reading.map_or(view.store_unreachable_until, |r| r.outage_until);
+        let outage_until =
+            reading.map_or(view.store_unreachable_until, |r| r.outage_possible_until());
         now().millis_since(outage_until)
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -90,6 +90,8 @@
     pub fenced: bool,
     /// Shortest time to live of a lease that the store grants, in milliseconds.
     pub min_lease_ms: u64,
+    /// Interval at which backend servers renew their registrations, in milliseconds.
+    pub heartbeat_ms: u64,
     /// Time from the stop signal until the platform kills the process, in milliseconds.
     pub stop_ms: u64,
     /// Time after the announcement of new weights from which no request may start on the
--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -27,6 +27,9 @@
 /// Default of `min_lease_ms`.
 const MIN_LEASE_MS: f64 = 1_000.0;
 
+/// Default of `heartbeat_ms`, shorter than usual: a longer one takes more for granted.
+const HEARTBEAT_MS: f64 = 500.0;
+
 /// Content of a settings file. Unknown fields are ignored and named in a warning.
 #[derive(Debug, Deserialize)]
 pub struct SettingsJson {
@@ -42,6 +45,7 @@
     order_lease_ms: Option<f64>,
     fenced: Option<bool>,
     min_lease_ms: Option<f64>,
+    heartbeat_ms: Option<f64>,
     stop_s: Option<f64>,
     weights_due_ms: Option<f64>,
     repeat_ratio: Option<f64>,
@@ -88,6 +92,7 @@
             )?,
             fenced: json.fenced.unwrap_or(false),
             min_lease_ms: to_integer("min_lease_ms", json.min_lease_ms.unwrap_or(MIN_LEASE_MS))?,
+            heartbeat_ms: to_integer("heartbeat_ms", json.heartbeat_ms.unwrap_or(HEARTBEAT_MS))?,
             stop_ms: to_integer("stop_s", json.stop_s.unwrap_or(8.0) * 1_000.0)?,
             weights_due_ms: to_integer(
                 "weights_due_ms",
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -52,6 +52,7 @@
         ("name", json!("")),
         ("repeat_ratio", json!(-0.5)),
         ("min_lease_ms", json!(9_000)),
+        ("heartbeat_ms", json!(-1)),
     ] {
         let e = read(&with(field, value.clone())).unwrap_err();
         let named = e.contains(field) || e.contains("order_lease_ms") || e.contains("repeats");
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -25,6 +25,10 @@
 /// milliseconds.
 const AFTER_OUTAGE_MS: u64 = 6_000;
 
+/// Heartbeats without which a registration may lapse: the platform waits for three, and the outage may
+/// begin just before one is due.
+const LAPSE_HEARTBEATS: u64 = 2;
+
 /// Key of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerKey {
@@ -70,6 +74,9 @@
     by_instance_hash: HashMap<u64, ServerKey>,
     /// Up to where the registrations were read; none before the first list.
     reading: Option<Reading>,
+    /// Shortest outage of the store in which a live server's registration may lapse, in
+    /// milliseconds.
+    lapse_ms: u64,
     /// Incarnations whose registrations ended lately, by instance hash.
     removed: BTreeMap<u64, RemovedServer>,
     /// Time until which registrations of removed incarnations are ignored, as the store has come
@@ -78,6 +85,14 @@
 }
 
 impl Fleet {
+    /// Returns an empty fleet whose servers renew their registrations each `heartbeat_ms`.
+    pub fn new(heartbeat_ms: u64) -> Fleet {
+        Fleet {
+            lapse_ms: heartbeat_ms * LAPSE_HEARTBEATS,
+            ..Fleet::default()
+        }
+    }
+
     /// Returns up to where and when the registrations were read; none before the first list.
     pub fn reading(&self) -> Option<Reading> {
         self.reading
@@ -89,6 +104,10 @@
         if self.is_newer_than(reading) {
             return;
         }
+        let reading = match self.reading {
+            Some(earlier) => reading.joined_to(earlier, self.lapse_ms),
+            None => reading,
+        };
         let known = self.reading.replace(reading);
         if known.is_some_and(|known| known.as_of.era < reading.as_of.era) {
             self.ignores_removed_until = reading.restored_by();
@@ -175,7 +194,7 @@
             present.insert(registration.id.clone());
             changes.extend(self.apply(now, registration));
         }
-        let is_restore_period_over = reading.restored_by() <= now;
+        let is_restore_period_over = self.reading.is_some_and(|r| r.restored_by() <= now);
         let ids: Vec<Arc<str>> = self.by_id.keys().cloned().collect();
         for id in ids.into_iter().filter(|id| !present.contains(id)) {
             let change = if is_restore_period_over {
@@ -244,7 +263,8 @@
     /// that is fresh and long enough after an outage of the store.
     pub fn is_registered(&self, now: Time, instance_hash: u64) -> bool {
         let is_reliable = self.reading.is_some_and(|reading| {
-            reading.is_fresh(now) && now.millis_since(reading.outage_until) > AFTER_OUTAGE_MS
+            reading.is_fresh(now)
+                && now.millis_since(reading.outage_possible_until()) > AFTER_OUTAGE_MS
         });
         let key = self.by_instance_hash(instance_hash);
         let server = key.and_then(|key| self.get(key));
--- a/crates/relay/src/peer_readings.rs
+++ b/crates/relay/src/peer_readings.rs
@@ -83,6 +83,6 @@
         let readings = self.by_router.values().map(|peer| peer.reading);
         let recent = readings.filter(|reading| reading.is_fresh(now) && reading.read_at > since);
         let latest = recent.max_by_key(|reading| reading.read_at)?;
-        Some(latest.outage_until)
+        Some(latest.outage_possible_until())
     }
 }
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -25,8 +25,10 @@
     pub as_of: Revision,
     /// When they were read.
     pub read_at: Time,
-    /// End of the last outage of the store, as the router that read them knows.
+    /// End of the last outage of the store that the router that read them knows of.
     pub outage_until: Time,
+    /// Time since which that router would know of an outage.
+    pub outages_known_since: Time,
 }
 
 impl Reading {
@@ -35,9 +37,29 @@
         now.millis_since(self.read_at) < MAX_AGE_MS
     }
 
-    /// Returns the time until which registrations that went missing in the outage are kept.
+    /// Returns the time up to which an outage may have lasted that removed registrations.
+    pub fn outage_possible_until(&self) -> Time {
+        self.outage_until.max(self.outages_known_since)
+    }
+
+    /// Returns the time until which registrations that went missing in an outage are kept.
     pub fn restored_by(&self) -> Time {
-        restored_by(self.outage_until)
+        restored_by(self.outage_possible_until())
+    }
+
+    /// Returns what is known from this reading and an earlier one, which was made no more than
+    /// `lapse_ms` before this one's reader knows of outages: a shorter outage removes no
+    /// registration of a live server.
+    pub fn joined_to(self, earlier: Reading, lapse_ms: u64) -> Reading {
+        let reaches = earlier.read_at.plus_millis(lapse_ms) >= self.outages_known_since;
+        if earlier.as_of.era != self.as_of.era || !reaches {
+            return self;
+        }
+        Reading {
+            outage_until: self.outage_until.max(earlier.outage_until),
+            outages_known_since: self.outages_known_since.min(earlier.outages_known_since),
+            ..self
+        }
     }
 }
 
@@ -56,6 +78,8 @@
     pub age_ms: u32,
     /// Time since the end of the last outage, in milliseconds.
     pub outage_age_ms: u32,
+    /// Time for which the router that read them would know of an outage, in milliseconds.
+    pub outages_known_ms: u32,
 }
 
 impl ReadingUpdate {
@@ -65,6 +89,7 @@
             as_of: reading.as_of,
             age_ms: age_ms(now, reading.read_at),
             outage_age_ms: age_ms(now, reading.outage_until),
+            outages_known_ms: age_ms(now, reading.outages_known_since),
         }
     }
 
@@ -74,6 +99,7 @@
             as_of: self.as_of,
             read_at: time_of(now, self.age_ms),
             outage_until: time_of(now, self.outage_age_ms),
+            outages_known_since: time_of(now, self.outages_known_ms),
         }
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -60,6 +60,7 @@
         as_of: Revision { era, number },
         read_at: at(0),
         outage_until,
+        outages_known_since: Time(0),
     }
 }
 
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -13,6 +13,7 @@
 use relay::FleetChange;
 use relay::Gossip;
 use relay::LoadUpdate;
+use relay::Reading;
 use relay::Residency;
 use relay::ServerState;
 use relay::SwitchUpdate;
@@ -246,3 +247,62 @@
     // Assert
     assert!(fleet.get(key).unwrap().takes_requests(at(520)));
 }
+
+/// Heartbeat of the servers, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_200;
+
+/// Returns a fleet with a server, read from the store at 0.
+fn fleet_with_heartbeats() -> Fleet {
+    let mut fleet = Fleet::new(HEARTBEAT_MS);
+    fleet.replace(at(0), vec![registration("e0", 1)], reading(5, Time(0)));
+    fleet
+}
+
+/// Returns the reading of a router that has started at `started_at`.
+fn reading_since(number: u64, started_at: Time, read_at: Time) -> Reading {
+    Reading {
+        read_at,
+        outages_known_since: started_at,
+        ..reading(number, Time(0))
+    }
+}
+
+#[test]
+fn a_reader_that_was_restarted_excuses_no_missing_server_that_an_earlier_reading_shows() {
+    let mut fleet = fleet_with_heartbeats();
+    let restarted = reading_since(6, at(1_700), at(1_800));
+    fleet.replace(at(1_900), Vec::new(), restarted);
+    assert_eq!(fleet.by_id("e0"), None);
+}
+
+#[test]
+fn a_gap_in_which_a_live_server_may_lapse_excuses_a_missing_one() {
+    let mut fleet = fleet_with_heartbeats();
+    let restarted = reading_since(6, at(2_500), at(2_600));
+    fleet.replace(at(2_700), Vec::new(), restarted);
+    assert!(fleet.by_id("e0").is_some());
+    assert!(fleet.is_list_due(at(4_600)));
+}
+
+#[test]
+fn an_outage_that_the_restarted_reader_has_seen_still_excuses() {
+    let mut fleet = fleet_with_heartbeats();
+    let restarted = Reading {
+        outage_until: at(1_750),
+        ..reading_since(6, at(1_700), at(1_800))
+    };
+    fleet.replace(at(1_900), Vec::new(), restarted);
+    assert!(fleet.by_id("e0").is_some());
+}
+
+#[test]
+fn readings_of_different_eras_are_not_joined() {
+    let mut fleet = fleet_with_heartbeats();
+    let restarted = Reading {
+        read_at: at(1_800),
+        outages_known_since: at(1_700),
+        ..reading_in(2, 6, Time(0))
+    };
+    fleet.replace(at(1_900), Vec::new(), restarted);
+    assert!(fleet.by_id("e0").is_some());
+}
--- a/crates/relay/tests/peer_readings.rs
+++ b/crates/relay/tests/peer_readings.rs
@@ -20,6 +20,7 @@
             as_of: Revision { era: 1, number: 5 },
             read_at,
             outage_until: Time(0),
+            outages_known_since: Time(0),
         },
         routers: None,
     }
