--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -90,11 +90,22 @@
     });
 }
 
+/// Returns whether an engine may be called now: it has not asked for no requests, and permits the
+/// call if it limits them. The step is due again later otherwise.
+async fn may_call(cx: &Context, call: &str, key: ServerKey) -> bool {
+    let wants_nothing = {
+        let view = cx.view.borrow();
+        let server = view.fleet.get(key);
+        server.is_some_and(|server| server.retry_at > now())
+    };
+    !wants_nothing && may_send(cx, call, key, Urgency::Urgent).await
+}
+
 async fn report(cx: &Context, key: ServerKey) {
     let Some((_, address)) = address(cx, key) else {
         return;
     };
-    if !may_send(cx, "report", key, Urgency::Urgent).await {
+    if !may_call(cx, "report", key).await {
         return;
     }
     let observed = cx.engines.report(address).await;
@@ -124,7 +135,7 @@
 }
 
 async fn order(cx: &Context, key: ServerKey, model: Arc<str>, version: u64, accepted: u64) {
-    if !may_send(cx, "order", key, Urgency::Urgent).await {
+    if !may_call(cx, "order", key).await {
         let mut view = cx.view.borrow_mut();
         return view
             .order_plan
