--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -18,6 +18,7 @@
 use crate::PlatformClient;
 use crate::Result;
 use crate::RollbackCommand;
+use crate::ServersCommand;
 use crate::StatusCommand;
 use crate::TimelineCommand;
 use crate::TraceCommand;
@@ -63,6 +64,8 @@
     Rollback(RollbackCommand),
     /// Shows to which backend server a completion would be sent, and why.
     Explain(ExplainCommand),
+    /// Shows which backend servers get requests of a router, and why the others don't.
+    Servers(ServersCommand),
     /// Shows the log lines of one request from router logs.
     Trace(TraceCommand),
     /// Shows how the routers' views changed, from their logs.
@@ -108,7 +111,7 @@
             None => ArgumentSnafu {
                 argument: "command",
                 expected:
-                    "one of check, diff, apply, status, history, rollback, explain, trace, timeline; see --help",
+                    "one of check, diff, apply, status, history, rollback, explain, servers, trace, timeline; see --help",
             }
             .fail(),
         }
@@ -125,6 +128,7 @@
             Command::History(command) => command.run(&platform.store()?).await,
             Command::Rollback(command) => command.run(&platform.store()?, progress).await,
             Command::Explain(command) => command.run().await,
+            Command::Servers(command) => command.run().await,
             Command::Trace(command) => command.run(),
             Command::Timeline(command) => command.run(),
         }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' command line, `turmerichollowctl`.
 //!
 //! Most commands read or change the configuration in the platform's key-value
-//! service. `explain` queries a router; `trace` and `timeline` read router logs.
+//! service. `explain` and `servers` query a router; `trace` and `timeline` read router logs.
 //! Each command reports its outcome as text or as one JSON document.
 
 mod apply_command;
@@ -26,6 +26,7 @@
 mod rollback_command;
 mod rollout;
 mod router_client;
+mod servers_command;
 mod status_command;
 mod timeline_command;
 mod trace_command;
@@ -49,6 +50,7 @@
 pub use crate::outcome::Outcome;
 pub use crate::platform_client::PlatformClient;
 pub use crate::rollback_command::RollbackCommand;
+pub use crate::servers_command::ServersCommand;
 pub use crate::status_command::StatusCommand;
 pub use crate::timeline_command::Timeline;
 pub use crate::timeline_command::TimelineCommand;
--- a/crates/ctl/src/router_client.rs
+++ b/crates/ctl/src/router_client.rs
@@ -36,6 +36,16 @@
         }
     }
 
+    /// Fetches `path` and returns the parsed JSON response.
+    pub(crate) async fn get<A>(&self, path: &str) -> Result<A>
+    where
+        A: DeserializeOwned,
+    {
+        let uri = format!("http://{}{path}", self.router);
+        let req = Request::get(uri).body(Full::default());
+        self.call(req.map_err(|e| self.error(e))?).await
+    }
+
     /// Posts `body` to `path` and returns the parsed JSON response.
     pub(crate) async fn post<A>(
         &self,
@@ -54,6 +64,13 @@
         let req = req
             .body(Full::new(Bytes::from(body)))
             .map_err(|e| self.error(e))?;
+        self.call(req).await
+    }
+
+    async fn call<A>(&self, req: Request<Full<Bytes>>) -> Result<A>
+    where
+        A: DeserializeOwned,
+    {
         match timeout(RESPONSE_TIMEOUT, self.send(req)).await {
             Ok(response) => response,
             Err(_) => Err(self.error("no response in time")),
@@ -80,7 +97,7 @@
         E: ToString,
     {
         RouterSnafu {
-            step: "explain",
+            step: "query",
             router: self.router,
             reason: reason.to_string(),
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -217,7 +217,7 @@
         let readiness = open("readiness", addresses.readiness)?;
         self.serve(readiness, |cx, _| status_pages::readiness(cx));
         let metrics = SocketAddr::new(addresses.callers.ip(), addresses.metrics_port);
-        self.serve(open("metrics", metrics)?, |cx, _| status_pages::metrics(cx));
+        self.serve(open("metrics", metrics)?, status_pages::operators);
         self.serve(
             open("other routers", peer_address(&cx.settings))?,
             status_pages::bootstrap,
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -140,7 +140,8 @@
     })
 }
 
-fn to_json<T>(value: &T) -> Vec<u8>
+/// Returns a value as JSON; nothing, and a line in the log, if that fails.
+pub fn to_json<T>(value: &T) -> Vec<u8>
 where
     T: Serialize,
 {
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
+use relay::ServerReport;
 
 use crate::body::full_body;
 use crate::body::ResponseBody;
@@ -12,6 +13,7 @@
 use crate::snapshot::routers_json;
 use crate::snapshot::servers_json;
 use crate::snapshot::snapshot_json;
+use crate::snapshot::to_json;
 
 /// Returns the readiness page: status 200 if this router accepts new callers, else 503.
 pub fn readiness(cx: &Context) -> Response<ResponseBody> {
@@ -22,8 +24,23 @@
     }
 }
 
-/// Returns the metrics in the Prometheus text format.
-pub fn metrics(cx: &Context) -> Response<ResponseBody> {
+/// Returns the pages for operators: at `/servers` what this router knows of each backend server,
+/// as JSON, otherwise the metrics in the Prometheus text format.
+pub fn operators(cx: &Context, path: &str) -> Response<ResponseBody> {
+    match path {
+        "/servers" => page(StatusCode::OK, server_reports_json(cx).into()),
+        _ => metrics(cx),
+    }
+}
+
+fn server_reports_json(cx: &Context) -> Vec<u8> {
+    let view = cx.view.borrow();
+    let servers = view.fleet.iter();
+    let reports = servers.map(|(_, server)| ServerReport::new(now(), server));
+    to_json(&reports.collect::<Vec<_>>())
+}
+
+fn metrics(cx: &Context) -> Response<ResponseBody> {
     let mut view = cx.view.borrow_mut();
     let text = cx.metrics.text(now(), &mut view, cx.log.dropped());
     page(StatusCode::OK, text.into())
