--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,20 +6,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use policy::Time;
 use relay::Announcement;
 use relay::Build;
 use relay::Configuration;
 use relay::FleetChange;
-use relay::LimitUpdate;
 use relay::PeerReading;
 use relay::Permit;
-use relay::RateLimit;
 use relay::Reading;
 use relay::Registration;
 use relay::RetryBudget;
 use relay::ServerKey;
-use relay::ServerStatement;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -31,12 +27,8 @@
 use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
-use crate::peer_message::PeerMessage;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
-use crate::process_event::log_failure;
-use crate::process_event::log_peer_failure;
-use crate::process_event::Step;
 use crate::server_event::ServerEvent;
 use crate::settings::Settings;
 use crate::store::Store;
@@ -178,90 +170,6 @@
         self.peers.announce_ended(server.instance_hash);
     }
 
-    /// Records that a backend server has said in a response that it leaves. `source` is
-    /// `response` for a response to this router, `peer` for one to another.
-    pub fn mark_leaving(&self, key: ServerKey, source: &str) {
-        if self.view.borrow_mut().fleet.mark_leaving(key) {
-            self.metrics.leaving_by_response.inc();
-            self.on_fleet_change(Some(FleetChange::Draining(key)), source);
-            self.peers.wake.notify_one();
-        }
-    }
-
-    /// Records the limit on its requests that a backend server names to a request sent at
-    /// `sent_at`, or that it names none.
-    pub fn record_limit(&self, key: ServerKey, limit: Option<RateLimit>, sent_at: Time) {
-        let mut view = self.view.borrow_mut();
-        let Some(server) = view.fleet.get_mut(key) else {
-            return;
-        };
-        let before = server.limit();
-        if !server.record_limit(now(), limit, sent_at) {
-            return;
-        }
-        ServerEvent::Limit {
-            server: &server.registration.id,
-            before,
-            limit: server.limit(),
-            source: "response",
-        }
-        .write();
-    }
-
-    /// Merges what a backend server said of its limit to another router.
-    pub fn merge_limit(&self, key: ServerKey, update: LimitUpdate) {
-        let mut view = self.view.borrow_mut();
-        let Some(server) = view.fleet.get_mut(key) else {
-            return;
-        };
-        let before = server.limit();
-        if !server.merge_limit(update.statement(now())) {
-            return;
-        }
-        ServerEvent::Limit {
-            server: &server.registration.id,
-            before,
-            limit: server.limit(),
-            source: "peer",
-        }
-        .write();
-    }
-
-    /// Records what backend servers have said of themselves in responses to other routers.
-    pub fn apply_statements(&self, statements: &[ServerStatement]) {
-        for statement in statements {
-            let key = self.view.borrow().fleet.by_instance_hash(statement.server);
-            let Some(key) = key else {
-                continue;
-            };
-            if statement.leaving {
-                self.mark_leaving(key, "peer");
-            }
-            if let Some(update) = statement.limit {
-                self.merge_limit(key, update);
-            }
-        }
-    }
-
-    /// Sends a datagram to another router.
-    pub async fn send_to_peer(&self, address: SocketAddr, message: &PeerMessage) {
-        match postcard::to_stdvec(message) {
-            Ok(bytes) => self.send_bytes_to_peer(address, &bytes).await,
-            Err(e) => log_failure(Step::Gossip, &e),
-        }
-    }
-
-    /// Sends a datagram to another router without waiting for room in the socket's buffer.
-    pub fn try_send_to_peer(&self, address: SocketAddr, message: &PeerMessage) {
-        let bytes = match postcard::to_stdvec(message) {
-            Ok(bytes) => bytes,
-            Err(e) => return log_failure(Step::Gossip, &e),
-        };
-        if let Err(e) = self.peer_socket.try_send_to(&bytes, address) {
-            log_peer_failure(Step::GossipSend, &address, &e);
-        }
-    }
-
     /// Returns whether this router's registrations are recent, and it has known them for `ms`
     /// milliseconds.
     pub fn is_history_known(&self, ms: u64) -> bool {
@@ -272,13 +180,6 @@
             && now.millis_since(view.started_at) >= ms
     }
 
-    /// Sends an encoded datagram to another router.
-    pub async fn send_bytes_to_peer(&self, address: SocketAddr, bytes: &[u8]) {
-        if let Err(e) = self.peer_socket.send_to(bytes, address).await {
-            log_peer_failure(Step::GossipSend, &address, &e);
-        }
-    }
-
     /// Adds or updates a backend server's registration.
     pub fn apply_registration(&self, registration: Registration, source: &str) {
         let change = self.view.borrow_mut().fleet.apply(now(), registration);
@@ -371,7 +272,8 @@
         f(budget)
     }
 
-    fn on_fleet_change(&self, change: Option<FleetChange>, source: &str) {
+    /// Logs a change to the set of backend servers, and does what follows from it.
+    pub(crate) fn on_fleet_change(&self, change: Option<FleetChange>, source: &str) {
         match change {
             None => {}
             Some(FleetChange::Removed(id)) => {
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -15,6 +15,7 @@
 use crate::context::Context;
 use crate::gossip_message::build_message;
 use crate::peer_message::PeerMessage;
+use crate::peer_sender::encode;
 use crate::peers::SentPart;
 use crate::peers::WeightsSwitch;
 use crate::permits;
@@ -46,12 +47,8 @@
         let _ = timeout(interval, cx.peers.wake.notified()).await;
         let message = PeerMessage::Gossip(Box::new(build_message(&cx)));
         cx.peers.remove_expired();
-        let bytes = match postcard::to_stdvec(&message) {
-            Ok(bytes) => bytes,
-            Err(e) => {
-                log_failure(Step::Gossip, &e);
-                continue;
-            }
+        let Some(bytes) = encode(&message) else {
+            continue;
         };
         let recipients = cx.peers.topology.borrow_mut().recipients(now());
         let mut addresses = cx.peers.addresses(&recipients);
