router: the process soak has servers of two software versions, one that limits its requests, and callers that take streams up

Each event names the version that sent it, so that a mixed stream shows in what its caller has. Once routers are in touch, the limited server gets at most one and a half times its limit and five more.

--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -3,8 +3,9 @@
 //! Routers are killed, terminated, paused and restarted, the store refuses calls, backend
 //! servers misbehave, a request crashes each server that runs it, the store comes back from an
 //! older copy, and the network links to both are delayed, reset, blocked in one direction or in
-//! both, one after the other and overlapping. The responses that callers received are then
-//! checked against the executions that backend servers counted. `SOAK_SEEDS=a..b` runs other
+//! both, one after the other and overlapping. Backend servers have two software versions, and one
+//! limits its requests; callers take streams up that broke off. The responses that callers received
+//! are then checked against the executions that backend servers counted. `SOAK_SEEDS=a..b` runs other
 //! seeds, `SOAK_LOGS=dir` keeps the routers' logs.
 
 #[path = "../../../platform/tests/common/mod.rs"]
@@ -87,6 +88,16 @@
 /// How often a request that has crashed three servers may reach servers from routers in touch.
 const MAX_CRASHING_ARRIVALS: usize = 3;
 
+/// Software versions of the backend servers, in turn.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// The backend server that limits its requests, and its limit in requests a second.
+const LIMITED: usize = 3;
+const LIMIT: usize = 5;
+
+/// How often a caller takes a stream up that broke off.
+const TAKE_UPS: usize = 2;
+
 /// Kinds of requests, by their routes.
 const PATHS: [&str; 4] = ["/once/a", "/plain/a", "/stream/a", "/fixed/a"];
 
@@ -95,6 +106,30 @@
     id: String,
     path: &'static str,
     response: Response,
+    /// Events that earlier responses brought of the same stream.
+    earlier_events: String,
+}
+
+impl RecordedResponse {
+    /// Returns all that the caller has of the response's body, and of the stream before it.
+    fn text(&self) -> String {
+        format!("{}{}", self.earlier_events, self.response.text())
+    }
+
+    /// Returns the number of events that the caller has if it may take the stream up.
+    fn resumable_events(&self) -> Option<usize> {
+        let text = self.text();
+        let is_cut = self.response.status == 200 && !self.response.complete;
+        let events = text.matches("\n\n").count();
+        (self.path == "/stream/a" && is_cut && events > 0).then_some(events)
+    }
+
+    /// Returns the whole events that the caller has.
+    fn whole_events(&self) -> String {
+        let text = self.text();
+        let end = text.rfind("\n\n").map_or(0, |at| at + 2);
+        text[..end].to_owned()
+    }
 }
 
 struct World {
@@ -117,6 +152,13 @@
         for i in 0..SERVERS {
             let server = FakeServer::start(&format!("i-{i}")).await;
             server.crashes_on.replace(CRASHING_PATH.to_owned());
+            let version = VERSIONS[i % VERSIONS.len()];
+            server.version.replace(version.to_owned());
+            server.event_suffix.replace(format!(" {version}"));
+            if i == LIMITED {
+                let header = format!("Server-Limit: {LIMIT}\r\n");
+                server.extra_headers.replace(header);
+            }
             let link = Proxy::start(server.address).await;
             let registration = server.registration_at(link.address, "ready");
             store.put(&format!("servers/i-{i}"), &registration);
@@ -157,7 +199,9 @@
     }
 
     fn check(&self, record: &RecordedResponse) {
-        let RecordedResponse { id, path, response } = record;
+        let RecordedResponse {
+            id, path, response, ..
+        } = record;
         let at = format!("seed {} id {id} {path}", self.seed);
         let executions = self.executions(id);
         if *path == "/once/a" || *path == "/fixed/a" {
@@ -166,26 +210,31 @@
         if matches!(response.status, 408 | 421 | 429 | 503) {
             assert_eq!(executions, 0, "{at}: refused as not run, but ran");
         }
-        if response.status == 200 && response.complete {
+        if response.status != 200 {
+            return;
+        }
+        let text = record.text();
+        let begins = |version: &&str| expected(path, version).starts_with(&text);
+        if response.complete {
             let answered_id = response.request_id();
             assert_eq!(
                 answered_id,
                 Some(id.as_str()),
                 "{at}: response of another request"
             );
-            assert_eq!(response.text(), expected(path), "{at}");
-        }
-        if response.status == 200 && !response.complete && expected(path).len() > 4 {
-            let text = response.text();
-            assert!(expected(path).starts_with(&text), "{at}: {text}");
+            let is_whole = |version: &&str| text == expected(path, version);
+            assert!(VERSIONS.iter().any(is_whole), "{at}: {text}");
+        } else {
+            assert!(VERSIONS.iter().any(begins), "{at}: {text}");
         }
     }
 }
 
-fn expected(path: &str) -> String {
+/// Returns the whole response of a server of a version.
+fn expected(path: &str, version: &str) -> String {
     match path {
         "/stream/a" | "/fixed/a" => (1..=5)
-            .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
+            .map(|id| format!("id: {id}\ndata: token {id} {version}\n\n"))
             .collect(),
         _ => "fine".to_owned(),
     }
@@ -197,21 +246,48 @@
         if world.stopping.get() {
             return;
         }
-        let router = &world.routers[rng.random_range(0..ROUTERS)];
         let path = PATHS[rng.random_range(0..PATHS.len())];
         let id = format!("s{}-{caller}-{n}", world.seed);
-        let method = if path == "/plain/a" { "GET" } else { "POST" };
-        let body = if method == "GET" { "" } else { &id };
-        let caller = Caller::new(router.address);
-        let response = caller.send(method, path, &id, "", body).await;
-        world
-            .responses
-            .borrow_mut()
-            .push(RecordedResponse { id, path, response });
+        let mut record = RecordedResponse {
+            response: send(&world, rng.random_range(0..ROUTERS), path, &id, "").await,
+            id: id.clone(),
+            path,
+            earlier_events: String::new(),
+        };
+        for attempt in 0..TAKE_UPS {
+            let Some(events) = record.resumable_events() else {
+                break;
+            };
+            let headers = format!("Last-Event-Id: {events}\r\nResumes: {id}\r\n");
+            let next_id = format!("{id}-{attempt}");
+            let router = rng.random_range(0..ROUTERS);
+            let next = RecordedResponse {
+                response: send(&world, router, path, &next_id, &headers).await,
+                id: next_id,
+                path,
+                earlier_events: record.whole_events(),
+            };
+            let earlier = std::mem::replace(&mut record, next);
+            world.responses.borrow_mut().push(earlier);
+        }
+        world.responses.borrow_mut().push(record);
         sleep(Duration::from_millis(rng.random_range(1..30))).await;
     }
 }
 
+async fn send(
+    world: &World,
+    router: usize,
+    path: &'static str,
+    id: &str,
+    headers: &str,
+) -> Response {
+    let method = if path == "/plain/a" { "GET" } else { "POST" };
+    let body = if method == "GET" { "" } else { id };
+    let caller = Caller::new(world.routers[router].address);
+    caller.send(method, path, id, headers, body).await
+}
+
 /// Sends the request that crashes servers to all routers in turn.
 async fn send_crashing_requests(world: Rc<World>) {
     while !world.stopping.get() {
@@ -237,11 +313,21 @@
     }
 }
 
-/// Checks that the request that crashes servers hardly reaches any once routers are in touch.
-async fn check_crashing_requests(world: &World) {
+/// Checks once routers are in touch that the request that crashes servers hardly reaches any, and
+/// that the server that limits its requests gets few, from all routers together.
+async fn check_stable_routers(world: &World) {
     sleep(STABLE).await;
     let before = world.crashing_arrivals();
+    let limited = &world.servers[LIMITED].received;
+    let limited_before = limited.borrow().len();
     sleep(STABLE).await;
+    let arrivals = limited.borrow().len() - limited_before;
+    let allowed = LIMIT * STABLE.as_secs() as usize * 3 / 2 + 5;
+    assert!(
+        arrivals <= allowed,
+        "seed {}: {arrivals} arrivals at a limited server",
+        world.seed
+    );
     let later = world.crashing_arrivals() - before;
     assert!(before >= 3, "seed {}: only {before} crashes", world.seed);
     assert!(
@@ -378,7 +464,7 @@
         inject_faults(Rc::clone(&world)).await;
         restores.await.unwrap();
         wait_until_all_serve(&world).await;
-        check_crashing_requests(&world).await;
+        check_stable_routers(&world).await;
         world.stopping.set(true);
         for caller in callers.into_iter().chain([crashes, restarts]) {
             caller.await.unwrap();
