--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -308,23 +308,18 @@
 
     /// Tells other routers of the streams that began here, if a server is the first of its build.
     fn tell_streams_if_first_of_build(&self, key: ServerKey) {
-        let service = {
+        let is_first = {
             let view = self.view.borrow();
             let Some(server) = view.fleet.get(key) else {
                 return;
             };
-            let service = &server.registration.service;
-            let of_build = view.fleet.of_service(service);
-            if of_build
-                .filter(|(_, other)| other.build == server.build)
-                .count()
-                > 1
-            {
-                return;
-            }
-            Arc::clone(service)
+            let of_service = view.fleet.of_service(&server.registration.service);
+            let of_build = of_service.filter(|(_, other)| other.build == server.build);
+            of_build.count() == 1
         };
-        stream_builds::tell_all(self, &service);
+        if is_first {
+            stream_builds::tell_all(self);
+        }
     }
 
     /// Logs an event of a backend server, if it is still known.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -127,12 +127,11 @@
     /// Makes attempts until one gives a final response or no retry is allowed, and returns
     /// the response. A streamed body is relayed by a task of its own.
     pub async fn run(mut self) -> Response<ResponseBody> {
-        let service = Arc::clone(&self.service);
-        self.cx
-            .with_retry_budget(&service, |budget| budget.record_request(now()));
-        if self.route.kind.streams() && !stream_builds::resolve(&self).await {
+        if self.route.kind.streams() && !stream_builds::resolve(&mut self).await {
             return self.refuse(Refusal::unknown_stream());
         }
+        self.cx
+            .with_retry_budget(&self.service, |budget| budget.record_request(now()));
         loop {
             let choice = match place(&self, Urgency::Normal).await {
                 Ok(choice) => choice,
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -1,9 +1,13 @@
 //! Keeps each stream at the build that began it, whichever router it is taken up at.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use policy::Time;
 use relay::Build;
+use relay::Fleet;
 use relay::ServerKey;
 use relay::StreamBuild;
 use relay::StreamId;
@@ -53,8 +57,8 @@
         stream: StreamId::new(&x.parsed.id),
         build: server.build,
     };
-    let is_told = view.fleet.builds(now, &x.service).len() > 1;
-    view.stream_origins.begin(now, origin, &x.service);
+    let is_told = builds(&view.fleet, x, now).len() > 1;
+    view.stream_origins.begin(now, origin);
     drop(view);
     x.stream_build.set(StreamBuild::Only(origin.build));
     if is_told {
@@ -62,15 +66,15 @@
     }
 }
 
-/// Tells other routers of the streams of a service that began here, as it has got another build.
-pub fn tell_all(cx: &Context, service: &str) {
-    let streams = cx.view.borrow().stream_origins.begun_here(service);
+/// Tells other routers of the streams that began here, as a service has got another build.
+pub fn tell_all(cx: &Context) {
+    let streams = cx.view.borrow().stream_origins.begun_here();
     tell(cx, &streams);
 }
 
-/// Finds out at which build a stream may go on that the caller takes up. Returns whether it is
-/// known; always true for a stream that begins.
-pub async fn resolve(x: &Exchange) -> bool {
+/// Finds out at which build a stream may go on that the caller takes up, and picks a service of the
+/// route that has it. Returns whether it is known; always true for a stream that begins.
+pub async fn resolve(x: &mut Exchange) -> bool {
     if x.parsed.last_event.is_none() && x.parsed.resumes.is_none() {
         return true;
     }
@@ -85,7 +89,7 @@
         known,
         answers,
         is_history_known: x.cx.is_history_known(MAX_STREAM_MS),
-        builds: x.cx.view.borrow().fleet.builds(now(), &x.service),
+        builds: builds(&x.cx.view.borrow().fleet, x, now()),
     };
     let build = taken_up.build();
     let source = match (own, known, build) {
@@ -109,10 +113,44 @@
     .write();
     if let Some(build) = build {
         x.stream_build.set(StreamBuild::Only(build));
+        pick_service_with(x, build);
     }
     build.is_some()
 }
 
+/// Returns the builds of all servers to which the request's route leads, or led lately.
+fn builds(fleet: &Fleet, x: &Exchange, now: Time) -> Vec<Build> {
+    let shares = x.route.shares.iter();
+    let mut builds: Vec<Build> = shares
+        .flat_map(|share| fleet.builds(now, &share.service))
+        .collect();
+    builds.sort_unstable();
+    builds.dedup();
+    builds
+}
+
+/// Keeps the service of a request if it has servers of a build, otherwise picks another one of the
+/// route that has.
+fn pick_service_with(x: &mut Exchange, build: Build) {
+    let service = {
+        let view = x.cx.view.borrow();
+        let has_build = |service: &str| {
+            view.fleet
+                .of_service(service)
+                .any(|(_, s)| s.build == build)
+        };
+        if has_build(&x.service) {
+            return;
+        }
+        let mut shares = x.route.shares.iter();
+        let share = shares.find(|share| has_build(&share.service));
+        share.map(|share| Arc::clone(&share.service))
+    };
+    if let Some(service) = service {
+        x.service = service;
+    }
+}
+
 /// Answers another router that asks for the build of a stream.
 pub async fn answer(cx: &Context, from: SocketAddr, query: StreamQuery) {
     let build = cx.view.borrow().stream_origins.build(query.stream);
@@ -126,7 +164,7 @@
 
 /// Tells other routers of streams: each those for whose streams it is chosen.
 fn tell(cx: &Context, streams: &[StreamOrigin]) {
-    let mut by_router = std::collections::BTreeMap::<u64, Vec<StreamOrigin>>::new();
+    let mut by_router = BTreeMap::<u64, Vec<StreamOrigin>>::new();
     for origin in streams {
         for router in cx.peers.keepers(origin.stream.hash(), TOLD_ROUTERS) {
             by_router.entry(router).or_default().push(*origin);
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -57,8 +57,8 @@
 #[derive(Clone, Copy, Debug)]
 struct KnownStream {
     build: Build,
-    /// Hash of the name of its service, if it began at this router.
-    began_here: Option<u64>,
+    /// Whether it began at this router.
+    began_here: bool,
 }
 
 /// The builds of the streams that began at this router, or of which others have told it.
@@ -70,14 +70,14 @@
 }
 
 impl StreamOrigins {
-    /// Records a stream of a service that begins at this router.
-    pub fn begin(&mut self, now: Time, origin: StreamOrigin, service: &str) {
-        self.insert(now, origin, Some(policy::name_hash(service)));
+    /// Records a stream that begins at this router.
+    pub fn begin(&mut self, now: Time, origin: StreamOrigin) {
+        self.insert(now, origin, true);
     }
 
     /// Records a stream that began at another router.
     pub fn record(&mut self, now: Time, origin: StreamOrigin) {
-        self.insert(now, origin, None);
+        self.insert(now, origin, false);
     }
 
     /// Returns the build of a stream, if it is known.
@@ -85,11 +85,10 @@
         Some(self.by_stream.get(&stream)?.build)
     }
 
-    /// Returns the streams of a service that began at this router.
-    pub fn begun_here(&self, service: &str) -> Vec<StreamOrigin> {
-        let service = policy::name_hash(service);
+    /// Returns the streams that began at this router.
+    pub fn begun_here(&self) -> Vec<StreamOrigin> {
         let streams = self.by_stream.iter();
-        let here = streams.filter(|(_, known)| known.began_here == Some(service));
+        let here = streams.filter(|(_, known)| known.began_here);
         here.map(|(stream, known)| StreamOrigin {
             stream: *stream,
             build: known.build,
@@ -97,7 +96,7 @@
         .collect()
     }
 
-    fn insert(&mut self, now: Time, origin: StreamOrigin, began_here: Option<u64>) {
+    fn insert(&mut self, now: Time, origin: StreamOrigin, began_here: bool) {
         self.remove_expired(now);
         let known = KnownStream {
             build: origin.build,
