--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -289,7 +289,7 @@
                     }
                     .write();
                 });
-                self.tell_streams_if_first_of_build(key);
+                self.notify_if_first_of_build(key);
             }
             Some(FleetChange::Draining(key)) => self.log_server(key, |registration| {
                 let server = &*registration.id;
@@ -306,8 +306,8 @@
         }
     }
 
-    /// Tells other routers of the streams that began here, if a server is the first of its build.
-    fn tell_streams_if_first_of_build(&self, key: ServerKey) {
+    /// Notifies other routers of the streams that began here, if a server is the first of its build.
+    fn notify_if_first_of_build(&self, key: ServerKey) {
         let is_first = {
             let view = self.view.borrow();
             let Some(server) = view.fleet.get(key) else {
@@ -318,7 +318,7 @@
             of_build.count() == 1
         };
         if is_first {
-            stream_builds::tell_all(self);
+            stream_builds::notify_all(self);
         }
     }
 
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -146,13 +146,13 @@
     let asked_ms = match parsed.retry_after {
         None => return,
         Some(RetryAfter::Invalid) => {
-            x.cx.metrics.retry_after_invalid.inc();
+            x.cx.metrics.servers.retry_after_invalid.inc();
             return;
         }
         Some(RetryAfter::Millis(ms)) => ms,
     };
     if asked_ms > MAX_RETRY_AFTER_MS {
-        x.cx.metrics.retry_after_invalid.inc();
+        x.cx.metrics.servers.retry_after_invalid.inc();
     }
     let retry_after_ms = asked_ms.min(MAX_RETRY_AFTER_MS);
     let mut view = x.cx.view.borrow_mut();
@@ -172,7 +172,7 @@
 pub fn record_limit(x: &Exchange, key: ServerKey, parsed: &ResponseHead) {
     let named = parsed.named_limit;
     if named.is_some_and(|named| named.is_doubtful) {
-        x.cx.metrics.server_limit_invalid.inc();
+        x.cx.metrics.servers.server_limit_invalid.inc();
     }
     let limit = named.and_then(|named| named.limit);
     if let (Some(server), true) = (x.latest_server, named.is_none() || limit.is_some()) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -304,7 +304,7 @@
     fn refuse_unplaced(mut self, e: Unplaceable) -> Response<ResponseBody> {
         let fleet = FleetSummary::new(&self.cx.view.borrow(), &self.service, now());
         if fleet.retry_later > 0 {
-            self.cx.metrics.held_back.inc();
+            self.cx.metrics.servers.held_back.inc();
         }
         RequestEvent::Unplaced {
             id: &self.parsed.id,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod router_feed;
 mod server_choice;
 mod server_event;
+mod server_metrics;
 mod settings;
 mod settings_file;
 mod settings_json;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 use crate::cluster_view::ClusterView;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
+use crate::server_metrics::ServerMetrics;
 use crate::view_gauges::ViewGauges;
 
 /// Bucket bounds of histograms of durations, in seconds.
@@ -35,22 +36,12 @@
     pub store_calls: HistogramVec,
     /// Orders to engines, by reply.
     pub orders: IntCounterVec,
-    /// Backend servers that said in a response that they leave, before their registration did.
-    pub leaving_by_response: IntCounter,
-    /// Requests refused while backend servers had asked for none.
-    pub held_back: IntCounter,
-    /// Retry-after times of backend servers that are no time or too long.
-    pub retry_after_invalid: IntCounter,
-    /// Permits asked for requests to limited backend servers, by outcome.
-    pub permits: IntCounterVec,
-    /// Streams that callers take up, by how their build is known.
-    pub streams_taken_up: IntCounterVec,
-    /// Limits of backend servers that are no rate, out of range or contradictory.
-    pub server_limit_invalid: IntCounter,
     /// Times that the store came back from an older copy.
     pub store_eras: IntCounter,
     /// Times that this router wrote its entry again after that.
     pub entries_rewritten: IntCounter,
+    /// What concerns backend servers beyond single requests.
+    pub servers: ServerMetrics,
     view_gauges: ViewGauges,
     lines_dropped: IntGauge,
     /// Time to choose a backend server, in seconds.
@@ -77,38 +68,6 @@
             ),
             store_calls: store_calls(&registry),
             orders: counters(&registry, "orders", "Orders to engines", &["answer"]),
-            leaving_by_response: counter(
-                &registry,
-                "servers_leaving_by_response",
-                "Servers that said in a response that they leave, before they were registered so",
-            ),
-            held_back: counter(
-                &registry,
-                "held_back",
-                "Requests refused while servers had asked for none",
-            ),
-            retry_after_invalid: counter(
-                &registry,
-                "retry_after_invalid",
-                "Retry-after times of servers that are no time or too long",
-            ),
-            permits: counters(
-                &registry,
-                "permits",
-                "Permits asked for requests to limited servers",
-                &["outcome"],
-            ),
-            streams_taken_up: counters(
-                &registry,
-                "streams_taken_up",
-                "Streams that callers take up, by how the version of their server is known",
-                &["source"],
-            ),
-            server_limit_invalid: counter(
-                &registry,
-                "server_limit_invalid",
-                "Limits of servers that are no rate, out of range or contradictory",
-            ),
             store_eras: counter(
                 &registry,
                 "store_eras",
@@ -119,6 +78,7 @@
                 "entries_rewritten",
                 "Own entries written again after that",
             ),
+            servers: ServerMetrics::new(&registry),
             view_gauges: ViewGauges::new(&registry),
             lines_dropped: lines_dropped(&registry),
             decision: histogram(
@@ -182,12 +142,14 @@
     collector
 }
 
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+/// Creates and registers a counter.
+pub fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     let name = format!("turmerichollow_{name}_total");
     register(registry, IntCounter::new(name, help))
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+/// Creates and registers counters with labels.
+pub fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let opts = Opts::new(format!("turmerichollow_{name}_total"), help);
     register(registry, IntCounterVec::new(opts, labels))
 }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -19,7 +19,7 @@
     PermitRequest(PermitRequest),
     /// Answers such a message.
     PermitResponse(PermitResponse),
-    /// Tells at which builds streams began.
+    /// Names the builds at which streams began.
     StreamOrigins(Vec<StreamOrigin>),
     /// Asks for the build of a stream.
     StreamQuery(StreamQuery),
--- a/crates/gateway/src/pending_replies.rs
+++ b/crates/gateway/src/pending_replies.rs
@@ -35,7 +35,7 @@
         (id, rx)
     }
 
-    /// Passes a reply on to whoever asked; it is dropped if nobody waits for it any more.
+    /// Passes a reply on to the task that asked; dropped if that no longer waits.
     pub fn settle(&self, id: u64, reply: T) {
         if let Some(tx) = self.waiting.borrow().get(&id) {
             // Fails if the question was given up just now.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -44,7 +44,11 @@
         Some(Permit::Denied { retry_after_ms }) => ("denied", retry_after_ms),
         None => ("no_response", NO_RESPONSE_RETRY_MS),
     };
-    cx.metrics.permits.with_label_values(&[outcome]).inc();
+    cx.metrics
+        .servers
+        .permits
+        .with_label_values(&[outcome])
+        .inc();
     let now = now();
     let mut view = cx.view.borrow_mut();
     if let Some(server) = view.fleet.get_mut(key) {
--- /dev/null
+++ b/crates/gateway/src/server_metrics.rs
@@ -0,0 +1,64 @@
+//! Prometheus metrics of what backend servers say of themselves.
+
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::Registry;
+
+use crate::metrics::counter;
+use crate::metrics::counters;
+
+/// Metrics of what backend servers say of themselves, and of what follows from it.
+pub struct ServerMetrics {
+    /// Backend servers that said in a response that they leave, before their registration did.
+    pub leaving_by_response: IntCounter,
+    /// Requests refused while backend servers had asked for none.
+    pub held_back: IntCounter,
+    /// Retry-after times of backend servers that are no time or too long.
+    pub retry_after_invalid: IntCounter,
+    /// Permits asked for requests to limited backend servers, by outcome.
+    pub permits: IntCounterVec,
+    /// Streams that callers take up, by how their build is known.
+    pub streams_taken_up: IntCounterVec,
+    /// Limits of backend servers that are no rate, out of range or contradictory.
+    pub server_limit_invalid: IntCounter,
+}
+
+impl ServerMetrics {
+    /// Creates and registers the metrics.
+    pub fn new(registry: &Registry) -> ServerMetrics {
+        ServerMetrics {
+            leaving_by_response: counter(
+                registry,
+                "servers_leaving_by_response",
+                "Servers that said in a response that they leave, before they were registered so",
+            ),
+            held_back: counter(
+                registry,
+                "held_back",
+                "Requests refused while servers had asked for none",
+            ),
+            retry_after_invalid: counter(
+                registry,
+                "retry_after_invalid",
+                "Retry-after times of servers that are no time or too long",
+            ),
+            permits: counters(
+                registry,
+                "permits",
+                "Permits asked for requests to limited servers",
+                &["outcome"],
+            ),
+            streams_taken_up: counters(
+                registry,
+                "streams_taken_up",
+                "Streams that callers take up, by how the version of their server is known",
+                &["source"],
+            ),
+            server_limit_invalid: counter(
+                registry,
+                "server_limit_invalid",
+                "Limits of servers that are no rate, out of range or contradictory",
+            ),
+        }
+    }
+}
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -18,7 +18,7 @@
     /// `response` for a response to this router, `peer` for one to another.
     pub fn mark_leaving(&self, key: ServerKey, source: &str) {
         if self.view.borrow_mut().fleet.mark_leaving(key) {
-            self.metrics.leaving_by_response.inc();
+            self.metrics.servers.leaving_by_response.inc();
             self.on_fleet_change(Some(FleetChange::Draining(key)), source);
             self.peers.wake.notify_one();
         }
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -25,11 +25,11 @@
 use crate::peer_message::StreamReply;
 use crate::request_event::RequestEvent;
 
-/// Number of other routers that are told of a stream, in several regions.
-const TOLD_ROUTERS: usize = 3;
+/// Number of other routers that are notified of a stream, in several regions.
+const NOTIFIED_ROUTERS: usize = 3;
 
-/// Number of other routers that are asked. Those that were told come first among them, or close
-/// behind if the router that told them knew others.
+/// Number of other routers that are asked. Those that were notified come first among them, or close
+/// behind if their sender knew other routers.
 const ASKED_ROUTERS: usize = 8;
 
 /// Time in which other routers must reply, several times that of a message to another region and
@@ -43,7 +43,7 @@
 const MAX_STREAM_MS: u64 = 30_000;
 
 /// Binds a stream to the build of the server that brings its first event, unless it is bound, and
-/// tells other routers while the service has several builds. Called before that event is passed on.
+/// notifies other routers while the route leads to several builds. Called before that event is passed on.
 pub fn bind(x: &Exchange, key: ServerKey) {
     if x.stream_build.get() != StreamBuild::Any {
         return;
@@ -57,19 +57,19 @@
         stream: StreamId::new(&x.parsed.id),
         build: server.build,
     };
-    let is_told = builds(&view.fleet, x, now).len() > 1;
+    let is_notified = builds(&view.fleet, x, now).len() > 1;
     view.stream_origins.begin(now, origin);
     drop(view);
     x.stream_build.set(StreamBuild::Only(origin.build));
-    if is_told {
-        tell(cx, &[origin]);
+    if is_notified {
+        notify(cx, &[origin]);
     }
 }
 
-/// Tells other routers of the streams that began here, as a service has got another build.
-pub fn tell_all(cx: &Context) {
+/// Notifies other routers of the streams that began here, as a service has got another build.
+pub fn notify_all(cx: &Context) {
     let streams = cx.view.borrow().stream_origins.begun_here();
-    tell(cx, &streams);
+    notify(cx, &streams);
 }
 
 /// Finds out at which build a stream may go on that the caller takes up, and picks a service of the
@@ -99,6 +99,7 @@
         (None, None, None) => "unknown",
     };
     x.cx.metrics
+        .servers
         .streams_taken_up
         .with_label_values(&[source])
         .inc();
@@ -162,11 +163,11 @@
         .await;
 }
 
-/// Tells other routers of streams: each those for whose streams it is chosen.
-fn tell(cx: &Context, streams: &[StreamOrigin]) {
+/// Notifies other routers of streams, each of those for which it is chosen.
+fn notify(cx: &Context, streams: &[StreamOrigin]) {
     let mut by_router = BTreeMap::<u64, Vec<StreamOrigin>>::new();
     for origin in streams {
-        for router in cx.peers.keepers(origin.stream.hash(), TOLD_ROUTERS) {
+        for router in cx.peers.keepers(origin.stream.hash(), NOTIFIED_ROUTERS) {
             by_router.entry(router).or_default().push(*origin);
         }
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,6 +1,5 @@
 //! Backend servers, their incarnations, and what this router knows about each.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,18 +8,14 @@
 
 use crate::backend_server::instance_hash;
 use crate::reading::restored_by;
+use crate::removed_servers::RemovedServers;
 use crate::BackendServer;
 use crate::Build;
-use crate::LimitStatement;
 use crate::Reading;
 use crate::Registration;
 use crate::ServerState;
 use crate::ServerStatement;
 
-/// Time for which a removed incarnation is remembered, in milliseconds. The store may come back
-/// from a copy that is some seconds old.
-const REMEMBERED_MS: u64 = 30_000;
-
 /// Time after an outage of the store in which servers may be registered that have ended, in
 /// milliseconds.
 const AFTER_OUTAGE_MS: u64 = 6_000;
@@ -56,16 +51,6 @@
     server: Option<BackendServer>,
 }
 
-/// What is remembered of an incarnation whose registration ended.
-#[derive(Clone, Debug)]
-struct RemovedServer {
-    service: Arc<str>,
-    build: Build,
-    says_leaving: bool,
-    limit_statement: Option<LimitStatement>,
-    remembered_until: Time,
-}
-
 /// All registered backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -77,8 +62,8 @@
     /// Shortest outage of the store in which a live server's registration may lapse, in
     /// milliseconds.
     lapse_ms: u64,
-    /// Incarnations whose registrations ended lately, by instance hash.
-    removed: BTreeMap<u64, RemovedServer>,
+    /// Incarnations whose registrations ended lately.
+    removed: RemovedServers,
     /// Time until which registrations of removed incarnations are ignored, as the store has come
     /// back from a copy that may hold them.
     ignores_removed_until: Time,
@@ -147,16 +132,7 @@
         let server = slot.server.take()?;
         slot.generation += 1;
         self.by_instance_hash.remove(&server.instance_hash);
-        self.removed
-            .retain(|_, removed| removed.remembered_until > now);
-        let removed = RemovedServer {
-            service: Arc::clone(&server.registration.service),
-            build: server.build,
-            says_leaving: server.says_leaving,
-            limit_statement: server.limit_statement,
-            remembered_until: now.plus_millis(REMEMBERED_MS),
-        };
-        self.removed.insert(server.instance_hash, removed);
+        self.removed.record(now, &server);
         Some(FleetChange::Removed(server.registration.id))
     }
 
@@ -298,13 +274,8 @@
     /// Returns the builds of a service's servers, of those too whose registrations ended lately.
     pub fn builds(&self, now: Time, service: &str) -> Vec<Build> {
         let present = self.of_service(service).map(|(_, server)| server.build);
-        let removed = self
-            .removed
-            .values()
-            .filter(|removed| &*removed.service == service && removed.remembered_until > now);
-        let mut builds: Vec<Build> = present
-            .chain(removed.map(|removed| removed.build))
-            .collect();
+        let removed = self.removed.builds(now, service);
+        let mut builds: Vec<Build> = present.chain(removed).collect();
         builds.sort_unstable();
         builds.dedup();
         builds
@@ -357,11 +328,7 @@
     /// Returns whether a registration is that of an incarnation that was removed, and may stand
     /// in the store only because it came back from an older copy.
     fn is_from_copy(&self, now: Time, registration: &Registration) -> bool {
-        now < self.ignores_removed_until
-            && self
-                .removed
-                .get(&instance_hash(registration))
-                .is_some_and(|removed| removed.remembered_until > now)
+        now < self.ignores_removed_until && self.removed.contains(now, instance_hash(registration))
     }
 
     /// Marks a registration missing. Returns the change if it was not marked before.
@@ -417,10 +384,7 @@
         };
         let address = registration.address;
         let mut server = BackendServer::new(now, registration);
-        if let Some(removed) = self.removed.get(&server.instance_hash) {
-            server.says_leaving = removed.says_leaving;
-            server.limit_statement = removed.limit_statement;
-        }
+        self.removed.restore(&mut server);
         self.by_id.insert(server.registration.id.clone(), key);
         self.by_instance_hash.insert(server.instance_hash, key);
         slot.server = Some(server);
--- a/crates/relay/src/limit_statement.rs
+++ b/crates/relay/src/limit_statement.rs
@@ -25,7 +25,7 @@
 }
 
 impl LimitStatement {
-    /// Returns what a response tells after `known`. A response without a limit ends the known one
+    /// Returns what is known after a response, when `known` was known before. A response without a limit ends the known one
     /// only if its request was sent after that was named, as it may have been on its way before.
     pub fn after_response(
         known: Option<LimitStatement>,
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Returns whether other routers are to be told: of a limit always, of its end for a while.
+    /// Returns whether it is sent to other routers: a limit always, its end for a while.
     pub fn is_announced(&self, now: Time) -> bool {
         self.limit.is_some() || now.millis_since(self.said_at) < ENDED_ANNOUNCED_MS
     }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::affinity::PlacementState;
 use crate::residency::PartKey;
 use crate::residency::Residency;
+use crate::unplaceable::RETRY_AFTER_RANGE_MS;
 use crate::BackendServer;
 use crate::Build;
 use crate::Fleet;
@@ -20,6 +21,7 @@
 use crate::StreamBuild;
 use crate::Transfer;
 use crate::TransferKind;
+use crate::Unplaceable;
 use crate::Weights;
 use crate::Workspace;
 
@@ -63,9 +65,6 @@
 /// route's latency objective.
 const LONG_PREFILL_WAIT_OBJECTIVES: f64 = 1.5;
 
-/// Minimum and maximum of the time after which callers are told to retry, in milliseconds.
-const RETRY_AFTER_RANGE_MS: (u64, u64) = (150, 800);
-
 /// Part of the time that servers have asked for over which the return of callers is spread.
 const RETRY_SPREAD_DIVISOR: u64 = 4;
 
@@ -166,56 +165,6 @@
     }
 }
 
-/// Reason why no backend server can take a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unplaceable {
-    /// No registered backend server runs the service and the model, at the build of the request's
-    /// stream, apart from those that the request was dispatched to before.
-    NoServer,
-    /// All are draining, avoided after a rejection or a failure, loading weights, or still
-    /// have weights on which no request may begin any more.
-    NoneReady {
-        /// Time until one is expected to be ready, in milliseconds.
-        retry_after_ms: u64,
-    },
-    /// All have as many requests in flight as they can take.
-    Full {
-        /// Time until one is expected to have capacity, in milliseconds.
-        retry_after_ms: u64,
-    },
-    /// The wait would be too long on every backend server.
-    TooLate {
-        /// Time until the wait is expected to be short enough, in milliseconds.
-        retry_after_ms: u64,
-        /// Estimated wait on the best candidate, in milliseconds.
-        wait_ms: u64,
-        /// Estimated prefill time on the best candidate, in milliseconds; log lines show this name.
-        reading_ms: u64,
-    },
-}
-
-impl Unplaceable {
-    /// Returns the time after which the caller should retry, in milliseconds.
-    pub fn retry_after_ms(self) -> u64 {
-        match self {
-            Unplaceable::NoServer => RETRY_AFTER_RANGE_MS.1,
-            Unplaceable::NoneReady { retry_after_ms }
-            | Unplaceable::Full { retry_after_ms }
-            | Unplaceable::TooLate { retry_after_ms, .. } => retry_after_ms,
-        }
-    }
-
-    /// Returns the reason for log lines and metric labels.
-    pub fn reason(self) -> &'static str {
-        match self {
-            Unplaceable::NoServer => "no_server",
-            Unplaceable::NoneReady { .. } => "none_ready",
-            Unplaceable::Full { .. } => "full",
-            Unplaceable::TooLate { .. } => "too_late",
-        }
-    }
-}
-
 /// A backend server that may be chosen, with its key.
 type Candidate<'a> = (ServerKey, &'a BackendServer);
 
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -1,7 +1,7 @@
 //! At which build streams began.
 //!
 //! A caller may take a stream up at any router, often because the one that served it was killed. So
-//! that router tells a few others the build before it passes the first event on.
+//! that router notifies a few others of the build before it passes the first event on.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -61,7 +61,7 @@
     began_here: bool,
 }
 
-/// The builds of the streams that began at this router, or of which others have told it.
+/// The builds of the streams that began at this router, or of which others have notified it.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
     by_stream: HashMap<StreamId, KnownStream>,
@@ -102,7 +102,7 @@
             build: origin.build,
             began_here,
         };
-        // The first event binds the stream; what comes later tells the same or is wrong.
+        // The first event binds the stream; a later record is the same or wrong.
         if let std::collections::hash_map::Entry::Vacant(vacant) =
             self.by_stream.entry(origin.stream)
         {
@@ -137,7 +137,7 @@
 }
 
 impl TakenUp {
-    /// Returns the build at which the stream may go on; none if that isn't known. Routers tell each
+    /// Returns the build at which the stream may go on; none if that isn't known. Routers send each
     /// other nothing while a service has only one build, at which then all streams began.
     pub fn build(&self) -> Option<Build> {
         let is_certain = self.answers > 0 || self.is_history_known;
--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -10,6 +10,8 @@
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
+#[path = "soak/recorded_response.rs"]
+mod recorded_response;
 #[path = "soak/router_process.rs"]
 mod router_process;
 
@@ -35,6 +37,8 @@
 use common::fake_store::FakeStore;
 use common::proxy::Link;
 use common::proxy::Proxy;
+use recorded_response::RecordedResponse;
+use recorded_response::VERSIONS;
 use router_process::RouterProcess;
 
 /// Number of routers.
@@ -88,9 +92,6 @@
 /// How often a request that has crashed three servers may reach servers from routers in touch.
 const MAX_CRASHING_ARRIVALS: usize = 3;
 
-/// Software versions of the backend servers, in turn.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
-
 /// The backend server that limits its requests from the start on; the others do once the faults are
 /// over. Limit of each in requests a second.
 const LIMITED: usize = 3;
@@ -102,37 +103,6 @@
 /// Kinds of requests, by their routes.
 const PATHS: [&str; 4] = ["/once/a", "/plain/a", "/stream/a", "/fixed/a"];
 
-/// A response that a caller received, with its request.
-struct RecordedResponse {
-    id: String,
-    path: &'static str,
-    response: Response,
-    /// Events that earlier responses brought of the same stream.
-    earlier_events: String,
-}
-
-impl RecordedResponse {
-    /// Returns all that the caller has of the response's body, and of the stream before it.
-    fn text(&self) -> String {
-        format!("{}{}", self.earlier_events, self.response.text())
-    }
-
-    /// Returns the number of events that the caller has if it may take the stream up.
-    fn resumable_events(&self) -> Option<usize> {
-        let text = self.text();
-        let is_cut = self.response.status == 200 && !self.response.complete;
-        let events = text.matches("\n\n").count();
-        (self.path == "/stream/a" && is_cut && events > 0).then_some(events)
-    }
-
-    /// Returns the whole events that the caller has.
-    fn whole_events(&self) -> String {
-        let text = self.text();
-        let end = text.rfind("\n\n").map_or(0, |at| at + 2);
-        text[..end].to_owned()
-    }
-}
-
 struct World {
     seed: u64,
     store: FakeStore,
@@ -205,37 +175,6 @@
         let servers = self.servers.iter();
         servers.map(|server| server.arrivals(CRASHING_PATH)).sum()
     }
-
-    fn check(&self, record: &RecordedResponse) {
-        let RecordedResponse {
-            id, path, response, ..
-        } = record;
-        let at = format!("seed {} id {id} {path}", self.seed);
-        let executions = self.executions(id);
-        if *path == "/once/a" || *path == "/fixed/a" {
-            assert!(executions <= 1, "{at}: ran {executions} times");
-        }
-        if matches!(response.status, 408 | 421 | 429 | 503) {
-            assert_eq!(executions, 0, "{at}: refused as not run, but ran");
-        }
-        if response.status != 200 {
-            return;
-        }
-        let text = record.text();
-        let begins = |version: &&str| expected(path, version).starts_with(&text);
-        if response.complete {
-            let answered_id = response.request_id();
-            assert_eq!(
-                answered_id,
-                Some(id.as_str()),
-                "{at}: response of another request"
-            );
-            let is_whole = |version: &&str| text == expected(path, version);
-            assert!(VERSIONS.iter().any(is_whole), "{at}: {text}");
-        } else {
-            assert!(VERSIONS.iter().any(begins), "{at}: {text}");
-        }
-    }
 }
 
 fn name_limit(server: &FakeServer) {
@@ -243,16 +182,6 @@
     server.extra_headers.replace(header);
 }
 
-/// Returns the whole response of a server of a version.
-fn expected(path: &str, version: &str) -> String {
-    match path {
-        "/stream/a" | "/fixed/a" => (1..=5)
-            .map(|id| format!("id: {id}\ndata: token {id} {version}\n\n"))
-            .collect(),
-        _ => "fine".to_owned(),
-    }
-}
-
 async fn run_caller(world: Rc<World>, caller: usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(world.seed * 1_000 + caller as u64);
     for n in 0.. {
@@ -487,7 +416,10 @@
             caller.await.unwrap();
         }
         let responses = world.responses.borrow();
-        responses.iter().for_each(|record| world.check(record));
+        for record in responses.iter() {
+            let at = format!("seed {seed}");
+            record.check(&at, world.executions(&record.id));
+        }
         let served = responses
             .iter()
             .filter(|record| record.response.status == 200);
