--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -152,6 +152,13 @@
         })
     }
 
+    /// Returns whether the registrations are recent, and have been known for `ms` milliseconds.
+    pub fn is_history_known(&self, now: Time, ms: u64) -> bool {
+        let reading = self.fleet.reading();
+        reading.is_some_and(|reading| reading.is_fresh(now))
+            && now.millis_since(self.started_at) >= ms
+    }
+
     /// Returns whether a router that reads the store itself must list the registrations: in a new
     /// era, and once the platform has restored those that are not missing for good.
     pub fn must_list_registrations(&self, now: Time) -> bool {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 
 use relay::Announcement;
-use relay::Build;
 use relay::Configuration;
 use relay::FleetChange;
 use relay::PeerReading;
@@ -16,6 +15,7 @@
 use relay::Registration;
 use relay::RetryBudget;
 use relay::ServerKey;
+use relay::StreamKnowledge;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -75,8 +75,8 @@
     pub peer_socket: UdpSocket,
     /// Permits that were asked of other routers.
     pub pending_permits: PendingReplies<Permit>,
-    /// Builds of streams that were asked of other routers.
-    pub pending_builds: PendingReplies<Option<Build>>,
+    /// What other routers are asked about streams.
+    pub pending_streams: PendingReplies<StreamKnowledge>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Log of this process.
@@ -170,16 +170,6 @@
         self.peers.announce_ended(server.instance_hash);
     }
 
-    /// Returns whether this router's registrations are recent, and it has known them for `ms`
-    /// milliseconds.
-    pub fn is_history_known(&self, ms: u64) -> bool {
-        let view = self.view.borrow();
-        let now = now();
-        let reading = view.fleet.reading();
-        reading.is_some_and(|reading| reading.is_fresh(now))
-            && now.millis_since(view.started_at) >= ms
-    }
-
     /// Adds or updates a backend server's registration.
     pub fn apply_registration(&self, registration: Registration, source: &str) {
         let change = self.view.borrow_mut().fleet.apply(now(), registration);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -116,7 +116,7 @@
         let cx = Rc::new(Context {
             peer_socket,
             pending_permits: PendingReplies::default(),
-            pending_builds: PendingReplies::default(),
+            pending_streams: PendingReplies::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             settings,
             codec: services.codec,
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -92,7 +92,9 @@
                 }
             }
             Ok(PeerMessage::StreamQuery(query)) => stream_builds::answer(&cx, from, query).await,
-            Ok(PeerMessage::StreamReply(reply)) => cx.pending_builds.settle(reply.id, reply.build),
+            Ok(PeerMessage::StreamReply(reply)) => {
+                cx.pending_streams.settle(reply.id, reply.knowledge);
+            }
             Err(e) => log_peer_failure(Step::GossipRead, &from, &e),
         }
     }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -1,10 +1,12 @@
 //! Datagrams that routers send each other.
 
-use relay::Build;
+use std::sync::Arc;
+
 use relay::Gossip;
 use relay::LimitUpdate;
 use relay::Permit;
 use relay::StreamId;
+use relay::StreamKnowledge;
 use relay::StreamOrigin;
 use relay::Urgency;
 use serde::Deserialize;
@@ -52,12 +54,14 @@
 }
 
 /// Asks for the build at which a stream began.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamQuery {
     /// Number of the question among those of its sender.
     pub id: u64,
     /// The stream.
     pub stream: StreamId,
+    /// Names of the services to which its route leads.
+    pub services: Vec<Arc<str>>,
 }
 
 /// What a router knows of a stream.
@@ -65,6 +69,6 @@
 pub struct StreamReply {
     /// Number of the question that it answers.
     pub id: u64,
-    /// The build; none if the router doesn't know the stream.
-    pub build: Option<Build>,
+    /// What the router knows.
+    pub knowledge: StreamKnowledge,
 }
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -7,16 +7,16 @@
 
 use policy::Time;
 use relay::Build;
-use relay::Fleet;
 use relay::ServerKey;
 use relay::StreamBuild;
 use relay::StreamId;
+use relay::StreamKnowledge;
 use relay::StreamOrigin;
-use relay::TakenUp;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
 
 use crate::clock::now;
+use crate::cluster_view::ClusterView;
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::log_event::LogEvent;
@@ -43,7 +43,8 @@
 const MAX_STREAM_MS: u64 = 30_000;
 
 /// Binds a stream to the build of the server that brings its first event, unless it is bound, and
-/// notifies other routers while the route leads to several builds. Called before that event is passed on.
+/// notifies other routers unless the route is known to lead to only one build. Called before that event
+/// is passed on.
 pub fn bind(x: &Exchange, key: ServerKey) {
     if x.stream_build.get() != StreamBuild::Any {
         return;
@@ -57,7 +58,8 @@
         stream: StreamId::new(&x.parsed.id),
         build: server.build,
     };
-    let is_notified = builds(&view.fleet, x, now).len() > 1;
+    let is_only_build = builds(&view, &services(x), now).len() == 1;
+    let is_notified = !(is_only_build && view.is_history_known(now, MAX_STREAM_MS));
     view.stream_origins.begin(now, origin);
     drop(view);
     x.stream_build.set(StreamBuild::Only(origin.build));
@@ -80,23 +82,20 @@
     }
     let asked_at = now();
     let stream = x.parsed.resumes.as_deref().map(StreamId::new);
-    let own = stream.and_then(|stream| x.cx.view.borrow().stream_origins.build(stream));
-    let (known, answers) = match (own, stream) {
-        (None, Some(stream)) => ask(&x.cx, stream).await,
-        _ => (own, 0),
+    let services = services(x);
+    let own = knowledge(&x.cx, stream, &services);
+    let others = match stream {
+        Some(stream) if own.recorded.is_none() => ask(&x.cx, stream, services.clone()).await,
+        _ => Vec::new(),
     };
-    let taken_up = TakenUp {
-        known,
-        answers,
-        is_history_known: x.cx.is_history_known(MAX_STREAM_MS),
-        builds: builds(&x.cx.view.borrow().fleet, x, now()),
-    };
-    let build = taken_up.build();
-    let source = match (own, known, build) {
-        (Some(_), _, _) => "own",
-        (None, Some(_), _) => "peer",
-        (None, None, Some(_)) => "only_build",
-        (None, None, None) => "unknown",
+    let builds = builds(&x.cx.view.borrow(), &services, now());
+    let build = own.build(&others, &builds);
+    let is_recorded = others.iter().any(|other| other.recorded.is_some());
+    let source = match build {
+        None => "unknown",
+        Some(_) if own.recorded.is_some() => "own",
+        Some(_) if is_recorded => "peer",
+        Some(_) => "only_build",
     };
     x.cx.metrics
         .servers
@@ -107,8 +106,8 @@
         id: &x.parsed.id,
         resumes: x.parsed.resumes.as_deref(),
         source,
-        answers,
-        builds: taken_up.builds.len(),
+        answers: others.len(),
+        builds: builds.len(),
         took_ms: now().millis_since(asked_at),
     }
     .write();
@@ -119,17 +118,35 @@
     build.is_some()
 }
 
-/// Returns the builds of all servers to which the request's route leads, or led lately.
-fn builds(fleet: &Fleet, x: &Exchange, now: Time) -> Vec<Build> {
+/// Returns the names of the services to which the request's route leads.
+fn services(x: &Exchange) -> Vec<Arc<str>> {
     let shares = x.route.shares.iter();
-    let mut builds: Vec<Build> = shares
-        .flat_map(|share| fleet.builds(now, &share.service))
+    shares.map(|share| Arc::clone(&share.service)).collect()
+}
+
+/// Returns the builds that servers of some services have, or had lately.
+fn builds(view: &ClusterView, services: &[Arc<str>], now: Time) -> Vec<Build> {
+    let services = services.iter();
+    let mut builds: Vec<Build> = services
+        .flat_map(|service| view.fleet.builds(now, service))
         .collect();
     builds.sort_unstable();
     builds.dedup();
     builds
 }
 
+/// Returns what this router knows of a stream; of one that its caller doesn't name, only which
+/// build the services have.
+fn knowledge(cx: &Context, stream: Option<StreamId>, services: &[Arc<str>]) -> StreamKnowledge {
+    let view = cx.view.borrow();
+    let now = now();
+    StreamKnowledge::new(
+        stream.and_then(|stream| view.stream_origins.build(stream)),
+        &builds(&view, services, now),
+        view.is_history_known(now, MAX_STREAM_MS),
+    )
+}
+
 /// Keeps the service of a request if it has servers of a build, otherwise picks another one of the
 /// route that has.
 fn pick_service_with(x: &mut Exchange, build: Build) {
@@ -154,10 +171,9 @@
 
 /// Answers another router that asks for the build of a stream.
 pub async fn answer(cx: &Context, from: SocketAddr, query: StreamQuery) {
-    let build = cx.view.borrow().stream_origins.build(query.stream);
     let reply = StreamReply {
         id: query.id,
-        build,
+        knowledge: knowledge(cx, Some(query.stream), &query.services),
     };
     cx.send_to_peer(from, &PeerMessage::StreamReply(reply))
         .await;
@@ -181,25 +197,29 @@
     }
 }
 
-/// Asks other routers for the build of a stream. Returns it if one knows it, and how many answered.
-async fn ask(cx: &Context, stream: StreamId) -> (Option<Build>, usize) {
+/// Asks other routers what they know of a stream, until one has recorded it.
+async fn ask(cx: &Context, stream: StreamId, services: Vec<Arc<str>>) -> Vec<StreamKnowledge> {
     let deadline = Instant::now() + REPLY_TIMEOUT;
-    let (id, mut rx) = cx.pending_builds.begin();
-    let query = PeerMessage::StreamQuery(StreamQuery { id, stream });
+    let (id, mut rx) = cx.pending_streams.begin();
+    let query = PeerMessage::StreamQuery(StreamQuery {
+        id,
+        stream,
+        services,
+    });
     let asked = cx.peers.registered_keepers(stream.hash(), ASKED_ROUTERS);
     let addresses = cx.peers.addresses(&asked);
     for address in &addresses {
         cx.send_to_peer(*address, &query).await;
     }
-    let mut answers = 0;
-    while answers < addresses.len() {
-        let Ok(Some(build)) = timeout_at(deadline, rx.recv()).await else {
+    let mut replies = Vec::new();
+    while replies.len() < addresses.len() {
+        let Ok(Some(knowledge)) = timeout_at(deadline, rx.recv()).await else {
             break;
         };
-        answers += 1;
-        if build.is_some() {
-            return (build, answers);
+        replies.push(knowledge);
+        if knowledge.recorded.is_some() {
+            break;
         }
     }
-    (None, answers)
+    replies
 }
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -123,28 +123,38 @@
     }
 }
 
-/// What is known of the build of a stream that a caller takes up.
-#[derive(Clone, Debug)]
-pub struct TakenUp {
-    /// Its build, as this router or another knows it.
-    pub known: Option<Build>,
-    /// Number of other routers that have answered.
-    pub answers: usize,
-    /// Whether this router's registrations are recent, and reach back as far as a stream can last.
-    pub is_history_known: bool,
-    /// Builds of the service's servers within that time.
-    pub builds: Vec<Build>,
+/// What one router knows of the build of a stream that a caller takes up. While the routers that serve
+/// a service know that it has only one build, they send each other nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamKnowledge {
+    /// Its build, if the router has recorded the stream.
+    pub recorded: Option<Build>,
+    /// The only build that the service has had for as long as a stream can last, if the router has
+    /// known the service's servers for so long.
+    pub only: Option<Build>,
 }
 
-impl TakenUp {
-    /// Returns the build at which the stream may go on; none if that isn't known. Routers send each
-    /// other nothing while a service has only one build, at which then all streams began.
-    pub fn build(&self) -> Option<Build> {
-        let is_certain = self.answers > 0 || self.is_history_known;
-        match (self.known, &self.builds[..]) {
-            (Some(build), _) => Some(build),
-            (None, [only]) if is_certain => Some(*only),
-            (None, _) => None,
-        }
+impl StreamKnowledge {
+    /// Returns what a router knows that has known the service's servers for long enough if
+    /// `is_history_known`, and has seen `builds` in that time.
+    pub fn new(
+        recorded: Option<Build>,
+        builds: &[Build],
+        is_history_known: bool,
+    ) -> StreamKnowledge {
+        let only = match builds {
+            [only] if is_history_known => Some(*only),
+            _ => None,
+        };
+        StreamKnowledge { recorded, only }
+    }
+
+    /// Returns the build at which the stream may go on, by this router's knowledge and that of
+    /// others; none if it is unknown. `builds` are those that this router has seen.
+    pub fn build(self, others: &[StreamKnowledge], builds: &[Build]) -> Option<Build> {
+        let all = || others.iter().copied().chain([self]);
+        let recorded = all().find_map(|knowledge| knowledge.recorded);
+        let only = all().find_map(|knowledge| knowledge.only);
+        recorded.or_else(|| only.filter(|only| builds == [*only]))
     }
 }
