relay, gateway: a router that doesn't know the others issues no permits (LIMIT)

By the logs a router was restarted and lost the store 0.85 s later, before it had read the list of routers. It took itself for the only one, so for the issuer, and issued permits beside the real one until the end of the run. An issuer now begins only once that list was read.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -113,7 +113,7 @@
             order_lease_revision: None,
             stream_origins: StreamOrigins::default(),
             started_at: now(),
-            permit_issuer: PermitIssuer::new(now()),
+            permit_issuer: PermitIssuer::default(),
             lease_term: None,
             order_plan: OrderPlan::default(),
         }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -82,7 +82,10 @@
 
 fn apply_listing(cx: &Context, topic: Topic, listing: Listing, is_new_era: bool) {
     if topic == Topic::Routers {
-        cx.view.borrow_mut().routers_known = true;
+        let mut view = cx.view.borrow_mut();
+        view.routers_known = true;
+        view.permit_issuer.begin(now());
+        drop(view);
         // In a new era the other routers are about to write their entries again.
         records::remove_unlisted(cx, &listing.updates, is_new_era);
     }
--- a/crates/relay/src/permit_issuer.rs
+++ b/crates/relay/src/permit_issuer.rs
@@ -2,7 +2,8 @@
 //!
 //! A limit holds for all routers together, so that one of them, the issuer, hands out the right to send
 //! each request. Any other router asks it, see `Topology::permit_issuer`. An issuer that has just
-//! become one begins without credit, as it doesn't know what its predecessor has issued.
+//! become one begins without credit, as it doesn't know what its predecessor has issued, and one that
+//! doesn't know the other routers issues none.
 
 use std::collections::BTreeMap;
 
@@ -12,8 +13,8 @@
 
 use crate::RateLimit;
 
-/// Time after the start of a router from which it issues permits, in milliseconds. Until then it
-/// may not know the other routers.
+/// Time after a router has read which other routers there are from which it issues permits, in
+/// milliseconds. Until then it may not have had their messages.
 const SETTLED_MS: u64 = 1_500;
 
 /// Time without permits with which the schedule of a server begins, in milliseconds.
@@ -63,26 +64,24 @@
 }
 
 /// Schedules of the backend servers for which this router issues permits, by instance hash.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct PermitIssuer {
-    issues_from: Time,
+    /// When it may issue the first permit; none while the other routers are unknown.
+    issues_from: Option<Time>,
     schedules: BTreeMap<u64, Schedule>,
 }
 
 impl PermitIssuer {
-    /// Returns the issuer of a router that starts at `now`.
-    pub fn new(now: Time) -> PermitIssuer {
-        PermitIssuer {
-            issues_from: now.plus_millis(SETTLED_MS),
-            schedules: BTreeMap::new(),
-        }
+    /// Records that the other routers are known, at `now` if not before.
+    pub fn begin(&mut self, now: Time) {
+        self.issues_from.get_or_insert(now.plus_millis(SETTLED_MS));
     }
 
     /// Decides whether a request may be sent to a backend server with a limit.
     pub fn ask(&mut self, now: Time, server: u64, limit: RateLimit, urgency: Urgency) -> Permit {
         self.schedules
             .retain(|_, schedule| now.millis_since(schedule.asked_at) < KEPT_MS);
-        if now < self.issues_from {
+        if self.issues_from.is_none_or(|from| now < from) {
             return Permit::Denied {
                 retry_after_ms: RETRY_RANGE_MS.1,
             };
--- a/crates/relay/tests/limited_server.rs
+++ b/crates/relay/tests/limited_server.rs
@@ -64,6 +64,13 @@
 /// Interval of the kills, in milliseconds.
 const KILL_MS: u64 = 7_000;
 
+/// Returns the issuer of a router that has known the others since `at`.
+fn issuer(at: Time) -> PermitIssuer {
+    let mut issuer = PermitIssuer::default();
+    issuer.begin(at);
+    issuer
+}
+
 struct Router {
     topology: Topology,
     issuer: PermitIssuer,
@@ -104,7 +111,7 @@
     }
     Router {
         topology,
-        issuer: PermitIssuer::new(at(0)),
+        issuer: issuer(at(0)),
         permit_at: at(0),
         down_until: at(0),
     }
@@ -178,7 +185,7 @@
         for router in 0..self.routers.len() {
             if self.rng.random_bool(self.load.killed) {
                 self.routers[router].down_until = down_until;
-                self.routers[router].issuer = PermitIssuer::new(down_until);
+                self.routers[router].issuer = issuer(down_until);
             }
         }
     }
@@ -308,7 +315,7 @@
 #[test]
 fn a_router_that_has_just_started_issues_no_permits() {
     let limit = RateLimit::per_second(100.0).unwrap();
-    let mut issuer = PermitIssuer::new(at(0));
+    let mut issuer = issuer(at(0));
     for ms in 0..1_500 {
         assert_ne!(
             issuer.ask(at(ms), SERVER, limit, Urgency::Urgent),
@@ -317,11 +324,23 @@
     }
 }
 
+#[test]
+fn a_router_that_does_not_know_the_others_issues_no_permits() {
+    let limit = RateLimit::per_second(100.0).unwrap();
+    let mut issuer = PermitIssuer::default();
+    for ms in (0..60_000).step_by(100) {
+        assert_ne!(
+            issuer.ask(at(ms), SERVER, limit, Urgency::Urgent),
+            Permit::Granted
+        );
+    }
+}
+
 #[test]
 fn a_limit_that_rises_takes_effect_at_once() {
     let low = RateLimit::per_second(0.1).unwrap();
     let high = RateLimit::per_second(10.0).unwrap();
-    let mut issuer = PermitIssuer::new(at(0));
+    let mut issuer = issuer(at(0));
     for ms in (2_000..20_000).step_by(100) {
         issuer.ask(at(ms), SERVER, low, Urgency::Normal);
     }
@@ -333,7 +352,7 @@
 #[test]
 fn urgent_requests_go_first_but_not_without_bound() {
     let limit = RateLimit::per_second(1.0).unwrap();
-    let mut issuer = PermitIssuer::new(at(0));
+    let mut issuer = issuer(at(0));
     issuer.ask(at(2_000), SERVER, limit, Urgency::Normal);
     let mut granted = 0;
     for ms in 4_000..8_000 {
