--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -296,7 +296,8 @@
         }
     }
 
-    /// Notifies other routers of the streams that began here, if a server is the first of its build.
+    /// Notifies other routers of the streams that began here, if a server is the first of its
+    /// build.
     fn notify_if_first_of_build(&self, key: ServerKey) {
         let is_first = {
             let view = self.view.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -101,6 +101,7 @@
 pub use request_event::AttemptSent;
 pub use request_event::RequestEnded;
 pub use request_event::RequestEvent;
+pub use request_event::TakenUp;
 pub use server_event::PermitDecision;
 pub use server_event::ServerEvent;
 pub use settings::Listen;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -14,8 +14,8 @@
 /// Shortest retry-after time of a request that crashes backend servers, in milliseconds.
 const MIN_CRASHING_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Retry-after time of a stream that no reachable router knows, in milliseconds. Others may be reachable
-/// by then.
+/// Retry-after time of a stream that no reachable router knows, in milliseconds. Others may be
+/// reachable by then.
 const UNKNOWN_STREAM_RETRY_AFTER_MS: u64 = 1_000;
 
 /// Reason why a request gets no response of a backend server.
--- a/crates/gateway/src/request_event.rs
+++ b/crates/gateway/src/request_event.rs
@@ -54,20 +54,7 @@
         reason: &'a str,
     },
     /// A caller takes a stream up, which may go on only at the build that began it.
-    TakenUp {
-        /// Id that the caller gave the request.
-        id: &'a str,
-        /// Id of the request that brought the stream's first event, if the caller names it.
-        resumes: Option<&'a str>,
-        /// How the build is known: `own`, `peer`, `only_build` or `unknown`.
-        source: &'a str,
-        /// Number of other routers that answered.
-        answers: usize,
-        /// Number of builds that the service's servers have or had lately.
-        builds: usize,
-        /// Time that it took to find out.
-        took_ms: u64,
-    },
+    TakenUp(TakenUp<'a>),
     /// No backend server can resume a stream.
     ResumeFailed {
         /// Id that the caller gave the request.
@@ -141,6 +128,23 @@
     pub budget_left: u32,
 }
 
+/// A stream that a caller takes up, and how its build is known.
+#[derive(Clone, Debug)]
+pub struct TakenUp<'a> {
+    /// Id that the caller gave the request.
+    pub id: &'a str,
+    /// Id of the request that brought the stream's first event, if the caller names it.
+    pub resumes: Option<&'a str>,
+    /// How the build is known: `own`, `peer`, `only_build` or `unknown`.
+    pub source: &'static str,
+    /// Number of other routers that answered.
+    pub answers: usize,
+    /// Number of builds that the services of its route have or had lately.
+    pub builds: usize,
+    /// Time that it took to find out.
+    pub took_ms: u64,
+}
+
 /// The final outcome of a request.
 #[derive(Clone, Debug)]
 pub struct RequestEnded<'a> {
@@ -215,18 +219,7 @@
             RequestEvent::RequestBrokeOff { id, reason } => {
                 write!(f, "event=request_broke_off id={id:?} reason={reason:?}")
             }
-            RequestEvent::TakenUp {
-                id,
-                resumes,
-                source,
-                answers,
-                builds,
-                took_ms,
-            } => write!(
-                f,
-                "event=taken_up id={id:?} resumes={:?} source={source} answers={answers} builds={builds} took_ms={took_ms}",
-                resumes.unwrap_or("none")
-            ),
+            RequestEvent::TakenUp(taken_up) => taken_up.fmt(f),
             RequestEvent::ResumeFailed { id, reason } => {
                 write!(f, "event=resume_failed id={id:?} reason={reason}")
             }
@@ -279,6 +272,21 @@
     }
 }
 
+impl Display for TakenUp<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "event=taken_up id={:?} resumes={:?} source={} answers={} builds={} took_ms={}",
+            self.id,
+            self.resumes.unwrap_or("none"),
+            self.source,
+            self.answers,
+            self.builds,
+            self.took_ms
+        )
+    }
+}
+
 impl Display for RequestEnded<'_> {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -24,6 +24,7 @@
 use crate::peer_message::StreamQuery;
 use crate::peer_message::StreamReply;
 use crate::request_event::RequestEvent;
+use crate::request_event::TakenUp;
 
 /// Number of other routers that are notified of a stream, in several regions.
 const NOTIFIED_ROUTERS: usize = 3;
@@ -43,8 +44,8 @@
 const MAX_STREAM_MS: u64 = 30_000;
 
 /// Binds a stream to the build of the server that brings its first event, unless it is bound, and
-/// notifies other routers unless the route is known to lead to only one build. Called before that event
-/// is passed on.
+/// notifies other routers unless the route is known to lead to only one build. Called before that
+/// event is passed on.
 pub fn bind(x: &Exchange, key: ServerKey) {
     if x.stream_build.get() != StreamBuild::Any {
         return;
@@ -90,27 +91,17 @@
     };
     let builds = builds(&x.cx.view.borrow(), &services, now());
     let build = own.build(&others, &builds);
-    let is_recorded = others.iter().any(|other| other.recorded.is_some());
-    let source = match build {
-        None => "unknown",
-        Some(_) if own.recorded.is_some() => "own",
-        Some(_) if is_recorded => "peer",
-        Some(_) => "only_build",
-    };
-    x.cx.metrics
-        .servers
-        .streams_taken_up
-        .with_label_values(&[source])
-        .inc();
-    RequestEvent::TakenUp {
+    let taken_up = TakenUp {
         id: &x.parsed.id,
         resumes: x.parsed.resumes.as_deref(),
-        source,
+        source: source(own, &others, build),
         answers: others.len(),
         builds: builds.len(),
         took_ms: now().millis_since(asked_at),
-    }
-    .write();
+    };
+    let counter = &x.cx.metrics.servers.streams_taken_up;
+    counter.with_label_values(&[taken_up.source]).inc();
+    RequestEvent::TakenUp(taken_up).write();
     if let Some(build) = build {
         x.stream_build.set(StreamBuild::Only(build));
         pick_service_with(x, build);
@@ -118,6 +109,17 @@
     build.is_some()
 }
 
+/// Returns how the build of a stream is known, for log and metrics.
+fn source(own: StreamKnowledge, others: &[StreamKnowledge], build: Option<Build>) -> &'static str {
+    let is_recorded = others.iter().any(|other| other.recorded.is_some());
+    match build {
+        None => "unknown",
+        Some(_) if own.recorded.is_some() => "own",
+        Some(_) if is_recorded => "peer",
+        Some(_) => "only_build",
+    }
+}
+
 /// Returns the names of the services to which the request's route leads.
 fn services(x: &Exchange) -> Vec<Arc<str>> {
     let shares = x.route.shares.iter();
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -14,6 +14,7 @@
 use gateway::ServerEvent;
 use gateway::Step;
 use gateway::StopPhase;
+use gateway::TakenUp;
 use gateway::ViewEvent;
 use insta::assert_snapshot;
 use log::Level;
@@ -127,14 +128,14 @@
 
 #[test]
 fn lines_of_a_refused_request() {
-    let taken_up = RequestEvent::TakenUp {
+    let taken_up = RequestEvent::TakenUp(TakenUp {
         id: "q2",
         resumes: Some("q1"),
         source: "peer",
         answers: 2,
         builds: 2,
         took_ms: 3,
-    };
+    });
     assert_snapshot!(taken_up, @r#"event=taken_up id="q2" resumes="q1" source=peer answers=2 builds=2 took_ms=3"#);
     let unnamed = RequestEvent::Refused {
         id: None,
--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -7,8 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A version of the software of a service's backend servers, as the hash of its name. Servers of several
-/// builds may serve side by side. What two builds write doesn't fit together in one stream.
+/// A version of the software of a service's backend servers, as the hash of its name. Servers of
+/// several builds may serve side by side. What two builds write doesn't fit together in one stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Build(u64);
 
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -20,8 +20,8 @@
 /// milliseconds.
 const AFTER_OUTAGE_MS: u64 = 6_000;
 
-/// Heartbeats without which a registration may lapse: the platform waits for three, and the outage may
-/// begin just before one is due.
+/// Heartbeats without which a registration may lapse: the platform waits for three, and the outage
+/// may begin just before one is due.
 const LAPSE_HEARTBEATS: u64 = 2;
 
 /// Key of one incarnation of a backend server.
@@ -235,8 +235,8 @@
         self.by_instance_hash.get(&instance_hash).copied()
     }
 
-    /// Returns whether the incarnation with a given `instance_hash` is still registered, by a reading
-    /// that is fresh and long enough after an outage of the store.
+    /// Returns whether the incarnation with a given `instance_hash` is still registered, by a
+    /// reading that is fresh and long enough after an outage of the store.
     pub fn is_registered(&self, now: Time, instance_hash: u64) -> bool {
         let is_reliable = self.reading.is_some_and(|reading| {
             reading.is_fresh(now)
--- a/crates/relay/src/limit_statement.rs
+++ b/crates/relay/src/limit_statement.rs
@@ -11,8 +11,8 @@
 /// Time for which the end of a limit is announced to other routers, in milliseconds.
 const ENDED_ANNOUNCED_MS: u64 = 10_000;
 
-/// Difference in milliseconds from which one statement is later than another. Times of other routers'
-/// statements are off by the delay of messages.
+/// Difference in milliseconds from which one statement is later than another. Times of other
+/// routers' statements are off by the delay of messages.
 const CLOCK_TOLERANCE_MS: u64 = 400;
 
 /// The limit that a backend server last named in a response, or that it names none any more.
@@ -25,8 +25,9 @@
 }
 
 impl LimitStatement {
-    /// Returns what is known after a response, when `known` was known before. A response without a limit ends the known one
-    /// only if its request was sent after that was named, as it may have been on its way before.
+    /// Returns what is known after a response, when `known` was known before. A response without a
+    /// limit ends the known one only if its request was sent after that was named, as it may have
+    /// been on its way before.
     pub fn after_response(
         known: Option<LimitStatement>,
         limit: Option<RateLimit>,
--- a/crates/relay/src/permit_issuer.rs
+++ b/crates/relay/src/permit_issuer.rs
@@ -1,9 +1,9 @@
 //! Issues permits for requests to backend servers that limit them.
 //!
-//! A limit holds for all routers together, so that one of them, the issuer, hands out the right to send
-//! each request. Any other router asks it, see `Topology::permit_issuer`. An issuer that has just
-//! become one begins without credit, as it doesn't know what its predecessor has issued, and one that
-//! doesn't know the other routers issues none.
+//! A limit holds for all routers together, so that one of them, the issuer, hands out the right to
+//! send each request. Any other router asks it, see `Topology::permit_issuer`. An issuer that has
+//! just become one begins without credit, as it doesn't know what its predecessor has issued, and
+//! one that doesn't know the other routers issues none.
 
 use std::collections::BTreeMap;
 
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -358,7 +358,8 @@
     load.prefill_ms as f64 + f64::from(load.requests) * QUEUED_REQUEST_MS
 }
 
-/// Returns whether a backend server has the request's model, and the build at which its stream began.
+/// Returns whether a backend server has the request's model, and the build at which its stream
+/// began.
 fn may_serve(server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
     let is_at_build = match request.stream_build {
         StreamBuild::Any => true,
--- a/crates/relay/src/shared_prefix.rs
+++ b/crates/relay/src/shared_prefix.rs
@@ -155,8 +155,9 @@
         stores.transfer(TransferKind::Fetch, server, store, self.prefix_tokens)
     }
 
-    /// Returns the transfer that saves the prompt with its prefix, or `None` if the wait for
-    /// the link is too long. A recently used prefix may wait longer than a new one, as fetches need the link too.
+    /// Returns the transfer that saves the prompt with its prefix, or `None` if the wait for the
+    /// link is too long. A recently used prefix may wait longer than a new one, as fetches need the
+    /// link too.
     fn save(&self, server: &BackendServer, store: &PrefixStore) -> Option<Transfer> {
         let PlacementState { residency, now, .. } = self.state;
         let limit_ms = if self.holders.is_empty() {
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -123,8 +123,8 @@
     }
 }
 
-/// What one router knows of the build of a stream that a caller takes up. While the routers that serve
-/// a service know that it has only one build, they send each other nothing.
+/// What one router knows of the build of a stream that a caller takes up. While the routers that
+/// serve a service know that it has only one build, they send each other nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamKnowledge {
     /// Its build, if the router has recorded the stream.
--- a/crates/relay/tests/limited_server.rs
+++ b/crates/relay/tests/limited_server.rs
@@ -30,8 +30,8 @@
 /// Window over which requests are summed up, in milliseconds.
 const WINDOW_MS: u64 = 4_000;
 
-/// Interval of the messages by which routers know that others run, and the time without one after which
-/// another router issues permits, in milliseconds.
+/// Interval of the messages by which routers know that others run, and the time without one after
+/// which another router issues permits, in milliseconds.
 const MESSAGE_MS: u64 = 250;
 const SILENCE_MS: u64 = 900;
 
--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -1,12 +1,12 @@
 //! Randomized soak test of `turmerichollow forward` as real processes, with injected faults.
 //!
-//! Routers are killed, terminated, paused and restarted, the store refuses calls, backend
-//! servers misbehave, a request crashes each server that runs it, the store comes back from an
-//! older copy, and the network links to both are delayed, reset, blocked in one direction or in
-//! both, one after the other and overlapping. Backend servers have two software versions, and one
-//! limits its requests; callers take streams up that broke off. The responses that callers received
-//! are then checked against the executions that backend servers counted. `SOAK_SEEDS=a..b` runs other
-//! seeds, `SOAK_LOGS=dir` keeps the routers' logs.
+//! Routers are killed, terminated, paused and restarted, the store refuses calls, backend servers
+//! misbehave, a request crashes each server that runs it, the store comes back from an older copy,
+//! and the network links to both are delayed, reset, blocked in one direction or in both, one after
+//! the other and overlapping. Backend servers have two software versions, and one limits its
+//! requests; callers take streams up that broke off. The responses that callers received are then
+//! checked against the executions that backend servers counted. `SOAK_SEEDS=a..b` runs other seeds,
+//! `SOAK_LOGS=dir` keeps the routers' logs.
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
@@ -256,7 +256,8 @@
 }
 
 /// Checks once routers are in touch that the request that crashes servers hardly reaches any, and
-/// that servers that limit their requests get what they take, and no more, from all routers together.
+/// that servers that limit their requests get what they take, and no more, from all routers
+/// together.
 async fn check_stable_routers(world: &World) {
     world.servers.iter().for_each(name_limit);
     sleep(STABLE).await;
