gateway: no router asks one for permits that doesn't know the others (LIMIT)

The router that was restarted and lost the store denied all, as it should, but stayed the issuer of two servers for the others. Its messages say that it has not read the list of routers; it is passed over until they say otherwise.

--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -115,7 +115,11 @@
 
 fn apply(cx: &Context, from: SocketAddr, message: &Gossip) {
     let now = now();
-    cx.peers.on_message(message.from, message.configuration);
+    cx.peers.on_message(
+        message.from,
+        message.configuration,
+        message.routers.is_some(),
+    );
     if message.region.is_none() {
         cx.peers.record_unregistered(message.from, from);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -41,6 +41,8 @@
     last_message_at: Time,
     /// Version of its configuration, 0 while unknown.
     configuration: u64,
+    /// Whether it has read which other routers there are.
+    knows_routers: bool,
 }
 
 /// A router that sends messages but isn't registered, as its lease expired while it was cut off
@@ -142,6 +144,7 @@
         let peer = Peer {
             last_message_at: peer.map_or(now(), |peer| peer.last_message_at),
             configuration: peer.map_or(0, |peer| peer.configuration),
+            knows_routers: peer.is_some_and(|peer| peer.knows_routers),
             entry,
         };
         peers.insert(hash, peer);
@@ -182,13 +185,15 @@
         self.topology.borrow().count()
     }
 
-    /// Records that a router sent a message, with the version of its configuration.
-    pub fn on_message(&self, hash: u64, configuration: u64) {
+    /// Records that a router sent a message, with the version of its configuration, and whether it
+    /// has read which other routers there are.
+    pub fn on_message(&self, hash: u64, configuration: u64, knows_routers: bool) {
         let now = now();
         self.topology.borrow_mut().record_message(now, hash);
         if let Some(peer) = self.by_hash.borrow_mut().get_mut(&hash) {
             peer.last_message_at = now;
             peer.configuration = configuration;
+            peer.knows_routers = knows_routers;
         }
     }
 
@@ -270,7 +275,9 @@
     /// hash of its region.
     pub fn permit_issuer(&self, region: u64, server: u64) -> u64 {
         let mut topology = self.topology.borrow_mut();
-        topology.permit_issuer(now(), region, server, |hash| self.is_reachable(hash))
+        topology.permit_issuer(now(), region, server, |hash| {
+            self.is_reachable(hash) && self.knows_routers(hash)
+        })
     }
 
     /// Returns up to `count` other routers to which something is entrusted, by its hash: in a full
@@ -289,6 +296,12 @@
         self.topology.borrow().keepers(hash, count, |_| true)
     }
 
+    /// Returns whether a router has read which others there are, without which it issues no permits.
+    fn knows_routers(&self, hash: u64) -> bool {
+        let peers = self.by_hash.borrow();
+        peers.get(&hash).is_some_and(|peer| peer.knows_routers)
+    }
+
     /// Returns whether a router sent a message lately.
     fn is_reachable(&self, hash: u64) -> bool {
         let peers = self.by_hash.borrow();
