--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -29,7 +29,7 @@
         StreamId(policy::name_hash(id))
     }
 
-    /// Returns the hash by which routers are chosen that are told of the stream.
+    /// Returns the hash by which the routers are chosen that record the stream.
     pub fn hash(self) -> u64 {
         self.0
     }
--- a/crates/relay/src/unplaceable.rs
+++ b/crates/relay/src/unplaceable.rs
@@ -1,6 +1,6 @@
 //! Why no backend server can take a request, and when its caller may return.
 
-/// Minimum and maximum of the time after which callers are told to retry, in milliseconds.
+/// Minimum and maximum of the time after which callers may retry, in milliseconds.
 pub(crate) const RETRY_AFTER_RANGE_MS: (u64, u64) = (150, 800);
 
 /// Reason why no backend server can take a request.
--- a/crates/relay/tests/stream_origins.rs
+++ b/crates/relay/tests/stream_origins.rs
@@ -20,8 +20,8 @@
 /// Streams of a simulation.
 const STREAMS: u64 = 300;
 
-/// Routers that are told of a stream, and that are asked.
-const TOLD: usize = 3;
+/// Routers that are notified of a stream, and that are asked.
+const NOTIFIED: usize = 3;
 const ASKED: usize = 8;
 
 /// Share of the routers that are killed.
@@ -70,7 +70,7 @@
     for number in 0..STREAMS {
         let origin = origin(number, "v1");
         let hash = origin.stream.hash();
-        for router in topologies[0].keepers(hash, TOLD, |_| true) {
+        for router in topologies[0].keepers(hash, NOTIFIED, |_| true) {
             if !rng.random_bool(loss) {
                 origins[router as usize].record(at(0), origin);
             }
@@ -99,10 +99,11 @@
 #[test]
 fn each_stream_is_told_to_other_routers_of_several_regions() {
     let topology = topology(4, 9);
-    let told = topology.keepers(7, TOLD, |_| true);
-    let regions: std::collections::BTreeSet<u64> = told.iter().map(|router| router % 3).collect();
-    assert_eq!((told.len(), regions.len()), (3, 3));
-    assert!(!told.contains(&4));
+    let notified = topology.keepers(7, NOTIFIED, |_| true);
+    let regions: std::collections::BTreeSet<u64> =
+        notified.iter().map(|router| router % 3).collect();
+    assert_eq!((notified.len(), regions.len()), (3, 3));
+    assert!(!notified.contains(&4));
 }
 
 #[test]
