gateway: no request is denied by a configuration that is known to be replaced (CONFIG)

What callers see: 401 or 404 for a route or key that a newer configuration has, from a router that knows there is a newer one and hasn't got it yet. Change: 503, not run, with Retry-After 0.3 s.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -32,6 +32,10 @@
 /// Retry-after time while this router has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 300;
 
+/// Retry-after time of a request that the configuration in force denies while another router has a
+/// newer one, which may allow it, in milliseconds.
+const BEHIND_RETRY_AFTER_MS: u64 = 300;
+
 /// Retry-after time while this router shuts down, in milliseconds; short, as another
 /// router serves the retry.
 const STOPPING_RETRY_AFTER_MS: u64 = 50;
@@ -119,8 +123,13 @@
         ));
     };
     let version = configuration.version;
-    let (route, workspace) = admit(&configuration, &head, &parsed)
-        .map_err(|refusal| NotAccepted::Refused(refusal, version))?;
+    let (route, workspace) = match admit(&configuration, &head, &parsed) {
+        Ok(admitted) => admitted,
+        Err(_) if cx.peers.newest_configuration() > version => {
+            return Err(not_run("behind", BEHIND_RETRY_AFTER_MS, version));
+        }
+        Err(refusal) => return Err(NotAccepted::Refused(refusal, version)),
+    };
     let body = read_body(body, configuration.limits.max_body_bytes, version).await?;
     let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
     let suspects = suspects(fingerprint, &parsed);
--- a/crates/relay/tests/catch_up.rs
+++ b/crates/relay/tests/catch_up.rs
@@ -66,7 +66,7 @@
         router: at as u64,
         version: source.announced(),
         last_message_at,
-        is_in_region: at % 2 == 0,
+        is_in_region: at.is_multiple_of(2),
     }
 }
 
