gateway: after an outage of the store registrations don't wait for a change of the configuration

After a failed call all topics wait until the watch of the operators' entries has had a response. Now it waits 1 ms until the store responds.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -27,6 +27,9 @@
 /// history that the platform keeps, a watch without changes would end in a listing.
 const WATCH_WAIT_MS: u64 = 15_000;
 
+/// The same time while the last call to the store failed.
+const PROBE_WAIT_MS: u64 = 1;
+
 /// Pause between two watches of the routers' records on a router that may take the
 /// order lease, and must notice soon when it is free.
 const CANDIDATE_PAUSE: Duration = Duration::from_millis(300);
@@ -110,7 +113,7 @@
     }
     // In a new era the store may wait for changes after a number that it has given out again.
     let result = tokio::select! {
-        result = cx.store.watch(topic, after, WATCH_WAIT_MS) => result,
+        result = cx.store.watch(topic, after, wait_ms(cx, topic)) => result,
         () = until_era_after(cx, after.era) => Ok(WatchResult::HistoryGone),
     };
     match result {
@@ -133,6 +136,15 @@
     }
 }
 
+/// Returns the time for which a watch waits for changes. After a failure all topics wait for the
+/// operators' to reach the store, so it only asks whether that responds.
+fn wait_ms(cx: &Context, topic: Topic) -> u64 {
+    match topic {
+        Topic::Operators if cx.view.borrow().store_failing => PROBE_WAIT_MS,
+        _ => WATCH_WAIT_MS,
+    }
+}
+
 /// Returns whether a hub reads a topic for this router, and passes on what it reads. Takes
 /// over when the hub last had a response. The order lease isn't passed on.
 fn is_served_by_hub(cx: &Context, topic: Topic) -> bool {
