gateway: a watch of the store that should have responded is repeated (CONFIG)

What callers see: requests handled by a configuration that was replaced up to 16.5 s ago. Cause: each router watches the operators' entries with calls of 15 s. If the response is lost, the connection stays open, nothing comes, and no other fact ends the wait: not a call for registrations that fails, not a configuration that came from another router. Where a hub reads for a region, that is one call for all of it. Change: these two facts make the watches repeat their calls. Of the routers one reads for others; its call waits 1.3 s (two calls in 2.5 s, which is the bound of the test of calls by 18 routers). The pause after a failed call counts from its start, so a call that timed out is repeated at once. Test: not in force 3 s after the loss ended, now in force.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -85,6 +85,8 @@
     pub view: RefCell<ClusterView>,
     /// Wakes the tasks that depend on the era of the store when one begins.
     pub era_began: Notify,
+    /// Makes the tasks that watch the store repeat their calls: one of them should have responded.
+    pub watches_suspect: Notify,
     /// Stage of this process between start and exit.
     pub phase: Cell<Phase>,
 }
@@ -109,6 +111,9 @@
         view.configuration_since = now();
         view.configuration = Some(Rc::new(configuration));
         self.peers.wake.notify_one();
+        if source == "peer" {
+            self.watches_suspect.notify_waiters();
+        }
     }
 
     /// Returns for how long this router has known that another one has a newer configuration, in
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -27,6 +27,10 @@
 /// history that the platform keeps, a watch without changes would end in a listing.
 const WATCH_WAIT_MS: u64 = 15_000;
 
+/// The same time for the operators' entries on a router that reads for others. With the limit of a
+/// call it stays below the time in which a configuration must be in force.
+const READER_WAIT_MS: u64 = 1_300;
+
 /// The same time while the last call to the store failed.
 const PROBE_WAIT_MS: u64 = 1;
 
@@ -61,10 +65,11 @@
     }
     let mut last_era = None;
     loop {
+        let called_at = now();
         let listing = match cx.store.list(topic).await {
             Ok(listing) => listing,
             Err(e) => {
-                record_failure(&cx, topic, &e).await;
+                record_failure(&cx, topic, called_at, &e).await;
                 continue;
             }
         };
@@ -111,10 +116,12 @@
         };
         sleep(pause).await;
     }
+    let called_at = now();
     // In a new era the store may wait for changes after a number that it has given out again.
     let result = tokio::select! {
         result = cx.store.watch(topic, after, wait_ms(cx, topic)) => result,
         () = until_era_after(cx, after.era) => Ok(WatchResult::HistoryGone),
+        () = cx.watches_suspect.notified() => return Some(after),
     };
     match result {
         Ok(WatchResult::Changes(listing)) => {
@@ -130,17 +137,19 @@
             None
         }
         Err(e) => {
-            record_failure(cx, topic, &e).await;
+            record_failure(cx, topic, called_at, &e).await;
             Some(after)
         }
     }
 }
 
 /// Returns the time for which a watch waits for changes. After a failure all topics wait for the
-/// operators' to reach the store, so it only asks whether that responds.
+/// operators' to reach the store, so it only asks whether that responds. A response may be lost
+/// without a sign, so one router of those that announce what they read looks often.
 fn wait_ms(cx: &Context, topic: Topic) -> u64 {
     match topic {
         Topic::Operators if cx.view.borrow().store_failing => PROBE_WAIT_MS,
+        Topic::Operators if cx.view.borrow().reads_registrations => READER_WAIT_MS,
         _ => WATCH_WAIT_MS,
     }
 }
@@ -203,9 +212,9 @@
     view.store_responded_at = view.store_responded_at.max(responded_at);
 }
 
-/// Records a failed call to the store, and waits until the next may be made, or until
-/// registrations can be taken from another router.
-pub async fn record_failure(cx: &Context, topic: Topic, e: &StoreError) {
+/// Records a failure of a call to the store that began at `called_at`, and waits until the next may
+/// be made, or until registrations can be taken from another router.
+pub async fn record_failure(cx: &Context, topic: Topic, called_at: Time, e: &StoreError) {
     {
         let mut view = cx.view.borrow_mut();
         if !view.store_failing {
@@ -219,8 +228,11 @@
         view.store_failing = true;
         view.store_unreachable_until = now();
     }
+    if topic == Topic::Servers {
+        cx.watches_suspect.notify_waiters();
+    }
     let pause_ms = store_access(cx).retry_pause_ms();
-    let retry_at = now().plus_millis(rand::rng().random_range(pause_ms));
+    let retry_at = called_at.plus_millis(rand::rng().random_range(pause_ms));
     while must_wait(cx, topic, retry_at) {
         let left = Duration::from_millis(retry_at.millis_since(now()).max(1));
         sleep(left.min(STORE_POLL_INTERVAL)).await;
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -53,7 +53,7 @@
     let mut fetched_at = Time(0);
     loop {
         let peer = cx.peer_reading();
-        cx.view.borrow_mut().reads_registrations = peer.is_none();
+        set_reading(&cx, peer.is_none());
         match peer {
             Some(peer) => sync_from_peer(&cx, peer, &mut fetched_at).await,
             None => sync_from_store(&cx).await,
@@ -61,6 +61,15 @@
     }
 }
 
+/// Records whether this router reads the store. One that begins to also looks at the operators'
+/// entries at shorter intervals.
+fn set_reading(cx: &Context, reads: bool) {
+    let before = std::mem::replace(&mut cx.view.borrow_mut().reads_registrations, reads);
+    if reads && !before {
+        cx.watches_suspect.notify_waiters();
+    }
+}
+
 /// Takes the registrations from another router if it has others than this one, and waits until
 /// its announcement is to be checked again.
 async fn sync_from_peer(cx: &Context, peer: PeerReading, fetched_at: &mut Time) {
@@ -113,18 +122,20 @@
 }
 
 async fn list(cx: &Context) {
+    let called_at = now();
     match cx.store.list(Topic::Servers).await {
         Ok(listing) => {
             record_success(cx, Topic::Servers);
             apply_listing(cx, listing);
             sleep(time_to_next_call(cx)).await;
         }
-        Err(e) => record_failure(cx, Topic::Servers, &e).await,
+        Err(e) => record_failure(cx, Topic::Servers, called_at, &e).await,
     }
 }
 
 async fn watch(cx: &Context, after: Revision) {
     let wait_ms = WATCH_WAIT_MS.min(millis_to_list(cx));
+    let called_at = now();
     match cx.store.watch(Topic::Servers, after, wait_ms).await {
         Ok(WatchResult::Changes(listing)) => {
             record_success(cx, Topic::Servers);
@@ -139,7 +150,7 @@
             .write();
             list(cx).await;
         }
-        Err(e) => record_failure(cx, Topic::Servers, &e).await,
+        Err(e) => record_failure(cx, Topic::Servers, called_at, &e).await,
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -129,6 +129,7 @@
             log: services.log,
             view: RefCell::new(view),
             era_began: Notify::new(),
+            watches_suspect: Notify::new(),
             phase: Cell::new(Phase::Serving),
         });
         let (close_tx, close_rx) = watch::channel(false);
--- a/crates/relay/src/store_access.rs
+++ b/crates/relay/src/store_access.rs
@@ -14,7 +14,7 @@
 }
 
 impl StoreAccess {
-    /// Returns the shortest and longest pause after a failed call, in milliseconds. The platform
+    /// Returns the shortest and longest time from a failed call to the next, in milliseconds. The platform
     /// charges for failed calls too.
     pub fn retry_pause_ms(self) -> RangeInclusive<u64> {
         match self {
