--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,23 +11,16 @@
 use hyper_util::rt::TokioIo;
 use relay::AttemptEnd;
 use snafu::Snafu;
-use socket2::SockRef;
-use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::limited_stream::LimitedStream;
 use crate::limited_stream::ReadAllowance;
+use crate::liveness::Liveness;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
 
-/// Time for which sent bytes may stay unacknowledged before a connection fails.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// Idle time before the first TCP keepalive probe, and the time between probes.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-
 /// Most bytes that are read of a response that doesn't name its length.
 pub const MAX_RESPONSE_BYTES: u64 = 4 << 20;
 
@@ -55,7 +48,11 @@
 }
 
 /// Connects to `peer` within `limit` and starts HTTP on the connection.
-pub async fn connect<B>(peer: SocketAddr, limit: Duration) -> Result<Connection<B>, ConnectError>
+pub async fn connect<B>(
+    peer: SocketAddr,
+    limit: Duration,
+    liveness: Liveness,
+) -> Result<Connection<B>, ConnectError>
 where
     B: Body + 'static,
     B::Data: Send,
@@ -67,7 +64,8 @@
         Ok(Err(e)) => return Err(error("connect to", e.to_string())),
         Err(_) => return Err(error("connect to", "timeout".to_owned())),
     };
-    set_socket_options(&stream).map_err(|e| error("configure socket to", e.to_string()))?;
+    let configured = liveness.apply(&stream);
+    configured.map_err(|e| error("configure socket to", e.to_string()))?;
     let result = start_http(peer, stream).await;
     result.map_err(|e| error("handshake with", error_chain(&e)))
 }
@@ -96,19 +94,6 @@
     })
 }
 
-/// Sets the socket options by which a connection detects an unreachable peer, and
-/// disables Nagle's algorithm.
-pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
-}
-
 /// Returns how an attempt ended whose connection failed while a response was due. A peer that can't
 /// be reached, or sends invalid bytes, may be alive.
 pub fn broken_end(e: &hyper::Error) -> AttemptEnd {
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -25,6 +25,7 @@
 use crate::connection::error_chain;
 use crate::connection::ConnectError;
 use crate::connection::Connection;
+use crate::liveness::Liveness;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -135,7 +136,7 @@
                 Err(SendFailure::Broken(e)) => return Err(broken(peer, &e)),
             }
         }
-        let connection = connect(peer, CONNECT_TIMEOUT).await?;
+        let connection = connect(peer, CONNECT_TIMEOUT, Liveness::PATIENT).await?;
         let mut connection = PooledConnection(Some(connection));
         match try_send(&mut connection, req).await {
             Ok(response) => Ok((response, connection)),
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -22,11 +22,11 @@
 
 use crate::body::ResponseBody;
 use crate::connection::error_chain;
-use crate::connection::set_socket_options;
 use crate::context::Context;
 use crate::context::Phase;
 use crate::intake;
 use crate::intake::Aborted;
+use crate::liveness::Liveness;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
 
@@ -61,7 +61,7 @@
 /// Serves one connection of a caller until it ends. Once `close` is true, it is
 /// closed as soon as no request is in flight on it.
 pub async fn serve(cx: Rc<Context>, stream: TcpStream, mut close: watch::Receiver<bool>) {
-    if let Err(e) = set_socket_options(&stream) {
+    if let Err(e) = Liveness::PATIENT.apply(&stream) {
         log_failure(Step::Socket, &e);
         return;
     }
