--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -96,7 +96,7 @@
         record_part(x, choice);
         log_attempt(x, choice, &id);
         let req = build_request(x, choice, id, peer);
-        let sent = x.cx.pool.send(choice.server, peer, req);
+        let sent = x.cx.pool.send(&*x.cx.connector, choice.server, peer, req);
         let result = if x.route.kind.may_retry() {
             tokio::select! {
                 result = sent => result,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client connections to other processes.
 
 use std::error::Error;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -57,9 +58,25 @@
     B: Body + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    establish(peer, TcpStream::connect(peer), limit, liveness).await
+}
+
+/// Waits up to `limit` for a stream to `peer` and starts HTTP on it.
+pub async fn establish<B, F>(
+    peer: SocketAddr,
+    stream: F,
+    limit: Duration,
+    liveness: Liveness,
+) -> Result<Connection<B>, ConnectError>
+where
+    F: Future<Output = io::Result<TcpStream>>,
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let error = |step, reason: String| ConnectError { step, peer, reason };
-    let stream = match timeout(limit, TcpStream::connect(peer)).await {
+    let stream = match timeout(limit, stream).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Err(error("connect to", e.to_string())),
         Err(_) => return Err(error("connect to", "timeout".to_owned())),
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -21,10 +21,11 @@
 
 use crate::clock::now;
 use crate::connection::broken_end;
-use crate::connection::connect;
 use crate::connection::error_chain;
+use crate::connection::establish;
 use crate::connection::ConnectError;
 use crate::connection::Connection;
+use crate::connector::Connector;
 use crate::liveness::Liveness;
 
 /// Timeout for establishing a connection.
@@ -125,6 +126,7 @@
     /// Sends a request over an idle connection, or over a new one.
     pub async fn send(
         &self,
+        connector: &dyn Connector,
         server: ServerKey,
         peer: SocketAddr,
         mut req: Request<Full<Bytes>>,
@@ -136,7 +138,13 @@
                 Err(SendFailure::Broken(e)) => return Err(broken(peer, &e)),
             }
         }
-        let connection = connect(peer, CONNECT_TIMEOUT, Liveness::PATIENT).await?;
+        let connection = establish(
+            peer,
+            connector.connect(peer),
+            CONNECT_TIMEOUT,
+            Liveness::PATIENT,
+        )
+        .await?;
         let mut connection = PooledConnection(Some(connection));
         match try_send(&mut connection, req).await {
             Ok(response) => Ok((response, connection)),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -23,6 +23,7 @@
 use crate::cluster_view::ClusterView;
 use crate::codec::Codec;
 use crate::connection_pool::ConnectionPool;
+use crate::connector::Connector;
 use crate::engines::Engines;
 use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
@@ -67,6 +68,8 @@
     pub store: Rc<dyn Store>,
     /// Client for management calls to model engines.
     pub engines: Rc<dyn Engines>,
+    /// Opens connections to backend servers.
+    pub connector: Rc<dyn Connector>,
     /// Pool of connections to backend servers.
     pub pool: ConnectionPool,
     /// Other routers, and what is to be announced to them.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::codec::Codec;
 use crate::configuration_feed;
 use crate::connection_pool::ConnectionPool;
+use crate::connector::Connector;
 use crate::context::Context;
 use crate::context::Phase;
 use crate::crash_records;
@@ -95,6 +96,8 @@
     pub store: Rc<dyn Store>,
     /// Client for management calls to model engines.
     pub engines: Rc<dyn Engines>,
+    /// Opens connections to backend servers.
+    pub connector: Rc<dyn Connector>,
     /// Log of this process.
     pub log: LogSink,
 }
@@ -123,6 +126,7 @@
             codec: services.codec,
             store: Rc::new(store),
             engines: services.engines,
+            connector: services.connector,
             pool: ConnectionPool::default(),
             peers,
             metrics,
--- a/crates/router/src/forward_command.rs
+++ b/crates/router/src/forward_command.rs
@@ -17,6 +17,7 @@
 use gateway::Gateway;
 use gateway::LogSink;
 use gateway::Settings;
+use gateway::TcpConnector;
 use tokio::task::LocalSet;
 
 use crate::process_start::start;
@@ -55,6 +56,7 @@
         codec: Rc::new(HeaderCodec),
         store: Rc::new(StoreClient::new(settings.store)),
         engines: Rc::new(EngineClient),
+        connector: Rc::new(TcpConnector),
         log,
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
