--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -30,10 +30,10 @@
 use crate::codec::ExpectedWeights;
 use crate::codec::ForwardHead;
 use crate::codec::ResponseHead;
-use crate::connection::broken_end;
 use crate::connection::error_chain;
 use crate::connection::MAX_RESPONSE_BYTES;
 use crate::connection_pool::PooledConnection;
+use crate::dialer::dial;
 use crate::evidence::avoid;
 use crate::evidence::forget_part;
 use crate::evidence::handle_rejection;
@@ -57,6 +57,9 @@
 /// that may be retried is abandoned.
 const UNRESPONSIVE_MS: u64 = 1_200;
 
+/// The same for a backend server that this router is found to be cut off from.
+const CUT_OFF_SILENCE_MS: u64 = 500;
+
 /// Interval at which an attempt checks whether its backend server is unresponsive; also
 /// the longest time spent on draining a rejection's body.
 const UNRESPONSIVE_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -96,7 +99,8 @@
         record_part(x, choice);
         log_attempt(x, choice, &id);
         let req = build_request(x, choice, id, peer);
-        let sent = x.cx.pool.send(&*x.cx.connector, choice.server, peer, req);
+        let dial = dial(&x.cx, choice.server, peer);
+        let sent = x.cx.pool.send(choice.server, peer, req, dial);
         let result = if x.route.kind.may_retry() {
             tokio::select! {
                 result = sent => result,
@@ -187,7 +191,8 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
                 avoid(x, self.choice.server, AVOID_FAILED_MS / 4);
-                return Err(AttemptFailure::new(broken_end(&e), error_chain(&e)));
+                let end = self.connection.broken_end(&e);
+                return Err(AttemptFailure::new(end, error_chain(&e)));
             }
             Err(_) => return Err(AttemptFailure::timed_out()),
         };
@@ -304,14 +309,21 @@
 }
 
 /// Completes once a backend server has not responded to any request for more than
-/// [`UNRESPONSIVE_MS`], beyond the time allowed for prefill.
+/// [`UNRESPONSIVE_MS`], beyond the time allowed for prefill, or is found to be cut off from this
+/// router while it owes a response.
 async fn until_unresponsive(x: &Exchange, key: ServerKey) {
     let mut ticks = interval(UNRESPONSIVE_POLL_INTERVAL);
+    let begun_at = now();
     loop {
         ticks.tick().await;
         let view = x.cx.view.borrow();
-        let server = view.fleet.get(key);
-        if server.is_some_and(|server| server.unresponsive_ms(now()) > UNRESPONSIVE_MS) {
+        let Some(server) = view.fleet.get(key) else {
+            continue;
+        };
+        let cut_since = view.reach.cut_since(&server.registration.domain);
+        let was_cut_off = cut_since.is_some_and(|since| since > begun_at)
+            && server.own_silence_ms(now()) > CUT_OFF_SILENCE_MS;
+        if was_cut_off || server.unresponsive_ms(now()) > UNRESPONSIVE_MS {
             return;
         }
     }
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -14,6 +14,7 @@
 use relay::OrderPlan;
 use relay::PeerReadings;
 use relay::PermitIssuer;
+use relay::Reach;
 use relay::Reading;
 use relay::Residency;
 use relay::RetryBudget;
@@ -48,6 +49,8 @@
     pub fleet: Fleet,
     /// Whether this router reads the registrations of backend servers from the store itself.
     pub reads_registrations: bool,
+    /// Which backend servers this router can't connect to although others reach them.
+    pub reach: Reach,
     /// Announcements of the routers that read the registrations.
     pub peer_readings: PeerReadings,
     /// Whether the list of routers was read from the store at least once.
@@ -101,6 +104,7 @@
             weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
             fleet: Fleet::new(settings.heartbeat_ms),
             reads_registrations: false,
+            reach: Reach::default(),
             peer_readings: PeerReadings::default(),
             routers_known: false,
             store_era: None,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -12,6 +12,8 @@
 use hyper_util::rt::TokioIo;
 use relay::AttemptEnd;
 use snafu::Snafu;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -88,11 +90,9 @@
 }
 
 /// Starts HTTP on a stream to `peer`.
-pub async fn start_http<B>(
-    peer: SocketAddr,
-    stream: TcpStream,
-) -> Result<Connection<B>, hyper::Error>
+pub async fn start_http<B, S>(peer: SocketAddr, stream: S) -> Result<Connection<B>, hyper::Error>
 where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
     B: Body + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -5,8 +5,8 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -22,14 +22,8 @@
 use crate::clock::now;
 use crate::connection::broken_end;
 use crate::connection::error_chain;
-use crate::connection::establish;
 use crate::connection::ConnectError;
-use crate::connection::Connection;
-use crate::connector::Connector;
-use crate::liveness::Liveness;
-
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+use crate::dialer::Dialed;
 
 /// Idle time of a connection whose server announces no keep-alive timeout, in milliseconds.
 const DEFAULT_KEEP_ALIVE_MS: u64 = 500;
@@ -91,27 +85,36 @@
 }
 
 struct IdleConnection {
-    connection: Connection<Full<Bytes>>,
+    connection: Dialed,
     reusable_until: Time,
 }
 
 /// A connection in use. Dropping it without returning it to the pool closes the
 /// connection at once, so that the backend server cancels the request.
-pub struct PooledConnection(Option<Connection<Full<Bytes>>>);
+pub struct PooledConnection(Option<Dialed>);
 
 impl PooledConnection {
     /// Allows `bytes` more bytes of the response to be read.
     pub fn allow(&self, bytes: u64) {
-        if let Some(connection) = &self.0 {
-            connection.allowance.set(bytes);
+        if let Some(dialed) = &self.0 {
+            dialed.connection.allowance.set(bytes);
+        }
+    }
+
+    /// Returns how an attempt ended whose connection failed while a response was due. One through
+    /// another router may have ended with that router.
+    pub fn broken_end(&self, e: &hyper::Error) -> AttemptEnd {
+        match &self.0 {
+            Some(dialed) if dialed.is_tunnel => AttemptEnd::Unknown,
+            _ => broken_end(e),
         }
     }
 }
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        if let Some(connection) = &self.0 {
-            connection.task.abort();
+        if let Some(dialed) = &self.0 {
+            dialed.connection.task.abort();
         }
     }
 }
@@ -123,29 +126,25 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request over an idle connection, or over a new one.
-    pub async fn send(
+    /// Sends a request over an idle connection, or over a new one that `dial` establishes.
+    pub async fn send<F>(
         &self,
-        connector: &dyn Connector,
         server: ServerKey,
         peer: SocketAddr,
         mut req: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+        dial: F,
+    ) -> Result<(Response<Incoming>, PooledConnection), SendError>
+    where
+        F: Future<Output = Result<Dialed, ConnectError>>,
+    {
         while let Some(mut connection) = self.take_idle(server) {
             match try_send(&mut connection, req).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendFailure::Unsent(unsent)) => req = *unsent,
-                Err(SendFailure::Broken(e)) => return Err(broken(peer, &e)),
+                Err(SendFailure::Broken(e)) => return Err(broken(peer, &connection, &e)),
             }
         }
-        let connection = establish(
-            peer,
-            connector.connect(peer),
-            CONNECT_TIMEOUT,
-            Liveness::PATIENT,
-        )
-        .await?;
-        let mut connection = PooledConnection(Some(connection));
+        let mut connection = PooledConnection(Some(dial.await?));
         match try_send(&mut connection, req).await {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::Unsent(_)) => UnsentSnafu {
@@ -154,7 +153,7 @@
                 reason: "connection closed",
             }
             .fail(),
-            Err(SendFailure::Broken(e)) => Err(broken(peer, &e)),
+            Err(SendFailure::Broken(e)) => Err(broken(peer, &connection, &e)),
         }
     }
 
@@ -166,7 +165,7 @@
         mut connection: PooledConnection,
         keep_alive_ms: Option<u64>,
     ) {
-        let Some(connection) = connection.0.take() else {
+        let Some(dialed) = connection.0.take() else {
             return;
         };
         let keep_alive_ms = keep_alive_ms.map_or(DEFAULT_KEEP_ALIVE_MS, |ms| {
@@ -174,12 +173,12 @@
         });
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(server).or_default();
-        if idle.len() >= MAX_IDLE || connection.sender.is_closed() {
-            connection.task.abort();
+        if idle.len() >= MAX_IDLE || dialed.connection.sender.is_closed() {
+            dialed.connection.task.abort();
             return;
         }
         idle.push(IdleConnection {
-            connection,
+            connection: dialed,
             reusable_until: now().plus_millis(keep_alive_ms),
         });
     }
@@ -193,9 +192,9 @@
             connections.retain(|idle| {
                 let is_reusable = is_registered
                     && idle.reusable_until > now
-                    && !idle.connection.sender.is_closed();
+                    && !idle.connection.connection.sender.is_closed();
                 if !is_reusable {
-                    idle.connection.task.abort();
+                    idle.connection.connection.task.abort();
                 }
                 is_reusable
             });
@@ -205,8 +204,23 @@
 
     /// Closes all idle connections to a backend server.
     pub fn clear(&self, server: ServerKey) {
-        for idle in self.idle.borrow_mut().remove(&server).into_iter().flatten() {
-            idle.connection.task.abort();
+        self.close_idle(server, |_| true);
+    }
+
+    /// Closes idle connections to a backend server: `closes` says whether to close those that lead
+    /// through another router, and whether those that don't.
+    pub fn close_idle<F>(&self, server: ServerKey, closes: F)
+    where
+        F: Fn(bool) -> bool,
+    {
+        if let Some(idle) = self.idle.borrow_mut().get_mut(&server) {
+            idle.retain(|idle| {
+                let closes = closes(idle.connection.is_tunnel);
+                if closes {
+                    idle.connection.connection.task.abort();
+                }
+                !closes
+            });
         }
     }
 
@@ -215,14 +229,14 @@
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(&server)?;
         while let Some(IdleConnection {
-            connection,
+            connection: dialed,
             reusable_until,
         }) = idle.pop()
         {
-            if reusable_until > now && connection.sender.is_ready() {
-                return Some(PooledConnection(Some(connection)));
+            if reusable_until > now && dialed.connection.sender.is_ready() {
+                return Some(PooledConnection(Some(dialed)));
             }
-            connection.task.abort();
+            dialed.connection.task.abort();
         }
         None
     }
@@ -233,11 +247,11 @@
     Broken(hyper::Error),
 }
 
-fn broken(peer: SocketAddr, e: &hyper::Error) -> SendError {
+fn broken(peer: SocketAddr, connection: &PooledConnection, e: &hyper::Error) -> SendError {
     SendError::Broken {
         peer,
         reason: error_chain(e),
-        end: broken_end(e),
+        end: connection.broken_end(e),
     }
 }
 
@@ -245,7 +259,8 @@
     connection: &mut PooledConnection,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendFailure> {
-    let connection = connection.0.as_mut().expect("a connection in use is open");
+    let dialed = connection.0.as_mut().expect("a connection in use is open");
+    let connection = &mut dialed.connection;
     connection.allowance.set(MAX_HEAD_BYTES);
     match connection.sender.try_send_request(req).await {
         Ok(response) => Ok(response),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -224,7 +224,7 @@
         let ended = AttemptEnded {
             id: &self.parsed.id,
             service: &self.service,
-            server: &self.server_name(choice.server),
+            server: &self.cx.server_name(choice.server),
             fingerprint: self.fingerprint,
             end,
             reason,
@@ -238,16 +238,6 @@
         verdict
     }
 
-    /// Returns the id of a backend server, or `gone` once it is not registered, for logs.
-    pub fn server_name(&self, key: ServerKey) -> String {
-        let view = self.cx.view.borrow();
-        let server = view.fleet.get(key);
-        server.map_or_else(
-            || "gone".to_owned(),
-            |server| server.registration.id.to_string(),
-        )
-    }
-
     /// Records the final outcome of the request in metrics and log.
     pub fn finish(&mut self, outcome: &str, status: u16, server: Option<ServerKey>) {
         self.finished = true;
@@ -257,7 +247,7 @@
             .metrics
             .time_to_end
             .observe(took as f64 / 1_000_000.0);
-        let server = server.map(|key| self.server_name(key));
+        let server = server.map(|key| self.cx.server_name(key));
         let ended = RequestEnded {
             id: &self.parsed.id,
             route: &self.route.name,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -29,6 +29,8 @@
 use crate::liveness::Liveness;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
+use crate::status_pages;
+use crate::tunnel;
 
 /// Largest head of a request while no configuration is in force, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
@@ -123,3 +125,30 @@
         log_failure(Step::Connection, &error_chain(&e));
     }
 }
+
+/// Serves one connection of another router: pages, or a connection to a backend server.
+pub async fn serve_router(cx: Rc<Context>, stream: TcpStream) {
+    let from = match stream.peer_addr() {
+        Ok(address) => address.ip(),
+        Err(e) => return log_failure(Step::Accept, &e),
+    };
+    if let Err(e) = Liveness::PATIENT.apply(&stream) {
+        return log_failure(Step::Socket, &e);
+    }
+    let service = service_fn(|req: Request<Incoming>| {
+        let cx = Rc::clone(&cx);
+        async move {
+            let response = match tunnel::target(&req) {
+                Some(server) => tunnel::accept(cx, from, server, req).await,
+                None => status_pages::bootstrap(&cx, req.uri().path()),
+            };
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = connection.with_upgrades().await {
+        log_failure(Step::Connection, &error_chain(&e));
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,7 @@
 use crate::pending_replies::PendingReplies;
 use crate::process_event::ProcessEvent;
 use crate::process_event::StopPhase;
+use crate::reach_task;
 use crate::records;
 use crate::router_feed;
 use crate::settings::Settings;
@@ -224,10 +225,11 @@
         self.serve(readiness, |cx, _| status_pages::readiness(cx));
         let metrics = SocketAddr::new(addresses.callers.ip(), addresses.metrics_port);
         self.serve(open("metrics", metrics)?, status_pages::operators);
-        self.serve(
-            open("other routers", peer_address(&cx.settings))?,
-            status_pages::bootstrap,
-        );
+        let routers = open("other routers", peer_address(&cx.settings))?;
+        let shared = Rc::clone(cx);
+        tokio::task::spawn_local(accept(routers, move |stream| {
+            frontend::serve_router(Rc::clone(&shared), stream)
+        }));
         if let Some(address) = addresses.bootstrap {
             self.serve(open("new routers", address)?, status_pages::bootstrap);
         }
@@ -259,6 +261,7 @@
         tokio::task::spawn_local(orders::run(Rc::clone(cx)));
         tokio::task::spawn_local(snapshot::run(Rc::clone(cx)));
         tokio::task::spawn_local(configuration_feed::run(Rc::clone(cx)));
+        tokio::task::spawn_local(reach_task::run(Rc::clone(cx)));
         tokio::task::spawn_local(sweep(Rc::clone(cx)));
     }
 }
--- a/crates/gateway/src/limited_stream.rs
+++ b/crates/gateway/src/limited_stream.rs
@@ -1,4 +1,4 @@
-//! TCP stream that reads no more bytes than it is allowed to. Without it a peer that sends bytes
+//! Stream that reads no more bytes than it is allowed to. Without it a peer that sends bytes
 //! without end would take memory and processor time until a deadline passes.
 
 use std::cell::Cell;
@@ -11,7 +11,6 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
 /// Number of bytes that may still be read from a stream.
 #[derive(Clone, Debug)]
@@ -29,15 +28,15 @@
     }
 }
 
-/// TCP stream with an allowance of bytes to read. A read beyond it fails.
-pub struct LimitedStream {
-    stream: TcpStream,
+/// Stream with an allowance of bytes to read. A read beyond it fails.
+pub struct LimitedStream<S> {
+    stream: S,
     allowance: ReadAllowance,
 }
 
-impl LimitedStream {
+impl<S> LimitedStream<S> {
     /// Wraps a stream from which `bytes` bytes may be read. Returns also its allowance.
-    pub fn new(stream: TcpStream, bytes: u64) -> (LimitedStream, ReadAllowance) {
+    pub fn new(stream: S, bytes: u64) -> (LimitedStream<S>, ReadAllowance) {
         let allowance = ReadAllowance(Rc::new(Cell::new(bytes)));
         let limited = LimitedStream {
             stream,
@@ -47,7 +46,10 @@
     }
 }
 
-impl AsyncRead for LimitedStream {
+impl<S> AsyncRead for LimitedStream<S>
+where
+    S: AsyncRead + Unpin,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -64,7 +66,10 @@
     }
 }
 
-impl AsyncWrite for LimitedStream {
+impl<S> AsyncWrite for LimitedStream<S>
+where
+    S: AsyncWrite + Unpin,
+{
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,9 @@
 //! Other routers, and the announcements that the next gossip messages carry.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use policy::Time;
@@ -266,6 +268,35 @@
             .map(|(_, peer)| peer.entry.address)
     }
 
+    /// Returns whether another router runs on the VM with this address.
+    pub fn is_router_at(&self, address: IpAddr) -> bool {
+        let peers = self.by_hash.borrow();
+        peers
+            .values()
+            .any(|peer| peer.entry.address.ip() == address)
+    }
+
+    /// Returns up to `count` other routers for which `may_ask` is true, in a full mesh only those
+    /// that are reachable: those of this router's region first, otherwise in an order by `seed`.
+    pub fn helpers<F>(&self, seed: u64, count: usize, may_ask: F) -> Vec<u64>
+    where
+        F: Fn(u64) -> bool,
+    {
+        let topology = self.topology.borrow();
+        let is_full_mesh = topology.is_full_mesh();
+        let peers = self.by_hash.borrow();
+        let routers = peers.keys().copied().filter(|router| may_ask(*router));
+        let mut usable: Vec<u64> = routers
+            .filter(|router| !is_full_mesh || self.is_reachable(*router))
+            .collect();
+        usable.sort_by_cached_key(|router| {
+            let weight = policy::rendezvous_weight(seed, *router);
+            (Reverse(topology.is_in_region(*router)), weight)
+        });
+        usable.truncate(count);
+        usable
+    }
+
     /// Returns the router that issues permits for a backend server, by its instance hash and the
     /// hash of its region.
     pub fn permit_issuer(&self, region: u64, server: u64) -> u64 {
--- a/crates/gateway/src/server_metrics.rs
+++ b/crates/gateway/src/server_metrics.rs
@@ -2,10 +2,12 @@
 
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
+use prometheus::IntGauge;
 use prometheus::Registry;
 
 use crate::metrics::counter;
 use crate::metrics::counters;
+use crate::view_gauges::gauge;
 
 /// Metrics of what backend servers say of themselves, and of what follows from it.
 pub struct ServerMetrics {
@@ -19,6 +21,8 @@
     pub permits: IntCounterVec,
     /// Streams that callers take up, by how their build is known.
     pub streams_taken_up: IntCounterVec,
+    /// Connections to backend servers that this router holds for others.
+    pub tunnels_open: IntGauge,
     /// Limits of backend servers that are no rate, out of range or contradictory.
     pub server_limit_invalid: IntCounter,
 }
@@ -54,6 +58,11 @@
                 "Streams that callers take up, by how the version of their server is known",
                 &["source"],
             ),
+            tunnels_open: gauge(
+                registry,
+                "tunnels_open",
+                "Connections to servers that are held for other routers",
+            ),
             server_limit_invalid: counter(
                 registry,
                 "server_limit_invalid",
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -18,7 +18,6 @@
 use crate::body::IncompleteStream;
 use crate::body::ResponseBody;
 use crate::clock::now;
-use crate::connection::broken_end;
 use crate::connection::error_chain;
 use crate::evidence::record_end;
 use crate::exchange::Exchange;
@@ -166,7 +165,10 @@
                 x.cx.pool.release(server, attempt.connection, keep_alive_ms);
                 return StreamEnd::Complete(whole_end);
             }
-            Ok(Some(Err(e))) => return StreamEnd::Failed(broken_end(&e), error_chain(&e)),
+            Ok(Some(Err(e))) => {
+                let end = attempt.connection.broken_end(&e);
+                return StreamEnd::Failed(end, error_chain(&e));
+            }
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(bytes) = frame.into_data() else {
--- a/crates/gateway/src/view_gauges.rs
+++ b/crates/gateway/src/view_gauges.rs
@@ -106,7 +106,8 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+/// Creates and registers a gauge.
+pub fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     register(
         registry,
         IntGauge::new(format!("turmerichollow_{name}"), help),
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -121,6 +121,27 @@
         own_ms.max(shared_ms).saturating_sub(slack_ms)
     }
 
+    /// Returns for how long it has not responded to this router's requests, in milliseconds, less
+    /// the same allowance for prefill.
+    pub fn own_silence_ms(&self, now: Time) -> u64 {
+        let since = self.unresponsive_since;
+        let slack_ms = self.load(now).prefill_ms * PREFILL_SLACK_FACTOR;
+        since.map_or(0, |since| now.millis_since(since).saturating_sub(slack_ms))
+    }
+
+    /// Returns when it last responded to this router.
+    pub fn responded_at(&self) -> Option<Time> {
+        self.responded_at
+    }
+
+    /// Returns when it last responded to another router, as far as this one knows.
+    pub fn responded_to_others_at(&self, now: Time) -> Option<Time> {
+        let reports = self.valid_reports(now);
+        reports
+            .filter_map(|(_, other)| other.responses.responded_at)
+            .max()
+    }
+
     /// Returns this router's requests in flight.
     pub fn own_load(&self) -> Load {
         self.own
