--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,7 @@
 use crate::evidence::handle_rejection;
 use crate::evidence::is_misdirected;
 use crate::evidence::record_alive;
+use crate::evidence::record_brittleness;
 use crate::evidence::record_limit;
 use crate::evidence::record_part;
 use crate::evidence::record_response;
@@ -147,6 +148,7 @@
             record_alive(x);
             record_retry_after(x, choice.server, &head, &parsed);
             record_limit(x, choice.server, &parsed);
+            record_brittleness(x, choice.server, &parsed);
             if parsed.leaving {
                 x.cx.mark_leaving(choice.server, "response");
             }
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -14,6 +14,7 @@
 use relay::OrderPlan;
 use relay::PeerReadings;
 use relay::PermitIssuer;
+use relay::PlaceIssuer;
 use relay::Reach;
 use relay::Reading;
 use relay::Residency;
@@ -87,6 +88,8 @@
     pub started_at: Time,
     /// Issues permits for limited backend servers, where this router is the issuer.
     pub permit_issuer: PermitIssuer,
+    /// Grants places in backend servers that stand few rejections, where this router is the issuer.
+    pub place_issuer: PlaceIssuer,
     /// Term of the order lease, while this router holds it.
     pub lease_term: Option<LeaseTerm>,
     /// Orders given and due in that lease term.
@@ -122,6 +125,7 @@
             stream_origins: StreamOrigins::default(),
             started_at: now(),
             permit_issuer: PermitIssuer::default(),
+            place_issuer: PlaceIssuer::default(),
             lease_term: None,
             order_plan: OrderPlan::default(),
         }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -7,6 +7,7 @@
 use http::request;
 use http::response;
 use http::HeaderMap;
+use relay::Brittleness;
 use relay::PromptPart;
 use relay::RateLimit;
 use snafu::Snafu;
@@ -122,6 +123,8 @@
     pub leaving: bool,
     /// Limit on its requests that the backend server names, if any.
     pub named_limit: Option<NamedLimit>,
+    /// Rejections that the backend server stands, if it names a number.
+    pub brittleness: Option<Brittleness>,
     /// Keep-alive timeout that the backend server announces, in milliseconds.
     pub keep_alive_ms: Option<u64>,
 }
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -112,6 +112,9 @@
     let Some(server) = view.fleet.get_mut(choice.server) else {
         return "server is no longer registered";
     };
+    if let (Some(place), true) = (&x.place, head.status == StatusCode::SERVICE_UNAVAILABLE) {
+        place.record_rejected();
+    }
     let until = now().plus_millis(AVOID_REJECTED_MS);
     server.avoid_until = server.avoid_until.max(until);
     if head.status != StatusCode::MISDIRECTED_REQUEST {
@@ -180,6 +183,13 @@
     }
 }
 
+/// Records the rejections that a backend server stands by a response, or that it names none.
+pub fn record_brittleness(x: &Exchange, key: ServerKey, parsed: &ResponseHead) {
+    if let Some(server) = x.latest_server {
+        x.cx.record_brittleness(key, parsed.brittleness, server.sent_at);
+    }
+}
+
 /// Returns whether another backend server, which uses the address by now, rejected the
 /// request with status 421.
 pub fn is_misdirected(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -36,6 +36,7 @@
 use crate::evidence::record_end;
 use crate::fleet_summary::FleetSummary;
 use crate::log_event::LogEvent;
+use crate::places::HeldPlace;
 use crate::refusal::Refusal;
 use crate::request_event::AttemptEnded;
 use crate::request_event::RequestEnded;
@@ -84,6 +85,8 @@
     pub latest_server: Option<AttemptedServer>,
     /// Backend servers of the attempts so far.
     pub tried: Vec<ServerKey>,
+    /// Place of the latest attempt in its backend server, if that needs one.
+    pub place: Option<HeldPlace>,
     /// Attempts so far, of any outcome.
     pub attempts: u32,
     /// Attempts that the backend server ran or may have run.
@@ -117,6 +120,7 @@
             stream_build: Cell::default(),
             latest_server: None,
             tried: Vec::new(),
+            place: None,
             attempts: 0,
             executions: 0,
             seed,
@@ -133,7 +137,7 @@
         self.cx
             .with_retry_budget(&self.service, |budget| budget.record_request(now()));
         loop {
-            let choice = match place(&self, Urgency::Normal).await {
+            let choice = match place(&mut self, Urgency::Normal).await {
                 Ok(choice) => choice,
                 Err(e) => return self.refuse_unplaced(e),
             };
@@ -200,6 +204,7 @@
     /// Records a failed attempt, decides whether to retry, and logs the decision.
     pub fn decide_retry(&mut self, end: AttemptEnd, reason: &str, choice: &Choice) -> Verdict {
         record_end(self, end);
+        self.place = None;
         if end.may_have_run() {
             self.executions += 1;
         }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -19,6 +19,7 @@
 use crate::peers::SentPart;
 use crate::peers::WeightsSwitch;
 use crate::permits;
+use crate::places;
 use crate::process_event::log_failure;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
@@ -95,6 +96,8 @@
             Ok(PeerMessage::StreamReply(reply)) => {
                 cx.pending_streams.settle(reply.id, reply.knowledge);
             }
+            Ok(PeerMessage::PlaceAsked(asked)) => places::answer(&cx, from, asked).await,
+            Ok(PeerMessage::PlaceReleased(released)) => places::release(&cx, released),
             Err(e) => log_peer_failure(Step::GossipRead, &from, &e),
         }
     }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -2,9 +2,12 @@
 
 use std::sync::Arc;
 
+use relay::BrittlenessUpdate;
 use relay::Gossip;
 use relay::LimitUpdate;
 use relay::Permit;
+use relay::PlaceEnd;
+use relay::PlaceId;
 use relay::StreamId;
 use relay::StreamKnowledge;
 use relay::StreamOrigin;
@@ -27,6 +30,10 @@
     StreamQuery(StreamQuery),
     /// Answers such a message.
     StreamReply(StreamReply),
+    /// Asks for a place in a backend server that stands few rejections; answered as one for a permit.
+    PlaceAsked(PlaceAsked),
+    /// Gives such a place back.
+    PlaceReleased(PlaceReleased),
 }
 
 /// Asks the issuer for a permit.
@@ -53,6 +60,34 @@
     pub permit: Permit,
 }
 
+/// Asks the issuer for a place in a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceAsked {
+    /// The place; its number is that of the answer.
+    pub id: PlaceId,
+    /// Instance hash of the backend server.
+    pub server: u64,
+    /// Hash of the name of the server's region.
+    pub region: u64,
+    /// Requests that the server runs at a time.
+    pub slots: u32,
+    /// What the sender knows of the rejections that the server stands.
+    pub brittleness: BrittlenessUpdate,
+    /// Time by which the request has ended, in milliseconds from now.
+    pub left_ms: u32,
+}
+
+/// Gives a place in a backend server back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceReleased {
+    /// Instance hash of the backend server.
+    pub server: u64,
+    /// The place.
+    pub id: PlaceId,
+    /// How its request ended.
+    pub end: PlaceEnd,
+}
+
 /// Asks for the build at which a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamQuery {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -118,7 +118,7 @@
 fn known_limit(cx: &Context, server: u64, update: LimitUpdate) -> Option<RateLimit> {
     let key = cx.view.borrow().fleet.by_instance_hash(server);
     let Some(key) = key else {
-        return update.limit;
+        return update.value;
     };
     cx.merge_limit(key, update);
     cx.view.borrow().fleet.get(key)?.limit()
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -12,6 +12,8 @@
 use crate::clock::now;
 use crate::exchange::Exchange;
 use crate::permits::may_send;
+use crate::places;
+use crate::places::Place;
 
 /// Maximum number of backend servers for which a request asks for a permit in turn.
 const MAX_PERMIT_REQUESTS: usize = 4;
@@ -19,12 +21,21 @@
 /// Time after which a caller may return whose request got no permit, in milliseconds.
 const NO_PERMIT_RETRY_AFTER_MS: u64 = 500;
 
-/// Chooses the backend server of the next attempt, and takes a permit if it limits its requests.
-pub async fn place(x: &Exchange, urgency: Urgency) -> Result<Choice, Unplaceable> {
+/// Chooses the backend server of the next attempt, and takes a permit and a place in it if its
+/// requests need them.
+pub async fn place(x: &mut Exchange, urgency: Urgency) -> Result<Choice, Unplaceable> {
+    x.place = None;
     for _ in 0..MAX_PERMIT_REQUESTS {
         let choice = choose(x)?;
-        let is_permitted = may_send(&x.cx, &x.parsed.id, choice.server, urgency).await;
-        if is_permitted && takes_requests(x, choice.server) {
+        let (id, server) = (&x.parsed.id, choice.server);
+        let place = match places::take(&x.cx, id, server, x.deadline).await {
+            Place::Denied => continue,
+            Place::NotNeeded => None,
+            Place::Held(place) => Some(place),
+        };
+        let is_permitted = may_send(&x.cx, id, server, urgency).await;
+        if is_permitted && takes_requests(x, server) {
+            x.place = place;
             return Ok(choice);
         }
     }
--- a/crates/gateway/src/server_event.rs
+++ b/crates/gateway/src/server_event.rs
@@ -69,6 +69,17 @@
         /// Time for which it asked; longer if it was cut.
         asked_ms: u64,
     },
+    /// A backend server has named another number of rejections that it stands, or none any more.
+    Brittle {
+        /// Its id.
+        server: &'a str,
+        /// Rejections of all routers together in a second.
+        rejections_per_s: Option<u32>,
+        /// Where it was learned: `response` for one to this router, or `peer`.
+        source: &'a str,
+    },
+    /// A place was asked for a request in a backend server that stands few rejections.
+    Place(PlaceDecision<'a>),
     /// A permit was asked for a request to a backend server that limits them.
     Permit(PermitDecision<'a>),
     /// A backend server has named another limit on the requests of all routers together, or none
@@ -106,6 +117,25 @@
     pub took_ms: u64,
 }
 
+/// Whether there is a place for a request in a backend server, and why.
+#[derive(Clone, Debug)]
+pub struct PlaceDecision<'a> {
+    /// Id that the caller gave the request.
+    pub id: &'a str,
+    /// Id of the backend server.
+    pub server: &'a str,
+    /// Rejections a second that it stands.
+    pub rejections_per_s: Option<u32>,
+    /// Hash of the name of the router that grants places in it.
+    pub issuer: u64,
+    /// Outcome: `granted`, `denied` or `no_response`.
+    pub outcome: &'a str,
+    /// Time until this router asks again, if it got none.
+    pub retry_after_ms: u64,
+    /// Time that the decision took.
+    pub took_ms: u64,
+}
+
 impl LogEvent for ServerEvent<'_> {
     fn level(&self) -> Level {
         Level::Info
@@ -159,6 +189,16 @@
                 f,
                 "event=server_retry_after server={server} retry_after_ms={retry_after_ms} asked_ms={asked_ms}"
             ),
+            ServerEvent::Brittle {
+                server,
+                rejections_per_s,
+                source,
+            } => write!(
+                f,
+                "event=server_brittle server={server} rejections_per_s={} source={source}",
+                number(*rejections_per_s)
+            ),
+            ServerEvent::Place(decision) => decision.fmt(f),
             ServerEvent::Permit(decision) => decision.fmt(f),
             ServerEvent::Limit {
                 server,
@@ -192,6 +232,26 @@
     }
 }
 
+impl Display for PlaceDecision<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "event=place id={:?} server={} rejections_per_s={} issuer={:016x} outcome={} retry_after_ms={} took_ms={}",
+            self.id,
+            self.server,
+            number(self.rejections_per_s),
+            self.issuer,
+            self.outcome,
+            self.retry_after_ms,
+            self.took_ms
+        )
+    }
+}
+
+fn number(number: Option<u32>) -> String {
+    number.map_or_else(|| "none".to_owned(), |number| number.to_string())
+}
+
 fn per_second(limit: Option<RateLimit>) -> String {
     limit.map_or_else(
         || "none".to_owned(),
--- a/crates/gateway/src/server_metrics.rs
+++ b/crates/gateway/src/server_metrics.rs
@@ -19,6 +19,8 @@
     pub retry_after_invalid: IntCounter,
     /// Permits asked for requests to limited backend servers, by outcome.
     pub permits: IntCounterVec,
+    /// Places asked for in backend servers that stand few rejections, by outcome.
+    pub places: IntCounterVec,
     /// Streams that callers take up, by how their build is known.
     pub streams_taken_up: IntCounterVec,
     /// Connections to backend servers that this router holds for others.
@@ -52,6 +54,12 @@
                 "Permits asked for requests to limited servers",
                 &["outcome"],
             ),
+            places: counters(
+                registry,
+                "places",
+                "Places asked for in servers that stand few rejections",
+                &["outcome"],
+            ),
             streams_taken_up: counters(
                 registry,
                 "streams_taken_up",
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -2,6 +2,8 @@
 
 use policy::Time;
 use relay::BackendServer;
+use relay::Brittleness;
+use relay::BrittlenessUpdate;
 use relay::FleetChange;
 use relay::LimitUpdate;
 use relay::RateLimit;
@@ -39,6 +41,26 @@
         });
     }
 
+    /// Records the rejections that a backend server stands by a response to a request sent at
+    /// `sent_at`, or that it names none.
+    pub fn record_brittleness(
+        &self,
+        key: ServerKey,
+        brittleness: Option<Brittleness>,
+        sent_at: Time,
+    ) {
+        self.change_brittleness(key, "response", |server| {
+            server.record_brittleness(now(), brittleness, sent_at)
+        });
+    }
+
+    /// Merges what a backend server said of rejections to another router.
+    pub fn merge_brittleness(&self, key: ServerKey, update: BrittlenessUpdate) {
+        self.change_brittleness(key, "peer", |server| {
+            server.merge_brittleness(update.statement(now()))
+        });
+    }
+
     /// Records what backend servers have said of themselves in responses to other routers.
     pub fn apply_statements(&self, statements: &[ServerStatement]) {
         for statement in statements {
@@ -52,6 +74,9 @@
             if let Some(update) = statement.limit {
                 self.merge_limit(key, update);
             }
+            if let Some(update) = statement.brittleness {
+                self.merge_brittleness(key, update);
+            }
         }
     }
 
@@ -78,4 +103,25 @@
         .write();
         self.peers.wake.notify_one();
     }
+
+    /// The same for the rejections that it stands.
+    fn change_brittleness<F>(&self, key: ServerKey, source: &str, change: F)
+    where
+        F: FnOnce(&mut BackendServer) -> bool,
+    {
+        let mut view = self.view.borrow_mut();
+        let Some(server) = view.fleet.get_mut(key) else {
+            return;
+        };
+        if !change(server) {
+            return;
+        }
+        ServerEvent::Brittle {
+            server: &server.registration.id,
+            rejections_per_s: server.brittleness().map(|b| b.rejections_per_s),
+            source,
+        }
+        .write();
+        self.peers.wake.notify_one();
+    }
 }
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -1,6 +1,7 @@
 //! Checks the text of each log event, which on-call engineers and `ctl trace` read.
 
 use std::collections::BTreeMap;
+use std::io;
 
 use gateway::AttemptEnded;
 use gateway::AttemptSent;
@@ -8,7 +9,9 @@
 use gateway::LogEvent;
 use gateway::OrderGiven;
 use gateway::PermitDecision;
+use gateway::PlaceDecision;
 use gateway::ProcessEvent;
+use gateway::ReachEvent;
 use gateway::RequestEnded;
 use gateway::RequestEvent;
 use gateway::ServerEvent;
@@ -23,6 +26,7 @@
 use relay::OrderResponse;
 use relay::PartKey;
 use relay::RateLimit;
+use relay::ReachChange;
 use relay::Registration;
 use relay::Revision;
 use relay::ServerState;
@@ -220,6 +224,22 @@
         source: "response",
     };
     assert_snapshot!(limit, @"event=server_limit server=e1 per_s=3.3 before=none source=response");
+    let brittle = ServerEvent::Brittle {
+        server,
+        rejections_per_s: Some(4),
+        source: "peer",
+    };
+    assert_snapshot!(brittle, @"event=server_brittle server=e1 rejections_per_s=4 source=peer");
+    let place = ServerEvent::Place(PlaceDecision {
+        id: "q1",
+        server,
+        rejections_per_s: Some(4),
+        issuer: 0x1f,
+        outcome: "denied",
+        retry_after_ms: 30,
+        took_ms: 2,
+    });
+    assert_snapshot!(place, @r#"event=place id="q1" server=e1 rejections_per_s=4 issuer=000000000000001f outcome=denied retry_after_ms=30 took_ms=2"#);
     let permit = ServerEvent::Permit(PermitDecision {
         id: "q1",
         server,
@@ -355,6 +375,38 @@
     assert_snapshot!(failed, @r#"event=order_failed peer=10.0.0.1:80 reason="timeout""#);
 }
 
+#[test]
+fn lines_of_what_a_router_reaches() {
+    let cut = ReachEvent::Changed(&ReachChange::Cut {
+        domain: "a".into(),
+        unreachable: 2,
+    });
+    assert_snapshot!(cut, @"event=domain_cut domain=a unreachable=2");
+    let reached = ReachEvent::Changed(&ReachChange::Reached {
+        domain: "a".into(),
+        cut_ms: 9_100,
+    });
+    assert_snapshot!(reached, @"event=domain_reached domain=a cut_ms=9100");
+    let probe = ReachEvent::Probe {
+        server: "e1",
+        reason: Some(io::ErrorKind::TimedOut.into()),
+    };
+    assert_snapshot!(probe, @r#"event=server_probe server=e1 outcome=failed reason="timed out""#);
+    let asked = ReachEvent::Asked {
+        server: 0x2a,
+        router: "10.0.0.2:7060".parse().unwrap(),
+        took_ms: 2,
+        reason: None,
+    };
+    assert_snapshot!(asked, @"event=tunnel_asked server=000000000000002a peer=10.0.0.2:7060 took_ms=2 outcome=connected");
+    let accepted = ReachEvent::Accepted {
+        server: 0x2a,
+        from: "10.0.0.3".parse().unwrap(),
+        reason: Some("cut off too"),
+    };
+    assert_snapshot!(accepted, @r#"event=tunnel_accepted server=000000000000002a from=10.0.0.3 outcome=failed reason="cut off too""#);
+}
+
 #[test]
 fn only_success_lines_may_be_dropped_first() {
     assert!(RequestEvent::AttemptSent(sent()).is_success());
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -5,6 +5,9 @@
 use policy::Time;
 
 use crate::responses::Responses;
+use crate::Brittleness;
+use crate::BrittlenessStatement;
+use crate::BrittlenessUpdate;
 use crate::Build;
 use crate::LimitStatement;
 use crate::LimitUpdate;
@@ -67,6 +70,8 @@
     pub(crate) says_leaving: bool,
     /// What it last said of a limit on its requests; none if it never named one.
     pub(crate) limit_statement: Option<LimitStatement>,
+    /// What it last said of the rejections that it stands; none if it never did.
+    pub(crate) brittleness_statement: Option<BrittlenessStatement>,
     /// Whether it is known to be over although its registration remains.
     pub(crate) ended: bool,
     /// When its registration was first found missing, if it is marked missing.
@@ -101,6 +106,7 @@
             unresponsive_since: None,
             says_leaving: false,
             limit_statement: None,
+            brittleness_statement: None,
             ended: false,
             missing_since: None,
             own: Load::default(),
@@ -236,7 +242,7 @@
 
     /// Returns the limit on its requests; none if it names none.
     pub fn limit(&self) -> Option<RateLimit> {
-        self.limit_statement?.limit
+        self.limit_statement?.value
     }
 
     /// Records the limit that a response names to a request sent at `sent_at`, or that it names
@@ -256,6 +262,40 @@
         self.limit() != before
     }
 
+    /// Returns how many rejections it stands; none if it names no number.
+    pub fn brittleness(&self) -> Option<Brittleness> {
+        self.brittleness_statement?.value
+    }
+
+    /// Records the rejections that it stands by a response to a request sent at `sent_at`, or that it
+    /// names none. Returns whether that has changed.
+    pub fn record_brittleness(
+        &mut self,
+        now: Time,
+        brittleness: Option<Brittleness>,
+        sent_at: Time,
+    ) -> bool {
+        let before = self.brittleness();
+        let known = self.brittleness_statement;
+        self.brittleness_statement =
+            BrittlenessStatement::after_response(known, brittleness, sent_at, now);
+        self.brittleness() != before
+    }
+
+    /// Merges what it said of rejections to another router. Returns whether that has changed.
+    pub fn merge_brittleness(&mut self, other: BrittlenessStatement) -> bool {
+        let before = self.brittleness();
+        let known = self.brittleness_statement;
+        self.brittleness_statement = Some(known.map_or(other, |known| known.merge(other)));
+        self.brittleness() != before
+    }
+
+    /// Returns what it has said of rejections, for another router; none if it never did.
+    pub fn brittleness_update(&self, now: Time) -> Option<BrittlenessUpdate> {
+        let statement = self.brittleness_statement?;
+        Some(BrittlenessUpdate::new(now, statement))
+    }
+
     /// Returns what it has said of a limit, for another router; none if it never named one.
     pub fn limit_update(&self, now: Time) -> Option<LimitUpdate> {
         let statement = self.limit_statement?;
@@ -266,10 +306,14 @@
     pub(crate) fn statement(&self, now: Time) -> Option<ServerStatement> {
         let leaving = self.says_leaving && self.registration.state == ServerState::Ready;
         let limit = self.limit_statement.filter(|said| said.is_announced(now));
-        (leaving || limit.is_some()).then(|| ServerStatement {
+        let brittleness = self
+            .brittleness_statement
+            .filter(|said| said.is_announced(now));
+        (leaving || limit.is_some() || brittleness.is_some()).then(|| ServerStatement {
             server: self.instance_hash,
             leaving,
             limit: limit.map(|said| LimitUpdate::new(now, said)),
+            brittleness: brittleness.map(|said| BrittlenessUpdate::new(now, said)),
         })
     }
 
--- a/crates/relay/src/permit_issuer.rs
+++ b/crates/relay/src/permit_issuer.rs
@@ -77,11 +77,16 @@
         self.issues_from.get_or_insert(now.plus_millis(SETTLED_MS));
     }
 
+    /// Returns whether it may issue permits: not before it has known the other routers for a while.
+    pub fn may_issue(&self, now: Time) -> bool {
+        self.issues_from.is_some_and(|from| from <= now)
+    }
+
     /// Decides whether a request may be sent to a backend server with a limit.
     pub fn ask(&mut self, now: Time, server: u64, limit: RateLimit, urgency: Urgency) -> Permit {
         self.schedules
             .retain(|_, schedule| now.millis_since(schedule.asked_at) < KEPT_MS);
-        if self.issues_from.is_none_or(|from| now < from) {
+        if !self.may_issue(now) {
             return Permit::Denied {
                 retry_after_ms: RETRY_RANGE_MS.1,
             };
--- a/crates/relay/src/removed_servers.rs
+++ b/crates/relay/src/removed_servers.rs
@@ -6,6 +6,7 @@
 use policy::Time;
 
 use crate::BackendServer;
+use crate::BrittlenessStatement;
 use crate::Build;
 use crate::LimitStatement;
 
@@ -20,6 +21,7 @@
     build: Build,
     says_leaving: bool,
     limit_statement: Option<LimitStatement>,
+    brittleness_statement: Option<BrittlenessStatement>,
     remembered_until: Time,
 }
 
@@ -39,6 +41,7 @@
             build: server.build,
             says_leaving: server.says_leaving,
             limit_statement: server.limit_statement,
+            brittleness_statement: server.brittleness_statement,
             remembered_until: now.plus_millis(REMEMBERED_MS),
         };
         self.by_instance_hash.insert(server.instance_hash, removed);
@@ -55,6 +58,7 @@
         if let Some(removed) = self.by_instance_hash.get(&server.instance_hash) {
             server.says_leaving = removed.says_leaving;
             server.limit_statement = removed.limit_statement;
+            server.brittleness_statement = removed.brittleness_statement;
         }
     }
 
--- a/crates/relay/src/server_report.rs
+++ b/crates/relay/src/server_report.rs
@@ -45,6 +45,8 @@
     pub ready_in_ms: u64,
     /// Limit that it names on the requests of all routers, in requests a second.
     pub limit_per_s: Option<f64>,
+    /// Rejections a second that it stands, if it names a number.
+    pub rejections_per_s: Option<u32>,
     /// Requests of all routers in flight, as far as the router knows.
     pub requests: u32,
     /// Number of requests that it executes at a time.
@@ -67,6 +69,7 @@
             obstacle: obstacle(now, server),
             ready_in_ms: server.ready_at().millis_since(now),
             limit_per_s: server.limit().map(|limit| limit.to_per_second()),
+            rejections_per_s: server.brittleness().map(|b| b.rejections_per_s),
             requests: server.load(now).requests,
             slots: registration.slots,
             unresponsive_ms: server.unresponsive_ms(now),
--- a/crates/relay/src/server_statement.rs
+++ b/crates/relay/src/server_statement.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BrittlenessUpdate;
 use crate::LimitUpdate;
 
 /// What one incarnation of a backend server has said of itself.
@@ -17,4 +18,6 @@
     pub leaving: bool,
     /// The limit on its requests, if it has named one.
     pub limit: Option<LimitUpdate>,
+    /// The rejections that it stands, if it has named a number.
+    pub brittleness: Option<BrittlenessUpdate>,
 }
--- a/crates/relay/tests/limit_statement.rs
+++ b/crates/relay/tests/limit_statement.rs
@@ -12,7 +12,10 @@
 }
 
 fn said(limit: Option<RateLimit>, said_at: Time) -> LimitStatement {
-    LimitStatement { limit, said_at }
+    LimitStatement {
+        value: limit,
+        said_at,
+    }
 }
 
 #[test]
