--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -240,9 +240,17 @@
         }
     }
 
-    /// Returns the limit on its requests; none if it names none.
+    /// Returns the limit on its requests; none if it names none, or one that limits nothing.
     pub fn limit(&self) -> Option<RateLimit> {
-        self.limit_statement?.value
+        let limit = self.limit_statement?.value;
+        limit.filter(|limit| !limit.is_unlimited())
+    }
+
+    /// Returns the time since it named its limit, in milliseconds; none without a limit.
+    pub fn limit_age_ms(&self, now: Time) -> Option<u64> {
+        self.limit()?;
+        let statement = self.limit_statement?;
+        Some(now.millis_since(statement.said_at))
     }
 
     /// Records the limit that a response names to a request sent at `sent_at`, or that it names
--- a/crates/relay/src/rate_limit.rs
+++ b/crates/relay/src/rate_limit.rs
@@ -36,6 +36,11 @@
         (MIN_PER_SECOND..=MAX_PER_SECOND).contains(&rate)
     }
 
+    /// Returns whether it is so high that it limits nothing.
+    pub fn is_unlimited(self) -> bool {
+        self.to_per_second() >= MAX_PER_SECOND
+    }
+
     /// Returns the limit in requests a second.
     pub fn to_per_second(self) -> f64 {
         MICROS_PER_SECOND / f64::from(self.interval_us.max(1))
