relay: a limited server gets a request now and then, which may say that its limit has ended (LIMIT)

Left over: only a response says so, and 50 ms of cost kept all requests away while other servers had room: 0 of 100 requests 6 s after the end. The cost now ends 2 s after the limit was last named; the permit remains. At least 20 of 100 in the test.

--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -35,6 +35,10 @@
 /// no other can do as well.
 const LIMITED_COST_MS: f64 = 50.0;
 
+/// Time after a limit was last named from which its server costs no more, in milliseconds: only a
+/// response says that the limit has ended.
+const LIMIT_CHECKED_MS: u64 = 2_000;
+
 /// Cost of a response computed with replaced weights, in milliseconds.
 const REPLACED_WEIGHTS_COST_MS: f64 = 600.0;
 
@@ -322,7 +326,10 @@
         } else {
             CROSS_DOMAIN_COST_MS
         };
-        let limited = server.limit().map_or(0.0, |_| LIMITED_COST_MS);
+        let limited = match server.limit_age_ms(self.now) {
+            Some(age_ms) if age_ms < LIMIT_CHECKED_MS => LIMITED_COST_MS,
+            _ => 0.0,
+        };
         let tie_breaker = policy::rendezvous_weight(request.seed, server.instance_hash) % 1_000;
         failures * FAILURE_COST_MS
             + unresponsive_ms as f64 * UNRESPONSIVE_COST_FACTOR
