policy, relay: the evidence of what crashes servers lies in policy

First step of docs/design/one-product.md: SuspectKey, SuspectState and CrashEvidence, and what they need (ages in messages, message room, recent times, prompt parts), moved; relay re-exports them. No change of behaviour; the tests of both packages pass unchanged.

--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
-use policy::Time;
+use crate::Time;
 
 use crate::message_room::MessageRoom;
 use crate::recent_times::RecentTimes;
--- a/crates/relay/src/recent_times.rs
+++ b/crates/policy/src/recent_times.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use policy::Time;
+use crate::Time;
 
 /// Number of hashes from which a new generation begins.
 const MAX_GENERATION: usize = 8_192;
--- a/crates/relay/src/suspect_key.rs
+++ b/crates/policy/src/suspect_key.rs
@@ -27,10 +27,10 @@
 impl SuspectKey {
     /// Returns the keys of a prompt's shared parts. The last part belongs to the request alone.
     pub fn parts(model: &str, parts: &[PromptPart]) -> Vec<SuspectKey> {
-        let model = policy::name_hash(model);
+        let model = crate::name_hash(model);
         let shared = parts.split_last().map_or(parts, |(_, shared)| shared);
         let shared = shared.iter().take(MAX_PARTS);
-        let keys = shared.map(|part| policy::rendezvous_weight(model, part.id));
+        let keys = shared.map(|part| crate::rendezvous_weight(model, part.id));
         keys.map(SuspectKey::Part).collect()
     }
 
--- a/crates/relay/src/suspect_state.rs
+++ b/crates/policy/src/suspect_state.rs
@@ -1,7 +1,7 @@
 //! What is known of one suspect: something that requests have in common, and that may crash the
 //! backend servers that run them.
 
-use policy::Time;
+use crate::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -12,7 +12,6 @@
 
 use crate::placement::Choice;
 use crate::placement::Prompt;
-use crate::placement::PromptPart;
 use crate::prefill::prefill_ms;
 use crate::rendezvous::RendezvousRanking;
 use crate::residency::PartKey;
@@ -22,6 +21,7 @@
 use crate::Build;
 use crate::Fleet;
 use crate::PrefixStores;
+use crate::PromptPart;
 use crate::ServerKey;
 
 /// Size from which shared parts are tracked as a shared prefix, in tokens.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashSet;
 
+use policy::age_ms;
+use policy::time_of;
 use policy::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::age::age_ms;
-use crate::age::time_of;
 use crate::BackendServer;
 use crate::Fleet;
 use crate::Load;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use policy::PromptPart;
 use policy::Time;
 
 use crate::affinity::Affinity;
@@ -77,15 +78,6 @@
 const LIMITED_RETURN_TURNS: u64 = 4;
 const MAX_LIMITED_SPREAD_MS: u64 = 2_000;
 
-/// A part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Id of the part's text; equal texts have equal ids.
-    pub id: u64,
-    /// Length of the part, in tokens.
-    pub tokens: u32,
-}
-
 /// A prompt with its model and the workspace of its caller.
 #[derive(Clone, Debug)]
 pub struct Prompt<'a> {
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -1,11 +1,11 @@
 //! Up to where and when a router has read the registrations of backend servers.
 
+use policy::age_ms;
+use policy::time_of;
 use policy::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::age::age_ms;
-use crate::age::time_of;
 use crate::Revision;
 
 /// Time for which a missing registration is kept after an outage of the store, in
--- a/crates/relay/src/statement.rs
+++ b/crates/relay/src/statement.rs
@@ -1,11 +1,11 @@
 //! What a backend server last said of one of its properties.
 
+use policy::age_ms;
+use policy::time_of;
 use policy::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::age::age_ms;
-use crate::age::time_of;
 use crate::Brittleness;
 use crate::RateLimit;
 
