gateway: a request that waits at an engine with replaced weights is taken back in time (VERSION)

Cause: the margin of 1 s is for the wait that the router expects. Change: 0.6 s after the time from which none is sent there, a request without a response is taken back if it may be repeated. Requests that must run once stay: they can't be taken back with certainty.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -61,6 +61,11 @@
 /// The same for a backend server that this router is found to be cut off from.
 const CUT_OFF_SILENCE_MS: u64 = 500;
 
+/// Time for which a request may still wait at an engine once none is sent there any more because of
+/// its weights, in milliseconds. With the interval of the check it stays below the margin that the
+/// weights' due time keeps from the operators' limit.
+const BEGIN_SLACK_MS: u64 = 600;
+
 /// Interval at which an attempt checks whether its backend server is unresponsive; also
 /// the longest time spent on draining a rejection's body.
 const UNRESPONSIVE_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -109,6 +114,10 @@
                     avoid(x, choice.server, AVOID_FAILED_MS);
                     return Err(AttemptFailure::new(AttemptEnd::Unknown, "server is unresponsive"));
                 }
+                () = until_weights_overdue(x, choice) => {
+                    let reason = "not begun before its weights were overdue";
+                    return Err(AttemptFailure::new(AttemptEnd::Unknown, reason));
+                }
             }
         } else {
             sent.await
@@ -331,6 +340,25 @@
     }
 }
 
+/// Completes when a request that an engine has not begun to run may no longer begin there, as it
+/// has replaced weights.
+async fn until_weights_overdue(x: &Exchange, choice: &Choice) {
+    let mut ticks = interval(UNRESPONSIVE_POLL_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let view = x.cx.view.borrow();
+        let overdue_from = x
+            .parsed
+            .prompt
+            .as_ref()
+            .zip(choice.weights)
+            .and_then(|(prompt, version)| view.weights.overdue_from(&prompt.model, version));
+        if overdue_from.is_some_and(|at| at.plus_millis(BEGIN_SLACK_MS) <= now()) {
+            return;
+        }
+    }
+}
+
 /// Drains the body of a rejection, so that the connection can be reused.
 async fn drain_and_release(
     x: &Exchange,
--- a/crates/relay/src/weights.rs
+++ b/crates/relay/src/weights.rs
@@ -109,15 +109,20 @@
 
     /// Returns whether no request may begin on `version` of a model's weights any more.
     pub fn is_overdue(&self, now: Time, model: &str, version: u64) -> bool {
-        let Some(newer) = self.first_newer(model, version) else {
-            return false;
-        };
-        let due_at = if newer.version > version + 1 {
-            newer.skipped_due_at
-        } else {
+        let due_at = self.overdue_from(model, version);
+        due_at.is_some_and(|due_at| due_at <= now)
+    }
+
+    /// Returns the time from which no request may begin on `version` of a model's weights; none if it
+    /// is the newest.
+    pub fn overdue_from(&self, model: &str, version: u64) -> Option<Time> {
+        let newer = self.first_newer(model, version)?;
+        let is_next = newer.version <= version + 1;
+        Some(if is_next {
             newer.due_at
-        };
-        due_at <= now
+        } else {
+            newer.skipped_due_at
+        })
     }
 
     /// Returns the newest version of each model's weights.
