relay, gateway: a server that crashed is not taken for a lost link by hundreds of routers (RECOVER)

Change: without a known cut one router is asked, not four; one that could not connect to the server itself says so by another status, and the server is not tried through routers again before it responds to one. Errors of connections through routers have a type.

--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -9,6 +9,8 @@
 use http_body_util::Full;
 use relay::Path;
 use relay::ServerKey;
+use snafu::OptionExt;
+use snafu::ResultExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -23,6 +25,9 @@
 use crate::log_event::LogEvent;
 use crate::reach_event::ReachEvent;
 use crate::tunnel;
+use crate::tunnel_error::RefusedSnafu;
+use crate::tunnel_error::ServerSnafu;
+use crate::tunnel_error::TunnelError;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -30,9 +35,12 @@
 /// The same for another router and for probes: a router that can reach the server is quick.
 pub const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Most routers that are asked for one connection.
+/// Most routers that are asked for one connection if this router is known to be cut off.
 const MAX_ASKED: usize = 4;
 
+/// Most of them that may fail to connect to the server themselves.
+const MAX_FAILED: usize = 2;
+
 /// A connection to a backend server.
 pub struct Dialed {
     /// The connection.
@@ -49,7 +57,7 @@
     address: SocketAddr,
 ) -> Result<Dialed, ConnectError> {
     if path(cx, key) == Path::ThroughRouter {
-        return dial_through_router(cx, key, address).await;
+        return dial_through_router(cx, key, address, MAX_ASKED).await;
     }
     let connected = establish(
         address,
@@ -66,7 +74,7 @@
             })
         }
         Err(e) if record_failed(cx, key) => {
-            let through_router = dial_through_router(cx, key, address).await;
+            let through_router = dial_through_router(cx, key, address, 1).await;
             through_router.map_err(|_| e)
         }
         Err(e) => Err(e),
@@ -81,20 +89,24 @@
 }
 
 /// Connects to a backend server for another router, itself or not at all.
-pub async fn connect_for_peer(cx: &Context, instance_hash: u64) -> Result<TcpStream, String> {
+pub async fn connect_for_peer(cx: &Context, instance_hash: u64) -> Result<TcpStream, TunnelError> {
     let (key, address) = {
         let view = cx.view.borrow();
         let key = view.fleet.by_instance_hash(instance_hash);
         let server = key.and_then(|key| Some((key, view.fleet.get(key)?)));
-        let (key, server) = server.ok_or("server is not registered")?;
+        let (key, server) = server.context(RefusedSnafu {
+            reason: "server is not registered",
+        })?;
         (key, server.registration.address)
     };
     if path(cx, key) == Path::ThroughRouter {
-        return Err("cut off too".to_owned());
+        return RefusedSnafu {
+            reason: "cut off too",
+        }
+        .fail();
     }
-    let stream = probe(cx, key, address).await.map_err(|e| e.to_string())?;
-    let configured = Liveness::PATIENT.apply(&stream);
-    configured.map_err(|e| e.to_string())?;
+    let stream = probe(cx, key, address).await.context(ServerSnafu)?;
+    Liveness::PATIENT.apply(&stream).context(ServerSnafu)?;
     Ok(stream)
 }
 
@@ -128,13 +140,14 @@
     let mut view = cx.view.borrow_mut();
     view.reach.record_failed(now(), key);
     let server = view.fleet.get(key);
-    server.is_some_and(|server| view.reach.may_be_reached_by_others(now(), server))
+    server.is_some_and(|server| view.reach.may_be_reached_by_others(now(), key, server))
 }
 
 async fn dial_through_router(
     cx: &Context,
     key: ServerKey,
     address: SocketAddr,
+    max_asked: usize,
 ) -> Result<Dialed, ConnectError> {
     let error = |reason: String| ConnectError {
         step: "connect through a router to",
@@ -145,14 +158,15 @@
         return Err(error("server is no longer registered".to_owned()));
     };
     let mut last = "no router to ask".to_owned();
-    for (router, peer) in cx.routers_to_ask(&domain, MAX_ASKED) {
+    let mut failed = 0;
+    for (router, peer) in cx.routers_to_ask(&domain, max_asked) {
         let begun_at = now();
         let opened = tunnel::open(peer, instance_hash).await;
         ReachEvent::Asked {
             server: instance_hash,
             router: peer,
             took_ms: now().millis_since(begun_at),
-            reason: opened.as_ref().err().map(String::as_str),
+            reason: opened.as_ref().err().map(ToString::to_string),
         }
         .write();
         match opened {
@@ -164,12 +178,20 @@
                     is_tunnel: true,
                 });
             }
-            Err(reason) => {
+            Err(e) => {
+                last = e.to_string();
                 let mut view = cx.view.borrow_mut();
-                view.reach.record_refused(now(), router, &domain);
-                last = reason;
+                if e.is_of_server() {
+                    view.reach.record_failed_for_other(now(), key);
+                    failed += 1;
+                } else {
+                    view.reach.record_refused(now(), router, &domain);
+                }
             }
         }
+        if failed >= MAX_FAILED {
+            break;
+        }
     }
     Err(error(last))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,6 +70,7 @@
 mod suspects;
 mod timing;
 mod tunnel;
+mod tunnel_error;
 mod view_event;
 mod view_gauges;
 
--- a/crates/gateway/src/reach_event.rs
+++ b/crates/gateway/src/reach_event.rs
@@ -34,7 +34,7 @@
         /// Time that it took.
         took_ms: u64,
         /// Why there is no connection; none if there is.
-        reason: Option<&'a str>,
+        reason: Option<String>,
     },
     /// Another router asked this one for a connection to a backend server.
     Accepted {
@@ -43,7 +43,7 @@
         /// Address of the router's VM.
         from: IpAddr,
         /// Why there is no connection; none if there is.
-        reason: Option<&'a str>,
+        reason: Option<String>,
     },
 }
 
@@ -81,7 +81,7 @@
             } => write!(
                 f,
                 "event=tunnel_asked server={server:016x} peer={router} took_ms={took_ms} {}",
-                outcome(*reason)
+                outcome(reason.as_ref())
             ),
             ReachEvent::Accepted {
                 server,
@@ -90,7 +90,7 @@
             } => write!(
                 f,
                 "event=tunnel_accepted server={server:016x} from={from} {}",
-                outcome(*reason)
+                outcome(reason.as_ref())
             ),
         }
     }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -40,6 +40,9 @@
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
 use crate::reach_event::ReachEvent;
+use crate::tunnel_error::RefusedSnafu;
+use crate::tunnel_error::StatusSnafu;
+use crate::tunnel_error::TunnelError;
 
 /// Path under which a router asks for a connection, before the server's instance hash.
 const PATH: &str = "/tunnel/";
@@ -54,24 +57,23 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Opens a connection to a backend server, by its instance hash, through the router at `peer`.
-pub async fn open(peer: SocketAddr, server: u64) -> Result<TokioIo<Upgraded>, String> {
+pub async fn open(peer: SocketAddr, server: u64) -> Result<TokioIo<Upgraded>, TunnelError> {
     let limit = CONNECT_TIMEOUT + dialer::PEER_CONNECT_TIMEOUT;
     match timeout(limit, request(peer, server)).await {
         Ok(result) => result,
-        Err(_) => Err("timeout".to_owned()),
+        Err(_) => Err(router_error("response", "timeout")),
     }
 }
 
-async fn request(peer: SocketAddr, server: u64) -> Result<TokioIo<Upgraded>, String> {
+async fn request(peer: SocketAddr, server: u64) -> Result<TokioIo<Upgraded>, TunnelError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
-    let stream = stream.map_err(|_| "connect: timeout".to_owned())?;
-    let stream = stream.map_err(|e| format!("connect: {e}"))?;
-    Liveness::PATIENT
-        .apply(&stream)
-        .map_err(|e| format!("configure socket: {e}"))?;
+    let stream = stream.map_err(|_| router_error("connect", "timeout"))?;
+    let stream = stream.map_err(|e| router_error("connect", e))?;
+    let configured = Liveness::PATIENT.apply(&stream);
+    configured.map_err(|e| router_error("configure socket", e))?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
-        .map_err(|e| error_chain(&e))?;
+        .map_err(|e| router_error("handshake", error_chain(&e)))?;
     tokio::task::spawn_local(async move {
         if let Err(e) = connection.with_upgrades().await {
             log_peer_failure(Step::ClientConnection, &peer, &error_chain(&e));
@@ -83,16 +85,28 @@
         .header(CONNECTION, "upgrade")
         .header(UPGRADE, PROTOCOL)
         .body(Empty::<Bytes>::new())
-        .map_err(|e| e.to_string())?;
+        .map_err(|e| router_error("request", e))?;
     let response = sender
         .send_request(req)
         .await
-        .map_err(|e| error_chain(&e))?;
-    if response.status() != StatusCode::SWITCHING_PROTOCOLS {
-        return Err(format!("status {}", response.status().as_u16()));
+        .map_err(|e| router_error("response", error_chain(&e)))?;
+    let status = response.status();
+    if status != StatusCode::SWITCHING_PROTOCOLS {
+        return StatusSnafu { status }.fail();
     }
     let upgraded = hyper::upgrade::on(response).await;
-    upgraded.map(TokioIo::new).map_err(|e| error_chain(&e))
+    let upgraded = upgraded.map_err(|e| router_error("upgrade", error_chain(&e)))?;
+    Ok(TokioIo::new(upgraded))
+}
+
+fn router_error<R>(step: &'static str, reason: R) -> TunnelError
+where
+    R: ToString,
+{
+    TunnelError::Router {
+        step,
+        reason: reason.to_string(),
+    }
 }
 
 /// Returns the instance hash of the server for which a request asks a connection; none if it asks
@@ -115,47 +129,44 @@
     ReachEvent::Accepted {
         server,
         from,
-        reason: result.as_ref().err().map(String::as_str),
+        reason: result.as_ref().err().map(ToString::to_string),
     }
     .write();
-    let (status, mut response) = match result {
-        Ok(stream) => {
-            cx.metrics.servers.tunnels_open.inc();
-            tokio::task::spawn_local(async move {
-                match hyper::upgrade::on(&mut req).await {
-                    Ok(upgraded) => relay(TokioIo::new(upgraded), stream).await,
-                    Err(e) => log_peer_failure(Step::Connection, &from, &error_chain(&e)),
-                }
-                cx.metrics.servers.tunnels_open.dec();
-            });
-            let response = Response::new(full_body(Bytes::new()));
-            (StatusCode::SWITCHING_PROTOCOLS, response)
-        }
-        Err(reason) => {
-            let response = Response::new(full_body(reason));
-            (StatusCode::SERVICE_UNAVAILABLE, response)
+    let stream = match result {
+        Ok(stream) => stream,
+        Err(e) => {
+            let mut response = Response::new(full_body(e.to_string()));
+            *response.status_mut() = e.status();
+            return response;
         }
     };
-    *response.status_mut() = status;
-    if status == StatusCode::SWITCHING_PROTOCOLS {
-        let upgrade = HeaderValue::from_static("upgrade");
-        response.headers_mut().insert(CONNECTION, upgrade);
-        response.headers_mut().insert(UPGRADE, PROTOCOL);
-    }
+    cx.metrics.servers.tunnels_open.inc();
+    tokio::task::spawn_local(async move {
+        match hyper::upgrade::on(&mut req).await {
+            Ok(upgraded) => relay(TokioIo::new(upgraded), stream).await,
+            Err(e) => log_peer_failure(Step::Connection, &from, &error_chain(&e)),
+        }
+        cx.metrics.servers.tunnels_open.dec();
+    });
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+    let headers = response.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(UPGRADE, PROTOCOL);
     response
 }
 
-async fn connect(cx: &Context, from: IpAddr, server: u64) -> Result<TcpStream, String> {
-    if !cx.peers.is_router_at(from) {
-        return Err("not a router".to_owned());
-    }
-    if cx.phase.get() == Phase::Leaving {
-        return Err("stopping".to_owned());
-    }
-    if cx.metrics.servers.tunnels_open.get() >= MAX_TUNNELS {
-        return Err("too many connections".to_owned());
-    }
-    dialer::connect_for_peer(cx, server).await
+async fn connect(cx: &Context, from: IpAddr, server: u64) -> Result<TcpStream, TunnelError> {
+    let reason = if !cx.peers.is_router_at(from) {
+        "not a router"
+    } else if cx.phase.get() == Phase::Leaving {
+        "stopping"
+    } else if cx.metrics.servers.tunnels_open.get() >= MAX_TUNNELS {
+        "too many connections"
+    } else {
+        return dialer::connect_for_peer(cx, server).await;
+    };
+    RefusedSnafu { reason }.fail()
 }
 
 /// Passes bytes on until one side closes, then closes the other: the server must learn at once that
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -80,6 +80,8 @@
     connected_at: BTreeMap<Arc<str>, Time>,
     /// Failure domains that are cut off, and since when.
     cut_since: BTreeMap<Arc<str>, Time>,
+    /// When another router failed to connect to a server for this one.
+    failed_for_others_at: BTreeMap<ServerKey, Time>,
     /// Until when each router isn't asked to connect into a failure domain.
     refused_until: BTreeMap<(u64, Arc<str>), Time>,
     /// When each failure domain may be probed next.
@@ -113,6 +115,11 @@
         self.failures.entry(key).or_insert(first).last_at = now;
     }
 
+    /// Records that another router failed to connect to a backend server for this one.
+    pub fn record_failed_for_other(&mut self, now: Time, key: ServerKey) {
+        self.failed_for_others_at.insert(key, now);
+    }
+
     /// Records that another router can't connect into a failure domain either, or doesn't respond.
     pub fn record_refused(&mut self, now: Time, router: u64, domain: &Arc<str>) {
         let until = now.plus_millis(REFUSED_MS);
@@ -129,6 +136,8 @@
     /// Drops what is too old to count, and returns the failure domains that are newly cut off.
     pub fn update(&mut self, now: Time, fleet: &Fleet) -> Vec<ReachChange> {
         self.refused_until.retain(|_, until| *until > now);
+        self.failed_for_others_at
+            .retain(|_, at| now.millis_since(*at) < FAILURE_KEPT_MS);
         self.failures.retain(|key, failure| {
             let is_recent = now.millis_since(failure.last_at) < FAILURE_KEPT_MS;
             is_recent && fleet.get(*key).is_some()
@@ -172,9 +181,16 @@
 
     /// Returns whether a backend server to which a connection has just failed is worth a try through
     /// another router.
-    pub fn may_be_reached_by_others(&self, now: Time, server: &BackendServer) -> bool {
+    pub fn may_be_reached_by_others(
+        &self,
+        now: Time,
+        key: ServerKey,
+        server: &BackendServer,
+    ) -> bool {
+        let failed_at = self.failed_for_others_at.get(&key).copied();
         let responded_at = server.responded_to_others_at(now);
-        responded_at.is_some_and(|at| now.millis_since(at) <= RECENT_RESPONSE_MS)
+        responded_at
+            .is_some_and(|at| now.millis_since(at) <= RECENT_RESPONSE_MS && Some(at) > failed_at)
     }
 
     /// Returns since when a failure domain is cut off from this router; none if it isn't.
@@ -238,8 +254,12 @@
     }
 }
 
-/// Returns whether other routers have had a response of a server since a connection to it failed.
+/// Returns whether other routers have had a response of a server while connections to it failed. A
+/// response long after the last failure may be that of a server that is back.
 fn is_reached_by_others(now: Time, server: &BackendServer, failure: Failure) -> bool {
     let responded_at = server.responded_to_others_at(now);
-    responded_at.is_some_and(|at| at >= failure.first_at.plus_millis(REPORT_LAG_MS))
+    responded_at.is_some_and(|at| {
+        at >= failure.first_at.plus_millis(REPORT_LAG_MS)
+            && at <= failure.last_at.plus_millis(RECENT_RESPONSE_MS)
+    })
 }
--- a/crates/relay/tests/reach.rs
+++ b/crates/relay/tests/reach.rs
@@ -77,6 +77,37 @@
     assert_eq!(path(&reach, &fleet, at(400), key), Path::Direct);
 }
 
+#[test]
+fn a_response_to_another_router_long_after_the_last_failure_is_that_of_a_server_that_is_back() {
+    let mut fleet = fleet(1, 1);
+    let key = keys(&fleet)[0];
+    let mut reach = Reach::default();
+    reach.record_failed(at(0), key);
+    report_response(&mut fleet, key, at(2_500), at(2_400));
+
+    assert_eq!(reach.update(at(2_500), &fleet), []);
+    assert_eq!(path(&reach, &fleet, at(2_500), key), Path::Direct);
+}
+
+#[test]
+fn a_server_that_another_router_could_not_connect_to_is_not_tried_through_routers_again() {
+    let mut fleet = fleet(1, 1);
+    let key = keys(&fleet)[0];
+    let mut reach = Reach::default();
+    report_response(&mut fleet, key, at(100), at(50));
+    let may = |reach: &Reach, fleet: &Fleet, ms| {
+        reach.may_be_reached_by_others(at(ms), key, fleet.get(key).unwrap())
+    };
+    let first = may(&reach, &fleet, 110);
+
+    reach.record_failed_for_other(at(120), key);
+
+    assert!(first);
+    assert!(!may(&reach, &fleet, 130));
+    report_response(&mut fleet, key, at(200), at(190));
+    assert!(may(&reach, &fleet, 210));
+}
+
 #[test]
 fn one_server_of_several_is_reached_through_a_router_and_the_others_are_not() {
     let mut fleet = fleet(3, 1);
