--- a/crates/gateway/src/server_event.rs
+++ b/crates/gateway/src/server_event.rs
@@ -193,11 +193,10 @@
                 server,
                 rejections_per_s,
                 source,
-            } => write!(
-                f,
-                "event=server_brittle server={server} rejections_per_s={} source={source}",
-                number(*rejections_per_s)
-            ),
+            } => {
+                let number = number(*rejections_per_s);
+                write!(f, "event=server_brittle server={server} rejections_per_s={number} source={source}")
+            }
             ServerEvent::Place(decision) => decision.fmt(f),
             ServerEvent::Permit(decision) => decision.fmt(f),
             ServerEvent::Limit {
--- a/crates/gateway/tests/liveness.rs
+++ b/crates/gateway/tests/liveness.rs
@@ -17,7 +17,7 @@
 /// Time for which a sound server may be silent.
 const SOUND_SILENCE: Duration = Duration::from_millis(1_500);
 
-// Guards against CONFIG: connections to the store fall silent, and a change is heard too late.
+// Guards against CONFIG: connections to the store hang, and a change arrives too late.
 #[test]
 fn a_silent_connection_to_the_store_ends_in_time_to_hear_a_change_on_another() {
     assert!(Liveness::STORE.idle_limit() + NEXT_CALL <= STABLE);
--- a/crates/relay/src/catch_up.rs
+++ b/crates/relay/src/catch_up.rs
@@ -88,7 +88,7 @@
     }
 
     /// Chooses among routers that are ahead: not those that were asked for the same version, until
-    /// all were; recently heard ones, newer versions and near ones first.
+    /// all were; first those that sent a message lately, then newer versions, then near ones.
     fn choose(&mut self, now: Time, ahead: Vec<ConfigurationSource>) -> Vec<u64> {
         let was_asked = |source: &ConfigurationSource| {
             let version = self.asked.get(&source.router);
