--- a/crates/relay/tests/brittle_servers.rs
+++ b/crates/relay/tests/brittle_servers.rs
@@ -307,10 +307,31 @@
 }
 
 #[test]
-fn a_server_that_stands_no_rejection_gets_no_more_than_its_slots() {
+fn a_server_that_stands_no_rejection_is_spared_and_used_up() {
     for routers in [1, 9, 30, 300] {
-        // The time that messages take is lost.
-        check(load(routers, 0), MIN_USE / 2.0);
+        check(load(routers, 0), MIN_USE);
+    }
+}
+
+#[test]
+fn a_server_that_stands_no_rejection_is_spared_while_messages_get_lost() {
+    for routers in [9, 300] {
+        let load = Load {
+            loss: 0.05,
+            ..load(routers, 0)
+        };
+        check(load, MIN_USE - 0.2);
+    }
+}
+
+#[test]
+fn a_server_that_stands_no_rejection_is_spared_while_issuers_are_killed() {
+    for routers in [9, 30, 300] {
+        let load = Load {
+            kills: true,
+            ..load(routers, 0)
+        };
+        check(load, MIN_USE - 0.1);
     }
 }
 
