--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -14,6 +14,7 @@
 import threading
 import time
 from pathlib import Path
+from urllib.parse import unquote
 
 PROGRAM = "target/release/turmerichollow"
 HEARTBEAT_MS = 1200
@@ -166,9 +167,9 @@
 
 
 class Store(Server):
-    """The platform's store: items with revisions, watches, transactions and leases. It pages at 500 items."""
+    """The platform's store: items with revisions, watches, transactions and leases."""
 
-    PAGE = 500
+    PAGE, PAGE_BYTES = 500, 1 << 20
 
     def __init__(self, address="127.0.0.1"):
         self.items = {}
@@ -232,7 +233,7 @@
         method, target, _ = first.split(" ")
         body = channel.body(headers)
         path, _, query = target.partition("?")
-        query = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
+        query = {k: unquote(v) for k, v in (part.split("=", 1) for part in query.split("&") if "=" in part)}
         content = json.loads(body) if body else {}
         status, answer = self.answer(method, path, query, content)
         send_json(channel, status, answer, "Store-Era: 1\r\n")
@@ -247,8 +248,8 @@
             if (method, path) == ("GET", "/kv-range"):
                 prefix, after = query["PathPrefix"], query.get("after", "")
                 keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-                page = [self.items[k] for k in keys[: self.PAGE]]
-                return 200, {"items": page, "HasMore": len(keys) > self.PAGE, "AsOf": self.revision}
+                page = self.page([self.items[k] for k in keys])
+                return 200, {"items": page, "HasMore": len(keys) > len(page), "AsOf": self.revision}
             if (method, path) == ("POST", "/kv-txn"):
                 return self.transact(content)
             if (method, path) == ("POST", "/kv-lease"):
@@ -265,6 +266,16 @@
             self.end_lease(lease)
             return 200, {}
 
+    def page(self, items):
+        """Returns the first page of items: at most 500 or about 1 MB."""
+        size, page = 0, []
+        for item in items[: self.PAGE]:
+            page.append(item)
+            size += len(json.dumps(item))
+            if size >= self.PAGE_BYTES:
+                break
+        return page
+
     def transact(self, content):
         puts, deletes = content.get("Puts", []), content.get("Deletes", [])
         keys = [put["Key"] for put in puts] + deletes
