gateway: a stream is bound to the build at which its request was sent

Cause: bind looked the build up in the fleet at the first event and did nothing if the registration had ended by then. Such a stream stayed unbound and was resumed at any build. The same with an entry that can't be read for a moment, and with a caller that takes the stream up at another router, where it was recorded under the build that resumed it.

Evidence: the logs of the case show that just the streams whose first event came after server_removed went on at the other build. Ruled out: placement at a bound stream (those broke off), answers of other routers (nobody asked).

Change: bind takes the build from the choice that sent the request.

--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use relay::Build;
-use relay::ServerKey;
 use relay::StreamBuild;
 use relay::StreamId;
 use relay::StreamKnowledge;
@@ -42,26 +41,24 @@
 
 /// Binds a stream to the build of the server that brings its first event, unless it is bound, and
 /// notifies other routers unless the route is known to lead to only one build. Called before that
-/// event is passed on.
-pub fn bind(x: &Exchange, key: ServerKey) {
+/// event is passed on. `build` is that at which the request was sent: the server's registration may
+/// have ended since.
+pub fn bind(x: &Exchange, build: Build) {
     if x.stream_build.get() != StreamBuild::Any {
         return;
     }
+    x.stream_build.set(StreamBuild::Only(build));
     let (now, cx) = (now(), &x.cx);
     let mut view = cx.view.borrow_mut();
-    let Some(server) = view.fleet.get(key) else {
-        return;
-    };
     let origin = StreamOrigin {
         stream: StreamId::new(&x.parsed.id),
-        build: server.build,
+        build,
     };
     let services = services(x);
-    let is_only_build = view.builds(now, &services).len() == 1;
+    let is_only_build = view.builds(now, &services) == [build];
     let is_notified = !(is_only_build && view.are_builds_known(now, &services));
     view.stream_origins.begin(now, origin);
     drop(view);
-    x.stream_build.set(StreamBuild::Only(origin.build));
     if is_notified {
         notify(cx, &[origin]);
     }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -192,7 +192,7 @@
         loop {
             match splitter.next_event() {
                 Ok(Some(event)) => {
-                    stream_builds::bind(x, attempt.choice.server);
+                    stream_builds::bind(x, attempt.choice.build);
                     attempt.in_flight.count_event(tx.capacity() > 0);
                     let event = BufferedEvent {
                         _hold: x.cx.buffers.hold(event.bytes.len() as u64),
