gateway: a stream goes on nowhere whose server started again at another build

What callers would see: a stream joined from two software versions.

Change: at the first event and at a break the router asks whether the server's id belongs to another build by now; then the stream is bound to no build (StreamBuild::Unknown).

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -28,7 +28,7 @@
 
 /// Records what the end of the request's latest attempt proves.
 pub fn record_end(x: &Exchange, end: AttemptEnd) {
-    let Some(server) = x.latest_server else {
+    let Some(server) = &x.latest_server else {
         return;
     };
     let add_unsettled = |is_complete_if_alive| {
@@ -54,7 +54,7 @@
 
 /// Records that the backend server of the latest attempt has responded.
 pub fn record_alive(x: &Exchange) {
-    if let Some(server) = x.latest_server {
+    if let Some(server) = &x.latest_server {
         x.cx.settle_alive(server.instance_hash, server.sent_at);
     }
 }
@@ -186,14 +186,14 @@
         x.cx.metrics.servers.server_limit_invalid.inc();
     }
     let limit = named.and_then(|named| named.limit);
-    if let (Some(server), true) = (x.latest_server, named.is_none() || limit.is_some()) {
+    if let (Some(server), true) = (&x.latest_server, named.is_none() || limit.is_some()) {
         x.cx.record_limit(key, limit, server.sent_at);
     }
 }
 
 /// Records the rejections that a backend server stands by a response, or that it names none.
 pub fn record_brittleness(x: &Exchange, key: ServerKey, parsed: &ResponseHead) {
-    if let Some(server) = x.latest_server {
+    if let Some(server) = &x.latest_server {
         x.cx.record_brittleness(key, parsed.brittleness, server.sent_at);
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -216,7 +216,7 @@
         }
         self.attempts += 1;
         self.tried.push(choice.server);
-        self.latest_server = AttemptedServer::new(&self.cx, choice.server);
+        self.latest_server = AttemptedServer::new(&self.cx.view.borrow().fleet, choice.server);
         let limit = duration_until(self.deadline.plus_millis(DEADLINE_GRACE_MS));
         match timeout(limit, Attempt::start(self, choice)).await {
             Ok(result) => result,
--- a/crates/gateway/src/rejections.rs
+++ b/crates/gateway/src/rejections.rs
@@ -19,7 +19,7 @@
 pub fn record(x: &Exchange, key: ServerKey) {
     let cx = &x.cx;
     x.rejections_in_a_row.set(x.rejections_in_a_row.get() + 1);
-    let Some(attempted) = x.latest_server else {
+    let Some(attempted) = &x.latest_server else {
         return;
     };
     let now = now();
@@ -60,7 +60,7 @@
 
 /// Records that a backend server ran the request's latest attempt, which ends a row of rejections.
 pub fn record_ran(x: &Exchange, key: ServerKey) {
-    let Some(attempted) = x.latest_server else {
+    let Some(attempted) = &x.latest_server else {
         return;
     };
     let mut view = x.cx.view.borrow_mut();
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -41,13 +41,16 @@
 
 /// Binds a stream to the build of the server that brings its first event, unless it is bound, and
 /// notifies other routers unless the route is known to lead to only one build. Called before that
-/// event is passed on. `build` is that at which the request was sent: the server's registration may
-/// have ended since.
-pub fn bind(x: &Exchange, build: Build) {
+/// event is passed on.
+pub fn bind(x: &Exchange) {
     if x.stream_build.get() != StreamBuild::Any {
         return;
     }
-    x.stream_build.set(StreamBuild::Only(build));
+    let stream_build = latest_build(x);
+    x.stream_build.set(stream_build);
+    let StreamBuild::Only(build) = stream_build else {
+        return;
+    };
     let (now, cx) = (now(), &x.cx);
     let mut view = cx.view.borrow_mut();
     let origin = StreamOrigin {
@@ -64,6 +67,24 @@
     }
 }
 
+/// Binds a stream that broke off to no build, if it isn't certain which one wrote its last events.
+pub fn check_end(x: &Exchange) {
+    let is_bound = x.stream_build.get() != StreamBuild::Any;
+    if is_bound && latest_build(x) == StreamBuild::Unknown {
+        x.stream_build.set(StreamBuild::Unknown);
+    }
+}
+
+/// Returns the build of the latest attempt's server. It is that at which the request was sent, also
+/// if the server's registration has ended since.
+fn latest_build(x: &Exchange) -> StreamBuild {
+    let view = x.cx.view.borrow();
+    let server = x.latest_server.as_ref();
+    server.map_or(StreamBuild::Unknown, |server| {
+        server.stream_build(&view.fleet)
+    })
+}
+
 /// Notifies other routers of the streams that began here, as a service has got another build.
 pub fn notify_all(cx: &Context) {
     let streams = cx.view.borrow().stream_origins.begun_here();
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -82,6 +82,7 @@
             StreamEnd::Failed(end, reason) => (end, reason),
         };
         splitter.discard_partial_event();
+        stream_builds::check_end(&x);
         if splitter.last_id().is_some() {
             x.parsed.last_event = splitter.last_id();
         }
@@ -192,7 +193,7 @@
         loop {
             match splitter.next_event() {
                 Ok(Some(event)) => {
-                    stream_builds::bind(x, attempt.choice.build);
+                    stream_builds::bind(x);
                     attempt.in_flight.count_event(tx.capacity() > 0);
                     let event = BufferedEvent {
                         _hold: x.cx.buffers.hold(event.bytes.len() as u64),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -410,6 +410,7 @@
     let is_at_build = match request.stream_build {
         StreamBuild::Any => true,
         StreamBuild::Only(build) => server.build == build,
+        StreamBuild::Unknown => false,
     };
     is_at_build && serves_model(server, request)
 }
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -52,6 +52,8 @@
     Any,
     /// Only at this build.
     Only(Build),
+    /// Nowhere, as it isn't certain which build wrote its events.
+    Unknown,
 }
 
 #[derive(Clone, Copy, Debug)]
