gateway: a router out of step takes no stream up at the only build that it knows

What callers would see: a stream that began at a server of a new software version, through another router, goes on at the former version (ORDER).

Cause: a router that got no reply took silence for 'no router has recorded the stream' and its own reading, up to 1.7 s old, for the present state. Cut off from the others it missed both the stream's record and the new version.

Change: the only known build counts if all routers that were asked replied, or if the store's records of builds, read after the question, name no other; while the store can't be read, if more than half replied. Else 503, not run.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -205,9 +205,15 @@
             return true;
         }
         let is_fresh = self.fleet.reading().is_some_and(|r| r.is_fresh(now));
+        is_fresh && self.proven_build(now, services).is_some()
+    }
+
+    /// Returns the only build that some services have had for as long as a stream can last, if the
+    /// store's records of builds prove it and this router has seen no other.
+    pub fn proven_build(&self, now: Time, services: &[Arc<str>]) -> Option<Build> {
         let builds = self.builds(now, services);
         let [only] = builds[..] else {
-            return false;
+            return None;
         };
         let is_proven = |service: &Arc<str>| {
             let records = &self.build_records;
@@ -216,7 +222,7 @@
                 None => !records.has_any(service) && self.fleet.builds(now, service).is_empty(),
             }
         };
-        is_fresh && services.iter().all(is_proven)
+        services.iter().all(is_proven).then_some(only)
     }
 
     /// Returns whether a router that reads the store itself must list the registrations: in a new
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -100,38 +100,25 @@
     let asked_at = now();
     let stream = x.parsed.resumes.as_deref().map(StreamId::new);
     let services = services(x);
-    let own = knowledge(&x.cx, stream, &services);
-    let others = match stream {
-        Some(stream) if own.recorded.is_none() => ask(&x.cx, stream, services.clone()).await,
-        _ => Vec::new(),
-    };
+    let origin = find_origin(&x.cx, stream, &services).await;
     let builds = x.cx.view.borrow().builds(now(), &services);
-    let mut origin = Origin {
-        build: own.build(&others, &builds),
-        source: source(own, &others),
-        stored: "unasked",
-    };
-    if origin.build.is_none() {
-        origin = look_up(&x.cx, stream, &services, &others).await;
-    }
-    let build = origin.build;
     let taken_up = TakenUp {
         id: &x.parsed.id,
         resumes: x.parsed.resumes.as_deref(),
         source: origin.source,
         stored: origin.stored,
-        answers: others.len(),
+        answers: origin.answers,
         builds: builds.len(),
         took_ms: now().millis_since(asked_at),
     };
     let counter = &x.cx.metrics.servers.streams_taken_up;
     counter.with_label_values(&[taken_up.source]).inc();
     RequestEvent::TakenUp(taken_up).write();
-    if let Some(build) = build {
+    if let Some(build) = origin.build {
         x.stream_build.set(StreamBuild::Only(build));
         pick_service_with(x, build);
     }
-    build.is_some()
+    origin.build.is_some()
 }
 
 /// At which build a stream may go on, and how that is known.
@@ -141,44 +128,72 @@
     source: &'static str,
     /// What the store says of it.
     stored: &'static str,
+    /// Number of other routers that answered.
+    answers: usize,
 }
 
-/// Finds out at which build a stream may go on that no router knows. The store's records say which
-/// builds there were, too.
-async fn look_up(
-    cx: &Context,
-    stream: Option<StreamId>,
-    services: &[Arc<str>],
-    others: &[StreamKnowledge],
-) -> Origin {
-    let stored = stream_records::look_up(cx, stream).await;
-    if let StoredOrigin::Known(build) = stored {
-        return Origin {
-            build: Some(build),
-            source: "store",
-            stored: stored.name(),
-        };
-    }
+/// Finds out at which build a stream may go on. A stream that no router has recorded began while its
+/// service had one build. Whether this router is in step, so that the only one that it knows is that
+/// one, is proven by the answers of all other routers, or by the store.
+async fn find_origin(cx: &Context, stream: Option<StreamId>, services: &[Arc<str>]) -> Origin {
+    let asked_at = now();
     let own = knowledge(cx, stream, services);
-    let builds = cx.view.borrow().builds(now(), services);
-    let build = own.build(others, &builds);
+    if let Some(build) = own.recorded {
+        return Origin::from_router(build, "own", 0);
+    }
+    let replies = match stream {
+        Some(stream) => ask(cx, stream, services.to_vec()).await,
+        None => Replies::default(),
+    };
+    let answers = replies.knowledge.len();
+    let mut recorded = replies.knowledge.iter().filter_map(|reply| reply.recorded);
+    if let Some(build) = recorded.next() {
+        return Origin::from_router(build, "peer", answers);
+    }
+    let only = {
+        let builds = cx.view.borrow().builds(now(), services);
+        own.build(&replies.knowledge, &builds)
+    };
+    if let (Some(build), true) = (only, replies.are_complete()) {
+        return Origin::from_router(build, "only_build", answers);
+    }
+    // Records of streams are batched; those of builds must be as new as the question.
+    let not_before = match only {
+        Some(_) => asked_at,
+        None => stream_records::oldest_reading(),
+    };
+    let stored = stream_records::look_up(cx, stream, not_before).await;
+    let (build, source) = match stored {
+        StoredOrigin::Known(build) => (Some(build), "store"),
+        StoredOrigin::Unknown => (proven_build(cx, services), "only_build"),
+        StoredOrigin::Unread => (only.filter(|_| replies.are_of_most()), "only_build"),
+    };
     Origin {
         build,
-        source: build.map_or("unknown", |_| source(own, others)),
+        source: build.map_or("unknown", |_| source),
         stored: stored.name(),
+        answers,
     }
 }
 
-/// Returns how the build of a stream is known to routers.
-fn source(own: StreamKnowledge, others: &[StreamKnowledge]) -> &'static str {
-    let is_recorded = others.iter().any(|other| other.recorded.is_some());
-    match own.recorded {
-        Some(_) => "own",
-        None if is_recorded => "peer",
-        None => "only_build",
+impl Origin {
+    /// Returns what routers know without the store.
+    fn from_router(build: Build, source: &'static str, answers: usize) -> Origin {
+        Origin {
+            build: Some(build),
+            source,
+            stored: "unasked",
+            answers,
+        }
     }
 }
 
+/// Returns the only build that some services have had, if the store's records of builds, which were
+/// just read, prove it.
+fn proven_build(cx: &Context, services: &[Arc<str>]) -> Option<Build> {
+    cx.view.borrow().proven_build(now(), services)
+}
+
 /// Returns the names of the services to which the request's route leads.
 fn services(x: &Exchange) -> Vec<Arc<str>> {
     let shares = x.route.shares.iter();
@@ -254,8 +269,29 @@
     }
 }
 
+/// What other routers replied to a question about a stream.
+#[derive(Default)]
+struct Replies {
+    knowledge: Vec<StreamKnowledge>,
+    /// Number of routers that were asked; none if this router doesn't know which there are.
+    asked: Option<usize>,
+}
+
+impl Replies {
+    /// Returns whether all routers have replied.
+    fn are_complete(&self) -> bool {
+        self.asked == Some(self.knowledge.len())
+    }
+
+    /// Returns whether more than half of the routers have replied.
+    fn are_of_most(&self) -> bool {
+        let asked = self.asked;
+        asked.is_some_and(|asked| self.knowledge.len() * 2 > asked)
+    }
+}
+
 /// Asks other routers what they know of a stream, until one has recorded it.
-async fn ask(cx: &Context, stream: StreamId, services: Vec<Arc<str>>) -> Vec<StreamKnowledge> {
+async fn ask(cx: &Context, stream: StreamId, services: Vec<Arc<str>>) -> Replies {
     let deadline = Instant::now() + REPLY_TIMEOUT;
     let (id, mut rx) = cx.pending_streams.begin();
     let query = PeerMessage::StreamQuery(StreamQuery {
@@ -268,12 +304,15 @@
     for address in &addresses {
         cx.send_to_peer(*address, &query).await;
     }
-    let mut replies = Vec::new();
-    while replies.len() < addresses.len() {
+    let mut replies = Replies {
+        knowledge: Vec::new(),
+        asked: cx.view.borrow().routers_known.then_some(asked.len()),
+    };
+    while replies.knowledge.len() < addresses.len() {
         let Ok(Some(knowledge)) = timeout_at(deadline, rx.recv()).await else {
             break;
         };
-        replies.push(knowledge);
+        replies.knowledge.push(knowledge);
         if knowledge.recorded.is_some() {
             break;
         }
--- a/crates/gateway/src/stream_records.rs
+++ b/crates/gateway/src/stream_records.rs
@@ -226,8 +226,14 @@
     }
 }
 
-/// Returns what the store says of a stream that a caller takes up.
-pub async fn look_up(cx: &Context, stream: Option<StreamId>) -> StoredOrigin {
+/// Returns when the oldest reading may have been made by which an unknown stream is refused.
+pub fn oldest_reading() -> Time {
+    Time(now().0.saturating_sub(READ_INTERVAL_MS * 1_000))
+}
+
+/// Returns what the store says of a stream that a caller takes up, by records that were read at
+/// `not_before` or later if they don't have it.
+pub async fn look_up(cx: &Context, stream: Option<StreamId>, not_before: Time) -> StoredOrigin {
     let stored = || {
         let stored = cx.stream_records.stored.borrow();
         stream.and_then(|stream| stored.build(stream))
@@ -238,7 +244,6 @@
     if cx.view.borrow().store_failing {
         return StoredOrigin::Unread;
     }
-    let not_before = Time(now().0.saturating_sub(READ_INTERVAL_MS * 1_000));
     match timeout(READ_TIMEOUT, read(cx, not_before)).await {
         Ok(Ok(())) => stored().map_or(StoredOrigin::Unknown, StoredOrigin::Known),
         Ok(Err(e)) => {
