gateway: a refusal counts only for the request that it names

What callers would see: a request that must run once runs twice, or is answered 'not run' and has run.

Cause: a refusal without an id, and any 421 of another server, counted for the request on the connection, also if it was a copy of an earlier one.

Change: a response must name its request. A refusal without an id counts on the first request of a connection only.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -149,7 +149,11 @@
         let parsed = x.cx.codec.read_response(&head);
         let misdirected = is_misdirected(x, choice.server, &head, &parsed);
         let matches_request = parsed.request.as_deref() == Some(x.parsed.id.as_str());
-        if !(matches_request || misdirected || parsed.not_run && parsed.request.is_none()) {
+        // On a connection that was used before, a response that names no request may be a copy of
+        // an earlier one.
+        let is_first_refusal =
+            parsed.request.is_none() && parsed.not_run && !connection.is_reused();
+        if !(matches_request || is_first_refusal) {
             x.cx.pool.clear(choice.server);
             return Err(AttemptFailure::new(
                 AttemptEnd::Unknown,
@@ -169,8 +173,6 @@
         if misdirected || parsed.not_run {
             connection.allow(MAX_REJECTION_BYTES);
             let reason = handle_rejection(x, choice, &head, &parsed, misdirected);
-            // A late copy of a rejection that names no request would count for the next request
-            // on the connection, which may run.
             if matches_request {
                 drain_and_release(x, choice.server, body, connection, parsed.keep_alive_ms).await;
             }
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -91,12 +91,21 @@
 
 /// A connection in use. Dropping it without returning it to the pool closes the
 /// connection at once, so that the backend server cancels the request.
-pub struct PooledConnection(Option<Dialed>);
+pub struct PooledConnection {
+    dialed: Option<Dialed>,
+    /// Whether it has carried an earlier request.
+    is_reused: bool,
+}
 
 impl PooledConnection {
+    /// Returns whether it has carried an earlier request, of which a copy of the response may come.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Allows `bytes` more bytes of the response to be read.
     pub fn allow(&self, bytes: u64) {
-        if let Some(dialed) = &self.0 {
+        if let Some(dialed) = &self.dialed {
             dialed.connection.allowance.set(bytes);
         }
     }
@@ -104,7 +113,7 @@
     /// Returns how an attempt ended whose connection failed while a response was due. One through
     /// another router may have ended with that router.
     pub fn broken_end(&self, e: &hyper::Error) -> AttemptEnd {
-        match &self.0 {
+        match &self.dialed {
             Some(dialed) if dialed.is_tunnel => AttemptEnd::Unknown,
             _ => broken_end(e),
         }
@@ -113,7 +122,7 @@
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        if let Some(dialed) = &self.0 {
+        if let Some(dialed) = &self.dialed {
             dialed.connection.task.abort();
         }
     }
@@ -144,7 +153,10 @@
                 Err(SendFailure::Broken(e)) => return Err(broken(peer, &connection, &e)),
             }
         }
-        let mut connection = PooledConnection(Some(dial.await?));
+        let mut connection = PooledConnection {
+            dialed: Some(dial.await?),
+            is_reused: false,
+        };
         match try_send(&mut connection, req).await {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::Unsent(_)) => UnsentSnafu {
@@ -165,7 +177,7 @@
         mut connection: PooledConnection,
         keep_alive_ms: Option<u64>,
     ) {
-        let Some(dialed) = connection.0.take() else {
+        let Some(dialed) = connection.dialed.take() else {
             return;
         };
         let keep_alive_ms = keep_alive_ms.map_or(DEFAULT_KEEP_ALIVE_MS, |ms| {
@@ -234,7 +246,10 @@
         }) = idle.pop()
         {
             if reusable_until > now && dialed.connection.sender.is_ready() {
-                return Some(PooledConnection(Some(dialed)));
+                return Some(PooledConnection {
+                    dialed: Some(dialed),
+                    is_reused: true,
+                });
             }
             dialed.connection.task.abort();
         }
@@ -259,7 +274,10 @@
     connection: &mut PooledConnection,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendFailure> {
-    let dialed = connection.0.as_mut().expect("a connection in use is open");
+    let dialed = connection
+        .dialed
+        .as_mut()
+        .expect("a connection in use is open");
     let connection = &mut dialed.connection;
     connection.allowance.set(MAX_HEAD_BYTES);
     match connection.sender.try_send_request(req).await {
