relay: an engine whose entry lists no models gets no prompts

A true fault: an entry with fields missing 'names no runner to use', and engines list their models.

Cause: an entry without Models counted as one of a plain service, whose servers take any prompt, without cache scope and expected weights.

Change: a prompt goes to a server without models only if the configuration doesn't describe its service as one of engines (it has an Engine).

--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -201,6 +201,12 @@
         services.filter_map(|service| service.prefix_store.as_ref())
     }
 
+    /// Returns whether the backend servers of a service are model engines.
+    pub fn runs_models(&self, service: &str) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.memory_tokens.is_some())
+    }
+
     /// Returns the workspace with the API key `key`.
     pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
         self.index.by_key.get(key)
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -209,7 +209,7 @@
         let untried: Vec<Candidate<'_>> = self
             .fleet
             .of_service(request.service)
-            .filter(|(key, server)| !request.tried.contains(key) && may_serve(server, request))
+            .filter(|(key, server)| !request.tried.contains(key) && self.may_serve(server, request))
             .collect();
         if untried.is_empty() {
             return Err(Unplaceable::NoServer);
@@ -269,6 +269,29 @@
         })
     }
 
+    /// Returns whether a backend server has the request's model, and the build at which its stream
+    /// began.
+    fn may_serve(&self, server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
+        let is_at_build = match request.stream_build {
+            StreamBuild::Any => true,
+            StreamBuild::Only(build) => server.build == build,
+            StreamBuild::Unknown => false,
+        };
+        is_at_build && self.serves_model(server, request)
+    }
+
+    /// Returns whether a backend server has the request's model. A plain service may get prompts
+    /// too; an engine that lists no models has an entry of another writer.
+    fn serves_model(&self, server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
+        let Some(prompt) = &request.prompt else {
+            return true;
+        };
+        let configuration = self.stores.configuration;
+        let is_plain = server.registration.weights.is_empty()
+            && !configuration.is_some_and(|c| c.runs_models(request.service));
+        is_plain || server.weights(prompt.model).is_some()
+    }
+
     fn is_usable(&self, request: &PlacementRequest<'_>, server: &BackendServer) -> bool {
         server.takes_requests(self.now)
             && !self.is_overdue(request, server)
@@ -403,21 +426,3 @@
     let nominal_ms = load.prefill_ms as f64 + f64::from(load.requests) * QUEUED_REQUEST_MS;
     nominal_ms * server.pace(now)
 }
-
-/// Returns whether a backend server has the request's model, and the build at which its stream
-/// began.
-fn may_serve(server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
-    let is_at_build = match request.stream_build {
-        StreamBuild::Any => true,
-        StreamBuild::Only(build) => server.build == build,
-        StreamBuild::Unknown => false,
-    };
-    is_at_build && serves_model(server, request)
-}
-
-fn serves_model(server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
-    let Some(prompt) = &request.prompt else {
-        return true;
-    };
-    server.registration.weights.is_empty() || server.weights(prompt.model).is_some()
-}
