relay: each set of isolated workspaces has a cache scope of its own for the others

Cause: one shared scope for ever, and a scope by the configuration under which the request was accepted.

Change: CachePartition, by the configuration in force when the request is sent; the shared one names the set of isolated workspaces by a hash (none: as before).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -306,7 +306,7 @@
         priority: relay::engine_priority(&x.route, workspace, choice.nominal_prefill_ms()),
         weights: choice.weights.map(|version| ExpectedWeights {
             version,
-            scope: relay::cache_scope(version, choice.build, workspace),
+            scope: relay::cache_scope(version, choice.build, x.cache_partition(&view)),
         }),
         fetch_from,
         save_to: choice.save_to(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use relay::Admission;
 use relay::AttemptEnd;
+use relay::CachePartition;
 use relay::Choice;
 use relay::Progress;
 use relay::RetryPolicy;
@@ -32,6 +33,7 @@
 use crate::body::ResponseBody;
 use crate::buffer_budget::BufferHold;
 use crate::clock::now;
+use crate::cluster_view::ClusterView;
 use crate::codec::RequestHead;
 use crate::context::Context;
 use crate::evidence::record_end;
@@ -196,6 +198,14 @@
         self.deadline.millis_since(now())
     }
 
+    /// Returns the requests with which it shares cached prompt parts, by the present configuration.
+    pub fn cache_partition(&self, view: &ClusterView) -> CachePartition {
+        let configuration = view.configuration.as_ref();
+        configuration.map_or_else(CachePartition::default, |configuration| {
+            configuration.cache_partition(self.workspace.as_deref())
+        })
+    }
+
     /// Checks that none of the request's suspects is blocked; otherwise returns the time until
     /// which one is. If the request is to be sent as a trial, records that.
     pub fn admit(&self) -> Result<(), Time> {
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -57,7 +57,7 @@
     let prompt = x.parsed.prompt.as_ref().map(|prompt| Prompt {
         model: &prompt.model,
         parts: &prompt.parts,
-        workspace: x.workspace.as_deref(),
+        partition: x.cache_partition(&view),
     });
     let request = PlacementRequest {
         service: &x.service,
--- a/crates/relay/src/affinity.rs
+++ b/crates/relay/src/affinity.rs
@@ -161,7 +161,7 @@
         let build = server.build;
         let version = EngineVersion { weights, build };
         parts.entry(version).or_insert_with(|| {
-            let scope = crate::cache_scope(weights, build, prompt.workspace);
+            let scope = crate::cache_scope(weights, build, prompt.partition);
             let part = PartKey::new(prompt.model, &scope, prefix.id);
             SharedPrefix::new(state, part, prefix.tokens, tokens)
         });
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::CachePartition;
 use crate::InvalidQuota;
 use crate::PrefixStore;
 use crate::Quota;
@@ -145,6 +146,8 @@
     by_host: HashMap<String, Vec<Arc<Route>>>,
     /// Workspaces by API key.
     by_key: HashMap<String, Arc<Workspace>>,
+    /// Hash of the names of the isolated workspaces; 0 if there are none.
+    isolated: u64,
 }
 
 impl Configuration {
@@ -180,6 +183,9 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         for workspace in &self.workspaces {
+            if workspace.isolated {
+                index.isolated ^= policy::name_hash(&workspace.name);
+            }
             for key in &workspace.keys {
                 index.by_key.insert(key.clone(), Arc::clone(workspace));
             }
@@ -195,23 +201,42 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Returns the prefix stores among the services.
-    pub fn prefix_stores(&self) -> impl Iterator<Item = &PrefixStore> {
-        let services = self.services.values();
-        services.filter_map(|service| service.prefix_store.as_ref())
-    }
-
     /// Returns whether the backend servers of a service are model engines.
     pub fn runs_models(&self, service: &str) -> bool {
         let service = self.services.get(service);
         service.is_some_and(|service| service.memory_tokens.is_some())
     }
 
+    /// Returns the prefix stores among the services.
+    pub fn prefix_stores(&self) -> impl Iterator<Item = &PrefixStore> {
+        let services = self.services.values();
+        services.filter_map(|service| service.prefix_store.as_ref())
+    }
+
     /// Returns the workspace with the API key `key`.
     pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
         self.index.by_key.get(key)
     }
 
+    /// Returns the cache partition of a workspace's requests, or of those without a workspace.
+    /// `accepted` is the workspace as the configuration had it by which its request was accepted.
+    pub fn cache_partition(&self, accepted: Option<&Workspace>) -> CachePartition {
+        let shared = CachePartition::Shared {
+            isolated: self.index.isolated,
+        };
+        let Some(accepted) = accepted else {
+            return shared;
+        };
+        let mut workspaces = self.workspaces.iter();
+        let present = workspaces.find(|workspace| workspace.name == accepted.name);
+        if !present.map_or(accepted, |present| present).isolated {
+            return shared;
+        }
+        CachePartition::Isolated {
+            workspace: policy::name_hash(&accepted.name),
+        }
+    }
+
     /// Returns whether some workspace has a quota.
     pub fn has_quotas(&self) -> bool {
         self.workspaces.iter().any(|w| w.quota.is_some())
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -87,6 +87,7 @@
 pub use build_records::PresentBuild;
 pub use build_records::ServiceBuilds;
 pub use cache_scope::cache_scope;
+pub use cache_scope::CachePartition;
 pub use catch_up::CatchUp;
 pub use catch_up::ConfigurationSource;
 pub use configuration::CallerLimits;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -16,6 +16,7 @@
 use crate::unplaceable::RETRY_AFTER_RANGE_MS;
 use crate::BackendServer;
 use crate::Build;
+use crate::CachePartition;
 use crate::Fleet;
 use crate::PrefixStores;
 use crate::ServerKey;
@@ -24,7 +25,6 @@
 use crate::TransferKind;
 use crate::Unplaceable;
 use crate::Weights;
-use crate::Workspace;
 
 /// Time by which each request in flight delays the next, in milliseconds.
 const QUEUED_REQUEST_MS: f64 = 3.0;
@@ -86,15 +86,15 @@
 const LIMITED_RETURN_TURNS: u64 = 4;
 const MAX_LIMITED_SPREAD_MS: u64 = 2_000;
 
-/// A prompt with its model and the workspace of its caller.
+/// A prompt with its model.
 #[derive(Clone, Debug)]
 pub struct Prompt<'a> {
     /// Name of the model.
     pub model: &'a str,
     /// Parts in the order of the text. The last one isn't shared with other requests.
     pub parts: &'a [PromptPart],
-    /// Workspace of the caller, if it has one.
-    pub workspace: Option<&'a Workspace>,
+    /// Requests with which it shares cached parts.
+    pub partition: CachePartition,
 }
 
 /// A request that needs a backend server.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use policy::Time;
+use relay::CachePartition;
 use relay::Fleet;
 use relay::PlacementRequest;
 use relay::Prompt;
@@ -88,7 +89,7 @@
         prompt: Some(Prompt {
             model: MODEL,
             parts,
-            workspace: None,
+            partition: CachePartition::default(),
         }),
         stream_build: StreamBuild::Any,
         tried: &[],
