gateway: a tunnel tells the end of the server's side from a break

Cause: a router that relays for a cut off one closed its side regularly after any end of the server's, and so does the kernel of one that is killed. An answer without a length ends with its connection.

Change: the server's bytes travel in length-delimited frames (tokio-util), an empty frame is its regular end; a tunnel that ends without one is broken. Routers of earlier builds refuse the protocol's new name.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -80,6 +80,7 @@
 mod timing;
 mod tunnel;
 mod tunnel_error;
+mod tunnel_stream;
 mod view_event;
 mod view_gauges;
 
--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -130,6 +130,8 @@
     Connection,
     /// Driving an open connection to another process.
     ClientConnection,
+    /// A connection to a backend server that is passed on to another router.
+    Tunnel,
     /// Registering this router in the store.
     Register,
     /// Renewing a lease.
@@ -177,6 +179,7 @@
             Step::Socket => "socket_failed",
             Step::Connection => "connection_failed",
             Step::ClientConnection => "connection_ended",
+            Step::Tunnel => "tunnel_broken",
             Step::Register => "register_failed",
             Step::Renewal => "renewal_failed",
             Step::OrderLease => "take_over_failed",
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -25,7 +25,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::copy;
 use tokio::io::split;
-use tokio::io::AsyncWriteExt;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -43,12 +44,15 @@
 use crate::tunnel_error::RefusedSnafu;
 use crate::tunnel_error::StatusSnafu;
 use crate::tunnel_error::TunnelError;
+use crate::tunnel_stream::send_frames;
+use crate::tunnel_stream::unframed;
 
 /// Path under which a router asks for a connection, before the server's instance hash.
 const PATH: &str = "/tunnel/";
 
-/// Protocol to which the connection between the routers changes.
-const PROTOCOL: HeaderValue = HeaderValue::from_static("tunnel");
+/// Protocol to which the connection between the routers changes. Routers of earlier builds speak
+/// `tunnel`, without frames, and refuse this one.
+const PROTOCOL: HeaderValue = HeaderValue::from_static("framed-tunnel");
 
 /// Most connections that a router holds for others.
 const MAX_TUNNELS: i64 = 800;
@@ -57,10 +61,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Opens a connection to a backend server, by its instance hash, through the router at `peer`.
-pub async fn open(peer: SocketAddr, server: u64) -> Result<TokioIo<Upgraded>, TunnelError> {
+pub async fn open(
+    peer: SocketAddr,
+    server: u64,
+) -> Result<impl AsyncRead + AsyncWrite + Unpin, TunnelError> {
     let limit = CONNECT_TIMEOUT + dialer::PEER_CONNECT_TIMEOUT;
     match timeout(limit, request(peer, server)).await {
-        Ok(result) => result,
+        Ok(result) => result.map(unframed),
         Err(_) => Err(router_error("response", "timeout")),
     }
 }
@@ -143,7 +150,7 @@
     cx.metrics.servers.tunnels_open.inc();
     tokio::task::spawn_local(async move {
         match hyper::upgrade::on(&mut req).await {
-            Ok(upgraded) => relay(TokioIo::new(upgraded), stream).await,
+            Ok(upgraded) => relay(TokioIo::new(upgraded), stream, from).await,
             Err(e) => log_peer_failure(Step::Connection, &from, &error_chain(&e)),
         }
         cx.metrics.servers.tunnels_open.dec();
@@ -170,14 +177,16 @@
 }
 
 /// Passes bytes on until one side closes, then closes the other: the server must learn at once that
-/// the caller has left.
-async fn relay(router: TokioIo<Upgraded>, server: TcpStream) {
-    let (mut router_read, mut router_write) = split(router);
-    let (mut server_read, mut server_write) = server.into_split();
-    // An error is an end too: the sides learn of it as their connections close.
+/// the caller has left. If the server's side breaks, the other router sees no regular end.
+async fn relay(router: TokioIo<Upgraded>, server: TcpStream, from: IpAddr) {
+    let (mut router_read, router_write) = split(router);
+    let (server_read, mut server_write) = server.into_split();
     tokio::select! {
         _ = copy(&mut router_read, &mut server_write) => {}
-        _ = copy(&mut server_read, &mut router_write) => {}
+        result = send_frames(server_read, router_write) => {
+            if let Err(e) = result {
+                log_peer_failure(Step::Tunnel, &from, &e);
+            }
+        }
     }
-    let _ = router_write.shutdown().await;
 }
