gateway: bodies without a length have a limit on their sum

Cause: a body counted nothing when it was begun, and each was read up to 4 MB whatever the limit, so that a hundred that began together grew together.

Change: bodies that name no length take a quarter of the buffers together; beyond that one of over 64 KiB that grows is given up, its attempt's end Unknown.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -212,8 +212,7 @@
             Ok(Ok(collected)) => collected,
             Ok(Err(e)) => {
                 avoid(x, self.choice.server, AVOID_FAILED_MS / 4);
-                let end = self.connection.broken_end(&e);
-                return Err(AttemptFailure::new(end, error_chain(&e)));
+                return Err(self.body_failure(&e));
             }
             Err(_) => return Err(AttemptFailure::timed_out()),
         };
@@ -235,6 +234,17 @@
         })
     }
 
+    fn body_failure(&self, e: &CollectError) -> AttemptFailure {
+        match e {
+            CollectError::Broken(e) => {
+                AttemptFailure::new(self.connection.broken_end(e), error_chain(e))
+            }
+            CollectError::TooLarge => {
+                AttemptFailure::new(AttemptEnd::Unknown, "bodies without a length take too much")
+            }
+        }
+    }
+
     /// Returns how the attempt ends if the response is read up to where its body ends.
     pub fn whole_end(&self) -> AttemptEnd {
         if !self.status().is_success() {
@@ -250,10 +260,18 @@
     }
 }
 
+/// Why a body wasn't read to its end.
+enum CollectError {
+    /// Its connection failed.
+    Broken(hyper::Error),
+    /// It names no length, and such bodies take too much memory together.
+    TooLarge,
+}
+
 /// Collects a response's body, whose bytes count as buffered. While too many bytes are buffered it
 /// isn't begun, so that its server waits; one that is begun is read to its end, as it frees its
-/// bytes only then.
-async fn collect(x: &Exchange, body: &mut Incoming) -> Result<(Bytes, BufferHold), hyper::Error> {
+/// bytes only then. One without a length may have no end, and is given up if those take too much.
+async fn collect(x: &Exchange, body: &mut Incoming) -> Result<(Bytes, BufferHold), CollectError> {
     while !x.cx.buffers.has_room() {
         sleep(ROOM_POLL_INTERVAL).await;
     }
@@ -261,11 +279,12 @@
     let mut hold = x.cx.buffers.hold(named.unwrap_or(0));
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(bytes) = frame?.into_data() else {
+        let frame = frame.map_err(CollectError::Broken)?;
+        let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        if named.is_none() {
-            hold.grow(bytes.len() as u64);
+        if named.is_none() && !hold.try_grow_unsized(bytes.len() as u64) {
+            return Err(CollectError::TooLarge);
         }
         buf.extend_from_slice(&bytes);
     }
--- a/crates/gateway/src/buffer_budget.rs
+++ b/crates/gateway/src/buffer_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! Callers and servers may read and send slowly, and what is buffered for them meanwhile counts
 //! toward the memory of the VM. New requests are refused before the limit is reached; responses
-//! of requests that have run are always taken in.
+//! of requests that have run are always taken in, unless they don't name their length and may have no
+//! end.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -14,6 +15,12 @@
 /// responses of those that are accepted.
 const REQUESTS_PERCENT: u64 = 70;
 
+/// Part of the limit that responses that don't name their length may take together, in percent.
+const UNSIZED_PERCENT: u64 = 25;
+
+/// Bytes up to which such a response is taken in whatever the others take.
+const MIN_UNSIZED_BYTES: u64 = 64 << 10;
+
 /// Bytes that a request takes beside its body: heads, buffers of two connections, and its state.
 pub const REQUEST_OVERHEAD_BYTES: u64 = 16 << 10;
 
@@ -27,6 +34,8 @@
 struct State {
     limit_bytes: u64,
     held_bytes: Cell<u64>,
+    /// Those of responses that don't name their length.
+    unsized_bytes: Cell<u64>,
     gauge: IntGauge,
 }
 
@@ -34,6 +43,8 @@
 pub struct BufferHold {
     budget: BufferBudget,
     bytes: u64,
+    /// Those of them that no length announced.
+    unsized_bytes: u64,
 }
 
 impl BufferBudget {
@@ -42,6 +53,7 @@
         BufferBudget(Rc::new(State {
             limit_bytes,
             held_bytes: Cell::new(0),
+            unsized_bytes: Cell::new(0),
             gauge,
         }))
     }
@@ -68,6 +80,7 @@
         BufferHold {
             budget: self.clone(),
             bytes,
+            unsized_bytes: 0,
         }
     }
 
@@ -92,6 +105,22 @@
         true
     }
 
+    /// Holds `bytes` more bytes of a response that doesn't name its length; returns false, and holds
+    /// no more, if such responses take too much together and this is not a small one.
+    pub fn try_grow_unsized(&mut self, bytes: u64) -> bool {
+        let state = &self.budget.0;
+        let limit = state.limit_bytes / 100 * UNSIZED_PERCENT;
+        let others = state.unsized_bytes.get();
+        let is_small = self.unsized_bytes.saturating_add(bytes) <= MIN_UNSIZED_BYTES;
+        if !is_small && others.saturating_add(bytes) > limit {
+            return false;
+        }
+        state.unsized_bytes.set(others.saturating_add(bytes));
+        self.unsized_bytes = self.unsized_bytes.saturating_add(bytes);
+        self.grow(bytes);
+        true
+    }
+
     /// Holds `bytes` more bytes whatever the limit.
     pub fn grow(&mut self, bytes: u64) {
         self.budget.add(bytes);
@@ -103,5 +132,7 @@
     fn drop(&mut self) {
         let held = self.budget.held_bytes();
         self.budget.set(held.saturating_sub(self.bytes));
+        let unsized_bytes = &self.budget.0.unsized_bytes;
+        unsized_bytes.set(unsized_bytes.get().saturating_sub(self.unsized_bytes));
     }
 }
