relay: a stream that goes on isn't refused for the wait of others

Cause: a long prompt is refused when the wait exceeds 1.5 objectives. A stream that goes on finds only the servers of its build, half of them there, and was weighed like a new one. Evidence: 29 of 47 take-ups ended as too_late, each known at its router. Ruled out: unknown builds (47 of 47 had a source).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -322,7 +322,12 @@
         left_ms: x.left_ms(),
         workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
         last_event: x.parsed.last_event,
-        priority: relay::engine_priority(&x.route, workspace, choice.nominal_prefill_ms()),
+        priority: relay::engine_priority(
+            &x.route,
+            workspace,
+            choice.nominal_prefill_ms(),
+            x.stream_build.get(),
+        ),
         weights: choice.weights.map(|version| ExpectedWeights {
             version,
             scope: relay::cache_scope(version, choice.build, x.cache_partition(&view)),
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -43,7 +43,7 @@
 /// notifies other routers unless the route is known to lead to only one build. Called before that
 /// event is passed on.
 pub fn bind(x: &Exchange) {
-    if x.stream_build.get() != StreamBuild::Any {
+    if x.stream_build.get().is_bound() {
         return;
     }
     let stream_build = latest_build(x);
@@ -69,8 +69,7 @@
 
 /// Binds a stream that broke off to no build, if it isn't certain which one wrote its last events.
 pub fn check_end(x: &Exchange) {
-    let is_bound = x.stream_build.get() != StreamBuild::Any;
-    if is_bound && latest_build(x) == StreamBuild::Unknown {
+    if x.stream_build.get().is_bound() && latest_build(x) == StreamBuild::Unknown {
         x.stream_build.set(StreamBuild::Unknown);
     }
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -246,7 +246,8 @@
     }
 
     /// Refuses a request that can't be answered by its deadline, and a long prompt whose
-    /// prefill would delay all other requests of a busy engine.
+    /// prefill would delay all other requests of a busy engine. A stream that goes on is admitted
+    /// there before those that wait.
     fn check_wait(
         &self,
         request: &PlacementRequest<'_>,
@@ -254,10 +255,11 @@
     ) -> Result<(), Unplaceable> {
         let left_ms = request.deadline.millis_since(self.now) as f64;
         let limit_ms = request.objective_ms as f64 * LONG_PREFILL_WAIT_OBJECTIVES;
+        let goes_on = request.stream_build.is_bound();
         let long = choice.prefill_ms >= LONG_PREFILL_MS && choice.wait_ms > limit_ms;
-        let misses_deadline =
-            choice.wait_ms + choice.prefill_ms > left_ms && request.prompt.is_some();
-        if !(long || misses_deadline) {
+        let wait_ms = if goes_on { 0.0 } else { choice.wait_ms };
+        let misses_deadline = wait_ms + choice.prefill_ms > left_ms && request.prompt.is_some();
+        if !(long && !goes_on || misses_deadline) {
             return Ok(());
         }
         let over_ms = (choice.wait_ms - limit_ms).max(0.0) as u64;
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -56,6 +56,13 @@
     Unknown,
 }
 
+impl StreamBuild {
+    /// Returns whether the stream has begun, so that it can go on only where it began.
+    pub fn is_bound(self) -> bool {
+        self != StreamBuild::Any
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct KnownStream {
     build: Build,
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -27,6 +27,7 @@
 use relay::PromptPart;
 use relay::Residency;
 use relay::ServerKey;
+use relay::StreamBuild;
 use relay::Unplaceable;
 use relay::Weights;
 use relay::Workspace;
@@ -217,6 +218,30 @@
     assert_eq!(cluster.place(&LONG).unwrap().server, first.server);
 }
 
+// Guards against LOST: streams that callers take up are refused while new ones of the same length
+// begin, as they find room at the servers of one build only.
+#[test]
+fn under_overload_a_long_stream_that_goes_on_is_placed() {
+    let mut cluster = TestCluster::new(4);
+    cluster.add_load_to_all(2_000);
+    let mut request = request(&LONG);
+    request.stream_build = StreamBuild::Only(Build::new("v1"));
+    cluster.place_request(&request).unwrap();
+}
+
+#[test]
+fn a_stream_whose_prompt_can_not_be_prefilled_in_time_does_not_go_on() {
+    let cluster = TestCluster::new(4);
+    let mut request = request(&LONG);
+    request.stream_build = StreamBuild::Only(Build::new("v1"));
+    request.deadline = cluster.now.plus_millis(20);
+    let choice = cluster.place_request(&request);
+    assert!(
+        matches!(choice, Err(Unplaceable::TooLate { .. })),
+        "{choice:?}"
+    );
+}
+
 #[test]
 fn a_request_that_would_miss_its_deadline_is_refused_with_a_retry_time() {
     let mut cluster = TestCluster::new(2);
