relay: a short interruption of calls to the store excuses no missing registration

Cause: the router that reads the registrations lost the store for 0.6 to 1.6 s (connections reset, or calls refused to a third of the routers), took that for an outage in which registrations of live servers lapse, and kept the server that had left for 2.1 s more, for all routers. Evidence: server_missing with outage_age_ms=205 at all nine routers in place of server_removed. Ruled out: that the change was read late (1.2 s after the acknowledgement).

Change: StoreInterruption. A gap between two responses of less than two heartbeats removes no registration, which lapses after three.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -23,6 +23,7 @@
 use relay::Residency;
 use relay::RetryBudget;
 use relay::Revision;
+use relay::StoreInterruption;
 use relay::StreamOrigins;
 use relay::UnsettledEnds;
 use relay::Weights;
@@ -66,10 +67,13 @@
     pub store_era: Option<u64>,
     /// When that era was noticed; none if it was the first.
     pub era_since: Option<Time>,
-    /// Time up to which the store was last unreachable to this router; 0 for never.
+    /// Time up to which the store was last unreachable to this router for so long that registrations
+    /// of live servers may have lapsed; 0 for never.
     pub store_unreachable_until: Time,
-    /// When that outage began.
+    /// When it was last lost.
     pub store_lost_at: Time,
+    /// Last interruption of this router's calls to the store.
+    pub store_interruption: StoreInterruption,
     /// Time since which this router would know of an outage of the store: its start, or an
     /// earlier time that another router reported.
     pub knows_outages_since: Time,
@@ -127,6 +131,7 @@
             era_since: None,
             store_unreachable_until: Time(0),
             store_lost_at: Time(0),
+            store_interruption: StoreInterruption::new(now(), settings.heartbeat_ms),
             knows_outages_since: now(),
             store_responded_at: now(),
             store_failing: false,
@@ -146,6 +151,38 @@
         }
     }
 
+    /// Records that a call to the store failed. Returns whether it is the first one to fail.
+    pub fn record_store_failure(&mut self, now: Time) -> bool {
+        let is_first = !std::mem::replace(&mut self.store_failing, true);
+        if is_first {
+            self.store_lost_at = now;
+            // Another router may have read the store later than this one.
+            let read_at = self.fleet.reading().map(|reading| reading.read_at);
+            let responded_at = self.store_responded_at.max(read_at.unwrap_or(Time(0)));
+            self.store_interruption.begin(responded_at);
+        }
+        self.extend_outage(now);
+        is_first
+    }
+
+    /// Records that the store, or a hub that reads it, had a response at `responded_at`. Returns
+    /// whether calls failed before.
+    pub fn record_store_response(&mut self, now: Time, responded_at: Time) -> bool {
+        let is_regained = std::mem::replace(&mut self.store_failing, false);
+        if is_regained {
+            self.extend_outage(now);
+            self.store_interruption.end(now);
+        }
+        self.store_responded_at = self.store_responded_at.max(responded_at);
+        is_regained
+    }
+
+    fn extend_outage(&mut self, now: Time) {
+        if self.store_interruption.may_lapse(now) {
+            self.store_unreachable_until = now;
+        }
+    }
+
     /// Returns the end of the store's last outage, as far as this router knows. If another router
     /// read the store meanwhile, only this one was cut off, and the store lost nothing.
     pub fn store_outage_until(&self, now: Time) -> Time {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -204,33 +204,21 @@
 /// a hub had the response.
 fn record_response(cx: &Context, topic: &'static str, responded_at: Time) {
     let mut view = cx.view.borrow_mut();
-    if view.store_failing {
-        ProcessEvent::StoreRegained {
-            topic,
-            away_ms: now().millis_since(view.store_responded_at),
-        }
-        .write();
-        view.store_unreachable_until = now();
+    let away_ms = now().millis_since(view.store_responded_at);
+    if view.record_store_response(now(), responded_at) {
+        ProcessEvent::StoreRegained { topic, away_ms }.write();
     }
-    view.store_failing = false;
-    view.store_responded_at = view.store_responded_at.max(responded_at);
 }
 
 /// Records a failure of a call to the store that began at `called_at`, and waits until the next may
 /// be made, or until registrations can be taken from another router.
 pub async fn record_failure(cx: &Context, topic: Topic, called_at: Time, e: &StoreError) {
-    {
-        let mut view = cx.view.borrow_mut();
-        if !view.store_failing {
-            ProcessEvent::StoreLost {
-                topic: topic.name(),
-                reason: e,
-            }
-            .write();
-            view.store_lost_at = now();
+    if cx.view.borrow_mut().record_store_failure(now()) {
+        ProcessEvent::StoreLost {
+            topic: topic.name(),
+            reason: e,
         }
-        view.store_failing = true;
-        view.store_unreachable_until = now();
+        .write();
     }
     if topic == Topic::Servers {
         cx.watches_suspect.notify_waiters();
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -11,6 +11,7 @@
 use crate::reading::restored_by;
 use crate::removed_servers::RemovedServers;
 use crate::reporters::Reporters;
+use crate::store_interruption::LAPSE_HEARTBEATS;
 use crate::BackendServer;
 use crate::Build;
 use crate::Reading;
@@ -22,10 +23,6 @@
 /// milliseconds.
 const AFTER_OUTAGE_MS: u64 = 6_000;
 
-/// Heartbeats without which a registration may lapse: the platform waits for three, and the outage
-/// may begin just before one is due.
-const LAPSE_HEARTBEATS: u64 = 2;
-
 /// Key of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerKey {
