--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 use http::response;
@@ -22,18 +21,17 @@
 use relay::PartSource;
 use relay::ServerKey;
 use tokio::time::interval;
-use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FullResponse;
 use crate::body::held_body;
-use crate::buffer_budget::BufferHold;
-use crate::buffer_budget::ROOM_POLL_INTERVAL;
 use crate::clock::now;
 use crate::codec::ExpectedWeights;
 use crate::codec::ForwardHead;
 use crate::codec::ResponseHead;
+use crate::collected_body::collect;
+use crate::collected_body::CollectError;
 use crate::connection::error_chain;
 use crate::connection::MAX_RESPONSE_BYTES;
 use crate::connection_pool::PooledConnection;
@@ -208,7 +206,7 @@
             Some(_) => MAX_SIZED_RESPONSE_BYTES,
             None => MAX_RESPONSE_BYTES,
         });
-        let (body, hold) = match timeout(limit, collect(x, &mut self.body)).await {
+        let (body, hold) = match timeout(limit, collect(&x.cx.buffers, &mut self.body)).await {
             Ok(Ok(collected)) => collected,
             Ok(Err(e)) => {
                 avoid(x, self.choice.server, AVOID_FAILED_MS / 4);
@@ -260,37 +258,6 @@
     }
 }
 
-/// Why a body wasn't read to its end.
-enum CollectError {
-    /// Its connection failed.
-    Broken(hyper::Error),
-    /// It names no length, and such bodies take too much memory together.
-    TooLarge,
-}
-
-/// Collects a response's body, whose bytes count as buffered. While too many bytes are buffered it
-/// isn't begun, so that its server waits; one that is begun is read to its end, as it frees its
-/// bytes only then. One without a length may have no end, and is given up if those take too much.
-async fn collect(x: &Exchange, body: &mut Incoming) -> Result<(Bytes, BufferHold), CollectError> {
-    while !x.cx.buffers.has_room() {
-        sleep(ROOM_POLL_INTERVAL).await;
-    }
-    let named = body.size_hint().exact();
-    let mut hold = x.cx.buffers.hold(named.unwrap_or(0));
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(CollectError::Broken)?;
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        if named.is_none() && !hold.try_grow_unsized(bytes.len() as u64) {
-            return Err(CollectError::TooLarge);
-        }
-        buf.extend_from_slice(&bytes);
-    }
-    Ok((buf.freeze(), hold))
-}
-
 fn server_address(x: &Exchange, key: ServerKey) -> Option<(Arc<str>, SocketAddr)> {
     let view = x.cx.view.borrow();
     let server = view.fleet.get(key)?;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -48,7 +48,6 @@
 use crate::spent_quota;
 use crate::spent_quota::OverQuotaUntil;
 use crate::spent_quota::SpentQuota;
-use crate::stream_builds;
 use crate::stream_relay;
 use crate::timing::duration_until;
 
@@ -149,7 +148,7 @@
         if let Err(over) = spent_quota::take(&mut self).await {
             return self.refuse_over_quota(over, None);
         }
-        if self.route.kind.streams() && !stream_builds::resolve(&mut self).await {
+        if self.route.kind.streams() && !self.resolve_stream().await {
             return self.refuse(Refusal::unknown_stream());
         }
         self.cx
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -26,7 +26,6 @@
 use crate::request_event::RequestEvent;
 use crate::server_choice::place;
 use crate::spent_quota;
-use crate::stream_builds;
 use crate::timing::duration_until;
 
 /// Events buffered for a slow caller before the backend server's stream is no longer read.
@@ -82,7 +81,7 @@
             StreamEnd::Failed(end, reason) => (end, reason),
         };
         splitter.discard_partial_event();
-        stream_builds::check_end(&x);
+        x.check_broken_stream();
         if splitter.last_id().is_some() {
             x.parsed.last_event = splitter.last_id();
         }
@@ -193,7 +192,7 @@
         loop {
             match splitter.next_event() {
                 Ok(Some(event)) => {
-                    stream_builds::bind(x);
+                    x.bind_stream();
                     attempt.in_flight.count_event(tx.capacity() > 0);
                     let event = BufferedEvent {
                         _hold: x.cx.buffers.hold(event.bytes.len() as u64),
