--- a/crates/gateway/src/exchange_stream.rs
+++ b/crates/gateway/src/exchange_stream.rs
@@ -13,7 +13,7 @@
 use crate::request_event::RequestEvent;
 use crate::request_event::TakenUp;
 use crate::stream_builds;
-use crate::stream_lookup::find_origin;
+use crate::stream_lookup::find_build;
 
 impl Exchange {
     /// Binds the stream to the build of the server that brings its first event, unless it is bound.
@@ -50,21 +50,21 @@
         let asked_at = now();
         let stream = self.parsed.resumes.as_deref().map(StreamId::new);
         let services = self.services();
-        let origin = find_origin(&self.cx, stream, &services).await;
+        let found = find_build(&self.cx, stream, &services).await;
         let builds = self.cx.view.borrow().builds(now(), &services);
         let taken_up = TakenUp {
             id: &self.parsed.id,
             resumes: self.parsed.resumes.as_deref(),
-            source: origin.source,
-            stored: origin.stored,
-            answers: origin.answers,
+            source: found.source,
+            stored: found.stored,
+            answers: found.answers,
             builds: builds.len(),
             took_ms: now().millis_since(asked_at),
         };
         let counter = &self.cx.metrics.servers.streams_taken_up;
         counter.with_label_values(&[taken_up.source]).inc();
         RequestEvent::TakenUp(taken_up).write();
-        let Some(build) = origin.build else {
+        let Some(build) = found.build else {
             return false;
         };
         self.stream_build.set(StreamBuild::Only(build));
--- a/crates/gateway/src/stream_lookup.rs
+++ b/crates/gateway/src/stream_lookup.rs
@@ -26,7 +26,7 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// At which build a stream may go on, and how that is known.
-pub struct Origin {
+pub struct FoundBuild {
     /// The build; none if it is unknown.
     pub build: Option<Build>,
     /// How it is known, for log and metrics.
@@ -37,10 +37,10 @@
     pub answers: usize,
 }
 
-impl Origin {
+impl FoundBuild {
     /// Returns what routers know without the store.
-    fn from_router(build: Build, source: &'static str, answers: usize) -> Origin {
-        Origin {
+    fn from_router(build: Build, source: &'static str, answers: usize) -> FoundBuild {
+        FoundBuild {
             build: Some(build),
             source,
             stored: "unasked",
@@ -52,11 +52,15 @@
 /// Finds out at which build a stream may go on. A stream that no router has recorded began while its
 /// service had one build. Whether this router is in step, so that the only one that it knows is that
 /// one, is proven by the answers of all other routers, or by the store.
-pub async fn find_origin(cx: &Context, stream: Option<StreamId>, services: &[Arc<str>]) -> Origin {
+pub async fn find_build(
+    cx: &Context,
+    stream: Option<StreamId>,
+    services: &[Arc<str>],
+) -> FoundBuild {
     let asked_at = now();
     let own = knowledge(cx, stream, services);
     if let Some(build) = own.recorded {
-        return Origin::from_router(build, "own", 0);
+        return FoundBuild::from_router(build, "own", 0);
     }
     let replies = match stream {
         Some(stream) => ask(cx, stream, services.to_vec()).await,
@@ -65,14 +69,14 @@
     let answers = replies.knowledge.len();
     let mut recorded = replies.knowledge.iter().filter_map(|reply| reply.recorded);
     if let Some(build) = recorded.next() {
-        return Origin::from_router(build, "peer", answers);
+        return FoundBuild::from_router(build, "peer", answers);
     }
     let only = {
         let builds = cx.view.borrow().builds(now(), services);
         own.build(&replies.knowledge, &builds)
     };
     if let (Some(build), true) = (only, replies.are_complete()) {
-        return Origin::from_router(build, "only_build", answers);
+        return FoundBuild::from_router(build, "only_build", answers);
     }
     // Records of streams are batched; those of builds must be as new as the question.
     let not_before = match only {
@@ -88,7 +92,7 @@
         }
         StoredOrigin::Unread => (only.filter(|_| replies.are_of_most()), "only_build"),
     };
-    Origin {
+    FoundBuild {
         build,
         source: build.map_or("unknown", |_| source),
         stored: stored.name(),
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -1,10 +1,12 @@
 //! Relays event streams to callers, and resumes them at another backend server
 //! when one fails.
 
+use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Either;
+use policy::Time;
 use relay::AttemptEnd;
 use relay::EventSplitter;
 use relay::Urgency;
@@ -194,16 +196,8 @@
                 Ok(Some(event)) => {
                     x.bind_stream();
                     attempt.in_flight.count_event(tx.capacity() > 0);
-                    let event = BufferedEvent {
-                        _hold: x.cx.buffers.hold(event.bytes.len() as u64),
-                        bytes: event.bytes,
-                    };
-                    let sent = tx.send(Ok(event));
-                    match timeout(duration_until(give_up_at), sent).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(_)) => return StreamEnd::CallerLeft,
-                        // The caller doesn't read, and the server's place is needed by others.
-                        Err(_) => return StreamEnd::TimedOut,
+                    if let Some(end) = send_event(x, tx, event.bytes, give_up_at).await {
+                        return end;
                     }
                 }
                 Ok(None) => break,
@@ -212,3 +206,22 @@
         }
     }
 }
+
+/// Passes an event on to the caller until `give_up_at`. Returns how the stream ends if that fails.
+async fn send_event(
+    x: &Exchange,
+    tx: &Sender,
+    bytes: Bytes,
+    give_up_at: Time,
+) -> Option<StreamEnd> {
+    let event = BufferedEvent {
+        _hold: x.cx.buffers.hold(bytes.len() as u64),
+        bytes,
+    };
+    match timeout(duration_until(give_up_at), tx.send(Ok(event))).await {
+        Ok(Ok(())) => None,
+        Ok(Err(_)) => Some(StreamEnd::CallerLeft),
+        // The caller doesn't read, and the server's place is needed by others.
+        Err(_) => Some(StreamEnd::TimedOut),
+    }
+}
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -50,7 +50,7 @@
 /// Path under which a router asks for a connection, before the server's instance hash.
 const PATH: &str = "/tunnel/";
 
-/// Protocol to which the connection between the routers changes. Routers of earlier builds speak
+/// Protocol to which the connection between the routers changes. Routers of earlier builds use
 /// `tunnel`, without frames, and refuse this one.
 const PROTOCOL: HeaderValue = HeaderValue::from_static("framed-tunnel");
 
--- a/crates/gateway/src/tunnel_stream.rs
+++ b/crates/gateway/src/tunnel_stream.rs
@@ -1,8 +1,8 @@
-//! What goes through a tunnel from a backend server to the router that has the caller.
+//! Framing of the bytes that a tunnel carries from a backend server to the router with the caller.
 //!
-//! The end of a response may be told by the end of its connection alone. So the server's bytes travel
-//! in frames, and an empty frame says that the server has ended its side. A tunnel that ends without
-//! one has broken on the way.
+//! A response without a length ends with its connection. So the server's bytes are sent in frames, and
+//! an empty frame marks the regular end of the server's side. A tunnel that ends without one has
+//! broken.
 
 use std::io;
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod configuration;
 mod configuration_check;
 mod decaying_mean;
+mod eligibility;
 mod engine_priority;
 mod event_splitter;
 mod fleet;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -256,10 +256,11 @@
         let left_ms = request.deadline.millis_since(self.now) as f64;
         let limit_ms = request.objective_ms as f64 * LONG_PREFILL_WAIT_OBJECTIVES;
         let goes_on = request.stream_build.is_bound();
-        let long = choice.prefill_ms >= LONG_PREFILL_MS && choice.wait_ms > limit_ms;
+        let delays_others = choice.prefill_ms >= LONG_PREFILL_MS && choice.wait_ms > limit_ms;
         let wait_ms = if goes_on { 0.0 } else { choice.wait_ms };
         let misses_deadline = wait_ms + choice.prefill_ms > left_ms && request.prompt.is_some();
-        if !(long && !goes_on || misses_deadline) {
+        let is_refused = misses_deadline || delays_others && !goes_on;
+        if !is_refused {
             return Ok(());
         }
         let over_ms = (choice.wait_ms - limit_ms).max(0.0) as u64;
@@ -271,42 +272,6 @@
         })
     }
 
-    /// Returns whether a backend server has the request's model, and the build at which its stream
-    /// began.
-    fn may_serve(&self, server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
-        let is_at_build = match request.stream_build {
-            StreamBuild::Any => true,
-            StreamBuild::Only(build) => server.build == build,
-            StreamBuild::Unknown => false,
-        };
-        is_at_build && self.serves_model(server, request)
-    }
-
-    /// Returns whether a backend server has the request's model. A plain service may get prompts
-    /// too; an engine that lists no models has an entry of another writer.
-    fn serves_model(&self, server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
-        let Some(prompt) = &request.prompt else {
-            return true;
-        };
-        let configuration = self.stores.configuration;
-        let is_plain = server.registration.weights.is_empty()
-            && !configuration.is_some_and(|c| c.runs_models(request.service));
-        is_plain || server.weights(prompt.model).is_some()
-    }
-
-    fn is_usable(&self, request: &PlacementRequest<'_>, server: &BackendServer) -> bool {
-        server.takes_requests(self.now)
-            && !self.is_overdue(request, server)
-            && !self.is_spared(request, server)
-    }
-
-    /// Returns whether a backend server that rejected requests in a row gets no further one: until
-    /// one has run, it gets one at a time, and no retries.
-    fn is_spared(&self, request: &PlacementRequest<'_>, server: &BackendServer) -> bool {
-        let is_test = server.own_waiting() == 0 && request.tried.is_empty();
-        server.rejections.in_a_row(self.now) > 0 && !is_test
-    }
-
     fn has_capacity(&self, server: &BackendServer) -> bool {
         let requests = f64::from(server.load(self.now).requests);
         let slots = f64::from(server.registration.slots.max(1));
@@ -410,20 +375,10 @@
             _ => 0.0,
         }
     }
-
-    fn is_overdue(&self, request: &PlacementRequest<'_>, server: &BackendServer) -> bool {
-        let Some(prompt) = &request.prompt else {
-            return false;
-        };
-        // What matters is when the request begins, after those ahead of it.
-        let begins_at = self.now.plus_millis(wait_ms(server, self.now) as u64);
-        let version = server.weights(prompt.model);
-        version.is_some_and(|version| self.weights.is_overdue(begins_at, prompt.model, version))
-    }
 }
 
 /// Returns the estimated wait for the requests in flight at a backend server, in milliseconds.
-fn wait_ms(server: &BackendServer, now: Time) -> f64 {
+pub(crate) fn wait_ms(server: &BackendServer, now: Time) -> f64 {
     let load = server.load(now);
     let nominal_ms = load.prefill_ms as f64 + f64::from(load.requests) * QUEUED_REQUEST_MS;
     nominal_ms * server.pace(now)
