gateway: a response without a length is whole only if its server still runs

Callers saw half answers as complete: bodies of servers whose process was killed (MIXED), and streams that ended in the middle (ORDER).

Cause: the kernel ends the connections of a killed process regularly, and a proxy may do so with a cut path. The router took each regular end for the end of the response.

Now the server must answer a health check after such an end, in the same incarnation and over the same path (direct, or through the same router). If not, the end is unknown: a resumable stream goes on elsewhere, an idempotent request is retried, others end as unknown. How a response ended is one type, decided in server_body. A stream's end is sent to its body explicitly, no longer inferred from a channel that was closed, and a body whose connection's task was dropped is not whole.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONTENT_LENGTH;
-use http::header::TRANSFER_ENCODING;
 use http::response;
 use http::Request;
 use http::Response;
@@ -14,7 +12,6 @@
 use http::Version;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use relay::AttemptEnd;
 use relay::Choice;
@@ -32,7 +29,6 @@
 use crate::codec::ResponseHead;
 use crate::collected_body::collect;
 use crate::collected_body::CollectError;
-use crate::connection::error_chain;
 use crate::connection::MAX_RESPONSE_BYTES;
 use crate::connection_pool::PooledConnection;
 use crate::dialer::dial;
@@ -53,6 +49,8 @@
 use crate::log_event::LogEvent;
 use crate::request_event::AttemptSent;
 use crate::request_event::RequestEvent;
+use crate::response_end::ResponseEnd;
+use crate::server_body::ServerBody;
 use crate::timing::duration_until;
 
 /// Time for which a backend server may leave all its requests without a response, beyond
@@ -86,10 +84,8 @@
     pub parsed: ResponseHead,
     /// Head of the response.
     pub head: response::Parts,
-    /// Body of the response, not yet read.
-    pub body: Incoming,
-    /// Connection to the backend server; dropping it cancels the request there.
-    pub connection: PooledConnection,
+    /// Body of the response, not yet read; dropping it cancels the request at the backend server.
+    pub body: ServerBody,
     /// Counts the request as load of the backend server until dropped.
     pub in_flight: InFlight,
 }
@@ -186,9 +182,8 @@
         Ok(Attempt {
             choice: choice.clone(),
             parsed,
+            body: ServerBody::new(&head, body, choice.server, connection),
             head,
-            body,
-            connection,
             in_flight,
         })
     }
@@ -200,9 +195,9 @@
 
     /// Reads the response body to its end and returns the connection to the pool.
     pub async fn read_body(mut self, x: &Exchange) -> Result<FullResponse, AttemptFailure> {
-        let limit = duration_until(x.deadline.plus_millis(DEADLINE_GRACE_MS));
-        let end = self.whole_end();
-        self.connection.allow(match self.body.size_hint().exact() {
+        let give_up_at = x.deadline.plus_millis(DEADLINE_GRACE_MS);
+        let limit = duration_until(give_up_at);
+        self.body.connection.allow(match self.body.named_len() {
             Some(_) => MAX_SIZED_RESPONSE_BYTES,
             None => MAX_RESPONSE_BYTES,
         });
@@ -210,16 +205,21 @@
             Ok(Ok(collected)) => collected,
             Ok(Err(e)) => {
                 avoid(x, self.choice.server, AVOID_FAILED_MS / 4);
-                return Err(self.body_failure(&e));
+                return Err(self.body_failure(e));
             }
             Err(_) => return Err(AttemptFailure::timed_out()),
         };
+        let end = self.body.end(&x.cx, give_up_at).await;
+        if end != ResponseEnd::Whole {
+            return Err(self.broken_off(&end));
+        }
         if self.head.status.is_success() {
             self.in_flight.record_whole();
         }
+        let end = end.attempt_end(self.head.status);
         x.cx.pool.release(
             self.choice.server,
-            self.connection,
+            self.body.connection,
             self.parsed.keep_alive_ms,
         );
         let mut response = Response::new(held_body(body, hold));
@@ -232,29 +232,17 @@
         })
     }
 
-    fn body_failure(&self, e: &CollectError) -> AttemptFailure {
+    fn body_failure(&self, e: CollectError) -> AttemptFailure {
         match e {
-            CollectError::Broken(e) => {
-                AttemptFailure::new(self.connection.broken_end(e), error_chain(e))
-            }
+            CollectError::Broken(end) => self.broken_off(&end),
             CollectError::TooLarge => {
                 AttemptFailure::new(AttemptEnd::Unknown, "bodies without a length take too much")
             }
         }
     }
 
-    /// Returns how the attempt ends if the response is read up to where its body ends.
-    pub fn whole_end(&self) -> AttemptEnd {
-        if !self.status().is_success() {
-            return AttemptEnd::Failed;
-        }
-        let has_length = self.head.headers.contains_key(CONTENT_LENGTH);
-        let is_chunked = self.head.headers.contains_key(TRANSFER_ENCODING);
-        if has_length || is_chunked || self.body.is_end_stream() {
-            AttemptEnd::Completed
-        } else {
-            AttemptEnd::Closed
-        }
+    fn broken_off(&self, end: &ResponseEnd) -> AttemptFailure {
+        AttemptFailure::new(end.attempt_end(self.head.status), end.to_string())
     }
 }
 
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,6 +1,7 @@
 //! Response bodies for callers.
 
 use std::pin::Pin;
+use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
 
@@ -41,8 +42,29 @@
     pub _hold: BufferHold,
 }
 
+/// What a stream's task sends to the body that the caller reads.
+pub enum StreamPart {
+    /// The next event.
+    Event(BufferedEvent),
+    /// The stream is whole. One whose task ends without saying so has failed.
+    End,
+}
+
 /// Body that yields the events of a stream as they arrive.
-pub struct Events(pub mpsc::Receiver<Result<BufferedEvent, IncompleteStream>>);
+pub struct Events {
+    parts: mpsc::Receiver<StreamPart>,
+    is_whole: bool,
+}
+
+impl Events {
+    /// Returns the body of a stream whose parts come over a channel.
+    pub fn new(parts: mpsc::Receiver<StreamPart>) -> Events {
+        Events {
+            parts,
+            is_whole: false,
+        }
+    }
+}
 
 /// Returns a small response body of complete bytes, which isn't counted.
 pub fn full_body<B, E>(bytes: B) -> Either<Full<Bytes>, E>
@@ -89,7 +111,17 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteStream>>> {
-        let event = self.0.poll_recv(cx);
-        event.map(|event| event.map(|event| event.map(|event| Frame::data(event.bytes))))
+        if self.is_whole {
+            return Poll::Ready(None);
+        }
+        let part = ready!(self.parts.poll_recv(cx));
+        Poll::Ready(match part {
+            Some(StreamPart::Event(event)) => Some(Ok(Frame::data(event.bytes))),
+            Some(StreamPart::End) => {
+                self.is_whole = true;
+                None
+            }
+            None => Some(IncompleteStreamSnafu.fail()),
+        })
     }
 }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::request;
 use http::response;
 use http::HeaderMap;
+use http::Request;
+use http_body_util::Full;
 use relay::Brittleness;
 use relay::PromptPart;
 use relay::RateLimit;
@@ -131,6 +134,21 @@
     pub keep_alive_ms: Option<u64>,
 }
 
+/// Incarnation of a backend server whose health is checked.
+#[derive(Clone, Debug)]
+pub struct CheckedServer {
+    /// Id of the server.
+    pub id: Arc<str>,
+    /// Start time of the incarnation by its own wall clock, in milliseconds.
+    pub started_ms: u64,
+    /// Address at which it accepts requests.
+    pub address: SocketAddr,
+    /// Whether it is a model engine.
+    pub is_engine: bool,
+    /// Path at which it responds to health checks, if the operators name one.
+    pub health_path: Option<Arc<str>>,
+}
+
 /// Translates between HTTP heads and the gateway's types.
 pub trait Codec {
     /// Reads the fields of a request's head.
@@ -142,6 +160,19 @@
     /// Reads the fields of a response's head.
     fn read_response(&self, head: &response::Parts) -> ResponseHead;
 
+    /// Returns a request to which a backend server responds while it runs, without running work of
+    /// callers.
+    fn health_request(&self, server: &CheckedServer) -> Request<Full<Bytes>>;
+
+    /// Returns whether a response to that request may come from the same incarnation; whether that
+    /// is healthy doesn't matter.
+    fn is_same_incarnation(
+        &self,
+        server: &CheckedServer,
+        head: &response::Parts,
+        body: &[u8],
+    ) -> bool;
+
     /// Returns the headers of a response that are passed on to the caller.
     fn returned_headers(&self, head: &response::Parts) -> HeaderMap;
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,16 +1,16 @@
 //! HTTP/1.1 client connections to other processes.
 
-use std::error::Error;
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use relay::AttemptEnd;
 use snafu::Snafu;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -48,6 +48,16 @@
     pub task: AbortHandle,
     /// Bytes that may still be read from it.
     pub allowance: ReadAllowance,
+    /// Whether HTTP on it has ended, regularly or not. False after the task has ended means that the
+    /// task was dropped, and what was being read of a response is no longer known to be whole.
+    pub has_ended: Rc<Cell<bool>>,
+}
+
+impl<B> Connection<B> {
+    /// Returns whether the task that drives it was dropped.
+    pub fn is_dropped(&self) -> bool {
+        self.task.is_finished() && !self.has_ended.get()
+    }
 }
 
 /// Connects to `peer` within `limit` and starts HTTP on the connection.
@@ -99,8 +109,12 @@
 {
     let (stream, allowance) = LimitedStream::new(stream, MAX_RESPONSE_BYTES);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let has_ended = Rc::new(Cell::new(false));
+    let ended = Rc::clone(&has_ended);
     let task = tokio::task::spawn_local(async move {
-        if let Err(e) = connection.await {
+        let result = connection.await;
+        ended.set(true);
+        if let Err(e) = result {
             log_peer_failure(Step::ClientConnection, &peer, &error_chain(&e));
         }
     });
@@ -108,29 +122,10 @@
         sender,
         task: task.abort_handle(),
         allowance,
+        has_ended,
     })
 }
 
-/// Returns how an attempt ended whose connection failed while a response was due. A peer that can't
-/// be reached, or sends invalid bytes, may be alive.
-pub fn broken_end(e: &hyper::Error) -> AttemptEnd {
-    let io_error = e.source().and_then(|source| source.downcast_ref());
-    let is_closed = io_error.is_some_and(|e: &io::Error| {
-        matches!(
-            e.kind(),
-            io::ErrorKind::BrokenPipe
-                | io::ErrorKind::ConnectionAborted
-                | io::ErrorKind::ConnectionReset
-                | io::ErrorKind::UnexpectedEof
-        )
-    });
-    if e.is_incomplete_message() || is_closed {
-        AttemptEnd::BrokenOff
-    } else {
-        AttemptEnd::Unknown
-    }
-}
-
 /// Returns the texts of an error and its sources, separated by colons.
 pub fn error_chain(e: &dyn std::error::Error) -> String {
     let mut text = e.to_string();
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -20,10 +20,10 @@
 use snafu::Snafu;
 
 use crate::clock::now;
-use crate::connection::broken_end;
 use crate::connection::error_chain;
 use crate::connection::ConnectError;
 use crate::dialer::Dialed;
+use crate::response_end::ResponseEnd;
 
 /// Idle time of a connection whose server announces no keep-alive timeout, in milliseconds.
 const DEFAULT_KEEP_ALIVE_MS: u64 = 500;
@@ -64,6 +64,15 @@
     },
 }
 
+/// Way that a connection to a backend server takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPath {
+    /// Opened by this router.
+    Direct,
+    /// Through the router at this address.
+    Through(SocketAddr),
+}
+
 impl SendError {
     /// Returns how the attempt ended.
     pub fn end(&self) -> AttemptEnd {
@@ -98,6 +107,14 @@
 }
 
 impl PooledConnection {
+    /// Wraps a connection that no request has used.
+    pub fn new(dialed: Dialed) -> PooledConnection {
+        PooledConnection {
+            dialed: Some(dialed),
+            is_reused: false,
+        }
+    }
+
     /// Returns whether it has carried an earlier request, of which a copy of the response may come.
     pub fn is_reused(&self) -> bool {
         self.is_reused
@@ -110,14 +127,43 @@
         }
     }
 
-    /// Returns how an attempt ended whose connection failed while a response was due. One through
-    /// another router may have ended with that router.
-    pub fn broken_end(&self, e: &hyper::Error) -> AttemptEnd {
-        match &self.dialed {
-            Some(dialed) if dialed.is_tunnel => AttemptEnd::Unknown,
-            _ => broken_end(e),
+    /// Returns how a response ended that its connection's failure cut short.
+    pub fn response_end(&self, e: &hyper::Error) -> ResponseEnd {
+        ResponseEnd::of_error(e, self.dialed().is_tunnel())
+    }
+
+    /// Returns whether nothing reads from it any more, although HTTP on it has not ended.
+    pub fn is_dropped(&self) -> bool {
+        self.dialed().connection.is_dropped()
+    }
+
+    /// Returns the way that it takes.
+    pub fn path(&self) -> ConnectionPath {
+        self.dialed().path
+    }
+
+    /// Sends a request over it, and nowhere else.
+    pub async fn send(
+        &mut self,
+        peer: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        match try_send(self, req).await {
+            Ok(response) => Ok(response),
+            Err(SendFailure::Unsent(_)) => UnsentSnafu {
+                step: "write to",
+                peer,
+                reason: "connection closed",
+            }
+            .fail(),
+            Err(SendFailure::Broken(e)) => Err(broken(peer, self, &e)),
         }
     }
+
+    fn dialed(&self) -> &Dialed {
+        let dialed = self.dialed.as_ref();
+        dialed.expect("a connection in use is open")
+    }
 }
 
 impl Drop for PooledConnection {
@@ -153,20 +199,9 @@
                 Err(SendFailure::Broken(e)) => return Err(broken(peer, &connection, &e)),
             }
         }
-        let mut connection = PooledConnection {
-            dialed: Some(dial.await?),
-            is_reused: false,
-        };
-        match try_send(&mut connection, req).await {
-            Ok(response) => Ok((response, connection)),
-            Err(SendFailure::Unsent(_)) => UnsentSnafu {
-                step: "write to",
-                peer,
-                reason: "connection closed",
-            }
-            .fail(),
-            Err(SendFailure::Broken(e)) => Err(broken(peer, &connection, &e)),
-        }
+        let mut connection = PooledConnection::new(dial.await?);
+        let response = connection.send(peer, req).await?;
+        Ok((response, connection))
     }
 
     /// Returns a connection to the pool after its response body was read to the end.
@@ -227,7 +262,7 @@
     {
         if let Some(idle) = self.idle.borrow_mut().get_mut(&server) {
             idle.retain(|idle| {
-                let closes = closes(idle.connection.is_tunnel);
+                let closes = closes(idle.connection.is_tunnel());
                 if closes {
                     idle.connection.connection.task.abort();
                 }
@@ -266,7 +301,10 @@
     SendError::Broken {
         peer,
         reason: error_chain(e),
-        end: connection.broken_end(e),
+        end: match connection.response_end(e) {
+            ResponseEnd::Broken(_) => AttemptEnd::BrokenOff,
+            ResponseEnd::Whole | ResponseEnd::Unknown(_) => AttemptEnd::Unknown,
+        },
     }
 }
 
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -20,6 +20,7 @@
 use crate::connection::start_http;
 use crate::connection::ConnectError;
 use crate::connection::Connection;
+use crate::connection_pool::ConnectionPath;
 use crate::context::Context;
 use crate::liveness::Liveness;
 use crate::log_event::LogEvent;
@@ -41,12 +42,22 @@
 /// Most of them that may fail to connect to the server themselves.
 const MAX_FAILED: usize = 2;
 
+/// Reason of a connection that isn't opened, as its server has gone.
+const UNREGISTERED: &str = "server is no longer registered";
+
 /// A connection to a backend server.
 pub struct Dialed {
     /// The connection.
     pub connection: Connection<Full<Bytes>>,
-    /// Whether it leads through another router.
-    pub is_tunnel: bool,
+    /// Way that it takes.
+    pub path: ConnectionPath,
+}
+
+impl Dialed {
+    /// Returns whether it leads through another router.
+    pub fn is_tunnel(&self) -> bool {
+        self.path != ConnectionPath::Direct
+    }
 }
 
 /// Connects to a backend server: itself, or through another router if that reaches the server and
@@ -70,7 +81,7 @@
             record_connected(cx, key);
             Ok(Dialed {
                 connection,
-                is_tunnel: false,
+                path: ConnectionPath::Direct,
             })
         }
         Err(e) if record_failed(cx, key) => {
@@ -81,6 +92,43 @@
     }
 }
 
+/// Connects to a backend server over a given path and no other.
+pub async fn dial_over(
+    cx: &Context,
+    key: ServerKey,
+    address: SocketAddr,
+    path: ConnectionPath,
+) -> Result<Dialed, ConnectError> {
+    let connection = match path {
+        ConnectionPath::Direct => {
+            let connected = cx.connector.connect(address);
+            let limit = PEER_CONNECT_TIMEOUT;
+            establish(address, connected, limit, Liveness::PATIENT).await?
+        }
+        ConnectionPath::Through(router) => open_through(cx, key, address, router).await?,
+    };
+    Ok(Dialed { connection, path })
+}
+
+async fn open_through(
+    cx: &Context,
+    key: ServerKey,
+    address: SocketAddr,
+    router: SocketAddr,
+) -> Result<Connection<Full<Bytes>>, ConnectError> {
+    let error = |reason: String| ConnectError {
+        step: "connect through a router to",
+        peer: address,
+        reason,
+    };
+    let target = target(cx, key);
+    let (instance_hash, _) = target.ok_or_else(|| error(UNREGISTERED.to_owned()))?;
+    let opened = tunnel::open(router, instance_hash).await;
+    let stream = opened.map_err(|e| error(e.to_string()))?;
+    let connection = start_http(address, stream).await;
+    connection.map_err(|e| error(error_chain(&e)))
+}
+
 /// Returns how a connection to a backend server is to be made.
 pub fn path(cx: &Context, key: ServerKey) -> Path {
     let view = cx.view.borrow();
@@ -155,7 +203,7 @@
         reason,
     };
     let Some((instance_hash, domain)) = target(cx, key) else {
-        return Err(error("server is no longer registered".to_owned()));
+        return Err(error(UNREGISTERED.to_owned()));
     };
     let mut last = "no router to ask".to_owned();
     let mut failed = 0;
@@ -175,7 +223,7 @@
                 let connection = connection.map_err(|e| error(error_chain(&e)))?;
                 return Ok(Dialed {
                     connection,
-                    is_tunnel: true,
+                    path: ConnectionPath::Through(peer),
                 });
             }
             Err(e) => {
--- a/crates/gateway/src/reach_event.rs
+++ b/crates/gateway/src/reach_event.rs
@@ -11,6 +11,7 @@
 use log::Level;
 use relay::ReachChange;
 
+use crate::health_check::HealthCheckError;
 use crate::log_event::LogEvent;
 
 /// A change of what this router reaches, or a connection through a router.
@@ -25,6 +26,15 @@
         /// Error of the connection; none if it was established.
         reason: Option<io::Error>,
     },
+    /// It was checked whether a backend server still runs whose response ended with its connection.
+    HealthChecked {
+        /// Id of the server.
+        server: &'a str,
+        /// Time that it took.
+        took_ms: u64,
+        /// Why that isn't known; none if it does.
+        reason: Option<&'a HealthCheckError>,
+    },
     /// Another router was asked for a connection to a backend server.
     Asked {
         /// Instance hash of the server.
@@ -73,6 +83,23 @@
                     outcome(reason.as_ref())
                 )
             }
+            ReachEvent::HealthChecked {
+                server,
+                took_ms,
+                reason: None,
+            } => write!(
+                f,
+                "event=health_checked server={server} took_ms={took_ms} outcome=runs"
+            ),
+            ReachEvent::HealthChecked {
+                server,
+                took_ms,
+                reason: Some(reason),
+            } => write!(
+                f,
+                "event=health_checked server={server} took_ms={took_ms} outcome=unknown reason={:?}",
+                reason.to_string()
+            ),
             ReachEvent::Asked {
                 server,
                 router,
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -4,7 +4,6 @@
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Either;
 use policy::Time;
 use relay::AttemptEnd;
@@ -17,15 +16,15 @@
 use crate::attempt::Attempt;
 use crate::body::BufferedEvent;
 use crate::body::Events;
-use crate::body::IncompleteStream;
 use crate::body::ResponseBody;
+use crate::body::StreamPart;
 use crate::clock::now;
-use crate::connection::error_chain;
 use crate::evidence::record_end;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_GRACE_MS;
 use crate::log_event::LogEvent;
 use crate::request_event::RequestEvent;
+use crate::response_end::ResponseEnd;
 use crate::server_choice::place;
 use crate::spent_quota;
 use crate::timing::duration_until;
@@ -33,12 +32,12 @@
 /// Events buffered for a slow caller before the backend server's stream is no longer read.
 const MAX_BUFFERED_EVENTS: usize = 16;
 
-type Sender = mpsc::Sender<Result<BufferedEvent, IncompleteStream>>;
+type Sender = mpsc::Sender<StreamPart>;
 
 /// How the stream of one attempt ended.
 enum StreamEnd {
-    /// The backend server ended it regularly.
-    Complete(AttemptEnd),
+    /// The backend server has sent all of it.
+    Complete,
     /// It failed, for the reason given.
     Failed(AttemptEnd, String),
     /// The caller has closed the connection.
@@ -50,7 +49,7 @@
 /// Returns the response of a stream and starts the task that relays its events.
 pub fn start(x: Exchange, attempt: Attempt) -> Response<ResponseBody> {
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
-    let mut response = Response::new(Either::Right(Either::Right(Events(rx))));
+    let mut response = Response::new(Either::Right(Either::Right(Events::new(rx))));
     *response.status_mut() = attempt.head.status;
     *response.headers_mut() = x.cx.codec.returned_headers(&attempt.head);
     response.headers_mut().remove(CONTENT_LENGTH);
@@ -67,9 +66,13 @@
         let server = attempt.choice.server;
         let choice = attempt.choice.clone();
         let (end, reason) = match relay_attempt(&x, attempt, &mut splitter, &tx).await {
-            StreamEnd::Complete(end) => {
-                record_end(&x, end);
-                return x.finish("served", status, Some(server));
+            StreamEnd::Complete => {
+                record_end(&x, AttemptEnd::Completed);
+                x.finish("served", status, Some(server));
+                drop(x);
+                // Fails if the caller has left, who then needs no end.
+                let _ = tx.send(StreamPart::End).await;
+                return;
             }
             StreamEnd::CallerLeft => {
                 record_end(&x, AttemptEnd::Unknown);
@@ -77,8 +80,7 @@
             }
             StreamEnd::TimedOut => {
                 record_end(&x, AttemptEnd::Unknown);
-                x.finish("stream_timed_out", status, Some(server));
-                break;
+                return x.finish("stream_timed_out", status, Some(server));
             }
             StreamEnd::Failed(end, reason) => (end, reason),
         };
@@ -94,16 +96,9 @@
         };
         match next {
             Some(next) => attempt = next,
-            None => {
-                x.finish("stream_broke_off", status, Some(server));
-                break;
-            }
+            None => return x.finish("stream_broke_off", status, Some(server)),
         }
     }
-    // The caller may not read for long; what the request holds is free by then.
-    drop(x);
-    // Fails if the caller has left, who then needs no error.
-    let _ = tx.send(Err(IncompleteStream)).await;
 }
 
 /// Makes attempts until another backend server resumes the stream; none if no server can
@@ -157,36 +152,26 @@
     splitter: &mut EventSplitter,
     tx: &Sender,
 ) -> StreamEnd {
-    let whole_end = attempt.whole_end();
     // The splitter limits each event; the events of a stream have no limit together.
-    attempt.connection.allow(u64::MAX);
+    attempt.body.connection.allow(u64::MAX);
     let give_up_at = x.deadline.plus_millis(DEADLINE_GRACE_MS);
     loop {
-        let frame = tokio::select! {
-            frame = timeout(duration_until(give_up_at), attempt.body.frame()) => frame,
+        let bytes = tokio::select! {
+            bytes = timeout(duration_until(give_up_at), attempt.body.next()) => bytes,
             () = tx.closed() => return StreamEnd::CallerLeft,
         };
-        let frame = match frame {
+        let bytes = match bytes {
             Err(_) => return StreamEnd::TimedOut,
-            Ok(None) if splitter.has_partial_event() => {
+            Ok(Ok(None)) if splitter.has_partial_event() => {
                 let reason = "stream ended within an event".to_owned();
                 return StreamEnd::Failed(AttemptEnd::BrokenOff, reason);
             }
-            Ok(None) => {
-                attempt.in_flight.record_stream_end();
-                let server = attempt.choice.server;
-                let keep_alive_ms = attempt.parsed.keep_alive_ms;
-                x.cx.pool.release(server, attempt.connection, keep_alive_ms);
-                return StreamEnd::Complete(whole_end);
-            }
-            Ok(Some(Err(e))) => {
-                let end = attempt.connection.broken_end(&e);
-                return StreamEnd::Failed(end, error_chain(&e));
+            Ok(Ok(None)) => return end_stream(x, attempt, tx, give_up_at).await,
+            Ok(Err(end)) => {
+                let end_of_attempt = end.attempt_end(attempt.head.status);
+                return StreamEnd::Failed(end_of_attempt, end.to_string());
             }
-            Ok(Some(Ok(frame))) => frame,
-        };
-        let Ok(bytes) = frame.into_data() else {
-            continue;
+            Ok(Ok(Some(bytes))) => bytes,
         };
         attempt.in_flight.end_prefill();
         attempt.in_flight.record_first_event();
@@ -207,6 +192,24 @@
     }
 }
 
+/// Decides how the stream of an attempt ended that has no more events.
+async fn end_stream(x: &Exchange, attempt: Attempt, tx: &Sender, give_up_at: Time) -> StreamEnd {
+    let end = tokio::select! {
+        end = attempt.body.end(&x.cx, give_up_at) => end,
+        () = tx.closed() => return StreamEnd::CallerLeft,
+    };
+    if end != ResponseEnd::Whole {
+        let end_of_attempt = end.attempt_end(attempt.head.status);
+        return StreamEnd::Failed(end_of_attempt, end.to_string());
+    }
+    attempt.in_flight.record_stream_end();
+    let keep_alive_ms = attempt.parsed.keep_alive_ms;
+    let connection = attempt.body.connection;
+    x.cx.pool
+        .release(attempt.choice.server, connection, keep_alive_ms);
+    StreamEnd::Complete
+}
+
 /// Passes an event on to the caller until `give_up_at`. Returns how the stream ends if that fails.
 async fn send_event(
     x: &Exchange,
@@ -218,7 +221,12 @@
         _hold: x.cx.buffers.hold(bytes.len() as u64),
         bytes,
     };
-    match timeout(duration_until(give_up_at), tx.send(Ok(event))).await {
+    match timeout(
+        duration_until(give_up_at),
+        tx.send(StreamPart::Event(event)),
+    )
+    .await
+    {
         Ok(Ok(())) => None,
         Ok(Err(_)) => Some(StreamEnd::CallerLeft),
         // The caller doesn't read, and the server's place is needed by others.
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -104,6 +104,9 @@
     pub token_bytes: u64,
     /// Address and link of the prefix store, if this service is one.
     pub prefix_store: Option<PrefixStore>,
+    /// Path at which a backend server responds to health checks, if the operators name one.
+    #[serde(default)]
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Limits on what callers send.
--- a/crates/relay/tests/configuration_check.rs
+++ b/crates/relay/tests/configuration_check.rs
@@ -47,6 +47,7 @@
         memory_tokens: None,
         token_bytes: 0,
         prefix_store: None,
+        health_path: None,
     }
 }
 
--- a/crates/relay/tests/prefix_stores.rs
+++ b/crates/relay/tests/prefix_stores.rs
@@ -57,6 +57,7 @@
             domain: domain.into(),
             link_mbps: 290_000,
         }),
+        health_path: None,
     }
 }
 
@@ -78,6 +79,7 @@
             memory_tokens: Some(129_306),
             token_bytes: 163_840,
             prefix_store: None,
+            health_path: None,
         });
         let limits = CallerLimits {
             max_head_bytes: 1,
--- a/crates/router/tests/forward_soak.rs
+++ b/crates/router/tests/forward_soak.rs
@@ -12,7 +12,7 @@
 mod common;
 #[path = "soak/recorded_response.rs"]
 mod recorded_response;
-#[path = "soak/router_process.rs"]
+#[path = "processes/router_process.rs"]
 mod router_process;
 
 use std::cell::Cell;
