gateway: only what resumes a stream is passed on within it

Callers found another server's text within their stream, or the stream ended as complete after a 204: each success of the next server was taken for the rest of the stream.

Now a continuation has the first response's status and content type, and its first event an id that follows on; all else is a failed attempt.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -80,6 +80,7 @@
 mod store;
 mod store_era;
 mod stream_builds;
+mod stream_head;
 mod stream_lookup;
 mod stream_records;
 mod stream_relay;
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -27,6 +27,7 @@
 use crate::response_end::ResponseEnd;
 use crate::server_choice::place;
 use crate::spent_quota;
+use crate::stream_head::StreamHead;
 use crate::timing::duration_until;
 
 /// Events buffered for a slow caller before the backend server's stream is no longer read.
@@ -61,6 +62,7 @@
 
 async fn relay(mut x: Exchange, mut attempt: Attempt, tx: Sender) {
     let status = attempt.head.status.as_u16();
+    let stream = StreamHead::new(&attempt.head);
     let mut splitter = EventSplitter::resume_after(x.parsed.last_event);
     loop {
         let server = attempt.choice.server;
@@ -84,14 +86,14 @@
             }
             StreamEnd::Failed(end, reason) => (end, reason),
         };
-        splitter.discard_partial_event();
+        splitter.begin_next_response();
         x.check_broken_stream();
         if splitter.last_id().is_some() {
             x.parsed.last_event = splitter.last_id();
         }
         let verdict = x.decide_retry(end, &reason, &choice);
         let next = match verdict {
-            Verdict::Again if x.route.kind.may_retry() => resume(&mut x).await,
+            Verdict::Again if x.route.kind.may_retry() => resume(&mut x, &stream).await,
             _ => None,
         };
         match next {
@@ -103,7 +105,7 @@
 
 /// Makes attempts until another backend server resumes the stream; none if no server can
 /// take it or no retry is allowed.
-async fn resume(x: &mut Exchange) -> Option<Attempt> {
+async fn resume(x: &mut Exchange, stream: &StreamHead) -> Option<Attempt> {
     loop {
         if spent_quota::take(x).await.is_err() {
             RequestEvent::ResumeFailed {
@@ -133,11 +135,10 @@
             return None;
         }
         let failure = match x.start_attempt(&choice).await {
-            Ok(attempt) if attempt.status().is_success() => return Some(attempt),
-            Ok(attempt) => {
-                let reason = format!("status {}", attempt.status().as_u16());
-                (AttemptEnd::Failed, reason)
-            }
+            Ok(attempt) => match stream.check_continuation(&attempt.head) {
+                Ok(()) => return Some(attempt),
+                Err(e) => (AttemptEnd::Failed, e.to_string()),
+            },
             Err(failure) => (failure.end, failure.reason),
         };
         if x.decide_retry(failure.0, &failure.1, &choice) != Verdict::Again {
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -31,6 +31,12 @@
         /// Id of the previous event.
         last: u64,
     },
+    /// A response that is to resume the stream begins with an event without an id.
+    #[snafu(display("event without an id after event {last} of another response"))]
+    NoId {
+        /// Id of the last event of the response before.
+        last: u64,
+    },
 }
 
 /// Splits one stream into events. The stream may arrive in several responses, each
@@ -43,6 +49,8 @@
     scanned: usize,
     /// Id of the last complete event.
     last: Option<u64>,
+    /// Whether the next event must show by its id that the response resumes the stream.
+    needs_id: bool,
 }
 
 impl EventSplitter {
@@ -70,7 +78,9 @@
         self.scanned = 0;
         let bytes = self.buf.split_to(end).freeze();
         let id = event_id(&bytes);
-        self.check_order(id)?;
+        if !is_comment(&bytes) {
+            self.check_order(id)?;
+        }
         Ok(Some(StreamEvent { bytes, id }))
     }
 
@@ -85,10 +95,11 @@
     }
 
     /// Discards an incomplete event when a response breaks off. The next response resumes
-    /// after the last complete event.
-    pub fn discard_partial_event(&mut self) {
+    /// after the last complete event, which the id of its first event must show.
+    pub fn begin_next_response(&mut self) {
         self.buf.clear();
         self.scanned = 0;
+        self.needs_id = self.last.is_some();
     }
 
     fn find_event_end(&mut self) -> Option<usize> {
@@ -109,8 +120,12 @@
 
     fn check_order(&mut self, id: Option<u64>) -> Result<(), SplitError> {
         let Some(id) = id else {
-            return Ok(());
+            return match self.last {
+                Some(last) if self.needs_id => NoIdSnafu { last }.fail(),
+                _ => Ok(()),
+            };
         };
+        self.needs_id = false;
         if let Some(last) = self.last {
             if id <= last {
                 return OutOfOrderSnafu { id, last }.fail();
@@ -121,6 +136,12 @@
     }
 }
 
+/// Returns whether an event consists of comments, such as those that keep connections open.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -48,7 +48,7 @@
     forwarded_bytes(&mut splitter);
     assert!(splitter.has_partial_event());
     assert_eq!(splitter.last_id(), Some(5));
-    splitter.discard_partial_event();
+    splitter.begin_next_response();
     splitter.push(&stream(6..8));
     assert_eq!(forwarded_bytes(&mut splitter), stream(6..8));
 }
