gateway: no request begins on overdue weights, whatever its route allows

A request that waited at an engine which still had former weights was taken back in time only if it might be retried. Streams without resumption, most of the traffic there, waited until their timeout and began whenever they got there.

Now each request whose response has not begun is taken back in time; one that may not be retried ends as unknown for its caller.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -105,20 +105,16 @@
         let req = build_request(x, choice, id, peer);
         let dial = dial(&x.cx, choice.server, peer);
         let sent = x.cx.pool.send(choice.server, peer, req, dial);
-        let result = if x.route.kind.may_retry() {
-            tokio::select! {
-                result = sent => result,
-                () = until_unresponsive(x, choice.server) => {
-                    avoid(x, choice.server, AVOID_FAILED_MS);
-                    return Err(AttemptFailure::new(AttemptEnd::Unknown, "server is unresponsive"));
-                }
-                () = until_weights_overdue(x, choice) => {
-                    let reason = "not begun before its weights were overdue";
-                    return Err(AttemptFailure::new(AttemptEnd::Unknown, reason));
-                }
+        let result = tokio::select! {
+            result = sent => result,
+            () = until_unresponsive(x, choice.server), if x.route.kind.may_retry() => {
+                avoid(x, choice.server, AVOID_FAILED_MS);
+                return Err(AttemptFailure::new(AttemptEnd::Unknown, "server is unresponsive"));
+            }
+            () = until_weights_overdue(x, choice) => {
+                let reason = "not begun before its weights were overdue";
+                return Err(AttemptFailure::new(AttemptEnd::Unknown, reason));
             }
-        } else {
-            sent.await
         };
         match result {
             Ok((response, connection)) => {
@@ -356,7 +352,8 @@
 }
 
 /// Completes when a request that an engine has not begun to run may no longer begin there, as it
-/// has replaced weights.
+/// has replaced weights. That holds for requests that may not be retried too: their callers learn
+/// that the outcome is unknown.
 async fn until_weights_overdue(x: &Exchange, choice: &Choice) {
     let mut ticks = interval(UNRESPONSIVE_POLL_INTERVAL);
     loop {
--- a/crates/router/tests/processes/server_process.rs
+++ b/crates/router/tests/processes/server_process.rs
@@ -148,7 +148,8 @@
             &self.runs,
             incarnation,
         );
-        self.child.replace(child);
+        let mut former = self.child.replace(child);
+        former.wait().unwrap();
         self.wait_until_it_accepts().await;
     }
 
