--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client connections to other processes.
 
 use std::cell::Cell;
+use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -126,6 +127,12 @@
     })
 }
 
+/// Returns the kind of the I/O error that ended a connection, if one did.
+pub fn io_kind(e: &hyper::Error) -> Option<io::ErrorKind> {
+    let source = e.source()?;
+    Some(source.downcast_ref::<io::Error>()?.kind())
+}
+
 /// Returns the texts of an error and its sources, separated by colons.
 pub fn error_chain(e: &dyn std::error::Error) -> String {
     let mut text = e.to_string();
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 
 use crate::clock::now;
 use crate::connection::error_chain;
+use crate::connection::io_kind;
 use crate::connection::ConnectError;
 use crate::dialer::Dialed;
 use crate::response_end::ResponseEnd;
@@ -61,6 +63,8 @@
         reason: String,
         /// How the attempt ended.
         end: AttemptEnd,
+        /// Whether the connection was reset, as by a server that has too many.
+        is_reset: bool,
     },
 }
 
@@ -305,6 +309,7 @@
             ResponseEnd::Broken(_) => AttemptEnd::BrokenOff,
             ResponseEnd::Whole | ResponseEnd::Unknown(_) => AttemptEnd::Unknown,
         },
+        is_reset: io_kind(e) == Some(io::ErrorKind::ConnectionReset),
     }
 }
 
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -68,6 +68,17 @@
     Timeout,
 }
 
+impl HealthCheckError {
+    /// Returns whether the server has reset the connection, as it does with those beyond its limit.
+    fn is_reset(&self) -> bool {
+        let source = match self {
+            HealthCheckError::NoResponse { source } => source,
+            _ => return false,
+        };
+        matches!(source, SendError::Broken { is_reset: true, .. })
+    }
+}
+
 /// Checks until `deadline`, over connections with the same path, that a backend server still runs.
 pub async fn run(
     cx: &Context,
@@ -118,8 +129,8 @@
     let mut connections = 1;
     loop {
         let result = request(cx, key, server, path).await;
-        let may_be_full = matches!(result, Err(HealthCheckError::NoResponse { .. }));
-        if !may_be_full || connections == MAX_CONNECTIONS {
+        let is_reset = result.as_ref().is_err_and(HealthCheckError::is_reset);
+        if !is_reset || connections == MAX_CONNECTIONS {
             return result;
         }
         connections += 1;
--- a/crates/gateway/src/response_end.rs
+++ b/crates/gateway/src/response_end.rs
@@ -1,6 +1,5 @@
 //! How a backend server's response ended, for bodies and streams alike.
 
-use std::error::Error;
 use std::fmt;
 use std::fmt::Display;
 use std::fmt::Formatter;
@@ -10,6 +9,7 @@
 use relay::AttemptEnd;
 
 use crate::connection::error_chain;
+use crate::connection::io_kind;
 
 /// How a response ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,14 +56,13 @@
 
 /// Returns whether an error says that the peer has closed the connection.
 fn is_closed(e: &hyper::Error) -> bool {
-    let io_error = e.source().and_then(|source| source.downcast_ref());
-    io_error.is_some_and(|e: &io::Error| {
-        matches!(
-            e.kind(),
+    matches!(
+        io_kind(e),
+        Some(
             io::ErrorKind::BrokenPipe
                 | io::ErrorKind::ConnectionAborted
                 | io::ErrorKind::ConnectionReset
                 | io::ErrorKind::UnexpectedEof
         )
-    })
+    )
 }
--- a/crates/router/tests/killed_servers.rs
+++ b/crates/router/tests/killed_servers.rs
@@ -112,7 +112,9 @@
         }
         for (server, path) in self.servers.iter().zip(&self.paths).take(SERVERS / 2) {
             match failure {
-                Failure::Killed => server.kill(),
+                Failure::Killed => {
+                    server.kill();
+                }
                 Failure::Restarted => {
                     server.kill();
                     server.restart().await;
--- a/crates/router/tests/processes/server_process.rs
+++ b/crates/router/tests/processes/server_process.rs
@@ -129,12 +129,14 @@
         })
     }
 
-    /// Kills the process; the kernel closes its connections.
-    pub fn kill(&self) {
+    /// Kills the process; the kernel closes its connections. Returns whether it ran.
+    pub fn kill(&self) -> bool {
         let mut child = self.child.borrow_mut();
+        let ran = child.try_wait().unwrap().is_none();
         // The process may have ended already.
         let _ = child.kill();
         child.wait().unwrap();
+        ran
     }
 
     /// Starts its next incarnation at the same address.
