--- a/crates/router/tests/processes/router_process.rs
+++ b/crates/router/tests/processes/router_process.rs
@@ -1,4 +1,5 @@
 //! A router as a process of its own, which faults signal and restart.
+#![allow(dead_code)]
 
 use std::cell::RefCell;
 use std::fs::File;
@@ -27,8 +28,13 @@
 }
 
 impl RouterProcess {
-    /// Starts a router whose store is at an address.
+    /// Starts a router whose store is at an address, and which may take three seconds to stop.
     pub fn start(dir: &TempDir, name: &str, store: SocketAddr) -> RouterProcess {
+        RouterProcess::start_with(dir, name, store, 3)
+    }
+
+    /// Starts a router that may take `stop_s` seconds to stop.
+    pub fn start_with(dir: &TempDir, name: &str, store: SocketAddr, stop_s: u64) -> RouterProcess {
         let address = free_address();
         let settings = dir.path().join(format!("{name}.json"));
         let text = json!({
@@ -37,7 +43,7 @@
                 "callers": address, "readiness": free_address(),
                 "peer_port": free_address().port(), "metrics_port": free_address().port(),
             },
-            "store": store, "stop_s": 3, "repeat_ratio": 0.2, "repeat_reserve": 60, "fenced": true,
+            "store": store, "stop_s": stop_s, "repeat_ratio": 0.2, "repeat_reserve": 60, "fenced": true,
         });
         std::fs::write(&settings, text.to_string()).unwrap();
         RouterProcess {
@@ -55,6 +61,11 @@
         child.id()
     }
 
+    /// Returns whether the process runs.
+    pub fn runs(&self) -> bool {
+        self.child.borrow_mut().try_wait().unwrap().is_none()
+    }
+
     /// Restarts the router once process `id` has ended, unless another fault already did.
     pub async fn restart(&self, id: u32) {
         while !self.is_replaced(id) {
