gateway: the state of a request, its attempts and its run are apart

Exchange holds state only; request_task runs it, attempt_outcome decides what follows an attempt, quota_spending takes quota, dialed and health_check_error are types of their own. Code is moved, not changed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FullResponse;
+use crate::attempted_server::AttemptedServer;
 use crate::body::held_body;
 use crate::clock::now;
 use crate::codec::ExpectedWeights;
@@ -76,6 +77,23 @@
 /// Most bytes that are read of a rejection's body.
 const MAX_REJECTION_BYTES: u64 = 64 << 10;
 
+impl Exchange {
+    /// Sends the request to a backend server and waits for the response head.
+    pub async fn start_attempt(&mut self, choice: &Choice) -> Result<Attempt, AttemptFailure> {
+        if let Some(quota) = &self.quota {
+            quota.record_sent();
+        }
+        self.attempts += 1;
+        self.tried.push(choice.server);
+        self.latest_server = AttemptedServer::new(&self.cx.view.borrow().fleet, choice.server);
+        let limit = duration_until(self.deadline.plus_millis(DEADLINE_GRACE_MS));
+        match timeout(limit, Attempt::start(self, choice)).await {
+            Ok(result) => result,
+            Err(_) => Err(AttemptFailure::timed_out()),
+        }
+    }
+}
+
 /// An attempt whose response head was received and accepted.
 pub struct Attempt {
     /// Placement decision that led to this attempt.
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -24,7 +24,8 @@
 use crate::connection::error_chain;
 use crate::connection::io_kind;
 use crate::connection::ConnectError;
-use crate::dialer::Dialed;
+use crate::dialed::ConnectionPath;
+use crate::dialed::Dialed;
 use crate::response_end::ResponseEnd;
 
 /// Idle time of a connection whose server announces no keep-alive timeout, in milliseconds.
@@ -68,15 +69,6 @@
     },
 }
 
-/// Way that a connection to a backend server takes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionPath {
-    /// Opened by this router.
-    Direct,
-    /// Through the router at this address.
-    Through(SocketAddr),
-}
-
 impl SendError {
     /// Returns how the attempt ended.
     pub fn end(&self) -> AttemptEnd {
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -20,8 +20,9 @@
 use crate::connection::start_http;
 use crate::connection::ConnectError;
 use crate::connection::Connection;
-use crate::connection_pool::ConnectionPath;
 use crate::context::Context;
+use crate::dialed::ConnectionPath;
+use crate::dialed::Dialed;
 use crate::liveness::Liveness;
 use crate::log_event::LogEvent;
 use crate::reach_event::ReachEvent;
@@ -45,21 +46,6 @@
 /// Reason of a connection that isn't opened, as its server has gone.
 const UNREGISTERED: &str = "server is no longer registered";
 
-/// A connection to a backend server.
-pub struct Dialed {
-    /// The connection.
-    pub connection: Connection<Full<Bytes>>,
-    /// Way that it takes.
-    pub path: ConnectionPath,
-}
-
-impl Dialed {
-    /// Returns whether it leads through another router.
-    pub fn is_tunnel(&self) -> bool {
-        self.path != ConnectionPath::Direct
-    }
-}
-
 /// Connects to a backend server: itself, or through another router if that reaches the server and
 /// this one doesn't.
 pub async fn dial(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,4 +1,4 @@
-//! Serves one request of a caller, from its head to the end of the response.
+//! State of a request that is being served.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -6,50 +6,28 @@
 
 use bytes::Bytes;
 use http::request;
-use http::Response;
 use policy::Time;
 use rand::Rng;
 use relay::Admission;
-use relay::AttemptEnd;
 use relay::CachePartition;
-use relay::Choice;
-use relay::Progress;
-use relay::RetryPolicy;
 use relay::Route;
 use relay::ServerKey;
 use relay::StreamBuild;
 use relay::SuspectKey;
-use relay::Unplaceable;
-use relay::Urgency;
-use relay::Verdict;
 use relay::Workspace;
-use tokio::time::timeout;
 
 use crate::accepted::Accepted;
-use crate::attempt::Attempt;
-use crate::attempt_failure::AttemptFailure;
-use crate::attempt_failure::FullResponse;
 use crate::attempted_server::AttemptedServer;
-use crate::body::ResponseBody;
 use crate::buffer_budget::BufferHold;
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::codec::RequestHead;
 use crate::context::Context;
-use crate::evidence::record_end;
-use crate::fleet_summary::FleetSummary;
 use crate::log_event::LogEvent;
 use crate::places::HeldPlace;
-use crate::refusal::Refusal;
-use crate::request_event::AttemptEnded;
 use crate::request_event::RequestEnded;
 use crate::request_event::RequestEvent;
-use crate::server_choice::place;
-use crate::spent_quota;
-use crate::spent_quota::OverQuotaUntil;
 use crate::spent_quota::SpentQuota;
-use crate::stream_relay;
-use crate::timing::duration_until;
 
 /// Longest time until the response if the caller names none, in milliseconds after arrival.
 const DEFAULT_MAX_WAIT_MS: u64 = 30_000;
@@ -104,7 +82,8 @@
     pub rejections_in_a_row: Cell<u32>,
     /// Number that differs from request to request.
     pub seed: u64,
-    finished: bool,
+    /// Whether its final outcome was recorded.
+    pub finished: bool,
 }
 
 impl Exchange {
@@ -142,56 +121,6 @@
         }
     }
 
-    /// Makes attempts until one gives a final response or no retry is allowed, and returns
-    /// the response. A streamed body is relayed by a task of its own.
-    pub async fn run(mut self) -> Response<ResponseBody> {
-        if let Err(over) = spent_quota::take(&mut self).await {
-            return self.refuse_over_quota(over, None);
-        }
-        if self.route.kind.streams() && !self.resolve_stream().await {
-            return self.refuse(Refusal::unknown_stream());
-        }
-        self.cx
-            .with_retry_budget(&self.service, |budget| budget.record_request(now()));
-        loop {
-            let choice = match place(&mut self, Urgency::Normal).await {
-                Ok(choice) => choice,
-                Err(e) => return self.refuse_unplaced(e),
-            };
-            if let Err(until) = self.admit() {
-                return self.refuse_blocked(until);
-            }
-            let failure = match self.start_attempt(&choice).await {
-                Ok(attempt) if self.is_stream(&attempt) => {
-                    return stream_relay::start(self, attempt);
-                }
-                Ok(attempt) => match attempt.read_body(&self).await {
-                    Ok(full) if self.is_final(&full) => {
-                        record_end(&self, full.end);
-                        return self.respond(full);
-                    }
-                    Ok(full) => AttemptFailure::from_response(full),
-                    Err(failure) => failure,
-                },
-                Err(failure) => failure,
-            };
-            match self.decide_retry(failure.end, &failure.reason, &choice) {
-                Verdict::Again => {
-                    if let Err(over) = spent_quota::take(&mut self).await {
-                        return self.refuse_over_quota(over, failure.error_response);
-                    }
-                }
-                Verdict::Failure => match failure.error_response {
-                    Some(full) => return self.respond(full),
-                    None => return self.refuse(Refusal::Unknown),
-                },
-                Verdict::NotRun => return self.refuse(rejected(&failure)),
-                Verdict::Unknown if failure.timed_out => return self.refuse(Refusal::TimedOut),
-                Verdict::Unknown => return self.refuse(Refusal::Unknown),
-            }
-        }
-    }
-
     /// Returns the time left until the deadline, in milliseconds.
     pub fn left_ms(&self) -> u64 {
         self.deadline.millis_since(now())
@@ -218,70 +147,6 @@
         }
     }
 
-    /// Sends the request to a backend server and waits for the response head.
-    pub async fn start_attempt(&mut self, choice: &Choice) -> Result<Attempt, AttemptFailure> {
-        if let Some(quota) = &self.quota {
-            quota.record_sent();
-        }
-        self.attempts += 1;
-        self.tried.push(choice.server);
-        self.latest_server = AttemptedServer::new(&self.cx.view.borrow().fleet, choice.server);
-        let limit = duration_until(self.deadline.plus_millis(DEADLINE_GRACE_MS));
-        match timeout(limit, Attempt::start(self, choice)).await {
-            Ok(result) => result,
-            Err(_) => Err(AttemptFailure::timed_out()),
-        }
-    }
-
-    /// Records a failed attempt, decides whether to retry, and logs the decision.
-    pub fn decide_retry(&mut self, end: AttemptEnd, reason: &str, choice: &Choice) -> Verdict {
-        record_end(self, end);
-        if let Some(quota) = self.quota.take().filter(|_| !end.may_have_run()) {
-            quota.refund();
-        }
-        self.place = None;
-        if end.may_have_run() {
-            self.executions += 1;
-        }
-        if end != AttemptEnd::Rejected {
-            self.rejections_in_a_row.set(0);
-        }
-        let progress = Progress {
-            attempts: self.attempts,
-            executions: self.executions,
-            left_ms: self.left_ms(),
-            rejections_in_a_row: self.rejections_in_a_row.get(),
-        };
-        let retry = RetryPolicy {
-            kind: self.route.kind,
-            max_attempts: self.route.max_attempts,
-        };
-        let (verdict, left) = self.cx.with_retry_budget(&self.service, |budget| {
-            let verdict = retry.decide_retry(end, progress, || budget.spend(now()));
-            (verdict, budget.remaining(now()))
-        });
-        self.cx
-            .metrics
-            .attempts
-            .with_label_values(&[&format!("{end:?}").to_lowercase()])
-            .inc();
-        let ended = AttemptEnded {
-            id: &self.parsed.id,
-            service: &self.service,
-            server: &self.cx.server_name(choice.server),
-            fingerprint: self.fingerprint,
-            end,
-            reason,
-            verdict,
-            attempts: self.attempts,
-            executions: self.executions,
-            left_ms: progress.left_ms,
-            budget_left: left,
-        };
-        RequestEvent::AttemptEnded(ended).write();
-        verdict
-    }
-
     /// Records the final outcome of the request in metrics and log.
     pub fn finish(&mut self, outcome: &str, status: u16, server: Option<ServerKey>) {
         self.finished = true;
@@ -308,93 +173,6 @@
         };
         RequestEvent::Ended(ended).write();
     }
-
-    fn is_stream(&self, attempt: &Attempt) -> bool {
-        self.route.kind.streams() && attempt.status().is_success()
-    }
-
-    /// Returns whether a response goes to the caller without considering a retry.
-    fn is_final(&self, full: &FullResponse) -> bool {
-        let status = full.response.status();
-        !status.is_server_error() || status == http::StatusCode::GATEWAY_TIMEOUT
-    }
-
-    fn respond(mut self, full: FullResponse) -> Response<ResponseBody> {
-        let status = full.response.status();
-        let says_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-        if says_not_run {
-            // These statuses tell the caller that the request did not run, but it may have.
-            return self.refuse(Refusal::Unknown);
-        }
-        let outcome = if status.is_success() {
-            "served"
-        } else {
-            "failed"
-        };
-        self.finish(outcome, status.as_u16(), Some(full.server));
-        full.response
-    }
-
-    fn refuse_unplaced(mut self, e: Unplaceable) -> Response<ResponseBody> {
-        let fleet = FleetSummary::new(&self.cx.view.borrow(), &self.service, now());
-        if fleet.retry_later > 0 {
-            self.cx.metrics.servers.held_back.inc();
-        }
-        RequestEvent::Unplaced {
-            id: &self.parsed.id,
-            service: &self.service,
-            cause: e,
-            fleet,
-        }
-        .write();
-        if self.executions > 0 {
-            return self.refuse(Refusal::Unknown);
-        }
-        self.refuse(Refusal::NotRun {
-            reason: e.reason(),
-            retry_after_ms: e.retry_after_ms(),
-        })
-    }
-
-    /// Refuses the request, as its workspace has used its quota up. The status for that says that it
-    /// has not run; if it may have, the caller gets what is known of its latest attempt.
-    fn refuse_over_quota(
-        mut self,
-        over: OverQuotaUntil,
-        error_response: Option<FullResponse>,
-    ) -> Response<ResponseBody> {
-        match error_response {
-            Some(full) => self.respond(full),
-            None if self.executions > 0 => self.refuse(Refusal::Unknown),
-            None => self.refuse(Refusal::OverQuota {
-                retry_after_ms: over.retry_after_ms,
-            }),
-        }
-    }
-
-    /// Refuses the request, as it crashes servers; it may be tried again at `until`.
-    fn refuse_blocked(&mut self, until: Time) -> Response<ResponseBody> {
-        if self.executions > 0 {
-            return self.refuse(Refusal::Unknown);
-        }
-        self.refuse(Refusal::crashes_servers(now(), until))
-    }
-
-    /// Ends the request with a response of the gateway's own.
-    pub fn refuse(&mut self, refusal: Refusal) -> Response<ResponseBody> {
-        self.finish(refusal.reason(), refusal.status().as_u16(), None);
-        refusal.response()
-    }
-}
-
-impl Drop for Exchange {
-    fn drop(&mut self) {
-        if !self.finished {
-            record_end(self, AttemptEnd::Unknown);
-            let server = self.tried.last().copied();
-            self.finish("caller_left", 0, server);
-        }
-    }
 }
 
 fn pick_service(route: &Route, seed: u64) -> Arc<str> {
@@ -409,10 +187,3 @@
     }
     Arc::clone(&route.shares[0].service)
 }
-
-fn rejected(failure: &AttemptFailure) -> Refusal {
-    Refusal::NotRun {
-        reason: "rejected",
-        retry_after_ms: failure.retry_after_ms,
-    }
-}
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -14,18 +14,21 @@
 use relay::ServerKey;
 use snafu::OptionExt;
 use snafu::ResultExt;
-use snafu::Snafu;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::clock::now;
 use crate::codec::CheckedServer;
-use crate::connection::ConnectError;
-use crate::connection_pool::ConnectionPath;
 use crate::connection_pool::PooledConnection;
-use crate::connection_pool::SendError;
 use crate::context::Context;
+use crate::dialed::ConnectionPath;
 use crate::dialer::dial_over;
+use crate::health_check_error::AnotherIncarnationSnafu;
+use crate::health_check_error::HealthCheckError;
+use crate::health_check_error::NoResponseSnafu;
+use crate::health_check_error::TimeoutSnafu;
+use crate::health_check_error::UnreachableSnafu;
+use crate::health_check_error::UnregisteredSnafu;
 use crate::log_event::LogEvent;
 use crate::reach_event::ReachEvent;
 use crate::timing::duration_until;
@@ -42,43 +45,6 @@
 /// Most bytes that are read of a response's body.
 const MAX_BODY_BYTES: usize = 64 << 10;
 
-/// Why a check doesn't show that a backend server still runs.
-#[derive(Debug, Snafu)]
-pub enum HealthCheckError {
-    /// The server is not registered any more.
-    #[snafu(display("health check: server is no longer registered"))]
-    Unregistered,
-    /// No connection to it could be established.
-    #[snafu(display("health check: {source}"))]
-    Unreachable {
-        /// Error of the connection.
-        source: ConnectError,
-    },
-    /// It didn't respond.
-    #[snafu(display("health check: {source}"))]
-    NoResponse {
-        /// Error of the request.
-        source: SendError,
-    },
-    /// Another incarnation or another server responded.
-    #[snafu(display("health check: another incarnation responded"))]
-    AnotherIncarnation,
-    /// It took too long.
-    #[snafu(display("health check: timeout"))]
-    Timeout,
-}
-
-impl HealthCheckError {
-    /// Returns whether the server has reset the connection, as it does with those beyond its limit.
-    fn is_reset(&self) -> bool {
-        let source = match self {
-            HealthCheckError::NoResponse { source } => source,
-            _ => return false,
-        };
-        matches!(source, SendError::Broken { is_reset: true, .. })
-    }
-}
-
 /// Checks until `deadline`, over connections with the same path, that a backend server still runs.
 pub async fn run(
     cx: &Context,
--- a/crates/gateway/src/reach_event.rs
+++ b/crates/gateway/src/reach_event.rs
@@ -11,7 +11,7 @@
 use log::Level;
 use relay::ReachChange;
 
-use crate::health_check::HealthCheckError;
+use crate::health_check_error::HealthCheckError;
 use crate::log_event::LogEvent;
 
 /// A change of what this router reaches, or a connection through a router.
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -23,10 +23,10 @@
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_GRACE_MS;
 use crate::log_event::LogEvent;
+use crate::quota_spending;
 use crate::request_event::RequestEvent;
 use crate::response_end::ResponseEnd;
 use crate::server_choice::place;
-use crate::spent_quota;
 use crate::stream_head::StreamHead;
 use crate::timing::duration_until;
 
@@ -107,7 +107,7 @@
 /// take it or no retry is allowed.
 async fn resume(x: &mut Exchange, stream: &StreamHead) -> Option<Attempt> {
     loop {
-        if spent_quota::take(x).await.is_err() {
+        if quota_spending::take(x).await.is_err() {
             RequestEvent::ResumeFailed {
                 id: &x.parsed.id,
                 reason: "over_quota",
