gateway: quotas, stream records and tunnels apart from the tasks that use the context

The state that Context holds (quotas, stream_records) and the client side of tunnels no longer import it; quota_task, stream_record_task and tunnel_acceptor do. Code is moved, not changed.

--- a/crates/gateway/src/build_records.rs
+++ b/crates/gateway/src/build_records.rs
@@ -33,7 +33,7 @@
 use crate::store::StoreError;
 use crate::store::StoreUpdate;
 use crate::store_era::note_era;
-use crate::stream_records;
+use crate::stream_record_task;
 use crate::view_event::ViewEvent;
 
 /// Prefix of the names of the records; the path of a record follows.
@@ -90,7 +90,7 @@
         }
     }
     if !is_read {
-        return stream_records::read(cx, now()).await;
+        return stream_record_task::read(cx, now()).await;
     }
     let changes = {
         let mut view = cx.view.borrow_mut();
@@ -102,7 +102,7 @@
         view.build_records.changes(now, &services)
     };
     if changes.needs_reading {
-        return stream_records::read(cx, now()).await;
+        return stream_record_task::read(cx, now()).await;
     }
     make(cx, changes).await
 }
--- a/crates/gateway/src/dialer.rs
+++ b/crates/gateway/src/dialer.rs
@@ -27,6 +27,7 @@
 use crate::log_event::LogEvent;
 use crate::reach_event::ReachEvent;
 use crate::tunnel;
+use crate::tunnel::PEER_CONNECT_TIMEOUT;
 use crate::tunnel_error::RefusedSnafu;
 use crate::tunnel_error::ServerSnafu;
 use crate::tunnel_error::TunnelError;
@@ -34,9 +35,6 @@
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The same for another router and for probes: a router that can reach the server is quick.
-pub const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Most routers that are asked for one connection if this router is known to be cut off.
 const MAX_ASKED: usize = 4;
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -14,7 +14,7 @@
 use crate::context::Context;
 use crate::log_event::LogEvent;
 use crate::process_event::ProcessEvent;
-use crate::quotas;
+use crate::quota_task;
 use crate::records;
 use crate::store::Listing;
 use crate::store::StoreError;
@@ -102,7 +102,7 @@
         apply_update(cx, update, Announcement::Earlier);
     }
     if topic == Topic::Routers {
-        quotas::update_routers(cx);
+        quota_task::update_routers(cx);
     }
 }
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -30,7 +30,7 @@
 use crate::process_event::log_failure;
 use crate::process_event::Step;
 use crate::status_pages;
-use crate::tunnel;
+use crate::tunnel_acceptor;
 
 /// Largest head of a request while no configuration is in force, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
@@ -177,8 +177,8 @@
     let service = service_fn(|req: Request<Incoming>| {
         let cx = Rc::clone(&cx);
         async move {
-            let response = match tunnel::target(&req) {
-                Some(server) => tunnel::accept(cx, from, server, req).await,
+            let response = match tunnel_acceptor::target(&req) {
+                Some(server) => tunnel_acceptor::accept(cx, from, server, req).await,
                 None => status_pages::bootstrap(&cx, req.uri().path()),
             };
             Ok::<_, Infallible>(response)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,7 +50,7 @@
 use crate::pending_replies::PendingReplies;
 use crate::process_event::ProcessEvent;
 use crate::process_event::StopPhase;
-use crate::quotas;
+use crate::quota_task;
 use crate::quotas::Quotas;
 use crate::reach_task;
 use crate::records;
@@ -61,7 +61,7 @@
 use crate::status_pages;
 use crate::store::Store;
 use crate::store::Topic;
-use crate::stream_records;
+use crate::stream_record_task;
 use crate::stream_records::StreamRecords;
 
 /// Interval at which expired idle connections are closed.
@@ -320,13 +320,13 @@
         tokio::task::spawn_local(records::keep_registered(Rc::clone(cx)));
         tokio::task::spawn_local(records::contend_for_order_lease(Rc::clone(cx)));
         tokio::task::spawn_local(crash_records::run(Rc::clone(cx)));
-        tokio::task::spawn_local(stream_records::run(Rc::clone(cx)));
+        tokio::task::spawn_local(stream_record_task::run(Rc::clone(cx)));
         tokio::task::spawn_local(build_records::run(Rc::clone(cx)));
         tokio::task::spawn_local(orders::run(Rc::clone(cx)));
         tokio::task::spawn_local(snapshot::run(Rc::clone(cx)));
         tokio::task::spawn_local(configuration_feed::run(Rc::clone(cx)));
         tokio::task::spawn_local(reach_task::run(Rc::clone(cx)));
-        tokio::task::spawn_local(quotas::run(Rc::clone(cx)));
+        tokio::task::spawn_local(quota_task::run(Rc::clone(cx)));
         tokio::task::spawn_local(sweep(Rc::clone(cx)));
         tokio::task::spawn_local(note_alive(Rc::clone(&self.alive_at)));
     }
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -23,11 +23,11 @@
 use crate::process_event::log_failure;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
-use crate::quotas;
+use crate::quota_task;
 use crate::rejections;
 use crate::store_era::note_era;
 use crate::stream_builds;
-use crate::stream_records;
+use crate::stream_record_task;
 
 /// Longest time between two messages in a full mesh, where each router sends to all others.
 const FULL_MESH_INTERVAL: Duration = Duration::from_millis(150);
@@ -91,7 +91,7 @@
                 cx.pending_permits.settle(response.id, response.permit);
             }
             Ok(PeerMessage::StreamOrigins(streams)) => {
-                stream_records::add(&cx, &streams);
+                stream_record_task::add(&cx, &streams);
                 let origins = &mut cx.view.borrow_mut().stream_origins;
                 for origin in streams {
                     origins.record(now(), origin);
@@ -103,8 +103,8 @@
             }
             Ok(PeerMessage::PlaceAsked(asked)) => places::answer(&cx, from, asked).await,
             Ok(PeerMessage::PlaceReleased(released)) => places::release(&cx, released),
-            Ok(PeerMessage::QuotaAsk(ask)) => quotas::answer(&cx, from, &ask).await,
-            Ok(PeerMessage::QuotaReply(reply)) => quotas::apply(&cx, &reply),
+            Ok(PeerMessage::QuotaAsk(ask)) => quota_task::answer(&cx, from, &ask).await,
+            Ok(PeerMessage::QuotaReply(reply)) => quota_task::apply(&cx, &reply),
             Err(e) => log_peer_failure(Step::GossipRead, &from, &e),
         }
     }
--- a/crates/gateway/src/quota_spending.rs
+++ b/crates/gateway/src/quota_spending.rs
@@ -14,7 +14,7 @@
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::log_event::LogEvent;
-use crate::quotas::send_due;
+use crate::quota_task::send_due;
 use crate::request_event::OverQuota;
 use crate::request_event::RequestEvent;
 use crate::spent_quota::SpentQuota;
--- a/crates/gateway/src/stream_builds.rs
+++ b/crates/gateway/src/stream_builds.rs
@@ -13,7 +13,7 @@
 use crate::peer_message::PeerMessage;
 use crate::peer_message::StreamQuery;
 use crate::peer_message::StreamReply;
-use crate::stream_records;
+use crate::stream_record_task;
 
 /// Number of other routers that are notified of a stream, in several regions.
 const NOTIFIED_ROUTERS: usize = 3;
@@ -66,8 +66,8 @@
 /// Notifies other routers of streams, each of those for which it is chosen, and the routers that
 /// write them to the store.
 fn notify(cx: &Context, streams: &[StreamOrigin]) {
-    stream_records::add(cx, streams);
-    let writers = stream_records::writers(cx);
+    stream_record_task::add(cx, streams);
+    let writers = stream_record_task::writers(cx);
     let mut by_router = BTreeMap::<u64, Vec<StreamOrigin>>::new();
     for origin in streams {
         let mut notified = cx.peers.keepers(origin.stream.hash(), NOTIFIED_ROUTERS);
--- a/crates/gateway/src/stream_lookup.rs
+++ b/crates/gateway/src/stream_lookup.rs
@@ -14,8 +14,8 @@
 use crate::peer_message::PeerMessage;
 use crate::peer_message::StreamQuery;
 use crate::stream_builds::knowledge;
-use crate::stream_records;
-use crate::stream_records::StoredOrigin;
+use crate::stream_record_task;
+use crate::stream_record_task::StoredOrigin;
 
 /// Number of other routers that are asked. Those that were notified come first among them, or close
 /// behind if their sender knew other routers.
@@ -81,9 +81,9 @@
     // Records of streams are batched; those of builds must be as new as the question.
     let not_before = match only {
         Some(_) => asked_at,
-        None => stream_records::oldest_reading(),
+        None => stream_record_task::oldest_reading(),
     };
-    let stored = stream_records::look_up(cx, stream, not_before).await;
+    let stored = stream_record_task::look_up(cx, stream, not_before).await;
     let (build, source) = match stored {
         StoredOrigin::Known(build) => (Some(build), "store"),
         StoredOrigin::Unknown => {
