--- a/crates/router/tests/processes/server_process.rs
+++ b/crates/router/tests/processes/server_process.rs
@@ -141,8 +141,13 @@
 
     /// Starts its next incarnation at the same address.
     pub async fn restart(&self) {
-        let incarnation = self.incarnation.get() + 1;
-        self.incarnation.set(incarnation);
+        self.incarnation.set(self.incarnation.get() + 1);
+        self.spawn_again();
+        self.wait_until_it_accepts().await;
+    }
+
+    fn spawn_again(&self) {
+        let incarnation = self.incarnation.get();
         let child = spawn(
             &self.id,
             self.address,
@@ -152,7 +157,10 @@
         );
         let mut former = self.child.replace(child);
         former.wait().unwrap();
-        self.wait_until_it_accepts().await;
+    }
+
+    fn has_ended(&self) -> bool {
+        self.child.borrow_mut().try_wait().unwrap().is_some()
     }
 
     /// Returns how often it has run a request.
@@ -163,7 +171,11 @@
 
     async fn wait_until_it_accepts(&self) {
         let accepts = async {
-            while TcpStream::connect(self.address).await.is_err() {
+            while TcpStream::connect(self.address).await.is_err() || self.has_ended() {
+                // Another test on this machine may have its port for a moment.
+                if self.has_ended() {
+                    self.spawn_again();
+                }
                 sleep(Duration::from_millis(10)).await;
             }
         };
