--- /dev/null
+++ b/crates/router/tests/crowds/crowd_server.rs
@@ -0,0 +1,91 @@
+//! A backend server whose responses are as large as the path of the request says.
+
+use std::io;
+
+use serde_json::json;
+use serde_json::Value;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+use crate::common::http_message;
+use crate::common::http_message::header;
+
+/// Requests that it runs at once.
+const SLOTS: u32 = 4_000;
+
+/// Starts a server and returns its registration.
+///
+/// It responds to `/…/body-N` with a body of N bytes, to `/…/events-C-S` with a stream of C events of S
+/// bytes, and to all else with a few bytes.
+pub async fn start() -> Value {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(serve(stream));
+        }
+    });
+    json!({
+        "Service": "s", "Address": address.to_string(), "Zone": "a", "Version": "v1",
+        "Slots": SLOTS, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": 17,
+    })
+}
+
+/// Returns the event with a number in a stream of events of `len` bytes.
+pub fn event(number: usize, len: usize) -> String {
+    let head = format!("id: {number}\ndata: ");
+    let filler = "x".repeat(len - head.len() - 2);
+    format!("{head}{filler}\n\n")
+}
+
+async fn serve(mut stream: TcpStream) {
+    while let Some(message) = http_message::read(&mut stream).await {
+        let path = message.head.split(' ').nth(1).unwrap_or_default();
+        let id = header(&message.head, "x-turmerichollow-request-id").unwrap_or("none");
+        if respond(&mut stream, path, id).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn respond(stream: &mut TcpStream, path: &str, id: &str) -> io::Result<()> {
+    let name = path.rsplit('/').next().unwrap_or_default();
+    let parts: Vec<_> = name.split('-').collect();
+    let number = |i: usize| parts[i].parse::<usize>().unwrap();
+    match parts[0] {
+        "body" => respond_whole(stream, id, &"x".repeat(number(1))).await,
+        "events" => respond_stream(stream, id, number(1), number(2)).await,
+        _ => respond_whole(stream, id, "hello").await,
+    }
+}
+
+fn head(id: &str, framing: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Turmerichollow-Request-Id: {id}\r\n\
+         X-Turmerichollow-Response-Signature: s\r\nX-Turmerichollow-Instance-Id: i-0\r\n{framing}\r\n\r\n"
+    )
+}
+
+async fn respond_whole(stream: &mut TcpStream, id: &str, body: &str) -> io::Result<()> {
+    let head = head(id, &format!("Content-Length: {}", body.len()));
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(body.as_bytes()).await
+}
+
+async fn respond_stream(
+    stream: &mut TcpStream,
+    id: &str,
+    count: usize,
+    len: usize,
+) -> io::Result<()> {
+    let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
+    stream.write_all(head(id, framing).as_bytes()).await?;
+    for number in 1..=count {
+        let event = event(number, len);
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await?;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
--- a/crates/router/tests/processes/router_process.rs
+++ b/crates/router/tests/processes/router_process.rs
@@ -15,6 +15,7 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 use serde_json::json;
+use serde_json::Value;
 use tempfile::TempDir;
 use tokio::time::sleep;
 
@@ -35,21 +36,19 @@
 
     /// Starts a router that may take `stop_s` seconds to stop.
     pub fn start_with(dir: &TempDir, name: &str, store: SocketAddr, stop_s: u64) -> RouterProcess {
-        let address = free_address();
-        let settings = dir.path().join(format!("{name}.json"));
-        let text = json!({
-            "name": name, "domain": "a", "regions": { "a": "r" },
-            "listen": {
-                "callers": address, "readiness": free_address(),
-                "peer_port": free_address().port(), "metrics_port": free_address().port(),
-            },
-            "store": store, "stop_s": stop_s, "repeat_ratio": 0.2, "repeat_reserve": 60, "fenced": true,
-        });
-        std::fs::write(&settings, text.to_string()).unwrap();
+        RouterProcess::start_with_settings(dir, settings(name, store, stop_s))
+    }
+
+    /// Starts a router with the settings given.
+    pub fn start_with_settings(dir: &TempDir, settings: Value) -> RouterProcess {
+        let name = settings["name"].as_str().unwrap();
+        let path = dir.path().join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let address = settings["listen"]["callers"].as_str().unwrap();
         RouterProcess {
-            child: RefCell::new(spawn(&settings)),
-            settings,
-            address,
+            child: RefCell::new(spawn(&path)),
+            settings: path,
+            address: address.parse().unwrap(),
         }
     }
 
@@ -61,6 +60,17 @@
         child.id()
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.borrow().id()
+    }
+
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        let path = self.settings.with_extension("log");
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Returns whether the process runs.
     pub fn runs(&self) -> bool {
         self.child.borrow_mut().try_wait().unwrap().is_none()
@@ -92,13 +102,26 @@
     }
 }
 
-/// Returns the log file of a router if `SOAK_LOGS` is set, otherwise a null output.
+/// Returns the settings of a router whose store is at an address, and which may take `stop_s` seconds to
+/// stop.
+pub fn settings(name: &str, store: SocketAddr, stop_s: u64) -> Value {
+    json!({
+        "name": name, "domain": "a", "regions": { "a": "r" },
+        "listen": {
+            "callers": free_address(), "readiness": free_address(),
+            "peer_port": free_address().port(), "metrics_port": free_address().port(),
+        },
+        "store": store, "stop_s": stop_s, "repeat_ratio": 0.2, "repeat_reserve": 60, "fenced": true,
+    })
+}
+
+/// Returns the log file of a router: in the directory `SOAK_LOGS`, otherwise beside its settings.
 fn log_file(settings: &Path) -> Stdio {
-    let Some(dir) = std::env::var_os("SOAK_LOGS") else {
-        return Stdio::null();
+    let log = settings.with_extension("log");
+    let path = match std::env::var_os("SOAK_LOGS") {
+        Some(dir) => Path::new(&dir).join(log.file_name().unwrap()),
+        None => log,
     };
-    let name = settings.with_extension("log");
-    let path = Path::new(&dir).join(name.file_name().unwrap());
     let file = File::options().create(true).append(true).open(path);
     file.unwrap().into()
 }
