gateway: a response whose connection ended while the router was paused is not known to be whole

Cause: the router was stopped by a signal for 895 ms; meanwhile the path to the server was closed and opened again, and the health check after the wake found the server alive. What came in a pause isn't known, so the end is unknown if the process was paused at any time since the response's head. PauseWatch notes every 250 ms that the process runs, and a gap of over 500 ms is a pause, also before it is noted. The time of the last note serves the stop as before.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -26,6 +26,7 @@
 use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
+use crate::pause_watch::PauseWatch;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
 use crate::quotas::Quotas;
@@ -99,6 +100,8 @@
     pub room_freed: Notify,
     /// Stage of this process between start and exit.
     pub phase: Cell<Phase>,
+    /// Notices that this process was paused.
+    pub pause_watch: PauseWatch,
 }
 
 impl Context {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,7 @@
 use crate::measured_store::MeasuredStore;
 use crate::metrics::Metrics;
 use crate::orders;
+use crate::pause_watch::PauseWatch;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
 use crate::process_event::ProcessEvent;
@@ -78,9 +79,6 @@
 /// the port had accepted can be answered.
 const CLOSING_MS: u64 = 600;
 
-/// Interval at which a process notes that it runs. A stop ends earlier by up to twice this time.
-const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Interval at which a stopping process checks its deadline and open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -128,8 +126,6 @@
     close_tx: watch::Sender<bool>,
     /// Cloned for each connection of a caller.
     connections: Rc<()>,
-    /// When this process was last seen to run, without a signal to stop.
-    alive_at: Rc<Cell<Time>>,
 }
 
 impl Gateway {
@@ -163,13 +159,13 @@
             watches_suspect: Notify::new(),
             room_freed: Notify::new(),
             phase: Cell::new(Phase::Serving),
+            pause_watch: PauseWatch::new(now()),
         });
         let gateway = Gateway {
             cx,
             leave_tx: watch::channel(false).0,
             close_tx: watch::channel(false).0,
             connections: Rc::default(),
-            alive_at: Rc::new(Cell::new(now())),
         };
         gateway.open_ports().await?;
         gateway.spawn_tasks();
@@ -228,9 +224,9 @@
         self.log_stop(StopPhase::Draining, signalled_at);
         // The signal may have come while the process was paused.
         let stop_ms = cx.settings.stop_ms.saturating_sub(STOP_MARGIN_MS);
-        let exit_by = self.alive_at.get().plus_millis(stop_ms);
-        let close_by = self.alive_at.get();
-        let close_by = close_by.plus_millis(stop_ms.saturating_sub(CLOSING_MS));
+        let alive_at = cx.pause_watch.alive_at();
+        let exit_by = alive_at.plus_millis(stop_ms);
+        let close_by = alive_at.plus_millis(stop_ms.saturating_sub(CLOSING_MS));
         let drain_until = signalled_at.plus_millis(DRAIN_MS).min(exit_by);
         while now() < drain_until {
             sleep(STOP_POLL_INTERVAL).await;
@@ -328,7 +324,8 @@
         tokio::task::spawn_local(reach_task::run(Rc::clone(cx)));
         tokio::task::spawn_local(quota_task::run(Rc::clone(cx)));
         tokio::task::spawn_local(sweep(Rc::clone(cx)));
-        tokio::task::spawn_local(note_alive(Rc::clone(&self.alive_at)));
+        let cx = Rc::clone(cx);
+        tokio::task::spawn_local(async move { cx.pause_watch.run().await });
     }
 }
 
@@ -349,16 +346,6 @@
     listen(address).context(ListenSnafu { what, address })
 }
 
-/// Notes that the process runs. If it was paused, a signal to stop came after the last time. Each
-/// time is noted an interval late: after a pause this task may run before the signal is handled.
-async fn note_alive(alive_at: Rc<Cell<Time>>) {
-    loop {
-        let seen_at = now();
-        sleep(ALIVE_INTERVAL).await;
-        alive_at.set(seen_at);
-    }
-}
-
 async fn sweep(cx: Rc<Context>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/crates/gateway/src/server_body.rs
+++ b/crates/gateway/src/server_body.rs
@@ -10,6 +10,7 @@
 use policy::Time;
 use relay::ServerKey;
 
+use crate::clock::now;
 use crate::connection_pool::PooledConnection;
 use crate::context::Context;
 use crate::health_check;
@@ -29,6 +30,8 @@
     body: Incoming,
     framing: Framing,
     server: ServerKey,
+    /// When its head was received.
+    begun_at: Time,
     /// Connection to the backend server; dropping it cancels the request there.
     pub connection: PooledConnection,
 }
@@ -52,6 +55,7 @@
             body,
             framing,
             server,
+            begun_at: now(),
             connection,
         }
     }
@@ -83,6 +87,10 @@
         if self.framing == Framing::Marked {
             return ResponseEnd::Whole;
         }
+        // The connection may have ended, and the way to the server been opened again, in a pause.
+        if cx.pause_watch.was_paused(self.begun_at, now()) {
+            return ResponseEnd::Unknown("router was paused".to_owned());
+        }
         let checked = health_check::run(cx, self.server, self.connection.path(), deadline).await;
         match checked {
             Ok(()) => ResponseEnd::Whole,
