relay: a server whose responses this router doesn't read is not unresponsive

Ordinary requests got 502 within a millisecond while 40 responses waited for callers that didn't read: "server is unresponsive". Cause: a server counts as silent while requests are in flight and no head has come for 1.2 s. The router itself had stopped reading. It tells the other routers too, so that a crowd at one router made all of them avoid the server.

--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -93,6 +93,8 @@
     own: Load,
     /// Those of them that have no response yet.
     own_waiting: u32,
+    /// Those of them whose response this router doesn't read at present.
+    own_held_back: u32,
     /// When it last responded to this router.
     responded_at: Option<Time>,
     /// First and last failure since it responded to this router.
@@ -130,6 +132,7 @@
             missing_since: None,
             own: Load::default(),
             own_waiting: 0,
+            own_held_back: 0,
             responded_at: None,
             failed: None,
             others: HashMap::new(),
@@ -401,11 +404,26 @@
 
     pub(crate) fn end_prefill(&mut self, now: Time, prefill_ms: u64) {
         self.own.prefill_ms = self.own.prefill_ms.saturating_sub(prefill_ms);
-        self.unresponsive_since = (self.own.requests > 1).then_some(now);
+        self.unresponsive_since = (self.own.requests > 1 + self.own_held_back).then_some(now);
         self.responded_at = Some(now);
         self.failed = None;
     }
 
+    /// Counts a request whose response this router doesn't read: it isn't the server that is silent.
+    pub(crate) fn begin_hold_back(&mut self) {
+        self.own_held_back += 1;
+        if self.own.requests <= self.own_held_back {
+            self.unresponsive_since = None;
+        }
+    }
+
+    pub(crate) fn end_hold_back(&mut self, now: Time) {
+        self.own_held_back = self.own_held_back.saturating_sub(1);
+        if self.own.requests > self.own_held_back {
+            self.unresponsive_since.get_or_insert(now);
+        }
+    }
+
     pub(crate) fn end_waiting(&mut self) {
         self.own_waiting = self.own_waiting.saturating_sub(1);
     }
@@ -414,7 +432,7 @@
         self.own.requests = self.own.requests.saturating_sub(1);
         self.room.end();
         self.own.prefill_ms = self.own.prefill_ms.saturating_sub(prefill_ms);
-        if self.own.requests == 0 {
+        if self.own.requests <= self.own_held_back {
             self.unresponsive_since = None;
         }
     }
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -64,6 +64,10 @@
 
     /// Appends bytes received from the stream.
     pub fn push(&mut self, bytes: &[u8]) {
+        if self.buf.is_empty() {
+            // Frees the memory of earlier events.
+            self.buf = BytesMut::with_capacity(bytes.len());
+        }
         self.buf.extend_from_slice(bytes);
     }
 
@@ -89,6 +93,11 @@
         self.last
     }
 
+    /// Returns how many bytes were received that belong to no returned event.
+    pub fn buffered_bytes(&self) -> u64 {
+        self.buf.len() as u64
+    }
+
     /// Returns whether bytes were received that belong to no returned event.
     pub fn has_partial_event(&self) -> bool {
         self.buf.has_remaining()
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -308,3 +308,26 @@
     fleet.replace(at(1_900), Vec::new(), restarted);
     assert!(fleet.by_id("e0").is_some());
 }
+
+// Guards against a server that counts as unresponsive, for all routers, as callers of one don't read.
+#[test]
+fn a_server_whose_responses_this_router_doesnt_read_is_not_unresponsive() {
+    let mut fleet = fleet(1, 1);
+    let key = fleet.by_id("e0").unwrap();
+    let unresponsive_ms = |fleet: &Fleet, now| fleet.get(key).unwrap().unresponsive_ms(now);
+    for _ in 0..2 {
+        fleet.begin_request(at(0), key, 0);
+        fleet.end_prefill(at(10), key, 0);
+        fleet.begin_hold_back(key);
+    }
+    assert_eq!(unresponsive_ms(&fleet, at(5_000)), 0);
+
+    fleet.begin_request(at(5_000), key, 0);
+
+    assert_eq!(unresponsive_ms(&fleet, at(5_100)), 100);
+    fleet.end_prefill(at(5_200), key, 0);
+    fleet.end_request(key, 0);
+    assert_eq!(unresponsive_ms(&fleet, at(9_000)), 0);
+    fleet.end_hold_back(at(9_000), key);
+    assert_eq!(unresponsive_ms(&fleet, at(9_400)), 400);
+}
