--- a/crates/gateway/src/accepted.rs
+++ b/crates/gateway/src/accepted.rs
@@ -9,7 +9,7 @@
 use relay::SuspectKey;
 use relay::Workspace;
 
-use crate::buffer_budget::BufferHold;
+use crate::buffer_hold::BufferHold;
 use crate::codec::RequestHead;
 
 /// A request that was read in full and passed all checks.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,7 +23,7 @@
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FullResponse;
 use crate::attempted_server::AttemptedServer;
-use crate::body::held_body;
+use crate::body::ResponseBody;
 use crate::clock::now;
 use crate::codec::ExpectedWeights;
 use crate::codec::ForwardHead;
@@ -215,7 +215,8 @@
             Some(_) => MAX_SIZED_RESPONSE_BYTES,
             None => MAX_RESPONSE_BYTES,
         });
-        let (body, hold) = match timeout(limit, collect(&x.cx.buffers, &mut self.body)).await {
+        let pieces = match timeout(limit, collect(&x.caller, &self.in_flight, &mut self.body)).await
+        {
             Ok(Ok(collected)) => collected,
             Ok(Err(e)) => {
                 avoid(x, self.choice.server, AVOID_FAILED_MS / 4);
@@ -236,7 +237,7 @@
             self.body.connection,
             self.parsed.keep_alive_ms,
         );
-        let mut response = Response::new(held_body(body, hold));
+        let mut response = Response::new(ResponseBody::pieces(pieces));
         *response.status_mut() = self.head.status;
         *response.headers_mut() = x.cx.codec.returned_headers(&self.head);
         Ok(FullResponse {
--- a/crates/gateway/src/attempt_outcome.rs
+++ b/crates/gateway/src/attempt_outcome.rs
@@ -69,7 +69,7 @@
         if !self.finished {
             record_end(self, AttemptEnd::Unknown);
             let server = self.tried.last().copied();
-            self.finish("caller_left", 0, server);
+            self.finish(self.undelivered_outcome(), 0, server);
         }
     }
 }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,20 +1,22 @@
 //! Response bodies for callers.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Buf;
 use bytes::Bytes;
-use http_body_util::Either;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
-use crate::buffer_budget::BufferHold;
+use crate::buffer_hold::BufferHold;
+use crate::caller_connection::CallerConnection;
 
 /// Error of a stream that failed. It makes hyper close the connection without the
 /// end of the chunked body, so that the caller notices.
@@ -22,106 +24,145 @@
 #[snafu(display("response stream ended early"))]
 pub struct IncompleteStream;
 
-/// Body of a response: a small one of this router's own, or that of a backend server's response.
-pub type ResponseBody = Either<Full<Bytes>, RelayedBody>;
-
-/// Body of a backend server's response: complete bytes, or the events of a stream.
-pub type RelayedBody = Either<Buffered, Events>;
-
-/// Body of complete bytes, which count as buffered until it has been written.
-pub struct Buffered {
-    bytes: Full<Bytes>,
-    _hold: BufferHold,
-}
-
-/// An event on its way to the caller, counted as buffered until it is taken.
-pub struct BufferedEvent {
-    /// Bytes of the event.
-    pub bytes: Bytes,
-    /// Counts them.
-    pub _hold: BufferHold,
+/// Bytes on their way to a caller, which count as buffered until its socket has taken them.
+pub struct HeldBytes {
+    bytes: Bytes,
+    /// None for the few bytes of this router's own responses.
+    _hold: Option<BufferHold>,
 }
 
 /// What a stream's task sends to the body that the caller reads.
 pub enum StreamPart {
     /// The next event.
-    Event(BufferedEvent),
+    Event(HeldBytes),
     /// The stream is whole. One whose task ends without saying so has failed.
     End,
 }
 
-/// Body that yields the events of a stream as they arrive.
-pub struct Events {
-    parts: mpsc::Receiver<StreamPart>,
-    is_whole: bool,
+/// Body of a response to a caller.
+pub struct ResponseBody {
+    content: Content,
+    /// Connection over which it is sent.
+    connection: Option<Rc<CallerConnection>>,
 }
 
-impl Events {
-    /// Returns the body of a stream whose parts come over a channel.
-    pub fn new(parts: mpsc::Receiver<StreamPart>) -> Events {
-        Events {
-            parts,
-            is_whole: false,
+enum Content {
+    /// Complete bytes, in pieces.
+    Pieces(VecDeque<HeldBytes>),
+    /// The events of a stream, as they arrive.
+    Events(mpsc::Receiver<StreamPart>),
+    /// No more bytes.
+    End,
+}
+
+impl HeldBytes {
+    /// Returns bytes that `hold` counts.
+    pub fn new(bytes: Bytes, hold: BufferHold) -> HeldBytes {
+        HeldBytes {
+            bytes,
+            _hold: Some(hold),
         }
     }
 }
 
-/// Returns a small response body of complete bytes, which isn't counted.
-pub fn full_body<B, E>(bytes: B) -> Either<Full<Bytes>, E>
-where
-    B: Into<Bytes>,
-{
-    Either::Left(Full::new(bytes.into()))
-}
+impl Buf for HeldBytes {
+    fn remaining(&self) -> usize {
+        self.bytes.remaining()
+    }
 
-/// Returns a response body of complete bytes that `hold` counts.
-pub fn held_body(bytes: Bytes, hold: BufferHold) -> ResponseBody {
-    Either::Right(Either::Left(Buffered {
-        bytes: Full::new(bytes),
-        _hold: hold,
-    }))
+    fn chunk(&self) -> &[u8] {
+        self.bytes.chunk()
+    }
+
+    fn advance(&mut self, len: usize) {
+        self.bytes.advance(len);
+    }
 }
 
-impl Body for Buffered {
-    type Data = Bytes;
-    type Error = IncompleteStream;
+impl ResponseBody {
+    /// Returns a small body of this router's own, which isn't counted.
+    pub fn own<B>(bytes: B) -> ResponseBody
+    where
+        B: Into<Bytes>,
+    {
+        let bytes = bytes.into();
+        let piece = HeldBytes { bytes, _hold: None };
+        ResponseBody::pieces([piece].into())
+    }
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteStream>>> {
-        let frame = Pin::new(&mut self.bytes).poll_frame(cx);
-        frame.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
+    /// Returns the body of a backend server's response that was read in full.
+    pub fn pieces(mut pieces: VecDeque<HeldBytes>) -> ResponseBody {
+        pieces.retain(Buf::has_remaining);
+        ResponseBody::new(Content::Pieces(pieces))
     }
 
-    fn is_end_stream(&self) -> bool {
-        self.bytes.is_end_stream()
+    /// Returns the body of a stream whose parts come over a channel.
+    pub fn events(parts: mpsc::Receiver<StreamPart>) -> ResponseBody {
+        ResponseBody::new(Content::Events(parts))
     }
 
-    fn size_hint(&self) -> SizeHint {
-        self.bytes.size_hint()
+    /// Sets the connection over which it is sent, which learns when the body has ended.
+    pub fn send_over(&mut self, connection: Rc<CallerConnection>) {
+        self.connection = Some(connection);
+    }
+
+    fn new(content: Content) -> ResponseBody {
+        ResponseBody {
+            content,
+            connection: None,
+        }
     }
 }
 
-impl Body for Events {
-    type Data = Bytes;
+impl Body for ResponseBody {
+    type Data = HeldBytes;
     type Error = IncompleteStream;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteStream>>> {
-        if self.is_whole {
-            return Poll::Ready(None);
-        }
-        let part = ready!(self.parts.poll_recv(cx));
+    ) -> Poll<Option<Result<Frame<HeldBytes>, IncompleteStream>>> {
+        let part = match &mut self.content {
+            Content::End => return Poll::Ready(None),
+            Content::Pieces(pieces) => pieces.pop_front().map(StreamPart::Event),
+            Content::Events(parts) => match ready!(parts.poll_recv(cx)) {
+                None => return Poll::Ready(Some(IncompleteStreamSnafu.fail())),
+                part => part,
+            },
+        };
         Poll::Ready(match part {
-            Some(StreamPart::Event(event)) => Some(Ok(Frame::data(event.bytes))),
-            Some(StreamPart::End) => {
-                self.is_whole = true;
+            Some(StreamPart::Event(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(StreamPart::End) | None => {
+                self.content = Content::End;
                 None
             }
-            None => Some(IncompleteStreamSnafu.fail()),
         })
     }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.content {
+            Content::Pieces(pieces) => pieces.is_empty(),
+            Content::Events(_) => false,
+            Content::End => true,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Pieces(pieces) => {
+                let len: usize = pieces.iter().map(Buf::remaining).sum();
+                SizeHint::with_exact(len as u64)
+            }
+            Content::Events(_) => SizeHint::default(),
+            Content::End => SizeHint::with_exact(0),
+        }
+    }
+}
+
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.end_body();
+        }
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/caller_usage.rs
@@ -0,0 +1,546 @@
+//! What the connections of callers hold, how they move, and which one is closed first.
+//!
+//! A caller makes the router hold a descriptor, what has arrived of its request, and what it hasn't
+//! taken of its response. All of it counts from its arrival until it is gone. When there is no room
+//! left, the connection is closed that holds the most, for the longest, and moves the least. Requests
+//! that wait for a backend server aren't closed: their callers owe nothing.
+
+use std::collections::BTreeMap;
+
+use policy::Time;
+
+/// Memory of an open connection without what is read from it, in bytes.
+pub const CONNECTION_BYTES: u64 = 16 << 10;
+
+/// What the kernel may hold of bytes that a caller sends behind its request, in bytes.
+const PIPELINED_BYTES: u64 = 48 << 10;
+
+/// Bytes behind a request that don't count as the next one: line ends, sizes of chunks.
+const FRAMING_BYTES: u64 = 512;
+
+/// Time for which bytes wait for their caller before its connection may be closed for the room of
+/// others, in milliseconds.
+const MIN_WAITING_MS: u64 = 1_000;
+
+/// Bytes that must wait for it.
+const MIN_WAITING_BYTES: u64 = 4 << 10;
+
+/// Bytes that a caller is taken to have moved from the start, so that a new response isn't compared by a
+/// few milliseconds.
+const MOVED_AT_START_BYTES: u64 = 64 << 10;
+
+/// Bytes up to which a request and a response are small.
+const SMALL_REQUEST_BYTES: u64 = 128 << 10;
+const SMALL_RESPONSE_BYTES: u64 = 64 << 10;
+
+/// Part of the buffers that all large requests may take, and that all large responses may, in percent; a
+/// single one may take more.
+const LARGE_PERCENT: u64 = 40;
+
+/// Part of the buffers up to which requests are accepted, in percent. The rest is for the responses of
+/// those that are accepted.
+const REQUESTS_PERCENT: u64 = 70;
+
+/// Interval at which connections are searched again for one to close after none was found, in
+/// milliseconds.
+const SEARCH_INTERVAL_MS: u64 = 20;
+
+/// Key of an open connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionKey(u64);
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No request has begun on it, or the latest one has ended.
+    Idle,
+    /// A part of a request's head has arrived.
+    Head,
+    /// A part of a request's body has arrived.
+    Body,
+    /// The request is with a backend server, or waits for one.
+    Running,
+    /// The response is sent.
+    Response,
+}
+
+/// Which bytes of a caller are held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldFor {
+    /// A request's body, heads and state.
+    Request,
+    /// What the caller has yet to take of its response.
+    Response,
+}
+
+impl HeldFor {
+    /// Returns the bytes up to which it is small.
+    fn small_bytes(self) -> u64 {
+        match self {
+            HeldFor::Request => SMALL_REQUEST_BYTES,
+            HeldFor::Response => SMALL_RESPONSE_BYTES,
+        }
+    }
+}
+
+/// Limits on all connections of one port together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsageLimits {
+    /// Bytes of requests and responses.
+    pub buffer_bytes: u64,
+    /// Bytes of connections without a whole head.
+    pub connection_bytes: u64,
+    /// Descriptors of connections and of those to backend servers that their requests need.
+    pub descriptors: u64,
+    /// Time for which a connection stays idle or with a part of a head before a new one may take its
+    /// place, in milliseconds.
+    pub min_idle_ms: u64,
+}
+
+/// Times in which connections must move, by the configuration in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProgressLimits {
+    /// Time from the first byte of a head to its end, in milliseconds.
+    pub head_ms: u64,
+    /// Time for which a connection may be idle, a body bring nothing and a response take nothing, in
+    /// milliseconds.
+    pub idle_ms: u64,
+}
+
+/// Room for something new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// There is room.
+    Free,
+    /// There is, once this connection is closed.
+    Closing(ConnectionKey),
+    /// There may be at this time.
+    At(Time),
+    /// There is none.
+    Full,
+}
+
+/// What one connection holds.
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    stage: Stage,
+    stage_since: Time,
+    /// When bytes last moved over it.
+    moved_at: Time,
+    /// Bytes that have moved since bytes wait for the caller.
+    moved_bytes: u64,
+    /// Since when bytes wait for the caller.
+    waiting_since: Time,
+    /// Bytes of requests and responses.
+    request_bytes: u64,
+    response_bytes: u64,
+    /// Bytes that were read and belong to no request yet.
+    unparsed_bytes: u64,
+    /// Whether it is being closed.
+    is_closing: bool,
+}
+
+impl Usage {
+    fn new(now: Time) -> Usage {
+        Usage {
+            stage: Stage::Idle,
+            stage_since: now,
+            moved_at: now,
+            moved_bytes: 0,
+            waiting_since: now,
+            request_bytes: 0,
+            response_bytes: 0,
+            unparsed_bytes: 0,
+            is_closing: false,
+        }
+    }
+
+    /// Returns the memory of the connection itself.
+    fn connection_bytes(&self) -> u64 {
+        let pipelined = if self.is_pipelining() {
+            PIPELINED_BYTES
+        } else {
+            0
+        };
+        CONNECTION_BYTES + self.unparsed_bytes + pipelined
+    }
+
+    /// Returns whether the caller sends on behind a request that has no whole response yet. The kernel
+    /// may hold more of that.
+    fn is_pipelining(&self) -> bool {
+        let has_request = matches!(self.stage, Stage::Running | Stage::Response);
+        has_request && self.unparsed_bytes > FRAMING_BYTES
+    }
+
+    /// Returns its descriptors, and those of the connections to backend servers that its request needs.
+    fn descriptors(&self) -> u64 {
+        match self.stage {
+            Stage::Idle | Stage::Head | Stage::Body => 1,
+            Stage::Running | Stage::Response => 2,
+        }
+    }
+
+    /// Returns the bytes that are held because the caller hasn't sent or taken the rest.
+    fn waiting_bytes(&self) -> u64 {
+        match self.stage {
+            Stage::Body => self.buffered_bytes(),
+            _ => self.response_bytes,
+        }
+    }
+
+    fn buffered_bytes(&self) -> u64 {
+        self.request_bytes + self.response_bytes
+    }
+
+    /// Returns the bytes of the request or the response unless it is small.
+    fn large_bytes(&self, held_for: HeldFor) -> u64 {
+        let bytes = self.bytes_for(held_for);
+        if bytes > held_for.small_bytes() {
+            bytes
+        } else {
+            0
+        }
+    }
+
+    fn bytes_for(&self, held_for: HeldFor) -> u64 {
+        match held_for {
+            HeldFor::Request => self.request_bytes,
+            HeldFor::Response => self.response_bytes,
+        }
+    }
+
+    fn bytes_mut(&mut self, held_for: HeldFor) -> &mut u64 {
+        match held_for {
+            HeldFor::Request => &mut self.request_bytes,
+            HeldFor::Response => &mut self.response_bytes,
+        }
+    }
+
+    /// Returns how much it stands in the way of others: the bytes that wait for it, by the time for which they
+    /// have and what it has moved meanwhile.
+    fn waiting_cost(&self, now: Time) -> u128 {
+        let ms = u128::from(now.millis_since(self.waiting_since));
+        u128::from(self.waiting_bytes()) * ms / u128::from(self.moved_bytes + MOVED_AT_START_BYTES)
+    }
+
+    /// Returns whether another connection may take its place.
+    fn yields_place(&self) -> bool {
+        let owes_request = matches!(self.stage, Stage::Idle | Stage::Head | Stage::Body);
+        !self.is_closing && (owes_request || self.is_pipelining())
+    }
+
+    /// Returns how much it stands in the way of other connections.
+    fn place_cost(&self, now: Time) -> u128 {
+        let bytes = self.connection_bytes() + self.request_bytes;
+        u128::from(bytes) * u128::from(now.micros_since(self.stage_since))
+    }
+
+    fn is_overdue(&self, now: Time, limits: ProgressLimits) -> bool {
+        let idle_ms = now.millis_since(self.moved_at.max(self.stage_since));
+        match self.stage {
+            Stage::Head => now.millis_since(self.stage_since) > limits.head_ms,
+            Stage::Idle | Stage::Body => idle_ms > limits.idle_ms,
+            Stage::Running => false,
+            Stage::Response => {
+                let waited_ms = now.millis_since(self.waiting_since.max(self.moved_at));
+                self.response_bytes > 0 && waited_ms > limits.idle_ms
+            }
+        }
+    }
+}
+
+/// What all connections of one port hold.
+#[derive(Debug)]
+pub struct CallerUsage {
+    limits: UsageLimits,
+    connections: BTreeMap<ConnectionKey, Usage>,
+    last_key: u64,
+    /// Sums over the connections, and over what is held of closed ones.
+    buffered_bytes: u64,
+    connection_bytes: u64,
+    descriptors: u64,
+    /// When connections are searched again for one to close.
+    search_at: Time,
+}
+
+impl CallerUsage {
+    /// Returns the usage of a port without connections.
+    pub fn new(limits: UsageLimits) -> CallerUsage {
+        CallerUsage {
+            limits,
+            connections: BTreeMap::new(),
+            last_key: 0,
+            buffered_bytes: 0,
+            connection_bytes: 0,
+            descriptors: 0,
+            search_at: Time::default(),
+        }
+    }
+
+    /// Returns the bytes of requests and responses that are held.
+    pub fn buffered_bytes(&self) -> u64 {
+        self.buffered_bytes
+    }
+
+    /// Returns how many connections are open.
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Returns whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// Adds a connection.
+    pub fn open(&mut self, now: Time) -> ConnectionKey {
+        self.last_key += 1;
+        let key = ConnectionKey(self.last_key);
+        let usage = Usage::new(now);
+        self.connection_bytes += usage.connection_bytes();
+        self.descriptors += usage.descriptors();
+        self.connections.insert(key, usage);
+        key
+    }
+
+    /// Removes a connection. What is held for it stays counted until it is released.
+    pub fn close(&mut self, key: ConnectionKey) {
+        if let Some(usage) = self.connections.remove(&key) {
+            self.connection_bytes -= usage.connection_bytes();
+            self.descriptors -= usage.descriptors();
+        }
+    }
+
+    /// Returns what a connection does, none if it is closed.
+    pub fn stage(&self, key: ConnectionKey) -> Option<Stage> {
+        self.connections.get(&key).map(|usage| usage.stage)
+    }
+
+    /// Records what a connection does from now on.
+    pub fn set_stage(&mut self, now: Time, key: ConnectionKey, stage: Stage) {
+        self.update(key, |usage| {
+            if usage.unparsed_bytes <= FRAMING_BYTES {
+                usage.unparsed_bytes = 0;
+            }
+            usage.stage = stage;
+            usage.stage_since = now;
+            usage.waiting_since = now;
+            usage.moved_bytes = 0;
+        });
+    }
+
+    /// Records bytes that were read from a connection.
+    pub fn record_read(&mut self, now: Time, key: ConnectionKey, bytes: u64) {
+        self.update(key, |usage| {
+            usage.moved_at = now;
+            usage.unparsed_bytes += bytes;
+            match usage.stage {
+                Stage::Body => usage.moved_bytes += bytes,
+                Stage::Idle => {
+                    usage.stage = Stage::Head;
+                    usage.stage_since = now;
+                }
+                _ => {}
+            }
+        });
+    }
+
+    /// Records that bytes which were read belong to a request's head or body.
+    pub fn record_parsed(&mut self, key: ConnectionKey, bytes: u64) {
+        self.update(key, |usage| {
+            usage.unparsed_bytes = usage.unparsed_bytes.saturating_sub(bytes);
+        });
+    }
+
+    /// Records bytes that were written to a connection.
+    pub fn record_written(&mut self, now: Time, key: ConnectionKey, bytes: u64) {
+        self.update(key, |usage| {
+            usage.moved_at = now;
+            usage.moved_bytes += bytes;
+        });
+    }
+
+    /// Counts bytes that are held for a connection.
+    pub fn hold(&mut self, now: Time, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
+        self.buffered_bytes = self.buffered_bytes.saturating_add(bytes);
+        self.update(key, |usage| {
+            if usage.waiting_bytes() == 0 {
+                usage.waiting_since = now;
+                usage.moved_bytes = 0;
+            }
+            let held = usage.bytes_mut(held_for);
+            *held = held.saturating_add(bytes);
+        });
+    }
+
+    /// Counts bytes as gone that were held for a connection.
+    pub fn release(&mut self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
+        self.buffered_bytes = self.buffered_bytes.saturating_sub(bytes);
+        self.update(key, |usage| {
+            let held = usage.bytes_mut(held_for);
+            *held = held.saturating_sub(bytes);
+        });
+    }
+
+    /// Returns the room for one more connection.
+    pub fn connection_room(&mut self, now: Time) -> Room {
+        if self.has_place(CONNECTION_BYTES, 1) {
+            return Room::Free;
+        }
+        self.take_place(now, self.limits.min_idle_ms)
+    }
+
+    /// Returns the room for what the open connections hold already: a head may have grown, and a request
+    /// needs a connection to a backend server.
+    pub fn present_room(&mut self, now: Time) -> Room {
+        if self.has_place(0, 0) {
+            return Room::Free;
+        }
+        // What is here already doesn't wait for the place of what is not.
+        self.take_place(now, 0)
+    }
+
+    /// Returns the room for `bytes` more bytes of a connection's request or response.
+    pub fn buffer_room(
+        &mut self,
+        now: Time,
+        key: ConnectionKey,
+        bytes: u64,
+        held_for: HeldFor,
+    ) -> Room {
+        if self.fits(key, bytes, held_for, false) || self.fits(key, bytes, held_for, true) {
+            return Room::Free;
+        }
+        self.take_buffers(now, key)
+    }
+
+    /// Returns the connections whose time is over, and marks them as closing.
+    pub fn overdue(&mut self, now: Time, limits: ProgressLimits) -> Vec<ConnectionKey> {
+        let connections = self.connections.iter_mut();
+        let overdue = connections
+            .filter(|(_, usage)| !usage.is_closing && usage.is_overdue(now, limits))
+            .map(|(key, usage)| {
+                usage.is_closing = true;
+                *key
+            });
+        overdue.collect()
+    }
+
+    /// Returns whether `bytes` more bytes fit, either now or once the connections that are being closed
+    /// hold nothing.
+    fn fits(
+        &self,
+        key: ConnectionKey,
+        bytes: u64,
+        held_for: HeldFor,
+        without_closing: bool,
+    ) -> bool {
+        let gone = if without_closing {
+            self.closing_buffers()
+        } else {
+            0
+        };
+        let sum = self
+            .buffered_bytes
+            .saturating_sub(gone)
+            .saturating_add(bytes);
+        let limit = match held_for {
+            HeldFor::Request => self.limits.buffer_bytes / 100 * REQUESTS_PERCENT,
+            HeldFor::Response => self.limits.buffer_bytes,
+        };
+        let own = self.connections.get(&key);
+        let own = own.map_or(0, |usage| usage.bytes_for(held_for));
+        let own = own.saturating_add(bytes);
+        if sum > limit || own <= held_for.small_bytes() {
+            return sum <= limit;
+        }
+        let others = self
+            .connections
+            .iter()
+            .filter(|(other, usage)| **other != key && !(without_closing && usage.is_closing));
+        let others: u64 = others.map(|(_, usage)| usage.large_bytes(held_for)).sum();
+        let large_limit = self.limits.buffer_bytes / 100 * LARGE_PERCENT;
+        others == 0 || others.saturating_add(own) <= large_limit
+    }
+
+    /// Returns whether there is place for so many more bytes and descriptors of connections, if need be
+    /// once those are gone that are being closed.
+    fn has_place(&self, bytes: u64, descriptors: u64) -> bool {
+        let bytes = self.connection_bytes + bytes;
+        let descriptors = self.descriptors + descriptors;
+        let fits = |bytes: u64, descriptors: u64| {
+            bytes <= self.limits.connection_bytes && descriptors <= self.limits.descriptors
+        };
+        if fits(bytes, descriptors) {
+            return true;
+        }
+        let (closing_bytes, closing_descriptors) = self.closing_connections();
+        fits(bytes - closing_bytes, descriptors - closing_descriptors)
+    }
+
+    /// Returns the bytes that are buffered for connections that are being closed.
+    fn closing_buffers(&self) -> u64 {
+        let closing = self.connections.values().filter(|usage| usage.is_closing);
+        closing.map(Usage::buffered_bytes).sum()
+    }
+
+    /// Returns the memory and descriptors of connections that are being closed.
+    fn closing_connections(&self) -> (u64, u64) {
+        let closing = self.connections.values().filter(|usage| usage.is_closing);
+        closing.fold((0, 0), |(bytes, descriptors), usage| {
+            (
+                bytes + usage.connection_bytes(),
+                descriptors + usage.descriptors(),
+            )
+        })
+    }
+
+    /// Chooses the connection to close for the place of another one, `min_idle_ms` after it began what it
+    /// does.
+    fn take_place(&mut self, now: Time, min_idle_ms: u64) -> Room {
+        let yielding = self.connections.iter_mut();
+        let yielding = yielding.filter(|(_, usage)| usage.yields_place());
+        let Some((key, usage)) = yielding.max_by_key(|(_, usage)| usage.place_cost(now)) else {
+            return Room::Full;
+        };
+        let from = usage.stage_since.plus_millis(min_idle_ms);
+        if from > now {
+            return Room::At(from);
+        }
+        usage.is_closing = true;
+        Room::Closing(*key)
+    }
+
+    /// Chooses the connection to close for the buffers of another one.
+    fn take_buffers(&mut self, now: Time, asking: ConnectionKey) -> Room {
+        if now < self.search_at {
+            return Room::Full;
+        }
+        let waiting = self.connections.iter_mut().filter(|(key, usage)| {
+            let has_waited = usage.waiting_since.plus_millis(MIN_WAITING_MS) <= now;
+            let is_large = usage.waiting_bytes() >= MIN_WAITING_BYTES;
+            **key != asking && !usage.is_closing && is_large && has_waited
+        });
+        let Some((key, usage)) = waiting.max_by_key(|(_, usage)| usage.waiting_cost(now)) else {
+            self.search_at = now.plus_millis(SEARCH_INTERVAL_MS);
+            return Room::Full;
+        };
+        usage.is_closing = true;
+        Room::Closing(*key)
+    }
+
+    /// Changes a connection, and the sums with it.
+    fn update<F>(&mut self, key: ConnectionKey, change: F)
+    where
+        F: FnOnce(&mut Usage),
+    {
+        let Some(usage) = self.connections.get_mut(&key) else {
+            return;
+        };
+        self.connection_bytes -= usage.connection_bytes();
+        self.descriptors -= usage.descriptors();
+        change(usage);
+        self.connection_bytes += usage.connection_bytes();
+        self.descriptors += usage.descriptors();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers.rs
@@ -0,0 +1,268 @@
+//! Connections of one port, with what their callers make this router hold.
+//!
+//! [`CallerUsage`] decides; here the decisions are carried out on the connections.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::rc::Weak;
+use std::time::Duration;
+
+use policy::Time;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+
+use crate::caller_connection::CallerConnection;
+use crate::caller_usage::CallerUsage;
+use crate::caller_usage::ConnectionKey;
+use crate::caller_usage::HeldFor;
+use crate::caller_usage::ProgressLimits;
+use crate::caller_usage::Room;
+use crate::caller_usage::Stage;
+use crate::caller_usage::UsageLimits;
+use crate::clock::now;
+use crate::close_reason::CloseReason;
+use crate::log_event::LogEvent;
+use crate::process_event::log_failure;
+use crate::process_event::ProcessEvent;
+use crate::process_event::Step;
+
+/// Bytes that a request takes beside its body: heads, its state, and what its backend server has sent and
+/// is not read yet.
+pub const REQUEST_OVERHEAD_BYTES: u64 = 64 << 10;
+
+/// Interval at which a response that waits for room checks for it.
+pub const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Part of the buffers that responses that don't name their length may take together, in percent.
+const UNSIZED_PERCENT: u64 = 25;
+
+/// Bytes up to which such a response is taken in whatever the others take.
+const MIN_UNSIZED_BYTES: u64 = 64 << 10;
+
+/// Metrics of the connections of one port.
+#[derive(Clone)]
+pub struct CallerMetrics {
+    /// Open connections.
+    pub connections: IntGauge,
+    /// Connections closed by this router, by reason.
+    pub closed: IntCounterVec,
+}
+
+/// Outcome of opening a connection.
+pub enum Opening {
+    /// It is open.
+    Open(Rc<CallerConnection>),
+    /// There may be room for it at this time.
+    At(Time),
+    /// There is no room for it.
+    Full,
+}
+
+/// The connections of one port; clones share them.
+#[derive(Clone)]
+pub struct Callers(Rc<State>);
+
+struct State {
+    /// Name of the port, for the log.
+    port: &'static str,
+    limits: UsageLimits,
+    usage: RefCell<CallerUsage>,
+    connections: RefCell<HashMap<ConnectionKey, Weak<CallerConnection>>>,
+    /// Bytes of responses that don't name their length.
+    unsized_bytes: Cell<u64>,
+    /// Connections that were closed since the last line about it, by reason.
+    closed: RefCell<HashMap<CloseReason, u64>>,
+    /// Whether a connection could not be accepted since the last sweep.
+    accept_failed: Cell<bool>,
+    metrics: CallerMetrics,
+}
+
+impl Callers {
+    /// Returns the callers of a port without connections.
+    pub fn new(port: &'static str, limits: UsageLimits, metrics: CallerMetrics) -> Callers {
+        Callers(Rc::new(State {
+            port,
+            limits,
+            usage: RefCell::new(CallerUsage::new(limits)),
+            connections: RefCell::default(),
+            unsized_bytes: Cell::new(0),
+            closed: RefCell::default(),
+            accept_failed: Cell::new(false),
+            metrics,
+        }))
+    }
+
+    /// Returns how many bytes of requests and responses are held.
+    pub fn buffered_bytes(&self) -> u64 {
+        self.0.usage.borrow().buffered_bytes()
+    }
+
+    /// Returns how many connections are open.
+    pub fn connections(&self) -> usize {
+        self.0.usage.borrow().len()
+    }
+
+    /// Opens a connection if there is room for it, in place of another one if need be.
+    pub fn open(&self) -> Opening {
+        let room = self.0.usage.borrow_mut().connection_room(now());
+        match room {
+            Room::Free => {}
+            Room::Closing(key) => self.close(key, CloseReason::TooManyConnections),
+            Room::At(at) => return Opening::At(at),
+            Room::Full => {
+                self.count_closed(CloseReason::TooManyConnections);
+                return Opening::Full;
+            }
+        }
+        let key = self.0.usage.borrow_mut().open(now());
+        let connection = Rc::new(CallerConnection::new(self.clone(), key));
+        let weak = Rc::downgrade(&connection);
+        self.0.connections.borrow_mut().insert(key, weak);
+        self.show();
+        Opening::Open(connection)
+    }
+
+    /// Logs that a connection could not be accepted, once until the next sweep.
+    pub fn log_accept_failure(&self, e: &io::Error) {
+        if !self.0.accept_failed.replace(true) {
+            log_failure(Step::Accept, e);
+        }
+    }
+
+    /// Forgets a connection that is closed.
+    pub fn forget(&self, key: ConnectionKey) {
+        self.0.usage.borrow_mut().close(key);
+        self.0.connections.borrow_mut().remove(&key);
+        self.show();
+    }
+
+    /// Returns what a connection does, none if it is closed.
+    pub fn stage(&self, key: ConnectionKey) -> Option<Stage> {
+        self.0.usage.borrow().stage(key)
+    }
+
+    /// Records what a connection does from now on.
+    pub fn set_stage(&self, key: ConnectionKey, stage: Stage) {
+        self.0.usage.borrow_mut().set_stage(now(), key, stage);
+    }
+
+    /// Records bytes that were read from a connection, and closes one if there is no room for them.
+    pub fn record_read(&self, key: ConnectionKey, bytes: u64) {
+        self.0.usage.borrow_mut().record_read(now(), key, bytes);
+        self.make_present_room();
+    }
+
+    /// Records that bytes which were read belong to a request's head or body.
+    pub fn record_parsed(&self, key: ConnectionKey, bytes: u64) {
+        self.0.usage.borrow_mut().record_parsed(key, bytes);
+    }
+
+    /// Records bytes that were written to a connection.
+    pub fn record_written(&self, key: ConnectionKey, bytes: u64) {
+        self.0.usage.borrow_mut().record_written(now(), key, bytes);
+    }
+
+    /// Returns whether there is room for the connections and the requests on them.
+    pub fn make_present_room(&self) -> bool {
+        loop {
+            let room = self.0.usage.borrow_mut().present_room(now());
+            match room {
+                Room::Free => return true,
+                Room::Closing(key) => self.close(key, CloseReason::TooManyConnections),
+                Room::At(_) | Room::Full => return false,
+            }
+        }
+    }
+
+    /// Returns whether there is room for `bytes` more bytes of a connection, after closing others
+    /// that stand in its way.
+    pub fn make_buffer_room(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) -> bool {
+        loop {
+            let mut usage = self.0.usage.borrow_mut();
+            let room = usage.buffer_room(now(), key, bytes, held_for);
+            drop(usage);
+            match room {
+                Room::Free => return true,
+                Room::Closing(key) => self.close(key, CloseReason::NoMemory),
+                Room::At(_) | Room::Full => return false,
+            }
+        }
+    }
+
+    /// Counts bytes that are held for a connection.
+    pub fn hold(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
+        self.0.usage.borrow_mut().hold(now(), key, bytes, held_for);
+    }
+
+    /// Counts bytes as gone that were held for a connection.
+    pub fn release(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
+        self.0.usage.borrow_mut().release(key, bytes, held_for);
+    }
+
+    /// Counts `bytes` more bytes of a response that doesn't name its length and holds `held` of them.
+    /// Returns false, and counts none, if such responses take too much together and this is not a
+    /// small one.
+    pub fn try_grow_unsized(&self, held: u64, bytes: u64) -> bool {
+        let limit = self.0.limits.buffer_bytes / 100 * UNSIZED_PERCENT;
+        let sum = self.0.unsized_bytes.get().saturating_add(bytes);
+        let is_small = held.saturating_add(bytes) <= MIN_UNSIZED_BYTES;
+        if !is_small && sum > limit {
+            return false;
+        }
+        self.0.unsized_bytes.set(sum);
+        true
+    }
+
+    /// Counts bytes as gone of a response that doesn't name its length.
+    pub fn release_unsized(&self, bytes: u64) {
+        let unsized_bytes = &self.0.unsized_bytes;
+        unsized_bytes.set(unsized_bytes.get().saturating_sub(bytes));
+    }
+
+    /// Closes the connections whose time is over, and logs how many were closed since the last time.
+    pub fn sweep(&self, limits: ProgressLimits) {
+        let overdue = self.0.usage.borrow_mut().overdue(now(), limits);
+        for key in overdue {
+            self.close(key, CloseReason::NoProgress);
+        }
+        self.0.accept_failed.set(false);
+        for (reason, count) in self.0.closed.borrow_mut().drain() {
+            ProcessEvent::ConnectionsClosed {
+                port: self.0.port,
+                reason,
+                count,
+                open: self.connections(),
+                buffered_bytes: self.buffered_bytes(),
+            }
+            .write();
+        }
+    }
+
+    fn close(&self, key: ConnectionKey, reason: CloseReason) {
+        let connection = self
+            .0
+            .connections
+            .borrow()
+            .get(&key)
+            .and_then(Weak::upgrade);
+        if let Some(connection) = connection {
+            connection.close(reason);
+        }
+        self.count_closed(reason);
+    }
+
+    fn count_closed(&self, reason: CloseReason) {
+        *self.0.closed.borrow_mut().entry(reason).or_default() += 1;
+        let labels = [self.0.port, reason.name()];
+        self.0.metrics.closed.with_label_values(&labels).inc();
+    }
+
+    fn show(&self) {
+        let usage = self.0.usage.borrow();
+        let connections = i64::try_from(usage.len()).unwrap_or(i64::MAX);
+        self.0.metrics.connections.set(connections);
+    }
+}
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -28,6 +28,9 @@
 /// Most bytes that are read of a response that doesn't name its length.
 pub const MAX_RESPONSE_BYTES: u64 = 4 << 20;
 
+/// Most bytes that the http library reads ahead, which is also the largest head of a response.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+
 /// Reason why a connection could not be established.
 #[derive(Debug, Snafu)]
 #[snafu(display("{step} {peer}: {reason}"))]
@@ -109,7 +112,10 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (stream, allowance) = LimitedStream::new(stream, MAX_RESPONSE_BYTES);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
     let has_ended = Rc::new(Cell::new(false));
     let ended = Rc::clone(&has_ended);
     let task = tokio::task::spawn_local(async move {
--- a/crates/gateway/src/connector.rs
+++ b/crates/gateway/src/connector.rs
@@ -5,8 +5,13 @@
 
 use futures::future::LocalBoxFuture;
 use futures::FutureExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+/// Size of the receive buffer, in bytes. The kernel doubles it. What a backend server has sent and
+/// nobody reads counts toward the memory of the VM.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+
 /// Opens connections to backend servers.
 pub trait Connector {
     /// Opens a TCP connection to a backend server.
@@ -19,6 +24,15 @@
 
 impl Connector for TcpConnector {
     fn connect(&self, server: SocketAddr) -> LocalBoxFuture<'_, io::Result<TcpStream>> {
-        TcpStream::connect(server).boxed_local()
+        connect(server).boxed_local()
     }
 }
+
+async fn connect(server: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match server {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.connect(server).await
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,7 +16,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::buffer_budget::BufferBudget;
+use crate::callers::Callers;
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::codec::Codec;
@@ -80,8 +80,16 @@
     pub pending_permits: PendingReplies<Permit>,
     /// What other routers are asked about streams.
     pub pending_streams: PendingReplies<StreamKnowledge>,
-    /// Counts the bytes that are buffered for callers and backend servers.
-    pub buffers: BufferBudget,
+    /// Connections of callers, and what is held for them.
+    pub callers: Callers,
+    /// Connections of other routers.
+    pub router_connections: Callers,
+    /// Connections to the readiness page.
+    pub readiness_connections: Callers,
+    /// Connections to the pages for operators.
+    pub metrics_connections: Callers,
+    /// Connections to the pages for new routers.
+    pub bootstrap_connections: Callers,
     /// Quotas of workspaces, and what this router may spend of them.
     pub quotas: Quotas,
     /// Streams that are written to the store, or were read from it.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,7 +18,9 @@
 
 use crate::accepted::Accepted;
 use crate::attempted_server::AttemptedServer;
-use crate::buffer_budget::BufferHold;
+use crate::buffer_hold::BufferHold;
+use crate::caller_connection::CallerConnection;
+use crate::caller_connection::Delivery;
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::codec::RequestHead;
@@ -30,7 +32,7 @@
 use crate::spent_quota::SpentQuota;
 
 /// Longest time until the response if the caller names none, in milliseconds after arrival.
-const DEFAULT_MAX_WAIT_MS: u64 = 30_000;
+pub const DEFAULT_MAX_WAIT_MS: u64 = 30_000;
 
 /// Time after the deadline for which a response is still awaited, in milliseconds:
 /// the backend server's own timeout response may be in transit.
@@ -40,6 +42,8 @@
 pub struct Exchange {
     /// State of this router.
     pub cx: Rc<Context>,
+    /// Connection of the caller.
+    pub caller: Rc<CallerConnection>,
     /// Head that the caller sent.
     pub head: request::Parts,
     /// Fields read from the head.
@@ -47,7 +51,7 @@
     /// Body that the caller sent.
     pub body: Bytes,
     /// Counts the request as buffered.
-    pub _hold: BufferHold,
+    pub hold: Option<BufferHold>,
     /// Route that matched.
     pub route: Arc<Route>,
     /// Workspace of the caller's key.
@@ -88,12 +92,13 @@
 
 impl Exchange {
     /// Sets the deadline and picks the service of a request.
-    pub fn new(cx: Rc<Context>, accepted: Accepted) -> Exchange {
+    pub fn new(cx: Rc<Context>, caller: Rc<CallerConnection>, accepted: Accepted) -> Exchange {
         let seed: u64 = rand::rng().random();
         let max_wait_ms = accepted.parsed.max_wait_ms.unwrap_or(DEFAULT_MAX_WAIT_MS);
         let route = accepted.route;
         Exchange {
             cx,
+            caller,
             service: pick_service(&route, seed),
             deadline: accepted
                 .arrived_at
@@ -101,7 +106,7 @@
             head: accepted.head,
             parsed: accepted.parsed,
             body: accepted.body,
-            _hold: accepted.hold,
+            hold: Some(accepted.hold),
             route,
             workspace: accepted.workspace,
             arrived_at: accepted.arrived_at,
@@ -147,6 +152,31 @@
         }
     }
 
+    /// Frees what only attempts need, and records the outcome once the caller has the whole response, or
+    /// has left. `outcome` is that of a response that was delivered.
+    pub fn finish_when_delivered(mut self, outcome: &'static str, status: u16, server: ServerKey) {
+        self.body = Bytes::new();
+        self.hold = None;
+        self.place = None;
+        let caller = Rc::clone(&self.caller);
+        caller.set_on_end(move |delivery| {
+            let outcome = match delivery {
+                Delivery::Whole => outcome,
+                Delivery::CallerLeft => "caller_left",
+                Delivery::Closed => "caller_closed",
+            };
+            self.finish(outcome, status, Some(server));
+        });
+    }
+
+    /// Returns the outcome of a request whose caller takes no more of the response.
+    pub fn undelivered_outcome(&self) -> &'static str {
+        match self.caller.broken_delivery() {
+            Delivery::Closed => "caller_closed",
+            Delivery::Whole | Delivery::CallerLeft => "caller_left",
+        }
+    }
+
     /// Records the final outcome of the request in metrics and log.
     pub fn finish(&mut self, outcome: &str, status: u16, server: Option<ServerKey>) {
         self.finished = true;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::header::CONNECTION;
+use http::request;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -14,29 +16,41 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::body::ResponseBody;
+use crate::caller_connection::CallerConnection;
+use crate::caller_connection::ConnectionEnd;
+use crate::caller_stream::CallerStream;
+use crate::caller_usage::ProgressLimits;
+use crate::callers::Callers;
+use crate::callers::Opening;
+use crate::close_reason::CloseReason;
 use crate::connection::error_chain;
 use crate::context::Context;
 use crate::context::Phase;
+use crate::early_refusal::refuse_early;
 use crate::intake;
 use crate::intake::Aborted;
+use crate::liveness::set_keepalive;
 use crate::liveness::Liveness;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
 use crate::status_pages;
+use crate::timing::duration_until;
 use crate::tunnel_acceptor;
 
 /// Largest head of a request while no configuration is in force, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Time for which a connection may stay idle while no configuration is in force, in milliseconds.
-const DEFAULT_IDLE_MS: u64 = 15_000;
+/// Limits on the progress of connections while no configuration is in force.
+const DEFAULT_PROGRESS_LIMITS: ProgressLimits = ProgressLimits {
+    head_ms: 15_000,
+    idle_ms: 15_000,
+};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -45,21 +59,13 @@
 const LEAVING_IDLE: Duration = Duration::from_millis(400);
 
 /// Accepts connections until the process ends, and serves each in a task of its own.
-pub async fn accept<F, S>(listener: TcpListener, serve: F)
+pub async fn accept<F, S>(listener: TcpListener, callers: Callers, serve: F)
 where
-    F: Fn(TcpStream) -> S,
+    F: Fn(TcpStream, Rc<CallerConnection>) -> S,
     S: Future<Output = ()> + 'static,
 {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(stream));
-            }
-            Err(e) => {
-                log_failure(Step::Accept, &e);
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        accept_one(&listener, &callers, &serve).await;
     }
 }
 
@@ -67,50 +73,93 @@
 /// a task of its own. Then the port is closed.
 pub async fn accept_until_closed<F, S>(
     listener: TcpListener,
+    callers: Callers,
     mut close: watch::Receiver<bool>,
     serve: F,
 ) where
-    F: Fn(TcpStream) -> S,
+    F: Fn(TcpStream, Rc<CallerConnection>) -> S,
     S: Future<Output = ()> + 'static,
 {
     loop {
-        let accepted = tokio::select! {
+        tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            () = accept_one(&listener, &callers, &serve) => {}
             _ = close.wait_for(|close| *close) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(stream));
-            }
-            Err(e) => {
-                log_failure(Step::Accept, &e);
-                sleep(ACCEPT_PAUSE).await;
+        }
+    }
+}
+
+async fn accept_one<F, S>(listener: &TcpListener, callers: &Callers, serve: &F)
+where
+    F: Fn(TcpStream, Rc<CallerConnection>) -> S,
+    S: Future<Output = ()> + 'static,
+{
+    match listener.accept().await {
+        Ok((stream, _)) => match open(callers).await {
+            Some(connection) => {
+                tokio::task::spawn_local(serve(stream, connection));
             }
+            None => refuse_early(&stream, CloseReason::TooManyConnections),
+        },
+        Err(e) => {
+            callers.log_accept_failure(&e);
+            sleep(ACCEPT_PAUSE).await;
+        }
+    }
+}
+
+/// Waits until there is room for a connection; none if there will be none soon.
+async fn open(callers: &Callers) -> Option<Rc<CallerConnection>> {
+    loop {
+        match callers.open() {
+            Opening::Open(connection) => return Some(connection),
+            Opening::At(at) => sleep(duration_until(at)).await,
+            Opening::Full => return None,
         }
     }
 }
 
 /// Serves one connection of a caller until it ends. Once `leave` is true, it is closed as soon as
 /// no request is in flight on it and none has come for a while.
-pub async fn serve(cx: Rc<Context>, stream: TcpStream, leave: watch::Receiver<bool>) {
-    if let Err(e) = Liveness::PATIENT.apply(&stream) {
+pub async fn serve(
+    cx: Rc<Context>,
+    socket: TcpStream,
+    connection: Rc<CallerConnection>,
+    leave: watch::Receiver<bool>,
+) {
+    if let Err(e) = set_keepalive(&socket) {
         log_failure(Step::Socket, &e);
         return;
     }
-    let (head_bytes, idle_ms) = limits(&cx);
-    let service = service_fn(|req| handle(Rc::clone(&cx), req));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(head_bytes)
+    let socket = Rc::new(socket);
+    let stream = CallerStream::new(Rc::clone(&socket), Rc::clone(&connection));
+    let max_head_bytes = max_head_bytes(&cx);
+    // Boxed, so that idle connections don't take the memory of a request.
+    let service =
+        service_fn(|req| handle(Rc::clone(&cx), Rc::clone(&connection), req).boxed_local());
+    let http = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(max_head_bytes)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = until_idle_closes(leave) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut http = pin!(http);
+    // Dropped before the http library's state: a response that it still has isn't delivered.
+    let _end = ConnectionEnd(Rc::clone(&connection));
+    let leaving = until_idle_closes(leave);
+    let mut leaving = pin!(leaving);
+    let mut is_leaving = false;
+    let result = loop {
+        tokio::select! {
+            result = http.as_mut() => break result,
+            () = leaving.as_mut(), if !is_leaving => {
+                http.as_mut().graceful_shutdown();
+                is_leaving = true;
+            }
+            reason = connection.closing() => {
+                if connection.has_unread_request() {
+                    refuse_early(&socket, reason);
+                }
+                return;
+            }
         }
     };
     if let Err(e) = result {
@@ -126,47 +175,81 @@
     sleep(LEAVING_IDLE).await;
 }
 
-fn limits(cx: &Context) -> (usize, u64) {
+fn max_head_bytes(cx: &Context) -> usize {
     let view = cx.view.borrow();
-    let limits = view.configuration.as_ref().map(|c| c.limits);
-    let limits = limits.map(|limits| {
-        let idle_ms = limits.idle_timeout_ms.max(limits.head_timeout_ms);
-        (limits.max_head_bytes.max(8 << 10), idle_ms)
-    });
-    limits.unwrap_or((DEFAULT_MAX_HEAD_BYTES, DEFAULT_IDLE_MS))
+    let configuration = view.configuration.as_ref();
+    configuration.map_or(DEFAULT_MAX_HEAD_BYTES, |configuration| {
+        configuration.limits.max_head_bytes.max(8 << 10)
+    })
+}
+
+/// Returns the limits on the progress of connections by the configuration in force.
+pub fn progress_limits(cx: &Context) -> ProgressLimits {
+    let view = cx.view.borrow();
+    let configuration = view.configuration.as_ref();
+    configuration.map_or(DEFAULT_PROGRESS_LIMITS, |configuration| {
+        let limits = configuration.limits;
+        ProgressLimits {
+            head_ms: limits.head_timeout_ms,
+            idle_ms: limits.idle_timeout_ms.max(limits.head_timeout_ms),
+        }
+    })
 }
 
 async fn handle(
     cx: Rc<Context>,
+    connection: Rc<CallerConnection>,
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Aborted> {
-    let mut response = intake::respond(Rc::clone(&cx), req).await?;
+    let (head, body) = req.into_parts();
+    connection.begin_body(head_bytes(&head));
+    let caller = Rc::clone(&connection);
+    let mut response = intake::respond(Rc::clone(&cx), caller, head, body).await?;
     if cx.phase.get() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
+    connection.begin_response();
+    response.body_mut().send_over(connection);
     Ok(response)
 }
 
+/// Returns the length of a request's head as it was sent, but for unusual spaces.
+fn head_bytes(head: &request::Parts) -> u64 {
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    let start_line = head.method.as_str().len() + path + "  HTTP/1.1\r\n".len();
+    (start_line + headers.sum::<usize>() + "\r\n".len()) as u64
+}
+
 /// Serves one connection with pages that `page` returns for a path.
-pub async fn serve_pages<F>(stream: TcpStream, page: F)
+pub async fn serve_pages<F>(stream: TcpStream, connection: Rc<CallerConnection>, page: F)
 where
     F: Fn(&str) -> Response<ResponseBody>,
 {
     let service = service_fn(|req: Request<Incoming>| {
+        connection.record_page();
         let response = page(req.uri().path());
         async { Ok::<_, Infallible>(response) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+    let http = http1::Builder::new()
+        .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(e) = connection.await {
+    let result = tokio::select! {
+        result = http => result,
+        _ = connection.closing() => return,
+    };
+    if let Err(e) = result {
         log_failure(Step::Connection, &error_chain(&e));
     }
 }
 
 /// Serves one connection of another router: pages, or a connection to a backend server.
-pub async fn serve_router(cx: Rc<Context>, stream: TcpStream) {
+pub async fn serve_router(cx: Rc<Context>, stream: TcpStream, connection: Rc<CallerConnection>) {
     let from = match stream.peer_addr() {
         Ok(address) => address.ip(),
         Err(e) => return log_failure(Step::Accept, &e),
@@ -176,18 +259,25 @@
     }
     let service = service_fn(|req: Request<Incoming>| {
         let cx = Rc::clone(&cx);
-        async move {
+        let connection = Rc::clone(&connection);
+        connection.record_page();
+        let respond = async move {
             let response = match tunnel_acceptor::target(&req) {
-                Some(server) => tunnel_acceptor::accept(cx, from, server, req).await,
+                Some(server) => tunnel_acceptor::accept(cx, connection, from, server, req).await,
                 None => status_pages::bootstrap(&cx, req.uri().path()),
             };
             Ok::<_, Infallible>(response)
-        }
+        };
+        respond.boxed_local()
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+    let http = http1::Builder::new()
+        .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(e) = connection.with_upgrades().await {
+    let result = tokio::select! {
+        result = http.with_upgrades() => result,
+        _ = connection.closing() => return,
+    };
+    if let Err(e) = result {
         log_failure(Step::Connection, &error_chain(&e));
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,8 +21,9 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use crate::buffer_budget::BufferBudget;
 use crate::build_records;
+use crate::caller_usage::UsageLimits;
+use crate::callers::Callers;
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::codec::Codec;
@@ -38,6 +39,7 @@
 use crate::frontend;
 use crate::frontend::accept;
 use crate::frontend::accept_until_closed;
+use crate::frontend::progress_limits;
 use crate::frontend::serve_pages;
 use crate::gossip_task;
 use crate::listener::listen;
@@ -65,6 +67,20 @@
 use crate::stream_record_task;
 use crate::stream_records::StreamRecords;
 
+/// Parts of the descriptors, in percent: connections of callers with those to backend servers for
+/// their requests, connections of other routers with those to servers for them, and connections to
+/// the pages of each port. The rest is for the store, files and idle connections to servers.
+const CALLERS_PERCENT: u64 = 70;
+const ROUTERS_PERCENT: u64 = 14;
+const PAGES_PERCENT: u64 = 2;
+
+/// Time for which a connection of a caller stays idle before a new one may take its place, in
+/// milliseconds.
+const CALLERS_MIN_IDLE_MS: u64 = 200;
+
+/// The same for the other ports, whose requests are small and come at once.
+const SLOTS_MIN_IDLE_MS: u64 = 10;
+
 /// Interval at which expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -124,8 +140,6 @@
     leave_tx: watch::Sender<bool>,
     /// Becomes true when connections are no longer accepted.
     close_tx: watch::Sender<bool>,
-    /// Cloned for each connection of a caller.
-    connections: Rc<()>,
 }
 
 impl Gateway {
@@ -143,7 +157,11 @@
             pending_streams: PendingReplies::default(),
             stream_records: StreamRecords::default(),
             seeds: RefCell::new(settings.seeds.clone()),
-            buffers: BufferBudget::new(settings.buffer_bytes, metrics.buffered_bytes.clone()),
+            callers: open_callers(&settings, &metrics),
+            router_connections: open_slots(&settings, &metrics, "routers", ROUTERS_PERCENT),
+            readiness_connections: open_slots(&settings, &metrics, "readiness", PAGES_PERCENT),
+            metrics_connections: open_slots(&settings, &metrics, "metrics", PAGES_PERCENT),
+            bootstrap_connections: open_slots(&settings, &metrics, "bootstrap", PAGES_PERCENT),
             settings,
             codec: services.codec,
             store: Rc::new(store),
@@ -165,7 +183,6 @@
             cx,
             leave_tx: watch::channel(false).0,
             close_tx: watch::channel(false).0,
-            connections: Rc::default(),
         };
         gateway.open_ports().await?;
         gateway.spawn_tasks();
@@ -255,11 +272,9 @@
         .write();
     }
 
-    /// Returns how many connections of callers are open. This gateway and its port hold a clone of
-    /// the counter each, the port until it is closed.
+    /// Returns how many connections of callers are open.
     fn connections(&self) -> usize {
-        let holders = if *self.close_tx.borrow() { 1 } else { 2 };
-        Rc::strong_count(&self.connections).saturating_sub(holders)
+        self.cx.callers.connections()
     }
 
     async fn open_ports(&self) -> Result<(), Error> {
@@ -268,40 +283,41 @@
         let callers = open("callers", addresses.callers)?;
         let leave = self.leave_tx.subscribe();
         let shared = Rc::clone(cx);
-        let connections = Rc::clone(&self.connections);
-        let serve = move |stream| {
-            let connection = Rc::clone(&connections);
-            let served = frontend::serve(Rc::clone(&shared), stream, leave.clone());
-            async move {
-                served.await;
-                drop(connection);
-            }
+        let serve = move |stream, connection| {
+            frontend::serve(Rc::clone(&shared), stream, connection, leave.clone())
         };
         let close = self.close_tx.subscribe();
-        tokio::task::spawn_local(accept_until_closed(callers, close, serve));
+        let connections = cx.callers.clone();
+        tokio::task::spawn_local(accept_until_closed(callers, connections, close, serve));
         let readiness = open("readiness", addresses.readiness)?;
-        self.serve(readiness, |cx, _| status_pages::readiness(cx));
+        let connections = &cx.readiness_connections;
+        self.serve(readiness, connections, |cx, _| status_pages::readiness(cx));
         let metrics = SocketAddr::new(addresses.callers.ip(), addresses.metrics_port);
-        self.serve(open("metrics", metrics)?, status_pages::operators);
+        let metrics = open("metrics", metrics)?;
+        self.serve(metrics, &cx.metrics_connections, status_pages::operators);
         let routers = open("other routers", peer_address(&cx.settings))?;
         let shared = Rc::clone(cx);
-        tokio::task::spawn_local(accept(routers, move |stream| {
-            frontend::serve_router(Rc::clone(&shared), stream)
+        let connections = cx.router_connections.clone();
+        tokio::task::spawn_local(accept(routers, connections, move |stream, connection| {
+            frontend::serve_router(Rc::clone(&shared), stream, connection)
         }));
         if let Some(address) = addresses.bootstrap {
-            self.serve(open("new routers", address)?, status_pages::bootstrap);
+            let bootstrap = open("new routers", address)?;
+            let connections = &cx.bootstrap_connections;
+            self.serve(bootstrap, connections, status_pages::bootstrap);
         }
         Ok(())
     }
 
-    fn serve<F>(&self, listener: TcpListener, page: F)
+    fn serve<F>(&self, listener: TcpListener, connections: &Callers, page: F)
     where
         F: Fn(&Context, &str) -> http::Response<crate::body::ResponseBody> + Copy + 'static,
     {
         let cx = Rc::clone(&self.cx);
-        tokio::task::spawn_local(accept(listener, move |stream| {
+        let connections = connections.clone();
+        tokio::task::spawn_local(accept(listener, connections, move |stream, connection| {
             let cx = Rc::clone(&cx);
-            async move { serve_pages(stream, |path| page(&cx, path)).await }
+            async move { serve_pages(stream, connection, |path| page(&cx, path)).await }
         }));
     }
 
@@ -329,6 +345,27 @@
     }
 }
 
+fn open_callers(settings: &Settings, metrics: &Metrics) -> Callers {
+    let limits = UsageLimits {
+        buffer_bytes: settings.buffer_bytes,
+        connection_bytes: settings.connection_bytes,
+        descriptors: settings.max_descriptors / 100 * CALLERS_PERCENT,
+        min_idle_ms: CALLERS_MIN_IDLE_MS,
+    };
+    Callers::new("callers", limits, metrics.of_port("callers"))
+}
+
+/// Returns the connections of a port that takes `percent` of the descriptors and no buffers.
+fn open_slots(settings: &Settings, metrics: &Metrics, port: &'static str, percent: u64) -> Callers {
+    let limits = UsageLimits {
+        buffer_bytes: u64::MAX,
+        connection_bytes: u64::MAX,
+        descriptors: settings.max_descriptors / 100 * percent,
+        min_idle_ms: SLOTS_MIN_IDLE_MS,
+    };
+    Callers::new(port, limits, metrics.of_port(port))
+}
+
 fn peer_address(settings: &Settings) -> SocketAddr {
     let listen = &settings.listen;
     SocketAddr::new(listen.callers.ip(), listen.peer_port)
@@ -350,5 +387,11 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         cx.pool.sweep(&cx.view.borrow().fleet);
+        let limits = progress_limits(&cx);
+        cx.callers.sweep(limits);
+        cx.router_connections.sweep(limits);
+        cx.readiness_connections.sweep(limits);
+        cx.metrics_connections.sweep(limits);
+        cx.bootstrap_connections.sweep(limits);
     }
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use relay::Choice;
+use relay::ServerKey;
 
 use crate::attempt_timer::AttemptTimer;
 use crate::clock::now;
@@ -47,6 +48,16 @@
         }
     }
 
+    /// Records that this router doesn't read the response at present, until the guard is dropped.
+    pub fn hold_back(&self) -> HeldBack {
+        let server = self.choice.server;
+        self.cx.view.borrow_mut().fleet.begin_hold_back(server);
+        HeldBack {
+            cx: Rc::clone(&self.cx),
+            server,
+        }
+    }
+
     /// Records the time to the first event of a stream; ignored after that.
     pub fn record_first_event(&mut self) {
         let Some(timer) = &mut self.timer else {
@@ -92,6 +103,20 @@
     }
 }
 
+/// A response that this router doesn't read at present, as there is no room for it or its caller doesn't
+/// take it.
+pub struct HeldBack {
+    cx: Rc<Context>,
+    server: ServerKey,
+}
+
+impl Drop for HeldBack {
+    fn drop(&mut self) {
+        let fleet = &mut self.cx.view.borrow_mut().fleet;
+        fleet.end_hold_back(now(), self.server);
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut view = self.cx.view.borrow_mut();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,16 +22,18 @@
 
 use crate::accepted::Accepted;
 use crate::body::ResponseBody;
-use crate::buffer_budget::BufferHold;
-use crate::buffer_budget::REQUEST_OVERHEAD_BYTES;
+use crate::buffer_hold::BufferHold;
+use crate::caller_connection::CallerConnection;
 use crate::clock::now;
 use crate::codec::RequestHead;
 use crate::context::Context;
 use crate::context::Phase;
 use crate::exchange::Exchange;
+use crate::exchange::DEFAULT_MAX_WAIT_MS;
 use crate::log_event::LogEvent;
 use crate::refusal::Refusal;
 use crate::request_event::RequestEvent;
+use crate::timing::duration_until;
 
 /// Retry-after time while this router has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 300;
@@ -48,6 +50,9 @@
 /// have room.
 const NO_MEMORY_RETRY_AFTER_MS: u64 = 500;
 
+/// Retry-after time of a request whose body was not read by its deadline, in milliseconds.
+const BODY_TOO_SLOW_RETRY_AFTER_MS: u64 = 500;
+
 /// Most bytes of a body that are read before its request is refused as this router shuts down.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 
@@ -77,9 +82,10 @@
 /// Serves a request and returns its response.
 pub async fn respond(
     cx: Rc<Context>,
-    req: http::Request<Incoming>,
+    caller: Rc<CallerConnection>,
+    head: request::Parts,
+    body: Incoming,
 ) -> Result<Response<ResponseBody>, Aborted> {
-    let (head, body) = req.into_parts();
     let parsed = match cx.codec.read_request(&head) {
         Ok(parsed) => parsed,
         Err(e) => {
@@ -95,8 +101,8 @@
         }
     };
     let id = parsed.id.clone();
-    match accept(&cx, head, parsed, body).await {
-        Ok(accepted) => Ok(Exchange::new(cx, accepted).run().await),
+    match accept(&cx, &caller, head, parsed, body).await {
+        Ok(accepted) => Ok(Exchange::new(cx, caller, accepted).run().await),
         Err(NotAccepted::Refused(refusal, configuration)) => {
             RequestEvent::Refused {
                 id: Some(&id),
@@ -120,6 +126,7 @@
 
 async fn accept(
     cx: &Context,
+    caller: &CallerConnection,
     head: request::Parts,
     parsed: RequestHead,
     body: Incoming,
@@ -145,7 +152,15 @@
         }
         Err(refusal) => return Err(NotAccepted::Refused(refusal, version)),
     };
-    let (body, hold) = read_body(cx, body, configuration.limits.max_body_bytes, version).await?;
+    let read = read_body(caller, body, configuration.limits.max_body_bytes, version);
+    let max_wait_ms = parsed.max_wait_ms.unwrap_or(DEFAULT_MAX_WAIT_MS);
+    let deadline = arrived_at.plus_millis(max_wait_ms.min(route.timeout_ms));
+    let read = timeout(duration_until(deadline), read).await;
+    let (body, hold) =
+        read.map_err(|_| not_run("body_too_slow", BODY_TOO_SLOW_RETRY_AFTER_MS, version))??;
+    if !caller.begin_running() {
+        return Err(not_run("no_descriptors", NO_MEMORY_RETRY_AFTER_MS, version));
+    }
     let fingerprint = fingerprint(workspace.as_deref(), &head, &body);
     let suspects = suspects(fingerprint, &parsed);
     if let Admission::Blocked(until) = cx.admission(&suspects) {
@@ -174,10 +189,10 @@
     NotAccepted::Refused(refusal, configuration)
 }
 
-/// Reads a body of at most `limit` bytes, each of which counts as buffered from its arrival on. A
-/// body that names its length counts in full before it is read.
+/// Reads a body of at most `limit` bytes, each of which counts as buffered from its arrival on. What it
+/// only names counts nothing.
 async fn read_body(
-    cx: &Context,
+    caller: &CallerConnection,
     mut body: Incoming,
     limit: usize,
     configuration: u64,
@@ -187,12 +202,8 @@
     if named.is_some_and(|bytes| bytes > limit as u64) {
         return Err(NotAccepted::Refused(Refusal::TooLarge, configuration));
     }
-    let first_bytes = REQUEST_OVERHEAD_BYTES + named.unwrap_or(0);
-    let mut hold = cx
-        .buffers
-        .begin_request(first_bytes)
-        .ok_or_else(no_memory)?;
-    let mut buf = BytesMut::with_capacity(named.unwrap_or(0) as usize);
+    let mut hold = caller.begin_request().ok_or_else(no_memory)?;
+    let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| NotAccepted::Incomplete(e.to_string()))?;
         let Ok(bytes) = frame.into_data() else {
@@ -201,10 +212,12 @@
         if buf.len() + bytes.len() > limit {
             return Err(NotAccepted::Refused(Refusal::TooLarge, configuration));
         }
-        if named.is_none() && !hold.try_grow(bytes.len() as u64) {
+        caller.record_body(bytes.len() as u64);
+        let before = buf.capacity();
+        buf.extend_from_slice(&bytes);
+        if !hold.try_grow((buf.capacity() - before) as u64) {
             return Err(no_memory());
         }
-        buf.extend_from_slice(&bytes);
     }
     Ok((buf.freeze(), hold))
 }
--- a/crates/gateway/src/liveness.rs
+++ b/crates/gateway/src/liveness.rs
@@ -20,7 +20,7 @@
 }
 
 impl Liveness {
-    /// A caller, a backend server or another router, which may be silent for a while.
+    /// A backend server or another router, which may be silent for a while.
     pub const PATIENT: Liveness = Liveness {
         unacknowledged: Duration::from_millis(2_500),
     };
@@ -43,13 +43,19 @@
 
     /// Sets the options of a connection, and disables Nagle's algorithm.
     pub fn apply(self, stream: &TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        let socket = SockRef::from(stream);
-        let keepalive = TcpKeepalive::new()
-            .with_time(PROBE_INTERVAL)
-            .with_interval(PROBE_INTERVAL)
-            .with_retries(2);
-        socket.set_tcp_keepalive(&keepalive)?;
-        socket.set_tcp_user_timeout(Some(self.unacknowledged))
+        set_keepalive(stream)?;
+        SockRef::from(stream).set_tcp_user_timeout(Some(self.unacknowledged))
     }
 }
+
+/// Has an idle connection end whose peer is gone, and disables Nagle's algorithm. Unlike
+/// [`Liveness::apply`] it leaves a peer alone that acknowledges nothing new as it doesn't read: the
+/// kernel counts a closed window as unacknowledged.
+pub fn set_keepalive(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(2);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,10 +9,12 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::callers::CallerMetrics;
 use crate::cluster_view::ClusterView;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
@@ -48,6 +50,10 @@
     view_gauges: ViewGauges,
     /// Bytes buffered for callers and backend servers.
     pub buffered_bytes: IntGauge,
+    /// Open connections, by port.
+    pub connections: IntGaugeVec,
+    /// Connections that this router has closed, by port and reason.
+    pub connections_closed: IntCounterVec,
     lines_dropped: IntGauge,
     /// Time to choose a backend server, in seconds.
     pub decision: Histogram,
@@ -91,6 +97,13 @@
             servers: ServerMetrics::new(&registry),
             view_gauges: ViewGauges::new(&registry),
             buffered_bytes: buffered_bytes(&registry),
+            connections: connections(&registry),
+            connections_closed: counters(
+                &registry,
+                "connections_closed",
+                "Connections closed by this router, by port and reason",
+                &["port", "reason"],
+            ),
             lines_dropped: lines_dropped(&registry),
             decision: histogram(
                 &registry,
@@ -132,6 +145,14 @@
         }
     }
 
+    /// Returns the metrics of the connections of a port.
+    pub fn of_port(&self, port: &str) -> CallerMetrics {
+        CallerMetrics {
+            connections: self.connections.with_label_values(&[port]),
+            closed: self.connections_closed.clone(),
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format. `lines_dropped` is the number
     /// of log lines dropped since the start.
     pub fn text(&self, now: Time, view: &mut ClusterView, lines_dropped: u64) -> Vec<u8> {
@@ -183,6 +204,11 @@
     register(registry, IntGauge::new(name, help))
 }
 
+fn connections(registry: &Registry) -> IntGaugeVec {
+    let opts = Opts::new("turmerichollow_connections", "Open connections, by port");
+    register(registry, IntGaugeVec::new(opts, &["port"]))
+}
+
 fn lines_dropped(registry: &Registry) -> IntGauge {
     let name = "turmerichollow_log_lines_dropped";
     register(registry, IntGauge::new(name, "Log lines dropped"))
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,6 +1,5 @@
 //! Responses that the gateway gives without a backend server.
 
-use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
 use http::HeaderValue;
@@ -8,7 +7,6 @@
 use http::StatusCode;
 use policy::Time;
 
-use crate::body::full_body;
 use crate::body::ResponseBody;
 
 /// Shortest retry-after time of a request that crashes backend servers, in milliseconds.
@@ -104,7 +102,7 @@
     /// Returns the response: the reason as JSON, and `retry-after` in seconds if it did not run.
     pub fn response(self) -> Response<ResponseBody> {
         let text = format!("{{\"reason\":\"{}\"}}\n", self.reason());
-        let mut response = Response::new(full_body(Bytes::from(text)));
+        let mut response = Response::new(ResponseBody::own(text));
         *response.status_mut() = self.status();
         let json = HeaderValue::from_static("application/json");
         response.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/gateway/src/request_task.rs
+++ b/crates/gateway/src/request_task.rs
@@ -95,7 +95,7 @@
         } else {
             "failed"
         };
-        self.finish(outcome, status.as_u16(), Some(full.server));
+        self.finish_when_delivered(outcome, status.as_u16(), full.server);
         full.response
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,9 @@
 
 use crate::settings_json::SettingsJson;
 
+/// Fewest descriptors with which a router can serve.
+const MIN_DESCRIPTORS: u64 = 200;
+
 /// Reason why a settings file can't be used.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -103,6 +106,10 @@
     pub orders_at_once_percent: u32,
     /// Most bytes that are buffered for callers and backend servers together.
     pub buffer_bytes: u64,
+    /// Most bytes of callers' connections without what is buffered for them.
+    pub connection_bytes: u64,
+    /// Most descriptors that the process may have open.
+    pub max_descriptors: u64,
     /// Whether the whole system starts for the first time, so that no stream is older than this
     /// router.
     pub first_start: bool,
@@ -147,6 +154,11 @@
                 "orders_at_once_percent",
                 "expected 1 to 100",
             ),
+            (
+                self.max_descriptors < MIN_DESCRIPTORS,
+                "max_descriptors",
+                "expected 200 or more",
+            ),
         ];
         for (fault, field, reason) in faults {
             if fault {
--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -21,6 +21,9 @@
 /// Default of `buffer_percent`. Connections, the cluster view and the log take the rest.
 const BUFFER_PERCENT: f64 = 40.0;
 
+/// Default of `connection_percent`.
+const CONNECTION_PERCENT: f64 = 25.0;
+
 /// Bytes of a megabyte of memory.
 const MB_BYTES: f64 = 1_048_576.0;
 
@@ -59,6 +62,8 @@
     orders_at_once_percent: Option<f64>,
     memory_mb: Option<f64>,
     buffer_percent: Option<f64>,
+    connection_percent: Option<f64>,
+    max_descriptors: Option<f64>,
     first_start: Option<bool>,
     limit_server_room: Option<bool>,
     learn_server_pace: Option<bool>,
@@ -118,7 +123,20 @@
                 json.orders_at_once_percent
                     .unwrap_or(ORDERS_AT_ONCE_PERCENT),
             )?,
-            buffer_bytes: buffer_bytes(json.memory_mb, json.buffer_percent)?,
+            buffer_bytes: share_of_memory(
+                json.memory_mb,
+                "buffer_percent",
+                json.buffer_percent.unwrap_or(BUFFER_PERCENT),
+            )?,
+            connection_bytes: share_of_memory(
+                json.memory_mb,
+                "connection_percent",
+                json.connection_percent.unwrap_or(CONNECTION_PERCENT),
+            )?,
+            max_descriptors: match json.max_descriptors {
+                Some(number) => to_integer("max_descriptors", number)?,
+                None => process_descriptors(),
+            },
             first_start: json.first_start.unwrap_or(false),
             limit_server_room: json.limit_server_room.unwrap_or(false),
             learn_server_pace: json.learn_server_pace.unwrap_or(false),
@@ -150,12 +168,20 @@
     }
 }
 
-/// Returns the share of the VM's memory that buffers may take, in bytes; no limit if its memory
-/// is unknown.
-fn buffer_bytes(memory_mb: Option<f64>, percent: Option<f64>) -> Result<u64, SettingsError> {
-    let percent = percent.unwrap_or(BUFFER_PERCENT);
+/// Returns the descriptors that the operating system lets this process open.
+fn process_descriptors() -> u64 {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    limit.current.unwrap_or(u64::MAX)
+}
+
+/// Returns a share of the VM's memory in bytes; no limit if its memory is unknown.
+fn share_of_memory(
+    memory_mb: Option<f64>,
+    field: &'static str,
+    percent: f64,
+) -> Result<u64, SettingsError> {
     if !(percent > 0.0 && percent <= 100.0) {
-        let (field, reason) = ("buffer_percent", "expected more than 0, at most 100");
+        let reason = "expected more than 0, at most 100";
         return FieldSnafu { field, reason }.fail();
     }
     let Some(memory_mb) = memory_mb else {
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -6,7 +6,6 @@
 use http::StatusCode;
 use relay::ServerReport;
 
-use crate::body::full_body;
 use crate::body::ResponseBody;
 use crate::clock::now;
 use crate::context::Context;
@@ -45,6 +44,9 @@
 
 fn metrics(cx: &Context) -> Response<ResponseBody> {
     let mut view = cx.view.borrow_mut();
+    let buffered_bytes = cx.callers.buffered_bytes();
+    let buffered_bytes = i64::try_from(buffered_bytes).unwrap_or(i64::MAX);
+    cx.metrics.buffered_bytes.set(buffered_bytes);
     let text = cx.metrics.text(now(), &mut view, cx.log.dropped());
     page(StatusCode::OK, text.into())
 }
@@ -62,7 +64,7 @@
 }
 
 fn page(status: StatusCode, body: Bytes) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(body));
+    let mut response = Response::new(ResponseBody::own(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -4,24 +4,25 @@
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::Response;
-use http_body_util::Either;
 use policy::Time;
 use relay::AttemptEnd;
 use relay::EventSplitter;
 use relay::Urgency;
 use relay::Verdict;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::timeout;
 
 use crate::attempt::Attempt;
-use crate::body::BufferedEvent;
-use crate::body::Events;
+use crate::body::HeldBytes;
 use crate::body::ResponseBody;
 use crate::body::StreamPart;
+use crate::callers::ROOM_POLL_INTERVAL;
 use crate::clock::now;
 use crate::evidence::record_end;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_GRACE_MS;
+use crate::in_flight::InFlight;
 use crate::log_event::LogEvent;
 use crate::quota_spending;
 use crate::request_event::RequestEvent;
@@ -50,7 +51,7 @@
 /// Returns the response of a stream and starts the task that relays its events.
 pub fn start(x: Exchange, attempt: Attempt) -> Response<ResponseBody> {
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
-    let mut response = Response::new(Either::Right(Either::Right(Events::new(rx))));
+    let mut response = Response::new(ResponseBody::events(rx));
     *response.status_mut() = attempt.head.status;
     *response.headers_mut() = x.cx.codec.returned_headers(&attempt.head);
     response.headers_mut().remove(CONTENT_LENGTH);
@@ -70,15 +71,14 @@
         let (end, reason) = match relay_attempt(&x, attempt, &mut splitter, &tx).await {
             StreamEnd::Complete => {
                 record_end(&x, AttemptEnd::Completed);
-                x.finish("served", status, Some(server));
-                drop(x);
+                x.finish_when_delivered("served", status, server);
                 // Fails if the caller has left, who then needs no end.
                 let _ = tx.send(StreamPart::End).await;
                 return;
             }
             StreamEnd::CallerLeft => {
                 record_end(&x, AttemptEnd::Unknown);
-                return x.finish("caller_left", status, Some(server));
+                return x.finish(x.undelivered_outcome(), status, Some(server));
             }
             StreamEnd::TimedOut => {
                 record_end(&x, AttemptEnd::Unknown);
@@ -156,6 +156,7 @@
     // The splitter limits each event; the events of a stream have no limit together.
     attempt.body.connection.allow(u64::MAX);
     let give_up_at = x.deadline.plus_millis(DEADLINE_GRACE_MS);
+    let mut partial = x.caller.hold_response(0);
     loop {
         let bytes = tokio::select! {
             bytes = timeout(duration_until(give_up_at), attempt.body.next()) => bytes,
@@ -176,13 +177,25 @@
         };
         attempt.in_flight.end_prefill();
         attempt.in_flight.record_first_event();
+        let len = bytes.len() as u64;
+        if !x.caller.has_response_room(len) {
+            let _held_back = attempt.in_flight.hold_back();
+            if let Some(end) = wait_for_room(x, tx, len, give_up_at).await {
+                return end;
+            }
+        }
         splitter.push(&bytes);
+        drop(bytes);
+        partial.set(splitter.buffered_bytes());
         loop {
             match splitter.next_event() {
                 Ok(Some(event)) => {
                     x.bind_stream();
                     attempt.in_flight.count_event(tx.capacity() > 0);
-                    if let Some(end) = send_event(x, tx, event.bytes, give_up_at).await {
+                    partial.set(splitter.buffered_bytes());
+                    if let Some(end) =
+                        send_event(x, &attempt.in_flight, tx, event.bytes, give_up_at).await
+                    {
                         return end;
                     }
                 }
@@ -211,23 +224,39 @@
     StreamEnd::Complete
 }
 
+/// Waits until there is room for `len` more bytes of the stream. Returns how the stream ends if there is
+/// none by `give_up_at`.
+async fn wait_for_room(x: &Exchange, tx: &Sender, len: u64, give_up_at: Time) -> Option<StreamEnd> {
+    while !x.caller.has_response_room(len) {
+        if now() >= give_up_at {
+            return Some(StreamEnd::TimedOut);
+        }
+        if timeout(ROOM_POLL_INTERVAL, tx.closed()).await.is_ok() {
+            return Some(StreamEnd::CallerLeft);
+        }
+    }
+    None
+}
+
 /// Passes an event on to the caller until `give_up_at`. Returns how the stream ends if that fails.
 async fn send_event(
     x: &Exchange,
+    in_flight: &InFlight,
     tx: &Sender,
     bytes: Bytes,
     give_up_at: Time,
 ) -> Option<StreamEnd> {
-    let event = BufferedEvent {
-        _hold: x.cx.buffers.hold(bytes.len() as u64),
-        bytes,
+    let hold = x.caller.hold_response(bytes.len() as u64);
+    // A copy, as the event's own memory is shared with what follows it.
+    let event = HeldBytes::new(Bytes::copy_from_slice(&bytes), hold);
+    drop(bytes);
+    let part = match tx.try_send(StreamPart::Event(event)) {
+        Ok(()) => return None,
+        Err(TrySendError::Closed(_)) => return Some(StreamEnd::CallerLeft),
+        Err(TrySendError::Full(part)) => part,
     };
-    match timeout(
-        duration_until(give_up_at),
-        tx.send(StreamPart::Event(event)),
-    )
-    .await
-    {
+    let _held_back = in_flight.hold_back();
+    match timeout(duration_until(give_up_at), tx.send(part)).await {
         Ok(Ok(())) => None,
         Ok(Err(_)) => Some(StreamEnd::CallerLeft),
         // The caller doesn't read, and the server's place is needed by others.
--- a/crates/gateway/src/tunnel_acceptor.rs
+++ b/crates/gateway/src/tunnel_acceptor.rs
@@ -17,8 +17,8 @@
 use tokio::io::split;
 use tokio::net::TcpStream;
 
-use crate::body::full_body;
 use crate::body::ResponseBody;
+use crate::caller_connection::CallerConnection;
 use crate::connection::error_chain;
 use crate::context::Context;
 use crate::context::Phase;
@@ -48,11 +48,17 @@
 /// either side closes.
 pub async fn accept(
     cx: Rc<Context>,
+    connection: Rc<CallerConnection>,
     from: IpAddr,
     server: u64,
     mut req: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let result = connect(&cx, from, server).await;
+    let result = if connection.begin_running() {
+        connect(&cx, from, server).await
+    } else {
+        let reason = "too many connections";
+        RefusedSnafu { reason }.fail()
+    };
     ReachEvent::Accepted {
         server,
         from,
@@ -62,8 +68,9 @@
     let stream = match result {
         Ok(stream) => stream,
         Err(e) => {
-            let mut response = Response::new(full_body(e.to_string()));
+            let mut response = Response::new(ResponseBody::own(e.to_string()));
             *response.status_mut() = e.status();
+            connection.record_page();
             return response;
         }
     };
@@ -74,8 +81,9 @@
             Err(e) => log_peer_failure(Step::Connection, &from, &error_chain(&e)),
         }
         cx.metrics.servers.tunnels_open.dec();
+        drop(connection);
     });
-    let mut response = Response::new(full_body(Bytes::new()));
+    let mut response = Response::new(ResponseBody::own(Bytes::new()));
     *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
     let headers = response.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
--- a/crates/router/src/body.rs
+++ b/crates/router/src/body.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
@@ -10,6 +12,14 @@
 
 use crate::Rejection;
 
+/// Returns a response body of complete bytes.
+pub fn full_body<B, E>(bytes: B) -> Either<Full<Bytes>, E>
+where
+    B: Into<Bytes>,
+{
+    Either::Left(Full::new(bytes.into()))
+}
+
 /// Reads a complete body. It is rejected if it is larger than `limit` bytes or incomplete at
 /// `deadline`.
 pub async fn read(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Rejection> {
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use gateway::full_body;
 use http::header::CACHE_CONTROL;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
@@ -23,6 +22,7 @@
 use tokio::sync::mpsc::channel;
 use tokio::sync::mpsc::Receiver;
 
+use crate::body::full_body;
 use crate::clock;
 use crate::event_body::DONE_EVENT;
 use crate::fingerprint;
--- a/crates/router/src/explain.rs
+++ b/crates/router/src/explain.rs
@@ -1,7 +1,6 @@
 //! Responds to requests to explain where a completion would go.
 
 use bytes::Bytes;
-use gateway::full_body;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::HeaderValue;
@@ -9,6 +8,7 @@
 use http::Response;
 use hyper::body::Incoming;
 
+use crate::body::full_body;
 use crate::clock;
 use crate::completion::work_and_source;
 use crate::fingerprint;
--- a/crates/router/src/handler.rs
+++ b/crates/router/src/handler.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gateway::full_body;
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
@@ -23,6 +22,7 @@
 use uuid::Uuid;
 
 use crate::body;
+use crate::body::full_body;
 use crate::call_headers::IDEMPOTENCY_KEY;
 use crate::CompletionApi;
 use crate::EventIdCodec;
--- a/crates/router/src/problem.rs
+++ b/crates/router/src/problem.rs
@@ -1,7 +1,6 @@
 //! Problem details (`application/problem+json`) of refused requests.
 
 use bytes::Bytes;
-use gateway::full_body;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
 use http::HeaderValue;
@@ -13,6 +12,7 @@
 use policy::Time;
 use serde::Serialize;
 
+use crate::body::full_body;
 use crate::Rejection;
 use crate::ResponseBody;
 
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -4,7 +4,6 @@
 
 use backend::ServiceRequest;
 use bytes::Bytes;
-use gateway::full_body;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::HeaderValue;
@@ -17,6 +16,7 @@
 use policy::Work;
 use tokio::sync::oneshot;
 
+use crate::body::full_body;
 use crate::clock;
 use crate::fingerprint;
 use crate::CallHeaders;
--- a/crates/router/tests/crowds.rs
+++ b/crates/router/tests/crowds.rs
@@ -318,6 +318,25 @@
     });
 }
 
+// Guards against request bodies that take all memory while their server takes its time.
+#[test]
+fn callers_who_send_the_largest_bodies_leave_memory_to_others() {
+    alone(async {
+        let mut trial = Trial::start().await;
+        let address = trial.router.address;
+        trial.add_callers(60, |i| async move {
+            let Ok(mut stream) = connect(address).await else {
+                return;
+            };
+            let head = head("/plain/late", &format!("crowd-{i}"), 4_000_000);
+            let bytes = format!("{head}{}", "x".repeat(4_000_000));
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            hold(stream).await
+        });
+        trial.check(usize::MAX).await;
+    });
+}
+
 /// Checks a router with few descriptors before callers that open connections to one of its ports, send
 /// `bytes`, and come again when they are closed.
 fn check_connections(port: &'static str, count: usize, bytes: &'static str) {
--- a/crates/router/tests/crowds/crowd_server.rs
+++ b/crates/router/tests/crowds/crowd_server.rs
@@ -1,6 +1,7 @@
 //! A backend server whose responses are as large as the path of the request says.
 
 use std::io;
+use std::time::Duration;
 
 use serde_json::json;
 use serde_json::Value;
@@ -8,6 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::common::http_message;
 use crate::common::http_message::header;
@@ -15,10 +17,13 @@
 /// Requests that it runs at once.
 const SLOTS: u32 = 4_000;
 
+/// Time after which a late response comes.
+const LATE: Duration = Duration::from_secs(12);
+
 /// Starts a server and returns its registration.
 ///
 /// It responds to `/…/body-N` with a body of N bytes, to `/…/events-C-S` with a stream of C events of S
-/// bytes, and to all else with a few bytes.
+/// bytes, to `/…/late` after a while, and to all else at once with a few bytes.
 pub async fn start() -> Value {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -57,6 +62,10 @@
     match parts[0] {
         "body" => respond_whole(stream, id, &"x".repeat(number(1))).await,
         "events" => respond_stream(stream, id, number(1), number(2)).await,
+        "late" => {
+            sleep(LATE).await;
+            respond_whole(stream, id, "hello").await
+        }
         _ => respond_whole(stream, id, "hello").await,
     }
 }
