gateway: what one connection holds is apart from what all do; a response that nobody takes is overdue whatever its size

Found on the way: refusals that a caller never reads weren't overdue, as they hold no bytes. Once the http library has all of a response the connection is Flushing, and is closed after IdleTimeoutMs without progress (a test of CallerUsage).

--- a/crates/gateway/src/buffer_hold.rs
+++ b/crates/gateway/src/buffer_hold.rs
@@ -1,8 +1,8 @@
 //! Bytes that are held for a caller.
 
 use crate::caller_usage::ConnectionKey;
-use crate::caller_usage::HeldFor;
 use crate::callers::Callers;
+use crate::connection_usage::HeldFor;
 
 /// Bytes that are held for a caller; dropping it frees them.
 pub struct BufferHold {
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -9,11 +9,11 @@
 
 use crate::buffer_hold::BufferHold;
 use crate::caller_usage::ConnectionKey;
-use crate::caller_usage::HeldFor;
-use crate::caller_usage::Stage;
 use crate::callers::Callers;
 use crate::callers::REQUEST_OVERHEAD_BYTES;
 use crate::close_reason::CloseReason;
+use crate::connection_usage::HeldFor;
+use crate::connection_usage::Stage;
 
 /// How the sending of a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,6 +116,7 @@
     /// Records that the http library has all bytes of the present response's body.
     pub fn end_body(&self) {
         self.body_ended.set(true);
+        self.callers.set_stage(self.key, Stage::Flushing);
     }
 
     /// Sets what follows the end of the present response.
--- a/crates/gateway/src/caller_usage.rs
+++ b/crates/gateway/src/caller_usage.rs
@@ -9,14 +9,11 @@
 
 use policy::Time;
 
-/// Memory of an open connection without what is read from it, in bytes.
-pub const CONNECTION_BYTES: u64 = 16 << 10;
-
-/// What the kernel may hold of bytes that a caller sends behind its request, in bytes.
-const PIPELINED_BYTES: u64 = 48 << 10;
-
-/// Bytes behind a request that don't count as the next one: line ends, sizes of chunks.
-const FRAMING_BYTES: u64 = 512;
+use crate::connection_usage::ConnectionUsage;
+use crate::connection_usage::HeldFor;
+use crate::connection_usage::ProgressLimits;
+use crate::connection_usage::Stage;
+use crate::connection_usage::CONNECTION_BYTES;
 
 /// Time for which bytes wait for their caller before its connection may be closed for the room of
 /// others, in milliseconds.
@@ -25,14 +22,6 @@
 /// Bytes that must wait for it.
 const MIN_WAITING_BYTES: u64 = 4 << 10;
 
-/// Bytes that a caller is taken to have moved from the start, so that a new response isn't compared by a
-/// few milliseconds.
-const MOVED_AT_START_BYTES: u64 = 64 << 10;
-
-/// Bytes up to which a request and a response are small.
-const SMALL_REQUEST_BYTES: u64 = 128 << 10;
-const SMALL_RESPONSE_BYTES: u64 = 64 << 10;
-
 /// Part of the buffers that all large requests may take, and that all large responses may, in percent; a
 /// single one may take more.
 const LARGE_PERCENT: u64 = 40;
@@ -49,40 +38,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionKey(u64);
 
-/// What a connection does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// No request has begun on it, or the latest one has ended.
-    Idle,
-    /// A part of a request's head has arrived.
-    Head,
-    /// A part of a request's body has arrived.
-    Body,
-    /// The request is with a backend server, or waits for one.
-    Running,
-    /// The response is sent.
-    Response,
-}
-
-/// Which bytes of a caller are held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HeldFor {
-    /// A request's body, heads and state.
-    Request,
-    /// What the caller has yet to take of its response.
-    Response,
-}
-
-impl HeldFor {
-    /// Returns the bytes up to which it is small.
-    fn small_bytes(self) -> u64 {
-        match self {
-            HeldFor::Request => SMALL_REQUEST_BYTES,
-            HeldFor::Response => SMALL_RESPONSE_BYTES,
-        }
-    }
-}
-
 /// Limits on all connections of one port together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UsageLimits {
@@ -97,16 +52,6 @@
     pub min_idle_ms: u64,
 }
 
-/// Times in which connections must move, by the configuration in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ProgressLimits {
-    /// Time from the first byte of a head to its end, in milliseconds.
-    pub head_ms: u64,
-    /// Time for which a connection may be idle, a body bring nothing and a response take nothing, in
-    /// milliseconds.
-    pub idle_ms: u64,
-}
-
 /// Room for something new.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Room {
@@ -120,140 +65,11 @@
     Full,
 }
 
-/// What one connection holds.
-#[derive(Clone, Copy, Debug)]
-struct Usage {
-    stage: Stage,
-    stage_since: Time,
-    /// When bytes last moved over it.
-    moved_at: Time,
-    /// Bytes that have moved since bytes wait for the caller.
-    moved_bytes: u64,
-    /// Since when bytes wait for the caller.
-    waiting_since: Time,
-    /// Bytes of requests and responses.
-    request_bytes: u64,
-    response_bytes: u64,
-    /// Bytes that were read and belong to no request yet.
-    unparsed_bytes: u64,
-    /// Whether it is being closed.
-    is_closing: bool,
-}
-
-impl Usage {
-    fn new(now: Time) -> Usage {
-        Usage {
-            stage: Stage::Idle,
-            stage_since: now,
-            moved_at: now,
-            moved_bytes: 0,
-            waiting_since: now,
-            request_bytes: 0,
-            response_bytes: 0,
-            unparsed_bytes: 0,
-            is_closing: false,
-        }
-    }
-
-    /// Returns the memory of the connection itself.
-    fn connection_bytes(&self) -> u64 {
-        let pipelined = if self.is_pipelining() {
-            PIPELINED_BYTES
-        } else {
-            0
-        };
-        CONNECTION_BYTES + self.unparsed_bytes + pipelined
-    }
-
-    /// Returns whether the caller sends on behind a request that has no whole response yet. The kernel
-    /// may hold more of that.
-    fn is_pipelining(&self) -> bool {
-        let has_request = matches!(self.stage, Stage::Running | Stage::Response);
-        has_request && self.unparsed_bytes > FRAMING_BYTES
-    }
-
-    /// Returns its descriptors, and those of the connections to backend servers that its request needs.
-    fn descriptors(&self) -> u64 {
-        match self.stage {
-            Stage::Idle | Stage::Head | Stage::Body => 1,
-            Stage::Running | Stage::Response => 2,
-        }
-    }
-
-    /// Returns the bytes that are held because the caller hasn't sent or taken the rest.
-    fn waiting_bytes(&self) -> u64 {
-        match self.stage {
-            Stage::Body => self.buffered_bytes(),
-            _ => self.response_bytes,
-        }
-    }
-
-    fn buffered_bytes(&self) -> u64 {
-        self.request_bytes + self.response_bytes
-    }
-
-    /// Returns the bytes of the request or the response unless it is small.
-    fn large_bytes(&self, held_for: HeldFor) -> u64 {
-        let bytes = self.bytes_for(held_for);
-        if bytes > held_for.small_bytes() {
-            bytes
-        } else {
-            0
-        }
-    }
-
-    fn bytes_for(&self, held_for: HeldFor) -> u64 {
-        match held_for {
-            HeldFor::Request => self.request_bytes,
-            HeldFor::Response => self.response_bytes,
-        }
-    }
-
-    fn bytes_mut(&mut self, held_for: HeldFor) -> &mut u64 {
-        match held_for {
-            HeldFor::Request => &mut self.request_bytes,
-            HeldFor::Response => &mut self.response_bytes,
-        }
-    }
-
-    /// Returns how much it stands in the way of others: the bytes that wait for it, by the time for which they
-    /// have and what it has moved meanwhile.
-    fn waiting_cost(&self, now: Time) -> u128 {
-        let ms = u128::from(now.millis_since(self.waiting_since));
-        u128::from(self.waiting_bytes()) * ms / u128::from(self.moved_bytes + MOVED_AT_START_BYTES)
-    }
-
-    /// Returns whether another connection may take its place.
-    fn yields_place(&self) -> bool {
-        let owes_request = matches!(self.stage, Stage::Idle | Stage::Head | Stage::Body);
-        !self.is_closing && (owes_request || self.is_pipelining())
-    }
-
-    /// Returns how much it stands in the way of other connections.
-    fn place_cost(&self, now: Time) -> u128 {
-        let bytes = self.connection_bytes() + self.request_bytes;
-        u128::from(bytes) * u128::from(now.micros_since(self.stage_since))
-    }
-
-    fn is_overdue(&self, now: Time, limits: ProgressLimits) -> bool {
-        let idle_ms = now.millis_since(self.moved_at.max(self.stage_since));
-        match self.stage {
-            Stage::Head => now.millis_since(self.stage_since) > limits.head_ms,
-            Stage::Idle | Stage::Body => idle_ms > limits.idle_ms,
-            Stage::Running => false,
-            Stage::Response => {
-                let waited_ms = now.millis_since(self.waiting_since.max(self.moved_at));
-                self.response_bytes > 0 && waited_ms > limits.idle_ms
-            }
-        }
-    }
-}
-
 /// What all connections of one port hold.
 #[derive(Debug)]
 pub struct CallerUsage {
     limits: UsageLimits,
-    connections: BTreeMap<ConnectionKey, Usage>,
+    connections: BTreeMap<ConnectionKey, ConnectionUsage>,
     last_key: u64,
     /// Sums over the connections, and over what is held of closed ones.
     buffered_bytes: u64,
@@ -296,7 +112,7 @@
     pub fn open(&mut self, now: Time) -> ConnectionKey {
         self.last_key += 1;
         let key = ConnectionKey(self.last_key);
-        let usage = Usage::new(now);
+        let usage = ConnectionUsage::new(now);
         self.connection_bytes += usage.connection_bytes();
         self.descriptors += usage.descriptors();
         self.connections.insert(key, usage);
@@ -313,73 +129,39 @@
 
     /// Returns what a connection does, none if it is closed.
     pub fn stage(&self, key: ConnectionKey) -> Option<Stage> {
-        self.connections.get(&key).map(|usage| usage.stage)
+        self.connections.get(&key).map(ConnectionUsage::stage)
     }
 
     /// Records what a connection does from now on.
     pub fn set_stage(&mut self, now: Time, key: ConnectionKey, stage: Stage) {
-        self.update(key, |usage| {
-            if usage.unparsed_bytes <= FRAMING_BYTES {
-                usage.unparsed_bytes = 0;
-            }
-            usage.stage = stage;
-            usage.stage_since = now;
-            usage.waiting_since = now;
-            usage.moved_bytes = 0;
-        });
+        self.update(key, |usage| usage.begin(now, stage));
     }
 
     /// Records bytes that were read from a connection.
     pub fn record_read(&mut self, now: Time, key: ConnectionKey, bytes: u64) {
-        self.update(key, |usage| {
-            usage.moved_at = now;
-            usage.unparsed_bytes += bytes;
-            match usage.stage {
-                Stage::Body => usage.moved_bytes += bytes,
-                Stage::Idle => {
-                    usage.stage = Stage::Head;
-                    usage.stage_since = now;
-                }
-                _ => {}
-            }
-        });
+        self.update(key, |usage| usage.record_read(now, bytes));
     }
 
     /// Records that bytes which were read belong to a request's head or body.
     pub fn record_parsed(&mut self, key: ConnectionKey, bytes: u64) {
-        self.update(key, |usage| {
-            usage.unparsed_bytes = usage.unparsed_bytes.saturating_sub(bytes);
-        });
+        self.update(key, |usage| usage.record_parsed(bytes));
     }
 
     /// Records bytes that were written to a connection.
     pub fn record_written(&mut self, now: Time, key: ConnectionKey, bytes: u64) {
-        self.update(key, |usage| {
-            usage.moved_at = now;
-            usage.moved_bytes += bytes;
-        });
+        self.update(key, |usage| usage.record_written(now, bytes));
     }
 
     /// Counts bytes that are held for a connection.
     pub fn hold(&mut self, now: Time, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
         self.buffered_bytes = self.buffered_bytes.saturating_add(bytes);
-        self.update(key, |usage| {
-            if usage.waiting_bytes() == 0 {
-                usage.waiting_since = now;
-                usage.moved_bytes = 0;
-            }
-            let held = usage.bytes_mut(held_for);
-            *held = held.saturating_add(bytes);
-        });
+        self.update(key, |usage| usage.hold(now, bytes, held_for));
     }
 
     /// Counts bytes as gone that were held for a connection.
     pub fn release(&mut self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
         self.buffered_bytes = self.buffered_bytes.saturating_sub(bytes);
-        self.update(key, |usage| {
-            let held = usage.bytes_mut(held_for);
-            *held = held.saturating_sub(bytes);
-        });
+        self.update(key, |usage| usage.release(bytes, held_for));
     }
 
     /// Returns the room for one more connection.
@@ -418,9 +200,9 @@
     pub fn overdue(&mut self, now: Time, limits: ProgressLimits) -> Vec<ConnectionKey> {
         let connections = self.connections.iter_mut();
         let overdue = connections
-            .filter(|(_, usage)| !usage.is_closing && usage.is_overdue(now, limits))
+            .filter(|(_, usage)| !usage.is_closing() && usage.is_overdue(now, limits))
             .map(|(key, usage)| {
-                usage.is_closing = true;
+                usage.set_closing();
                 *key
             });
         overdue.collect()
@@ -457,7 +239,7 @@
         let others = self
             .connections
             .iter()
-            .filter(|(other, usage)| **other != key && !(without_closing && usage.is_closing));
+            .filter(|(other, usage)| **other != key && !(without_closing && usage.is_closing()));
         let others: u64 = others.map(|(_, usage)| usage.large_bytes(held_for)).sum();
         let large_limit = self.limits.buffer_bytes / 100 * LARGE_PERCENT;
         others == 0 || others.saturating_add(own) <= large_limit
@@ -480,13 +262,13 @@
 
     /// Returns the bytes that are buffered for connections that are being closed.
     fn closing_buffers(&self) -> u64 {
-        let closing = self.connections.values().filter(|usage| usage.is_closing);
-        closing.map(Usage::buffered_bytes).sum()
+        let closing = self.connections.values().filter(|usage| usage.is_closing());
+        closing.map(ConnectionUsage::buffered_bytes).sum()
     }
 
     /// Returns the memory and descriptors of connections that are being closed.
     fn closing_connections(&self) -> (u64, u64) {
-        let closing = self.connections.values().filter(|usage| usage.is_closing);
+        let closing = self.connections.values().filter(|usage| usage.is_closing());
         closing.fold((0, 0), |(bytes, descriptors), usage| {
             (
                 bytes + usage.connection_bytes(),
@@ -503,11 +285,11 @@
         let Some((key, usage)) = yielding.max_by_key(|(_, usage)| usage.place_cost(now)) else {
             return Room::Full;
         };
-        let from = usage.stage_since.plus_millis(min_idle_ms);
+        let from = usage.stage_since().plus_millis(min_idle_ms);
         if from > now {
             return Room::At(from);
         }
-        usage.is_closing = true;
+        usage.set_closing();
         Room::Closing(*key)
     }
 
@@ -517,22 +299,22 @@
             return Room::Full;
         }
         let waiting = self.connections.iter_mut().filter(|(key, usage)| {
-            let has_waited = usage.waiting_since.plus_millis(MIN_WAITING_MS) <= now;
+            let has_waited = usage.waiting_since().plus_millis(MIN_WAITING_MS) <= now;
             let is_large = usage.waiting_bytes() >= MIN_WAITING_BYTES;
-            **key != asking && !usage.is_closing && is_large && has_waited
+            **key != asking && !usage.is_closing() && is_large && has_waited
         });
         let Some((key, usage)) = waiting.max_by_key(|(_, usage)| usage.waiting_cost(now)) else {
             self.search_at = now.plus_millis(SEARCH_INTERVAL_MS);
             return Room::Full;
         };
-        usage.is_closing = true;
+        usage.set_closing();
         Room::Closing(*key)
     }
 
     /// Changes a connection, and the sums with it.
     fn update<F>(&mut self, key: ConnectionKey, change: F)
     where
-        F: FnOnce(&mut Usage),
+        F: FnOnce(&mut ConnectionUsage),
     {
         let Some(usage) = self.connections.get_mut(&key) else {
             return;
--- /dev/null
+++ b/crates/gateway/src/connection_usage.rs
@@ -0,0 +1,276 @@
+//! What one connection of a caller holds, and how it moves.
+
+use policy::Time;
+
+/// Memory of an open connection without what is read from it, in bytes.
+pub const CONNECTION_BYTES: u64 = 16 << 10;
+
+/// What the kernel may hold of bytes that a caller sends behind its request, in bytes.
+const PIPELINED_BYTES: u64 = 48 << 10;
+
+/// Bytes behind a request that don't count as the next one: line ends, sizes of chunks.
+const FRAMING_BYTES: u64 = 512;
+
+/// Bytes that a caller is taken to have moved from the start, so that a new response isn't compared by a
+/// few milliseconds.
+const MOVED_AT_START_BYTES: u64 = 64 << 10;
+
+/// Bytes up to which a request and a response are small.
+const SMALL_REQUEST_BYTES: u64 = 128 << 10;
+const SMALL_RESPONSE_BYTES: u64 = 64 << 10;
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No request has begun on it, or the latest one has ended.
+    Idle,
+    /// A part of a request's head has arrived.
+    Head,
+    /// A part of a request's body has arrived.
+    Body,
+    /// The request is with a backend server, or waits for one.
+    Running,
+    /// The response is sent, and its backend server or the caller is awaited.
+    Response,
+    /// The http library has all of the response, and the caller hasn't taken it.
+    Flushing,
+}
+
+/// Which bytes of a caller are held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldFor {
+    /// A request's body, heads and state.
+    Request,
+    /// What the caller has yet to take of its response.
+    Response,
+}
+
+impl HeldFor {
+    /// Returns the bytes up to which it is small.
+    pub fn small_bytes(self) -> u64 {
+        match self {
+            HeldFor::Request => SMALL_REQUEST_BYTES,
+            HeldFor::Response => SMALL_RESPONSE_BYTES,
+        }
+    }
+}
+
+/// Times in which connections must move, by the configuration in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProgressLimits {
+    /// Time from the first byte of a head to its end, in milliseconds.
+    pub head_ms: u64,
+    /// Time for which a connection may be idle, a body bring nothing and a response take nothing, in
+    /// milliseconds.
+    pub idle_ms: u64,
+}
+
+/// What one connection holds.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionUsage {
+    stage: Stage,
+    stage_since: Time,
+    /// When bytes last moved over it.
+    moved_at: Time,
+    /// Bytes that have moved since bytes wait for the caller.
+    moved_bytes: u64,
+    /// Since when bytes wait for the caller.
+    waiting_since: Time,
+    /// Bytes of requests and responses.
+    request_bytes: u64,
+    response_bytes: u64,
+    /// Bytes that were read and belong to no request yet.
+    unparsed_bytes: u64,
+    /// Whether it is being closed.
+    is_closing: bool,
+}
+
+impl ConnectionUsage {
+    /// Returns the usage of a connection that has just been opened.
+    pub fn new(now: Time) -> ConnectionUsage {
+        ConnectionUsage {
+            stage: Stage::Idle,
+            stage_since: now,
+            moved_at: now,
+            moved_bytes: 0,
+            waiting_since: now,
+            request_bytes: 0,
+            response_bytes: 0,
+            unparsed_bytes: 0,
+            is_closing: false,
+        }
+    }
+
+    /// Returns what it does.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Records what it does from now on.
+    pub fn begin(&mut self, now: Time, stage: Stage) {
+        if self.unparsed_bytes <= FRAMING_BYTES {
+            self.unparsed_bytes = 0;
+        }
+        self.stage = stage;
+        self.stage_since = now;
+        self.waiting_since = now;
+        self.moved_bytes = 0;
+    }
+
+    /// Records bytes that were read from it.
+    pub fn record_read(&mut self, now: Time, bytes: u64) {
+        self.moved_at = now;
+        self.unparsed_bytes += bytes;
+        match self.stage {
+            Stage::Body => self.moved_bytes += bytes,
+            Stage::Idle => {
+                self.stage = Stage::Head;
+                self.stage_since = now;
+            }
+            _ => {}
+        }
+    }
+
+    /// Records that bytes which were read belong to a request's head or body.
+    pub fn record_parsed(&mut self, bytes: u64) {
+        self.unparsed_bytes = self.unparsed_bytes.saturating_sub(bytes);
+    }
+
+    /// Records bytes that were written to it.
+    pub fn record_written(&mut self, now: Time, bytes: u64) {
+        self.moved_at = now;
+        self.moved_bytes += bytes;
+    }
+
+    /// Counts bytes that are held for it.
+    pub fn hold(&mut self, now: Time, bytes: u64, held_for: HeldFor) {
+        if self.waiting_bytes() == 0 {
+            self.waiting_since = now;
+            self.moved_bytes = 0;
+        }
+        let held = self.bytes_mut(held_for);
+        *held = held.saturating_add(bytes);
+    }
+
+    /// Counts bytes as gone that were held for it.
+    pub fn release(&mut self, bytes: u64, held_for: HeldFor) {
+        let held = self.bytes_mut(held_for);
+        *held = held.saturating_sub(bytes);
+    }
+
+    /// Returns whether it is being closed.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
+    /// Records that it is being closed.
+    pub fn set_closing(&mut self) {
+        self.is_closing = true;
+    }
+
+    /// Returns the memory of the connection itself.
+    pub fn connection_bytes(&self) -> u64 {
+        let pipelined = if self.is_pipelining() {
+            PIPELINED_BYTES
+        } else {
+            0
+        };
+        CONNECTION_BYTES + self.unparsed_bytes + pipelined
+    }
+
+    /// Returns whether the caller sends on behind a request that has no whole response yet. The kernel
+    /// may hold more of that.
+    fn is_pipelining(&self) -> bool {
+        let has_request = matches!(self.stage, Stage::Running | Stage::Response);
+        has_request && self.unparsed_bytes > FRAMING_BYTES
+    }
+
+    /// Returns its descriptors, and those of the connections to backend servers that its request needs.
+    pub fn descriptors(&self) -> u64 {
+        match self.stage {
+            Stage::Idle | Stage::Head | Stage::Body | Stage::Flushing => 1,
+            Stage::Running | Stage::Response => 2,
+        }
+    }
+
+    /// Returns the bytes that are held because the caller hasn't sent or taken the rest.
+    pub fn waiting_bytes(&self) -> u64 {
+        match self.stage {
+            Stage::Body => self.buffered_bytes(),
+            _ => self.response_bytes,
+        }
+    }
+
+    /// Returns the bytes that are held of its request and response.
+    pub fn buffered_bytes(&self) -> u64 {
+        self.request_bytes + self.response_bytes
+    }
+
+    /// Returns the bytes of the request or the response unless it is small.
+    pub fn large_bytes(&self, held_for: HeldFor) -> u64 {
+        let bytes = self.bytes_for(held_for);
+        if bytes > held_for.small_bytes() {
+            bytes
+        } else {
+            0
+        }
+    }
+
+    /// Returns the bytes that are held of its request or response.
+    pub fn bytes_for(&self, held_for: HeldFor) -> u64 {
+        match held_for {
+            HeldFor::Request => self.request_bytes,
+            HeldFor::Response => self.response_bytes,
+        }
+    }
+
+    fn bytes_mut(&mut self, held_for: HeldFor) -> &mut u64 {
+        match held_for {
+            HeldFor::Request => &mut self.request_bytes,
+            HeldFor::Response => &mut self.response_bytes,
+        }
+    }
+
+    /// Returns how much it stands in the way of others: the bytes that wait for it, by the time for which they
+    /// have and what it has moved meanwhile.
+    pub fn waiting_cost(&self, now: Time) -> u128 {
+        let ms = u128::from(now.millis_since(self.waiting_since));
+        u128::from(self.waiting_bytes()) * ms / u128::from(self.moved_bytes + MOVED_AT_START_BYTES)
+    }
+
+    /// Returns whether another connection may take its place.
+    pub fn yields_place(&self) -> bool {
+        let has_request = matches!(self.stage, Stage::Running | Stage::Response);
+        !self.is_closing && (!has_request || self.is_pipelining())
+    }
+
+    /// Returns how much it stands in the way of other connections.
+    pub fn place_cost(&self, now: Time) -> u128 {
+        let bytes = self.connection_bytes() + self.request_bytes;
+        u128::from(bytes) * u128::from(now.micros_since(self.stage_since))
+    }
+
+    /// Returns since when bytes wait for the caller.
+    pub fn waiting_since(&self) -> Time {
+        self.waiting_since
+    }
+
+    /// Returns since when it does what it does.
+    pub fn stage_since(&self) -> Time {
+        self.stage_since
+    }
+
+    /// Returns whether it has made no progress for too long.
+    pub fn is_overdue(&self, now: Time, limits: ProgressLimits) -> bool {
+        let idle_ms = now.millis_since(self.moved_at.max(self.stage_since));
+        match self.stage {
+            Stage::Head => now.millis_since(self.stage_since) > limits.head_ms,
+            Stage::Idle | Stage::Body | Stage::Flushing => idle_ms > limits.idle_ms,
+            Stage::Running => false,
+            Stage::Response => {
+                let waited_ms = now.millis_since(self.waiting_since.max(self.moved_at));
+                self.response_bytes > 0 && waited_ms > limits.idle_ms
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/caller_usage.rs
+++ b/crates/gateway/tests/caller_usage.rs
@@ -254,3 +254,14 @@
     assert_eq!(usage.overdue(at(16_000), PROGRESS), [idle, body]);
     assert_eq!(usage.overdue(at(19_500), PROGRESS), [response]);
 }
+
+// Guards against connections whose callers send requests and never read the refusals.
+#[test]
+fn a_response_that_is_only_to_be_taken_is_overdue_whatever_its_size() {
+    let mut usage = usage();
+    let key = usage.open(at(0));
+    usage.set_stage(at(0), key, Stage::Flushing);
+
+    assert_eq!(usage.overdue(at(14_000), PROGRESS), []);
+    assert_eq!(usage.overdue(at(16_000), PROGRESS), [key]);
+}
--- a/crates/router/tests/crowds.rs
+++ b/crates/router/tests/crowds.rs
@@ -11,7 +11,7 @@
 mod crowd_caller;
 #[path = "crowds/crowd_server.rs"]
 mod crowd_server;
-#[path = "crowds/process_usage.rs"]
+#[path = "processes/process_usage.rs"]
 mod process_usage;
 #[path = "processes/router_process.rs"]
 mod router_process;
--- a/crates/router/tests/process_soak.rs
+++ b/crates/router/tests/process_soak.rs
@@ -1,10 +1,15 @@
 //! Randomized soak test of routers and backend servers as real processes, with responses of all
 //! framings. Servers and routers are killed within responses, terminated and paused, and proxies
-//! before the servers close connections regularly, reset or hold them, overlapping.
+//! before the servers close connections regularly, reset or hold them, overlapping. Some callers don't
+//! behave: they stop reading, drip, and hold heads, bodies and connections.
 //! `PROCESS_SOAK_SEEDS=a..b` runs other seeds.
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
+#[path = "processes/odd_caller.rs"]
+mod odd_caller;
+#[path = "processes/process_usage.rs"]
+mod process_usage;
 #[path = "processes/router_process.rs"]
 mod router_process;
 #[path = "processes/server_process.rs"]
@@ -19,6 +24,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
+use serde_json::json;
 use tempfile::TempDir;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -30,6 +36,9 @@
 use common::proxy::Link;
 use common::proxy::Proxy;
 use common::run_within;
+use odd_caller::OddCaller;
+use process_usage::ProcessUsage;
+use router_process::settings;
 use router_process::RouterProcess;
 use server_process::whole_body;
 use server_process::ServerProcess;
@@ -44,12 +53,22 @@
 /// Number of callers; each sends one request at a time.
 const CALLERS: usize = 12;
 
+/// Number of callers that don't behave; each has one connection at a time.
+const ODD_CALLERS: usize = 40;
+
+/// Memory of a router's VM, in mebibytes, and its descriptors.
+const MEMORY_MB: u64 = 64;
+const DESCRIPTORS: usize = 400;
+
 /// Period during which faults are injected, in milliseconds.
 const FAULTS_MS: u64 = 5_000;
 
 /// Time after the last fault within which each router must serve again, in milliseconds.
 const RECOVERY_MS: u64 = 6_000;
 
+/// Time that a router may take to stop, in seconds.
+const STOP_S: u64 = 3;
+
 /// Limit on a run of one seed.
 const LIMIT: Duration = Duration::from_secs(60);
 
@@ -119,6 +138,8 @@
     links: Vec<Proxy>,
     routers: Vec<RouterProcess>,
     responses: RefCell<Vec<Recorded>>,
+    /// Ids of the requests of callers that don't behave, none of which may be repeated.
+    odd_requests: RefCell<Vec<String>>,
     stopping: Cell<bool>,
     _dir: TempDir,
 }
@@ -136,7 +157,12 @@
             servers.push(server);
         }
         let name = |i| format!("process-soak-{seed}-router-{i}");
-        let routers = (0..ROUTERS).map(|i| RouterProcess::start(&dir, &name(i), store.address));
+        let routers = (0..ROUTERS).map(|i| {
+            let mut settings = settings(&name(i), store.address, STOP_S);
+            settings["memory_mb"] = json!(MEMORY_MB);
+            settings["max_descriptors"] = json!(DESCRIPTORS);
+            RouterProcess::start_with_settings(&dir, settings)
+        });
         let world = World {
             seed,
             routers: routers.collect(),
@@ -144,6 +170,7 @@
             servers,
             links,
             responses: RefCell::default(),
+            odd_requests: RefCell::default(),
             stopping: Cell::new(false),
             _dir: dir,
         };
@@ -203,6 +230,28 @@
     }
 }
 
+/// Misbehaves on one connection after the other, and checks what the routers hold.
+async fn run_odd_caller(world: Rc<World>, caller: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(world.seed * 1_000 + 500 + caller as u64);
+    for n in 0.. {
+        if world.stopping.get() {
+            return;
+        }
+        let id = format!("odd{}-{caller}-{n}", world.seed);
+        let router = &world.routers[rng.random_range(0..ROUTERS)];
+        let time = Duration::from_millis(rng.random_range(100..3_000));
+        let odd_caller = OddCaller::draw(&mut rng);
+        world.odd_requests.borrow_mut().push(id.clone());
+        odd_caller
+            .misbehave(router.address, "/once/p", &id, time)
+            .await;
+        let usage = ProcessUsage::of(router.id());
+        let at = format!("seed {}: {usage:?}", world.seed);
+        assert!(usage.memory_bytes >> 20 < MEMORY_MB, "{at}");
+        assert!(usage.descriptors <= DESCRIPTORS, "{at}");
+    }
+}
+
 /// Injects one fault for `duration_ms` milliseconds and then removes it.
 async fn inject_fault(world: Rc<World>, fault_kind: u32, target: usize, duration_ms: u64) {
     let router = &world.routers[target % ROUTERS];
@@ -283,12 +332,18 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| spawn_local(run_caller(Rc::clone(&world), caller)))
         .collect();
+    let odd_callers: Vec<_> = (0..ODD_CALLERS)
+        .map(|caller| spawn_local(run_odd_caller(Rc::clone(&world), caller)))
+        .collect();
     inject_faults(&world).await;
     wait_until_all_serve(&world).await;
     world.stopping.set(true);
-    for caller in callers {
+    for caller in callers.into_iter().chain(odd_callers) {
         caller.await.unwrap();
     }
+    for id in world.odd_requests.borrow().iter() {
+        assert!(world.executions(id) <= 1, "seed {seed}: {id} ran again");
+    }
     let responses = world.responses.borrow();
     for recorded in responses.iter() {
         recorded.check(seed, world.executions(&recorded.id));
--- a/crates/router/tests/crowds/process_usage.rs
+++ b/crates/router/tests/processes/process_usage.rs
@@ -1,4 +1,5 @@
 //! What a process of the system takes of its VM, as the kernel counts it.
+#![allow(dead_code)]
 
 use std::collections::HashSet;
 use std::fs;
