--- a/crates/router/tests/crowds.rs
+++ b/crates/router/tests/crowds.rs
@@ -38,6 +38,7 @@
 use common::fake_store::FakeStore;
 use common::free_address;
 use common::run_within;
+use common::MODEL;
 use crowd_caller::connect;
 use crowd_caller::head;
 use crowd_caller::hold;
@@ -394,6 +395,43 @@
     check_connections("peer_port", 600, "GET /tunnel/0 HTTP/1.1\r\n");
 }
 
+/// Sends `requests` requests one after the other, each with `parts` parts of a prompt that nobody else
+/// sends.
+async fn send_new_parts(address: SocketAddr, caller: usize, requests: usize, parts: usize) {
+    let Ok(mut stream) = connect(address).await else {
+        return;
+    };
+    let mut buf = vec![0; 4_096];
+    for n in 0..requests {
+        let first = (caller * requests + n) * parts;
+        let parts: Vec<_> = (first..first + parts)
+            .map(|id| format!("{id:x}:1"))
+            .collect();
+        let head = head("/plain/x", &format!("crowd-{caller}-{n}"), 0);
+        let prompt = format!(
+            "X-Turmerichollow-Model: {MODEL}\r\nX-Turmerichollow-Token-Usage: 1000,1\r\n\
+             X-Turmerichollow-Prefix-Hash: {}\r\n\r\n",
+            parts.join(",")
+        );
+        let request = head.replace("Content-Length: 0\r\n\r\n", &prompt);
+        let sent = stream.write_all(request.as_bytes()).await;
+        if sent.is_err() || !stream.read(&mut buf).await.is_ok_and(|len| len > 0) {
+            return;
+        }
+    }
+}
+
+// Guards against what stays of prompt parts that never come again.
+#[test]
+fn callers_who_never_repeat_a_prompt_part_leave_memory_to_others() {
+    alone(async {
+        let mut trial = Trial::start().await;
+        let address = trial.router.address;
+        trial.add_callers(40, |i| send_new_parts(address, i, 250, 1_000));
+        trial.check(usize::MAX).await;
+    });
+}
+
 /// Asks for `path` in calm, reads the head, stands still and reads on at a pace. Returns the response.
 async fn pause_and_read(address: SocketAddr, path: &str, paused: Duration) -> Vec<u8> {
     let mut stream = connect(address).await.unwrap();
