--- a/crates/gateway/src/connector.rs
+++ b/crates/gateway/src/connector.rs
@@ -8,8 +8,8 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
-/// Size of the receive buffer, in bytes. The kernel doubles it. What a backend server has sent and
-/// nobody reads counts toward the memory of the VM.
+/// Size of the receive buffer, in bytes. The kernel doubles it. What a peer has sent and nobody reads
+/// counts toward the memory of the VM.
 const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 
 /// Opens connections to backend servers.
@@ -28,11 +28,12 @@
     }
 }
 
-async fn connect(server: SocketAddr) -> io::Result<TcpStream> {
-    let socket = match server {
+/// Opens a TCP connection to a backend server or to another router, with a bounded receive buffer.
+pub async fn connect(peer: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match peer {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.connect(server).await
+    socket.connect(peer).await
 }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -21,10 +21,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::connection::error_chain;
+use crate::connector::connect;
 use crate::liveness::Liveness;
 use crate::process_event::log_peer_failure;
 use crate::process_event::Step;
@@ -59,7 +59,7 @@
 }
 
 async fn request(peer: SocketAddr, server: u64) -> Result<TokioIo<Upgraded>, TunnelError> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+    let stream = timeout(CONNECT_TIMEOUT, connect(peer)).await;
     let stream = stream.map_err(|_| router_error("connect", "timeout"))?;
     let stream = stream.map_err(|e| router_error("connect", e))?;
     let configured = Liveness::PATIENT.apply(&stream);
