router: an idle connection makes place for a new one in the program without forward

Ordinary callers were closed at once while limits.connections silent connections were open, until their heads were overdue (30 s): callers_who_hold_silent_connections_make_place_for_others failed before. Cause: a semaphore gave places to whoever came first. Bytes are not counted in this program.

--- a/crates/gateway/src/caller_usage.rs
+++ b/crates/gateway/src/caller_usage.rs
@@ -45,6 +45,8 @@
     pub buffer_bytes: u64,
     /// Bytes of connections without a whole head.
     pub connection_bytes: u64,
+    /// Open connections.
+    pub connections: u64,
     /// Descriptors of connections and of those to backend servers that their requests need.
     pub descriptors: u64,
     /// Time for which a connection stays idle or with a part of a head before a new one may take its
@@ -65,6 +67,30 @@
     Full,
 }
 
+/// What connections take beside what is buffered for them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Places {
+    connections: u64,
+    bytes: u64,
+    descriptors: u64,
+}
+
+impl Places {
+    fn without(self, other: Places) -> Places {
+        Places {
+            connections: self.connections - other.connections,
+            bytes: self.bytes - other.bytes,
+            descriptors: self.descriptors - other.descriptors,
+        }
+    }
+
+    fn fit(self, limits: UsageLimits) -> bool {
+        self.connections <= limits.connections
+            && self.bytes <= limits.connection_bytes
+            && self.descriptors <= limits.descriptors
+    }
+}
+
 /// What all connections of one port hold.
 #[derive(Debug)]
 pub struct CallerUsage {
@@ -166,7 +192,7 @@
 
     /// Returns the room for one more connection.
     pub fn connection_room(&mut self, now: Time) -> Room {
-        if self.has_place(CONNECTION_BYTES, 1) {
+        if self.has_place(1) {
             return Room::Free;
         }
         self.take_place(now, self.limits.min_idle_ms)
@@ -175,7 +201,7 @@
     /// Returns the room for what the open connections hold already: a head may have grown, and a request
     /// needs a connection to a backend server.
     pub fn present_room(&mut self, now: Time) -> Room {
-        if self.has_place(0, 0) {
+        if self.has_place(0) {
             return Room::Free;
         }
         // What is here already doesn't wait for the place of what is not.
@@ -255,19 +281,20 @@
         }
     }
 
-    /// Returns whether there is place for so many more bytes and descriptors of connections, if need be
-    /// once those are gone that are being closed.
-    fn has_place(&self, bytes: u64, descriptors: u64) -> bool {
-        let bytes = self.connection_bytes + bytes;
-        let descriptors = self.descriptors + descriptors;
-        let fits = |bytes: u64, descriptors: u64| {
-            bytes <= self.limits.connection_bytes && descriptors <= self.limits.descriptors
+    /// Returns whether there is place for `more` connections, if need be once those are gone that are
+    /// being closed.
+    fn has_place(&self, more: u64) -> bool {
+        let present = Places {
+            connections: self.connections.len() as u64,
+            bytes: self.connection_bytes,
+            descriptors: self.descriptors,
         };
-        if fits(bytes, descriptors) {
-            return true;
-        }
-        let (closing_bytes, closing_descriptors) = self.closing_connections();
-        fits(bytes - closing_bytes, descriptors - closing_descriptors)
+        let wanted = Places {
+            connections: present.connections + more,
+            bytes: present.bytes + more * CONNECTION_BYTES,
+            descriptors: present.descriptors + more,
+        };
+        wanted.fit(self.limits) || wanted.without(self.closing_places()).fit(self.limits)
     }
 
     /// Returns the bytes that are buffered for connections that are being closed.
@@ -276,14 +303,13 @@
         closing.map(ConnectionUsage::buffered_bytes).sum()
     }
 
-    /// Returns the memory and descriptors of connections that are being closed.
-    fn closing_connections(&self) -> (u64, u64) {
+    /// Returns what the connections take that are being closed.
+    fn closing_places(&self) -> Places {
         let closing = self.connections.values().filter(|usage| usage.is_closing());
-        closing.fold((0, 0), |(bytes, descriptors), usage| {
-            (
-                bytes + usage.connection_bytes(),
-                descriptors + usage.descriptors(),
-            )
+        closing.fold(Places::default(), |places, usage| Places {
+            connections: places.connections + 1,
+            bytes: places.bytes + usage.connection_bytes(),
+            descriptors: places.descriptors + usage.descriptors(),
         })
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -349,6 +349,7 @@
     let limits = UsageLimits {
         buffer_bytes: settings.buffer_bytes,
         connection_bytes: settings.connection_bytes,
+        connections: u64::MAX,
         descriptors: descriptors(settings, CALLERS_PERCENT),
         min_idle_ms: CALLERS_MIN_IDLE_MS,
     };
@@ -364,6 +365,7 @@
     let limits = UsageLimits {
         buffer_bytes: u64::MAX,
         connection_bytes: u64::MAX,
+        connections: u64::MAX,
         descriptors: descriptors(settings, percent),
         min_idle_ms: SLOTS_MIN_IDLE_MS,
     };
--- a/crates/gateway/tests/caller_usage.rs
+++ b/crates/gateway/tests/caller_usage.rs
@@ -16,6 +16,7 @@
 const LIMITS: UsageLimits = UsageLimits {
     buffer_bytes: 10 * MIB,
     connection_bytes: 100 * CONNECTION_BYTES,
+    connections: u64::MAX,
     descriptors: 100,
     min_idle_ms: 200,
 };
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -11,11 +11,15 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock;
+use crate::connections::Connections;
+use crate::connections::OpenConnection;
+use crate::connections::Opening;
+use crate::tracked_body::TrackedBody;
 use crate::Handler;
 use crate::Tasks;
 use crate::WriteTimeoutIo;
@@ -41,15 +45,14 @@
 impl Frontend {
     /// Accepts connections until `drain` is cancelled.
     pub async fn run(self) {
-        let limit = self.handler.limits.connections;
-        let permits = Arc::new(Semaphore::new(limit));
+        let connections = Connections::new(self.handler.limits.connections);
         loop {
             let accepted = tokio::select! {
                 () = self.drain.cancelled() => return,
                 accepted = self.listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.admit(stream, &permits),
+                Ok((stream, _)) => self.admit(stream, &connections).await,
                 Err(e) => {
                     log::warn!("event=accept_failed reason={:?}", e.to_string());
                     sleep(ACCEPT_PAUSE).await;
@@ -58,15 +61,19 @@
         }
     }
 
-    fn admit(&self, stream: TcpStream, permits: &Arc<Semaphore>) {
-        let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
-            self.handler.metrics.on_connection_refused();
-            return;
+    /// Serves a connection, or closes it if all others have requests.
+    async fn admit(&self, stream: TcpStream, connections: &Connections) {
+        let connection = loop {
+            match connections.open() {
+                Opening::Open(connection) => break connection,
+                Opening::At(at) => sleep_until(clock::instant(at)).await,
+                Opening::Full => return self.handler.metrics.on_connection_refused(),
+            }
         };
         let handler = Arc::clone(&self.handler);
         let drain = self.drain.clone();
         self.connections
-            .spawn(serve(stream, handler, drain, permit));
+            .spawn(serve(stream, handler, drain, connection));
     }
 }
 
@@ -74,25 +81,31 @@
     stream: TcpStream,
     handler: Arc<Handler>,
     drain: CancellationToken,
-    _permit: OwnedSemaphorePermit,
+    connection: Arc<OpenConnection>,
 ) {
     // Streamed tokens are small writes that must not be delayed.
     let _ = stream.set_nodelay(true);
     let _open = handler.metrics.open_connection();
     let limits = handler.limits;
-    let io = WriteTimeoutIo::new(stream, limits.write_timeout());
-    let service = service_fn(|req| async { Ok::<_, Infallible>(handler.handle(req).await) });
-    let connection = http1::Builder::new()
+    let io = WriteTimeoutIo::new(stream, Arc::clone(&connection), limits.write_timeout());
+    let service = service_fn(|req| async {
+        connection.begin_request();
+        let response = handler.handle(req).await;
+        let tracked = response.map(|body| TrackedBody::new(body, Arc::clone(&connection)));
+        Ok::<_, Infallible>(tracked)
+    });
+    let http = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout())
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(io), service);
-    let mut connection = pin!(connection);
+    let mut http = pin!(http);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = http.as_mut() => result,
+        () = connection.closing() => return,
         () = drain.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            http.as_mut().graceful_shutdown();
+            http.await
         }
     };
     if let Err(e) = result {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 mod completion_request;
 mod completion_writer;
 mod config_task;
+mod connections;
 mod counted_key_value;
 mod counted_membership;
 mod engine_attempt;
@@ -63,6 +64,7 @@
 mod store;
 mod tasks;
 mod ticker;
+mod tracked_body;
 mod write_timeout_io;
 
 pub use crate::event_id::BadEventId;
--- a/crates/router/src/write_timeout_io.rs
+++ b/crates/router/src/write_timeout_io.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -13,9 +14,13 @@
 use tokio::time::sleep;
 use tokio::time::Sleep;
 
-/// A connection on which a write fails with `TimedOut` if it makes no progress within a timeout.
+use crate::connections::OpenConnection;
+
+/// A connection on which a write fails with `TimedOut` if it makes no progress within a timeout. It
+/// records when all was written.
 pub struct WriteTimeoutIo<T> {
     inner: T,
+    connection: Arc<OpenConnection>,
     timeout: Duration,
     /// Timer of the pending write, `None` while no write is pending.
     deadline: Option<Pin<Box<Sleep>>>,
@@ -23,9 +28,10 @@
 
 impl<T> WriteTimeoutIo<T> {
     /// Wraps `inner`; `timeout` applies to each write on its own.
-    pub fn new(inner: T, timeout: Duration) -> WriteTimeoutIo<T> {
+    pub fn new(inner: T, connection: Arc<OpenConnection>, timeout: Duration) -> WriteTimeoutIo<T> {
         WriteTimeoutIo {
             inner,
+            connection,
             timeout,
             deadline: None,
         }
@@ -79,6 +85,10 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flush = Pin::new(&mut self.inner).poll_flush(cx);
+        // The http library flushes when it has no more bytes to write.
+        if matches!(flush, Poll::Ready(Ok(()))) {
+            self.connection.record_flushed();
+        }
         self.apply_timeout(cx, flush)
     }
 
--- a/crates/router/tests/slow_callers.rs
+++ b/crates/router/tests/slow_callers.rs
@@ -133,3 +133,22 @@
         .map(|count| count.parse::<u32>().unwrap());
     assert!(count >= Some(1), "{metrics}");
 }
+
+// Guards against connections that take the place of all others until their head is overdue.
+#[tokio::test]
+async fn callers_who_hold_silent_connections_make_place_for_others() {
+    let limits = Limits {
+        connections: 10,
+        ..Limits::default()
+    };
+    let system = a_system().with_limits(limits).start().await;
+    let mut silent = Vec::new();
+    for _ in 0..10 {
+        silent.push(TcpStream::connect(system.address(0)).await.unwrap());
+    }
+    let text = "GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+
+    let response = send_raw(system.address(0), text).await;
+
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
