--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -101,7 +101,7 @@
         ResponseBody::new(Content::Events(parts))
     }
 
-    /// Sets the connection over which it is sent, which learns when the body has ended.
+    /// Sets the connection over which it is sent, which records when the body has ended.
     pub fn send_over(&mut self, connection: Rc<CallerConnection>) {
         self.connection = Some(connection);
     }
--- a/crates/gateway/src/caller_usage.rs
+++ b/crates/gateway/src/caller_usage.rs
@@ -1,9 +1,10 @@
-//! What the connections of callers hold, how they move, and which one is closed first.
+//! Accounting of what the connections of callers hold, and eviction when there is no room left.
 //!
 //! A caller makes the router hold a descriptor, what has arrived of its request, and what it hasn't
 //! taken of its response. All of it counts from its arrival until it is gone. When there is no room
-//! left, the connection is closed that holds the most, for the longest, and moves the least. Requests
-//! that wait for a backend server aren't closed: their callers owe nothing.
+//! left, the connection is evicted that holds the most for the longest, and over which the least was
+//! transferred. Requests that wait for a backend server aren't evicted: the wait isn't their callers'
+//! fault.
 
 use std::collections::BTreeMap;
 
@@ -15,11 +16,10 @@
 use crate::connection_usage::Stage;
 use crate::connection_usage::CONNECTION_BYTES;
 
-/// Time for which bytes wait for their caller before its connection may be closed for the room of
-/// others, in milliseconds.
+/// Time for which bytes wait for their caller before its connection may be evicted, in milliseconds.
 const MIN_WAITING_MS: u64 = 1_000;
 
-/// Bytes that must wait for it.
+/// Bytes that must wait for their caller before its connection may be evicted.
 const MIN_WAITING_BYTES: u64 = 4 << 10;
 
 /// Part of the buffers that all large requests may take, and that all large responses may, in percent; a
@@ -30,7 +30,7 @@
 /// those that are accepted.
 const REQUESTS_PERCENT: u64 = 70;
 
-/// Interval at which connections are searched again for one to close after none was found, in
+/// Interval after which connections are searched again for one to evict if none was found, in
 /// milliseconds.
 const SEARCH_INTERVAL_MS: u64 = 20;
 
@@ -49,8 +49,8 @@
     pub connections: u64,
     /// Descriptors of connections and of those to backend servers that their requests need.
     pub descriptors: u64,
-    /// Time for which a connection stays idle or with a part of a head before a new one may take its
-    /// place, in milliseconds.
+    /// Time for which a connection is idle or has a part of a head before it may be evicted for a new
+    /// one, in milliseconds.
     pub min_idle_ms: u64,
 }
 
@@ -67,17 +67,17 @@
     Full,
 }
 
-/// What connections take beside what is buffered for them.
+/// Number, memory and descriptors of connections, without what is buffered for them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Places {
+struct Totals {
     connections: u64,
     bytes: u64,
     descriptors: u64,
 }
 
-impl Places {
-    fn without(self, other: Places) -> Places {
-        Places {
+impl Totals {
+    fn without(self, other: Totals) -> Totals {
+        Totals {
             connections: self.connections - other.connections,
             bytes: self.bytes - other.bytes,
             descriptors: self.descriptors - other.descriptors,
@@ -192,20 +192,20 @@
 
     /// Returns the room for one more connection.
     pub fn connection_room(&mut self, now: Time) -> Room {
-        if self.has_place(1) {
+        if self.has_room_for(1) {
             return Room::Free;
         }
-        self.take_place(now, self.limits.min_idle_ms)
+        self.evict_idle(now, self.limits.min_idle_ms)
     }
 
     /// Returns the room for what the open connections hold already: a head may have grown, and a request
     /// needs a connection to a backend server.
     pub fn present_room(&mut self, now: Time) -> Room {
-        if self.has_place(0) {
+        if self.has_room_for(0) {
             return Room::Free;
         }
-        // What is here already doesn't wait for the place of what is not.
-        self.take_place(now, 0)
+        // Connections that are open already have priority over new ones.
+        self.evict_idle(now, 0)
     }
 
     /// Returns the room for `bytes` more bytes of a connection's request or response.
@@ -219,7 +219,7 @@
         if self.fits(key, bytes, held_for, false) || self.fits(key, bytes, held_for, true) {
             return Room::Free;
         }
-        self.take_buffers(now, key, bytes, held_for)
+        self.evict_slow(now, key, bytes, held_for)
     }
 
     /// Returns whether `bytes` bytes can never be held, whatever is closed.
@@ -281,20 +281,20 @@
         }
     }
 
-    /// Returns whether there is place for `more` connections, if need be once those are gone that are
+    /// Returns whether there is room for `more` connections, at the latest once those are gone that are
     /// being closed.
-    fn has_place(&self, more: u64) -> bool {
-        let present = Places {
+    fn has_room_for(&self, more: u64) -> bool {
+        let present = Totals {
             connections: self.connections.len() as u64,
             bytes: self.connection_bytes,
             descriptors: self.descriptors,
         };
-        let wanted = Places {
+        let wanted = Totals {
             connections: present.connections + more,
             bytes: present.bytes + more * CONNECTION_BYTES,
             descriptors: present.descriptors + more,
         };
-        wanted.fit(self.limits) || wanted.without(self.closing_places()).fit(self.limits)
+        wanted.fit(self.limits) || wanted.without(self.closing_totals()).fit(self.limits)
     }
 
     /// Returns the bytes that are buffered for connections that are being closed.
@@ -303,22 +303,21 @@
         closing.map(ConnectionUsage::buffered_bytes).sum()
     }
 
-    /// Returns what the connections take that are being closed.
-    fn closing_places(&self) -> Places {
+    /// Returns the totals of the connections that are being closed.
+    fn closing_totals(&self) -> Totals {
         let closing = self.connections.values().filter(|usage| usage.is_closing());
-        closing.fold(Places::default(), |places, usage| Places {
-            connections: places.connections + 1,
-            bytes: places.bytes + usage.connection_bytes(),
-            descriptors: places.descriptors + usage.descriptors(),
+        closing.fold(Totals::default(), |totals, usage| Totals {
+            connections: totals.connections + 1,
+            bytes: totals.bytes + usage.connection_bytes(),
+            descriptors: totals.descriptors + usage.descriptors(),
         })
     }
 
-    /// Chooses the connection to close for the place of another one, `min_idle_ms` after it began what it
-    /// does.
-    fn take_place(&mut self, now: Time, min_idle_ms: u64) -> Room {
-        let yielding = self.connections.iter_mut();
-        let yielding = yielding.filter(|(_, usage)| usage.yields_place());
-        let Some((key, usage)) = yielding.max_by_key(|(_, usage)| usage.place_cost(now)) else {
+    /// Chooses an idle connection to evict, `min_idle_ms` after it became idle at the earliest.
+    fn evict_idle(&mut self, now: Time, min_idle_ms: u64) -> Room {
+        let idle = self.connections.iter_mut();
+        let idle = idle.filter(|(_, usage)| usage.is_idle());
+        let Some((key, usage)) = idle.max_by_key(|(_, usage)| usage.idle_cost(now)) else {
             return Room::Full;
         };
         let from = usage.stage_since().plus_millis(min_idle_ms);
@@ -329,8 +328,8 @@
         Room::Closing(*key)
     }
 
-    /// Chooses the connection to close for the buffers of another one.
-    fn take_buffers(
+    /// Chooses a connection to evict whose caller doesn't send or take what is buffered for it.
+    fn evict_slow(
         &mut self,
         now: Time,
         asking: ConnectionKey,
@@ -340,15 +339,15 @@
         if now < self.search_at {
             return Room::Full;
         }
-        // If it fits beside all, only other large ones stand in its way.
+        // If it fits into the sum, only the part of large ones is full.
         let sum = self.buffered_bytes.saturating_add(bytes);
         let only_large = sum <= self.limit_for(held_for);
         let waiting = self.connections.iter_mut().filter(|(key, usage)| {
             let has_waited = usage.waiting_since().plus_millis(MIN_WAITING_MS) <= now;
             let is_large = usage.waiting_bytes() >= MIN_WAITING_BYTES;
-            let is_in_the_way = !only_large || usage.large_bytes(held_for) > 0;
+            let is_relevant = !only_large || usage.large_bytes(held_for) > 0;
             let may_close = **key != asking && !usage.is_closing();
-            may_close && is_in_the_way && is_large && has_waited
+            may_close && is_relevant && is_large && has_waited
         });
         let Some((key, usage)) = waiting.max_by_key(|(_, usage)| usage.waiting_cost(now)) else {
             self.search_at = now.plus_millis(SEARCH_INTERVAL_MS);
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -105,7 +105,7 @@
         self.0.usage.borrow().len()
     }
 
-    /// Opens a connection if there is room for it, in place of another one if need be.
+    /// Opens a connection if there is room for it, after evicting another one if needed.
     pub fn open(&self) -> Opening {
         let room = self.0.usage.borrow_mut().connection_room(now());
         match room {
@@ -149,7 +149,7 @@
         self.0.usage.borrow_mut().set_stage(now(), key, stage);
     }
 
-    /// Records bytes that were read from a connection, and closes one if there is no room for them.
+    /// Records bytes that were read from a connection, and evicts one if there is no room for them.
     pub fn record_read(&self, key: ConnectionKey, bytes: u64) {
         self.0.usage.borrow_mut().record_read(now(), key, bytes);
         self.make_present_room();
@@ -177,8 +177,8 @@
         }
     }
 
-    /// Returns whether there is room for `bytes` more bytes of a connection, after closing others
-    /// that stand in its way.
+    /// Returns whether there is room for `bytes` more bytes of a connection, after evicting others if
+    /// needed.
     pub fn make_buffer_room(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) -> bool {
         loop {
             let mut usage = self.0.usage.borrow_mut();
@@ -227,7 +227,7 @@
         unsized_bytes.set(unsized_bytes.get().saturating_sub(bytes));
     }
 
-    /// Closes the connections whose time is over, and logs how many were closed since the last time.
+    /// Closes the connections without progress, and logs how many were closed since the last time.
     pub fn sweep(&self, limits: ProgressLimits) {
         let overdue = self.0.usage.borrow_mut().overdue(now(), limits);
         for key in overdue {
--- a/crates/gateway/src/connection_usage.rs
+++ b/crates/gateway/src/connection_usage.rs
@@ -1,4 +1,4 @@
-//! What one connection of a caller holds, and how it moves.
+//! Accounting of what one connection of a caller holds, and of its progress.
 
 use policy::Time;
 
@@ -231,21 +231,23 @@
         }
     }
 
-    /// Returns how much it stands in the way of others: the bytes that wait for it, by the time for which they
-    /// have and what it has moved meanwhile.
+    /// Returns the cost by which a slow connection to evict is chosen: the bytes that wait for its caller
+    /// times the milliseconds for which they do, per byte that was transferred meanwhile.
     pub fn waiting_cost(&self, now: Time) -> u128 {
         let ms = u128::from(now.millis_since(self.waiting_since));
         u128::from(self.waiting_bytes()) * ms / u128::from(self.moved_bytes + MOVED_AT_START_BYTES)
     }
 
-    /// Returns whether another connection may take its place.
-    pub fn yields_place(&self) -> bool {
+    /// Returns whether it may be evicted for another connection: it has no request, or its caller sends on
+    /// behind one.
+    pub fn is_idle(&self) -> bool {
         let has_request = matches!(self.stage, Stage::Running | Stage::Response);
         !self.is_closing && (!has_request || self.is_pipelining())
     }
 
-    /// Returns how much it stands in the way of other connections.
-    pub fn place_cost(&self, now: Time) -> u128 {
+    /// Returns the cost by which an idle connection to evict is chosen: its bytes times the microseconds for
+    /// which it has been idle.
+    pub fn idle_cost(&self, now: Time) -> u128 {
         let bytes = self.connection_bytes() + self.request_bytes;
         u128::from(bytes) * u128::from(now.micros_since(self.stage_since))
     }
--- a/crates/gateway/src/early_refusal.rs
+++ b/crates/gateway/src/early_refusal.rs
@@ -20,6 +20,6 @@
          Retry-After: {RETRY_AFTER_S}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    // A caller whose socket takes nothing learns from the end of the connection.
+    // If the socket is full, the end of the connection is all that the caller gets.
     let _ = socket.try_write(response.as_bytes());
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -74,7 +74,7 @@
 const ROUTERS_PERCENT: u64 = 14;
 const PAGES_PERCENT: u64 = 2;
 
-/// Time for which a connection of a caller stays idle before a new one may take its place, in
+/// Time for which a connection of a caller is idle before it may be evicted for a new one, in
 /// milliseconds.
 const CALLERS_MIN_IDLE_MS: u64 = 200;
 
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -1,4 +1,4 @@
-//! The open connections of callers, and which one makes place for a new one.
+//! The open connections of callers, of which idle ones are evicted for new ones.
 
 use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
@@ -18,7 +18,7 @@
 
 use crate::clock::now;
 
-/// Time for which a connection stays idle before a new one may take its place, in milliseconds.
+/// Time for which a connection is idle before it may be evicted for a new one, in milliseconds.
 const MIN_IDLE_MS: u64 = 200;
 
 /// Outcome of opening a connection.
@@ -57,7 +57,7 @@
         })))
     }
 
-    /// Opens a connection if there is room for it, in place of one that is idle if need be.
+    /// Opens a connection if there is room for it, after evicting an idle one if needed.
     pub fn open(&self) -> Opening {
         let mut state = self.state();
         match state.usage.connection_room(now()) {
