--- a/crates/router/tests/crowds.rs
+++ b/crates/router/tests/crowds.rs
@@ -90,9 +90,15 @@
 
     /// Starts a router with the fields of `extra` in its settings.
     async fn start_with(extra: Value) -> Trial {
+        let registration = crowd_server::start().await;
+        Trial::start_before(registration, extra).await
+    }
+
+    /// Starts a router before a server with a registration.
+    async fn start_before(registration: Value, extra: Value) -> Trial {
         let store = FakeStore::start().await;
         store.put("op/config", &patient_configuration());
-        store.put("servers/i-0", &crowd_server::start().await);
+        store.put("servers/i-0", &registration);
         let dir = TempDir::new().unwrap();
         let mut settings = settings("router", store.address, STOP_S);
         settings["listen"]["bootstrap"] = json!(free_address());
@@ -425,7 +431,10 @@
 #[test]
 fn callers_who_never_repeat_a_prompt_part_leave_memory_to_others() {
     alone(async {
-        let mut trial = Trial::start().await;
+        let mut registration = crowd_server::start().await;
+        registration["Models"] = json!([{ "Name": MODEL, "Version": 1 }]);
+        let extra = json!({ "memory_mb": MEMORY_MB });
+        let mut trial = Trial::start_before(registration, extra).await;
         let address = trial.router.address;
         trial.add_callers(40, |i| send_new_parts(address, i, 250, 1_000));
         trial.check(usize::MAX).await;
--- a/crates/router/tests/crowds/crowd_server.rs
+++ b/crates/router/tests/crowds/crowd_server.rs
@@ -13,7 +13,6 @@
 
 use crate::common::http_message;
 use crate::common::http_message::header;
-use crate::common::MODEL;
 
 /// Requests that it runs at once.
 const SLOTS: u32 = 4_000;
@@ -36,7 +35,6 @@
     json!({
         "Service": "s", "Address": address.to_string(), "Zone": "a", "Version": "v1",
         "Slots": SLOTS, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": 17,
-        "Models": [{ "Name": MODEL, "Version": 1 }],
     })
 }
 
