--- a/crates/router/tests/crowds/crowd_caller.rs
+++ b/crates/router/tests/crowds/crowd_caller.rs
@@ -1,4 +1,5 @@
 //! A caller whose connection takes little at once, as over a link with a small window.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::common::wire;
+
 /// Size of the receive buffer, in bytes, before the kernel doubles it.
 const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
 
@@ -17,7 +20,7 @@
 const SEGMENT_BYTES: u32 = 536;
 
 /// Time limit that its requests name, in milliseconds.
-const DEADLINE_MS: u64 = 14_000;
+pub const DEADLINE_MS: u64 = 14_000;
 
 /// How a caller reads its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,11 +41,8 @@
 
 /// Returns the head of a request with a body of `body_len` bytes.
 pub fn head(path: &str, id: &str, body_len: usize) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: app.example:80\r\nX-Turmerichollow-Request-Id: {id}\r\n\
-         X-Turmerichollow-Deadline-Ms: {DEADLINE_MS}\r\nX-Turmerichollow-Credential: key-1\r\n\
-         Content-Length: {body_len}\r\n\r\n"
-    )
+    let head = wire::request_head(path, id, DEADLINE_MS);
+    format!("{head}Content-Length: {body_len}\r\n\r\n")
 }
 
 /// Sends a request and reads the response in a way until the connection ends. Returns what was read.
--- a/crates/router/tests/crowds/crowd_server.rs
+++ b/crates/router/tests/crowds/crowd_server.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::time::Duration;
 
-use serde_json::json;
 use serde_json::Value;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -12,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::common::http_message;
-use crate::common::http_message::header;
+use crate::common::wire;
 
 /// Requests that it runs at once.
 const SLOTS: u32 = 4_000;
@@ -32,10 +31,7 @@
             spawn_local(serve(stream));
         }
     });
-    json!({
-        "Service": "s", "Address": address.to_string(), "Zone": "a", "Version": "v1",
-        "Slots": SLOTS, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": 17,
-    })
+    wire::registration(address, SLOTS)
 }
 
 /// Returns the event with a number in a stream of events of `len` bytes.
@@ -48,7 +44,7 @@
 async fn serve(mut stream: TcpStream) {
     while let Some(message) = http_message::read(&mut stream).await {
         let path = message.head.split(' ').nth(1).unwrap_or_default();
-        let id = header(&message.head, "x-turmerichollow-request-id").unwrap_or("none");
+        let id = wire::request_id(&message.head).unwrap_or("none");
         if respond(&mut stream, path, id).await.is_err() {
             return;
         }
@@ -70,15 +66,9 @@
     }
 }
 
-fn head(id: &str, framing: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nX-Turmerichollow-Request-Id: {id}\r\n\
-         X-Turmerichollow-Response-Signature: s\r\nX-Turmerichollow-Instance-Id: i-0\r\n{framing}\r\n\r\n"
-    )
-}
-
 async fn respond_whole(stream: &mut TcpStream, id: &str, body: &str) -> io::Result<()> {
-    let head = head(id, &format!("Content-Length: {}", body.len()));
+    let head = wire::response_head(id);
+    let head = format!("{head}Content-Length: {}\r\n\r\n", body.len());
     stream.write_all(head.as_bytes()).await?;
     stream.write_all(body.as_bytes()).await
 }
@@ -89,8 +79,10 @@
     count: usize,
     len: usize,
 ) -> io::Result<()> {
-    let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
-    stream.write_all(head(id, framing).as_bytes()).await?;
+    let head = wire::response_head(id);
+    let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(framing.as_bytes()).await?;
     for number in 1..=count {
         let event = event(number, len);
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
--- a/crates/router/tests/late_in_grace.rs
+++ b/crates/router/tests/late_in_grace.rs
@@ -17,6 +17,7 @@
 use common::fake_store::FakeStore;
 use common::run;
 use common::start_servers;
+use common::wire;
 use router_process::RouterProcess;
 use rustix::process::Signal;
 use tempfile::TempDir;
@@ -32,6 +33,9 @@
 /// Time after the signal from which no request may be passed on to a server.
 const LATEST_SENT: Duration = Duration::from_secs(3);
 
+/// Time limit that requests name, in milliseconds.
+const DEADLINE_MS: u64 = 6_000;
+
 /// Callers that keep their connections, and as many that open one for each request.
 const CALLERS: usize = 12;
 
@@ -45,11 +49,8 @@
 }
 
 fn request(path: &str, id: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: app.example:80\r\nX-Turmerichollow-Request-Id: {id}\r\n\
-         X-Turmerichollow-Deadline-Ms: 6000\r\nX-Turmerichollow-Credential: key-1\r\n\
-         Content-Length: 5\r\n\r\nhello"
-    )
+    let head = wire::request_head(path, id, DEADLINE_MS);
+    format!("{head}Content-Length: 5\r\n\r\nhello")
 }
 
 /// Sends a request and returns the status of the response, and whether it says that the connection
--- a/crates/router/tests/processes/odd_caller.rs
+++ b/crates/router/tests/processes/odd_caller.rs
@@ -10,9 +10,14 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::common::wire;
+
 /// Time between two bytes of a caller that drips.
 const DRIP_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time limit that its requests name, in milliseconds.
+const DEADLINE_MS: u64 = 3_000;
+
 /// What a caller does with its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OddCaller {
@@ -46,10 +51,7 @@
 
     /// Returns what it sends of a request with a path and an id.
     fn bytes(self, path: &str, id: &str) -> String {
-        let head = format!(
-            "POST {path} HTTP/1.1\r\nHost: app.example\r\nX-Turmerichollow-Request-Id: {id}\r\n\
-             X-Turmerichollow-Deadline-Ms: 3000\r\nX-Turmerichollow-Credential: key-1\r\n"
-        );
+        let head = wire::request_head(path, id, DEADLINE_MS);
         match self {
             OddCaller::HoldsBody => format!("{head}Content-Length: 3000\r\n\r\nx"),
             OddCaller::HoldsHead => head,
