gateway: what is accepted at any port is named so, not after callers

Callers, CallerUsage and CallerConnection served the ports of routers and pages too: PortConnections, PortUsage, AcceptedConnection. Opening stood in both programs and is one type now. No change of logic.

--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/accepted_connection.rs
@@ -8,12 +8,12 @@
 use tokio::sync::Notify;
 
 use crate::buffer_hold::BufferHold;
-use crate::caller_usage::ConnectionKey;
-use crate::callers::Callers;
-use crate::callers::REQUEST_OVERHEAD_BYTES;
 use crate::close_reason::CloseReason;
 use crate::connection_usage::HeldFor;
 use crate::connection_usage::Stage;
+use crate::port_connections::PortConnections;
+use crate::port_connections::REQUEST_OVERHEAD_BYTES;
+use crate::port_usage::ConnectionKey;
 
 /// How the sending of a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,8 +30,8 @@
 type OnEnd = Box<dyn FnOnce(Delivery)>;
 
 /// One connection of a caller.
-pub struct CallerConnection {
-    callers: Callers,
+pub struct AcceptedConnection {
+    callers: PortConnections,
     key: ConnectionKey,
     /// Why it is to be closed.
     closing: Cell<Option<CloseReason>>,
@@ -43,10 +43,10 @@
     on_end: RefCell<Option<OnEnd>>,
 }
 
-impl CallerConnection {
+impl AcceptedConnection {
     /// Returns a connection that has just been opened.
-    pub fn new(callers: Callers, key: ConnectionKey) -> CallerConnection {
-        CallerConnection {
+    pub fn new(callers: PortConnections, key: ConnectionKey) -> AcceptedConnection {
+        AcceptedConnection {
             callers,
             key,
             closing: Cell::new(None),
@@ -95,8 +95,8 @@
         self.callers.record_parsed(self.key, bytes);
     }
 
-    /// Records that a page is asked for.
-    pub fn record_page(&self) {
+    /// Records that it is idle from now on.
+    pub fn mark_idle(&self) {
         self.callers.set_stage(self.key, Stage::Idle);
     }
 
@@ -199,14 +199,14 @@
     }
 }
 
-impl Drop for CallerConnection {
+impl Drop for AcceptedConnection {
     fn drop(&mut self) {
         self.callers.forget(self.key);
     }
 }
 
 /// Records the end of a connection when it is dropped.
-pub struct ConnectionEnd(pub Rc<CallerConnection>);
+pub struct ConnectionEnd(pub Rc<AcceptedConnection>);
 
 impl Drop for ConnectionEnd {
     fn drop(&mut self) {
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -15,8 +15,8 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
+use crate::accepted_connection::AcceptedConnection;
 use crate::buffer_hold::BufferHold;
-use crate::caller_connection::CallerConnection;
 
 /// Error of a stream that failed. It makes hyper close the connection without the
 /// end of the chunked body, so that the caller notices.
@@ -43,7 +43,7 @@
 pub struct ResponseBody {
     content: Content,
     /// Connection over which it is sent.
-    connection: Option<Rc<CallerConnection>>,
+    connection: Option<Rc<AcceptedConnection>>,
 }
 
 enum Content {
@@ -102,7 +102,7 @@
     }
 
     /// Sets the connection over which it is sent, which records when the body has ended.
-    pub fn send_over(&mut self, connection: Rc<CallerConnection>) {
+    pub fn send_over(&mut self, connection: Rc<AcceptedConnection>) {
         self.connection = Some(connection);
     }
 
--- a/crates/gateway/src/buffer_hold.rs
+++ b/crates/gateway/src/buffer_hold.rs
@@ -1,12 +1,12 @@
 //! Bytes that are held for a caller.
 
-use crate::caller_usage::ConnectionKey;
-use crate::callers::Callers;
 use crate::connection_usage::HeldFor;
+use crate::port_connections::PortConnections;
+use crate::port_usage::ConnectionKey;
 
 /// Bytes that are held for a caller; dropping it frees them.
 pub struct BufferHold {
-    callers: Callers,
+    callers: PortConnections,
     key: ConnectionKey,
     held_for: HeldFor,
     bytes: u64,
@@ -16,7 +16,12 @@
 
 impl BufferHold {
     /// Holds `bytes` bytes whatever the limit.
-    pub fn new(callers: Callers, key: ConnectionKey, held_for: HeldFor, bytes: u64) -> BufferHold {
+    pub fn new(
+        callers: PortConnections,
+        key: ConnectionKey,
+        held_for: HeldFor,
+        bytes: u64,
+    ) -> BufferHold {
         callers.hold(key, bytes, held_for);
         BufferHold {
             callers,
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -12,17 +12,17 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-use crate::caller_connection::CallerConnection;
+use crate::accepted_connection::AcceptedConnection;
 
 /// Stream to a caller.
 pub struct CallerStream {
     socket: Rc<TcpStream>,
-    connection: Rc<CallerConnection>,
+    connection: Rc<AcceptedConnection>,
 }
 
 impl CallerStream {
     /// Wraps the socket of a connection.
-    pub fn new(socket: Rc<TcpStream>, connection: Rc<CallerConnection>) -> CallerStream {
+    pub fn new(socket: Rc<TcpStream>, connection: Rc<AcceptedConnection>) -> CallerStream {
         CallerStream { socket, connection }
     }
 
--- a/crates/gateway/src/collected_body.rs
+++ b/crates/gateway/src/collected_body.rs
@@ -5,10 +5,10 @@
 use bytes::BytesMut;
 use tokio::time::sleep;
 
+use crate::accepted_connection::AcceptedConnection;
 use crate::body::HeldBytes;
-use crate::caller_connection::CallerConnection;
-use crate::callers::ROOM_POLL_INTERVAL;
 use crate::in_flight::InFlight;
+use crate::port_connections::ROOM_POLL_INTERVAL;
 use crate::response_end::ResponseEnd;
 use crate::server_body::ServerBody;
 
@@ -28,7 +28,7 @@
 /// isn't begun, so that its server waits; one that is begun is read to its end. One without a length
 /// may have no end, and is given up if those take too much.
 pub async fn collect(
-    caller: &CallerConnection,
+    caller: &AcceptedConnection,
     in_flight: &InFlight,
     body: &mut ServerBody,
 ) -> Result<VecDeque<HeldBytes>, CollectError> {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,7 +16,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::callers::Callers;
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::codec::Codec;
@@ -29,6 +28,7 @@
 use crate::pause_watch::PauseWatch;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
+use crate::port_connections::PortConnections;
 use crate::quotas::Quotas;
 use crate::server_event::ServerEvent;
 use crate::settings::Settings;
@@ -81,15 +81,15 @@
     /// What other routers are asked about streams.
     pub pending_streams: PendingReplies<StreamKnowledge>,
     /// Connections of callers, and what is held for them.
-    pub callers: Callers,
+    pub callers: PortConnections,
     /// Connections of other routers.
-    pub router_connections: Callers,
+    pub router_connections: PortConnections,
     /// Connections to the readiness page.
-    pub readiness_connections: Callers,
+    pub readiness_connections: PortConnections,
     /// Connections to the pages for operators.
-    pub metrics_connections: Callers,
+    pub metrics_connections: PortConnections,
     /// Connections to the pages for new routers.
-    pub bootstrap_connections: Callers,
+    pub bootstrap_connections: PortConnections,
     /// Quotas of workspaces, and what this router may spend of them.
     pub quotas: Quotas,
     /// Streams that are written to the store, or were read from it.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,10 +17,10 @@
 use relay::Workspace;
 
 use crate::accepted::Accepted;
+use crate::accepted_connection::AcceptedConnection;
+use crate::accepted_connection::Delivery;
 use crate::attempted_server::AttemptedServer;
 use crate::buffer_hold::BufferHold;
-use crate::caller_connection::CallerConnection;
-use crate::caller_connection::Delivery;
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::codec::RequestHead;
@@ -43,7 +43,7 @@
     /// State of this router.
     pub cx: Rc<Context>,
     /// Connection of the caller.
-    pub caller: Rc<CallerConnection>,
+    pub caller: Rc<AcceptedConnection>,
     /// Head that the caller sent.
     pub head: request::Parts,
     /// Fields read from the head.
@@ -92,7 +92,7 @@
 
 impl Exchange {
     /// Sets the deadline and picks the service of a request.
-    pub fn new(cx: Rc<Context>, caller: Rc<CallerConnection>, accepted: Accepted) -> Exchange {
+    pub fn new(cx: Rc<Context>, caller: Rc<AcceptedConnection>, accepted: Accepted) -> Exchange {
         let seed: u64 = rand::rng().random();
         let max_wait_ms = accepted.parsed.max_wait_ms.unwrap_or(DEFAULT_MAX_WAIT_MS);
         let route = accepted.route;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -21,12 +21,10 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::accepted_connection::AcceptedConnection;
+use crate::accepted_connection::ConnectionEnd;
 use crate::body::ResponseBody;
-use crate::caller_connection::CallerConnection;
-use crate::caller_connection::ConnectionEnd;
 use crate::caller_stream::CallerStream;
-use crate::callers::Callers;
-use crate::callers::Opening;
 use crate::close_reason::CloseReason;
 use crate::connection::error_chain;
 use crate::connection_usage::ProgressLimits;
@@ -37,6 +35,8 @@
 use crate::intake::Aborted;
 use crate::liveness::set_keepalive;
 use crate::liveness::Liveness;
+use crate::port_connections::PortConnections;
+use crate::port_usage::Opening;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
 use crate::status_pages;
@@ -59,9 +59,9 @@
 const LEAVING_IDLE: Duration = Duration::from_millis(400);
 
 /// Accepts connections until the process ends, and serves each in a task of its own.
-pub async fn accept<F, S>(listener: TcpListener, callers: Callers, serve: F)
+pub async fn accept<F, S>(listener: TcpListener, callers: PortConnections, serve: F)
 where
-    F: Fn(TcpStream, Rc<CallerConnection>) -> S,
+    F: Fn(TcpStream, Rc<AcceptedConnection>) -> S,
     S: Future<Output = ()> + 'static,
 {
     loop {
@@ -73,11 +73,11 @@
 /// a task of its own. Then the port is closed.
 pub async fn accept_until_closed<F, S>(
     listener: TcpListener,
-    callers: Callers,
+    callers: PortConnections,
     mut close: watch::Receiver<bool>,
     serve: F,
 ) where
-    F: Fn(TcpStream, Rc<CallerConnection>) -> S,
+    F: Fn(TcpStream, Rc<AcceptedConnection>) -> S,
     S: Future<Output = ()> + 'static,
 {
     loop {
@@ -89,9 +89,9 @@
     }
 }
 
-async fn accept_one<F, S>(listener: &TcpListener, callers: &Callers, serve: &F)
+async fn accept_one<F, S>(listener: &TcpListener, callers: &PortConnections, serve: &F)
 where
-    F: Fn(TcpStream, Rc<CallerConnection>) -> S,
+    F: Fn(TcpStream, Rc<AcceptedConnection>) -> S,
     S: Future<Output = ()> + 'static,
 {
     match listener.accept().await {
@@ -109,7 +109,7 @@
 }
 
 /// Waits until there is room for a connection; none if there will be none soon.
-async fn open(callers: &Callers) -> Option<Rc<CallerConnection>> {
+async fn open(callers: &PortConnections) -> Option<Rc<AcceptedConnection>> {
     loop {
         match callers.open() {
             Opening::Open(connection) => return Some(connection),
@@ -124,7 +124,7 @@
 pub async fn serve(
     cx: Rc<Context>,
     socket: TcpStream,
-    connection: Rc<CallerConnection>,
+    connection: Rc<AcceptedConnection>,
     leave: watch::Receiver<bool>,
 ) {
     if let Err(e) = set_keepalive(&socket) {
@@ -198,7 +198,7 @@
 
 async fn handle(
     cx: Rc<Context>,
-    connection: Rc<CallerConnection>,
+    connection: Rc<AcceptedConnection>,
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Aborted> {
     let (head, body) = req.into_parts();
@@ -227,12 +227,12 @@
 }
 
 /// Serves one connection with pages that `page` returns for a path.
-pub async fn serve_pages<F>(stream: TcpStream, connection: Rc<CallerConnection>, page: F)
+pub async fn serve_pages<F>(stream: TcpStream, connection: Rc<AcceptedConnection>, page: F)
 where
     F: Fn(&str) -> Response<ResponseBody>,
 {
     let service = service_fn(|req: Request<Incoming>| {
-        connection.record_page();
+        connection.mark_idle();
         let response = page(req.uri().path());
         async { Ok::<_, Infallible>(response) }
     });
@@ -249,7 +249,7 @@
 }
 
 /// Serves one connection of another router: pages, or a connection to a backend server.
-pub async fn serve_router(cx: Rc<Context>, stream: TcpStream, connection: Rc<CallerConnection>) {
+pub async fn serve_router(cx: Rc<Context>, stream: TcpStream, connection: Rc<AcceptedConnection>) {
     let from = match stream.peer_addr() {
         Ok(address) => address.ip(),
         Err(e) => return log_failure(Step::Accept, &e),
@@ -260,7 +260,7 @@
     let service = service_fn(|req: Request<Incoming>| {
         let cx = Rc::clone(&cx);
         let connection = Rc::clone(&connection);
-        connection.record_page();
+        connection.mark_idle();
         let respond = async move {
             let response = match tunnel_acceptor::target(&req) {
                 Some(server) => tunnel_acceptor::accept(cx, connection, from, server, req).await,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,8 +22,6 @@
 use tokio::time::sleep;
 
 use crate::build_records;
-use crate::caller_usage::UsageLimits;
-use crate::callers::Callers;
 use crate::clock::now;
 use crate::cluster_view::ClusterView;
 use crate::codec::Codec;
@@ -51,6 +49,8 @@
 use crate::pause_watch::PauseWatch;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
+use crate::port_connections::PortConnections;
+use crate::port_usage::UsageLimits;
 use crate::process_event::ProcessEvent;
 use crate::process_event::StopPhase;
 use crate::quota_task;
@@ -309,7 +309,7 @@
         Ok(())
     }
 
-    fn serve<F>(&self, listener: TcpListener, connections: &Callers, page: F)
+    fn serve<F>(&self, listener: TcpListener, connections: &PortConnections, page: F)
     where
         F: Fn(&Context, &str) -> http::Response<crate::body::ResponseBody> + Copy + 'static,
     {
@@ -345,7 +345,7 @@
     }
 }
 
-fn open_callers(settings: &Settings, metrics: &Metrics) -> Callers {
+fn open_callers(settings: &Settings, metrics: &Metrics) -> PortConnections {
     let limits = UsageLimits {
         buffer_bytes: settings.buffer_bytes,
         connection_bytes: settings.connection_bytes,
@@ -353,7 +353,7 @@
         descriptors: descriptors(settings, CALLERS_PERCENT),
         min_idle_ms: CALLERS_MIN_IDLE_MS,
     };
-    Callers::new("callers", limits, metrics.of_port("callers"))
+    PortConnections::new("callers", limits, metrics.of_port("callers"))
 }
 
 fn descriptors(settings: &Settings, percent: u64) -> u64 {
@@ -361,7 +361,12 @@
 }
 
 /// Returns the connections of a port that takes `percent` of the descriptors and no buffers.
-fn open_slots(settings: &Settings, metrics: &Metrics, port: &'static str, percent: u64) -> Callers {
+fn open_slots(
+    settings: &Settings,
+    metrics: &Metrics,
+    port: &'static str,
+    percent: u64,
+) -> PortConnections {
     let limits = UsageLimits {
         buffer_bytes: u64::MAX,
         connection_bytes: u64::MAX,
@@ -369,7 +374,7 @@
         descriptors: descriptors(settings, percent),
         min_idle_ms: SLOTS_MIN_IDLE_MS,
     };
-    Callers::new(port, limits, metrics.of_port(port))
+    PortConnections::new(port, limits, metrics.of_port(port))
 }
 
 fn peer_address(settings: &Settings) -> SocketAddr {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -21,9 +21,9 @@
 use tokio::time::timeout;
 
 use crate::accepted::Accepted;
+use crate::accepted_connection::AcceptedConnection;
 use crate::body::ResponseBody;
 use crate::buffer_hold::BufferHold;
-use crate::caller_connection::CallerConnection;
 use crate::clock::now;
 use crate::codec::RequestHead;
 use crate::context::Context;
@@ -82,7 +82,7 @@
 /// Serves a request and returns its response.
 pub async fn respond(
     cx: Rc<Context>,
-    caller: Rc<CallerConnection>,
+    caller: Rc<AcceptedConnection>,
     head: request::Parts,
     body: Incoming,
 ) -> Result<Response<ResponseBody>, Aborted> {
@@ -126,7 +126,7 @@
 
 async fn accept(
     cx: &Context,
-    caller: &CallerConnection,
+    caller: &AcceptedConnection,
     head: request::Parts,
     parsed: RequestHead,
     body: Incoming,
@@ -192,7 +192,7 @@
 /// Reads a body of at most `limit` bytes, each of which counts as buffered from its arrival on. What it
 /// only names counts nothing.
 async fn read_body(
-    caller: &CallerConnection,
+    caller: &AcceptedConnection,
     mut body: Incoming,
     limit: usize,
     configuration: u64,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,8 +14,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use crate::callers::CallerMetrics;
 use crate::cluster_view::ClusterView;
+use crate::port_connections::PortMetrics;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
 use crate::quota_metrics::QuotaMetrics;
@@ -146,8 +146,8 @@
     }
 
     /// Returns the metrics of the connections of a port.
-    pub fn of_port(&self, port: &str) -> CallerMetrics {
-        CallerMetrics {
+    pub fn of_port(&self, port: &str) -> PortMetrics {
+        PortMetrics {
             connections: self.connections.with_label_values(&[port]),
             closed: self.connections_closed.clone(),
         }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/port_connections.rs
@@ -1,6 +1,6 @@
 //! Connections of one port, with what their callers make this router hold.
 //!
-//! [`CallerUsage`] decides; here the decisions are carried out on the connections.
+//! [`PortUsage`] decides; here the decisions are carried out on the connections.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -10,21 +10,21 @@
 use std::rc::Weak;
 use std::time::Duration;
 
-use policy::Time;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 
-use crate::caller_connection::CallerConnection;
-use crate::caller_usage::CallerUsage;
-use crate::caller_usage::ConnectionKey;
-use crate::caller_usage::Room;
-use crate::caller_usage::UsageLimits;
+use crate::accepted_connection::AcceptedConnection;
 use crate::clock::now;
 use crate::close_reason::CloseReason;
 use crate::connection_usage::HeldFor;
 use crate::connection_usage::ProgressLimits;
 use crate::connection_usage::Stage;
 use crate::log_event::LogEvent;
+use crate::port_usage::ConnectionKey;
+use crate::port_usage::Opening;
+use crate::port_usage::PortUsage;
+use crate::port_usage::Room;
+use crate::port_usage::UsageLimits;
 use crate::process_event::log_failure;
 use crate::process_event::ProcessEvent;
 use crate::process_event::Step;
@@ -44,49 +44,39 @@
 
 /// Metrics of the connections of one port.
 #[derive(Clone)]
-pub struct CallerMetrics {
+pub struct PortMetrics {
     /// Open connections.
     pub connections: IntGauge,
     /// Connections closed by this router, by reason.
     pub closed: IntCounterVec,
 }
 
-/// Outcome of opening a connection.
-pub enum Opening {
-    /// It is open.
-    Open(Rc<CallerConnection>),
-    /// There may be room for it at this time.
-    At(Time),
-    /// There is no room for it.
-    Full,
-}
-
 /// The connections of one port; clones share them.
 #[derive(Clone)]
-pub struct Callers(Rc<State>);
+pub struct PortConnections(Rc<State>);
 
 struct State {
     /// Name of the port, for the log.
     port: &'static str,
     limits: UsageLimits,
-    usage: RefCell<CallerUsage>,
-    connections: RefCell<HashMap<ConnectionKey, Weak<CallerConnection>>>,
+    usage: RefCell<PortUsage>,
+    connections: RefCell<HashMap<ConnectionKey, Weak<AcceptedConnection>>>,
     /// Bytes of responses that don't name their length.
     unsized_bytes: Cell<u64>,
     /// Connections that were closed since the last line about it, by reason.
     closed: RefCell<HashMap<CloseReason, u64>>,
     /// Whether a connection could not be accepted since the last sweep.
     accept_failed: Cell<bool>,
-    metrics: CallerMetrics,
+    metrics: PortMetrics,
 }
 
-impl Callers {
+impl PortConnections {
     /// Returns the callers of a port without connections.
-    pub fn new(port: &'static str, limits: UsageLimits, metrics: CallerMetrics) -> Callers {
-        Callers(Rc::new(State {
+    pub fn new(port: &'static str, limits: UsageLimits, metrics: PortMetrics) -> PortConnections {
+        PortConnections(Rc::new(State {
             port,
             limits,
-            usage: RefCell::new(CallerUsage::new(limits)),
+            usage: RefCell::new(PortUsage::new(limits)),
             connections: RefCell::default(),
             unsized_bytes: Cell::new(0),
             closed: RefCell::default(),
@@ -106,7 +96,7 @@
     }
 
     /// Opens a connection if there is room for it, after evicting another one if needed.
-    pub fn open(&self) -> Opening {
+    pub fn open(&self) -> Opening<Rc<AcceptedConnection>> {
         let room = self.0.usage.borrow_mut().connection_room(now());
         match room {
             Room::Free => {}
@@ -118,7 +108,7 @@
             }
         }
         let key = self.0.usage.borrow_mut().open(now());
-        let connection = Rc::new(CallerConnection::new(self.clone(), key));
+        let connection = Rc::new(AcceptedConnection::new(self.clone(), key));
         let weak = Rc::downgrade(&connection);
         self.0.connections.borrow_mut().insert(key, weak);
         self.show();
--- a/crates/gateway/src/caller_usage.rs
+++ b/crates/gateway/src/port_usage.rs
@@ -67,6 +67,16 @@
     Full,
 }
 
+/// Outcome of opening a connection.
+pub enum Opening<C> {
+    /// It is open.
+    Open(C),
+    /// There may be room for it at this time.
+    At(Time),
+    /// There is no room for it.
+    Full,
+}
+
 /// Number, memory and descriptors of connections, without what is buffered for them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Totals {
@@ -93,7 +103,7 @@
 
 /// What all connections of one port hold.
 #[derive(Debug)]
-pub struct CallerUsage {
+pub struct PortUsage {
     limits: UsageLimits,
     connections: BTreeMap<ConnectionKey, ConnectionUsage>,
     last_key: u64,
@@ -105,10 +115,10 @@
     search_at: Time,
 }
 
-impl CallerUsage {
+impl PortUsage {
     /// Returns the usage of a port without connections.
-    pub fn new(limits: UsageLimits) -> CallerUsage {
-        CallerUsage {
+    pub fn new(limits: UsageLimits) -> PortUsage {
+        PortUsage {
             limits,
             connections: BTreeMap::new(),
             last_key: 0,
@@ -355,10 +365,10 @@
         let only_large = sum <= self.limit_for(held_for);
         let waiting = self.connections.iter_mut().filter(|(key, usage)| {
             let has_waited = usage.waiting_since().plus_millis(MIN_WAITING_MS) <= now;
-            let is_large = usage.waiting_bytes() >= MIN_WAITING_BYTES;
-            let is_relevant = !only_large || usage.large_bytes(held_for) > 0;
+            let holds_enough = usage.waiting_bytes() >= MIN_WAITING_BYTES;
+            let gives_room = !only_large || usage.large_bytes(held_for) > 0;
             let may_close = **key != asking && !usage.is_closing();
-            may_close && is_relevant && is_large && has_waited
+            may_close && gives_room && holds_enough && has_waited
         });
         let Some((key, usage)) = waiting.max_by_key(|(_, usage)| usage.waiting_cost(now)) else {
             self.search_at = now.plus_millis(SEARCH_INTERVAL_MS);
--- a/crates/gateway/src/tunnel_acceptor.rs
+++ b/crates/gateway/src/tunnel_acceptor.rs
@@ -17,8 +17,8 @@
 use tokio::io::split;
 use tokio::net::TcpStream;
 
+use crate::accepted_connection::AcceptedConnection;
 use crate::body::ResponseBody;
-use crate::caller_connection::CallerConnection;
 use crate::connection::error_chain;
 use crate::context::Context;
 use crate::context::Phase;
@@ -48,7 +48,7 @@
 /// either side closes.
 pub async fn accept(
     cx: Rc<Context>,
-    connection: Rc<CallerConnection>,
+    connection: Rc<AcceptedConnection>,
     from: IpAddr,
     server: u64,
     mut req: Request<Incoming>,
@@ -70,7 +70,7 @@
         Err(e) => {
             let mut response = Response::new(ResponseBody::own(e.to_string()));
             *response.status_mut() = e.status();
-            connection.record_page();
+            connection.mark_idle();
             return response;
         }
     };
--- a/crates/gateway/tests/caller_usage.rs
+++ b/crates/gateway/tests/port_usage.rs
@@ -1,9 +1,9 @@
 //! What callers make a router hold stays within its memory and descriptors, and who holds the most and
 //! moves the least is closed first.
 
-use gateway::CallerUsage;
 use gateway::ConnectionKey;
 use gateway::HeldFor;
+use gateway::PortUsage;
 use gateway::ProgressLimits;
 use gateway::Room;
 use gateway::Stage;
@@ -30,12 +30,12 @@
     Time::from_millis(1_000_000 + ms)
 }
 
-fn usage() -> CallerUsage {
-    CallerUsage::new(LIMITS)
+fn usage() -> PortUsage {
+    PortUsage::new(LIMITS)
 }
 
 /// Opens a connection at which a response of `bytes` bytes waits for its caller.
-fn open_with_response(usage: &mut CallerUsage, now: Time, bytes: u64) -> ConnectionKey {
+fn open_with_response(usage: &mut PortUsage, now: Time, bytes: u64) -> ConnectionKey {
     let key = usage.open(now);
     usage.set_stage(now, key, Stage::Response);
     usage.hold(now, key, bytes, HeldFor::Response);
@@ -43,7 +43,7 @@
 }
 
 /// Begins a request of `bytes` bytes if there is room for it.
-fn try_request(usage: &mut CallerUsage, now: Time, bytes: u64) -> Option<ConnectionKey> {
+fn try_request(usage: &mut PortUsage, now: Time, bytes: u64) -> Option<ConnectionKey> {
     let key = usage.open(now);
     let room = usage.buffer_room(now, key, bytes, HeldFor::Request);
     if room == Room::Full {
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -8,12 +8,12 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
-use gateway::CallerUsage;
 use gateway::ConnectionKey;
+use gateway::Opening;
+use gateway::PortUsage;
 use gateway::Room;
 use gateway::Stage;
 use gateway::UsageLimits;
-use policy::Time;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::now;
@@ -21,22 +21,12 @@
 /// Time for which a connection is idle before it may be evicted for a new one, in milliseconds.
 const MIN_IDLE_MS: u64 = 200;
 
-/// Outcome of opening a connection.
-pub enum Opening {
-    /// It is open.
-    Open(Arc<OpenConnection>),
-    /// There may be room for it at this time.
-    At(Time),
-    /// There is no room for it.
-    Full,
-}
-
 /// The open connections of callers; clones share them.
 #[derive(Clone)]
 pub struct Connections(Arc<Mutex<State>>);
 
 struct State {
-    usage: CallerUsage,
+    usage: PortUsage,
     /// Cancelled when a connection is to be closed.
     closers: HashMap<ConnectionKey, CancellationToken>,
 }
@@ -52,13 +42,13 @@
             min_idle_ms: MIN_IDLE_MS,
         };
         Connections(Arc::new(Mutex::new(State {
-            usage: CallerUsage::new(limits),
+            usage: PortUsage::new(limits),
             closers: HashMap::new(),
         })))
     }
 
     /// Opens a connection if there is room for it, after evicting an idle one if needed.
-    pub fn open(&self) -> Opening {
+    pub fn open(&self) -> Opening<Arc<OpenConnection>> {
         let mut state = self.state();
         match state.usage.connection_room(now()) {
             Room::Free => {}
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gateway::Opening;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -18,7 +19,6 @@
 use crate::clock;
 use crate::connections::Connections;
 use crate::connections::OpenConnection;
-use crate::connections::Opening;
 use crate::tracked_body::TrackedBody;
 use crate::Handler;
 use crate::Tasks;
