--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -5,6 +5,8 @@
 use policy::Time;
 
 use crate::backend_pace::RequestSum;
+use crate::own_requests::Load;
+use crate::own_requests::OwnRequests;
 use crate::responses::Responses;
 use crate::server_pace::ServerPace;
 use crate::server_room::ServerRoom;
@@ -24,22 +26,9 @@
 /// Time for which another router's report is valid, in milliseconds.
 const OTHER_REPORT_TTL_MS: u64 = 1_500;
 
-/// Time after the last response or failure for which it is reported to other routers, in
-/// milliseconds.
-const REPORTED_MS: u64 = 2_000;
-
 /// Factor by which prefill may exceed its estimate before an engine counts as unresponsive.
 const PREFILL_SLACK_FACTOR: u64 = 2;
 
-/// Requests in flight at a backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Number of requests.
-    pub requests: u32,
-    /// Estimated prefill time outstanding for them, in milliseconds.
-    pub prefill_ms: u64,
-}
-
 /// What another router, or the hub of a region, reported.
 #[derive(Clone, Copy, Debug)]
 struct OtherReport {
@@ -73,8 +62,6 @@
     pub(crate) room: ServerRoom,
     /// Number of consecutive failures.
     pub failures: u32,
-    /// Time since which it has not responded to this router; none if no response is awaited.
-    pub unresponsive_since: Option<Time>,
     /// Whether it has said in a response, to this router or another, that it leaves.
     pub(crate) says_leaving: bool,
     /// What it last said of a limit on its requests; none if it never named one.
@@ -89,16 +76,8 @@
     pub(crate) pace: ServerPace,
     /// Its requests in flight over time, while paces are learned.
     pub(crate) request_sum: RequestSum,
-    /// This router's requests in flight.
-    own: Load,
-    /// Those of them that have no response yet.
-    own_waiting: u32,
-    /// Those of them whose response this router doesn't read at present.
-    own_held_back: u32,
-    /// When it last responded to this router.
-    responded_at: Option<Time>,
-    /// First and last failure since it responded to this router.
-    failed: Option<(Time, Time)>,
+    /// This router's requests in flight, and its responses to them.
+    pub(crate) own: OwnRequests,
     /// Reports of other routers, by the hash of the router's or region's name.
     others: HashMap<u64, OtherReport>,
 }
@@ -124,17 +103,12 @@
             rejections: Rejections::default(),
             room: ServerRoom::default(),
             failures: 0,
-            unresponsive_since: None,
             says_leaving: false,
             limit_statement: None,
             brittleness_statement: None,
             ended: false,
             missing_since: None,
-            own: Load::default(),
-            own_waiting: 0,
-            own_held_back: 0,
-            responded_at: None,
-            failed: None,
+            own: OwnRequests::default(),
             others: HashMap::new(),
         }
     }
@@ -143,8 +117,7 @@
     /// `PREFILL_SLACK_FACTOR` times the estimated prefill time outstanding for all routers.
     /// Counts the time without a response to this router, and that to any router.
     pub fn unresponsive_ms(&self, now: Time) -> u64 {
-        let since = self.unresponsive_since;
-        let own_ms = since.map_or(0, |since| now.millis_since(since));
+        let own_ms = self.own.silence_ms(now);
         let shared_ms = self.responses(now).shared_silence_ms(now);
         let slack_ms = self.prefill_slack_ms(now);
         own_ms.max(shared_ms).saturating_sub(slack_ms)
@@ -153,9 +126,8 @@
     /// Returns for how long it has not responded to this router's requests, in milliseconds, less
     /// the same allowance for prefill.
     pub fn own_silence_ms(&self, now: Time) -> u64 {
-        let since = self.unresponsive_since;
         let slack_ms = self.prefill_slack_ms(now);
-        since.map_or(0, |since| now.millis_since(since).saturating_sub(slack_ms))
+        self.own.silence_ms(now).saturating_sub(slack_ms)
     }
 
     /// Returns the time for which prefill may leave it without a response, in milliseconds.
@@ -166,7 +138,7 @@
 
     /// Returns when it last responded to this router.
     pub fn responded_at(&self) -> Option<Time> {
-        self.responded_at
+        self.own.responded_at()
     }
 
     /// Returns when it last responded to another router, as far as this one knows.
@@ -179,12 +151,12 @@
 
     /// Returns this router's requests in flight.
     pub fn own_load(&self) -> Load {
-        self.own
+        self.own.load()
     }
 
     /// Returns how many of this router's requests have no response yet.
     pub fn own_waiting(&self) -> u32 {
-        self.own_waiting
+        self.own.waiting()
     }
 
     /// Returns the requests of all routers in flight, as far as this router knows.
@@ -200,7 +172,7 @@
         let counted = self
             .valid_reports(now)
             .filter(|(router, _)| counts(*router));
-        counted.fold(self.own, |sum, (_, other)| Load {
+        counted.fold(self.own.load(), |sum, (_, other)| Load {
             requests: sum.requests + other.load.requests,
             prefill_ms: sum.prefill_ms + other.load.prefill_ms,
         })
@@ -220,7 +192,7 @@
         let counted = self
             .valid_reports(now)
             .filter(|(router, _)| counts(*router));
-        counted.fold(self.own_responses(now), |sum, (_, other)| {
+        counted.fold(self.own.responses(now), |sum, (_, other)| {
             sum.merge(other.responses)
         })
     }
@@ -390,51 +362,17 @@
 
     /// Records that a request of this router failed without a response.
     pub fn record_failure(&mut self, now: Time) {
-        let first = self.failed.map_or(now, |(first, _)| first);
-        self.failed = Some((first, now));
+        self.own.record_failure(now);
     }
 
     pub(crate) fn begin_request(&mut self, now: Time, prefill_ms: u64) {
-        self.own.requests += 1;
-        self.own_waiting += 1;
+        self.own.begin(now, prefill_ms);
         self.room.begin();
-        self.own.prefill_ms += prefill_ms;
-        self.unresponsive_since.get_or_insert(now);
-    }
-
-    pub(crate) fn end_prefill(&mut self, now: Time, prefill_ms: u64) {
-        self.own.prefill_ms = self.own.prefill_ms.saturating_sub(prefill_ms);
-        self.unresponsive_since = (self.own.requests > 1 + self.own_held_back).then_some(now);
-        self.responded_at = Some(now);
-        self.failed = None;
-    }
-
-    /// Counts a request whose response this router doesn't read: it isn't the server that is silent.
-    pub(crate) fn begin_hold_back(&mut self) {
-        self.own_held_back += 1;
-        if self.own.requests <= self.own_held_back {
-            self.unresponsive_since = None;
-        }
-    }
-
-    pub(crate) fn end_hold_back(&mut self, now: Time) {
-        self.own_held_back = self.own_held_back.saturating_sub(1);
-        if self.own.requests > self.own_held_back {
-            self.unresponsive_since.get_or_insert(now);
-        }
-    }
-
-    pub(crate) fn end_waiting(&mut self) {
-        self.own_waiting = self.own_waiting.saturating_sub(1);
     }
 
     pub(crate) fn end_request(&mut self, prefill_ms: u64) {
-        self.own.requests = self.own.requests.saturating_sub(1);
+        self.own.end(prefill_ms);
         self.room.end();
-        self.own.prefill_ms = self.own.prefill_ms.saturating_sub(prefill_ms);
-        if self.own.requests <= self.own_held_back {
-            self.unresponsive_since = None;
-        }
     }
 
     /// Applies a newer registration of the same incarnation. Returns whether it began to drain.
@@ -458,17 +396,6 @@
         previous_state == ServerState::Ready && self.registration.state == ServerState::Draining
     }
 
-    /// Returns what this router alone observed of its responses.
-    fn own_responses(&self, now: Time) -> Responses {
-        let is_recent = |at: Time| now.millis_since(at) < REPORTED_MS;
-        let failed = self.failed.filter(|(_, last)| is_recent(*last));
-        let silent_since = [self.unresponsive_since, failed.map(|(first, _)| first)];
-        Responses {
-            responded_at: self.responded_at.filter(|at| is_recent(*at)),
-            silent_since: silent_since.into_iter().flatten().min(),
-        }
-    }
-
     fn valid_reports(&self, now: Time) -> impl Iterator<Item = (u64, &OtherReport)> {
         let reports = self.others.iter().map(|(router, other)| (*router, other));
         reports.filter(move |(_, other)| other.valid_until > now)
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -310,7 +310,7 @@
     /// restarts the server's time without a response.
     pub fn end_prefill(&mut self, now: Time, key: ServerKey, prefill_ms: u64) {
         if let Some(server) = self.get_mut(key) {
-            server.end_prefill(now, prefill_ms);
+            server.own.end_prefill(now, prefill_ms);
         }
     }
 
@@ -326,21 +326,21 @@
     /// Records that this router doesn't read the response to one of its requests at present.
     pub fn begin_hold_back(&mut self, key: ServerKey) {
         if let Some(server) = self.get_mut(key) {
-            server.begin_hold_back();
+            server.own.begin_hold_back();
         }
     }
 
     /// Records that it reads that again.
     pub fn end_hold_back(&mut self, now: Time, key: ServerKey) {
         if let Some(server) = self.get_mut(key) {
-            server.end_hold_back(now);
+            server.own.end_hold_back(now);
         }
     }
 
     /// Records that a request of this router has its first response, or ended without one.
     pub fn end_waiting(&mut self, key: ServerKey) {
         if let Some(server) = self.get_mut(key) {
-            server.end_waiting();
+            server.own.end_waiting();
         }
     }
 
