--- a/crates/gateway/src/connector.rs
+++ b/crates/gateway/src/connector.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
-/// Size of the receive buffer, in bytes. The kernel doubles it. What a peer has sent and nobody reads
+/// Size of the receive buffer, in bytes. The kernel doubles it. What a peer has sent and is unread
 /// counts toward the memory of the VM.
 const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -353,7 +353,7 @@
         descriptors: descriptors(settings, CALLERS_PERCENT),
         min_idle_ms: CALLERS_MIN_IDLE_MS,
     };
-    PortConnections::new("callers", limits, metrics.of_port("callers"))
+    PortConnections::new("callers", limits, metrics.connections.of_port("callers"))
 }
 
 fn descriptors(settings: &Settings, percent: u64) -> u64 {
@@ -374,7 +374,7 @@
         descriptors: descriptors(settings, percent),
         min_idle_ms: SLOTS_MIN_IDLE_MS,
     };
-    PortConnections::new(port, limits, metrics.of_port(port))
+    PortConnections::new(port, limits, metrics.connections.of_port(port))
 }
 
 fn peer_address(settings: &Settings) -> SocketAddr {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -51,7 +51,9 @@
     /// Records that this router doesn't read the response at present, until the guard is dropped.
     pub fn hold_back(&self) -> HeldBack {
         let server = self.choice.server;
-        self.cx.view.borrow_mut().fleet.begin_hold_back(server);
+        if let Some(server) = self.cx.view.borrow_mut().fleet.get_mut(server) {
+            server.begin_hold_back();
+        }
         HeldBack {
             cx: Rc::clone(&self.cx),
             server,
@@ -113,7 +115,9 @@
 impl Drop for HeldBack {
     fn drop(&mut self) {
         let fleet = &mut self.cx.view.borrow_mut().fleet;
-        fleet.end_hold_back(now(), self.server);
+        if let Some(server) = fleet.get_mut(self.server) {
+            server.end_hold_back(now());
+        }
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,13 +9,12 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
-use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
 use crate::cluster_view::ClusterView;
-use crate::port_connections::PortMetrics;
+use crate::connection_metrics::ConnectionMetrics;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
 use crate::quota_metrics::QuotaMetrics;
@@ -48,12 +47,8 @@
     /// What concerns backend servers beyond single requests.
     pub servers: ServerMetrics,
     view_gauges: ViewGauges,
-    /// Bytes buffered for callers and backend servers.
-    pub buffered_bytes: IntGauge,
-    /// Open connections, by port.
-    pub connections: IntGaugeVec,
-    /// Connections that this router has closed, by port and reason.
-    pub connections_closed: IntCounterVec,
+    /// Accepted connections, and what is held for them.
+    pub connections: ConnectionMetrics,
     lines_dropped: IntGauge,
     /// Time to choose a backend server, in seconds.
     pub decision: Histogram,
@@ -96,14 +91,7 @@
             quotas: QuotaMetrics::new(&registry),
             servers: ServerMetrics::new(&registry),
             view_gauges: ViewGauges::new(&registry),
-            buffered_bytes: buffered_bytes(&registry),
-            connections: connections(&registry),
-            connections_closed: counters(
-                &registry,
-                "connections_closed",
-                "Connections closed by this router, by port and reason",
-                &["port", "reason"],
-            ),
+            connections: ConnectionMetrics::new(&registry),
             lines_dropped: lines_dropped(&registry),
             decision: histogram(
                 &registry,
@@ -145,14 +133,6 @@
         }
     }
 
-    /// Returns the metrics of the connections of a port.
-    pub fn of_port(&self, port: &str) -> PortMetrics {
-        PortMetrics {
-            connections: self.connections.with_label_values(&[port]),
-            closed: self.connections_closed.clone(),
-        }
-    }
-
     /// Returns all metrics in the Prometheus text format. `lines_dropped` is the number
     /// of log lines dropped since the start.
     pub fn text(&self, now: Time, view: &mut ClusterView, lines_dropped: u64) -> Vec<u8> {
@@ -198,17 +178,6 @@
     register(registry, IntCounterVec::new(opts, labels))
 }
 
-fn buffered_bytes(registry: &Registry) -> IntGauge {
-    let name = "turmerichollow_buffered_bytes";
-    let help = "Bytes buffered for callers and backend servers";
-    register(registry, IntGauge::new(name, help))
-}
-
-fn connections(registry: &Registry) -> IntGaugeVec {
-    let opts = Opts::new("turmerichollow_connections", "Open connections, by port");
-    register(registry, IntGaugeVec::new(opts, &["port"]))
-}
-
 fn lines_dropped(registry: &Registry) -> IntGauge {
     let name = "turmerichollow_log_lines_dropped";
     register(registry, IntGauge::new(name, "Log lines dropped"))
--- a/crates/gateway/src/port_connections.rs
+++ b/crates/gateway/src/port_connections.rs
@@ -10,15 +10,14 @@
 use std::rc::Weak;
 use std::time::Duration;
 
-use prometheus::IntCounterVec;
-use prometheus::IntGauge;
-
 use crate::accepted_connection::AcceptedConnection;
 use crate::clock::now;
 use crate::close_reason::CloseReason;
+use crate::connection_metrics::PortMetrics;
 use crate::connection_usage::HeldFor;
 use crate::connection_usage::ProgressLimits;
 use crate::connection_usage::Stage;
+use crate::connections_closed::ConnectionsClosed;
 use crate::log_event::LogEvent;
 use crate::port_usage::ConnectionKey;
 use crate::port_usage::Opening;
@@ -42,15 +41,6 @@
 /// Bytes up to which such a response is taken in whatever the others take.
 const MIN_UNSIZED_BYTES: u64 = 64 << 10;
 
-/// Metrics of the connections of one port.
-#[derive(Clone)]
-pub struct PortMetrics {
-    /// Open connections.
-    pub connections: IntGauge,
-    /// Connections closed by this router, by reason.
-    pub closed: IntCounterVec,
-}
-
 /// The connections of one port; clones share them.
 #[derive(Clone)]
 pub struct PortConnections(Rc<State>);
@@ -230,14 +220,14 @@
         }
         self.0.accept_failed.set(false);
         for (reason, count) in self.0.closed.borrow_mut().drain() {
-            ProcessEvent::ConnectionsClosed {
+            let closed = ConnectionsClosed {
                 port: self.0.port,
                 reason,
                 count,
                 open: self.connections(),
                 buffered_bytes: self.buffered_bytes(),
-            }
-            .write();
+            };
+            ProcessEvent::ConnectionsClosed(closed).write();
         }
     }
 
--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -8,7 +8,7 @@
 use log::Level;
 use relay::Revision;
 
-use crate::close_reason::CloseReason;
+use crate::connections_closed::ConnectionsClosed;
 use crate::log_event::LogEvent;
 use crate::log_event::LogValue;
 
@@ -99,18 +99,7 @@
         took_ms: u64,
     },
     /// Connections were closed by this router since the last such line.
-    ConnectionsClosed {
-        /// Name of the port.
-        port: &'a str,
-        /// Why they were closed.
-        reason: CloseReason,
-        /// How many were closed.
-        count: u64,
-        /// How many are open now.
-        open: usize,
-        /// Bytes that are held for callers now.
-        buffered_bytes: u64,
-    },
+    ConnectionsClosed(ConnectionsClosed<'a>),
     /// A step failed.
     Failed {
         /// Step that failed.
@@ -248,7 +237,7 @@
             ProcessEvent::StoreLost { .. }
             | ProcessEvent::EntryUnreadable { .. }
             | ProcessEvent::SettingUnknown { .. }
-            | ProcessEvent::ConnectionsClosed { .. }
+            | ProcessEvent::ConnectionsClosed(_)
             | ProcessEvent::ReloadRejected { .. } => Level::Warn,
             ProcessEvent::Failed { step, .. } => step.level(),
             _ => Level::Info,
@@ -313,16 +302,7 @@
                 open,
                 took_ms,
             } => write!(f, "event=stop phase={phase} open={open} took_ms={took_ms}"),
-            ProcessEvent::ConnectionsClosed {
-                port,
-                reason,
-                count,
-                open,
-                buffered_bytes,
-            } => write!(
-                f,
-                "event=connections_closed port={port} reason={reason} count={count} open={open} buffered_bytes={buffered_bytes}"
-            ),
+            ProcessEvent::ConnectionsClosed(closed) => closed.fmt(f),
             ProcessEvent::Failed { step, peer, reason } => {
                 write!(f, "event={}", step.event())?;
                 if let Some(peer) = peer {
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -46,7 +46,7 @@
     let mut view = cx.view.borrow_mut();
     let buffered_bytes = cx.callers.buffered_bytes();
     let buffered_bytes = i64::try_from(buffered_bytes).unwrap_or(i64::MAX);
-    cx.metrics.buffered_bytes.set(buffered_bytes);
+    cx.metrics.connections.buffered_bytes.set(buffered_bytes);
     let text = cx.metrics.text(now(), &mut view, cx.log.dropped());
     page(StatusCode::OK, text.into())
 }
--- a/crates/relay/src/backend_server.rs
+++ b/crates/relay/src/backend_server.rs
@@ -370,6 +370,16 @@
         self.room.begin();
     }
 
+    /// Records that this router doesn't read the response to one of its requests at present.
+    pub fn begin_hold_back(&mut self) {
+        self.own.begin_hold_back();
+    }
+
+    /// Records that it reads that again.
+    pub fn end_hold_back(&mut self, now: Time) {
+        self.own.end_hold_back(now);
+    }
+
     pub(crate) fn end_request(&mut self, prefill_ms: u64) {
         self.own.end(prefill_ms);
         self.room.end();
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -323,20 +323,6 @@
         1 + self.reporters.counted(now, counts).unwrap_or(0)
     }
 
-    /// Records that this router doesn't read the response to one of its requests at present.
-    pub fn begin_hold_back(&mut self, key: ServerKey) {
-        if let Some(server) = self.get_mut(key) {
-            server.own.begin_hold_back();
-        }
-    }
-
-    /// Records that it reads that again.
-    pub fn end_hold_back(&mut self, now: Time, key: ServerKey) {
-        if let Some(server) = self.get_mut(key) {
-            server.own.end_hold_back(now);
-        }
-    }
-
     /// Records that a request of this router has its first response, or ended without one.
     pub fn end_waiting(&mut self, key: ServerKey) {
         if let Some(server) = self.get_mut(key) {
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -318,7 +318,7 @@
     for _ in 0..2 {
         fleet.begin_request(at(0), key, 0);
         fleet.end_prefill(at(10), key, 0);
-        fleet.begin_hold_back(key);
+        fleet.get_mut(key).unwrap().begin_hold_back();
     }
     assert_eq!(unresponsive_ms(&fleet, at(5_000)), 0);
 
@@ -328,6 +328,6 @@
     fleet.end_prefill(at(5_200), key, 0);
     fleet.end_request(key, 0);
     assert_eq!(unresponsive_ms(&fleet, at(9_000)), 0);
-    fleet.end_hold_back(at(9_000), key);
+    fleet.get_mut(key).unwrap().end_hold_back(at(9_000));
     assert_eq!(unresponsive_ms(&fleet, at(9_400)), 400);
 }
--- a/crates/router/src/tracked_body.rs
+++ b/crates/router/src/tracked_body.rs
@@ -1,4 +1,4 @@
-//! Response body that tells its connection when it has ended.
+//! Response body that records its end at its connection.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 
 use crate::connections::OpenConnection;
 
-/// Response body that tells its connection when it has ended.
+/// Response body that records its end at its connection.
 pub struct TrackedBody<B> {
     body: B,
     connection: Arc<OpenConnection>,
--- a/crates/router/tests/crowds.rs
+++ b/crates/router/tests/crowds.rs
@@ -102,7 +102,7 @@
     check_readers(150, "/fixed/events-8-200000", Reading::Nothing);
 }
 
-// Guards against what servers send and nobody reads, which the kernel holds for the process.
+// Guards against unread bytes of servers, which the kernel holds for the process.
 #[test]
 fn callers_who_read_nothing_of_long_streams_leave_memory_to_others() {
     check_readers(240, "/fixed/events-40-60000", Reading::Nothing);
@@ -127,7 +127,7 @@
     });
 }
 
-// Guards against bytes that a caller sends behind its request, and nobody reads.
+// Guards against unread bytes that a caller sends behind its request.
 #[test]
 fn callers_who_send_on_behind_a_request_leave_memory_to_others() {
     alone(async {
@@ -183,8 +183,8 @@
     });
 }
 
-/// Sends `requests` requests one after the other, each with `parts` parts of a prompt that nobody else
-/// sends.
+/// Sends `requests` requests one after the other, each with `parts` parts of a prompt that are
+/// sent once.
 async fn send_new_parts(address: SocketAddr, caller: usize, requests: usize, parts: usize) {
     let Ok(mut stream) = connect(address).await else {
         return;
