--- a/crates/router/tests/crowds.rs
+++ b/crates/router/tests/crowds.rs
@@ -27,7 +27,7 @@
 use common::MODEL;
 use crowd_caller::connect;
 use crowd_caller::head;
-use crowd_caller::hold;
+use crowd_caller::send_and_hold;
 use crowd_caller::Reading;
 use crowd_caller::DEADLINE_MS;
 use process_usage::ProcessUsage;
@@ -115,13 +115,8 @@
         let mut trial = Trial::start().await;
         let address = trial.router.address;
         trial.add_callers(2_500, |_| async move {
-            let Ok(mut stream) = connect(address).await else {
-                return;
-            };
             let head = format!("POST /plain/x HTTP/1.1\r\nX-Filler: {}", "x".repeat(15_000));
-            // Fails if the router has closed the connection.
-            let _ = stream.write_all(head.as_bytes()).await;
-            hold(stream).await
+            send_and_hold(address, &head).await
         });
         trial.check(usize::MAX).await;
     });
@@ -134,13 +129,9 @@
         let mut trial = Trial::start().await;
         let address = trial.router.address;
         trial.add_callers(700, |i| async move {
-            let Ok(mut stream) = connect(address).await else {
-                return;
-            };
             let head = head("/fixed/events-40-60000", &format!("crowd-{i}"), 0);
             let bytes = format!("{head}{}", "x".repeat(400_000));
-            let _ = stream.write_all(bytes.as_bytes()).await;
-            hold(stream).await
+            send_and_hold(address, &bytes).await
         });
         trial.check(usize::MAX).await;
     });
@@ -153,12 +144,8 @@
         let mut trial = Trial::start().await;
         let address = trial.router.address;
         trial.add_callers(800, |i| async move {
-            let Ok(mut stream) = connect(address).await else {
-                return;
-            };
             let bytes = format!("{}x", head("/plain/x", &format!("crowd-{i}"), 30_000));
-            let _ = stream.write_all(bytes.as_bytes()).await;
-            hold(stream).await
+            send_and_hold(address, &bytes).await
         });
         trial.check(usize::MAX).await;
     });
@@ -171,13 +158,9 @@
         let mut trial = Trial::start().await;
         let address = trial.router.address;
         trial.add_callers(60, |i| async move {
-            let Ok(mut stream) = connect(address).await else {
-                return;
-            };
             let head = head("/plain/late", &format!("crowd-{i}"), 4_000_000);
             let bytes = format!("{head}{}", "x".repeat(4_000_000));
-            let _ = stream.write_all(bytes.as_bytes()).await;
-            hold(stream).await
+            send_and_hold(address, &bytes).await
         });
         trial.check(usize::MAX).await;
     });
--- a/crates/router/tests/crowds/crowd_caller.rs
+++ b/crates/router/tests/crowds/crowd_caller.rs
@@ -72,6 +72,16 @@
     }
 }
 
+/// Sends bytes on a connection of its own and keeps that open without reading, until its task is dropped.
+pub async fn send_and_hold(address: SocketAddr, bytes: &str) {
+    let Ok(mut stream) = connect(address).await else {
+        return;
+    };
+    // Fails if the router has closed the connection.
+    let _ = stream.write_all(bytes.as_bytes()).await;
+    hold(stream).await
+}
+
 /// Keeps a connection open without reading, until its task is dropped.
 pub async fn hold<R>(_stream: TcpStream) -> R {
     std::future::pending().await
