process soak: a server that is killed while it starts is restarted once

A fault that hit a server while another fault was starting it again killed the new process; the first fault took this end for a port taken by another test and started the server a second time, and the second fault then waited for the end of that process, which served on. The wait blocks the test's only thread.

A server now knows that it was killed; only whoever killed it starts it again.

--- a/crates/router/tests/processes/server_process.rs
+++ b/crates/router/tests/processes/server_process.rs
@@ -99,6 +99,8 @@
     /// File with the id of each request that was run, a line each.
     runs: PathBuf,
     incarnation: Cell<u64>,
+    /// Whether it was killed and not yet started again.
+    killed: Cell<bool>,
     child: RefCell<Child>,
 }
 
@@ -115,6 +117,7 @@
             framing,
             runs,
             incarnation: Cell::new(1),
+            killed: Cell::new(false),
         };
         server.wait_until_it_accepts().await;
         server
@@ -136,11 +139,13 @@
         // The process may have ended already.
         let _ = child.kill();
         child.wait().unwrap();
+        self.killed.set(true);
         ran
     }
 
     /// Starts its next incarnation at the same address.
     pub async fn restart(&self) {
+        self.killed.set(false);
         self.incarnation.set(self.incarnation.get() + 1);
         self.spawn_again();
         self.wait_until_it_accepts().await;
@@ -172,8 +177,9 @@
     async fn wait_until_it_accepts(&self) {
         let accepts = async {
             while TcpStream::connect(self.address).await.is_err() || self.has_ended() {
-                // Another test on this machine may have its port for a moment.
-                if self.has_ended() {
+                // Another test on this machine may have its port for a moment. A server that was
+                // killed meanwhile is restarted by whoever killed it.
+                if self.has_ended() && !self.killed.get() {
                     self.spawn_again();
                 }
                 sleep(Duration::from_millis(10)).await;
