tests: crowds before the program without `forward`, which bounds no memory

Five crowds, one a test, before one process with stand-ins of the platform, an engine and a plain service. Bounds as in the other crowds: 64 MB of resident memory with received and unread bytes, one ordinary request of another workspace answered with the crowd there, the process ends when told to.

--- a/crates/router/tests/crowds/trial.rs
+++ b/crates/router/tests/crowds/trial.rs
@@ -132,29 +132,40 @@
     /// Watches the router with the crowd, and checks memory, descriptors, one ordinary request and the end
     /// of the process.
     pub async fn check(self, descriptors: usize) {
-        let peak = ProcessUsage::peak(self.router.id(), WATCHED).await;
-        let status = ordinary_request(self.router.address).await;
-        let after = ProcessUsage::of(self.router.id());
-        let lives = self.router.runs();
-        self.router.signal(Signal::TERM);
-        let ended = timeout(STOP_TIME, async {
-            while self.router.runs() {
-                sleep(Duration::from_millis(20)).await;
-            }
-        });
-        let ended = ended.await.is_ok();
-
-        let memory_mb = peak.memory_bytes.max(after.memory_bytes) >> 20;
-        let most = peak.descriptors.max(after.descriptors);
-        println!("{memory_mb} MB, {most} descriptors, ordinary request: {status}");
-        assert!(lives, "the process has ended");
-        assert!(memory_mb < MEMORY_MB, "{memory_mb} MB");
-        assert!(most <= descriptors, "{most} descriptors");
-        assert_eq!(status, 200, "an ordinary request");
-        assert!(ended, "the process doesn't end when told to");
+        check_router(&self.router, descriptors, ordinary_request).await;
     }
 }
 
+/// Watches a router with a crowd, and checks memory, descriptors, the status of one ordinary request and the
+/// end of the process.
+pub async fn check_router<F, R>(router: &RouterProcess, descriptors: usize, ordinary_request: F)
+where
+    F: FnOnce(SocketAddr) -> R,
+    R: Future<Output = u16>,
+{
+    let peak = ProcessUsage::peak(router.id(), WATCHED).await;
+    let status = timeout(ANSWER_TIME, ordinary_request(router.address)).await;
+    let status = status.unwrap_or(0);
+    let after = ProcessUsage::of(router.id());
+    let lives = router.runs();
+    router.signal(Signal::TERM);
+    let ended = timeout(STOP_TIME, async {
+        while router.runs() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let ended = ended.await.is_ok();
+
+    let memory_mb = peak.memory_bytes.max(after.memory_bytes) >> 20;
+    let most = peak.descriptors.max(after.descriptors);
+    println!("{memory_mb} MB, {most} descriptors, ordinary request: {status}");
+    assert!(lives, "the process has ended");
+    assert!(memory_mb < MEMORY_MB, "{memory_mb} MB");
+    assert!(most <= descriptors, "{most} descriptors");
+    assert_eq!(status, 200, "an ordinary request");
+    assert!(ended, "the process doesn't end when told to");
+}
+
 /// Returns a configuration that lets callers take their time.
 fn patient_configuration() -> Value {
     let mut cfg = configuration(1);
@@ -166,11 +177,10 @@
     cfg
 }
 
-/// Returns the status of the answer to one ordinary request; 0 if there was none.
+/// Returns the status of the answer to one ordinary request.
 async fn ordinary_request(address: SocketAddr) -> u16 {
     let caller = Caller::new(address);
-    let answer = timeout(ANSWER_TIME, caller.post("/plain/ordinary", "ordinary")).await;
-    answer.map_or(0, |answer| answer.status)
+    caller.post("/plain/ordinary", "ordinary").await.status
 }
 
 /// Runs a test of a crowd while no other one runs.
--- a/crates/router/tests/processes/router_process.rs
+++ b/crates/router/tests/processes/router_process.rs
@@ -21,8 +21,18 @@
 
 use crate::common::free_address;
 
+/// The program that a router process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Program {
+    /// `turmerichollow forward`.
+    Forward,
+    /// `turmerichollow` without a subcommand.
+    Completions,
+}
+
 /// A router process that is restarted after it ends.
 pub struct RouterProcess {
+    program: Program,
     settings: PathBuf,
     pub address: SocketAddr,
     child: RefCell<Child>,
@@ -42,11 +52,29 @@
     /// Starts a router with the settings given.
     pub fn start_with_settings(dir: &TempDir, settings: Value) -> RouterProcess {
         let name = settings["name"].as_str().unwrap();
+        let address = settings["listen"]["callers"].as_str().unwrap();
+        RouterProcess::start_program(Program::Forward, dir, name, address, &settings)
+    }
+
+    /// Starts the program without `forward` with the settings given.
+    pub fn start_without_forward(dir: &TempDir, settings: &Value) -> RouterProcess {
+        let name = settings["vm"].as_str().unwrap();
+        let address = settings["listen"].as_str().unwrap();
+        RouterProcess::start_program(Program::Completions, dir, name, address, settings)
+    }
+
+    fn start_program(
+        program: Program,
+        dir: &TempDir,
+        name: &str,
+        address: &str,
+        settings: &Value,
+    ) -> RouterProcess {
         let path = dir.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).unwrap();
-        let address = settings["listen"]["callers"].as_str().unwrap();
         RouterProcess {
-            child: RefCell::new(spawn(&path)),
+            program,
+            child: RefCell::new(spawn(program, &path)),
             settings: path,
             address: address.parse().unwrap(),
         }
@@ -87,7 +115,7 @@
     fn is_replaced(&self, id: u32) -> bool {
         let mut child = self.child.borrow_mut();
         if child.id() == id && child.try_wait().unwrap().is_some() {
-            *child = spawn(&self.settings);
+            *child = spawn(self.program, &self.settings);
         }
         child.id() != id
     }
@@ -126,12 +154,11 @@
     file.unwrap().into()
 }
 
-fn spawn(settings: &PathBuf) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_turmerichollow"))
-        .arg("forward")
-        .arg("--settings")
-        .arg(settings)
-        .stdout(log_file(settings))
-        .spawn()
-        .unwrap()
+fn spawn(program: Program, settings: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_turmerichollow"));
+    match program {
+        Program::Forward => command.arg("forward").stdout(log_file(settings)),
+        Program::Completions => command.stderr(log_file(settings)),
+    };
+    command.arg("--settings").arg(settings).spawn().unwrap()
 }
