--- a/crates/backend/src/connection_pool.rs
+++ b/crates/backend/src/connection_pool.rs
@@ -4,6 +4,7 @@
 //! returns the request unsent, that is before its first byte was written.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,6 +19,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -34,6 +36,13 @@
 /// Maximum number of idle connections kept for each backend server.
 const MAX_IDLE_PER_SERVER: usize = 256;
 
+/// Size of the kernel's receive buffer, in bytes; it doubles it. What a server has sent and is not read
+/// counts toward the memory of the VM, and grows to megabytes otherwise.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+
+/// Bytes that are read ahead of a response, which is also the largest head of one.
+const READ_AHEAD_BYTES: usize = 16 << 10;
+
 /// Body of a request to a backend server.
 pub(crate) type RequestBody = Full<Bytes>;
 
@@ -159,15 +168,26 @@
 }
 
 async fn connect(cx: CallContext) -> Result<SendRequest<RequestBody>> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(cx.peer)).await {
+    let stream = match timeout(CONNECT_TIMEOUT, open(cx.peer)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Err(cx.not_connected(e)),
         Err(_) => return Err(cx.not_connected("connect timeout")),
     };
     stream.set_nodelay(true).map_err(|e| cx.not_connected(e))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_AHEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| cx.not_connected(e))?;
     tokio::spawn(connection);
     Ok(sender)
 }
+
+async fn open(peer: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.connect(peer).await
+}
--- a/crates/backend/src/http_engine.rs
+++ b/crates/backend/src/http_engine.rs
@@ -49,7 +49,7 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum size of a response body that is read whole, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Client of model engines over HTTP, with a connection pool.
 #[derive(Clone, Debug, Default)]
@@ -258,7 +258,7 @@
 }
 
 /// Reads the whole body and returns the connection to the pool.
-pub(crate) async fn read_body(cx: CallContext, exchange: Exchange) -> Result<Bytes> {
+async fn read_body(cx: CallContext, exchange: Exchange) -> Result<Bytes> {
     let body = Limited::new(exchange.response.into_body(), MAX_RESPONSE_BYTES);
     let body = body.collect().await.map_err(|e| cx.broken(e))?;
     exchange.connection.return_to_pool();
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -28,5 +28,6 @@
 pub use crate::http_engine::HttpEngine;
 pub use crate::http_plain_service::HttpPlainService;
 pub use crate::service::PlainService;
+pub use crate::service::ResponseMemory;
 pub use crate::service::ServiceRequest;
 pub use crate::service::ServiceResponse;
--- a/crates/backend/src/service.rs
+++ b/crates/backend/src/service.rs
@@ -1,6 +1,7 @@
 //! The [`PlainService`] trait, implemented by clients of plain services.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -33,9 +34,20 @@
     pub body: Bytes,
 }
 
+/// Grants memory for a response that is read whole.
+pub trait ResponseMemory: Send + Sync {
+    /// Takes `bytes` more bytes, which are given back with the response. Returns false, and takes none, if
+    /// there is no room for them now.
+    fn try_grow(&self, bytes: u64) -> bool;
+}
+
 /// Client of plain services; `peer` is the address of the replica to call.
 pub trait PlainService: Send + Sync {
-    /// Sends a request and waits for the whole response.
-    fn call(&self, peer: SocketAddr, req: ServiceRequest)
-        -> BoxFuture<'_, Result<ServiceResponse>>;
+    /// Sends a request and waits for the whole response, for which `memory` is taken.
+    fn call(
+        &self,
+        peer: SocketAddr,
+        req: ServiceRequest,
+        memory: Arc<dyn ResponseMemory>,
+    ) -> BoxFuture<'_, Result<ServiceResponse>>;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -170,6 +170,7 @@
 pub use settings::RetryLimits;
 pub use settings::Settings;
 pub use settings::SettingsError;
+pub use settings_json::process_descriptors;
 pub use store::CommitOutcome;
 pub use store::LeaseId;
 pub use store::Listing;
--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -169,7 +169,7 @@
 }
 
 /// Returns the descriptors that the operating system lets this process open.
-fn process_descriptors() -> u64 {
+pub fn process_descriptors() -> u64 {
     let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
     limit.current.unwrap_or(u64::MAX)
 }
--- a/crates/router/src/body.rs
+++ b/crates/router/src/body.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use gateway::HeldFor;
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -10,6 +11,9 @@
 use tokio::time::timeout_at;
 use tokio::time::Instant;
 
+use crate::limits::BODY_COPIES;
+use crate::open_connection::OpenConnection;
+use crate::request_hold::RequestHold;
 use crate::Rejection;
 
 /// Returns a response body of complete bytes.
@@ -20,16 +24,36 @@
     Either::Left(Full::new(bytes.into()))
 }
 
-/// Reads a complete body. It is rejected if it is larger than `limit` bytes or incomplete at
-/// `deadline`.
-pub async fn read(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Rejection> {
-    match timeout_at(deadline, collect(body, limit)).await {
+/// Limits on a body that is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Maximum size, in bytes.
+    pub bytes: u64,
+    /// When it must be complete.
+    pub deadline: Instant,
+}
+
+/// Reads a complete body of a request on a connection, and counts it. It is rejected if it exceeds its
+/// limits, or if there is no memory for it.
+pub async fn read(
+    body: Incoming,
+    limits: BodyLimits,
+    connection: &OpenConnection,
+    hold: &RequestHold,
+) -> Result<Bytes, Rejection> {
+    let collected = collect(body, limits.bytes, connection, hold);
+    match timeout_at(limits.deadline, collected).await {
         Ok(result) => result,
         Err(_) => Err(Rejection::BodyTooSlow),
     }
 }
 
-async fn collect(mut body: Incoming, limit: u64) -> Result<Bytes, Rejection> {
+async fn collect(
+    mut body: Incoming,
+    limit: u64,
+    connection: &OpenConnection,
+    hold: &RequestHold,
+) -> Result<Bytes, Rejection> {
     if body.size_hint().lower() > limit {
         return Err(Rejection::BodyTooLarge { limit });
     }
@@ -41,10 +65,15 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
+        let data_len = data.len() as u64;
+        connection.record_body(data_len);
         let len = u64::try_from(buf.len() + data.len()).unwrap_or(u64::MAX);
         if len > limit {
             return Err(Rejection::BodyTooLarge { limit });
         }
+        if !hold.try_grow(BODY_COPIES * data_len, HeldFor::Request) {
+            return Err(Rejection::NoMemory);
+        }
         buf.extend_from_slice(&data);
     }
     Ok(buf.freeze())
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use gateway::HeldFor;
 use http::header::CACHE_CONTROL;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
@@ -9,7 +10,6 @@
 use http::Method;
 use http::Response;
 use http_body_util::Either;
-use hyper::body::Incoming;
 use policy::prefix_hashes;
 use policy::CallId;
 use policy::CallRequest;
@@ -24,9 +24,13 @@
 
 use crate::body::full_body;
 use crate::clock;
+use crate::delivered_tokens::DeliveredTokens;
 use crate::event_body::DONE_EVENT;
 use crate::fingerprint;
 use crate::handler::require_method;
+use crate::handler::ReadRequest;
+use crate::handler::RequestBody;
+use crate::request_hold::RequestHold;
 use crate::CallHeaders;
 use crate::CompletionApi;
 use crate::CompletionRequest;
@@ -45,6 +49,10 @@
 /// Number of tokens buffered for a slow caller before reading from its engine pauses.
 const TOKEN_BUFFER_LEN: usize = 64;
 
+/// How often the text of a whole answer is in memory at most: in a buffer that may have doubled, and as
+/// JSON.
+const TEXT_COPIES: u64 = 3;
+
 const EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 const NO_CACHE: HeaderValue = HeaderValue::from_static("no-cache");
@@ -58,12 +66,12 @@
         &self,
         api: CompletionApi,
         head: Parts,
-        body: Incoming,
+        body: RequestBody<'_>,
     ) -> Result<Response<ResponseBody>, Rejection> {
         let arrived_at = clock::now();
         require_method(&head, Method::POST, "POST")?;
         let headers = CallHeaders::parse(&head.headers)?;
-        let body = self.read_body(body).await?;
+        let ReadRequest { body, hold } = self.read_body(body).await?;
         let req = CompletionRequest::parse(api, &body)?;
         let resume_point = self.resume_point(&headers)?;
         if resume_point.as_ref().is_some_and(|id| id.last) {
@@ -75,9 +83,10 @@
         let fingerprint = fingerprint::of(&head, &body);
         let (work, source) = work_and_source(req, resume_point);
         let req = headers.into_call(call, fingerprint, work);
-        let rx = self.start_generation(req, source, stream);
+        let rx = self.start_generation(req, source, stream, Arc::clone(&hold));
         let response = PendingResponse {
             rx,
+            hold,
             writer,
             usage: Usage::default(),
         };
@@ -99,6 +108,7 @@
         req: CallRequest,
         source: GenerationSource,
         resumable: bool,
+        hold: Arc<RequestHold>,
     ) -> Receiver<GenerationItem> {
         self.metrics.on_call(source.kind());
         let (tx, rx) = channel(TOKEN_BUFFER_LEN);
@@ -114,6 +124,7 @@
             event_ids: Arc::clone(&self.event_ids),
             metrics: Arc::clone(&self.metrics),
             tasks: self.tasks.clone(),
+            hold,
         };
         self.tasks.spawn(generation.run());
         rx
@@ -123,6 +134,7 @@
 /// A response whose tokens are still being generated.
 struct PendingResponse {
     rx: Receiver<GenerationItem>,
+    hold: Arc<RequestHold>,
     writer: CompletionWriter,
     usage: Usage,
 }
@@ -173,6 +185,10 @@
         loop {
             match item {
                 Some(GenerationItem::Token(token)) => {
+                    let bytes = TEXT_COPIES * token.text.len() as u64;
+                    if !self.hold.try_grow(bytes, HeldFor::Response) {
+                        return Problem::no_memory().response();
+                    }
                     text.push_str(&token.text);
                     self.usage.completion_tokens += 1;
                     if token.last {
@@ -182,6 +198,7 @@
                 Some(GenerationItem::Refused(refusal)) => {
                     return Problem::from_refusal(&refusal, clock::now()).response();
                 }
+                Some(GenerationItem::NoMemory) => return Problem::no_memory().response(),
                 Some(GenerationItem::Started { .. }) => {}
                 None => return Problem::interrupted().response(),
             }
@@ -237,7 +254,7 @@
                 prompt_tokens: bytes.div_ceil(BYTES_PER_TOKEN),
                 max_tokens: req.max_tokens,
             });
-            let delivered = Vec::new();
+            let delivered = DeliveredTokens::default();
             (work, GenerationSource::Prompt { req, delivered })
         }
     }
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -1,50 +1,75 @@
-//! The open connections of callers, of which idle ones are evicted for new ones.
+//! The open connections of callers, and which of them is evicted when there is no room.
 
 use std::collections::HashMap;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use gateway::ConnectionKey;
+use gateway::HeldFor;
 use gateway::Opening;
 use gateway::PortUsage;
 use gateway::Room;
 use gateway::Stage;
 use gateway::UsageLimits;
+use policy::Time;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::now;
+use crate::open_connection::OpenConnection;
+use crate::Metrics;
+
+/// Interval between two lines about evicted connections, in milliseconds.
+const LOG_INTERVAL_MS: u64 = 1_000;
+
+/// Why a connection is evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    /// Another connection or request needs its memory or its descriptors.
+    TooManyConnections,
+    /// The requests and responses of others need the memory of its own.
+    NoMemory,
+}
 
-/// Time for which a connection is idle before it may be evicted for a new one, in milliseconds.
-const MIN_IDLE_MS: u64 = 200;
+impl Reason {
+    fn name(self) -> &'static str {
+        match self {
+            Reason::TooManyConnections => "too_many_connections",
+            Reason::NoMemory => "no_memory",
+        }
+    }
+}
 
 /// The open connections of callers; clones share them.
 #[derive(Clone)]
-pub struct Connections(Arc<Mutex<State>>);
+pub struct Connections {
+    state: Arc<Mutex<State>>,
+    metrics: Arc<Metrics>,
+}
 
 struct State {
     usage: PortUsage,
     /// Cancelled when a connection is to be closed.
     closers: HashMap<ConnectionKey, CancellationToken>,
+    /// Evictions since the last line about them, and when the next one may be written.
+    evictions: u64,
+    log_at: Time,
 }
 
 impl Connections {
-    /// Returns a set of up to `limit` connections.
-    pub fn new(limit: usize) -> Connections {
-        let limits = UsageLimits {
-            buffer_bytes: u64::MAX,
-            connection_bytes: u64::MAX,
-            connections: limit as u64,
-            descriptors: u64::MAX,
-            min_idle_ms: MIN_IDLE_MS,
-        };
-        Connections(Arc::new(Mutex::new(State {
+    /// Returns an empty set with limits on what its connections hold.
+    pub fn new(limits: UsageLimits, metrics: Arc<Metrics>) -> Connections {
+        let state = State {
             usage: PortUsage::new(limits),
             closers: HashMap::new(),
-        })))
+            evictions: 0,
+            log_at: Time::default(),
+        };
+        Connections {
+            state: Arc::new(Mutex::new(state)),
+            metrics,
+        }
     }
 
     /// Opens a connection if there is room for it, after evicting an idle one if needed.
@@ -52,78 +77,133 @@
         let mut state = self.state();
         match state.usage.connection_room(now()) {
             Room::Free => {}
-            Room::Closing(key) => state.close(key),
+            Room::Closing(key) => self.evict(&mut state, key, Reason::TooManyConnections),
             Room::At(at) => return Opening::At(at),
             Room::Full => return Opening::Full,
         }
         let key = state.usage.open(now());
         let closing = CancellationToken::new();
         state.closers.insert(key, closing.clone());
-        Opening::Open(Arc::new(OpenConnection {
-            connections: self.clone(),
-            key,
-            closing,
-            body_ended: AtomicBool::new(false),
-        }))
+        drop(state);
+        Opening::Open(Arc::new(OpenConnection::new(self.clone(), key, closing)))
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Removes a connection that is closed.
+    pub fn remove(&self, key: ConnectionKey) {
+        let mut state = self.state();
+        state.usage.close(key);
+        state.closers.remove(&key);
     }
-}
 
-impl State {
-    fn close(&mut self, key: ConnectionKey) {
-        if let Some(closing) = self.closers.get(&key) {
-            closing.cancel();
+    /// Records what a connection does from now on.
+    pub fn set_stage(&self, key: ConnectionKey, stage: Stage) {
+        self.state().usage.set_stage(now(), key, stage);
+    }
+
+    /// Returns what a connection does, none if it is closed.
+    pub fn stage(&self, key: ConnectionKey) -> Option<Stage> {
+        self.state().usage.stage(key)
+    }
+
+    /// Returns whether a connection may read more. One that has no request waits until evicted ones have
+    /// given their memory back.
+    pub fn has_read_room(&self, key: ConnectionKey) -> bool {
+        let mut state = self.state();
+        let has_request = !matches!(state.usage.stage(key), Some(Stage::Idle | Stage::Head));
+        if has_request || state.usage.has_present_room() {
+            return true;
         }
+        self.make_present_room(&mut state);
+        false
     }
-}
 
-/// An open connection; dropping it makes room for others.
-pub struct OpenConnection {
-    connections: Connections,
-    key: ConnectionKey,
-    closing: CancellationToken,
-    /// Whether the http library has all bytes of the present response.
-    body_ended: AtomicBool,
-}
+    /// Records bytes that were read from a connection, and evicts others if there is no room for them.
+    pub fn record_read(&self, key: ConnectionKey, bytes: u64) {
+        let mut state = self.state();
+        state.usage.record_read(now(), key, bytes);
+        self.make_present_room(&mut state);
+    }
 
-impl OpenConnection {
-    /// Completes when it is to be closed.
-    pub async fn closing(&self) {
-        self.closing.cancelled().await;
+    /// Records that bytes which were read belong to a request's head or body.
+    pub fn record_parsed(&self, key: ConnectionKey, bytes: u64) {
+        self.state().usage.record_parsed(key, bytes);
     }
 
-    /// Records that a request is served from now on.
-    pub fn begin_request(&self) {
-        self.body_ended.store(false, Ordering::Relaxed);
-        self.set_stage(Stage::Running);
+    /// Records bytes that were written to a connection.
+    pub fn record_written(&self, key: ConnectionKey, bytes: u64) {
+        self.state().usage.record_written(now(), key, bytes);
     }
 
-    /// Records that the http library has all bytes of the present response.
-    pub fn end_body(&self) {
-        self.body_ended.store(true, Ordering::Relaxed);
-        self.set_stage(Stage::Flushing);
+    /// Records that the request of a connection is served from now on. Returns false if there are no
+    /// descriptors for that.
+    pub fn begin_running(&self, key: ConnectionKey) -> bool {
+        let mut state = self.state();
+        state.usage.set_stage(now(), key, Stage::Running);
+        self.make_present_room(&mut state)
     }
 
-    /// Records that the socket has taken all that the http library had.
-    pub fn record_flushed(&self) {
-        if self.body_ended.swap(false, Ordering::Relaxed) {
-            self.set_stage(Stage::Idle);
+    /// Returns whether there is room for `bytes` more bytes of a connection, after evicting others if
+    /// needed.
+    pub fn make_buffer_room(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) -> bool {
+        let mut state = self.state();
+        loop {
+            match state.usage.buffer_room(now(), key, bytes, held_for) {
+                Room::Free => return true,
+                Room::Closing(slow) => self.evict(&mut state, slow, Reason::NoMemory),
+                Room::At(_) | Room::Full => return false,
+            }
         }
     }
 
-    fn set_stage(&self, stage: Stage) {
-        let mut state = self.connections.state();
-        state.usage.set_stage(now(), self.key, stage);
+    /// Counts bytes that are held for a connection.
+    pub fn hold(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
+        let mut state = self.state();
+        state.usage.hold(now(), key, bytes, held_for);
+        self.metrics
+            .set_buffered_bytes(state.usage.buffered_bytes());
+    }
+
+    /// Counts bytes as gone that were held for a connection.
+    pub fn release(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
+        let mut state = self.state();
+        state.usage.release(key, bytes, held_for);
+        self.metrics
+            .set_buffered_bytes(state.usage.buffered_bytes());
     }
-}
 
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        let mut state = self.connections.state();
-        state.usage.close(self.key);
-        state.closers.remove(&self.key);
+    /// Evicts connections until the limits hold for the open ones; returns false if none may be evicted.
+    fn make_present_room(&self, state: &mut State) -> bool {
+        while !state.usage.has_present_room() {
+            match state.usage.present_room(now()) {
+                Room::Free => return true,
+                Room::Closing(idle) => self.evict(state, idle, Reason::TooManyConnections),
+                Room::At(_) | Room::Full => return false,
+            }
+        }
+        true
+    }
+
+    fn evict(&self, state: &mut State, key: ConnectionKey, reason: Reason) {
+        if let Some(closing) = state.closers.get(&key) {
+            closing.cancel();
+        }
+        self.metrics.on_connection_closed(reason.name());
+        state.evictions += 1;
+        if now() < state.log_at {
+            return;
+        }
+        log::warn!(
+            "event=connections_closed reason={} count={} open={} buffered_bytes={}",
+            reason.name(),
+            state.evictions,
+            state.usage.len(),
+            state.usage.buffered_bytes()
+        );
+        state.evictions = 0;
+        state.log_at = now().plus_millis(LOG_INTERVAL_MS);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/router/src/engine_attempt.rs
+++ b/crates/router/src/engine_attempt.rs
@@ -10,6 +10,7 @@
 use backend::Generation;
 use backend::Started;
 use futures::StreamExt;
+use gateway::HeldFor;
 use policy::BackendReport;
 use policy::Dispatch;
 use policy::Failure;
@@ -19,7 +20,9 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
+use crate::delivered_tokens::DeliveredTokens;
 use crate::failure;
+use crate::request_hold::RequestHold;
 use crate::CompletionRequest;
 use crate::EventIdCodec;
 use crate::GenerationItem;
@@ -51,6 +54,8 @@
     pub event_ids: &'a EventIdCodec,
     /// Metrics of the router.
     pub metrics: &'a Metrics,
+    /// Memory of the request and its response.
+    pub hold: &'a RequestHold,
 }
 
 impl EngineAttempt<'_> {
@@ -71,8 +76,14 @@
         let peer = self.dispatch.address;
         let result = match &*self.source {
             GenerationSource::Prompt { req, delivered } => {
+                let bytes = delivered.request_bytes();
+                if !self.hold.try_grow(bytes, HeldFor::Request) {
+                    return self.run_out_of_memory().await;
+                }
                 let req = self.request(req, delivered);
-                self.engine.generate(peer, req).await
+                let result = self.engine.generate(peer, req).await;
+                self.hold.shrink(bytes, HeldFor::Request);
+                result
             }
             GenerationSource::Stream { origin, delivered } => {
                 self.engine
@@ -83,7 +94,7 @@
         result.map_err(|e| self.log_failure(&e))
     }
 
-    fn request(&self, req: &CompletionRequest, delivered: &[String]) -> GenerateRequest {
+    fn request(&self, req: &CompletionRequest, delivered: &DeliveredTokens) -> GenerateRequest {
         GenerateRequest {
             stream: self.stream.to_owned(),
             workspace: self.dispatch.workspace.clone(),
@@ -93,7 +104,7 @@
             prompt: req.prompt.clone(),
             max_tokens: req.max_tokens,
             priority: self.dispatch.rank,
-            delivered: delivered.to_vec(),
+            delivered: delivered.texts(),
             fetch_from: self.dispatch.fetch_from.map(fetch_from),
         }
     }
@@ -169,6 +180,11 @@
             // The caller has disconnected; `GenerationTask` detects this and drops the attempt.
             return std::future::pending().await;
         };
+        let bytes = self.source.deliver_bytes(&chunk.text);
+        if !self.hold.try_grow(bytes, HeldFor::Response) {
+            permit.send(GenerationItem::NoMemory);
+            return std::future::pending().await;
+        }
         self.source.deliver(&chunk.text);
         permit.send(GenerationItem::Token(Token {
             position: chunk.position,
@@ -178,6 +194,13 @@
         }));
     }
 
+    /// Tells the response that there is no memory for more tokens. `GenerationTask` drops the attempt once
+    /// the response has ended.
+    async fn run_out_of_memory<R>(&self) -> R {
+        let _ = self.tx.send(GenerationItem::NoMemory).await;
+        std::future::pending().await
+    }
+
     /// Logs an error of the attempt and returns the failure to report to the node.
     fn log_failure(&self, error: &backend::Error) -> Failure {
         let at = self.dispatch.at;
--- a/crates/router/src/event_body.rs
+++ b/crates/router/src/event_body.rs
@@ -74,6 +74,7 @@
         match item {
             GenerationItem::Started { .. } => {}
             GenerationItem::Token(token) => self.write_token(&token, buf),
+            GenerationItem::NoMemory => self.write_error(&Problem::no_memory(), buf),
             GenerationItem::Refused(refusal) => {
                 self.write_error(&Problem::from_refusal(&refusal, clock::now()), buf);
             }
--- a/crates/router/src/explain.rs
+++ b/crates/router/src/explain.rs
@@ -6,13 +6,14 @@
 use http::HeaderValue;
 use http::Method;
 use http::Response;
-use hyper::body::Incoming;
 
 use crate::body::full_body;
 use crate::clock;
 use crate::completion::work_and_source;
 use crate::fingerprint;
 use crate::handler::require_method;
+use crate::handler::ReadRequest;
+use crate::handler::RequestBody;
 use crate::CallHeaders;
 use crate::CompletionApi;
 use crate::CompletionRequest;
@@ -30,11 +31,11 @@
         &self,
         api: CompletionApi,
         head: Parts,
-        body: Incoming,
+        body: RequestBody<'_>,
     ) -> Result<Response<ResponseBody>, Rejection> {
         require_method(&head, Method::POST, "POST")?;
         let headers = CallHeaders::parse(&head.headers)?;
-        let body = self.read_body(body).await?;
+        let ReadRequest { body, hold: _hold } = self.read_body(body).await?;
         let req = CompletionRequest::parse(api, &body)?;
         let (work, _) = work_and_source(req, None);
         let req = headers.into_call(self.next_call_id(), fingerprint::of(&head, &body), work);
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -14,11 +14,12 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
 use crate::connections::Connections;
-use crate::connections::OpenConnection;
+use crate::open_connection::OpenConnection;
 use crate::tracked_body::TrackedBody;
 use crate::Handler;
 use crate::Tasks;
@@ -30,6 +31,9 @@
 /// Wait after an error of `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time in which a caller whose connection is evicted may read that its request is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
 /// Accepts callers' connections and serves them.
 pub struct Frontend {
     /// Listener for callers.
@@ -45,7 +49,8 @@
 impl Frontend {
     /// Accepts connections until `drain` is cancelled.
     pub async fn run(self) {
-        let connections = Connections::new(self.handler.limits.connections);
+        let limits = self.handler.limits.usage();
+        let connections = Connections::new(limits, Arc::clone(&self.handler.metrics));
         loop {
             let accepted = tokio::select! {
                 () = self.drain.cancelled() => return,
@@ -61,7 +66,7 @@
         }
     }
 
-    /// Serves a connection, or closes it if all others have requests.
+    /// Serves a connection, or closes it if there is no room for it and none is idle.
     async fn admit(&self, stream: TcpStream, connections: &Connections) {
         let connection = loop {
             match connections.open() {
@@ -89,8 +94,7 @@
     let limits = handler.limits;
     let io = WriteTimeoutIo::new(stream, Arc::clone(&connection), limits.write_timeout());
     let service = service_fn(|req| async {
-        connection.begin_request();
-        let response = handler.handle(req).await;
+        let response = handler.respond(req, &connection).await;
         let tracked = response.map(|body| TrackedBody::new(body, Arc::clone(&connection)));
         Ok::<_, Infallible>(tracked)
     });
@@ -102,7 +106,13 @@
     let mut http = pin!(http);
     let result = tokio::select! {
         result = http.as_mut() => result,
-        () = connection.closing() => return,
+        () = connection.closing() => {
+            if connection.has_unanswered_request() {
+                // The handler refuses it.
+                let _ = timeout(REFUSAL_TIME, http).await;
+            }
+            return;
+        }
         () = drain.cancelled() => {
             http.as_mut().graceful_shutdown();
             http.await
--- a/crates/router/src/generation_item.rs
+++ b/crates/router/src/generation_item.rs
@@ -20,6 +20,8 @@
     Token(Token),
     /// The call was refused; no item follows.
     Refused(Refusal),
+    /// There is no memory for more tokens; no item follows.
+    NoMemory,
 }
 
 /// One generated token for the caller.
--- a/crates/router/src/generation_source.rs
+++ b/crates/router/src/generation_source.rs
@@ -2,6 +2,7 @@
 
 use policy::Dispatch;
 
+use crate::delivered_tokens::DeliveredTokens;
 use crate::CompletionRequest;
 use crate::Origin;
 
@@ -12,8 +13,8 @@
     Prompt {
         /// Request with the prompt.
         req: CompletionRequest,
-        /// Texts of the tokens that the caller already has.
-        delivered: Vec<String>,
+        /// Tokens that the caller already has.
+        delivered: DeliveredTokens,
     },
     /// A stream that an engine keeps, to be resumed.
     Stream {
@@ -36,17 +37,23 @@
     /// Returns the number of tokens that the caller already has.
     pub fn delivered(&self) -> u32 {
         match self {
-            GenerationSource::Prompt { delivered, .. } => {
-                u32::try_from(delivered.len()).unwrap_or(u32::MAX)
-            }
+            GenerationSource::Prompt { delivered, .. } => delivered.len(),
             GenerationSource::Stream { delivered, .. } => *delivered,
         }
     }
 
+    /// Returns the memory that it takes to record one more token, in bytes.
+    pub fn deliver_bytes(&self, text: &str) -> u64 {
+        match self {
+            GenerationSource::Prompt { .. } => DeliveredTokens::push_bytes(text),
+            GenerationSource::Stream { .. } => 0,
+        }
+    }
+
     /// Records that the caller receives one more token.
     pub fn deliver(&mut self, text: &str) {
         match self {
-            GenerationSource::Prompt { delivered, .. } => delivered.push(text.to_owned()),
+            GenerationSource::Prompt { delivered, .. } => delivered.push(text),
             GenerationSource::Stream { delivered, .. } => *delivered += 1,
         }
     }
--- a/crates/router/src/generation_task.rs
+++ b/crates/router/src/generation_task.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 use uuid::Uuid;
 
+use crate::request_hold::RequestHold;
 use crate::CallCommand;
 use crate::EngineAttempt;
 use crate::EventIdCodec;
@@ -48,6 +49,8 @@
     pub metrics: Arc<Metrics>,
     /// Tasks of the router, for cancellations that outlive this task.
     pub tasks: Tasks,
+    /// Memory of the request and its response.
+    pub hold: Arc<RequestHold>,
 }
 
 /// Timeout of the request that cancels a stream on an engine.
@@ -110,6 +113,7 @@
             engine: self.engine.as_ref(),
             event_ids: &self.event_ids,
             metrics: &self.metrics,
+            hold: &self.hold,
         };
         let result = tokio::select! {
             biased;
--- a/crates/router/src/handler.rs
+++ b/crates/router/src/handler.rs
@@ -23,7 +23,10 @@
 
 use crate::body;
 use crate::body::full_body;
+use crate::body::BodyLimits;
 use crate::call_headers::IDEMPOTENCY_KEY;
+use crate::open_connection::OpenConnection;
+use crate::request_hold::RequestHold;
 use crate::CompletionApi;
 use crate::EventIdCodec;
 use crate::ExternalServices;
@@ -43,6 +46,18 @@
 /// Path prefix of requests to explain where a completion would go.
 pub(crate) const EXPLAIN_PREFIX: &str = "/explain";
 
+/// The body of a request that is not read yet.
+pub(crate) struct RequestBody<'a> {
+    incoming: Incoming,
+    connection: &'a OpenConnection,
+}
+
+/// The body of a request, and what the request takes of the memory.
+pub(crate) struct ReadRequest {
+    pub body: Bytes,
+    pub hold: Arc<RequestHold>,
+}
+
 /// Responds to callers' HTTP requests.
 pub struct Handler {
     /// Handle of the node's actor.
@@ -64,13 +79,21 @@
 }
 
 impl Handler {
-    /// Returns the response to a request. While the router is leaving, the response has the header
-    /// `Connection: close`.
-    pub async fn handle(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+    /// Returns the response to a request on a connection. While the router is leaving, the response has
+    /// the header `Connection: close`.
+    pub async fn respond(
+        &self,
+        req: Request<Incoming>,
+        connection: &OpenConnection,
+    ) -> Response<ResponseBody> {
         let outcome = outcome_of_rejection(req.headers());
-        let mut res = match self.route(req).await {
-            Ok(res) => res,
-            Err(rejection) => self.reject(&rejection, outcome),
+        connection.begin_request(head_bytes(&req));
+        let mut res = tokio::select! {
+            res = self.handle(req, connection, outcome) => {
+                connection.begin_response();
+                res
+            }
+            () = connection.closing() => self.refuse_evicted(connection, outcome),
         };
         if self.state.borrow().leaving {
             res.headers_mut().insert(CONNECTION, CLOSE);
@@ -78,8 +101,41 @@
         res
     }
 
-    async fn route(&self, req: Request<Incoming>) -> Result<Response<ResponseBody>, Rejection> {
-        let (head, body) = req.into_parts();
+    async fn handle(
+        &self,
+        req: Request<Incoming>,
+        connection: &OpenConnection,
+        outcome: Outcome,
+    ) -> Response<ResponseBody> {
+        match self.route(req, connection).await {
+            Ok(res) => res,
+            Err(rejection) => self.reject(&rejection, outcome),
+        }
+    }
+
+    /// Refuses a request whose connection is evicted; `outcome` is that of a request which did not run.
+    fn refuse_evicted(
+        &self,
+        connection: &OpenConnection,
+        outcome: Outcome,
+    ) -> Response<ResponseBody> {
+        let outcome = match connection.has_unread_request() {
+            true => outcome,
+            false => Outcome::Unknown,
+        };
+        self.reject(&Rejection::NoMemory, outcome)
+    }
+
+    async fn route(
+        &self,
+        req: Request<Incoming>,
+        connection: &OpenConnection,
+    ) -> Result<Response<ResponseBody>, Rejection> {
+        let (head, incoming) = req.into_parts();
+        let body = RequestBody {
+            incoming,
+            connection,
+        };
         let path = head.uri.path();
         match path {
             "/healthz" => {
@@ -103,18 +159,24 @@
         CallId(self.last_call_id.fetch_add(1, Ordering::Relaxed) + 1)
     }
 
-    /// Reads a body within its timeout. Its maximum size is the smaller one of the process's limit
-    /// and the configuration's.
-    pub(crate) async fn read_body(&self, body: Incoming) -> Result<Bytes, Rejection> {
+    /// Reads a body within its timeout, and records that its request is served from now on. Its maximum
+    /// size is the smaller one of the process's limit and the configuration's.
+    pub(crate) async fn read_body(&self, body: RequestBody<'_>) -> Result<ReadRequest, Rejection> {
         let configured = self
             .state
             .borrow()
             .config
             .as_ref()
             .map_or(u64::MAX, |config| config.limits.body_bytes);
-        let limit = self.limits.body_bytes.min(configured);
-        let deadline = Instant::now() + self.limits.body_timeout();
-        body::read(body, limit, deadline).await
+        let limits = BodyLimits {
+            bytes: self.limits.max_body_bytes().min(configured),
+            deadline: Instant::now() + self.limits.body_timeout(),
+        };
+        let connection = body.connection;
+        let hold = connection.hold_request()?;
+        let body = body::read(body.incoming, limits, connection, &hold).await?;
+        connection.begin_running()?;
+        Ok(ReadRequest { body, hold })
     }
 
     fn reject(&self, rejection: &Rejection, outcome: Outcome) -> Response<ResponseBody> {
@@ -160,6 +222,16 @@
     }
 }
 
+/// Returns the length of a request's head as it was sent, but for unusual spaces.
+fn head_bytes(req: &Request<Incoming>) -> u64 {
+    let headers = req.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    let path = req.uri().path_and_query();
+    let path = path.map_or(0, |path| path.as_str().len());
+    let start_line = req.method().as_str().len() + path + "  HTTP/1.1\r\n".len();
+    (start_line + headers.sum::<usize>() + "\r\n".len()) as u64
+}
+
 /// Rejects a request whose method is not `method`; `expected` names that method in the rejection.
 pub(crate) fn require_method(
     head: &Parts,
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -1,14 +1,38 @@
-//! Limits of one router on connections, bodies and times.
+//! Limits of one router on memory, connections, bodies and times.
 
 use std::time::Duration;
 
+use gateway::process_descriptors;
+use gateway::UsageLimits;
 use policy::Time;
 
 use crate::clock;
 
-/// Limits of one router on connections, bodies and times.
+/// Parts of the memory for what is held of requests and responses, and for connections, in percent. The
+/// kernel may hold as much again of what connections have received.
+const BUFFER_PERCENT: u64 = 40;
+const CONNECTION_PERCENT: u64 = 20;
+
+/// Part of the descriptors for callers and the connections to backend servers that their requests
+/// need, in percent. The rest is for the platform, other routers and idle connections.
+const CALLERS_PERCENT: u64 = 65;
+
+/// Part of the memory that the body of one request may take, in percent.
+const BODY_PERCENT: u64 = 25;
+
+/// How often a body is in memory at most: as it was read, parsed, and as it is sent.
+pub const BODY_COPIES: u64 = 3;
+
+/// Time for which a connection is idle before it may be evicted for a new one, in milliseconds.
+const MIN_IDLE_MS: u64 = 200;
+
+/// Limits of one router on memory, connections, bodies and times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
+    /// Memory of the VM, in bytes; `u64::MAX` for no limit.
+    pub memory_bytes: u64,
+    /// Maximum number of open descriptors.
+    pub descriptors: u64,
     /// Maximum number of open connections from callers.
     pub connections: usize,
     /// Maximum size of a request body, in bytes, even if the configuration allows more.
@@ -30,6 +54,8 @@
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
+            memory_bytes: u64::MAX,
+            descriptors: process_descriptors(),
             connections: 10_000,
             body_bytes: 16 << 20,
             header_ms: 30_000,
@@ -42,6 +68,23 @@
 }
 
 impl Limits {
+    /// Returns the limits on what all connections of callers hold.
+    pub fn usage(&self) -> UsageLimits {
+        UsageLimits {
+            buffer_bytes: percent_of(self.memory_bytes, BUFFER_PERCENT),
+            connection_bytes: percent_of(self.memory_bytes, CONNECTION_PERCENT),
+            connections: u64::try_from(self.connections).unwrap_or(u64::MAX),
+            descriptors: percent_of(self.descriptors, CALLERS_PERCENT),
+            min_idle_ms: MIN_IDLE_MS,
+        }
+    }
+
+    /// Returns the maximum size of a request body that the memory allows, in bytes.
+    pub fn max_body_bytes(&self) -> u64 {
+        let by_memory = percent_of(self.memory_bytes, BODY_PERCENT) / BODY_COPIES;
+        self.body_bytes.min(by_memory)
+    }
+
     /// Returns the timeout for receiving a request's head.
     pub fn header_timeout(&self) -> Duration {
         Duration::from_millis(self.header_ms)
@@ -68,3 +111,10 @@
         clock::now().plus_millis(self.shutdown_ms)
     }
 }
+
+fn percent_of(number: u64, percent: u64) -> u64 {
+    match number {
+        u64::MAX => u64::MAX,
+        number => number.saturating_mul(percent) / 100,
+    }
+}
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -38,6 +38,8 @@
     platform_calls: IntCounterVec,
     connections: IntGauge,
     connections_refused: IntCounter,
+    connections_closed: IntCounterVec,
+    buffered_bytes: IntGauge,
     config_version: IntGauge,
     peer_bytes: IntCounterVec,
     peer_connections_refused: IntCounter,
@@ -115,6 +117,13 @@
                 "connections_refused_total",
                 "Connections of callers over the limit.",
             )?,
+            connections_closed: counters(
+                r,
+                "connections_closed_total",
+                "Connections of callers that were evicted for others.",
+                &["reason"],
+            )?,
+            buffered_bytes: gauge(r, "buffered_bytes", "Bytes held of requests and responses.")?,
             config_version: gauge(r, "config_version", "Configuration in force, 0 for none.")?,
             peer_bytes: counters(
                 r,
@@ -198,6 +207,17 @@
         self.connections_refused.inc();
     }
 
+    /// Counts a connection that was evicted for others.
+    pub fn on_connection_closed(&self, reason: &str) {
+        self.connections_closed.with_label_values(&[reason]).inc();
+    }
+
+    /// Sets the bytes that are held of requests and responses.
+    pub fn set_buffered_bytes(&self, bytes: u64) {
+        self.buffered_bytes
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version
--- a/crates/router/src/problem.rs
+++ b/crates/router/src/problem.rs
@@ -66,7 +66,7 @@
             reason: rejection.reason(),
             outcome: outcome.name(),
             detail: rejection.to_string(),
-            retry_after: None,
+            retry_after: rejection.retry_after(),
         }
     }
 
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Describes a request that may have run, but for whose response there is no memory.
+    pub fn no_memory() -> Problem {
+        let rejection = Rejection::NoMemory;
+        Problem {
+            title: "No memory for the response",
+            detail: detail(Outcome::Unknown).to_owned(),
+            ..Problem::from_rejection(&rejection, Outcome::Unknown)
+        }
+    }
+
     /// Returns the problem as JSON.
     pub fn json(&self) -> Vec<u8> {
         serde_json::to_vec(self).expect("a problem serializes to JSON")
--- a/crates/router/src/rejection.rs
+++ b/crates/router/src/rejection.rs
@@ -5,6 +5,10 @@
 
 use crate::BadEventId;
 
+/// Time after which a caller may retry a request for which there was no memory, in seconds. Connections
+/// that hold memory without progress are evicted within this time.
+pub const NO_MEMORY_RETRY_S: u64 = 1;
+
 /// Why a request is rejected before the node sees it. Nothing was sent to a backend server.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -24,6 +28,9 @@
     /// The body was incomplete when its timeout expired.
     #[snafu(display("the body did not arrive in time"))]
     BodyTooSlow,
+    /// Requests and responses take too much memory, or connections too many descriptors.
+    #[snafu(display("the router has no memory or descriptors for the request"))]
+    NoMemory,
     /// The connection failed before the body was complete.
     #[snafu(display("the body broke off: {reason}"))]
     BodyBroken {
@@ -74,6 +81,7 @@
             Rejection::BadBody { .. } => "bad_body",
             Rejection::BodyTooLarge { .. } => "body_too_large",
             Rejection::BodyTooSlow => "body_too_slow",
+            Rejection::NoMemory => "no_memory",
             Rejection::BodyBroken { .. } => "body_broken",
             Rejection::BadHeader { .. } => "bad_header",
             Rejection::NoToken => "bad_token",
@@ -90,6 +98,7 @@
             Rejection::BadBody { .. } => "The body does not parse",
             Rejection::BodyTooLarge { .. } => "The body is too large",
             Rejection::BodyTooSlow => "The body did not arrive in time",
+            Rejection::NoMemory => "No memory for the request",
             Rejection::BodyBroken { .. } => "The body broke off",
             Rejection::BadHeader { .. } => "A header does not parse",
             Rejection::NoToken => "The bearer token is missing",
@@ -106,6 +115,7 @@
             Rejection::BadBody { .. } => StatusCode::BAD_REQUEST,
             Rejection::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Rejection::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Rejection::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::BodyBroken { .. } => StatusCode::BAD_REQUEST,
             Rejection::BadHeader { .. } => StatusCode::BAD_REQUEST,
             Rejection::NoToken => StatusCode::UNAUTHORIZED,
@@ -116,12 +126,23 @@
         }
     }
 
+    /// Returns the time in seconds after which the caller may retry, none if a retry is useless.
+    pub fn retry_after(&self) -> Option<u64> {
+        match self {
+            Rejection::NoMemory => Some(NO_MEMORY_RETRY_S),
+            _ => None,
+        }
+    }
+
     /// Returns whether reading the body was given up before its end, in which case the connection
     /// can't be reused and must be closed.
     pub fn leaves_body_unread(&self) -> bool {
         matches!(
             self,
-            Rejection::BodyTooLarge { .. } | Rejection::BodyTooSlow | Rejection::BodyBroken { .. }
+            Rejection::BodyTooLarge { .. }
+                | Rejection::BodyTooSlow
+                | Rejection::BodyBroken { .. }
+                | Rejection::NoMemory
         )
     }
 }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -9,7 +9,6 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use policy::CallRequest;
 use policy::ServiceCall;
 use policy::StoredResponse;
@@ -19,6 +18,9 @@
 use crate::body::full_body;
 use crate::clock;
 use crate::fingerprint;
+use crate::handler::ReadRequest;
+use crate::handler::RequestBody;
+use crate::request_hold::RequestHold;
 use crate::CallHeaders;
 use crate::Handler;
 use crate::Problem;
@@ -36,12 +38,12 @@
     pub(crate) async fn call_service(
         &self,
         head: Parts,
-        body: Incoming,
+        body: RequestBody<'_>,
     ) -> Result<Response<ResponseBody>, Rejection> {
         let path = ServicePath::parse(&head.uri)?;
         let headers = CallHeaders::parse(&head.headers)?;
         let content_type = content_type(&head)?;
-        let body = self.read_body(body).await?;
+        let ReadRequest { body, hold } = self.read_body(body).await?;
         self.metrics.on_call("service");
         let key = headers.idempotency_key.clone();
         let work = Work::Service(ServiceCall {
@@ -58,7 +60,7 @@
             key,
             body,
         };
-        match self.run_service(req, service_req).await {
+        match self.run_service(req, service_req, hold).await {
             Ok(ServiceOutcome::Response { response, replayed }) => Ok(respond(&response, replayed)),
             Ok(ServiceOutcome::Refused(refusal)) => {
                 Ok(Problem::from_refusal(&refusal, clock::now()).response())
@@ -71,6 +73,7 @@
         &self,
         req: CallRequest,
         service_req: ServiceRequest,
+        hold: Arc<RequestHold>,
     ) -> oneshot::Receiver<ServiceOutcome> {
         let (tx, rx) = oneshot::channel();
         let task = ServiceTask {
@@ -80,6 +83,7 @@
             tx: Some(tx),
             node: self.node.clone(),
             service: Arc::clone(&self.external_services.service),
+            hold,
         };
         self.tasks.spawn(task.run());
         rx
--- a/crates/router/src/service_task.rs
+++ b/crates/router/src/service_task.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::failure;
+use crate::request_hold::RequestHold;
 use crate::CallCommand;
 use crate::NodeHandle;
 
@@ -60,6 +61,8 @@
     pub node: NodeHandle,
     /// Client of the plain services.
     pub service: Arc<dyn PlainService>,
+    /// Memory of the request and its response.
+    pub hold: Arc<RequestHold>,
 }
 
 /// An attempt that waits for its response. Dropping it closes the connection.
@@ -116,9 +119,10 @@
         let service = Arc::clone(&self.service);
         let peer = dispatch.address;
         let req = self.req.clone();
+        let hold = Arc::clone(&self.hold);
         InFlight {
             at: dispatch.at,
-            response: Box::pin(async move { service.call(peer, req).await }),
+            response: Box::pin(async move { service.call(peer, req, hold).await }),
         }
     }
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -16,6 +16,9 @@
 /// Maximum length of the name of a VM, region or failure domain, in bytes.
 const MAX_NAME_BYTES: usize = 128;
 
+/// Bytes of a mebibyte.
+const MB_BYTES: u64 = 1 << 20;
+
 const DEFAULT_LOG: &str = "info";
 
 /// Settings of one router process, from its settings file.
@@ -39,7 +42,7 @@
     pub peer_secret: Vec<u8>,
     /// Key of the MAC in event ids, the same on all routers.
     pub event_secret: Vec<u8>,
-    /// Limits on connections, bodies and times.
+    /// Limits on memory, connections, bodies and times.
     pub limits: Limits,
     /// Log specification, such as `info` or `warn, router=debug`.
     pub log: String,
@@ -144,6 +147,11 @@
     let connections = u64::try_from(default.connections).unwrap_or(u64::MAX);
     let connections = reader.number("connections", 1..=1_000_000, connections)?;
     let limits = Limits {
+        memory_bytes: match reader.number("memory_mb", 1..=1 << 30, 0)? {
+            0 => default.memory_bytes,
+            memory_mb => memory_mb * MB_BYTES,
+        },
+        descriptors: reader.number("descriptors", 100..=1 << 30, default.descriptors)?,
         connections: usize::try_from(connections).unwrap_or(usize::MAX),
         body_bytes: reader.number("body_bytes", 1_024..=1 << 30, default.body_bytes)?,
         header_ms: reader.number("header_ms", time.clone(), default.header_ms)?,
--- a/crates/router/src/tracked_body.rs
+++ b/crates/router/src/tracked_body.rs
@@ -1,17 +1,20 @@
-//! Response body that records its end at its connection.
+//! Response body that counts its bytes at its connection until the socket has taken them.
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Buf;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
-use crate::connections::OpenConnection;
+use crate::open_connection::OpenConnection;
 
-/// Response body that records its end at its connection.
+/// Response body that counts its bytes at its connection. It returns no more of them while the socket
+/// hasn't taken enough of the earlier ones.
 pub struct TrackedBody<B> {
     body: B,
     connection: Arc<OpenConnection>,
@@ -35,7 +38,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        ready!(self.connection.poll_writable(cx));
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let data = frame
+            .as_ref()
+            .and_then(|frame| frame.as_ref().ok()?.data_ref());
+        if let Some(data) = data {
+            self.connection.record_unflushed(data.remaining() as u64);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/router/src/write_timeout_io.rs
+++ b/crates/router/src/write_timeout_io.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -14,16 +15,21 @@
 use tokio::time::sleep;
 use tokio::time::Sleep;
 
-use crate::connections::OpenConnection;
+use crate::open_connection::OpenConnection;
+
+/// Wait of a read for which there is no room, while evicted connections give their memory back.
+const READ_DELAY: Duration = Duration::from_millis(20);
 
 /// A connection on which a write fails with `TimedOut` if it makes no progress within a timeout. It
-/// records when all was written.
+/// records the bytes that move over it.
 pub struct WriteTimeoutIo<T> {
     inner: T,
     connection: Arc<OpenConnection>,
     timeout: Duration,
     /// Timer of the pending write, `None` while no write is pending.
     deadline: Option<Pin<Box<Sleep>>>,
+    /// Timer of a read that waits for room.
+    read_delay: Option<Pin<Box<Sleep>>>,
 }
 
 impl<T> WriteTimeoutIo<T> {
@@ -34,6 +40,13 @@
             connection,
             timeout,
             deadline: None,
+            read_delay: None,
+        }
+    }
+
+    fn record_written(&self, write: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(len)) = write {
+            self.connection.record_written(*len);
         }
     }
 
@@ -66,7 +79,17 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        while !self.connection.has_read_room() {
+            let delay = self
+                .read_delay
+                .get_or_insert_with(|| Box::pin(sleep(READ_DELAY)));
+            ready!(delay.as_mut().poll(cx));
+            self.read_delay = None;
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        self.connection.record_read(buf.filled().len() - before);
+        read
     }
 }
 
@@ -80,6 +103,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let write = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.record_written(&write);
         self.apply_timeout(cx, write)
     }
 
@@ -103,6 +127,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let write = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.record_written(&write);
         self.apply_timeout(cx, write)
     }
 
--- a/crates/router/tests/common/fake_service.rs
+++ b/crates/router/tests/common/fake_service.rs
@@ -1,10 +1,12 @@
 //! In-memory plain service.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use backend::Error;
 use backend::PlainService;
+use backend::ResponseMemory;
 use backend::Result;
 use backend::ServiceRequest;
 use backend::ServiceResponse;
@@ -48,6 +50,7 @@
         &self,
         peer: SocketAddr,
         req: ServiceRequest,
+        _: Arc<dyn ResponseMemory>,
     ) -> BoxFuture<'_, Result<ServiceResponse>> {
         async move {
             let number = {
--- a/crates/router/tests/crowds/completions_trial.rs
+++ b/crates/router/tests/crowds/completions_trial.rs
@@ -38,6 +38,7 @@
 use crate::common::http_message;
 use crate::router_process::RouterProcess;
 use crate::trial::check_router;
+use crate::trial::MEMORY_MB;
 use crate::trial::STOP_S;
 
 /// Largest body of a request, in bytes.
@@ -46,6 +47,9 @@
 /// Size of a response of the plain service, in bytes.
 const SERVICE_RESPONSE_BYTES: usize = 3_000_000;
 
+/// Last bytes of it.
+pub const SERVICE_RESPONSE_END: &[u8] = b"x.";
+
 /// A router process, what it needs, and the tasks of the callers of a crowd.
 pub struct CompletionsTrial {
     pub router: RouterProcess,
@@ -148,7 +152,7 @@
     let address = listener.local_addr().unwrap();
     spawn_local(async move {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {SERVICE_RESPONSE_BYTES}\r\n\r\n");
-        let response = Arc::new(head + &"x".repeat(SERVICE_RESPONSE_BYTES));
+        let response = Arc::new(head + &"x".repeat(SERVICE_RESPONSE_BYTES - 1) + ".");
         while let Ok((mut stream, _)) = listener.accept().await {
             let response = Arc::clone(&response);
             spawn_local(async move {
@@ -194,7 +198,7 @@
         "key_value": platform, "membership": platform,
         "peer_secret": "a secret of all routers", "event_secret": "a secret of all streams",
         "limits": {
-            "shutdown_notice_ms": 0, "shutdown_ms": STOP_S * 1_000,
+            "memory_mb": MEMORY_MB, "shutdown_notice_ms": 0, "shutdown_ms": STOP_S * 1_000,
         },
     })
 }
--- a/crates/router/tests/crowds_of_completions.rs
+++ b/crates/router/tests/crowds_of_completions.rs
@@ -15,15 +15,26 @@
 #[path = "crowds/trial.rs"]
 mod trial;
 
+use std::time::Duration;
+
+use standins::SERVICE;
+use standins::WORKSPACES;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+
 use completions_trial::completion;
 use completions_trial::head;
 use completions_trial::CompletionsTrial;
 use completions_trial::MAX_BODY_BYTES;
+use completions_trial::SERVICE_RESPONSE_END;
+use crowd_caller::connect;
 use crowd_caller::send_and_hold;
-use standins::SERVICE;
-use standins::WORKSPACES;
 use trial::alone;
 
+/// Interval at which a slow caller reads.
+const READ_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Checks a router before `count` callers that send `bytes` and read nothing.
 fn check_callers(count: usize, bytes: String) {
     alone(async {
@@ -80,3 +91,39 @@
         ),
     );
 }
+
+/// Checks that a caller who reads up to `bytes` bytes at each interval gets a response whole, in calm.
+fn check_slow_caller(request: String, bytes: usize, end: &'static [u8]) {
+    alone(async {
+        let trial = CompletionsTrial::start().await;
+        let mut stream = connect(trial.router.address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut response = Vec::new();
+        let mut buf = vec![0; bytes];
+        while !response.ends_with(end) {
+            let len = stream.read(&mut buf).await.unwrap();
+            assert_ne!(len, 0, "cut after {} bytes", response.len());
+            response.extend_from_slice(&buf[..len]);
+            sleep(READ_INTERVAL).await;
+        }
+        assert!(response.starts_with(b"HTTP/1.1 200"));
+    });
+}
+
+// Guards against limits that cut an honest caller over a slow link.
+#[test]
+fn a_slow_caller_of_a_long_stream_gets_it_whole() {
+    let request = completion(WORKSPACES[0], 4_000, true);
+    check_slow_caller(request, 8 << 10, b"data: [DONE]\n\n\r\n0\r\n\r\n");
+}
+
+#[test]
+fn a_slow_caller_of_a_large_service_response_gets_it_whole() {
+    let request = head(
+        WORKSPACES[0],
+        "GET",
+        &format!("/services/{SERVICE}/stock"),
+        0,
+    );
+    check_slow_caller(request, 64 << 10, SERVICE_RESPONSE_END);
+}
--- a/crates/router/tests/slow_callers.rs
+++ b/crates/router/tests/slow_callers.rs
@@ -152,3 +152,42 @@
 
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
+
+/// Returns limits under which one body of 300,000 bytes has room, and two have not.
+fn little_memory() -> Limits {
+    Limits {
+        memory_bytes: 4 << 20,
+        ..Limits::default()
+    }
+}
+
+// Guards against requests that wait for memory, or that are refused without saying that they did not run.
+#[tokio::test]
+async fn a_caller_for_whose_body_there_is_no_memory_is_refused_as_not_run() {
+    let system = a_system().with_limits(little_memory()).start().await;
+    let head = HEAD.replace("100", "300000");
+    let body = "x".repeat(299_999);
+    let mut first = TcpStream::connect(system.address(0)).await.unwrap();
+    first
+        .write_all(format!("{head}{body}").as_bytes())
+        .await
+        .unwrap();
+
+    let response = send_raw(system.address(0), &format!("{head}{body}x")).await;
+
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.contains("retry-after: 1\r\n"), "{response}");
+    assert!(response.contains("no_memory"), "{response}");
+    assert!(response.contains("\"outcome\":\"not_run\""), "{response}");
+    assert!(system.engines.requests().is_empty());
+}
+
+#[tokio::test]
+async fn a_caller_whose_body_the_memory_never_allows_is_refused_at_once() {
+    let system = a_system().with_limits(little_memory()).start().await;
+    let head = HEAD.replace("100", "400000");
+
+    let response = send_raw(system.address(0), &head).await;
+
+    assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+}
--- a/crates/standins/tests/service.rs
+++ b/crates/standins/tests/service.rs
@@ -3,10 +3,12 @@
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use backend::Error;
 use backend::HttpPlainService;
 use backend::PlainService;
+use backend::ResponseMemory;
 use backend::ServiceRequest;
 use bytes::Bytes;
 use standins::Service;
@@ -29,6 +31,19 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
+/// Memory without a limit.
+struct UnlimitedMemory;
+
+impl ResponseMemory for UnlimitedMemory {
+    fn try_grow(&self, _: u64) -> bool {
+        true
+    }
+}
+
+fn unlimited() -> Arc<dyn ResponseMemory> {
+    Arc::new(UnlimitedMemory)
+}
+
 /// Returns a call that adds an entry, which is not idempotent.
 fn booking() -> ServiceRequest {
     ServiceRequest {
@@ -73,7 +88,7 @@
     let service = start_service().await;
 
     let response = HttpPlainService::new()
-        .call(service.address(), booking())
+        .call(service.address(), booking(), unlimited())
         .await;
 
     let response = response.expect("responds");
@@ -92,7 +107,7 @@
     service.disconnect_after_running(1);
 
     let response = HttpPlainService::new()
-        .call(service.address(), booking())
+        .call(service.address(), booking(), unlimited())
         .await;
 
     assert!(
@@ -108,7 +123,7 @@
     service.leave();
 
     let response = HttpPlainService::new()
-        .call(service.address(), booking())
+        .call(service.address(), booking(), unlimited())
         .await;
 
     assert!(
@@ -124,7 +139,9 @@
     let address = service.address();
     service.stop().await;
 
-    let response = HttpPlainService::new().call(address, booking()).await;
+    let response = HttpPlainService::new()
+        .call(address, booking(), unlimited())
+        .await;
 
     assert!(
         matches!(response, Err(Error::NotConnected { .. })),
@@ -146,9 +163,9 @@
     let address = listener.local_addr().expect("bound");
     let adapter = HttpPlainService::new();
     tokio::spawn(accept_connections(listener));
-    let first = adapter.call(address, lookup()).await;
+    let first = adapter.call(address, lookup(), unlimited()).await;
 
-    let second = adapter.call(address, lookup()).await;
+    let second = adapter.call(address, lookup(), unlimited()).await;
 
     assert!(first.is_ok(), "{first:?}");
     assert!(matches!(second, Err(Error::Broken { .. })), "{second:?}");
@@ -160,9 +177,9 @@
     let address = listener.local_addr().expect("bound");
     let adapter = HttpPlainService::new();
     tokio::spawn(accept_connections(listener));
-    let lookup = adapter.call(address, lookup()).await;
+    let lookup = adapter.call(address, lookup(), unlimited()).await;
 
-    let booking = adapter.call(address, booking()).await;
+    let booking = adapter.call(address, booking(), unlimited()).await;
 
     assert!(lookup.is_ok(), "{lookup:?}");
     assert!(booking.is_ok(), "{booking:?}");
