router: memory of a request is checked and counted in one step

Two threads could find the same room free. Tokens count 4 KiB at once, as a search over all connections for each token of a long answer costs more than the token. The handler uses the gateway's length of a head in place of its own copy. A line about evicted connections names no reason, as it may count both. Fields of the gateway that hold the connections of any port are named so, not after callers.

--- a/crates/gateway/src/accepted_connection.rs
+++ b/crates/gateway/src/accepted_connection.rs
@@ -31,7 +31,7 @@
 
 /// One connection of a caller.
 pub struct AcceptedConnection {
-    callers: PortConnections,
+    connections: PortConnections,
     key: ConnectionKey,
     /// Why it is to be closed.
     closing: Cell<Option<CloseReason>>,
@@ -45,9 +45,9 @@
 
 impl AcceptedConnection {
     /// Returns a connection that has just been opened.
-    pub fn new(callers: PortConnections, key: ConnectionKey) -> AcceptedConnection {
+    pub fn new(connections: PortConnections, key: ConnectionKey) -> AcceptedConnection {
         AcceptedConnection {
-            callers,
+            connections,
             key,
             closing: Cell::new(None),
             close_requested: Notify::new(),
@@ -79,44 +79,44 @@
     /// passed on.
     pub fn has_unread_request(&self) -> bool {
         matches!(
-            self.callers.stage(self.key),
+            self.connections.stage(self.key),
             Some(Stage::Head | Stage::Body)
         )
     }
 
     /// Records that a head of `head_bytes` bytes is whole, and that its body is being read.
     pub fn begin_body(&self, head_bytes: u64) {
-        self.callers.record_parsed(self.key, head_bytes);
-        self.callers.set_stage(self.key, Stage::Body);
+        self.connections.record_parsed(self.key, head_bytes);
+        self.connections.set_stage(self.key, Stage::Body);
     }
 
     /// Records that bytes which were read belong to the body.
     pub fn record_body(&self, bytes: u64) {
-        self.callers.record_parsed(self.key, bytes);
+        self.connections.record_parsed(self.key, bytes);
     }
 
     /// Records that it is idle from now on.
     pub fn mark_idle(&self) {
-        self.callers.set_stage(self.key, Stage::Idle);
+        self.connections.set_stage(self.key, Stage::Idle);
     }
 
     /// Records that the request is served from now on. Returns false if there are no descriptors
     /// for that.
     pub fn begin_running(&self) -> bool {
-        self.callers.set_stage(self.key, Stage::Running);
-        self.callers.make_present_room()
+        self.connections.set_stage(self.key, Stage::Running);
+        self.connections.make_present_room()
     }
 
     /// Records that the response is sent from now on.
     pub fn begin_response(&self) {
         self.body_ended.set(false);
-        self.callers.set_stage(self.key, Stage::Response);
+        self.connections.set_stage(self.key, Stage::Response);
     }
 
     /// Records that the http library has all bytes of the present response's body.
     pub fn end_body(&self) {
         self.body_ended.set(true);
-        self.callers.set_stage(self.key, Stage::Flushing);
+        self.connections.set_stage(self.key, Stage::Flushing);
     }
 
     /// Sets what follows the end of the present response.
@@ -144,7 +144,7 @@
             return;
         }
         self.end_response(Delivery::Whole);
-        self.callers.set_stage(self.key, Stage::Idle);
+        self.connections.set_stage(self.key, Stage::Idle);
     }
 
     /// Records the end of the connection.
@@ -156,13 +156,13 @@
     /// Records bytes that were read from it.
     pub fn record_read(&self, bytes: usize) {
         if bytes > 0 {
-            self.callers.record_read(self.key, bytes as u64);
+            self.connections.record_read(self.key, bytes as u64);
         }
     }
 
     /// Records bytes that were written to it.
     pub fn record_written(&self, bytes: usize) {
-        self.callers.record_written(self.key, bytes as u64);
+        self.connections.record_written(self.key, bytes as u64);
     }
 
     /// Holds the first bytes of a new request; none if too much is held already.
@@ -178,17 +178,17 @@
 
     /// Returns whether a response of `bytes` bytes can never be held.
     pub fn is_too_large(&self, bytes: u64) -> bool {
-        self.callers.is_too_large(bytes)
+        self.connections.is_too_large(bytes)
     }
 
     /// Returns whether there is room for `bytes` bytes of a response.
     pub fn has_response_room(&self, bytes: u64) -> bool {
-        self.callers
+        self.connections
             .make_buffer_room(self.key, bytes, HeldFor::Response)
     }
 
     fn hold(&self, bytes: u64, held_for: HeldFor) -> BufferHold {
-        BufferHold::new(self.callers.clone(), self.key, held_for, bytes)
+        BufferHold::new(self.connections.clone(), self.key, held_for, bytes)
     }
 
     fn end_response(&self, delivery: Delivery) {
@@ -201,7 +201,7 @@
 
 impl Drop for AcceptedConnection {
     fn drop(&mut self) {
-        self.callers.forget(self.key);
+        self.connections.forget(self.key);
     }
 }
 
--- a/crates/gateway/src/buffer_hold.rs
+++ b/crates/gateway/src/buffer_hold.rs
@@ -6,7 +6,7 @@
 
 /// Bytes that are held for a caller; dropping it frees them.
 pub struct BufferHold {
-    callers: PortConnections,
+    connections: PortConnections,
     key: ConnectionKey,
     held_for: HeldFor,
     bytes: u64,
@@ -17,14 +17,14 @@
 impl BufferHold {
     /// Holds `bytes` bytes whatever the limit.
     pub fn new(
-        callers: PortConnections,
+        connections: PortConnections,
         key: ConnectionKey,
         held_for: HeldFor,
         bytes: u64,
     ) -> BufferHold {
-        callers.hold(key, bytes, held_for);
+        connections.hold(key, bytes, held_for);
         BufferHold {
-            callers,
+            connections,
             key,
             held_for,
             bytes,
@@ -35,7 +35,7 @@
     /// Holds `bytes` more bytes; returns false, and holds no more, if too much is held.
     pub fn try_grow(&mut self, bytes: u64) -> bool {
         let has_room = self
-            .callers
+            .connections
             .make_buffer_room(self.key, bytes, self.held_for);
         if has_room {
             self.grow(bytes);
@@ -46,7 +46,7 @@
     /// Holds `bytes` more bytes of a response that doesn't name its length; returns false, and holds
     /// no more, if such responses take too much together and this is not a small one.
     pub fn try_grow_unsized(&mut self, bytes: u64) -> bool {
-        if !self.callers.try_grow_unsized(self.unsized_bytes, bytes) {
+        if !self.connections.try_grow_unsized(self.unsized_bytes, bytes) {
             return false;
         }
         self.unsized_bytes = self.unsized_bytes.saturating_add(bytes);
@@ -56,7 +56,7 @@
 
     /// Holds `bytes` more bytes whatever the limit.
     pub fn grow(&mut self, bytes: u64) {
-        self.callers.hold(self.key, bytes, self.held_for);
+        self.connections.hold(self.key, bytes, self.held_for);
         self.bytes = self.bytes.saturating_add(bytes);
     }
 
@@ -65,7 +65,7 @@
         if bytes > self.bytes {
             self.grow(bytes - self.bytes);
         } else {
-            self.callers
+            self.connections
                 .release(self.key, self.bytes - bytes, self.held_for);
             self.bytes = bytes;
         }
@@ -78,7 +78,7 @@
         self.bytes -= bytes;
         self.unsized_bytes -= unsized_bytes;
         BufferHold {
-            callers: self.callers.clone(),
+            connections: self.connections.clone(),
             key: self.key,
             held_for: self.held_for,
             bytes,
@@ -89,7 +89,8 @@
 
 impl Drop for BufferHold {
     fn drop(&mut self) {
-        self.callers.release(self.key, self.bytes, self.held_for);
-        self.callers.release_unsized(self.unsized_bytes);
+        self.connections
+            .release(self.key, self.bytes, self.held_for);
+        self.connections.release_unsized(self.unsized_bytes);
     }
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -59,13 +59,13 @@
 const LEAVING_IDLE: Duration = Duration::from_millis(400);
 
 /// Accepts connections until the process ends, and serves each in a task of its own.
-pub async fn accept<F, S>(listener: TcpListener, callers: PortConnections, serve: F)
+pub async fn accept<F, S>(listener: TcpListener, connections: PortConnections, serve: F)
 where
     F: Fn(TcpStream, Rc<AcceptedConnection>) -> S,
     S: Future<Output = ()> + 'static,
 {
     loop {
-        accept_one(&listener, &callers, &serve).await;
+        accept_one(&listener, &connections, &serve).await;
     }
 }
 
@@ -73,7 +73,7 @@
 /// a task of its own. Then the port is closed.
 pub async fn accept_until_closed<F, S>(
     listener: TcpListener,
-    callers: PortConnections,
+    connections: PortConnections,
     mut close: watch::Receiver<bool>,
     serve: F,
 ) where
@@ -83,35 +83,35 @@
     loop {
         tokio::select! {
             biased;
-            () = accept_one(&listener, &callers, &serve) => {}
+            () = accept_one(&listener, &connections, &serve) => {}
             _ = close.wait_for(|close| *close) => return,
         }
     }
 }
 
-async fn accept_one<F, S>(listener: &TcpListener, callers: &PortConnections, serve: &F)
+async fn accept_one<F, S>(listener: &TcpListener, connections: &PortConnections, serve: &F)
 where
     F: Fn(TcpStream, Rc<AcceptedConnection>) -> S,
     S: Future<Output = ()> + 'static,
 {
     match listener.accept().await {
-        Ok((stream, _)) => match open(callers).await {
+        Ok((stream, _)) => match open(connections).await {
             Some(connection) => {
                 tokio::task::spawn_local(serve(stream, connection));
             }
             None => refuse_early(&stream, CloseReason::TooManyConnections),
         },
         Err(e) => {
-            callers.log_accept_failure(&e);
+            connections.log_accept_failure(&e);
             sleep(ACCEPT_PAUSE).await;
         }
     }
 }
 
 /// Waits until there is room for a connection; none if there will be none soon.
-async fn open(callers: &PortConnections) -> Option<Rc<AcceptedConnection>> {
+async fn open(connections: &PortConnections) -> Option<Rc<AcceptedConnection>> {
     loop {
-        match callers.open() {
+        match connections.open() {
             Opening::Open(connection) => return Some(connection),
             Opening::At(at) => sleep(duration_until(at)).await,
             Opening::Full => return None,
@@ -215,7 +215,7 @@
 }
 
 /// Returns the length of a request's head as it was sent, but for unusual spaces.
-fn head_bytes(head: &request::Parts) -> u64 {
+pub fn head_bytes(head: &request::Parts) -> u64 {
     let path = head
         .uri
         .path_and_query()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -135,6 +135,7 @@
 pub use engines::Engines;
 pub use engines::WeightsOrder;
 pub use fleet_summary::FleetSummary;
+pub use frontend::head_bytes;
 pub use gateway::Error;
 pub use gateway::ExternalServices;
 pub use gateway::Gateway;
--- a/crates/gateway/src/port_connections.rs
+++ b/crates/gateway/src/port_connections.rs
@@ -38,7 +38,7 @@
 /// Part of the buffers that responses that don't name their length may take together, in percent.
 const UNSIZED_PERCENT: u64 = 25;
 
-/// Bytes up to which such a response is taken in whatever the others take.
+/// Bytes up to which such a response is accepted whatever the others take.
 const MIN_UNSIZED_BYTES: u64 = 64 << 10;
 
 /// The connections of one port; clones share them.
@@ -61,7 +61,7 @@
 }
 
 impl PortConnections {
-    /// Returns the callers of a port without connections.
+    /// Returns the connections of a port that has none yet.
     pub fn new(port: &'static str, limits: UsageLimits, metrics: PortMetrics) -> PortConnections {
         PortConnections(Rc::new(State {
             port,
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use gateway::HeldFor;
 use http::header::CACHE_CONTROL;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
@@ -186,7 +185,7 @@
             match item {
                 Some(GenerationItem::Token(token)) => {
                     let bytes = TEXT_COPIES * token.text.len() as u64;
-                    if !self.hold.try_grow(bytes, HeldFor::Response) {
+                    if !self.hold.try_grow_response(bytes) {
                         return Problem::no_memory().response();
                     }
                     text.push_str(&token.text);
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -142,25 +142,24 @@
         self.make_present_room(&mut state)
     }
 
-    /// Returns whether there is room for `bytes` more bytes of a connection, after evicting others if
-    /// needed.
-    pub fn make_buffer_room(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) -> bool {
+    /// Counts bytes that are held for a connection. Returns false, and counts none, if there is no room for
+    /// them after evicting others.
+    pub fn try_hold(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) -> bool {
         let mut state = self.state();
         loop {
             match state.usage.buffer_room(now(), key, bytes, held_for) {
-                Room::Free => return true,
+                Room::Free => break,
                 Room::Closing(slow) => self.evict(&mut state, slow, Reason::NoMemory),
                 Room::At(_) | Room::Full => return false,
             }
         }
+        self.add_held(&mut state, key, bytes, held_for);
+        true
     }
 
-    /// Counts bytes that are held for a connection.
+    /// Counts bytes that are held for a connection, whatever the limit.
     pub fn hold(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
-        let mut state = self.state();
-        state.usage.hold(now(), key, bytes, held_for);
-        self.metrics
-            .set_buffered_bytes(state.usage.buffered_bytes());
+        self.add_held(&mut self.state(), key, bytes, held_for);
     }
 
     /// Counts bytes as gone that were held for a connection.
@@ -171,6 +170,12 @@
             .set_buffered_bytes(state.usage.buffered_bytes());
     }
 
+    fn add_held(&self, state: &mut State, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
+        state.usage.hold(now(), key, bytes, held_for);
+        self.metrics
+            .set_buffered_bytes(state.usage.buffered_bytes());
+    }
+
     /// Evicts connections until the limits hold for the open ones; returns false if none may be evicted.
     fn make_present_room(&self, state: &mut State) -> bool {
         while !state.usage.has_present_room() {
@@ -193,8 +198,7 @@
             return;
         }
         log::warn!(
-            "event=connections_closed reason={} count={} open={} buffered_bytes={}",
-            reason.name(),
+            "event=connections_closed count={} open={} buffered_bytes={}",
             state.evictions,
             state.usage.len(),
             state.usage.buffered_bytes()
--- a/crates/router/src/engine_attempt.rs
+++ b/crates/router/src/engine_attempt.rs
@@ -181,7 +181,7 @@
             return std::future::pending().await;
         };
         let bytes = self.source.deliver_bytes(&chunk.text);
-        if !self.hold.try_grow(bytes, HeldFor::Response) {
+        if !self.hold.try_grow_response(bytes) {
             permit.send(GenerationItem::NoMemory);
             return std::future::pending().await;
         }
--- a/crates/router/src/handler.rs
+++ b/crates/router/src/handler.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gateway::head_bytes;
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
@@ -86,10 +87,15 @@
         req: Request<Incoming>,
         connection: &OpenConnection,
     ) -> Response<ResponseBody> {
-        let outcome = outcome_of_rejection(req.headers());
-        connection.begin_request(head_bytes(&req));
+        let (head, incoming) = req.into_parts();
+        let outcome = outcome_of_rejection(&head.headers);
+        connection.begin_request(head_bytes(&head));
+        let body = RequestBody {
+            incoming,
+            connection,
+        };
         let mut res = tokio::select! {
-            res = self.handle(req, connection, outcome) => {
+            res = self.handle(head, body, outcome) => {
                 connection.begin_response();
                 res
             }
@@ -103,11 +109,11 @@
 
     async fn handle(
         &self,
-        req: Request<Incoming>,
-        connection: &OpenConnection,
+        head: Parts,
+        body: RequestBody<'_>,
         outcome: Outcome,
     ) -> Response<ResponseBody> {
-        match self.route(req, connection).await {
+        match self.route(head, body).await {
             Ok(res) => res,
             Err(rejection) => self.reject(&rejection, outcome),
         }
@@ -128,14 +134,9 @@
 
     async fn route(
         &self,
-        req: Request<Incoming>,
-        connection: &OpenConnection,
+        head: Parts,
+        body: RequestBody<'_>,
     ) -> Result<Response<ResponseBody>, Rejection> {
-        let (head, incoming) = req.into_parts();
-        let body = RequestBody {
-            incoming,
-            connection,
-        };
         let path = head.uri.path();
         match path {
             "/healthz" => {
@@ -222,16 +223,6 @@
     }
 }
 
-/// Returns the length of a request's head as it was sent, but for unusual spaces.
-fn head_bytes(req: &Request<Incoming>) -> u64 {
-    let headers = req.headers().iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
-    let path = req.uri().path_and_query();
-    let path = path.map_or(0, |path| path.as_str().len());
-    let start_line = req.method().as_str().len() + path + "  HTTP/1.1\r\n".len();
-    (start_line + headers.sum::<usize>() + "\r\n".len()) as u64
-}
-
 /// Rejects a request whose method is not `method`; `expected` names that method in the rejection.
 pub(crate) fn require_method(
     head: &Parts,
--- a/crates/router/src/request_hold.rs
+++ b/crates/router/src/request_hold.rs
@@ -9,6 +9,9 @@
 
 use crate::connections::Connections;
 
+/// Bytes that a response which arrives in small pieces counts at once.
+const STEP_BYTES: u64 = 4 << 10;
+
 /// Memory that a request and its response take. It counts until the last owner drops it: the connection
 /// of the caller, or the task of the request.
 pub struct RequestHold {
@@ -16,6 +19,8 @@
     key: ConnectionKey,
     request_bytes: AtomicU64,
     response_bytes: AtomicU64,
+    /// Bytes of the response that are counted and not used yet.
+    spare_bytes: AtomicU64,
 }
 
 impl RequestHold {
@@ -26,17 +31,34 @@
             key,
             request_bytes: AtomicU64::new(0),
             response_bytes: AtomicU64::new(0),
+            spare_bytes: AtomicU64::new(0),
         }
     }
 
     /// Counts `bytes` more bytes. Returns false, and counts none, if there is no room for them after
     /// evicting other connections.
     pub fn try_grow(&self, bytes: u64, held_for: HeldFor) -> bool {
-        if !self.connections.make_buffer_room(self.key, bytes, held_for) {
-            return false;
+        let has_grown = self.connections.try_hold(self.key, bytes, held_for);
+        if has_grown {
+            self.counter(held_for).fetch_add(bytes, Ordering::Relaxed);
+        }
+        has_grown
+    }
+
+    /// Counts `bytes` more bytes of the response like [`RequestHold::try_grow`], in larger steps.
+    pub fn try_grow_response(&self, bytes: u64) -> bool {
+        let take = |spare: u64| spare.checked_sub(bytes);
+        let spare_bytes = &self.spare_bytes;
+        let took = spare_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        if took.is_ok() {
+            return true;
+        }
+        let step = bytes.max(STEP_BYTES);
+        let has_grown = self.try_grow(step, HeldFor::Response);
+        if has_grown {
+            spare_bytes.fetch_add(step - bytes, Ordering::Relaxed);
         }
-        self.grow(bytes, held_for);
-        true
+        has_grown
     }
 
     /// Counts `bytes` more bytes whatever the limit.
