gateway: the memory of the process itself is set aside before callers get their shares

Cause: the shares of buffers (40) and connections (25 percent) were of the VM's whole memory. On 64 MB that is 41.6 MB, beside a process that takes 16 MB without callers and some 10 MB that the kernel holds unread. Traced by the process's own line: buffered_bytes=, 259 connections and 50 MB of RSS agree with the account; nothing was uncounted but the process itself.

Change: shares are of the memory less 16 MiB, or less a quarter of a smaller VM, in both programs. Buffers of a VM with 110 MB fall from 44 to 37.6 MB, 421 requests at once in place of 492.

--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 
+use crate::memory_share::share_of_memory;
 use crate::settings::FieldSnafu;
 use crate::settings::Listen;
 use crate::settings::RetryLimits;
@@ -25,7 +26,7 @@
 const CONNECTION_PERCENT: f64 = 25.0;
 
 /// Bytes of a megabyte of memory.
-const MB_BYTES: f64 = 1_048_576.0;
+const MB_BYTES: u64 = 1 << 20;
 
 /// Default of `log_buffer_bytes`.
 const LOG_BUFFER_BYTES: f64 = 262_144.0;
@@ -123,12 +124,12 @@
                 json.orders_at_once_percent
                     .unwrap_or(ORDERS_AT_ONCE_PERCENT),
             )?,
-            buffer_bytes: share_of_memory(
+            buffer_bytes: share(
                 json.memory_mb,
                 "buffer_percent",
                 json.buffer_percent.unwrap_or(BUFFER_PERCENT),
             )?,
-            connection_bytes: share_of_memory(
+            connection_bytes: share(
                 json.memory_mb,
                 "connection_percent",
                 json.connection_percent.unwrap_or(CONNECTION_PERCENT),
@@ -174,12 +175,8 @@
     limit.current.unwrap_or(u64::MAX)
 }
 
-/// Returns a share of the VM's memory in bytes; no limit if its memory is unknown.
-fn share_of_memory(
-    memory_mb: Option<f64>,
-    field: &'static str,
-    percent: f64,
-) -> Result<u64, SettingsError> {
+/// Returns a share of what the VM's memory leaves to callers, in bytes; no limit if its memory is unknown.
+fn share(memory_mb: Option<f64>, field: &'static str, percent: f64) -> Result<u64, SettingsError> {
     if !(percent > 0.0 && percent <= 100.0) {
         let reason = "expected more than 0, at most 100";
         return FieldSnafu { field, reason }.fail();
@@ -188,7 +185,7 @@
         return Ok(u64::MAX);
     };
     let memory_mb: u32 = to_integer("memory_mb", memory_mb)?;
-    Ok((f64::from(memory_mb) * MB_BYTES * percent / 100.0) as u64)
+    Ok(share_of_memory(u64::from(memory_mb) * MB_BYTES, percent))
 }
 
 fn address(field: &'static str, text: &str) -> Result<SocketAddr, SettingsError> {
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gateway::process_descriptors;
+use gateway::share_of_memory;
 use gateway::UsageLimits;
 use policy::Time;
 
@@ -10,15 +11,15 @@
 
 /// Parts of the memory for what is held of requests and responses, and for connections, in percent. The
 /// kernel may hold as much again of what connections have received.
-const BUFFER_PERCENT: u64 = 40;
-const CONNECTION_PERCENT: u64 = 20;
+const BUFFER_PERCENT: f64 = 40.0;
+const CONNECTION_PERCENT: f64 = 20.0;
 
 /// Part of the descriptors for callers and the connections to backend servers that their requests
 /// need, in percent. The rest is for the platform, other routers and idle connections.
 const CALLERS_PERCENT: u64 = 65;
 
 /// Part of the memory that the body of one request may take, in percent.
-const BODY_PERCENT: u64 = 25;
+const BODY_PERCENT: f64 = 25.0;
 
 /// How often a body is in memory at most: as it was read, parsed, and as it is sent.
 pub const BODY_COPIES: u64 = 3;
@@ -71,17 +72,17 @@
     /// Returns the limits on what all connections of callers hold.
     pub fn usage(&self) -> UsageLimits {
         UsageLimits {
-            buffer_bytes: percent_of(self.memory_bytes, BUFFER_PERCENT),
-            connection_bytes: percent_of(self.memory_bytes, CONNECTION_PERCENT),
+            buffer_bytes: share_of_memory(self.memory_bytes, BUFFER_PERCENT),
+            connection_bytes: share_of_memory(self.memory_bytes, CONNECTION_PERCENT),
             connections: u64::try_from(self.connections).unwrap_or(u64::MAX),
-            descriptors: percent_of(self.descriptors, CALLERS_PERCENT),
+            descriptors: self.descriptors.saturating_mul(CALLERS_PERCENT) / 100,
             min_idle_ms: MIN_IDLE_MS,
         }
     }
 
     /// Returns the maximum size of a request body that the memory allows, in bytes.
     pub fn max_body_bytes(&self) -> u64 {
-        let by_memory = percent_of(self.memory_bytes, BODY_PERCENT) / BODY_COPIES;
+        let by_memory = share_of_memory(self.memory_bytes, BODY_PERCENT) / BODY_COPIES;
         self.body_bytes.min(by_memory)
     }
 
@@ -111,10 +112,3 @@
         clock::now().plus_millis(self.shutdown_ms)
     }
 }
-
-fn percent_of(number: u64, percent: u64) -> u64 {
-    match number {
-        u64::MAX => u64::MAX,
-        number => number.saturating_mul(percent) / 100,
-    }
-}
