tests: the request that takes the memory runs before another one is refused

Either of the two bodies may have been read first, and one that stands still for a second may be evicted for the other. The first request now is whole and held at its engine.

--- a/crates/router/tests/slow_callers.rs
+++ b/crates/router/tests/slow_callers.rs
@@ -165,21 +165,21 @@
 #[tokio::test]
 async fn a_caller_for_whose_body_there_is_no_memory_is_refused_as_not_run() {
     let system = a_system().with_limits(little_memory()).start().await;
-    let head = HEAD.replace("100", "300000");
-    let body = "x".repeat(299_999);
+    system.engines.hold_after(0);
+    let prompt = "x".repeat(300_000);
+    let body = format!(r#"{{"model":"m","prompt":"{prompt}","max_tokens":1}}"#);
+    let request = format!("{}{body}", HEAD.replace("100", &body.len().to_string()));
     let mut first = TcpStream::connect(system.address(0)).await.unwrap();
-    first
-        .write_all(format!("{head}{body}").as_bytes())
-        .await
-        .unwrap();
+    first.write_all(request.as_bytes()).await.unwrap();
+    system.engines.wait_for_open(1).await;
 
-    let response = send_raw(system.address(0), &format!("{head}{body}x")).await;
+    let response = send_raw(system.address(0), &request).await;
 
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     assert!(response.contains("retry-after: 1\r\n"), "{response}");
     assert!(response.contains("no_memory"), "{response}");
     assert!(response.contains("\"outcome\":\"not_run\""), "{response}");
-    assert!(system.engines.requests().is_empty());
+    assert_eq!(system.engines.requests().len(), 1);
 }
 
 #[tokio::test]
