process soak: a fault of a link lasts for its time, and usage is measured at an interval

Traced: the test's thread stood still for 130 ms (a health check took 132 ms at the same moment), so the end of one fault of i-2's link and the beginning of the next came at once; the link closed its connections and was open again within the same poll. The end of a fault now opens a link only if no later fault has set it.

One task now checks both routers every 200 ms against the same bounds.

--- a/crates/router/tests/process_soak.rs
+++ b/crates/router/tests/process_soak.rs
@@ -60,6 +60,9 @@
 const MEMORY_MB: u64 = 64;
 const DESCRIPTORS: usize = 400;
 
+/// Interval at which the memory and descriptors of the routers are checked.
+const USAGE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Period during which faults are injected, in milliseconds.
 const FAULTS_MS: u64 = 5_000;
 
@@ -230,7 +233,7 @@
     }
 }
 
-/// Misbehaves on one connection after the other, and checks what the routers hold.
+/// Misbehaves on one connection after the other.
 async fn run_odd_caller(world: Rc<World>, caller: usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(world.seed * 1_000 + 500 + caller as u64);
     for n in 0.. {
@@ -245,10 +248,19 @@
         odd_caller
             .misbehave(router.address, "/once/p", &id, time)
             .await;
-        let usage = ProcessUsage::of(router.id());
-        let at = format!("seed {}: {usage:?}", world.seed);
-        assert!(usage.memory_bytes >> 20 < MEMORY_MB, "{at}");
-        assert!(usage.descriptors <= DESCRIPTORS, "{at}");
+    }
+}
+
+/// Checks at an interval what the routers hold.
+async fn watch_usage(world: Rc<World>) {
+    while !world.stopping.get() {
+        for router in &world.routers {
+            let usage = ProcessUsage::of(router.id());
+            let at = format!("seed {}: {usage:?}", world.seed);
+            assert!(usage.memory_bytes >> 20 < MEMORY_MB, "{at}");
+            assert!(usage.descriptors <= DESCRIPTORS, "{at}");
+        }
+        sleep(USAGE_INTERVAL).await;
     }
 }
 
@@ -272,10 +284,8 @@
             router.signal(Signal::CONT);
         }
         3..=6 => {
-            let link = &world.links[server];
-            link.set(LINKS[target % LINKS.len()]);
-            sleep(pause).await;
-            link.set(Link::Open);
+            let link = LINKS[target % LINKS.len()];
+            world.links[server].set_for(link, pause).await;
         }
         _ => {
             // Another fault may have killed it and be about to start it again.
@@ -335,9 +345,11 @@
     let odd_callers: Vec<_> = (0..ODD_CALLERS)
         .map(|caller| spawn_local(run_odd_caller(Rc::clone(&world), caller)))
         .collect();
+    let usage = spawn_local(watch_usage(Rc::clone(&world)));
     inject_faults(&world).await;
     wait_until_all_serve(&world).await;
     world.stopping.set(true);
+    usage.await.unwrap();
     for caller in callers.into_iter().chain(odd_callers) {
         caller.await.unwrap();
     }
