Read-through: one type of close reasons, one OpenConnection, the platform's names in platform/

router had a copy of the gateway's CloseReason, and two types named OpenConnection (the count in metrics is ConnectionCount now). The soak's server wrote heads and registrations of the platform itself; it takes them from platform/tests/common/wire.rs. The soak's dispatch of 64 lines is two steps.

Measured: clippy; slow_callers, services, process_soak and the standins' soak and path passed.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -112,6 +112,7 @@
 mod view_gauges;
 
 pub use clock::now;
+pub use close_reason::CloseReason;
 pub use codec::BadHead;
 pub use codec::CheckedServer;
 pub use codec::Codec;
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use gateway::CloseReason;
 use gateway::ConnectionKey;
 use gateway::HeldFor;
 use gateway::Opening;
@@ -23,24 +24,6 @@
 /// Interval between two lines about evicted connections, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
-/// Why a connection is evicted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reason {
-    /// Another connection or request needs its memory or its descriptors.
-    TooManyConnections,
-    /// The requests and responses of others need the memory of its own.
-    NoMemory,
-}
-
-impl Reason {
-    fn name(self) -> &'static str {
-        match self {
-            Reason::TooManyConnections => "too_many_connections",
-            Reason::NoMemory => "no_memory",
-        }
-    }
-}
-
 /// The open connections of callers; clones share them.
 #[derive(Clone)]
 pub struct Connections {
@@ -77,7 +60,7 @@
         let mut state = self.state();
         match state.usage.connection_room(now()) {
             Room::Free => {}
-            Room::Closing(key) => self.evict(&mut state, key, Reason::TooManyConnections),
+            Room::Closing(key) => self.evict(&mut state, key, CloseReason::TooManyConnections),
             Room::At(at) => return Opening::At(at),
             Room::Full => return Opening::Full,
         }
@@ -149,7 +132,7 @@
         loop {
             match state.usage.buffer_room(now(), key, bytes, held_for) {
                 Room::Free => break,
-                Room::Closing(slow) => self.evict(&mut state, slow, Reason::NoMemory),
+                Room::Closing(slow) => self.evict(&mut state, slow, CloseReason::NoMemory),
                 Room::At(_) | Room::Full => return false,
             }
         }
@@ -181,14 +164,14 @@
         while !state.usage.has_present_room() {
             match state.usage.present_room(now()) {
                 Room::Free => return true,
-                Room::Closing(idle) => self.evict(state, idle, Reason::TooManyConnections),
+                Room::Closing(idle) => self.evict(state, idle, CloseReason::TooManyConnections),
                 Room::At(_) | Room::Full => return false,
             }
         }
         true
     }
 
-    fn evict(&self, state: &mut State, key: ConnectionKey, reason: Reason) {
+    fn evict(&self, state: &mut State, key: ConnectionKey, reason: CloseReason) {
         if let Some(closing) = state.closers.get(&key) {
             closing.cancel();
         }
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -90,7 +90,7 @@
 ) {
     // Streamed tokens are small writes that must not be delayed.
     let _ = stream.set_nodelay(true);
-    let _open = handler.metrics.open_connection();
+    let _count = handler.metrics.count_connection();
     let limits = handler.limits;
     let io = WriteTimeoutIo::new(stream, Arc::clone(&connection), limits.write_timeout());
     let service = service_fn(|req| async {
--- a/crates/router/src/handler.rs
+++ b/crates/router/src/handler.rs
@@ -160,8 +160,8 @@
         CallId(self.last_call_id.fetch_add(1, Ordering::Relaxed) + 1)
     }
 
-    /// Reads a body within its timeout, and records that its request is served from now on. Its maximum
-    /// size is the smaller one of the process's limit and the configuration's.
+    /// Reads a body within its timeout, takes the memory of its request, and records that this is served
+    /// from now on. The maximum size is the smaller one of the process's limit and the configuration's.
     pub(crate) async fn read_body(&self, body: RequestBody<'_>) -> Result<ReadRequest, Rejection> {
         let configured = self
             .state
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -47,11 +47,11 @@
     peer_messages_bad: IntCounter,
 }
 
-/// Guard of an open connection, which is counted until the guard is dropped.
+/// Counts a connection as open until it is dropped.
 #[derive(Debug)]
-pub struct OpenConnection(IntGauge);
+pub struct ConnectionCount(IntGauge);
 
-impl Drop for OpenConnection {
+impl Drop for ConnectionCount {
     fn drop(&mut self) {
         self.0.dec();
     }
@@ -197,9 +197,9 @@
     }
 
     /// Counts a connection as open until the returned guard is dropped.
-    pub fn open_connection(&self) -> OpenConnection {
+    pub fn count_connection(&self) -> ConnectionCount {
         self.connections.inc();
-        OpenConnection(self.connections.clone())
+        ConnectionCount(self.connections.clone())
     }
 
     /// Counts a connection that was closed because it exceeded the limit.
--- a/crates/router/tests/processes/server_process.rs
+++ b/crates/router/tests/processes/server_process.rs
@@ -26,6 +26,7 @@
 use crate::common::http_message;
 use crate::common::http_message::header;
 use crate::common::http_message::HttpMessage;
+use crate::common::wire;
 
 /// Name of the test that is the process.
 pub const SERVER_TEST: &str = "serves_as_a_process";
@@ -37,6 +38,9 @@
 pub const PIECES: u64 = 20;
 const PIECE_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Requests that a server runs at once.
+const SLOTS: u32 = 64;
+
 /// Time in which a process must accept connections.
 const START_TIME: Duration = Duration::from_secs(10);
 
@@ -125,11 +129,9 @@
 
     /// Returns its registration, with the address at which routers reach it.
     pub fn registration_at(&self, address: SocketAddr) -> serde_json::Value {
-        json!({
-            "Service": "s", "Address": address.to_string(), "Zone": "a", "Version": "v1",
-            "Slots": 64, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1,
-            "born": self.incarnation.get(),
-        })
+        let mut registration = wire::registration(address, SLOTS);
+        registration["born"] = json!(self.incarnation.get());
+        registration
     }
 
     /// Kills the process; the kernel closes its connections. Returns whether it ran.
@@ -241,7 +243,7 @@
 impl Server {
     async fn serve(&self, mut stream: TcpStream) {
         while let Some(message) = http_message::read(&mut stream).await {
-            let written = match header(&message.head, "x-turmerichollow-request-id") {
+            let written = match wire::request_id(&message.head) {
                 Some(id) => self.respond(&mut stream, &message, id).await,
                 None => stream.write_all(self.status().as_bytes()).await,
             };
@@ -255,11 +257,8 @@
     /// Returns the response to a question about its state.
     fn status(&self) -> String {
         let body = json!({ "born": self.born }).to_string();
-        format!(
-            "HTTP/1.1 200 OK\r\nX-Turmerichollow-Instance-Id: {}\r\nContent-Length: {}\r\n\r\n{body}",
-            self.id,
-            body.len(),
-        )
+        let head = wire::health_head(&self.id);
+        format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
     }
 
     /// Runs a request and sends the response piece by piece.
@@ -276,7 +275,8 @@
         let numbers = after.unwrap_or(0) + 1..=PIECES;
         let body_len = numbers.clone().map(|n| piece(path, n).len()).sum();
         let framing = self.framing.header(body_len);
-        let head = format!("HTTP/1.1 200 OK\r\nX-Turmerichollow-Request-Id: {id}\r\nX-Turmerichollow-Response-Signature: s\r\nContent-Type: text/event-stream\r\n{framing}\r\n");
+        let head = wire::unnamed_response_head(id);
+        let head = format!("{head}Content-Type: text/event-stream\r\n{framing}\r\n");
         stream.write_all(head.as_bytes()).await?;
         for number in numbers {
             let text = self.framing.piece(&piece(path, number));
--- a/crates/standins/src/soak/router_actions.rs
+++ b/crates/standins/src/soak/router_actions.rs
@@ -92,8 +92,13 @@
             .expect("requests are never removed");
         sent.crashes_knowable = crashes_knowable;
         self.check_dispatch(boot, &dispatch, request);
+        self.send_attempt(conn, dispatch, request);
+    }
+
+    /// Sends an attempt to its server, which it reaches unless the network or a fault prevents it.
+    fn send_attempt(&mut self, conn: Conn, dispatch: Dispatch, request: u64) {
         let to = endpoint_of(&dispatch.server_name);
-        let from = Endpoint::Router(boot.router);
+        let from = Endpoint::Router(conn.from.router);
         if !self.network.connects(self.now, from, to) {
             self.report_failure_after_us(100_000, conn, Failure::NotConnected);
             return;
