gateway: connections, pages and tunnels at the ports that aren't for callers count, too

One router process with 64 MB (crowds_at_other_ports.rs, crowds and bounds fixed before the change): 700 connections with 300 KB of an unfinished head took 250 MB at the port of routers and 148 to 150 MB at those for readiness, metrics and new routers; pages that nobody reads 165, 202 and 167 MB; 573 tunnels whose router reads nothing 63 MB, one below the bound.

Cause: only descriptors bounded these ports. The http library kept up to 400 KB of a head there, and whole pages that the socket didn't take; both were counted nowhere.

Now each of these ports has a share of the memory (router_percent 20, page_percent 3 for each of three): one half for connections, whose heads have at most 16 KiB, the other for pages, which count until the socket has them, and for tunnels. A page waits 2 s at most for room and is then refused with 503 and Retry-After; a tunnel is refused at once, so that the other router asks another one.

--- a/crates/gateway/src/accepted_connection.rs
+++ b/crates/gateway/src/accepted_connection.rs
@@ -15,6 +15,10 @@
 use crate::port_connections::REQUEST_OVERHEAD_BYTES;
 use crate::port_usage::ConnectionKey;
 
+/// Bytes of a connection to a backend server for another router, without the connections themselves: a buffer
+/// in each direction.
+const TUNNEL_BYTES: u64 = 32 << 10;
+
 /// How the sending of a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -171,6 +175,24 @@
         hold.try_grow(REQUEST_OVERHEAD_BYTES).then_some(hold)
     }
 
+    /// Holds the bytes of a connection to a backend server for another router; none if too much is held
+    /// already.
+    pub fn begin_tunnel(&self) -> Option<BufferHold> {
+        let mut hold = self.hold(0, HeldFor::Request);
+        hold.try_grow(TUNNEL_BYTES).then_some(hold)
+    }
+
+    /// Returns whether there is room for a page as large as the last one.
+    pub fn has_page_room(&self) -> bool {
+        self.has_response_room(self.connections.expected_page_bytes())
+    }
+
+    /// Holds a page of `bytes` bytes whatever the limit.
+    pub fn hold_page(&self, bytes: u64) -> BufferHold {
+        self.connections.record_page(bytes);
+        self.hold_response(bytes)
+    }
+
     /// Holds `bytes` bytes of a response whatever the limit.
     pub fn hold_response(&self, bytes: u64) -> BufferHold {
         self.hold(bytes, HeldFor::Response)
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -90,6 +90,11 @@
         ResponseBody::pieces([piece].into())
     }
 
+    /// Returns a body that counts as held until the socket has taken all of it.
+    pub fn held(bytes: Bytes, hold: BufferHold) -> ResponseBody {
+        ResponseBody::pieces([HeldBytes::new(bytes, hold)].into())
+    }
+
     /// Returns the body of a backend server's response that was read in full.
     pub fn pieces(mut pieces: VecDeque<HeldBytes>) -> ResponseBody {
         pieces.retain(Buf::has_remaining);
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -1,6 +1,5 @@
 //! Accepts and serves HTTP connections of callers.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
@@ -34,14 +33,11 @@
 use crate::intake;
 use crate::intake::Aborted;
 use crate::liveness::set_keepalive;
-use crate::liveness::Liveness;
 use crate::port_connections::PortConnections;
 use crate::port_usage::Opening;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
-use crate::status_pages;
 use crate::timing::duration_until;
-use crate::tunnel_acceptor;
 
 /// Largest head of a request while no configuration is in force, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
@@ -225,59 +221,3 @@
     let start_line = head.method.as_str().len() + path + "  HTTP/1.1\r\n".len();
     (start_line + headers.sum::<usize>() + "\r\n".len()) as u64
 }
-
-/// Serves one connection with pages that `page` returns for a path.
-pub async fn serve_pages<F>(stream: TcpStream, connection: Rc<AcceptedConnection>, page: F)
-where
-    F: Fn(&str) -> Response<ResponseBody>,
-{
-    let service = service_fn(|req: Request<Incoming>| {
-        connection.mark_idle();
-        let response = page(req.uri().path());
-        async { Ok::<_, Infallible>(response) }
-    });
-    let http = http1::Builder::new()
-        .header_read_timeout(None)
-        .serve_connection(TokioIo::new(stream), service);
-    let result = tokio::select! {
-        result = http => result,
-        _ = connection.closing() => return,
-    };
-    if let Err(e) = result {
-        log_failure(Step::Connection, &error_chain(&e));
-    }
-}
-
-/// Serves one connection of another router: pages, or a connection to a backend server.
-pub async fn serve_router(cx: Rc<Context>, stream: TcpStream, connection: Rc<AcceptedConnection>) {
-    let from = match stream.peer_addr() {
-        Ok(address) => address.ip(),
-        Err(e) => return log_failure(Step::Accept, &e),
-    };
-    if let Err(e) = Liveness::PATIENT.apply(&stream) {
-        return log_failure(Step::Socket, &e);
-    }
-    let service = service_fn(|req: Request<Incoming>| {
-        let cx = Rc::clone(&cx);
-        let connection = Rc::clone(&connection);
-        connection.mark_idle();
-        let respond = async move {
-            let response = match tunnel_acceptor::target(&req) {
-                Some(server) => tunnel_acceptor::accept(cx, connection, from, server, req).await,
-                None => status_pages::bootstrap(&cx, req.uri().path()),
-            };
-            Ok::<_, Infallible>(response)
-        };
-        respond.boxed_local()
-    });
-    let http = http1::Builder::new()
-        .header_read_timeout(None)
-        .serve_connection(TokioIo::new(stream), service);
-    let result = tokio::select! {
-        result = http.with_upgrades() => result,
-        _ = connection.closing() => return,
-    };
-    if let Err(e) = result {
-        log_failure(Step::Connection, &error_chain(&e));
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,7 +38,6 @@
 use crate::frontend::accept;
 use crate::frontend::accept_until_closed;
 use crate::frontend::progress_limits;
-use crate::frontend::serve_pages;
 use crate::gossip_task;
 use crate::listener::listen;
 use crate::log_event::LogEvent;
@@ -46,6 +45,8 @@
 use crate::measured_store::MeasuredStore;
 use crate::metrics::Metrics;
 use crate::orders;
+use crate::page_frontend;
+use crate::page_frontend::serve_pages;
 use crate::pause_watch::PauseWatch;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
@@ -62,6 +63,7 @@
 use crate::settings_file::SettingsFile;
 use crate::snapshot;
 use crate::status_pages;
+use crate::status_pages::Page;
 use crate::store::Store;
 use crate::store::Topic;
 use crate::stream_record_task;
@@ -158,10 +160,10 @@
             stream_records: StreamRecords::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             callers: open_callers(&settings, &metrics),
-            router_connections: open_slots(&settings, &metrics, "routers", ROUTERS_PERCENT),
-            readiness_connections: open_slots(&settings, &metrics, "readiness", PAGES_PERCENT),
-            metrics_connections: open_slots(&settings, &metrics, "metrics", PAGES_PERCENT),
-            bootstrap_connections: open_slots(&settings, &metrics, "bootstrap", PAGES_PERCENT),
+            router_connections: open_routers(&settings, &metrics),
+            readiness_connections: open_pages(&settings, &metrics, "readiness"),
+            metrics_connections: open_pages(&settings, &metrics, "metrics"),
+            bootstrap_connections: open_pages(&settings, &metrics, "bootstrap"),
             settings,
             codec: services.codec,
             store: Rc::new(store),
@@ -299,7 +301,7 @@
         let shared = Rc::clone(cx);
         let connections = cx.router_connections.clone();
         tokio::task::spawn_local(accept(routers, connections, move |stream, connection| {
-            frontend::serve_router(Rc::clone(&shared), stream, connection)
+            page_frontend::serve_router(Rc::clone(&shared), stream, connection)
         }));
         if let Some(address) = addresses.bootstrap {
             let bootstrap = open("new routers", address)?;
@@ -311,7 +313,7 @@
 
     fn serve<F>(&self, listener: TcpListener, connections: &PortConnections, page: F)
     where
-        F: Fn(&Context, &str) -> http::Response<crate::body::ResponseBody> + Copy + 'static,
+        F: Fn(&Context, &str) -> Page + Copy + 'static,
     {
         let cx = Rc::clone(&self.cx);
         let connections = connections.clone();
@@ -360,21 +362,27 @@
     settings.max_descriptors.saturating_mul(percent) / 100
 }
 
-/// Returns the connections of a port that takes `percent` of the descriptors and no buffers.
-fn open_slots(
-    settings: &Settings,
-    metrics: &Metrics,
-    port: &'static str,
-    percent: u64,
-) -> PortConnections {
-    let limits = UsageLimits {
-        buffer_bytes: u64::MAX,
+fn open_routers(settings: &Settings, metrics: &Metrics) -> PortConnections {
+    let descriptors = descriptors(settings, ROUTERS_PERCENT);
+    let limits = port_limits(settings.router_bytes, descriptors);
+    PortConnections::new("routers", limits, metrics.connections.of_port("routers"))
+}
+
+fn open_pages(settings: &Settings, metrics: &Metrics, port: &'static str) -> PortConnections {
+    let limits = port_limits(settings.page_bytes, descriptors(settings, PAGES_PERCENT));
+    PortConnections::new(port, limits, metrics.connections.of_port(port))
+}
+
+/// Returns the limits of a port that isn't for callers. Its connections take one half of its memory, and
+/// what is held for them the other.
+fn port_limits(bytes: u64, descriptors: u64) -> UsageLimits {
+    UsageLimits {
+        buffer_bytes: bytes / 2,
         connection_bytes: u64::MAX,
-        connections: u64::MAX,
-        descriptors: descriptors(settings, percent),
+        connections: bytes / 2 / page_frontend::CONNECTION_BYTES,
+        descriptors,
         min_idle_ms: SLOTS_MIN_IDLE_MS,
-    };
-    PortConnections::new(port, limits, metrics.connections.of_port(port))
+    }
 }
 
 fn peer_address(settings: &Settings) -> SocketAddr {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod memory_share;
 mod metrics;
 mod orders;
+mod page_frontend;
 mod pause_watch;
 mod peer_message;
 mod peer_sender;
--- a/crates/gateway/src/port_connections.rs
+++ b/crates/gateway/src/port_connections.rs
@@ -38,6 +38,9 @@
 /// Part of the buffers that responses that don't name their length may take together, in percent.
 const UNSIZED_PERCENT: u64 = 25;
 
+/// Part of the buffers that a page needs at most, in percent.
+const MAX_PAGE_PERCENT: u64 = 25;
+
 /// Bytes up to which such a response is accepted whatever the others take.
 const MIN_UNSIZED_BYTES: u64 = 64 << 10;
 
@@ -53,6 +56,8 @@
     connections: RefCell<HashMap<ConnectionKey, Weak<AcceptedConnection>>>,
     /// Bytes of responses that don't name their length.
     unsized_bytes: Cell<u64>,
+    /// Length of the last page, in bytes.
+    page_bytes: Cell<u64>,
     /// Connections that were closed since the last line about it, by reason.
     closed: RefCell<HashMap<CloseReason, u64>>,
     /// Whether a connection could not be accepted since the last sweep.
@@ -69,6 +74,7 @@
             usage: RefCell::new(PortUsage::new(limits)),
             connections: RefCell::default(),
             unsized_bytes: Cell::new(0),
+            page_bytes: Cell::new(0),
             closed: RefCell::default(),
             accept_failed: Cell::new(false),
             metrics,
@@ -182,6 +188,18 @@
         self.0.usage.borrow().is_too_large(bytes)
     }
 
+    /// Returns the room that a page needs: that of the last one, or of a small part of the buffers if it was
+    /// larger, so that a large page can always be sent alone.
+    pub fn expected_page_bytes(&self) -> u64 {
+        let most = self.0.limits.buffer_bytes / 100 * MAX_PAGE_PERCENT;
+        self.0.page_bytes.get().min(most)
+    }
+
+    /// Records the length of a page.
+    pub fn record_page(&self, bytes: u64) {
+        self.0.page_bytes.set(bytes);
+    }
+
     /// Counts bytes that are held for a connection.
     pub fn hold(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
         self.0.usage.borrow_mut().hold(now(), key, bytes, held_for);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -108,6 +108,10 @@
     pub buffer_bytes: u64,
     /// Most bytes of callers' connections without what is buffered for them.
     pub connection_bytes: u64,
+    /// Most bytes of the connections of other routers, and of what is held for them.
+    pub router_bytes: u64,
+    /// The same for the connections to each port of pages.
+    pub page_bytes: u64,
     /// Most descriptors that the process may have open.
     pub max_descriptors: u64,
     /// Whether the whole system starts for the first time, so that no stream is older than this
--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -25,6 +25,12 @@
 /// Default of `connection_percent`.
 const CONNECTION_PERCENT: f64 = 25.0;
 
+/// Default of `router_percent`.
+const ROUTER_PERCENT: f64 = 20.0;
+
+/// Default of `page_percent`.
+const PAGE_PERCENT: f64 = 3.0;
+
 /// Bytes of a megabyte of memory.
 const MB_BYTES: u64 = 1 << 20;
 
@@ -64,6 +70,8 @@
     memory_mb: Option<f64>,
     buffer_percent: Option<f64>,
     connection_percent: Option<f64>,
+    router_percent: Option<f64>,
+    page_percent: Option<f64>,
     max_descriptors: Option<f64>,
     first_start: Option<bool>,
     limit_server_room: Option<bool>,
@@ -134,6 +142,16 @@
                 "connection_percent",
                 json.connection_percent.unwrap_or(CONNECTION_PERCENT),
             )?,
+            router_bytes: share(
+                json.memory_mb,
+                "router_percent",
+                json.router_percent.unwrap_or(ROUTER_PERCENT),
+            )?,
+            page_bytes: share(
+                json.memory_mb,
+                "page_percent",
+                json.page_percent.unwrap_or(PAGE_PERCENT),
+            )?,
             max_descriptors: match json.max_descriptors {
                 Some(number) => to_integer("max_descriptors", number)?,
                 None => process_descriptors(),
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -2,11 +2,9 @@
 //! of what this router knows.
 
 use bytes::Bytes;
-use http::Response;
 use http::StatusCode;
 use relay::ServerReport;
 
-use crate::body::ResponseBody;
 use crate::clock::now;
 use crate::context::Context;
 use crate::snapshot::operators_json;
@@ -17,8 +15,16 @@
 use crate::snapshot::OPERATORS;
 use crate::snapshot::SNAPSHOT;
 
+/// A page.
+pub struct Page {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// Returns the readiness page: status 200 if this router accepts new callers, else 503.
-pub fn readiness(cx: &Context) -> Response<ResponseBody> {
+pub fn readiness(cx: &Context) -> Page {
     if cx.is_ready() {
         page(StatusCode::OK, "ready\n".into())
     } else {
@@ -28,7 +34,7 @@
 
 /// Returns the pages for operators: at `/servers` what this router knows of each backend server,
 /// as JSON, otherwise the metrics in the Prometheus text format.
-pub fn operators(cx: &Context, path: &str) -> Response<ResponseBody> {
+pub fn operators(cx: &Context, path: &str) -> Page {
     match path {
         "/servers" => page(StatusCode::OK, server_reports_json(cx).into()),
         _ => metrics(cx),
@@ -42,7 +48,7 @@
     to_json(&reports.collect::<Vec<_>>())
 }
 
-fn metrics(cx: &Context) -> Response<ResponseBody> {
+fn metrics(cx: &Context) -> Page {
     let mut view = cx.view.borrow_mut();
     let buffered_bytes = cx.callers.buffered_bytes();
     let buffered_bytes = i64::try_from(buffered_bytes).unwrap_or(i64::MAX);
@@ -53,7 +59,7 @@
 
 /// Returns the pages that other routers fetch: this router's snapshot, or only the operators'
 /// entries, or the registrations of backend servers or of routers.
-pub fn bootstrap(cx: &Context, path: &str) -> Response<ResponseBody> {
+pub fn bootstrap(cx: &Context, path: &str) -> Page {
     match path {
         "/routers" => page(StatusCode::OK, routers_json(cx).into()),
         "/servers" => page(StatusCode::OK, servers_json(cx).into()),
@@ -63,8 +69,6 @@
     }
 }
 
-fn page(status: StatusCode, body: Bytes) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::own(body));
-    *response.status_mut() = status;
-    response
+fn page(status: StatusCode, body: Bytes) -> Page {
+    Page { status, body }
 }
--- a/crates/gateway/src/tunnel_acceptor.rs
+++ b/crates/gateway/src/tunnel_acceptor.rs
@@ -53,7 +53,8 @@
     server: u64,
     mut req: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let result = if connection.begin_running() {
+    let hold = connection.begin_tunnel();
+    let result = if hold.is_some() && connection.begin_running() {
         connect(&cx, from, server).await
     } else {
         let reason = "too many connections";
@@ -81,6 +82,7 @@
             Err(e) => log_peer_failure(Step::Connection, &from, &error_chain(&e)),
         }
         cx.metrics.servers.tunnels_open.dec();
+        drop(hold);
         drop(connection);
     });
     let mut response = Response::new(ResponseBody::own(Bytes::new()));
--- a/crates/router/tests/crowds/crowd_server.rs
+++ b/crates/router/tests/crowds/crowd_server.rs
@@ -1,4 +1,5 @@
 //! A backend server whose responses are as large as the path of the request says.
+#![allow(dead_code)]
 
 use std::io;
 use std::time::Duration;
@@ -34,6 +35,15 @@
     wire::registration(address, SLOTS)
 }
 
+/// Returns the head by which a router asks another one for a connection to the server.
+pub fn tunnel_head() -> String {
+    let instance = policy::name_hash("i-0") ^ wire::BORN;
+    format!(
+        "GET /tunnel/{instance:016x} HTTP/1.1\r\nHost: router\r\nConnection: upgrade\r\n\
+         Upgrade: framed-tunnel\r\n\r\n"
+    )
+}
+
 /// Returns the event with a number in a stream of events of `len` bytes.
 pub fn event(number: usize, len: usize) -> String {
     let head = format!("id: {number}\ndata: ");
--- a/crates/router/tests/crowds/trial.rs
+++ b/crates/router/tests/crowds/trial.rs
@@ -25,6 +25,7 @@
 use crate::common::fake_store::FakeStore;
 use crate::common::free_address;
 use crate::common::run_within;
+use crate::common::wire;
 use crate::crowd_caller::request;
 use crate::crowd_caller::Reading;
 use crate::crowd_server;
@@ -62,8 +63,8 @@
     pub router: RouterProcess,
     listen: Value,
     callers: Vec<JoinHandle<()>>,
-    _store: FakeStore,
-    _dir: TempDir,
+    store: FakeStore,
+    dir: TempDir,
 }
 
 impl Trial {
@@ -97,8 +98,8 @@
             router,
             listen: settings["listen"].clone(),
             callers: Vec::new(),
-            _store: store,
-            _dir: dir,
+            store,
+            dir,
         }
     }
 
@@ -120,6 +121,24 @@
         });
     }
 
+    /// Registers `count` backend servers of another service, to which no request goes.
+    pub fn register_others(&self, count: usize) {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut registration = wire::registration(address, 1);
+        registration["Service"] = json!("other");
+        for i in 0..count {
+            let address = format!("127.0.{}.{}:1", i / 250 + 1, i % 250 + 1);
+            registration["Address"] = json!(address);
+            let key = format!("servers/other-{i}-{}", "x".repeat(100));
+            self.store.put(&key, &registration);
+        }
+    }
+
+    /// Starts another router on the same store.
+    pub fn start_another_router(&self) -> RouterProcess {
+        RouterProcess::start(&self.dir, "another-router", self.store.address)
+    }
+
     /// Returns an address at which the router listens.
     pub fn address(&self, field: &str) -> SocketAddr {
         let port = match &self.listen[field] {
--- /dev/null
+++ b/crates/router/tests/crowds_at_other_ports.rs
@@ -0,0 +1,146 @@
+//! Crowds of callers that make a router hold bytes at the ports that aren't for callers, before one router
+//! as a process of its own.
+
+#[path = "../../../platform/tests/common/mod.rs"]
+mod common;
+#[path = "crowds/crowd_caller.rs"]
+mod crowd_caller;
+#[path = "crowds/crowd_server.rs"]
+mod crowd_server;
+#[path = "processes/process_usage.rs"]
+mod process_usage;
+#[path = "processes/router_process.rs"]
+mod router_process;
+#[path = "crowds/trial.rs"]
+mod trial;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+
+use crowd_caller::connect;
+use crowd_caller::head;
+use crowd_caller::hold;
+use crowd_caller::send_and_hold;
+use trial::alone;
+use trial::Trial;
+
+/// Bytes of a head that is never finished.
+const HEAD_BYTES: usize = 300_000;
+
+/// Backend servers of another service, which make the pages for routers large.
+const OTHER_SERVERS: usize = 1_500;
+
+/// Time in which a router reads their registrations, and knows another router.
+const SETTLED: Duration = Duration::from_millis(2_500);
+
+/// Checks a router before callers that send heads without an end to one of its ports.
+fn check_heads(port: &'static str) {
+    alone(async {
+        let mut trial = Trial::start().await;
+        let address = trial.address(port);
+        trial.add_callers(700, |_| async move {
+            let filler = "x".repeat(HEAD_BYTES);
+            send_and_hold(
+                address,
+                &format!("GET /snapshot HTTP/1.1\r\nX-Filler: {filler}"),
+            )
+            .await
+        });
+        trial.check(usize::MAX).await;
+    });
+}
+
+/// Checks a router before callers that ask one of its ports for a page and read nothing.
+fn check_pages(port: &'static str, path: &'static str) {
+    alone(async {
+        let mut trial = Trial::start().await;
+        trial.register_others(OTHER_SERVERS);
+        sleep(SETTLED).await;
+        let address = trial.address(port);
+        trial.add_callers(700, |_| async move {
+            let request = format!("GET {path} HTTP/1.1\r\nHost: router\r\n\r\n");
+            send_and_hold(address, &request).await
+        });
+        trial.check(usize::MAX).await;
+    });
+}
+
+// Guards against heads at the other ports, which no limit counts.
+#[test]
+fn callers_who_never_finish_their_heads_at_the_port_of_routers_leave_memory_to_others() {
+    check_heads("peer_port");
+}
+
+#[test]
+fn callers_who_never_finish_their_heads_at_the_readiness_page_leave_memory_to_others() {
+    check_heads("readiness");
+}
+
+#[test]
+fn callers_who_never_finish_their_heads_at_the_metrics_page_leave_memory_to_others() {
+    check_heads("metrics_port");
+}
+
+#[test]
+fn callers_who_never_finish_their_heads_at_the_bootstrap_page_leave_memory_to_others() {
+    check_heads("bootstrap");
+}
+
+// Guards against pages that nobody reads, which the http library holds uncounted.
+#[test]
+fn callers_who_read_nothing_of_the_pages_for_routers_leave_memory_to_others() {
+    check_pages("peer_port", "/servers");
+}
+
+#[test]
+fn callers_who_read_nothing_of_the_metrics_page_leave_memory_to_others() {
+    check_pages("metrics_port", "/servers");
+}
+
+#[test]
+fn callers_who_read_nothing_of_the_bootstrap_page_leave_memory_to_others() {
+    check_pages("bootstrap", "/snapshot");
+}
+
+/// Opens a connection to the server through the router, asks the server for a body over it and reads
+/// nothing.
+async fn hold_tunnel(address: SocketAddr, id: String) {
+    let Ok(mut stream) = connect(address).await else {
+        return;
+    };
+    let upgrade = crowd_server::tunnel_head();
+    let request = head("/plain/body-1048576", &id, 0);
+    if stream.write_all(upgrade.as_bytes()).await.is_err() {
+        return;
+    }
+    let mut buf = [0; 512];
+    let Ok(1..) = stream.read(&mut buf).await else {
+        return;
+    };
+    // Fails if the router has closed the connection.
+    let _ = stream.write_all(request.as_bytes()).await;
+    hold(stream).await
+}
+
+// Guards against slow responses that pass through this router to another one.
+#[test]
+fn routers_who_read_nothing_of_their_tunnels_leave_memory_to_others() {
+    alone(async {
+        let mut trial = Trial::start().await;
+        let _other = trial.start_another_router();
+        sleep(SETTLED).await;
+        let address = trial.address("peer_port");
+        trial.add_callers(700, |i| hold_tunnel(address, format!("crowd-{i}")));
+        sleep(SETTLED).await;
+        let log = trial.router.log();
+        let accepted = log.lines().filter(|line| {
+            line.contains("event=tunnel_accepted") && line.contains("outcome=connected")
+        });
+        println!("{} tunnels", accepted.count());
+        trial.check(usize::MAX).await;
+    });
+}
