gateway: a response whose path was cut while it wasn't read is not known to be whole

A caller of a stream without a length paused; meanwhile the path to the server was cut regularly for 0.3 s and opened again. Bodies that wait for memory had the same cause.

Cause: a response that ends with its connection is whole if its server runs right after the end; a router that doesn't read on, as its caller doesn't, learns of the end only later, when the path is open again.

Now an idle connection over the same path is kept open meanwhile, one for all responses over it. When it ends, the server is checked at once; if that fails, the end of those responses is unknown. A server that closes idle connections after 0.3 s and a caller that pauses for 2 s: the stream is complete, as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -215,7 +215,11 @@
             Some(_) => MAX_SIZED_RESPONSE_BYTES,
             None => MAX_RESPONSE_BYTES,
         });
-        let pieces = match timeout(limit, collect(&x.caller, &self.in_flight, &mut self.body)).await
+        let pieces = match timeout(
+            limit,
+            collect(&x.cx, &x.caller, &self.in_flight, &mut self.body),
+        )
+        .await
         {
             Ok(Ok(collected)) => collected,
             Ok(Err(e)) => {
--- a/crates/gateway/src/collected_body.rs
+++ b/crates/gateway/src/collected_body.rs
@@ -1,12 +1,14 @@
 //! Reads the body of a response until there are no more bytes.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 use bytes::BytesMut;
 use tokio::time::sleep;
 
 use crate::accepted_connection::AcceptedConnection;
 use crate::body::HeldBytes;
+use crate::context::Context;
 use crate::in_flight::InFlight;
 use crate::port_connections::ROOM_POLL_INTERVAL;
 use crate::response_end::ResponseEnd;
@@ -28,6 +30,7 @@
 /// isn't begun, so that its server waits; one that is begun is read to its end. One without a length
 /// may have no end, and is given up if those take too much.
 pub async fn collect(
+    cx: &Rc<Context>,
     caller: &AcceptedConnection,
     in_flight: &InFlight,
     body: &mut ServerBody,
@@ -38,6 +41,7 @@
         return Err(CollectError::TooLarge);
     }
     if !caller.has_response_room(len) {
+        body.hold_back(cx);
         let _held_back = in_flight.hold_back();
         while !caller.has_response_room(len) {
             sleep(ROOM_POLL_INTERVAL).await;
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -133,6 +133,11 @@
         self.dialed().connection.is_dropped()
     }
 
+    /// Returns whether no request can be sent over it any more.
+    pub fn is_closed(&self) -> bool {
+        self.dialed().connection.sender.is_closed()
+    }
+
     /// Returns the way that it takes.
     pub fn path(&self) -> ConnectionPath {
         self.dialed().path
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -25,6 +25,7 @@
 use crate::log_event::LogEvent;
 use crate::log_sink::LogSink;
 use crate::metrics::Metrics;
+use crate::path_watch::PathWatches;
 use crate::pause_watch::PauseWatch;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
@@ -108,6 +109,8 @@
     pub room_freed: Notify,
     /// Stage of this process between start and exit.
     pub phase: Cell<Phase>,
+    /// Paths to backend servers whose responses aren't read at present.
+    pub path_watches: PathWatches,
     /// Notices that this process was paused.
     pub pause_watch: PauseWatch,
 }
--- a/crates/gateway/src/dialed.rs
+++ b/crates/gateway/src/dialed.rs
@@ -8,7 +8,7 @@
 use crate::connection::Connection;
 
 /// Way that a connection to a backend server takes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ConnectionPath {
     /// Opened by this router.
     Direct,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,6 +47,7 @@
 use crate::orders;
 use crate::page_frontend;
 use crate::page_frontend::serve_pages;
+use crate::path_watch::PathWatches;
 use crate::pause_watch::PauseWatch;
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
@@ -179,6 +180,7 @@
             watches_suspect: Notify::new(),
             room_freed: Notify::new(),
             phase: Cell::new(Phase::Serving),
+            path_watches: PathWatches::default(),
             pause_watch: PauseWatch::new(now()),
         });
         let gateway = Gateway {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,8 @@
 mod metrics;
 mod orders;
 mod page_frontend;
+mod path_watch;
+mod path_watch_task;
 mod pause_watch;
 mod peer_message;
 mod peer_sender;
--- a/crates/gateway/src/server_body.rs
+++ b/crates/gateway/src/server_body.rs
@@ -1,5 +1,7 @@
 //! Body of a backend server's response, read with the connection that it comes over.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
@@ -14,6 +16,9 @@
 use crate::connection_pool::PooledConnection;
 use crate::context::Context;
 use crate::health_check;
+use crate::path_watch::PathWatch;
+use crate::path_watch::WatchedPath;
+use crate::path_watch_task;
 use crate::response_end::ResponseEnd;
 
 /// What marks the end of a body.
@@ -32,6 +37,8 @@
     server: ServerKey,
     /// When its head was received.
     begun_at: Time,
+    /// Watch of the path since the router first stopped reading a body that ends with its connection.
+    path_watch: Option<Rc<PathWatch>>,
     /// Connection to the backend server; dropping it cancels the request there.
     pub connection: PooledConnection,
 }
@@ -56,6 +63,7 @@
             framing,
             server,
             begun_at: now(),
+            path_watch: None,
             connection,
         }
     }
@@ -77,6 +85,19 @@
         Ok(None)
     }
 
+    /// Prepares for a time in which it isn't read: its end may come meanwhile and be noticed later.
+    pub fn hold_back(&mut self, cx: &Rc<Context>) {
+        if self.framing == Framing::Marked {
+            return;
+        }
+        let path = WatchedPath {
+            server: self.server,
+            path: self.connection.path(),
+        };
+        self.path_watch
+            .get_or_insert_with(|| path_watch_task::begin(cx, path));
+    }
+
     /// Returns how the body ended that has no more bytes. One that ended with its connection is whole
     /// if the backend server still runs, which is checked until `deadline`.
     pub async fn end(&self, cx: &Context, deadline: Time) -> ResponseEnd {
@@ -93,7 +114,11 @@
         if cx.pause_watch.was_paused(self.begun_at, now()) {
             return ResponseEnd::Unknown("router was paused".to_owned());
         }
+        let was_cut = self.path_watch.as_ref().is_some_and(|path| path.was_cut());
         match checked {
+            Ok(()) if was_cut => {
+                ResponseEnd::Unknown("path was cut while the response wasn't read".to_owned())
+            }
             Ok(()) => ResponseEnd::Whole,
             Err(e) => ResponseEnd::Unknown(e.to_string()),
         }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -21,7 +21,6 @@
 use crate::evidence::record_end;
 use crate::exchange::Exchange;
 use crate::exchange::DEADLINE_GRACE_MS;
-use crate::in_flight::InFlight;
 use crate::log_event::LogEvent;
 use crate::port_connections::ROOM_POLL_INTERVAL;
 use crate::quota_spending;
@@ -179,6 +178,7 @@
         attempt.in_flight.record_first_event();
         let len = bytes.len() as u64;
         if !x.caller.has_response_room(len) {
+            attempt.body.hold_back(&x.cx);
             let _held_back = attempt.in_flight.hold_back();
             if let Some(end) = wait_for_room(x, tx, len, give_up_at).await {
                 return end;
@@ -193,9 +193,8 @@
                     x.bind_stream();
                     attempt.in_flight.count_event(tx.capacity() > 0);
                     partial.set(splitter.buffered_bytes());
-                    if let Some(end) =
-                        send_event(x, &attempt.in_flight, tx, event.bytes, give_up_at).await
-                    {
+                    let sent = send_event(x, &mut attempt, tx, event.bytes, give_up_at).await;
+                    if let Some(end) = sent {
                         return end;
                     }
                 }
@@ -241,7 +240,7 @@
 /// Passes an event on to the caller until `give_up_at`. Returns how the stream ends if that fails.
 async fn send_event(
     x: &Exchange,
-    in_flight: &InFlight,
+    attempt: &mut Attempt,
     tx: &Sender,
     bytes: Bytes,
     give_up_at: Time,
@@ -255,7 +254,8 @@
         Err(TrySendError::Closed(_)) => return Some(StreamEnd::CallerLeft),
         Err(TrySendError::Full(part)) => part,
     };
-    let _held_back = in_flight.hold_back();
+    attempt.body.hold_back(&x.cx);
+    let _held_back = attempt.in_flight.hold_back();
     match timeout(duration_until(give_up_at), tx.send(part)).await {
         Ok(Ok(())) => None,
         Ok(Err(_)) => Some(StreamEnd::CallerLeft),
