gateway: the shares of all ports hold together

A crowd of all kinds at all ports at once (120 bodies of 1 MiB and 100 streams that nobody reads, 700 heads of 15 KB, 200 bodies of 500 KB, 200 tunnels, 300 pages; one router process with 64 MB and 1,500 servers) took 66 MB with the shares of the commit before, each of which held alone. With 12 and 2 percent for routers and pages 60, 61 and 64 MB, with 10 and 1 percent 60 to 62: too near.

Cause: the shares were 94 percent of what the process itself leaves, and bytes that were received and not yet read come on top (10 MB at the beginning of the crowd).

Now connections of callers take 20 percent in place of 25, the port of routers 10, each port of pages 2: 76 percent with the buffers.

--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -23,13 +23,13 @@
 const BUFFER_PERCENT: f64 = 40.0;
 
 /// Default of `connection_percent`.
-const CONNECTION_PERCENT: f64 = 25.0;
+const CONNECTION_PERCENT: f64 = 20.0;
 
 /// Default of `router_percent`.
-const ROUTER_PERCENT: f64 = 20.0;
+const ROUTER_PERCENT: f64 = 10.0;
 
 /// Default of `page_percent`.
-const PAGE_PERCENT: f64 = 3.0;
+const PAGE_PERCENT: f64 = 2.0;
 
 /// Bytes of a megabyte of memory.
 const MB_BYTES: u64 = 1 << 20;
--- a/crates/router/tests/crowds_at_other_ports.rs
+++ b/crates/router/tests/crowds_at_other_ports.rs
@@ -25,6 +25,7 @@
 use crowd_caller::head;
 use crowd_caller::hold;
 use crowd_caller::send_and_hold;
+use crowd_caller::Reading;
 use trial::alone;
 use trial::Trial;
 
@@ -37,6 +38,13 @@
 /// Time in which a router reads their registrations, and knows another router.
 const SETTLED: Duration = Duration::from_millis(2_500);
 
+/// Ports with pages, and a large page of each.
+const PAGES: [(&str, &str); 3] = [
+    ("peer_port", "/servers"),
+    ("metrics_port", "/servers"),
+    ("bootstrap", "/snapshot"),
+];
+
 /// Checks a router before callers that send heads without an end to one of its ports.
 fn check_heads(port: &'static str) {
     alone(async {
@@ -144,3 +152,35 @@
         trial.check(usize::MAX).await;
     });
 }
+
+// Guards against shares that hold each alone, and not together.
+#[test]
+fn crowds_of_all_kinds_at_all_ports_leave_memory_to_others() {
+    alone(async {
+        let mut trial = Trial::start().await;
+        trial.register_others(OTHER_SERVERS);
+        let _other = trial.start_another_router();
+        sleep(SETTLED).await;
+        let (callers, routers) = (trial.router.address, trial.address("peer_port"));
+        trial.add_readers(120, "/plain/body-1048576", Reading::Nothing);
+        trial.add_readers(100, "/fixed/events-40-60000", Reading::Nothing);
+        trial.add_callers(700, |_| async move {
+            let filler = "x".repeat(15_000);
+            let bytes = format!("POST /plain/x HTTP/1.1\r\nX-Filler: {filler}");
+            send_and_hold(callers, &bytes).await
+        });
+        trial.add_callers(200, |i| async move {
+            let head = head("/plain/late", &format!("large-{i}"), 500_000);
+            send_and_hold(callers, &format!("{head}{}", "x".repeat(500_000))).await
+        });
+        trial.add_callers(200, |i| hold_tunnel(routers, format!("tunnel-{i}")));
+        for (port, path) in PAGES {
+            let address = trial.address(port);
+            trial.add_callers(100, |_| async move {
+                let request = format!("GET {path} HTTP/1.1\r\nHost: router\r\n\r\n");
+                send_and_hold(address, &request).await
+            });
+        }
+        trial.check(usize::MAX).await;
+    });
+}
