--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -17,11 +17,11 @@
 use crate::context::Context;
 use crate::engines::WeightsOrder;
 use crate::log_event::LogEvent;
+use crate::order_event::OrderEvent;
+use crate::order_event::OrderGiven;
 use crate::peers::WeightsSwitch;
 use crate::permits::may_send;
 use crate::records::end_lease_term;
-use crate::view_event::OrderGiven;
-use crate::view_event::ViewEvent;
 
 /// Interval at which due steps are carried out.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -172,7 +172,7 @@
         fence: lease_term.fence,
         reply,
     };
-    ViewEvent::Order(given).write();
+    OrderEvent::Order(given).write();
     if reply == OrderResponse::Fenced {
         end_lease_term(cx, "fenced by a newer holder");
     }
--- a/crates/gateway/src/page_frontend.rs
+++ b/crates/gateway/src/page_frontend.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -59,17 +60,7 @@
         }
         .boxed_local()
     });
-    let http = http1::Builder::new()
-        .header_read_timeout(None)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let result = tokio::select! {
-        result = http => result,
-        _ = connection.closing() => return,
-    };
-    if let Err(e) = result {
-        log_failure(Step::Connection, &error_chain(&e));
-    }
+    serve(stream, &connection, service).await;
 }
 
 /// Serves one connection of another router: pages, or a connection to a backend server.
@@ -96,6 +87,14 @@
         }
         .boxed_local()
     });
+    serve(stream, &connection, service).await;
+}
+
+/// Serves HTTP on a connection until it ends or is to be closed.
+async fn serve<S>(stream: TcpStream, connection: &AcceptedConnection, service: S)
+where
+    S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible>,
+{
     let http = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -21,6 +21,7 @@
 use crate::context::Phase;
 use crate::crash_records;
 use crate::log_event::LogEvent;
+use crate::order_event::OrderEvent;
 use crate::process_event::log_failure;
 use crate::process_event::ProcessEvent;
 use crate::process_event::Step;
@@ -74,7 +75,7 @@
     } else if record.name == ORDER_LEASE_RECORD {
         cx.view.borrow_mut().order_lease_revision = Some(record.revision);
         let holder = String::from_utf8_lossy(&record.value).into_owned();
-        ViewEvent::OrderHolder {
+        OrderEvent::OrderHolder {
             holder: &holder,
             fence: record.revision.fencing_token(),
         }
@@ -88,7 +89,7 @@
         remove_router(cx, name);
     } else if name == ORDER_LEASE_RECORD {
         cx.view.borrow_mut().order_lease_revision = None;
-        ViewEvent::NoOrderHolder.write();
+        OrderEvent::NoOrderHolder.write();
     }
 }
 
@@ -308,7 +309,7 @@
         until: sent_at.plus_millis(ttl_ms),
     });
     view.order_plan.clear();
-    ViewEvent::LeaseTermBegan { fence, wait_ms }.write();
+    OrderEvent::LeaseTermBegan { fence, wait_ms }.write();
     Ok(Some(lease))
 }
 
@@ -369,7 +370,7 @@
 /// Ends this router's lease term, if it has one, and logs it.
 pub fn end_lease_term(cx: &Context, reason: &str) {
     if cx.view.borrow_mut().lease_term.take().is_some() {
-        ViewEvent::LeaseTermEnded { reason }.write();
+        OrderEvent::LeaseTermEnded { reason }.write();
     }
 }
 
--- a/crates/gateway/src/settings_json.rs
+++ b/crates/gateway/src/settings_json.rs
@@ -91,10 +91,34 @@
     metrics_port: u16,
 }
 
+/// Shares of the VM's memory, in bytes.
+struct MemoryShares {
+    buffer_bytes: u64,
+    connection_bytes: u64,
+    router_bytes: u64,
+    page_bytes: u64,
+}
+
 impl SettingsJson {
     fn unknown(&self) -> Vec<String> {
         self.unknown.keys().cloned().collect()
     }
+
+    fn memory_shares(&self) -> Result<MemoryShares, SettingsError> {
+        let share = |field, percent: Option<f64>, default| {
+            share(self.memory_mb, field, percent.unwrap_or(default))
+        };
+        Ok(MemoryShares {
+            buffer_bytes: share("buffer_percent", self.buffer_percent, BUFFER_PERCENT)?,
+            connection_bytes: share(
+                "connection_percent",
+                self.connection_percent,
+                CONNECTION_PERCENT,
+            )?,
+            router_bytes: share("router_percent", self.router_percent, ROUTER_PERCENT)?,
+            page_bytes: share("page_percent", self.page_percent, PAGE_PERCENT)?,
+        })
+    }
 }
 
 impl TryFrom<SettingsJson> for Settings {
@@ -102,6 +126,7 @@
 
     fn try_from(json: SettingsJson) -> Result<Settings, SettingsError> {
         let unknown_fields = json.unknown();
+        let shares = json.memory_shares()?;
         let seeds = json.seeds.iter().map(|seed| address("seeds", seed));
         let settings = Settings {
             name: json.name.into(),
@@ -132,26 +157,10 @@
                 json.orders_at_once_percent
                     .unwrap_or(ORDERS_AT_ONCE_PERCENT),
             )?,
-            buffer_bytes: share(
-                json.memory_mb,
-                "buffer_percent",
-                json.buffer_percent.unwrap_or(BUFFER_PERCENT),
-            )?,
-            connection_bytes: share(
-                json.memory_mb,
-                "connection_percent",
-                json.connection_percent.unwrap_or(CONNECTION_PERCENT),
-            )?,
-            router_bytes: share(
-                json.memory_mb,
-                "router_percent",
-                json.router_percent.unwrap_or(ROUTER_PERCENT),
-            )?,
-            page_bytes: share(
-                json.memory_mb,
-                "page_percent",
-                json.page_percent.unwrap_or(PAGE_PERCENT),
-            )?,
+            buffer_bytes: shares.buffer_bytes,
+            connection_bytes: shares.connection_bytes,
+            router_bytes: shares.router_bytes,
+            page_bytes: shares.page_bytes,
             max_descriptors: match json.max_descriptors {
                 Some(number) => to_integer("max_descriptors", number)?,
                 None => process_descriptors(),
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -8,7 +8,7 @@
 use crate::clock::now;
 use crate::context::Context;
 use crate::log_event::LogEvent;
-use crate::view_event::ViewEvent;
+use crate::suspect_event::SuspectEvent;
 
 impl Context {
     /// Adds a strike against each suspect for the crash of a backend server, given by its instance
@@ -20,7 +20,7 @@
             let Some(strikes) = evidence.add_strike(now(), suspect, server) else {
                 continue;
             };
-            ViewEvent::Strike {
+            SuspectEvent::Strike {
                 suspect,
                 server,
                 strikes,
@@ -28,7 +28,7 @@
             .write();
             if !was_blocked && evidence.is_blocked(now(), suspect) {
                 let source = "own";
-                ViewEvent::Blocked { suspect, source }.write();
+                SuspectEvent::Blocked { suspect, source }.write();
             }
             self.peers.wake.notify_one();
         }
@@ -40,7 +40,7 @@
         for suspect in suspects.iter().copied() {
             let strikes = evidence.clear(now(), suspect);
             if strikes > 0 {
-                ViewEvent::Cleared { suspect, strikes }.write();
+                SuspectEvent::Cleared { suspect, strikes }.write();
                 self.peers.wake.notify_one();
             }
         }
@@ -65,7 +65,7 @@
         let evidence = &mut self.view.borrow_mut().crash_evidence;
         if evidence.merge(now(), update, is_hub) {
             let suspect = update.suspect;
-            ViewEvent::Blocked { suspect, source }.write();
+            SuspectEvent::Blocked { suspect, source }.write();
         }
     }
 
@@ -84,7 +84,7 @@
         let evidence = &mut self.view.borrow_mut().crash_evidence;
         for suspect in suspects {
             if evidence.begin_trial(now(), *suspect) {
-                ViewEvent::Trial { suspect: *suspect }.write();
+                SuspectEvent::Trial { suspect: *suspect }.write();
             }
         }
         self.peers.wake.notify_one();
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -8,8 +8,6 @@
 use log::Level;
 use relay::Announcement;
 use relay::Build;
-use relay::OrderResponse;
-use relay::SuspectKey;
 
 use crate::log_event::LogEvent;
 
@@ -71,35 +69,6 @@
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
     },
-    /// A strike was recorded: requests of a suspect were in flight on a backend server when that
-    /// server ended.
-    Strike {
-        /// The suspect.
-        suspect: SuspectKey,
-        /// Instance hash of the server.
-        server: u64,
-        /// Number of strikes against the suspect that count.
-        strikes: usize,
-    },
-    /// Requests of a suspect are refused from now on.
-    Blocked {
-        /// The suspect.
-        suspect: SuspectKey,
-        /// Where the last strike was learned: `own`, `peer` or `store`.
-        source: &'a str,
-    },
-    /// A request of a blocked suspect is sent as a trial.
-    Trial {
-        /// The suspect.
-        suspect: SuspectKey,
-    },
-    /// A request of a suspect was run to its end, so that it does not crash servers.
-    Cleared {
-        /// The suspect.
-        suspect: SuspectKey,
-        /// Number of strikes that counted until now.
-        strikes: usize,
-    },
     /// A router has registered.
     RouterAdded {
         /// Name of the router.
@@ -112,13 +81,6 @@
         /// Name of the router.
         peer: &'a str,
     },
-    /// A router has taken the order lease.
-    OrderHolder {
-        /// Name of the router.
-        holder: &'a str,
-        /// Fencing token of its orders.
-        fence: u64,
-    },
     /// This router has written or deleted the record that a service has a build.
     BuildRecord {
         /// Name of the service.
@@ -128,39 +90,6 @@
         /// What was done: `written` or `deleted`.
         change: &'static str,
     },
-    /// No router holds the order lease.
-    NoOrderHolder,
-    /// This router has taken the order lease, and gives orders after a wait.
-    LeaseTermBegan {
-        /// Fencing token of its orders.
-        fence: u64,
-        /// Time until it gives orders, so that an earlier holder's orders are over.
-        wait_ms: u64,
-    },
-    /// This router's term of the order lease ended; it gives no more orders.
-    LeaseTermEnded {
-        /// Why.
-        reason: &'a str,
-    },
-    /// An engine was ordered to load weights.
-    Order(OrderGiven<'a>),
-}
-
-/// An order to an engine to load weights, and the engine's reply.
-#[derive(Clone, Debug)]
-pub struct OrderGiven<'a> {
-    /// Id of the engine.
-    pub server: &'a str,
-    /// Name of the model.
-    pub model: &'a str,
-    /// Version of the weights.
-    pub version: u64,
-    /// Precondition: number of orders that the engine must have accepted before.
-    pub accepted_before: u64,
-    /// Fencing token of the order.
-    pub fence: u64,
-    /// The engine's reply.
-    pub reply: OrderResponse,
 }
 
 impl LogEvent for ViewEvent<'_> {
@@ -219,28 +148,10 @@
                 f,
                 "event=weights_named model={model:?} version={version} naming={announcement:?} source={source}"
             ),
-            ViewEvent::Strike {
-                suspect,
-                server,
-                strikes,
-            } => write!(
-                f,
-                "event=strike {suspect} server={server:016x} strikes={strikes}"
-            ),
-            ViewEvent::Blocked { suspect, source } => {
-                write!(f, "event=blocked {suspect} source={source}")
-            }
-            ViewEvent::Trial { suspect } => write!(f, "event=trial {suspect}"),
-            ViewEvent::Cleared { suspect, strikes } => {
-                write!(f, "event=cleared {suspect} strikes={strikes}")
-            }
             ViewEvent::RouterAdded { peer, address } => {
                 write!(f, "event=router_added peer={peer:?} address={address}")
             }
             ViewEvent::RouterRemoved { peer } => write!(f, "event=router_removed peer={peer:?}"),
-            ViewEvent::OrderHolder { holder, fence } => {
-                write!(f, "event=order_holder holder={holder:?} fence={fence}")
-            }
             ViewEvent::BuildRecord {
                 service,
                 build,
@@ -248,24 +159,6 @@
             } => {
                 write!(f, "event=build_record service={service:?} build={build} change={change}")
             }
-            ViewEvent::NoOrderHolder => write!(f, "event=order_holder holder=none"),
-            ViewEvent::LeaseTermBegan { fence, wait_ms } => {
-                write!(f, "event=tenure_began fence={fence} orders_wait_ms={wait_ms}")
-            }
-            ViewEvent::LeaseTermEnded { reason } => {
-                write!(f, "event=tenure_ended reason={reason:?}")
-            }
-            ViewEvent::Order(order) => order.fmt(f),
         }
     }
 }
-
-impl Display for OrderGiven<'_> {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "event=order server={} model={:?} version={} accepted_before={} fence={} reply={:?}",
-            self.server, self.model, self.version, self.accepted_before, self.fence, self.reply,
-        )
-    }
-}
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -6,6 +6,7 @@
 use gateway::AttemptSent;
 use gateway::FleetSummary;
 use gateway::LogEvent;
+use gateway::OrderEvent;
 use gateway::OrderGiven;
 use gateway::PermitDecision;
 use gateway::PlaceDecision;
@@ -16,6 +17,7 @@
 use gateway::ServerEvent;
 use gateway::Step;
 use gateway::StopPhase;
+use gateway::SuspectEvent;
 use gateway::TakenUp;
 use gateway::ViewEvent;
 use insta::assert_snapshot;
@@ -258,16 +260,16 @@
 #[test]
 fn lines_of_requests_that_crash_servers() {
     let suspect = SuspectKey::Request(0x1f);
-    let strike = ViewEvent::Strike {
+    let strike = SuspectEvent::Strike {
         suspect,
         server: 0x2f,
         strikes: 2,
     };
     assert_snapshot!(strike, @"event=strike request=000000000000001f server=000000000000002f strikes=2");
     let source = "peer";
-    assert_snapshot!(ViewEvent::Blocked { suspect, source }, @"event=blocked request=000000000000001f source=peer");
-    assert_snapshot!(ViewEvent::Trial { suspect }, @"event=trial request=000000000000001f");
-    assert_snapshot!(ViewEvent::Cleared { suspect, strikes: 2 }, @"event=cleared request=000000000000001f strikes=2");
+    assert_snapshot!(SuspectEvent::Blocked { suspect, source }, @"event=blocked request=000000000000001f source=peer");
+    assert_snapshot!(SuspectEvent::Trial { suspect }, @"event=trial request=000000000000001f");
+    assert_snapshot!(SuspectEvent::Cleared { suspect, strikes: 2 }, @"event=cleared request=000000000000001f strikes=2");
 }
 
 #[test]
@@ -278,18 +280,18 @@
     };
     assert_snapshot!(added, @r#"event=router_added peer="r2" address=10.0.0.2:7060"#);
     assert_snapshot!(ViewEvent::RouterRemoved { peer: "r2" }, @r#"event=router_removed peer="r2""#);
-    let holder = ViewEvent::OrderHolder {
+    let holder = OrderEvent::OrderHolder {
         holder: "r2",
         fence: 9,
     };
     assert_snapshot!(holder, @r#"event=order_holder holder="r2" fence=9"#);
-    assert_snapshot!(ViewEvent::NoOrderHolder, @"event=order_holder holder=none");
-    let began = ViewEvent::LeaseTermBegan {
+    assert_snapshot!(OrderEvent::NoOrderHolder, @"event=order_holder holder=none");
+    let began = OrderEvent::LeaseTermBegan {
         fence: 9,
         wait_ms: 200,
     };
     assert_snapshot!(began, @"event=tenure_began fence=9 orders_wait_ms=200");
-    let over = ViewEvent::LeaseTermEnded {
+    let over = OrderEvent::LeaseTermEnded {
         reason: "not renewed in time",
     };
     assert_snapshot!(over, @r#"event=tenure_ended reason="not renewed in time""#);
@@ -301,7 +303,7 @@
         fence: 9,
         reply: OrderResponse::Accepted,
     };
-    assert_snapshot!(ViewEvent::Order(order), @r#"event=order server=e1 model="m0" version=4 accepted_before=2 fence=9 reply=Accepted"#);
+    assert_snapshot!(OrderEvent::Order(order), @r#"event=order server=e1 model="m0" version=4 accepted_before=2 fence=9 reply=Accepted"#);
 }
 
 #[test]
@@ -380,7 +382,7 @@
     assert!(RequestEvent::AttemptSent(sent()).is_success());
     assert!(RequestEvent::Ended(ended("served")).is_success());
     assert!(!RequestEvent::Ended(ended("too_late")).is_success());
-    assert!(!ViewEvent::NoOrderHolder.is_success());
+    assert!(!OrderEvent::NoOrderHolder.is_success());
 }
 
 #[test]
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -36,15 +36,75 @@
     prompt_tokens: IntCounter,
     cached_prompt_tokens: IntCounter,
     platform_calls: IntCounterVec,
-    connections: IntGauge,
-    connections_refused: IntCounter,
-    connections_closed: IntCounterVec,
-    buffered_bytes: IntGauge,
+    connections: ConnectionMetrics,
     config_version: IntGauge,
-    peer_bytes: IntCounterVec,
-    peer_connections_refused: IntCounter,
-    peer_messages_dropped: IntCounter,
-    peer_messages_bad: IntCounter,
+    peers: PeerMetrics,
+}
+
+/// Metrics of callers' connections.
+#[derive(Debug)]
+struct ConnectionMetrics {
+    open: IntGauge,
+    refused: IntCounter,
+    closed: IntCounterVec,
+    buffered_bytes: IntGauge,
+}
+
+impl ConnectionMetrics {
+    fn new(r: &Registry) -> prometheus::Result<ConnectionMetrics> {
+        Ok(ConnectionMetrics {
+            open: gauge(r, "connections", "Open connections of callers.")?,
+            refused: counter(
+                r,
+                "connections_refused_total",
+                "Connections of callers over the limit.",
+            )?,
+            closed: counters(
+                r,
+                "connections_closed_total",
+                "Connections of callers that were evicted for others.",
+                &["reason"],
+            )?,
+            buffered_bytes: gauge(r, "buffered_bytes", "Bytes held of requests and responses.")?,
+        })
+    }
+}
+
+/// Metrics of the messages from and to other routers.
+#[derive(Debug)]
+struct PeerMetrics {
+    bytes: IntCounterVec,
+    connections_refused: IntCounter,
+    messages_dropped: IntCounter,
+    messages_bad: IntCounter,
+}
+
+impl PeerMetrics {
+    fn new(r: &Registry) -> prometheus::Result<PeerMetrics> {
+        Ok(PeerMetrics {
+            bytes: counters(
+                r,
+                "peer_bytes_total",
+                "Control bytes to and from other routers.",
+                &["direction"],
+            )?,
+            connections_refused: counter(
+                r,
+                "peer_connections_refused_total",
+                "Strangers' connections to the port for other routers.",
+            )?,
+            messages_dropped: counter(
+                r,
+                "peer_messages_dropped_total",
+                "Messages to routers that can't be reached or are slow.",
+            )?,
+            messages_bad: counter(
+                r,
+                "peer_messages_bad_total",
+                "Messages of other routers that are not well formed.",
+            )?,
+        })
+    }
 }
 
 /// Counts a connection as open until it is dropped.
@@ -111,41 +171,9 @@
                 "Calls of the platform by kind and result.",
                 &["call", "result"],
             )?,
-            connections: gauge(r, "connections", "Open connections of callers.")?,
-            connections_refused: counter(
-                r,
-                "connections_refused_total",
-                "Connections of callers over the limit.",
-            )?,
-            connections_closed: counters(
-                r,
-                "connections_closed_total",
-                "Connections of callers that were evicted for others.",
-                &["reason"],
-            )?,
-            buffered_bytes: gauge(r, "buffered_bytes", "Bytes held of requests and responses.")?,
+            connections: ConnectionMetrics::new(r)?,
             config_version: gauge(r, "config_version", "Configuration in force, 0 for none.")?,
-            peer_bytes: counters(
-                r,
-                "peer_bytes_total",
-                "Control bytes to and from other routers.",
-                &["direction"],
-            )?,
-            peer_connections_refused: counter(
-                r,
-                "peer_connections_refused_total",
-                "Strangers' connections to the port for other routers.",
-            )?,
-            peer_messages_dropped: counter(
-                r,
-                "peer_messages_dropped_total",
-                "Messages to routers that can't be reached or are slow.",
-            )?,
-            peer_messages_bad: counter(
-                r,
-                "peer_messages_bad_total",
-                "Messages of other routers that are not well formed.",
-            )?,
+            peers: PeerMetrics::new(r)?,
             registry,
         })
     }
@@ -198,23 +226,24 @@
 
     /// Counts a connection as open until the returned guard is dropped.
     pub fn count_connection(&self) -> ConnectionCount {
-        self.connections.inc();
-        ConnectionCount(self.connections.clone())
+        self.connections.open.inc();
+        ConnectionCount(self.connections.open.clone())
     }
 
     /// Counts a connection that was closed because it exceeded the limit.
     pub fn on_connection_refused(&self) {
-        self.connections_refused.inc();
+        self.connections.refused.inc();
     }
 
     /// Counts a connection that was evicted for others.
     pub fn on_connection_closed(&self, reason: &str) {
-        self.connections_closed.with_label_values(&[reason]).inc();
+        self.connections.closed.with_label_values(&[reason]).inc();
     }
 
     /// Sets the bytes that are held of requests and responses.
     pub fn set_buffered_bytes(&self, bytes: u64) {
-        self.buffered_bytes
+        self.connections
+            .buffered_bytes
             .set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
@@ -236,25 +265,26 @@
 
 impl Observer for Metrics {
     fn on_sent(&self, bytes: u64) {
-        self.peer_bytes.with_label_values(&["sent"]).inc_by(bytes);
+        self.peers.bytes.with_label_values(&["sent"]).inc_by(bytes);
     }
 
     fn on_received(&self, bytes: u64) {
-        self.peer_bytes
+        self.peers
+            .bytes
             .with_label_values(&["received"])
             .inc_by(bytes);
     }
 
     fn on_refused(&self) {
-        self.peer_connections_refused.inc();
+        self.peers.connections_refused.inc();
     }
 
     fn on_dropped(&self, messages: u64) {
-        self.peer_messages_dropped.inc_by(messages);
+        self.peers.messages_dropped.inc_by(messages);
     }
 
     fn on_bad_message(&self) {
-        self.peer_messages_bad.inc();
+        self.peers.messages_bad.inc();
     }
 }
 
