gateway, router: a new connection waits until the one that is closed for it is gone

Near its limit a process has none left for servers and the store.

Cause: a connection was accepted as soon as another one was told to close, though that has its descriptor until its task has run; in a burst of connections many were closing at a time.

Now a connection that is closed for another one counts until it is gone, and the new one waits for that: the accepting task yields, and looks again after 1 ms if that wasn't enough.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::accepted_connection::AcceptedConnection;
@@ -109,6 +110,7 @@
     loop {
         match connections.open() {
             Opening::Open(connection) => return Some(connection),
+            Opening::Closing => yield_now().await,
             Opening::At(at) => sleep(duration_until(at)).await,
             Opening::Full => return None,
         }
--- a/crates/gateway/src/port_connections.rs
+++ b/crates/gateway/src/port_connections.rs
@@ -91,12 +91,15 @@
         self.0.usage.borrow().len()
     }
 
-    /// Opens a connection if there is room for it, after evicting another one if needed.
+    /// Opens a connection if there is room for it; else evicts an idle one, if there is one.
     pub fn open(&self) -> Opening<Rc<AcceptedConnection>> {
         let room = self.0.usage.borrow_mut().connection_room(now());
         match room {
             Room::Free => {}
-            Room::Closing(key) => self.close(key, CloseReason::TooManyConnections),
+            Room::Closing(key) => {
+                self.close(key, CloseReason::TooManyConnections);
+                return Opening::Closing;
+            }
             Room::At(at) => return Opening::At(at),
             Room::Full => {
                 self.count_closed(CloseReason::TooManyConnections);
--- a/crates/gateway/src/port_usage.rs
+++ b/crates/gateway/src/port_usage.rs
@@ -30,6 +30,9 @@
 /// those that are accepted.
 const REQUESTS_PERCENT: u64 = 70;
 
+/// Time in which a connection is closed, in milliseconds.
+const CLOSING_MS: u64 = 1;
+
 /// Interval after which connections are searched again for one to evict if none was found, in
 /// milliseconds.
 const SEARCH_INTERVAL_MS: u64 = 20;
@@ -71,6 +74,8 @@
 pub enum Opening<C> {
     /// It is open.
     Open(C),
+    /// There is room once the task of another connection has run, which is being closed.
+    Closing,
     /// There may be room for it at this time.
     At(Time),
     /// There is no room for it.
@@ -200,11 +205,14 @@
         self.update(key, |usage| usage.release(bytes, held_for));
     }
 
-    /// Returns the room for one more connection.
+    /// Returns the room for one more connection. One that is being closed has its descriptor until it is gone.
     pub fn connection_room(&mut self, now: Time) -> Room {
-        if self.has_room_for(1) {
+        if self.wanted(1).fit(self.limits) {
             return Room::Free;
         }
+        if self.has_room_for(1) {
+            return Room::At(now.plus_millis(CLOSING_MS));
+        }
         self.evict_idle(now, self.limits.min_idle_ms)
     }
 
@@ -305,19 +313,19 @@
     /// Returns whether there is room for `more` connections, at the latest once those are gone that are
     /// being closed.
     fn has_room_for(&self, more: u64) -> bool {
-        let present = Totals {
-            connections: self.connections.len() as u64,
-            bytes: self.connection_bytes,
-            descriptors: self.descriptors,
-        };
-        let wanted = Totals {
-            connections: present.connections + more,
-            bytes: present.bytes + more * CONNECTION_BYTES,
-            descriptors: present.descriptors + more,
-        };
+        let wanted = self.wanted(more);
         wanted.fit(self.limits) || wanted.without(self.closing_totals()).fit(self.limits)
     }
 
+    /// Returns the totals with `more` connections.
+    fn wanted(&self, more: u64) -> Totals {
+        Totals {
+            connections: self.connections.len() as u64 + more,
+            bytes: self.connection_bytes + more * CONNECTION_BYTES,
+            descriptors: self.descriptors + more,
+        }
+    }
+
     /// Returns the bytes that are buffered for connections that are being closed.
     fn closing_buffers(&self) -> u64 {
         let closing = self.connections.values().filter(|usage| usage.is_closing());
--- a/crates/gateway/tests/port_usage.rs
+++ b/crates/gateway/tests/port_usage.rs
@@ -211,6 +211,8 @@
     }
 
     assert_eq!(usage.connection_room(at(1_000)), Room::Closing(oldest));
+    assert!(matches!(usage.connection_room(at(1_000)), Room::At(_)));
+    usage.close(oldest);
     assert_eq!(usage.connection_room(at(1_000)), Room::Free);
 }
 
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -55,12 +55,15 @@
         }
     }
 
-    /// Opens a connection if there is room for it, after evicting an idle one if needed.
+    /// Opens a connection if there is room for it; else evicts an idle one, if there is one.
     pub fn open(&self) -> Opening<Arc<OpenConnection>> {
         let mut state = self.state();
         match state.usage.connection_room(now()) {
             Room::Free => {}
-            Room::Closing(key) => self.evict(&mut state, key, CloseReason::TooManyConnections),
+            Room::Closing(key) => {
+                self.evict(&mut state, key, CloseReason::TooManyConnections);
+                return Opening::Closing;
+            }
             Room::At(at) => return Opening::At(at),
             Room::Full => return Opening::Full,
         }
--- a/crates/router/src/frontend.rs
+++ b/crates/router/src/frontend.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
@@ -71,6 +72,7 @@
         let connection = loop {
             match connections.open() {
                 Opening::Open(connection) => break connection,
+                Opening::Closing => yield_now().await,
                 Opening::At(at) => sleep_until(clock::instant(at)).await,
                 Opening::Full => return self.handler.metrics.on_connection_refused(),
             }
