gateway: collectors of metrics are created in a file of their own; the times of requests are a group

connection_metrics, quota_metrics, server_metrics and view_gauges took the functions that register collectors from metrics, which takes their types: a circle of five files. Names, texts and labels of the metrics are the same.

--- a/crates/gateway/src/connection_metrics.rs
+++ b/crates/gateway/src/connection_metrics.rs
@@ -6,8 +6,8 @@
 use prometheus::Opts;
 use prometheus::Registry;
 
-use crate::metrics::counters;
-use crate::metrics::register;
+use crate::collectors::counters;
+use crate::collectors::register;
 
 /// Metrics of the accepted connections of all ports.
 pub struct ConnectionMetrics {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -184,7 +184,8 @@
         self.cx.metrics.requests.with_label_values(&[outcome]).inc();
         self.cx
             .metrics
-            .time_to_end
+            .times
+            .to_end
             .observe(took as f64 / 1_000_000.0);
         let server = server.map(|key| self.cx.server_name(key));
         let ended = RequestEnded {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -82,7 +82,7 @@
 const CALLERS_MIN_IDLE_MS: u64 = 200;
 
 /// The same for the other ports, whose requests are small and come at once.
-const SLOTS_MIN_IDLE_MS: u64 = 10;
+const OTHER_PORTS_MIN_IDLE_MS: u64 = 10;
 
 /// Interval at which expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -383,7 +383,7 @@
         connection_bytes: u64::MAX,
         connections: bytes / 2 / page_frontend::CONNECTION_BYTES,
         descriptors,
-        min_idle_ms: SLOTS_MIN_IDLE_MS,
+        min_idle_ms: OTHER_PORTS_MIN_IDLE_MS,
     }
 }
 
--- a/crates/gateway/src/quota_metrics.rs
+++ b/crates/gateway/src/quota_metrics.rs
@@ -5,9 +5,9 @@
 use prometheus::IntCounterVec;
 use prometheus::Registry;
 
-use crate::metrics::counter;
-use crate::metrics::counters;
-use crate::metrics::register;
+use crate::collectors::counter;
+use crate::collectors::counters;
+use crate::collectors::register;
 
 /// Metrics of the quotas of workspaces. Units are counted as floating-point numbers, as the sum of
 /// those of a few thousand requests may not fit into 64 bits.
--- a/crates/gateway/src/request_wait.rs
+++ b/crates/gateway/src/request_wait.rs
@@ -119,7 +119,10 @@
     drop(waiting);
     // The next one may find room too.
     x.cx.room_freed.notify_waiters();
-    x.cx.metrics.queue_wait.observe(waited_ms as f64 / 1_000.0);
+    x.cx.metrics
+        .times
+        .queue_wait
+        .observe(waited_ms as f64 / 1_000.0);
     count(x, outcome(&result));
     RequestEvent::Waited {
         id: &x.parsed.id,
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -83,9 +83,12 @@
     let result = placement.choose(&request);
     let metrics = &x.cx.metrics;
     let took_us = now().micros_since(placement.now);
-    metrics.decision.observe(took_us as f64 / 1_000_000.0);
+    metrics.times.decision.observe(took_us as f64 / 1_000_000.0);
     if let Ok(choice) = &result {
-        metrics.expected_wait.observe(choice.wait_ms / 1_000.0);
+        metrics
+            .times
+            .expected_wait
+            .observe(choice.wait_ms / 1_000.0);
     }
     result
 }
--- a/crates/gateway/src/server_metrics.rs
+++ b/crates/gateway/src/server_metrics.rs
@@ -5,9 +5,9 @@
 use prometheus::IntGauge;
 use prometheus::Registry;
 
-use crate::metrics::counter;
-use crate::metrics::counters;
-use crate::view_gauges::gauge;
+use crate::collectors::counter;
+use crate::collectors::counters;
+use crate::collectors::gauge;
 
 /// Metrics of what backend servers say of themselves, and of what follows from it.
 pub struct ServerMetrics {
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -55,7 +55,7 @@
     *response.headers_mut() = x.cx.codec.returned_headers(&attempt.head);
     response.headers_mut().remove(CONTENT_LENGTH);
     let took = now().micros_since(x.arrived_at) as f64 / 1_000_000.0;
-    x.cx.metrics.time_to_head.observe(took);
+    x.cx.metrics.times.to_head.observe(took);
     tokio::task::spawn_local(relay(x, attempt, tx));
     response
 }
--- a/crates/gateway/src/view_gauges.rs
+++ b/crates/gateway/src/view_gauges.rs
@@ -3,12 +3,12 @@
 use policy::Time;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
-use prometheus::Opts;
 use prometheus::Registry;
 
 use crate::cluster_view::ClusterView;
+use crate::collectors::gauge;
+use crate::collectors::gauges;
 use crate::fleet_summary::FleetSummary;
-use crate::metrics::register;
 
 /// Gauges for the content and age of the cluster view.
 pub struct ViewGauges {
@@ -51,27 +51,32 @@
                 registry,
                 "weights_version",
                 "Newest weights that were named",
-                "model",
+                &["model"],
             ),
             weights_age_ms: gauges(
                 registry,
                 "weights_age_ms",
                 "Time since they were named",
-                "model",
+                &["model"],
             ),
             retries_left: gauges(
                 registry,
                 "repeats_left",
                 "Repeats that the budget allows now",
-                "service",
+                &["service"],
             ),
             servers_ready: gauges(
                 registry,
                 "servers_ready",
                 "Backend servers that take requests",
-                "service",
+                &["service"],
+            ),
+            servers_by_pace: gauges(
+                registry,
+                "servers_by_pace",
+                "Backend servers by learned pace against their service's median",
+                &["service", "pace"],
             ),
-            servers_by_pace: servers_by_pace(registry),
         }
     }
 
@@ -154,27 +159,6 @@
     },
 ];
 
-fn servers_by_pace(registry: &Registry) -> IntGaugeVec {
-    let opts = Opts::new(
-        "turmerichollow_servers_by_pace",
-        "Backend servers by learned pace against their service's median",
-    );
-    register(registry, IntGaugeVec::new(opts, &["service", "pace"]))
-}
-
 fn clamped(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
-
-/// Creates and registers a gauge.
-pub fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    register(
-        registry,
-        IntGauge::new(format!("turmerichollow_{name}"), help),
-    )
-}
-
-fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
-    let opts = Opts::new(format!("turmerichollow_{name}"), help);
-    register(registry, IntGaugeVec::new(opts, &[label]))
-}
