--- a/crates/gateway/src/path_watch.rs
+++ b/crates/gateway/src/path_watch.rs
@@ -24,7 +24,7 @@
     pub path: ConnectionPath,
 }
 
-/// A path that is watched as long as someone has its watch.
+/// A path that is watched until all owners have dropped this.
 #[derive(Debug, Default)]
 pub struct PathWatch {
     was_cut: Cell<bool>,
@@ -53,7 +53,7 @@
         (!watch.was_cut()).then_some(watch)
     }
 
-    /// Returns a new watch of a path, which the caller must begin. Forgets watches that nobody has.
+    /// Returns a new watch of a path, which the caller must begin. Forgets watches that were dropped.
     pub fn add(&self, path: WatchedPath) -> Rc<PathWatch> {
         let watch = Rc::new(PathWatch::default());
         let mut watches = self.0.borrow_mut();
--- a/crates/gateway/src/path_watch_task.rs
+++ b/crates/gateway/src/path_watch_task.rs
@@ -37,7 +37,7 @@
     watch
 }
 
-/// Watches a path until it is cut or nobody has the watch.
+/// Watches a path until it is cut or its watch is dropped.
 async fn run(cx: Rc<Context>, path: WatchedPath, watch: Weak<PathWatch>) {
     while keep_open(&cx, path, &watch).await {
         // A server may close idle connections, but must respond then.
@@ -52,7 +52,7 @@
     }
 }
 
-/// Keeps an idle connection open until it ends or nobody has the watch. Returns false if none can be kept.
+/// Keeps an idle connection open until it ends or the watch is dropped. Returns false if none can be kept.
 async fn keep_open(cx: &Context, path: WatchedPath, watch: &Weak<PathWatch>) -> bool {
     let opened_at = now();
     let Some(address) = server_address(cx, path.server) else {
--- a/crates/gateway/src/port_usage.rs
+++ b/crates/gateway/src/port_usage.rs
@@ -205,7 +205,7 @@
         self.update(key, |usage| usage.release(bytes, held_for));
     }
 
-    /// Returns the room for one more connection. One that is being closed has its descriptor until it is gone.
+    /// Returns the room for one more connection. One that is being closed counts until it is gone.
     pub fn connection_room(&mut self, now: Time) -> Room {
         if self.wanted(1).fit(self.limits) {
             return Room::Free;
--- a/crates/router/tests/crowds_at_other_ports.rs
+++ b/crates/router/tests/crowds_at_other_ports.rs
@@ -102,7 +102,7 @@
     check_heads("bootstrap");
 }
 
-// Guards against pages that nobody reads, which the http library holds uncounted.
+// Guards against pages that aren't read, which the http library holds uncounted.
 #[test]
 fn callers_who_read_nothing_of_the_pages_for_routers_leave_memory_to_others() {
     check_pages("peer_port", "/servers");
