review: orders in small chunks lose their channels while clients connect

The framing of a chunked body counts as bytes that a caller sends behind its request. Beyond 512 bytes of it the connection may be evicted while its request runs at a server, and is the first to be.

--- a/review/standins-2/servers.py
+++ b/review/standins-2/servers.py
@@ -116,3 +116,22 @@
         self.models[model] = version
         self.loading = False
         await self.register()
+
+
+class Application(Server):
+    """A plain service whose answers take `work_s`. It notes what it has run."""
+
+    slots = 24
+    work_s = 1.5
+
+    async def run(self, head, body, writer):
+        identity = head.get("x-turmerichollow-request-id")
+        run = {"id": identity, "at": time.monotonic(), "bytes": len(body), "ended": False}
+        self.runs.append(run)
+        self.record.note(self.id, f"runs {head.method} {head.path} of {identity}, {len(body)} bytes")
+        await asyncio.sleep(0.02 if head.method == "GET" else self.work_s)
+        run["ended"] = True
+        headers = {"X-Turmerichollow-Request-Id": identity, "X-Turmerichollow-Response-Signature": f"s.{identity}",
+                   "Keep-Alive": "timeout=10"}
+        await self.send(writer, 200, headers, b"done " + identity.encode())
+        return True
