relay, gateway: the age of announced weights is known within bounds, which messages only narrow

Callers' requests began on replaced weights later than allowed (VERSION).

Cause: a router kept one moment for each announced version, when it was said to be announced. A restarted router that had listed an old announcement passed it on as young, and a message or response that waited while its receiver was paused counted from when it was read. What came later was ignored, also if it said more.

Now each router keeps two bounds: by when a version had been announced, and when the one before was last known to be the newest. The latter comes from readings of the store, from watches that follow one another at once, and from other routers' statements of the same, each counted from the earliest time at which it can have arrived (policy::Arrival, from PauseWatch). Weights are due from the earlier bound on. A bound only narrows, so order and repetition of messages don't matter. A router that nobody tells uses former weights for 2.5 s from its start, as before from its listing. Messages carry the bound in a last field, which older routers ignore; a router reads the store itself while its hub doesn't send it.

The tests of announced weights are now in tests/weights.rs; their cases are the same, with bounds in place of Fresh, Ago and Earlier.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -35,10 +35,10 @@
 /// its start on the engine, in milliseconds.
 const START_MARGIN_MS: u64 = 1_000;
 
-/// Time for which replaced weights may still be used after this router has learned of
-/// their replacement without knowing when it was announced, in milliseconds. Listings and
-/// snapshots, which a router reads at its start, don't contain that time.
-const EARLIER_WEIGHTS_DUE_MS: u64 = 2_500;
+/// Time from the start of a router for which it may use replaced weights without knowing since when
+/// they are replaced, in milliseconds. Listings don't contain that time, but messages of routers that
+/// were there before do.
+const UNKNOWN_WEIGHTS_DUE_MS: u64 = 2_500;
 
 /// Time that a stream can last, in milliseconds.
 pub const MAX_STREAM_MS: u64 = 30_000;
@@ -121,7 +121,7 @@
             configuration: None,
             configuration_since: now(),
             catch_up: CatchUp::default(),
-            weights: Weights::new(due_ms, due_ms.min(EARLIER_WEIGHTS_DUE_MS)),
+            weights: Weights::new(due_ms, now().plus_millis(UNKNOWN_WEIGHTS_DUE_MS)),
             fleet,
             reads_registrations: false,
             reach: Reach::default(),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,7 +6,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use relay::Announcement;
+use policy::Arrival;
+use policy::Time;
+use relay::AnnouncementUpdate;
+use relay::CompletenessUpdate;
 use relay::Configuration;
 use relay::PeerReading;
 use relay::Permit;
@@ -186,25 +189,53 @@
         behind_ms(&self.view.borrow())
     }
 
-    /// Records an announced version of a model's weights, and logs it if it is new.
-    pub fn apply_announced_weights(
+    /// Records a version of a model's weights that was read from the store, and logs it if it is new.
+    pub fn apply_announced_weights(&self, news: Arrival, model: &str, version: u64) {
+        let is_new = {
+            let mut view = self.view.borrow_mut();
+            view.weights.announce(news, model, version, 0)
+        };
+        if is_new {
+            self.on_announced_weights(model, version, "store");
+        }
+    }
+
+    /// Records the versions of weights that another router names, and up to when it knows them to be
+    /// complete. Logs those that are new.
+    pub fn apply_announcements(
         &self,
-        model: &str,
-        version: u64,
-        announcement: Announcement,
-        source: &str,
+        message: Arrival,
+        named: &[AnnouncementUpdate],
+        completeness: &CompletenessUpdate,
     ) {
-        let mut view = self.view.borrow_mut();
-        if view.weights.announce(now(), model, version, announcement) {
-            ViewEvent::WeightsAnnounced {
-                model,
-                version,
-                announcement,
-                source,
+        let mut new = Vec::new();
+        {
+            let weights = &mut self.view.borrow_mut().weights;
+            for update in named {
+                if weights.announce(message, &update.model, update.version, update.age_ms) {
+                    new.push(update);
+                }
             }
-            .write();
-            self.peers.wake.notify_one();
+            weights.apply_completeness(message, named, completeness);
         }
+        for update in new {
+            self.on_announced_weights(&update.model, update.version, "peer");
+        }
+    }
+
+    fn on_announced_weights(&self, model: &str, version: u64, source: &str) {
+        let view = self.view.borrow();
+        let former = version.saturating_sub(1);
+        let age_ms = |at: Time| now().millis_since(at);
+        ViewEvent::WeightsAnnounced {
+            model,
+            version,
+            age_ms: view.weights.replaced_by(model, former).map_or(0, age_ms),
+            oldest_age_ms: view.weights.current_at(model, former).map(age_ms),
+            source,
+        }
+        .write();
+        self.peers.wake.notify_one();
     }
 
     /// Records the weights that an engine reported. If they are new, ends the engine's
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,11 +1,12 @@
 //! Follows the operators' entries and the routers' records in the store.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::Arrival;
 use policy::Time;
 use rand::Rng;
-use relay::Announcement;
 use relay::Revision;
 use relay::StoreAccess;
 use tokio::time::sleep;
@@ -59,6 +60,23 @@
 /// milliseconds. Those that have not are gone.
 const REWRITE_PERIOD_MS: u64 = 5_000;
 
+/// Time between the response to a watch and the next call up to which changes are taken to come as they
+/// are made, in milliseconds.
+const MAX_WATCH_GAP_MS: u64 = 100;
+
+/// Time for which a hub's announcements may be incomplete before a router that it serves reads the store
+/// itself, in milliseconds. A hub of an earlier version doesn't tell.
+const HUB_COMPLETE_MS: u64 = 4_000;
+
+/// Where the watches of a topic have got to.
+#[derive(Clone, Copy)]
+struct WatchPosition {
+    /// Revision after which changes are to come.
+    after: Revision,
+    /// When the store last responded.
+    responded_at: Time,
+}
+
 /// Follows one topic until the process ends.
 pub async fn run(cx: Rc<Context>, topic: Topic) {
     if topic == Topic::Routers {
@@ -75,13 +93,17 @@
             }
         };
         record_success(&cx, topic);
-        let mut after = listing.as_of;
-        let is_new_era = last_era.is_some_and(|last| last < after.era);
-        last_era = Some(after.era);
-        apply_listing(&cx, topic, listing, is_new_era);
+        let mut position = WatchPosition {
+            after: listing.as_of,
+            responded_at: now(),
+        };
+        let era = listing.as_of.era;
+        let is_new_era = last_era.is_some_and(|last| last < era);
+        last_era = Some(era);
+        apply_listing(&cx, topic, listing, called_at, is_new_era);
         let rewritten_by = now().plus_millis(REWRITE_PERIOD_MS);
-        while let Some(next) = watch(&cx, topic, after).await {
-            after = next;
+        while let Some(next) = watch(&cx, topic, position).await {
+            position = next;
             if is_new_era && topic == Topic::Routers && now() >= rewritten_by {
                 break;
             }
@@ -89,7 +111,7 @@
     }
 }
 
-fn apply_listing(cx: &Context, topic: Topic, listing: Listing, is_new_era: bool) {
+fn apply_listing(cx: &Context, topic: Topic, listing: Listing, called_at: Time, is_new_era: bool) {
     if topic == Topic::Routers {
         let mut view = cx.view.borrow_mut();
         view.routers_known = true;
@@ -98,17 +120,53 @@
         // In a new era the other routers are about to write their entries again.
         records::remove_unlisted(cx, &listing.updates, is_new_era);
     }
+    if topic == Topic::Operators {
+        confirm_listed(cx, &listing.updates, called_at);
+    }
+    let response = cx.pause_watch.arrival(now()).of_response(called_at);
     for update in listing.updates {
-        apply_update(cx, update, Announcement::Earlier);
+        apply_update(cx, update, response);
     }
     if topic == Topic::Routers {
         quota_task::update_routers(cx);
     }
 }
 
-/// Waits for changes, applies them and returns the revision for the next watch;
+/// Records that no weights were announced but those that are listed, unless some entries can't be read.
+fn confirm_listed(cx: &Context, updates: &[StoreUpdate], called_at: Time) {
+    let mut newest = BTreeMap::new();
+    for update in updates {
+        match update {
+            StoreUpdate::Weights { model, version } => newest.insert(&**model, *version),
+            StoreUpdate::Unreadable { .. } => return,
+            _ => None,
+        };
+    }
+    let weights = &mut cx.view.borrow_mut().weights;
+    weights.confirm_newest(called_at, &newest);
+}
+
+/// Applies changes of the operators' entries. Where the watch followed at once upon the one before,
+/// nothing else was announced until they arrived.
+fn apply_operators_changes(
+    cx: &Context,
+    updates: Vec<StoreUpdate>,
+    response: Arrival,
+    follows_at_once: bool,
+) {
+    if follows_at_once {
+        cx.view.borrow_mut().weights.confirm(response.earliest());
+    }
+    for update in updates {
+        apply_update(cx, update, response);
+    }
+    cx.view.borrow_mut().weights.confirm(response.earliest());
+}
+
+/// Waits for changes, applies them and returns the position for the next watch;
 /// none if the topic must be listed again.
-async fn watch(cx: &Context, topic: Topic, after: Revision) -> Option<Revision> {
+async fn watch(cx: &Context, topic: Topic, position: WatchPosition) -> Option<WatchPosition> {
+    let after = position.after;
     while is_served_by_hub(cx, topic) {
         sleep(STORE_POLL_INTERVAL).await;
     }
@@ -125,15 +183,25 @@
     let result = tokio::select! {
         result = cx.store.watch(topic, after, wait_ms(cx, topic)) => result,
         () = until_era_after(cx, after.era) => Ok(WatchResult::HistoryGone),
-        () = cx.watches_suspect.notified() => return Some(after),
+        () = cx.watches_suspect.notified() => return Some(position),
     };
     match result {
         Ok(WatchResult::Changes(listing)) => {
             record_success(cx, topic);
-            for update in listing.updates {
-                apply_update(cx, update, Announcement::Fresh);
+            let response = cx.pause_watch.arrival(now()).of_response(called_at);
+            if topic == Topic::Operators {
+                let gap_ms = called_at.millis_since(position.responded_at);
+                let follows_at_once = gap_ms <= MAX_WATCH_GAP_MS;
+                apply_operators_changes(cx, listing.updates, response, follows_at_once);
+            } else {
+                for update in listing.updates {
+                    apply_update(cx, update, response);
+                }
             }
-            Some(listing.as_of)
+            Some(WatchPosition {
+                after: listing.as_of,
+                responded_at: now(),
+            })
         }
         Ok(WatchResult::HistoryGone) => {
             let topic = topic.name();
@@ -142,7 +210,7 @@
         }
         Err(e) => {
             record_failure(cx, topic, called_at, &e).await;
-            Some(after)
+            Some(position)
         }
     }
 }
@@ -168,17 +236,19 @@
         return false;
     };
     record_response(cx, "hub", hub.reading.read_at);
-    cx.view.borrow().configuration.is_some() && cx.behind_ms() < BEHIND_HUB_MS
+    let view = cx.view.borrow();
+    let is_complete = view.weights.is_complete(now(), HUB_COMPLETE_MS);
+    is_complete && view.configuration.is_some() && cx.behind_ms() < BEHIND_HUB_MS
 }
 
-/// Applies one update of the store.
-pub fn apply_update(cx: &Context, update: StoreUpdate, announcement: Announcement) {
+/// Applies one update of the store, which was in `response`.
+pub fn apply_update(cx: &Context, update: StoreUpdate, response: Arrival) {
     match update {
         StoreUpdate::Configuration(configuration) => {
             cx.apply_configuration(*configuration, "store")
         }
         StoreUpdate::Weights { model, version } => {
-            cx.apply_announced_weights(&model, version, announcement, "store");
+            cx.apply_announced_weights(response, &model, version);
         }
         StoreUpdate::Server(registration) => cx.apply_registration(registration, "store"),
         StoreUpdate::ServerGone(id) => cx.remove_registration(&id, "store"),
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -8,9 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::Arrival;
 use policy::Time;
 use relay::restored_by;
-use relay::Announcement;
 use relay::PeerReading;
 use relay::Revision;
 use tokio::time::sleep;
@@ -167,7 +167,7 @@
         return;
     }
     for update in listing.updates {
-        apply_update(cx, update, Announcement::Fresh);
+        apply_update(cx, update, Arrival::at(now()));
     }
     let changes = cx.view.borrow_mut().fleet.advance(reading);
     cx.on_fleet_changes(changes, "store");
@@ -179,7 +179,7 @@
     for update in listing.updates {
         match update {
             StoreUpdate::Server(registration) => registrations.push(registration),
-            other => apply_update(cx, other, Announcement::Earlier),
+            other => apply_update(cx, other, Arrival::at(now())),
         }
     }
     cx.replace_registrations(registrations, reading, "store");
--- a/crates/gateway/src/gossip_message.rs
+++ b/crates/gateway/src/gossip_message.rs
@@ -1,7 +1,6 @@
 //! Builds the gossip messages of this router from its view and its announcements.
 
 use policy::Time;
-use relay::AnnouncementUpdate;
 use relay::Fleet;
 use relay::FleetUpdate;
 use relay::Gossip;
@@ -54,7 +53,7 @@
         era: view.store_era,
         configuration: view.configuration.as_ref().map_or(0, |c| c.version),
         fleet: fleet_update(now, &view),
-        named: announcement_updates(now, &view),
+        named: view.weights.newest(now).collect(),
         loads,
         parts: part_updates(peers, fleet),
         switches: switch_updates(now, peers, fleet),
@@ -66,6 +65,7 @@
         paces,
         rejections: rejections_updates(now, fleet),
         counted_routers: fleet.counted_routers(now, counts),
+        completeness: view.weights.completeness(now),
     }
 }
 
@@ -79,16 +79,6 @@
     })
 }
 
-fn announcement_updates(now: Time, view: &ClusterView) -> Vec<AnnouncementUpdate> {
-    let named = view.weights.newest_with_ages(now);
-    let updates = named.map(|(model, version, age_ms)| AnnouncementUpdate {
-        model: model.to_string(),
-        version,
-        age_ms,
-    });
-    updates.collect()
-}
-
 fn part_updates(peers: &Peers, fleet: &Fleet) -> Vec<PartUpdate> {
     let parts = peers.parts.borrow();
     let updates = parts.iter().rev().take(MAX_PARTS).filter_map(|announced| {
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use relay::Announcement;
 use relay::Gossip;
 use relay::PartKey;
 use relay::PeerReading;
@@ -134,10 +133,8 @@
         cx.peers.record_unregistered(message.from, from);
     }
     note_era(cx, message.era, "peer");
-    for update in &message.named {
-        let announcement = Announcement::Ago(update.age_ms);
-        cx.apply_announced_weights(&update.model, update.version, announcement, "peer");
-    }
+    let news = cx.pause_watch.arrival(now);
+    cx.apply_announcements(news, &message.named, &message.completeness);
     cx.apply_statements(&message.statements);
     rejections::merge(cx, &message.rejections);
     for update in &message.suspects {
--- a/crates/gateway/src/pause_watch.rs
+++ b/crates/gateway/src/pause_watch.rs
@@ -3,17 +3,36 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use policy::Arrival;
 use policy::Time;
 use tokio::time::sleep;
 
 use crate::clock::now;
+use crate::log_event::LogEvent;
+use crate::process_event::ProcessEvent;
 
 /// Interval at which a process notes that it runs. A stop ends earlier by up to twice this time.
-const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
+const ALIVE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time without a note after which the process counts as paused, in milliseconds.
 const MAX_GAP_MS: u64 = 500;
 
+/// Time without a note after which what is read may have waited for as long, in milliseconds. With the
+/// time for which requests may wait at engines it stays below the margin of the weights' due time.
+const MAX_WAIT_GAP_MS: u64 = 150;
+
+/// Longest time after a gap in which what has waited is read, in milliseconds.
+const MAX_BACKLOG_MS: u64 = 1_000;
+
+/// A time without a note, after which what is read may have waited.
+#[derive(Clone, Copy)]
+struct Gap {
+    /// The process certainly ran then.
+    begun_at: Time,
+    /// All that has waited is read by then.
+    read_until: Time,
+}
+
 /// Notices that this process was paused.
 pub struct PauseWatch {
     /// When the process last noted that it runs.
@@ -22,6 +41,8 @@
     alive_at: Cell<Time>,
     /// When the latest pause ended; none if there was none.
     resumed_at: Cell<Option<Time>>,
+    /// The latest gap, or several with less time between than it takes to read what has waited.
+    gap: Cell<Option<Gap>>,
 }
 
 impl PauseWatch {
@@ -31,25 +52,51 @@
             noted_at: Cell::new(now),
             alive_at: Cell::new(now),
             resumed_at: Cell::new(None),
+            gap: Cell::new(None),
         }
     }
 
-    /// Notes that the process runs, at an interval.
+    /// Notes that the process runs, at an interval, and logs pauses.
     pub async fn run(&self) {
         loop {
-            self.note(now());
+            if let Some(paused_ms) = self.note(now()) {
+                ProcessEvent::Resumed { paused_ms }.write();
+            }
             sleep(ALIVE_INTERVAL).await;
         }
     }
 
-    /// Notes that the process runs. `alive_at` is a note late: after a pause this may come before the
-    /// signal is handled.
-    pub fn note(&self, now: Time) {
+    /// Notes that the process runs. Returns the length in milliseconds of the pause that ends, if it was
+    /// paused. `alive_at` is a note late: after a pause this may come before the signal is handled.
+    pub fn note(&self, now: Time) -> Option<u64> {
         let noted_at = self.noted_at.replace(now);
         self.alive_at.set(noted_at);
-        if now.millis_since(noted_at) > MAX_GAP_MS {
-            self.resumed_at.set(Some(now));
+        let gap_ms = now.millis_since(noted_at);
+        if gap_ms > MAX_WAIT_GAP_MS {
+            self.gap.set(Some(Gap {
+                begun_at: self.unread_since(noted_at).unwrap_or(noted_at),
+                read_until: now.plus_millis(gap_ms.min(MAX_BACKLOG_MS)),
+            }));
+        }
+        if gap_ms <= MAX_GAP_MS {
+            return None;
         }
+        self.resumed_at.set(Some(now));
+        Some(gap_ms)
+    }
+
+    /// Returns when what is read at `now` arrived.
+    pub fn arrival(&self, now: Time) -> Arrival {
+        let noted_at = self.noted_at.get();
+        let is_in_gap = now.millis_since(noted_at) > MAX_WAIT_GAP_MS;
+        let read_from = if is_in_gap { noted_at } else { now };
+        Arrival::between(self.unread_since(read_from).unwrap_or(read_from), now)
+    }
+
+    /// Returns since when messages may wait unread at `at`, if some may have waited in a gap before.
+    fn unread_since(&self, at: Time) -> Option<Time> {
+        let gap = self.gap.get()?;
+        (at < gap.read_until).then_some(gap.begun_at)
     }
 
     /// Returns when the process was last seen to run without a signal to stop.
--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -45,6 +45,12 @@
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
     },
+    /// This process runs again after a pause, by a signal or with its VM. What it reads now may have
+    /// waited for as long.
+    Resumed {
+        /// Time since it last ran for certain.
+        paused_ms: u64,
+    },
     /// This router has written its entry again, as the store may have lost it.
     EntryRewritten {
         /// Era in which it was written.
@@ -257,6 +263,9 @@
             ProcessEvent::StoreRegained { topic, away_ms } => {
                 write!(f, "event=store_regained topic={topic} away_ms={away_ms}")
             }
+            ProcessEvent::Resumed { paused_ms } => {
+                write!(f, "event=resumed paused_ms={paused_ms}")
+            }
             ProcessEvent::StoreEra {
                 before,
                 era,
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -10,7 +10,9 @@
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Limited;
-use relay::Announcement;
+use policy::Arrival;
+use relay::AnnouncementUpdate;
+use relay::CompletenessUpdate;
 use relay::Configuration;
 use relay::ReadingUpdate;
 use relay::Registration;
@@ -70,6 +72,9 @@
     pub configuration: Option<Configuration>,
     /// Newest announced version of weights, by model.
     pub named: Vec<(String, u64)>,
+    /// Up to when `named` was complete; unknown from earlier versions.
+    #[serde(default)]
+    pub completeness: CompletenessUpdate,
     /// Registrations of backend servers; none if they aren't asked for, or before the router has
     /// read them.
     pub servers: Option<ServerList>,
@@ -78,10 +83,11 @@
 impl Snapshot {
     /// Returns the operators' entries that this router knows, without registrations.
     fn of_operators(view: &ClusterView) -> Snapshot {
-        let named = view.weights.newest();
+        let named = view.weights.newest(now());
         Snapshot {
             configuration: view.configuration.as_deref().cloned(),
-            named: named.map(|(m, v)| (m.to_string(), v)).collect(),
+            named: named.map(|newest| (newest.model, newest.version)).collect(),
+            completeness: view.weights.completeness(now()),
             servers: None,
         }
     }
@@ -205,8 +211,12 @@
 }
 
 async fn fetch_snapshot(cx: &Context, peer: SocketAddr, path: &'static str) {
+    let called_at = now();
     match fetch::<Snapshot>(peer, path).await {
-        Ok(snapshot) => apply(cx, snapshot),
+        Ok(snapshot) => {
+            let response = cx.pause_watch.arrival(now()).of_response(called_at);
+            apply(cx, response, snapshot);
+        }
         Err(e) => log_failure(Step::SnapshotFetch, &e),
     }
 }
@@ -233,14 +243,20 @@
     (version == 0 && !seeds.is_empty()).then(|| seeds[at % seeds.len()])
 }
 
-fn apply(cx: &Context, snapshot: Snapshot) {
+fn apply(cx: &Context, response: Arrival, snapshot: Snapshot) {
     if let Some(mut configuration) = snapshot.configuration {
         configuration.build_index();
         cx.apply_configuration(configuration, "peer");
     }
-    for (model, version) in snapshot.named {
-        cx.apply_announced_weights(&model, version, Announcement::Earlier, "peer");
-    }
+    let named = snapshot.named.into_iter();
+    let named: Vec<AnnouncementUpdate> = named
+        .map(|(model, version)| AnnouncementUpdate {
+            model,
+            version,
+            age_ms: 0,
+        })
+        .collect();
+    cx.apply_announcements(response, &named, &snapshot.completeness);
     if let Some(servers) = snapshot.servers {
         servers.apply(cx);
     }
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 
 use log::Level;
-use relay::Announcement;
 use relay::Build;
 
 use crate::log_event::LogEvent;
@@ -64,8 +63,10 @@
         model: &'a str,
         /// Version that was announced.
         version: u64,
-        /// How long ago it was announced.
-        announcement: Announcement,
+        /// Least time since it was announced.
+        age_ms: u64,
+        /// Longest time since it can have been announced; none if nothing tells.
+        oldest_age_ms: Option<u64>,
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
     },
@@ -142,12 +143,19 @@
             ViewEvent::WeightsAnnounced {
                 model,
                 version,
-                announcement,
+                age_ms,
+                oldest_age_ms,
                 source,
-            } => write!(
-                f,
-                "event=weights_named model={model:?} version={version} naming={announcement:?} source={source}"
-            ),
+            } => {
+                write!(
+                    f,
+                    "event=weights_named model={model:?} version={version} age_ms={age_ms} "
+                )?;
+                match oldest_age_ms {
+                    Some(ms) => write!(f, "oldest_age_ms={ms} source={source}"),
+                    None => write!(f, "oldest_age_ms=unknown source={source}"),
+                }
+            }
             ViewEvent::RouterAdded { peer, address } => {
                 write!(f, "event=router_added peer={peer:?} address={address}")
             }
--- a/crates/gateway/src/view_gauges.rs
+++ b/crates/gateway/src/view_gauges.rs
@@ -90,12 +90,12 @@
         self.store_silence_ms.set(clamped(silence_ms));
         let blocked = view.crash_evidence.count_blocked(now);
         self.suspects_blocked.set(clamped(blocked as u64));
-        for (model, version, age_ms) in view.weights.newest_with_ages(now) {
-            let labels = [&**model];
+        for newest in view.weights.newest(now) {
+            let labels = [&*newest.model];
             let of_model = self.weights_version.with_label_values(&labels);
-            of_model.set(clamped(version));
+            of_model.set(clamped(newest.version));
             let of_model = self.weights_age_ms.with_label_values(&labels);
-            of_model.set(clamped(age_ms));
+            of_model.set(clamped(newest.age_ms));
         }
         for (service, budget) in &mut view.budgets {
             let of_service = self.retries_left.with_label_values(&[&**service]);
--- a/crates/gateway/tests/log_events.rs
+++ b/crates/gateway/tests/log_events.rs
@@ -23,7 +23,6 @@
 use gateway::ViewEvent;
 use insta::assert_snapshot;
 use log::Level;
-use relay::Announcement;
 use relay::AttemptEnd;
 use relay::OrderResponse;
 use relay::PartKey;
@@ -185,10 +184,11 @@
     let named = ViewEvent::WeightsAnnounced {
         model: "m0",
         version: 4,
-        announcement: Announcement::Ago(120),
+        age_ms: 120,
+        oldest_age_ms: Some(900),
         source: "peer",
     };
-    assert_snapshot!(named, @r#"event=weights_named model="m0" version=4 naming=Ago(120) source=peer"#);
+    assert_snapshot!(named, @r#"event=weights_named model="m0" version=4 age_ms=120 oldest_age_ms=900 source=peer"#);
     let taken = ServerEvent::WeightsLoaded {
         server: "e1",
         model: "m0",
@@ -360,6 +360,8 @@
         away_ms: 7_061,
     };
     assert_snapshot!(regained, @"event=store_regained topic=operators away_ms=7061");
+    let resumed = ProcessEvent::Resumed { paused_ms: 5_012 };
+    assert_snapshot!(resumed, @"event=resumed paused_ms=5012");
     let gone = ProcessEvent::HistoryGone {
         topic: "routers",
         after: Revision { era: 0, number: 11 },
--- a/crates/gateway/tests/pause_watch.rs
+++ b/crates/gateway/tests/pause_watch.rs
@@ -10,7 +10,7 @@
 /// Returns a watch that has noted until `ms` that the process runs.
 fn running_until(ms: u64) -> PauseWatch {
     let watch = PauseWatch::new(at(0));
-    for ms in (0..=ms).step_by(250) {
+    for ms in (0..=ms).step_by(50) {
         watch.note(at(ms));
     }
     watch
@@ -34,9 +34,9 @@
 #[test]
 fn a_pause_is_known_for_what_began_before_its_end() {
     let watch = running_until(1_000);
-    watch.note(at(1_900));
-    watch.note(at(2_150));
 
+    assert_eq!(watch.note(at(1_900)), Some(900));
+    assert_eq!(watch.note(at(2_150)), None);
     assert!(watch.was_paused(at(900), at(2_200)));
     assert!(!watch.was_paused(at(1_950), at(2_200)));
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -9,7 +9,9 @@
 use serde::Deserializer;
 use serde::Serialize;
 
+use crate::AnnouncementUpdate;
 use crate::BackendServer;
+use crate::CompletenessUpdate;
 use crate::Fleet;
 use crate::Load;
 use crate::PaceUpdate;
@@ -128,17 +130,6 @@
     pub reading: ReadingUpdate,
 }
 
-/// Newest announced version of a model's weights.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AnnouncementUpdate {
-    /// Name of the model.
-    pub model: String,
-    /// Version of the weights.
-    pub version: u64,
-    /// Time since the version was announced, as far as the sender knows, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// One gossip message.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
@@ -183,6 +174,9 @@
     /// Number of routers whose requests `loads` counts; 0 if unknown, as from earlier versions.
     #[serde(deserialize_with = "or_default")]
     pub counted_routers: u32,
+    /// Up to when `named` was complete; unknown from earlier versions.
+    #[serde(deserialize_with = "or_default")]
+    pub completeness: CompletenessUpdate,
 }
 
 /// Reads one of the last fields of a message; its default if the message ends before it.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -367,8 +367,8 @@
     }
 
     fn replaced_weights_cost_ms(&self, model: &str, weights: Option<u64>) -> f64 {
-        let replaced_at = weights.and_then(|version| self.weights.replaced_at(model, version));
-        match replaced_at {
+        let replaced_by = weights.and_then(|version| self.weights.replaced_by(model, version));
+        match replaced_by {
             Some(at) if self.now.millis_since(at) >= REPLACED_WEIGHTS_GRACE_MS => {
                 REPLACED_WEIGHTS_COST_MS
             }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use policy::Arrival;
 use policy::Time;
 use relay::CachePartition;
 use relay::Fleet;
@@ -16,6 +17,7 @@
 use relay::ServerKey;
 use relay::ServerState;
 use relay::StreamBuild;
+use relay::Weights;
 
 pub const MODEL: &str = "long";
 pub const SERVICE: &str = "engines";
@@ -50,6 +52,21 @@
     }
 }
 
+/// Time from which routers don't use replaced weights if nothing tells how long ago they were replaced.
+pub const UNKNOWN_DUE_MS: u64 = 2_500;
+
+/// Returns the record of a router that started at 0 and knows no announced weights. Replaced ones are due
+/// `due_ms` after the announcement.
+pub fn no_weights(due_ms: u64) -> Weights {
+    Weights::new(due_ms, at(UNKNOWN_DUE_MS))
+}
+
+/// Records that a version was announced just now.
+pub fn announce_now(weights: &mut Weights, now: Time, version: u64) {
+    weights.confirm(now);
+    weights.announce(Arrival::at(now), MODEL, version, 0);
+}
+
 /// Returns a reading of the store at a revision, some time after an outage.
 pub fn reading(number: u64, outage_until: Time) -> Reading {
     reading_in(1, number, outage_until)
--- a/crates/relay/tests/configuration.rs
+++ b/crates/relay/tests/configuration.rs
@@ -1,16 +1,10 @@
-//! Lookup of routes and workspaces, and deadlines of announced weights.
+//! Lookup of routes and workspaces.
 
-mod common;
-
-use common::at;
-use common::MODEL;
-use relay::Announcement;
 use relay::CallerLimits;
 use relay::Configuration;
 use relay::Route;
 use relay::RouteKind;
 use relay::Share;
-use relay::Weights;
 use relay::Workspace;
 
 fn route(name: &str, host: &str, path_prefix: &str) -> Route {
@@ -90,44 +84,3 @@
     assert_eq!(&*closed.workspace("k").unwrap().name, "w");
     assert!(closed.workspace("other").is_none());
 }
-
-#[test]
-fn the_first_newer_version_decides_when_a_version_is_overdue() {
-    let mut weights = Weights::new(5_000, 2_500);
-    weights.announce(at(0), MODEL, 2, Announcement::Fresh);
-    weights.announce(at(4_000), MODEL, 3, Announcement::Fresh);
-    assert!(weights.is_overdue(at(5_000), MODEL, 1));
-    assert!(!weights.is_overdue(at(5_000), MODEL, 2));
-    assert!(weights.is_overdue(at(9_000), MODEL, 2));
-    assert!(!weights.is_overdue(at(99_000), MODEL, 3));
-}
-
-#[test]
-fn a_new_router_learns_from_others_how_long_ago_a_version_was_announced() {
-    let mut weights = Weights::new(7_000, 2_500);
-    weights.announce(at(5_000), MODEL, 2, Announcement::Ago(3_000));
-    assert!(!weights.is_overdue(at(8_999), MODEL, 1));
-    assert!(weights.is_overdue(at(9_000), MODEL, 1));
-    let ages: Vec<u64> = weights
-        .newest_with_ages(at(6_000))
-        .map(|(_, _, age)| age)
-        .collect();
-    assert_eq!(ages, [4_000]);
-}
-
-#[test]
-fn versions_before_the_previous_one_are_due_early_if_those_in_between_are_unknown() {
-    let mut weights = Weights::new(7_000, 2_500);
-    weights.announce(at(0), MODEL, 3, Announcement::Ago(500));
-    assert!(weights.is_overdue(at(2_500), MODEL, 1));
-    assert!(!weights.is_overdue(at(2_500), MODEL, 2));
-}
-
-#[test]
-fn a_version_announced_earlier_is_due_sooner_and_a_lower_version_is_ignored() {
-    let mut weights = Weights::new(5_000, 2_500);
-    assert!(weights.announce(at(0), MODEL, 4, Announcement::Earlier));
-    assert!(weights.is_overdue(at(2_500), MODEL, 3));
-    assert!(!weights.announce(at(10), MODEL, 3, Announcement::Fresh));
-    assert_eq!(weights.target_version(MODEL), Some(4));
-}
--- a/crates/relay/tests/many_routers.rs
+++ b/crates/relay/tests/many_routers.rs
@@ -9,6 +9,7 @@
 use common::at;
 use common::fleet;
 use common::keys;
+use common::no_weights;
 use common::registration;
 use common::request;
 use common::LONG;
@@ -21,13 +22,12 @@
 use relay::PrefixStores;
 use relay::Residency;
 use relay::ServerKey;
-use relay::Weights;
 
 fn place(fleet: &Fleet, now: Time) -> Choice {
     let placement = Placement {
         fleet,
         residency: &Residency::default(),
-        weights: &Weights::new(5_000, 2_500),
+        weights: &no_weights(5_000),
         stores: PrefixStores {
             configuration: None,
             regions: &BTreeMap::new(),
--- a/crates/relay/tests/order_plan.rs
+++ b/crates/relay/tests/order_plan.rs
@@ -5,12 +5,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use common::announce_now;
 use common::at;
 use common::fleet;
 use common::keys;
+use common::no_weights;
 use common::registration;
 use common::MODEL;
-use relay::Announcement;
 use relay::EngineReport;
 use relay::Fleet;
 use relay::OrderPlan;
@@ -22,8 +23,8 @@
 const FIFTY_PERCENT: u32 = 50;
 
 fn weights(version: u64) -> Weights {
-    let mut weights = Weights::new(5_000, 2_500);
-    weights.announce(at(0), MODEL, version, Announcement::Fresh);
+    let mut weights = no_weights(5_000);
+    announce_now(&mut weights, at(0), version);
     weights
 }
 
--- a/crates/relay/tests/overload/router.rs
+++ b/crates/relay/tests/overload/router.rs
@@ -20,8 +20,8 @@
 use relay::StreamBuild;
 use relay::Ticket;
 use relay::Unplaceable;
-use relay::Weights;
 
+use crate::common::no_weights;
 use crate::common::SERVICE;
 
 /// A request as its router sees it.
@@ -145,7 +145,7 @@
         let placement = Placement {
             fleet: &self.fleet,
             residency: &Residency::default(),
-            weights: &Weights::new(5_000, 2_500),
+            weights: &no_weights(5_000),
             stores: PrefixStores {
                 configuration: Some(cfg),
                 regions: &BTreeMap::new(),
--- a/crates/relay/tests/pace_sim/mod.rs
+++ b/crates/relay/tests/pace_sim/mod.rs
@@ -20,9 +20,9 @@
 use relay::PrefixStores;
 use relay::Residency;
 use relay::ServerKey;
-use relay::Weights;
 
 use crate::common::at;
+use crate::common::no_weights;
 use crate::common::part;
 use crate::common::registration;
 use crate::common::request;
@@ -222,7 +222,7 @@
         let placement = Placement {
             fleet: &self.routers[router],
             residency: &Residency::default(),
-            weights: &Weights::new(5_000, 2_500),
+            weights: &no_weights(5_000),
             stores: PrefixStores {
                 configuration: None,
                 regions: &regions,
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -4,16 +4,17 @@
 
 use std::collections::BTreeMap;
 
+use common::announce_now;
 use common::at;
 use common::fleet;
 use common::keys;
+use common::no_weights;
 use common::part;
 use common::registration;
 use common::request;
 use common::LONG;
 use common::MODEL;
 use policy::Time;
-use relay::Announcement;
 use relay::Build;
 use relay::CachePartition;
 use relay::Choice;
@@ -50,7 +51,7 @@
         TestCluster {
             fleet: fleet(engines, 1),
             residency: Residency::default(),
-            weights: Weights::new(5_000, 2_500),
+            weights: no_weights(5_000),
             now: at(10),
         }
     }
@@ -308,9 +309,7 @@
 #[test]
 fn replaced_weights_are_used_for_a_while_then_avoided_then_refused() {
     let mut cluster = TestCluster::new(2);
-    cluster
-        .weights
-        .announce(at(0), MODEL, 2, Announcement::Fresh);
+    announce_now(&mut cluster.weights, at(0), 2);
     let old = cluster.place(&SHORT).unwrap().server;
     let newer = keys(&cluster.fleet)
         .into_iter()
@@ -331,9 +330,7 @@
 #[test]
 fn a_returning_engine_with_overdue_weights_gets_no_requests() {
     let mut cluster = TestCluster::new(1);
-    cluster
-        .weights
-        .announce(at(0), MODEL, 2, Announcement::Fresh);
+    announce_now(&mut cluster.weights, at(0), 2);
     cluster.fleet.apply(at(9_000), registration("returned", 1));
     cluster.now = at(9_100);
     assert!(matches!(
@@ -345,9 +342,7 @@
 #[test]
 fn a_request_that_would_begin_too_late_on_replaced_weights_is_not_queued_for_them() {
     let mut cluster = TestCluster::new(1);
-    cluster
-        .weights
-        .announce(at(0), MODEL, 2, Announcement::Fresh);
+    announce_now(&mut cluster.weights, at(0), 2);
     cluster.now = at(4_500);
     assert!(cluster.place(&SHORT).is_ok());
     cluster.add_load_to_all(1_500);
--- a/crates/relay/tests/prefix_stores.rs
+++ b/crates/relay/tests/prefix_stores.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use common::at;
+use common::no_weights;
 use common::part;
 use common::registration;
 use common::request;
@@ -96,7 +97,7 @@
         TestCluster {
             fleet,
             residency: Residency::default(),
-            weights: Weights::new(5_000, 2_500),
+            weights: no_weights(5_000),
             configuration: Configuration::new(1, Vec::new(), Vec::new(), services, limits),
             regions: [("a".into(), "east".into()), ("b".into(), "west".into())].into(),
             now: at(10),
--- a/crates/relay/tests/rejections.rs
+++ b/crates/relay/tests/rejections.rs
@@ -5,15 +5,15 @@
 
 use std::collections::BTreeMap;
 
+use common::announce_now;
 use common::at;
 use common::fleet;
 use common::keys;
+use common::no_weights;
 use common::request;
 use common::LONG;
-use common::MODEL;
 use common::SERVICE;
 use policy::Time;
-use relay::Announcement;
 use relay::CallerLimits;
 use relay::Choice;
 use relay::Configuration;
@@ -115,7 +115,7 @@
 }
 
 fn weights() -> Weights {
-    Weights::new(5_000, 2_500)
+    no_weights(5_000)
 }
 
 #[test]
@@ -225,7 +225,7 @@
         fleet.begin_request(at(0), key, 0);
     }
     let mut announced = weights();
-    announced.announce(at(0), MODEL, 2, Announcement::Fresh);
+    announce_now(&mut announced, at(0), 2);
     let place = |weights: &Weights, quota| place(&fleet, weights, quota, &request(&LONG), at(10));
 
     // Act and assert
--- /dev/null
+++ b/crates/relay/tests/weights.rs
@@ -0,0 +1,156 @@
+//! When no request may begin any more on weights that were replaced.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::announce_now;
+use common::at;
+use common::no_weights;
+use common::MODEL;
+use common::UNKNOWN_DUE_MS;
+use policy::Arrival;
+use policy::Time;
+use relay::Weights;
+
+/// Time within which replaced weights may be used, in milliseconds.
+const DUE_MS: u64 = 7_000;
+
+/// Lets one router know what another one sends it at `sent_at`.
+fn tell(from: &Weights, sent_at: Time, to: &mut Weights, message: Arrival) {
+    let named: Vec<_> = from.newest(sent_at).collect();
+    for update in &named {
+        to.announce(message, &update.model, update.version, update.age_ms);
+    }
+    to.apply_completeness(message, &named, &from.completeness(sent_at));
+}
+
+/// Lists the store at its start, when a version was announced before.
+fn list(weights: &mut Weights, now: Time, version: u64) {
+    weights.confirm_newest(now, &BTreeMap::from([(MODEL, version)]));
+    weights.announce(Arrival::at(now), MODEL, version, 0);
+    weights.confirm(now);
+}
+
+/// Returns a router that has watched the store until a version was announced.
+fn watcher(announced_at: Time, version: u64) -> Weights {
+    let mut weights = no_weights(DUE_MS);
+    announce_now(&mut weights, announced_at, version);
+    weights
+}
+
+#[test]
+fn the_first_newer_version_decides_when_a_version_is_overdue() {
+    let mut weights = no_weights(5_000);
+    announce_now(&mut weights, at(0), 2);
+    announce_now(&mut weights, at(4_000), 3);
+
+    assert!(weights.is_overdue(at(5_000), MODEL, 1));
+    assert!(!weights.is_overdue(at(5_000), MODEL, 2));
+    assert!(weights.is_overdue(at(9_000), MODEL, 2));
+    assert!(!weights.is_overdue(at(99_000), MODEL, 3));
+}
+
+#[test]
+fn a_lower_version_is_ignored() {
+    let mut weights = no_weights(5_000);
+
+    assert!(weights.announce(Arrival::at(at(0)), MODEL, 4, 0));
+    assert!(!weights.announce(Arrival::at(at(10)), MODEL, 3, 0));
+    assert_eq!(weights.target_version(MODEL), Some(4));
+}
+
+// Guards against engines that are left unused, as a new router doesn't know how young an announcement is.
+#[test]
+fn a_new_router_learns_from_others_how_long_ago_a_version_was_announced() {
+    let mut weights = no_weights(DUE_MS);
+    list(&mut weights, at(4_900), 2);
+    tell(
+        &watcher(at(2_000), 2),
+        at(5_000),
+        &mut weights,
+        Arrival::at(at(5_000)),
+    );
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(9_000)));
+    let newest: Vec<_> = weights.newest(at(6_000)).collect();
+    assert_eq!(newest[0].age_ms, 4_000);
+}
+
+// Guards against VERSION: a router that has listed an old announcement passes it on as a young one.
+#[test]
+fn what_a_restarted_router_says_postpones_nothing() {
+    let mut restarted = no_weights(DUE_MS);
+    list(&mut restarted, at(5_000), 2);
+    let mut weights = no_weights(DUE_MS);
+    tell(&restarted, at(5_100), &mut weights, Arrival::at(at(5_100)));
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(UNKNOWN_DUE_MS)));
+}
+
+// Guards against VERSION: the age of an announcement counts from when a paused router reads it.
+#[test]
+fn what_waited_in_a_pause_counts_from_its_begin() {
+    let pause = Arrival::between(at(1_000), at(6_000));
+    let mut weights = no_weights(DUE_MS);
+    weights.confirm(at(500));
+    tell(&watcher(at(1_100), 2), at(1_100), &mut weights, pause);
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(1_000 + DUE_MS)));
+}
+
+// Guards against engines that are left unused after a pause.
+#[test]
+fn what_arrives_after_a_pause_narrows_what_was_read_at_its_end() {
+    let pause = Arrival::between(at(1_000), at(6_000));
+    let other = watcher(at(5_000), 2);
+    let mut weights = no_weights(DUE_MS);
+    weights.confirm(at(500));
+    tell(&other, at(5_000), &mut weights, pause);
+    tell(&other, at(7_500), &mut weights, Arrival::at(at(7_500)));
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(5_000 + DUE_MS)));
+}
+
+// Guards against VERSION: a connection to the store that hung delivers an announcement late.
+#[test]
+fn news_that_come_late_postpone_nothing() {
+    let mut weights = watcher(at(1_000), 2);
+    weights.confirm(at(4_000));
+    weights.announce(Arrival::at(at(4_000)), MODEL, 2, 0);
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(1_000 + DUE_MS)));
+}
+
+#[test]
+fn a_listing_without_a_version_proves_that_it_is_younger() {
+    let mut weights = no_weights(DUE_MS);
+    weights.confirm(at(1_000));
+    list(&mut weights, at(3_000), 1);
+    list(&mut weights, at(9_000), 2);
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(3_000 + DUE_MS)));
+}
+
+// Guards against VERSION: a version in between, which this router never saw, was announced earlier.
+#[test]
+fn versions_before_the_previous_one_are_due_earlier_if_those_in_between_are_unknown() {
+    let mut other = watcher(at(0), 2);
+    announce_now(&mut other, at(4_000), 3);
+    let mut weights = no_weights(DUE_MS);
+    weights.announce(Arrival::at(at(4_100)), MODEL, 3, 100);
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(UNKNOWN_DUE_MS)));
+    tell(&other, at(4_200), &mut weights, Arrival::at(at(4_200)));
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(DUE_MS)));
+    assert_eq!(weights.overdue_from(MODEL, 2), Some(at(4_000 + DUE_MS)));
+}
+
+#[test]
+fn a_router_without_the_first_announcement_of_a_model_knows_when_there_was_none() {
+    let mut weights = no_weights(DUE_MS);
+    weights.confirm(at(3_000));
+    weights.announce(Arrival::at(at(8_000)), MODEL, 2, 0);
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(3_000 + DUE_MS)));
+}
