--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,11 +17,12 @@
 use relay::Choice;
 use relay::PartSource;
 use relay::ServerKey;
-use tokio::time::interval;
 use tokio::time::timeout;
 
 use crate::attempt_failure::AttemptFailure;
 use crate::attempt_failure::FullResponse;
+use crate::attempt_watch::until_unresponsive;
+use crate::attempt_watch::until_weights_overdue;
 use crate::attempted_server::AttemptedServer;
 use crate::body::ResponseBody;
 use crate::clock::now;
@@ -55,22 +56,8 @@
 use crate::server_body::ServerBody;
 use crate::timing::duration_until;
 
-/// Time for which a backend server may leave all its requests without a response, beyond
-/// the time allowed for their prefill, in milliseconds. After that, an attempt of a request
-/// that may be retried is abandoned.
-const UNRESPONSIVE_MS: u64 = 1_200;
-
-/// The same for a backend server that this router is found to be cut off from.
-const CUT_OFF_SILENCE_MS: u64 = 500;
-
-/// Time for which a request may still wait at an engine once none is sent there any more because of
-/// its weights, in milliseconds. With the interval of the check it stays below the margin that the
-/// weights' due time keeps from the operators' limit.
-const BEGIN_SLACK_MS: u64 = 600;
-
-/// Interval at which an attempt checks whether its backend server is unresponsive; also
-/// the longest time spent on draining a rejection's body.
-const UNRESPONSIVE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time spent on draining a rejection's body.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Most bytes that are read of a response that names its length.
 const MAX_SIZED_RESPONSE_BYTES: u64 = 16 << 20;
@@ -366,47 +353,6 @@
     path.map_or_else(|| uri.clone(), http::Uri::from)
 }
 
-/// Completes once a backend server has not responded to any request for more than
-/// [`UNRESPONSIVE_MS`], beyond the time allowed for prefill, or is found to be cut off from this
-/// router while it owes a response.
-async fn until_unresponsive(x: &Exchange, key: ServerKey) {
-    let mut ticks = interval(UNRESPONSIVE_POLL_INTERVAL);
-    let begun_at = now();
-    loop {
-        ticks.tick().await;
-        let view = x.cx.view.borrow();
-        let Some(server) = view.fleet.get(key) else {
-            continue;
-        };
-        let cut_since = view.reach.cut_since(&server.registration.domain);
-        let was_cut_off = cut_since.is_some_and(|since| since > begun_at)
-            && server.own_silence_ms(now()) > CUT_OFF_SILENCE_MS;
-        if was_cut_off || server.unresponsive_ms(now()) > UNRESPONSIVE_MS {
-            return;
-        }
-    }
-}
-
-/// Completes when a request that an engine has not begun to run may no longer begin there, as it
-/// has replaced weights. That holds for requests that may not be retried too: their callers learn
-/// that the outcome is unknown.
-async fn until_weights_overdue(x: &Exchange, choice: &Choice) {
-    let mut ticks = interval(UNRESPONSIVE_POLL_INTERVAL);
-    loop {
-        ticks.tick().await;
-        let view = x.cx.view.borrow();
-        let overdue_from = x
-            .parsed
-            .prompt
-            .as_ref()
-            .zip(choice.weights)
-            .and_then(|(prompt, version)| view.weights.overdue_from(&prompt.model, version));
-        if overdue_from.is_some_and(|at| at.plus_millis(BEGIN_SLACK_MS) <= now()) {
-            return;
-        }
-    }
-}
-
 /// Drains the body of a rejection, so that the connection can be reused.
 async fn drain_and_release(
     x: &Exchange,
@@ -415,7 +361,7 @@
     connection: PooledConnection,
     keep_alive_ms: Option<u64>,
 ) {
-    let read = timeout(UNRESPONSIVE_POLL_INTERVAL, body.collect()).await;
+    let read = timeout(DRAIN_TIMEOUT, body.collect()).await;
     if matches!(read, Ok(Ok(_))) {
         x.cx.pool.release(server, connection, keep_alive_ms);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt_failure;
 mod attempt_outcome;
 mod attempt_timer;
+mod attempt_watch;
 mod attempted_server;
 mod body;
 mod buffer_hold;
--- a/crates/relay/src/eligibility.rs
+++ b/crates/relay/src/eligibility.rs
@@ -47,12 +47,14 @@
     /// Returns whether the request would begin after the time up to which the server's weights may be
     /// used.
     fn is_overdue(&self, request: &PlacementRequest<'_>, server: &BackendServer) -> bool {
-        let Some(prompt) = &request.prompt else {
-            return false;
-        };
         // What matters is when the request begins, after those ahead of it.
         let begins_at = self.now.plus_millis(wait_ms(server, self.now) as u64);
-        let version = server.weights(prompt.model);
-        version.is_some_and(|version| self.weights.is_overdue(begins_at, prompt.model, version))
+        let overdue_from = match &request.prompt {
+            Some(prompt) => server
+                .weights(prompt.model)
+                .and_then(|version| self.weights.overdue_from(prompt.model, version)),
+            None => self.weights.server_overdue_from(server),
+        };
+        overdue_from.is_some_and(|at| at <= begins_at)
     }
 }
--- a/crates/relay/src/weights.rs
+++ b/crates/relay/src/weights.rs
@@ -245,6 +245,15 @@
         due_at.is_some_and(|due_at| due_at <= now)
     }
 
+    /// Returns the time from which no request may begin at a backend server, whatever its model; none if
+    /// its weights are the newest.
+    pub fn server_overdue_from(&self, server: &BackendServer) -> Option<Time> {
+        let loaded = server.registration.weights.iter();
+        loaded
+            .filter_map(|(model, version)| self.overdue_from(model, *version))
+            .min()
+    }
+
     /// Returns the time from which no request may begin on `version` of a model's weights; none if it
     /// is the newest. It counts from the earliest time at which the version can have been replaced.
     pub fn overdue_from(&self, model: &str, version: u64) -> Option<Time> {
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -339,6 +339,22 @@
     ));
 }
 
+// Guards against VERSION: a request whose model can't be read is sent to an engine with old weights.
+#[test]
+fn a_request_without_a_model_gets_no_engine_with_overdue_weights() {
+    let mut cluster = TestCluster::new(1);
+    announce_now(&mut cluster.weights, at(0), 2);
+    let request = PlacementRequest {
+        prompt: None,
+        ..request(&SHORT)
+    };
+    cluster.now = at(4_900);
+    assert!(cluster.place_request(&request).is_ok());
+
+    cluster.now = at(5_000);
+    assert!(cluster.place_request(&request).is_err());
+}
+
 #[test]
 fn a_request_that_would_begin_too_late_on_replaced_weights_is_not_queued_for_them() {
     let mut cluster = TestCluster::new(1);
