--- a/crates/relay/tests/weights.rs
+++ b/crates/relay/tests/weights.rs
@@ -11,6 +11,7 @@
 use common::UNKNOWN_DUE_MS;
 use policy::Arrival;
 use policy::Time;
+use proptest::prelude::*;
 use relay::Weights;
 
 /// Time within which replaced weights may be used, in milliseconds.
@@ -154,3 +155,120 @@
 
     assert_eq!(weights.overdue_from(MODEL, 1), Some(at(3_000 + DUE_MS)));
 }
+
+/// Number of routers in the generated histories.
+const ROUTERS: usize = 4;
+
+/// When version 2 is announced in the generated histories, in milliseconds.
+const ANNOUNCED_MS: u64 = 10_000;
+
+/// What happens to one router.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// It starts anew, and knows nothing.
+    Start,
+    /// It lists the store.
+    List,
+    /// Its watch responds at once, if there is news.
+    Watch,
+    /// What another router sends it arrives, and is read after a pause of this length, in milliseconds. The
+    /// pause began up to so long before the message came.
+    Message { from: usize, pause_ms: u64 },
+}
+
+/// A router, and when it last read the store before the announcement.
+struct Router {
+    weights: Weights,
+    started_at: Time,
+    read_at: Option<Time>,
+}
+
+impl Router {
+    fn start(now: Time) -> Router {
+        Router {
+            weights: Weights::new(DUE_MS, now.plus_millis(UNKNOWN_DUE_MS)),
+            started_at: now,
+            read_at: None,
+        }
+    }
+
+    /// Lists the store at `now`, in milliseconds.
+    fn list(&mut self, now: u64) {
+        let is_announced = now >= ANNOUNCED_MS;
+        list(&mut self.weights, at(now), 1 + u64::from(is_announced));
+        if !is_announced {
+            self.read_at = Some(at(now));
+        }
+    }
+
+    /// Reads the announcement from a watch that had responded before.
+    fn watch(&mut self) {
+        if self.read_at.is_some() && self.weights.target_version(MODEL) == Some(1) {
+            announce_now(&mut self.weights, at(ANNOUNCED_MS), 2);
+        }
+    }
+
+    /// Checks the time from which the router uses no version 1 any more, if it knows version 2.
+    fn check(&self) {
+        let Some(due_at) = self.weights.overdue_from(MODEL, 1) else {
+            return;
+        };
+        let limit = at(ANNOUNCED_MS + DUE_MS);
+        let unknown_due_at = self.started_at.plus_millis(UNKNOWN_DUE_MS);
+        assert!(due_at <= limit.max(unknown_due_at), "too late: {due_at:?}");
+        if let Some(read_at) = self.read_at {
+            assert!(
+                due_at >= read_at.plus_millis(DUE_MS),
+                "too early: {due_at:?}"
+            );
+        }
+    }
+}
+
+/// Plays steps, each some milliseconds after the one before, and checks the routers after each.
+fn play(steps: &[(u64, usize, Step)]) {
+    let mut routers: Vec<Router> = (0..ROUTERS).map(|_| Router::start(at(0))).collect();
+    let mut now = 0;
+    for &(ms, router, step) in steps {
+        if now < ANNOUNCED_MS && now + ms >= ANNOUNCED_MS {
+            // The store responds to watches as soon as there is news.
+            let watching = routers.iter_mut().step_by(2);
+            watching.for_each(Router::watch);
+        }
+        now += ms;
+        match step {
+            Step::Start => routers[router] = Router::start(at(now)),
+            Step::List => routers[router].list(now),
+            Step::Watch if now >= ANNOUNCED_MS => routers[router].watch(),
+            Step::Watch => {}
+            Step::Message { from, pause_ms } => {
+                let sender = routers[from].weights.clone();
+                let begun_at = at(now.saturating_sub(pause_ms));
+                let message = Arrival::between(begun_at, at(now + pause_ms));
+                tell(&sender, at(now), &mut routers[router].weights, message);
+            }
+        }
+        routers.iter().for_each(Router::check);
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let message = (0..ROUTERS, prop_oneof![Just(0), 0..6_000_u64]);
+    prop_oneof![
+        1 => Just(Step::Start),
+        2 => Just(Step::List),
+        1 => Just(Step::Watch),
+        6 => message.prop_map(|(from, pause_ms)| Step::Message { from, pause_ms }),
+    ]
+}
+
+proptest! {
+    // Guards against VERSION, and against engines that are left unused, in any order of restarts, pauses and
+    // messages.
+    #[test]
+    fn routers_stop_using_former_weights_in_time_and_no_earlier_than_they_must(
+        steps in prop::collection::vec((0..800_u64, 0..ROUTERS, step()), 1..120),
+    ) {
+        play(&steps);
+    }
+}
