gateway: messages that have waited aren't forwarded, nor sent on after a pause

A hub that was paused forwarded what other regions had sent meanwhile. Messages come four times a second, so a hub drops those that may have waited. A router that is paused while it sends a message stops sending it.

--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::Arrival;
+use policy::Time;
 use relay::Gossip;
 use relay::PartKey;
 use relay::PeerReading;
@@ -34,6 +36,10 @@
 /// Longest time between two messages where routers send through hubs.
 const HUB_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after which a message is sent to no further router, in milliseconds: ages in it count from its
+/// arrival. A slow VM sends to all of them in less.
+const MAX_SEND_TIME_MS: u64 = 500;
+
 /// Largest message that can be received, in bytes.
 const MAX_MESSAGE_BYTES: usize = 65_507;
 
@@ -48,6 +54,7 @@
         };
         // An announcement or the timeout: a message is sent in either case.
         let _ = timeout(interval, cx.peers.wake.notified()).await;
+        let built_at = now();
         let message = PeerMessage::Gossip(Box::new(build_message(&cx)));
         cx.peers.remove_expired();
         let Some(bytes) = encode(&message) else {
@@ -56,12 +63,17 @@
         let recipients = cx.peers.topology.borrow_mut().recipients(now());
         let mut addresses = cx.peers.addresses(&recipients);
         addresses.extend(cx.peers.unregistered());
-        send(&cx, &addresses, &bytes).await;
+        send(&cx, &addresses, &bytes, built_at).await;
     }
 }
 
-async fn send(cx: &Context, addresses: &[SocketAddr], bytes: &[u8]) {
+/// Sends a message, unless its ages have become too old, as after a pause.
+async fn send(cx: &Context, addresses: &[SocketAddr], bytes: &[u8], built_at: Time) {
+    let send_until = built_at.plus_millis(MAX_SEND_TIME_MS);
     for address in addresses {
+        if now() > send_until {
+            return;
+        }
         cx.send_bytes_to_peer(*address, bytes).await;
     }
 }
@@ -80,10 +92,12 @@
         let bytes = &buf[..len];
         match postcard::from_bytes::<PeerMessage>(bytes) {
             Ok(PeerMessage::Gossip(message)) => {
-                apply(&cx, from, &message);
+                let arrival = cx.pause_watch.arrival(now());
+                apply(&cx, from, arrival, &message);
                 cx.room_freed.notify_waiters();
-                let recipients = forward_recipients(&cx, &message);
-                send(&cx, &cx.peers.addresses(&recipients), bytes).await;
+                let recipients = forward_recipients(&cx, arrival, &message);
+                let addresses = cx.peers.addresses(&recipients);
+                send(&cx, &addresses, bytes, arrival.latest()).await;
             }
             Ok(PeerMessage::PermitRequest(request)) => permits::answer(&cx, from, request).await,
             Ok(PeerMessage::PermitResponse(response)) => {
@@ -109,20 +123,21 @@
     }
 }
 
-/// Returns the routers to which this one forwards another region's message, if it is a hub.
-fn forward_recipients(cx: &Context, message: &Gossip) -> Vec<u64> {
+/// Returns the routers to which this one forwards another region's message, if it is a hub. Ages in a
+/// message that has waited here would be too young for them.
+fn forward_recipients(cx: &Context, arrival: Arrival, message: &Gossip) -> Vec<u64> {
     let mut topology = cx.peers.topology.borrow_mut();
     let is_foreign = message
         .region
         .is_some_and(|region| region != topology.region());
-    if is_foreign && topology.is_hub(now()) {
+    if is_foreign && !arrival.may_have_waited() && topology.is_hub(now()) {
         topology.region_peers()
     } else {
         Vec::new()
     }
 }
 
-fn apply(cx: &Context, from: SocketAddr, message: &Gossip) {
+fn apply(cx: &Context, from: SocketAddr, arrival: Arrival, message: &Gossip) {
     let now = now();
     cx.peers.on_message(
         message.from,
@@ -133,8 +148,7 @@
         cx.peers.record_unregistered(message.from, from);
     }
     note_era(cx, message.era, "peer");
-    let news = cx.pause_watch.arrival(now);
-    cx.apply_announcements(news, &message.named, &message.completeness);
+    cx.apply_announcements(arrival, &message.named, &message.completeness);
     cx.apply_statements(&message.statements);
     rejections::merge(cx, &message.rejections);
     for update in &message.suspects {
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -214,8 +214,7 @@
     let called_at = now();
     match fetch::<Snapshot>(peer, path).await {
         Ok(snapshot) => {
-            let response = cx.pause_watch.arrival(now()).of_response(called_at);
-            apply(cx, response, snapshot);
+            apply(cx, Arrival::between(called_at, now()), snapshot);
         }
         Err(e) => log_failure(Step::SnapshotFetch, &e),
     }
--- a/crates/policy/src/arrival.rs
+++ b/crates/policy/src/arrival.rs
@@ -33,6 +33,11 @@
         Arrival::between(self.earliest.max(called_at), self.latest)
     }
 
+    /// Returns whether it may have waited before it was read.
+    pub fn may_have_waited(self) -> bool {
+        self.earliest < self.latest
+    }
+
     /// Returns the time before which it can't have arrived.
     pub const fn earliest(self) -> Time {
         self.earliest
