gateway: a response that waited in a pause doesn't count as just read when the next watch is called

Cause: a watch followed at once upon the one before if it was called at most 100 ms after that response was read. After a pause the response may have waited for as long as the pause; what was announced meanwhile comes with the next watch, and was taken for announced at its call. Change: the time between two watches counts from the earliest time at which the former response can have arrived, and from the call of a listing.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -73,8 +73,8 @@
 struct WatchPosition {
     /// Revision after which changes are to come.
     after: Revision,
-    /// When the store last responded.
-    responded_at: Time,
+    /// Time after which the store last responded; the response may have waited unread since.
+    responded_after: Time,
 }
 
 /// Follows one topic until the process ends.
@@ -95,7 +95,7 @@
         record_success(&cx, topic);
         let mut position = WatchPosition {
             after: listing.as_of,
-            responded_at: now(),
+            responded_after: called_at,
         };
         let era = listing.as_of.era;
         let is_new_era = last_era.is_some_and(|last| last < era);
@@ -190,7 +190,7 @@
             record_success(cx, topic);
             let response = cx.pause_watch.arrival(now()).of_response(called_at);
             if topic == Topic::Operators {
-                let gap_ms = called_at.millis_since(position.responded_at);
+                let gap_ms = called_at.millis_since(position.responded_after);
                 let follows_at_once = gap_ms <= MAX_WATCH_GAP_MS;
                 apply_operators_changes(cx, listing.updates, response, follows_at_once);
             } else {
@@ -200,7 +200,7 @@
             }
             Some(WatchPosition {
                 after: listing.as_of,
-                responded_at: now(),
+                responded_after: response.earliest(),
             })
         }
         Ok(WatchResult::HistoryGone) => {
