relay: the first of all newer announcements decides by when a version was replaced

Cause: replaced_by took the lowest newer version's time; if that version becomes known after a higher one, its time is later. Change: the earliest time of all newer versions counts. Result: weights_bounds failed before and passes; the tests of weights pass.

--- a/crates/relay/src/weights.rs
+++ b/crates/relay/src/weights.rs
@@ -68,8 +68,8 @@
 
     /// Returns by when a version newer than `version` had been announced; none if it is the newest.
     fn replaced_by(&self, version: u64) -> Option<Time> {
-        let mut newer = self.announced.range(version.saturating_add(1)..);
-        newer.next().map(|(_, announced_by)| *announced_by)
+        let newer = self.announced.range(version.saturating_add(1)..);
+        newer.map(|(_, announced_by)| *announced_by).min()
     }
 
     /// Returns the latest time at which `version` is known not to have been replaced.
