--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -206,7 +206,7 @@
         &self,
         message: Arrival,
         named: &[AnnouncementUpdate],
-        completeness: &CompletenessUpdate,
+        completeness: &[CompletenessUpdate],
     ) {
         let mut new = Vec::new();
         {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use policy::Arrival;
@@ -62,7 +63,7 @@
 
 /// Time between the response to a watch and the next call up to which changes are taken to come as they
 /// are made, in milliseconds.
-const MAX_WATCH_GAP_MS: u64 = 100;
+const MAX_WATCH_GAP_MS: u64 = 50;
 
 /// Time for which a hub's announcements may be incomplete before a router that it serves reads the store
 /// itself, in milliseconds. A hub of an earlier version doesn't tell.
@@ -120,30 +121,34 @@
         // In a new era the other routers are about to write their entries again.
         records::remove_unlisted(cx, &listing.updates, is_new_era);
     }
-    if topic == Topic::Operators {
-        confirm_listed(cx, &listing.updates, called_at);
-    }
+    let listed = listed_weights(&listing.updates);
     let response = cx.pause_watch.arrival(now()).of_response(called_at);
     for update in listing.updates {
         apply_update(cx, update, response);
     }
+    if let (Topic::Operators, Some(listed)) = (topic, listed) {
+        let listed = listed.iter().map(|(model, version)| (&**model, *version));
+        let weights = &mut cx.view.borrow_mut().weights;
+        weights.confirm_newest(called_at, &listed.collect());
+    }
     if topic == Topic::Routers {
         quota_task::update_routers(cx);
     }
 }
 
-/// Records that no weights were announced but those that are listed, unless some entries can't be read.
-fn confirm_listed(cx: &Context, updates: &[StoreUpdate], called_at: Time) {
-    let mut newest = BTreeMap::new();
+/// Returns the versions of weights in a listing; none if some entries can't be read.
+fn listed_weights(updates: &[StoreUpdate]) -> Option<BTreeMap<Arc<str>, u64>> {
+    let mut listed = BTreeMap::new();
     for update in updates {
         match update {
-            StoreUpdate::Weights { model, version } => newest.insert(&**model, *version),
-            StoreUpdate::Unreadable { .. } => return,
-            _ => None,
-        };
+            StoreUpdate::Weights { model, version } => {
+                listed.insert(Arc::clone(model), *version);
+            }
+            StoreUpdate::Unreadable { .. } => return None,
+            _ => {}
+        }
     }
-    let weights = &mut cx.view.borrow_mut().weights;
-    weights.confirm_newest(called_at, &newest);
+    Some(listed)
 }
 
 /// Applies changes of the operators' entries. Where the watch followed at once upon the one before,
@@ -155,7 +160,11 @@
     follows_at_once: bool,
 ) {
     if follows_at_once {
-        cx.view.borrow_mut().weights.confirm(response.earliest());
+        let weights = &mut cx.view.borrow_mut().weights;
+        weights.confirm(response.earliest());
+        for (model, version) in listed_weights(&updates).unwrap_or_default() {
+            weights.confirm_before(response.earliest(), &model, version);
+        }
     }
     for update in updates {
         apply_update(cx, update, response);
--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -95,9 +95,7 @@
                 let arrival = cx.pause_watch.arrival(now());
                 apply(&cx, from, arrival, &message);
                 cx.room_freed.notify_waiters();
-                let recipients = forward_recipients(&cx, arrival, &message);
-                let addresses = cx.peers.addresses(&recipients);
-                send(&cx, &addresses, bytes, arrival.latest()).await;
+                forward(&cx, arrival, *message, bytes).await;
             }
             Ok(PeerMessage::PermitRequest(request)) => permits::answer(&cx, from, request).await,
             Ok(PeerMessage::PermitResponse(response)) => {
@@ -123,14 +121,35 @@
     }
 }
 
-/// Returns the routers to which this one forwards another region's message, if it is a hub. Ages in a
-/// message that has waited here would be too young for them.
-fn forward_recipients(cx: &Context, arrival: Arrival, message: &Gossip) -> Vec<u64> {
+/// Forwards another region's message, if this router is a hub. Ages in a message that has waited here
+/// would be too young for its recipients, so readings of the store are left out of it.
+async fn forward(cx: &Context, arrival: Arrival, message: Gossip, bytes: &[u8]) {
+    let recipients = forward_recipients(cx, &message);
+    if recipients.is_empty() {
+        return;
+    }
+    let addresses = cx.peers.addresses(&recipients);
+    if !arrival.may_have_waited() {
+        return send(cx, &addresses, bytes, arrival.latest()).await;
+    }
+    let without_readings = Gossip {
+        fleet: None,
+        completeness: Vec::new(),
+        ..message
+    };
+    let message = PeerMessage::Gossip(Box::new(without_readings));
+    if let Some(bytes) = encode(&message) {
+        send(cx, &addresses, &bytes, arrival.latest()).await;
+    }
+}
+
+/// Returns the routers to which this one forwards another region's message, if it is a hub.
+fn forward_recipients(cx: &Context, message: &Gossip) -> Vec<u64> {
     let mut topology = cx.peers.topology.borrow_mut();
     let is_foreign = message
         .region
         .is_some_and(|region| region != topology.region());
-    if is_foreign && !arrival.may_have_waited() && topology.is_hub(now()) {
+    if is_foreign && topology.is_hub(now()) {
         topology.region_peers()
     } else {
         Vec::new()
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -72,9 +72,9 @@
     pub configuration: Option<Configuration>,
     /// Newest announced version of weights, by model.
     pub named: Vec<(String, u64)>,
-    /// Up to when `named` was complete; unknown from earlier versions.
+    /// Up to when `named` was complete, as in gossip; empty from earlier versions.
     #[serde(default)]
-    pub completeness: CompletenessUpdate,
+    pub completeness: Vec<CompletenessUpdate>,
     /// Registrations of backend servers; none if they aren't asked for, or before the router has
     /// read them.
     pub servers: Option<ServerList>,
--- a/crates/gateway/tests/pause_watch.rs
+++ b/crates/gateway/tests/pause_watch.rs
@@ -1,6 +1,7 @@
 //! A process notices that it was paused.
 
 use gateway::PauseWatch;
+use policy::Arrival;
 use policy::Time;
 
 fn at(ms: u64) -> Time {
@@ -49,3 +50,36 @@
 
     assert_eq!(watch.alive_at(), at(1_000));
 }
+
+// Guards against VERSION: what has waited in a pause counts as just arrived.
+#[test]
+fn what_is_read_after_a_pause_may_have_arrived_since_its_begin() {
+    let watch = running_until(1_000);
+
+    assert_eq!(watch.arrival(at(1_100)), Arrival::at(at(1_100)));
+    assert_eq!(
+        watch.arrival(at(4_000)),
+        Arrival::between(at(1_000), at(4_000))
+    );
+    watch.note(at(4_000));
+    assert_eq!(watch.arrival(at(4_999)).earliest(), at(1_000));
+    for ms in (4_000..=5_050).step_by(50) {
+        watch.note(at(ms));
+    }
+    assert_eq!(watch.arrival(at(5_100)), Arrival::at(at(5_100)));
+}
+
+// Guards against VERSION: a process that gets little time reads what has waited bit by bit.
+#[test]
+fn gaps_in_a_row_count_as_one() {
+    let watch = running_until(1_000);
+    watch.note(at(1_400));
+    watch.note(at(1_700));
+    watch.note(at(1_900));
+
+    assert_eq!(watch.arrival(at(1_950)).earliest(), at(1_000));
+    for ms in (1_950..=2_300).step_by(50) {
+        watch.note(at(ms));
+    }
+    assert_eq!(watch.arrival(at(2_310)), Arrival::at(at(2_310)));
+}
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -174,9 +174,10 @@
     /// Number of routers whose requests `loads` counts; 0 if unknown, as from earlier versions.
     #[serde(deserialize_with = "or_default")]
     pub counted_routers: u32,
-    /// Up to when `named` was complete; unknown from earlier versions.
+    /// Up to when `named` was complete, as the sender has read from the store, and as others have;
+    /// empty from earlier versions.
     #[serde(deserialize_with = "or_default")]
-    pub completeness: CompletenessUpdate,
+    pub completeness: Vec<CompletenessUpdate>,
 }
 
 /// Reads one of the last fields of a message; its default if the message ends before it.
--- a/crates/relay/src/weights.rs
+++ b/crates/relay/src/weights.rs
@@ -8,17 +8,22 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use policy::age_ms;
 use policy::Arrival;
 use policy::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::current_versions::CompletenessUpdate;
+use crate::current_versions::CurrentVersions;
 use crate::BackendServer;
 
 /// Maximum number of versions kept per model.
 const MAX_VERSIONS: usize = 16;
 
+/// Most messages through which a reading of the store is used. Each makes it seem later by the time that
+/// the message takes, so no router passes on what has come through so many.
+const MAX_HOPS: usize = 2;
+
 /// Newest announced version of a model's weights, in a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnouncementUpdate {
@@ -30,77 +35,14 @@
     pub age_ms: u64,
 }
 
-/// A version of a model's weights that was the newest at some time, in a message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReplacedUpdate {
-    /// Name of the model.
-    pub model: String,
-    /// The version; 0 before the first.
-    pub version: u64,
-    /// Time since no newer version had been announced, in milliseconds.
-    pub current_ms: u32,
-}
-
-/// Up to when the announcements in a message were complete.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CompletenessUpdate {
-    /// Time since no version newer than those in the message had been announced, of any model, in
-    /// milliseconds; none if the sender doesn't know.
-    pub complete_ms: Option<u32>,
-    /// The same for versions that were replaced since.
-    pub replaced: Vec<ReplacedUpdate>,
-}
-
-/// Versions of one model's weights.
-#[derive(Clone, Debug, Default)]
-struct ModelVersions {
-    /// Announced versions, and by when each had been announced.
-    announced: BTreeMap<u64, Time>,
-    /// Versions that were the newest once, and the latest time at which each is known to have been.
-    current_at: BTreeMap<u64, Time>,
-}
-
-impl ModelVersions {
-    fn newest(&self) -> Option<u64> {
-        let (version, _) = self.announced.last_key_value()?;
-        Some(*version)
-    }
-
-    /// Returns by when a version newer than `version` had been announced; none if it is the newest.
-    fn replaced_by(&self, version: u64) -> Option<Time> {
-        let newer = self.announced.range(version.saturating_add(1)..);
-        newer.map(|(_, announced_by)| *announced_by).min()
-    }
-
-    /// Returns the latest time at which `version` is known not to have been replaced.
-    fn current_at(&self, version: u64) -> Option<Time> {
-        let up_to = self.current_at.range(..=version);
-        up_to.map(|(_, current_at)| *current_at).max()
-    }
-
-    fn announce(&mut self, version: u64, announced_by: Time) {
-        let known = self.announced.entry(version).or_insert(announced_by);
-        *known = announced_by.min(*known);
-        if self.announced.len() > MAX_VERSIONS {
-            self.announced.pop_first();
-        }
-    }
-
-    fn record_current(&mut self, version: u64, at: Time) {
-        let known = self.current_at.entry(version).or_insert(at);
-        *known = at.max(*known);
-        if self.current_at.len() > MAX_VERSIONS {
-            self.current_at.pop_first();
-        }
-    }
-}
-
 /// The announced versions of all models' weights, and when they must be loaded.
 #[derive(Clone, Debug)]
 pub struct Weights {
-    models: BTreeMap<Arc<str>, ModelVersions>,
-    /// Latest time at which no version newer than those in `models` is known to have been announced.
-    complete_at: Option<Time>,
+    /// Announced versions by model, and by when each had been announced.
+    announced: BTreeMap<Arc<str>, BTreeMap<u64, Time>>,
+    /// When versions are known not to have been replaced, by the number of messages through which that
+    /// came; this router's own readings of the store first.
+    current: [CurrentVersions; MAX_HOPS + 1],
     /// Time within which engines must load an announced version, in milliseconds.
     due_ms: u64,
     /// Time from which replaced versions aren't used if nothing tells how long ago they were replaced.
@@ -111,8 +53,8 @@
     /// Creates a record without versions; the parameters are described at the fields.
     pub fn new(due_ms: u64, unknown_due_at: Time) -> Weights {
         Weights {
-            models: BTreeMap::new(),
-            complete_at: None,
+            announced: BTreeMap::new(),
+            current: Default::default(),
             due_ms,
             unknown_due_at,
         }
@@ -121,92 +63,96 @@
     /// Records a version that had been announced at least `age_ms` milliseconds before the news of it
     /// arrived. Returns whether it is newer than all known ones.
     pub fn announce(&mut self, news: Arrival, model: &str, version: u64, age_ms: u64) -> bool {
-        let complete_at = self.complete_at;
-        let versions = self.models.entry(model.into()).or_default();
-        let newest = versions.newest().unwrap_or(0);
+        let newest = self.target_version(model).unwrap_or(0);
         let is_newest = newest < version;
-        if let (true, Some(at)) = (is_newest, complete_at) {
-            versions.record_current(newest, at);
+        if is_newest {
+            for current in &mut self.current {
+                current.end(model, newest);
+            }
+        }
+        let announced_by = news.latest_of(age_ms);
+        let announced = self.announced.entry(model.into()).or_default();
+        let known = announced.entry(version).or_insert(announced_by);
+        *known = announced_by.min(*known);
+        if announced.len() > MAX_VERSIONS {
+            announced.pop_first();
         }
-        versions.announce(version, news.latest_of(age_ms));
         is_newest
     }
 
-    /// Records that at `at` no version was announced that this router doesn't know.
+    /// Records that at `at` the store held no announcement that this router doesn't know.
     pub fn confirm(&mut self, at: Time) {
-        self.complete_at = self.complete_at.max(Some(at));
+        self.current[0].confirm(at);
+    }
+
+    /// Records that at `at` the store didn't hold `version` of a model yet.
+    pub fn confirm_before(&mut self, at: Time, model: &str, version: u64) {
+        self.current[0].record(model, version.saturating_sub(1), at);
     }
 
-    /// Records that at `at` no versions were announced that are newer than `newest`, of any model.
+    /// Records that at `at` the store held no versions that are newer than `newest`, of any model.
     pub fn confirm_newest(&mut self, at: Time, newest: &BTreeMap<&str, u64>) {
-        let newest_of = |model: &str| newest.get(model).copied().unwrap_or(0);
-        for (model, versions) in &mut self.models {
-            let version = newest_of(model);
-            if versions.newest() > Some(version) {
-                versions.record_current(version, at);
-            }
-        }
-        let is_known =
-            |(model, version): (&&str, &u64)| self.target_version(model) >= Some(*version);
-        if newest.iter().all(is_known) {
-            self.confirm(at);
-        }
+        self.confirm_newest_through(0, at, newest);
     }
 
     /// Records when the announcements that another router names were complete. They were recorded
-    /// before.
+    /// before. `updates` are what it knows first-hand, and what came to it through messages.
     pub fn apply_completeness(
         &mut self,
         message: Arrival,
         named: &[AnnouncementUpdate],
-        update: &CompletenessUpdate,
+        updates: &[CompletenessUpdate],
     ) {
-        for replaced in &update.replaced {
-            let at = message.earliest_of(u64::from(replaced.current_ms));
-            let versions = self
-                .models
-                .entry(replaced.model.as_str().into())
-                .or_default();
-            versions.record_current(replaced.version, at);
-        }
-        if let Some(complete_ms) = update.complete_ms {
-            let newest = named.iter().map(|update| (&*update.model, update.version));
-            let at = message.earliest_of(u64::from(complete_ms));
-            self.confirm_newest(at, &newest.collect());
+        let newest = named.iter().map(|update| (&*update.model, update.version));
+        let newest = newest.collect();
+        for (hops, update) in (1..=MAX_HOPS).zip(updates) {
+            for replaced in &update.replaced {
+                let at = message.earliest_of(u64::from(replaced.current_ms));
+                self.current[hops].record(&replaced.model, replaced.version, at);
+            }
+            if let Some(complete_ms) = update.complete_ms {
+                let at = message.earliest_of(u64::from(complete_ms));
+                self.confirm_newest_through(hops, at, &newest);
+            }
         }
     }
 
-    /// Returns up to when the announcements that this router knows are complete, for other routers.
-    pub fn completeness(&self, now: Time) -> CompletenessUpdate {
-        let replaced = self.models.iter().flat_map(|(model, versions)| {
-            let newest = versions.newest();
-            let replaced = versions.current_at.iter();
-            replaced
-                .filter(move |(version, _)| Some(**version) < newest)
-                .map(|(version, at)| ReplacedUpdate {
-                    model: model.to_string(),
-                    version: *version,
-                    current_ms: age_ms(now, *at),
-                })
-        });
-        CompletenessUpdate {
-            complete_ms: self.complete_at.map(|at| age_ms(now, at)),
-            replaced: replaced
-                .filter(|replaced| u64::from(replaced.current_ms) < self.due_ms)
-                .collect(),
+    fn confirm_newest_through(&mut self, hops: usize, at: Time, newest: &BTreeMap<&str, u64>) {
+        for (model, announced) in &self.announced {
+            let version = newest.get(&**model).copied().unwrap_or(0);
+            if announced.keys().next_back() > Some(&version) {
+                self.current[hops].record(model, version, at);
+            }
+        }
+        let is_known =
+            |(model, version): (&&str, &u64)| self.target_version(model) >= Some(*version);
+        if newest.iter().all(is_known) {
+            self.current[hops].confirm(at);
         }
     }
 
+    /// Returns up to when the announcements that this router knows are complete, as other routers may use
+    /// it: what it knows first-hand, and what came through messages.
+    pub fn completeness(&self, now: Time) -> Vec<CompletenessUpdate> {
+        let newest = |model: &str| self.target_version(model);
+        let passed_on = self.current[..MAX_HOPS].iter();
+        passed_on
+            .map(|current| current.update(now, self.due_ms, newest))
+            .collect()
+    }
+
     /// Returns whether the announcements that this router knows were complete at most `ms`
     /// milliseconds ago.
     pub fn is_complete(&self, now: Time, ms: u64) -> bool {
-        self.complete_at
-            .is_some_and(|at| now.millis_since(at) <= ms)
+        let complete_at = self.current.iter().filter_map(CurrentVersions::complete_at);
+        let latest = complete_at.max();
+        latest.is_some_and(|at| now.millis_since(at) <= ms)
     }
 
     /// Returns the newest announced version of a model's weights, which engines should have.
     pub fn target_version(&self, model: &str) -> Option<u64> {
-        self.models.get(model)?.newest()
+        let (version, _) = self.announced.get(model)?.last_key_value()?;
+        Some(*version)
     }
 
     /// Returns whether a newer version than a backend server has is announced for one of its models.
@@ -218,8 +164,8 @@
     /// Returns the newest version of each model's weights, and for how long it has been announced at
     /// least.
     pub fn newest(&self, now: Time) -> impl Iterator<Item = AnnouncementUpdate> + '_ {
-        self.models.iter().filter_map(move |(model, versions)| {
-            let (version, announced_by) = versions.announced.last_key_value()?;
+        self.announced.iter().filter_map(move |(model, announced)| {
+            let (version, announced_by) = announced.last_key_value()?;
             Some(AnnouncementUpdate {
                 model: model.to_string(),
                 version: *version,
@@ -231,12 +177,19 @@
     /// Returns by when a version newer than `version` had been announced; none if `version` is the
     /// newest.
     pub fn replaced_by(&self, model: &str, version: u64) -> Option<Time> {
-        self.models.get(model)?.replaced_by(version)
+        let newer = self
+            .announced
+            .get(model)?
+            .range(version.saturating_add(1)..);
+        newer.map(|(_, announced_by)| *announced_by).min()
     }
 
     /// Returns when `version` of a model's weights is last known not to have been replaced.
     pub fn current_at(&self, model: &str, version: u64) -> Option<Time> {
-        self.models.get(model)?.current_at(version)
+        let current = self.current.iter();
+        current
+            .filter_map(|current| current.current_at(model, version))
+            .max()
     }
 
     /// Returns whether no request may begin on `version` of a model's weights any more.
--- a/crates/relay/tests/pace_messages.rs
+++ b/crates/relay/tests/pace_messages.rs
@@ -18,7 +18,7 @@
 const MAX_PACE_BYTES: usize = 16;
 
 /// Bytes of the fields that older routers don't send, if they are empty.
-const NEW_FIELDS_BYTES: usize = 5;
+const NEW_FIELDS_BYTES: usize = 4;
 
 /// Ends from which a pace is learned.
 const ENDS: u64 = 40;
@@ -153,8 +153,7 @@
     };
     let new = postcard::to_stdvec(&new).unwrap();
     let mut old = postcard::to_stdvec(&without).unwrap();
-    // Older routers send none of the last fields: two empty lists, a number, and up to when the
-    // announcements were complete, which is unknown here.
+    // Older routers send none of the last fields: three empty lists and a number.
     old.truncate(old.len() - NEW_FIELDS_BYTES);
 
     let read: Gossip = postcard::from_bytes(&old).unwrap();
--- a/crates/relay/tests/weights.rs
+++ b/crates/relay/tests/weights.rs
@@ -28,9 +28,8 @@
 
 /// Lists the store at its start, when a version was announced before.
 fn list(weights: &mut Weights, now: Time, version: u64) {
-    weights.confirm_newest(now, &BTreeMap::from([(MODEL, version)]));
     weights.announce(Arrival::at(now), MODEL, version, 0);
-    weights.confirm(now);
+    weights.confirm_newest(now, &BTreeMap::from([(MODEL, version)]));
 }
 
 /// Returns a router that has watched the store until a version was announced.
@@ -89,6 +88,25 @@
     assert_eq!(weights.overdue_from(MODEL, 1), Some(at(UNKNOWN_DUE_MS)));
 }
 
+// Guards against engines that are left unused: a router of an earlier version names a version first, and
+// says nothing of when the former one was current.
+#[test]
+fn a_watch_tells_how_old_a_version_is_that_is_known_already() {
+    let mut weights = no_weights(DUE_MS);
+    weights.announce(Arrival::at(at(10_000)), MODEL, 2, 0);
+    weights.confirm_before(at(10_005), MODEL, 2);
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(10_000 + DUE_MS)));
+}
+
+#[test]
+fn a_router_that_only_lists_uses_former_weights_for_a_while_from_its_start() {
+    let mut weights = no_weights(DUE_MS);
+    list(&mut weights, at(300), 2);
+
+    assert_eq!(weights.overdue_from(MODEL, 1), Some(at(UNKNOWN_DUE_MS)));
+}
+
 // Guards against VERSION: the age of an announcement counts from when a paused router reads it.
 #[test]
 fn what_waited_in_a_pause_counts_from_its_begin() {
@@ -147,6 +165,86 @@
     assert_eq!(weights.overdue_from(MODEL, 2), Some(at(4_000 + DUE_MS)));
 }
 
+// Guards against VERSION: an older announcement that becomes known after a newer one.
+#[test]
+fn an_older_version_that_becomes_known_later_postpones_nothing() {
+    let mut weights = no_weights(DUE_MS);
+    weights.announce(Arrival::at(at(1_000)), MODEL, 3, 0);
+    weights.announce(Arrival::at(at(5_000)), MODEL, 2, 0);
+
+    assert_eq!(weights.replaced_by(MODEL, 1), Some(at(1_000)));
+}
+
+/// Number of routers in a full mesh.
+const MESH: usize = 10;
+
+/// Interval at which each router sends a message to all others, in milliseconds.
+const MESSAGE_INTERVAL_MS: u64 = 150;
+
+/// Time between the point at which a message is built and the point at which it is read, in
+/// milliseconds.
+const TRANSIT_MS: u64 = 5;
+
+/// Returns routers that have all read the store, with version 1, at 0.
+fn mesh() -> Vec<Weights> {
+    let mut weights = no_weights(DUE_MS);
+    announce_now(&mut weights, at(0), 1);
+    vec![weights; MESH]
+}
+
+/// Lets routers send each other messages in turn between two times.
+fn exchange_messages(routers: &mut [Weights], from_ms: u64, to_ms: u64) {
+    let senders = (0..routers.len()).cycle();
+    let sent_at = (from_ms..to_ms).step_by(MESSAGE_INTERVAL_MS as usize / MESH);
+    for (sender, sent_ms) in senders.zip(sent_at) {
+        let from = routers[sender].clone();
+        let others = routers.iter_mut().enumerate().filter(|(i, _)| *i != sender);
+        for (_, to) in others {
+            tell(
+                &from,
+                at(sent_ms),
+                to,
+                Arrival::at(at(sent_ms + TRANSIT_MS)),
+            );
+        }
+    }
+}
+
+// Guards against VERSION: each time routers pass on when a version was current, that time grows by what a
+// message takes.
+#[test]
+fn messages_passed_on_between_routers_do_not_make_an_announcement_seem_later() {
+    let (announced_ms, learned_ms) = (300, 2_000);
+    let mut routers = mesh();
+    for router in &mut routers {
+        router.announce(Arrival::at(at(learned_ms)), MODEL, 2, 0);
+    }
+
+    exchange_messages(&mut routers, learned_ms, announced_ms + DUE_MS);
+
+    for router in &routers {
+        let overdue_from = router.overdue_from(MODEL, 1).unwrap();
+        assert!(overdue_from <= at(announced_ms + DUE_MS));
+    }
+}
+
+// Guards against VERSION: completeness that nothing proves any more grows while routers repeat it.
+#[test]
+fn messages_passed_on_between_routers_prove_no_completeness() {
+    let mut routers = mesh();
+
+    exchange_messages(&mut routers, 0, 5_000);
+
+    for router in &routers {
+        let updates = router.completeness(at(5_000));
+        // What a message takes can't be known: each level is younger by no more than that.
+        for (hops, update) in (0..).zip(&updates) {
+            let complete_ms = u64::from(update.complete_ms.unwrap());
+            assert!(complete_ms >= 5_000 - hops * TRANSIT_MS, "{complete_ms}");
+        }
+    }
+}
+
 #[test]
 fn a_router_without_the_first_announcement_of_a_model_knows_when_there_was_none() {
     let mut weights = no_weights(DUE_MS);
