relay, gateway: a reading of registrations that has waited for a paused router counts as old

A router that was paused took readings of the store that had waited for it for new ones: those in messages and lists of other routers, and its own responses of the store. It then relied on a stale list, passed it on as fresh, and counted less of an outage of the store.

Cause: a reading's time was made of its age when the message was read. Now it counts from the earliest time at which the message can have arrived (policy::Arrival). The end of an outage still counts from the latest, so that registrations which the platform may restore are kept rather too long.

No rule is shown to break by it: such a router relied on the stale list for 0.9 s after its pause (HUB_TIMEOUT_MS, less than MAX_AGE_MS), and isn't in touch for 3 s. a_reading_in_a_message_that_may_have_waited_counts_as_old failed with the latest time in place of the earliest, as before, and passes.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use policy::Arrival;
 use policy::Time;
 use relay::restored_by;
 use relay::Build;
@@ -191,16 +192,17 @@
         peers.map_or(own, |peers| peers.min(own))
     }
 
-    /// Returns the reading of registrations that arrive from the store at `now`, and remembers
+    /// Returns the reading of registrations that arrive in a response of the store, and remembers
     /// what other routers know of outages.
-    pub fn new_reading(&mut self, now: Time, as_of: Revision) -> Reading {
+    pub fn new_reading(&mut self, response: Arrival, as_of: Revision) -> Reading {
+        let now = response.latest();
         self.store_unreachable_until = self.store_outage_until(now);
         if let Some(peers) = self.peer_readings.outage_until(now, Time(0)) {
             self.knows_outages_since = self.knows_outages_since.min(peers);
         }
         Reading {
             as_of,
-            read_at: now,
+            read_at: response.earliest(),
             outage_until: self.store_unreachable_until,
             outages_known_since: Time(0),
         }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -276,7 +276,8 @@
 /// Records a successful call to the store.
 pub fn record_success(cx: &Context, topic: Topic) {
     note_era(cx, cx.store.era(), "store");
-    record_response(cx, topic.name(), now());
+    let response = cx.pause_watch.arrival(now());
+    record_response(cx, topic.name(), response.earliest());
 }
 
 /// Records that the store responded at `responded_at`; `topic` is what was read, or `hub` if
--- a/crates/gateway/src/fleet_feed.rs
+++ b/crates/gateway/src/fleet_feed.rs
@@ -83,10 +83,11 @@
     if is_older || now().millis_since(*fetched_at) < pause_ms {
         return sleep(PEER_POLL_INTERVAL).await;
     }
-    *fetched_at = now();
+    let called_at = now();
+    *fetched_at = called_at;
     match snapshot::fetch_servers(peer.address).await {
         Ok(list) => {
-            list.apply(cx);
+            list.apply(cx, cx.pause_watch.arrival(now()).of_response(called_at));
             sleep(PEER_POLL_INTERVAL).await;
         }
         Err(e) => {
@@ -129,9 +130,10 @@
     let called_at = now();
     match cx.store.list(Topic::Servers).await {
         Ok(listing) => {
+            let response = cx.pause_watch.arrival(now()).of_response(called_at);
             record_success(cx, Topic::Servers);
             build_records::record_new(cx, &listing.updates).await;
-            apply_listing(cx, listing);
+            apply_listing(cx, response, listing);
             sleep(time_to_next_call(cx)).await;
         }
         Err(e) => record_failure(cx, Topic::Servers, called_at, &e).await,
@@ -143,9 +145,10 @@
     let called_at = now();
     match cx.store.watch(Topic::Servers, after, wait_ms).await {
         Ok(WatchResult::Changes(listing)) => {
+            let response = cx.pause_watch.arrival(now()).of_response(called_at);
             record_success(cx, Topic::Servers);
             build_records::record_new(cx, &listing.updates).await;
-            apply_changes(cx, listing);
+            apply_changes(cx, response, listing);
             sleep(time_to_next_call(cx)).await;
         }
         Ok(WatchResult::HistoryGone) => {
@@ -161,25 +164,25 @@
 }
 
 /// Applies changes, unless another router delivered newer registrations meanwhile.
-fn apply_changes(cx: &Context, listing: Listing) {
-    let reading = cx.view.borrow_mut().new_reading(now(), listing.as_of);
+fn apply_changes(cx: &Context, response: Arrival, listing: Listing) {
+    let reading = cx.view.borrow_mut().new_reading(response, listing.as_of);
     if cx.view.borrow().fleet.is_newer_than(reading) {
         return;
     }
     for update in listing.updates {
-        apply_update(cx, update, Arrival::at(now()));
+        apply_update(cx, update, response);
     }
     let changes = cx.view.borrow_mut().fleet.advance(reading);
     cx.on_fleet_changes(changes, "store");
 }
 
-fn apply_listing(cx: &Context, listing: Listing) {
-    let reading = cx.view.borrow_mut().new_reading(now(), listing.as_of);
+fn apply_listing(cx: &Context, response: Arrival, listing: Listing) {
+    let reading = cx.view.borrow_mut().new_reading(response, listing.as_of);
     let mut registrations = Vec::new();
     for update in listing.updates {
         match update {
             StoreUpdate::Server(registration) => registrations.push(registration),
-            other => apply_update(cx, other, Arrival::at(now())),
+            other => apply_update(cx, other, response),
         }
     }
     cx.replace_registrations(registrations, reading, "store");
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -117,9 +117,9 @@
         })
     }
 
-    /// Applies the list to what this router knows.
-    pub fn apply(self, cx: &Context) {
-        let reading = self.reading.reading(now());
+    /// Applies the list, which was in `response`, to what this router knows.
+    pub fn apply(self, cx: &Context, response: Arrival) {
+        let reading = self.reading.reading(response);
         cx.replace_registrations(self.registrations, reading, "peer");
         cx.apply_statements(&self.statements);
     }
@@ -257,7 +257,7 @@
         .collect();
     cx.apply_announcements(response, &named, &snapshot.completeness);
     if let Some(servers) = snapshot.servers {
-        servers.apply(cx);
+        servers.apply(cx, response);
     }
 }
 
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -1,7 +1,7 @@
 //! Up to where and when a router has read the registrations of backend servers.
 
 use policy::age_ms;
-use policy::time_of;
+use policy::Arrival;
 use policy::Time;
 use serde::Deserialize;
 use serde::Serialize;
@@ -93,13 +93,14 @@
         }
     }
 
-    /// Returns the reading that a message received at `now` describes.
-    pub fn reading(&self, now: Time) -> Reading {
+    /// Returns the reading that a message describes. If the message may have waited, the reading counts
+    /// as old, and registrations that went missing in an outage are kept rather too long.
+    pub fn reading(&self, message: Arrival) -> Reading {
         Reading {
             as_of: self.as_of,
-            read_at: time_of(now, self.age_ms),
-            outage_until: time_of(now, self.outage_age_ms),
-            outages_known_since: time_of(now, self.outages_known_ms),
+            read_at: message.earliest_of(u64::from(self.age_ms)),
+            outage_until: message.latest_of(u64::from(self.outage_age_ms)),
+            outages_known_since: message.latest_of(u64::from(self.outages_known_ms)),
         }
     }
 }
--- a/crates/relay/tests/peer_readings.rs
+++ b/crates/relay/tests/peer_readings.rs
@@ -3,10 +3,12 @@
 mod common;
 
 use common::at;
+use policy::Arrival;
 use policy::Time;
 use relay::PeerReading;
 use relay::PeerReadings;
 use relay::Reading;
+use relay::ReadingUpdate;
 use relay::Revision;
 
 const PREFERRED: u64 = 1;
@@ -91,3 +93,21 @@
     readings.record(at(3_000), announcement(3, at(2_950)));
     assert_eq!(best(&readings, None), None);
 }
+
+// Guards against a router that was paused and relies on a reading that has waited for it meanwhile,
+// while servers drain or leave.
+#[test]
+fn a_reading_in_a_message_that_may_have_waited_counts_as_old() {
+    let update = ReadingUpdate {
+        as_of: Revision { era: 1, number: 5 },
+        age_ms: 100,
+        outage_age_ms: 5_000,
+        outages_known_ms: 4_000,
+    };
+
+    let reading = update.reading(Arrival::between(at(1_000), at(5_000)));
+
+    assert!(!reading.is_fresh(at(5_000)));
+    assert_eq!(reading.outage_until, at(0));
+    assert_eq!(reading.outages_known_since, at(1_000));
+}
