--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -188,7 +188,7 @@
             router: message.from,
             address: cx.peers.address(message.from).unwrap_or(from),
             digest: update.digest,
-            reading: update.reading.reading(news),
+            reading: update.reading.reading(arrival),
             routers: message.routers,
         };
         view.peer_readings.record(now, announcement);
