relay, gateway: a new holder of the order lease counts from the beginning of the store's era

Cause: a store that comes back from an older copy may have lost the lease of a holder that doesn't know it yet, and orders for up to one time to live of it. The next holder of engines without fences waited LeaseMs from when it took the lease. So did a router that had just started, and can't know when the era began. Change: such a holder counts from one time to live after it first noted the era. The wait is one pure function, LeaseBounds::first_order_at; holders of engines with fences wait as before.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -12,6 +12,7 @@
 use relay::CatchUp;
 use relay::Configuration;
 use relay::CrashEvidence;
+use relay::EraStart;
 use relay::Fleet;
 use relay::OrderLease;
 use relay::OrderPlan;
@@ -66,8 +67,8 @@
     pub routers_known: bool,
     /// Latest era of the store, see [`Revision`]; none while unknown.
     pub store_era: Option<u64>,
-    /// When that era was noticed; none if it was the first.
-    pub era_since: Option<Time>,
+    /// When that era was noticed, and whether it was the first.
+    pub era_start: EraStart,
     /// Time up to which the store was last unreachable to this router for so long that registrations
     /// of live servers may have lapsed; 0 for never.
     pub store_unreachable_until: Time,
@@ -129,7 +130,7 @@
             peer_readings: PeerReadings::default(),
             routers_known: false,
             store_era: None,
-            era_since: None,
+            era_start: EraStart::default(),
             store_unreachable_until: Time(0),
             store_lost_at: Time(0),
             store_interruption: StoreInterruption::new(now(), settings.heartbeat_ms),
--- a/crates/gateway/src/order_lease_task.rs
+++ b/crates/gateway/src/order_lease_task.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use rand::Rng;
+use relay::LeaseBounds;
 use relay::LeaseTerm;
 use tokio::time::sleep;
 
@@ -31,10 +32,6 @@
 /// the routers, so that most see that another was first.
 const TAKE_OVER_SPREAD_MS: u64 = 300;
 
-/// Time until orders of an earlier lease term are over if engines check fencing
-/// tokens, in milliseconds.
-const FENCED_WAIT_MS: u64 = 200;
-
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -92,33 +89,29 @@
     if revision.era != lease.era {
         return Ok(None);
     }
-    let wait_ms = order_wait_ms(cx);
+    let taken_at = now();
+    let bounds = lease_bounds(cx);
     let fence = revision.fencing_token();
     let mut view = cx.view.borrow_mut();
+    let from = bounds.first_order_at(taken_at, view.era_start);
     view.order_lease_revision = Some(revision);
     view.order_lease.begin(LeaseTerm {
         fence,
-        from: now().plus_millis(wait_ms),
+        from,
         until: sent_at.plus_millis(ttl_ms),
     });
     view.order_plan.clear();
+    let wait_ms = from.millis_since(taken_at);
     OrderEvent::LeaseTermBegan { fence, wait_ms }.write();
     Ok(Some(lease))
 }
 
-/// Returns the time until the orders of an earlier lease term are over. After the store has lost
-/// records, its holder may not know yet that the term has ended.
-fn order_wait_ms(cx: &Context) -> u64 {
-    let unfenced_ms = cx.settings.order_lease_ms;
-    if !cx.settings.fenced {
-        return unfenced_ms;
+fn lease_bounds(cx: &Context) -> LeaseBounds {
+    LeaseBounds {
+        fenced: cx.settings.fenced,
+        ttl_ms: order_lease_ttl_ms(cx),
+        holder_gap_ms: cx.settings.order_lease_ms,
     }
-    let era_since = cx.view.borrow().era_since;
-    let earlier_term_ms = era_since.map_or(0, |since| {
-        let ends_at = since.plus_millis(unfenced_ms);
-        ends_at.millis_since(now())
-    });
-    earlier_term_ms.max(FENCED_WAIT_MS)
 }
 
 async fn hold_order_lease(cx: &Context, lease: LeaseId) {
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use relay::EraStart;
 
 use crate::clock::now;
 use crate::context::Context;
@@ -29,7 +30,12 @@
             return;
         }
         view.peer_readings.begin_era(era);
-        view.store_era.replace(era)
+        let before = view.store_era.replace(era);
+        view.era_start = EraStart {
+            noted_at: Some(now()),
+            knew_earlier: before.is_some(),
+        };
+        before
     };
     if let Some(before) = before {
         begin_era(cx, before, era, source);
@@ -47,7 +53,6 @@
     {
         let mut view = cx.view.borrow_mut();
         let now = now();
-        view.era_since = Some(now);
         // Registrations that the copy lacks may be written again.
         view.store_lost_at = now;
         view.store_unreachable_until = now;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -123,6 +123,8 @@
 pub use gossip::SwitchUpdate;
 pub use gossip::WeightsUpdate;
 pub use invalid_quota::InvalidQuota;
+pub use order_lease::EraStart;
+pub use order_lease::LeaseBounds;
 pub use order_lease::LeaseTerm;
 pub use order_lease::OrderLease;
 pub use order_lease::MAX_ORDER_MS;
--- a/crates/relay/src/order_lease.rs
+++ b/crates/relay/src/order_lease.rs
@@ -27,6 +27,49 @@
     }
 }
 
+/// Time until orders of an earlier lease term are over if engines check fencing tokens, in milliseconds.
+const FENCED_WAIT_MS: u64 = 200;
+
+/// What bounds the orders of two holders.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseBounds {
+    /// Whether engines check fencing tokens.
+    pub fenced: bool,
+    /// Time to live of the lease, in milliseconds.
+    pub ttl_ms: u64,
+    /// Least time between the orders of two holders, in milliseconds.
+    pub holder_gap_ms: u64,
+}
+
+/// What a router knows of the beginning of the store's present era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EraStart {
+    /// When it first noted the era; none before the first response.
+    pub noted_at: Option<Time>,
+    /// Whether it knew an earlier era, so that the present one began while it ran.
+    pub knew_earlier: bool,
+}
+
+impl LeaseBounds {
+    /// Returns from when on a router that has taken the lease at `now` may give orders.
+    ///
+    /// The store may have lost the lease of an earlier holder, who orders until that would have expired: up to one
+    /// time to live after the store's era has begun. A router that has just started doesn't know when that
+    /// was. Engines that check fencing tokens reject these orders.
+    pub fn first_order_at(&self, now: Time, era: EraStart) -> Time {
+        let noted_at = era.noted_at.unwrap_or(now);
+        if !self.fenced {
+            let earlier_over_at = noted_at.plus_millis(self.ttl_ms);
+            return now.max(earlier_over_at).plus_millis(self.holder_gap_ms);
+        }
+        let over_at = now.plus_millis(FENCED_WAIT_MS);
+        match era.knew_earlier {
+            true => over_at.max(noted_at.plus_millis(self.holder_gap_ms)),
+            false => over_at,
+        }
+    }
+}
+
 /// What a router knows of its order lease.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum OrderLease {
