gateway: parts of responses without a known length are called unbounded

Change: UnboundedPart, try_grow_unbounded, try_set_unbounded; the comments name the share and the part. Events of a stream become ArrivedEvents, pass_events becomes forward_events. No logic changes.

--- a/crates/gateway/src/buffer_hold.rs
+++ b/crates/gateway/src/buffer_hold.rs
@@ -1,9 +1,9 @@
 //! Bytes that are held for a caller.
 
 use crate::connection_usage::HeldFor;
-use crate::endless::Endless;
 use crate::port_connections::PortConnections;
 use crate::port_usage::ConnectionKey;
+use crate::unbounded::UnboundedPart;
 
 /// Bytes that are held for a caller; dropping it frees them.
 pub struct BufferHold {
@@ -11,9 +11,9 @@
     key: ConnectionKey,
     held_for: HeldFor,
     bytes: u64,
-    /// Kind of those of them that may have no end.
-    endless: Endless,
-    endless_bytes: u64,
+    /// Part of a response that `unbounded_bytes` of them belong to.
+    part: UnboundedPart,
+    unbounded_bytes: u64,
 }
 
 impl BufferHold {
@@ -30,14 +30,14 @@
             key,
             held_for,
             bytes,
-            endless: Endless::Body,
-            endless_bytes: 0,
+            part: UnboundedPart::Body,
+            unbounded_bytes: 0,
         }
     }
 
-    /// Counts what may have no end as a part of an event from now on.
+    /// Counts unbounded bytes as those of an event instead of a body.
     pub fn for_events(mut self) -> BufferHold {
-        self.endless = Endless::Event;
+        self.part = UnboundedPart::Event;
         self
     }
 
@@ -52,26 +52,29 @@
         has_room
     }
 
-    /// Holds `bytes` more bytes that may have no end; returns false, and holds no more, if those of
-    /// their kind take too much together and this is not small.
-    pub fn try_grow_endless(&mut self, bytes: u64) -> bool {
-        let has_grown = self.try_count_endless(self.endless_bytes.saturating_add(bytes));
+    /// Holds `bytes` more bytes of an unbounded part; returns false, and holds no more, if the share of such
+    /// parts is used up and this one isn't small.
+    pub fn try_grow_unbounded(&mut self, bytes: u64) -> bool {
+        let has_grown = self.try_set_unbounded(self.unbounded_bytes.saturating_add(bytes));
         if has_grown {
             self.grow(bytes);
         }
         has_grown
     }
 
-    /// Counts `bytes` of its bytes as such that may have no end; returns false if those of their kind take
-    /// too much together and this is not small.
-    pub fn try_count_endless(&mut self, bytes: u64) -> bool {
-        let (kind, held) = (self.endless, self.endless_bytes);
+    /// Sets the number of held bytes that belong to an unbounded part; returns false, and changes nothing, if
+    /// the share of such parts is used up and this one isn't small.
+    pub fn try_set_unbounded(&mut self, bytes: u64) -> bool {
+        let (part, held) = (self.part, self.unbounded_bytes);
         if bytes <= held {
-            self.connections.release_endless(kind, held - bytes);
-        } else if !self.connections.try_grow_endless(kind, held, bytes - held) {
+            self.connections.release_unbounded(part, held - bytes);
+        } else if !self
+            .connections
+            .try_grow_unbounded(part, held, bytes - held)
+        {
             return false;
         }
-        self.endless_bytes = bytes;
+        self.unbounded_bytes = bytes;
         true
     }
 
@@ -95,16 +98,16 @@
     /// Returns a hold of up to `bytes` of its bytes, which it no longer holds itself.
     pub fn split(&mut self, bytes: u64) -> BufferHold {
         let bytes = bytes.min(self.bytes);
-        let endless_bytes = bytes.min(self.endless_bytes);
+        let unbounded_bytes = bytes.min(self.unbounded_bytes);
         self.bytes -= bytes;
-        self.endless_bytes -= endless_bytes;
+        self.unbounded_bytes -= unbounded_bytes;
         BufferHold {
             connections: self.connections.clone(),
             key: self.key,
             held_for: self.held_for,
             bytes,
-            endless: self.endless,
-            endless_bytes,
+            part: self.part,
+            unbounded_bytes,
         }
     }
 }
@@ -114,6 +117,6 @@
         self.connections
             .release(self.key, self.bytes, self.held_for);
         self.connections
-            .release_endless(self.endless, self.endless_bytes);
+            .release_unbounded(self.part, self.unbounded_bytes);
     }
 }
--- a/crates/gateway/src/collected_body.rs
+++ b/crates/gateway/src/collected_body.rs
@@ -50,7 +50,7 @@
     let mut hold = caller.hold_response(len);
     let mut pieces = Vec::new();
     while let Some(bytes) = body.next().await.map_err(CollectError::Broken)? {
-        if named.is_none() && !hold.try_grow_endless(bytes.len() as u64) {
+        if named.is_none() && !hold.try_grow_unbounded(bytes.len() as u64) {
             return Err(CollectError::TooLarge);
         }
         append(&mut pieces, &bytes, named);
--- a/crates/gateway/src/port_connections.rs
+++ b/crates/gateway/src/port_connections.rs
@@ -18,7 +18,6 @@
 use crate::connection_usage::ServiceKey;
 use crate::connection_usage::Stage;
 use crate::connections_closed::ConnectionsClosed;
-use crate::endless::Endless;
 use crate::log_event::LogEvent;
 use crate::port_usage::ConnectionKey;
 use crate::port_usage::Opening;
@@ -27,6 +26,7 @@
 use crate::process_event::log_failure;
 use crate::process_event::ProcessEvent;
 use crate::process_event::Step;
+use crate::unbounded::UnboundedPart;
 use crate::usage_limits::UsageLimits;
 
 /// Bytes that a request takes beside its body: heads, its state, and what its backend server has sent and
@@ -57,8 +57,8 @@
     limits: UsageLimits,
     usage: RefCell<PortUsage>,
     close_requests: RefCell<HashMap<ConnectionKey, Rc<CloseRequest>>>,
-    /// Bytes that servers may send without end.
-    endless_bytes: [Cell<u64>; Endless::COUNT],
+    /// Bytes of unbounded parts of responses, by `UnboundedPart`.
+    unbounded_bytes: [Cell<u64>; UnboundedPart::COUNT],
     /// Length of the last page, in bytes.
     page_bytes: Cell<u64>,
     /// Connections that were closed since the last line about it, by reason.
@@ -76,7 +76,7 @@
             limits,
             usage: RefCell::new(PortUsage::new(limits)),
             close_requests: RefCell::default(),
-            endless_bytes: Default::default(),
+            unbounded_bytes: Default::default(),
             page_bytes: Cell::new(0),
             closed: RefCell::default(),
             accept_failed: Cell::new(false),
@@ -239,24 +239,24 @@
         self.0.usage.borrow_mut().release(key, bytes, held_for);
     }
 
-    /// Counts `bytes` more bytes that may have no end, of something that holds `held` of them. Returns false,
-    /// and counts none, if those of its kind take too much together and this is not small.
-    pub fn try_grow_endless(&self, kind: Endless, held: u64, bytes: u64) -> bool {
-        let limit = self.0.limits.buffer_bytes / 100 * kind.percent();
-        let of_kind = &self.0.endless_bytes[kind as usize];
-        let sum = of_kind.get().saturating_add(bytes);
-        let is_small = held.saturating_add(bytes) <= kind.small_bytes();
+    /// Counts `bytes` more bytes of an unbounded part that has `held` bytes. Returns false, and counts none, if
+    /// the share of such parts is used up and this one isn't small.
+    pub fn try_grow_unbounded(&self, part: UnboundedPart, held: u64, bytes: u64) -> bool {
+        let limit = self.0.limits.buffer_bytes / 100 * part.percent();
+        let counted = &self.0.unbounded_bytes[part as usize];
+        let sum = counted.get().saturating_add(bytes);
+        let is_small = held.saturating_add(bytes) <= part.small_bytes();
         if !is_small && sum > limit {
             return false;
         }
-        of_kind.set(sum);
+        counted.set(sum);
         true
     }
 
-    /// Counts bytes as gone that might have had no end.
-    pub fn release_endless(&self, kind: Endless, bytes: u64) {
-        let of_kind = &self.0.endless_bytes[kind as usize];
-        of_kind.set(of_kind.get().saturating_sub(bytes));
+    /// Uncounts bytes of an unbounded part.
+    pub fn release_unbounded(&self, part: UnboundedPart, bytes: u64) {
+        let counted = &self.0.unbounded_bytes[part as usize];
+        counted.set(counted.get().saturating_sub(bytes));
     }
 
     /// Closes the connections without progress, and logs how many were closed since the last time.
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -188,32 +188,32 @@
         splitter.push(&bytes);
         drop(bytes);
         partial.set(splitter.buffered_bytes());
-        let events = Events {
+        let events = ArrivedEvents {
             splitter,
             partial: &mut partial,
         };
-        if let Some(end) = pass_events(x, &mut attempt, events, tx, give_up_at).await {
+        if let Some(end) = forward_events(x, &mut attempt, events, tx, give_up_at).await {
             return end;
         }
     }
 }
 
-/// Events of a stream that have arrived, and the hold of the part of one whose end has not.
-struct Events<'a> {
+/// Events of a stream that have arrived, and the hold of the last one's bytes while it is incomplete.
+struct ArrivedEvents<'a> {
     splitter: &'a mut EventSplitter,
     partial: &'a mut BufferHold,
 }
 
-/// Passes the whole events on that have arrived. Returns how the stream ends if that fails, or if what is left
-/// takes too much memory.
-async fn pass_events(
+/// Forwards the complete events that have arrived. Returns how the stream ends if that fails, or if the
+/// incomplete event takes too much memory.
+async fn forward_events(
     x: &Exchange,
     attempt: &mut Attempt,
-    events: Events<'_>,
+    events: ArrivedEvents<'_>,
     tx: &Sender,
     give_up_at: Time,
 ) -> Option<StreamEnd> {
-    let Events { splitter, partial } = events;
+    let ArrivedEvents { splitter, partial } = events;
     loop {
         match splitter.next_event() {
             Ok(Some(event)) => {
@@ -225,7 +225,7 @@
                     return sent;
                 }
             }
-            Ok(None) if partial.try_count_endless(splitter.buffered_bytes()) => return None,
+            Ok(None) if partial.try_set_unbounded(splitter.buffered_bytes()) => return None,
             Ok(None) => {
                 let reason = "events without an end take too much memory".to_owned();
                 return Some(StreamEnd::Failed(AttemptEnd::Unknown, reason));
--- a/crates/gateway/src/unbounded.rs
+++ b/crates/gateway/src/unbounded.rs
@@ -1,31 +1,31 @@
-//! What a backend server may send without end, as nothing announces where it ends.
+//! Parts of responses whose length isn't known before they end, so that a faulty server may send them forever.
 
-/// Bytes of a response whose end nothing announces.
+/// A part of a response whose length isn't known before it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Endless {
+pub enum UnboundedPart {
     /// A body without a length.
     Body,
-    /// The part of an event of a stream that has arrived.
+    /// An event of a stream whose end has not arrived.
     Event,
 }
 
-impl Endless {
-    /// Number of kinds.
+impl UnboundedPart {
+    /// Number of variants.
     pub const COUNT: usize = 2;
 
-    /// Returns the part of the buffers that all of a kind may take together, in percent.
+    /// Returns the share of the buffers that all such parts may take together, in percent.
     pub fn percent(self) -> u64 {
         match self {
-            Endless::Body => 25,
-            Endless::Event => 10,
+            UnboundedPart::Body => 25,
+            UnboundedPart::Event => 10,
         }
     }
 
-    /// Returns the bytes up to which one is accepted whatever the others take.
+    /// Returns the size up to which such a part is accepted even if the share is used up, in bytes.
     pub fn small_bytes(self) -> u64 {
         match self {
-            Endless::Body => 64 << 10,
-            Endless::Event => 8 << 10,
+            UnboundedPart::Body => 64 << 10,
+            UnboundedPart::Event => 8 << 10,
         }
     }
 }
