relay: what a fleet derives from ended servers has a module of its own

Cause: server_end.rs held the evidence against one server and the changes to the fleet that follow from it. No logic changes.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -103,7 +103,7 @@
         if known.is_some_and(|known| known.as_of.era < reading.as_of.era) {
             self.ignores_removed_until = reading.restored_by();
         }
-        self.clear_outlived_ends(reading)
+        self.clear_refuted_ends(reading)
     }
 
     /// Returns whether the registrations were read up to a later revision than `reading`.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod engine_priority;
 mod event_splitter;
 mod fleet;
+mod fleet_ends;
 mod fleet_pace;
 mod fleet_requests;
 mod gossip;
