--- a/crates/gateway/src/process_event.rs
+++ b/crates/gateway/src/process_event.rs
@@ -285,11 +285,7 @@
                 domain,
                 callers,
                 store,
-            } => write!(
-                f,
-                "event=start version={} name={name} domain={domain} callers={callers} store={store}",
-                env!("CARGO_PKG_VERSION")
-            ),
+            } => write_start(f, name, domain, *callers, *store),
             ProcessEvent::SettingUnknown { field } => {
                 write!(f, "event=setting_unknown field={field:?}")
             }
@@ -312,17 +308,38 @@
                 took_ms,
             } => write!(f, "event=stop phase={phase} open={open} took_ms={took_ms}"),
             ProcessEvent::ConnectionsClosed(closed) => closed.fmt(f),
-            ProcessEvent::Failed { step, peer, reason } => {
-                write!(f, "event={}", step.event())?;
-                if let Some(peer) = peer {
-                    write!(f, " peer={peer}")?;
-                }
-                write!(f, " reason={:?}", reason.to_string())
-            }
+            ProcessEvent::Failed { step, peer, reason } => write_failure(f, *step, *peer, *reason),
         }
     }
 }
 
+fn write_start(
+    f: &mut Formatter<'_>,
+    name: &str,
+    domain: &str,
+    callers: SocketAddr,
+    store: SocketAddr,
+) -> fmt::Result {
+    write!(
+        f,
+        "event=start version={} name={name} domain={domain} callers={callers} store={store}",
+        env!("CARGO_PKG_VERSION")
+    )
+}
+
+fn write_failure(
+    f: &mut Formatter<'_>,
+    step: Step,
+    peer: Option<&dyn LogValue>,
+    reason: &dyn LogValue,
+) -> fmt::Result {
+    write!(f, "event={}", step.event())?;
+    if let Some(peer) = peer {
+        write!(f, " peer={peer}")?;
+    }
+    write!(f, " reason={:?}", reason.to_string())
+}
+
 impl Display for StopPhase {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/gateway/src/server_event.rs
+++ b/crates/gateway/src/server_event.rs
@@ -166,17 +166,10 @@
                 f,
                 "event=weights_taken server={server} model={model:?} version={version}"
             ),
-            ServerEvent::Added { registration, source } => write!(
-                f,
-                "event=server_added server={} service={} domain={} address={} state={:?} build={:?} weights={:?} source={source}",
-                registration.id,
-                registration.service,
-                registration.domain,
-                registration.address,
-                registration.state,
-                registration.build,
-                registration.weights.values().collect::<Vec<_>>()
-            ),
+            ServerEvent::Added {
+                registration,
+                source,
+            } => write_added(f, registration, source),
             ServerEvent::Draining { server, source } => {
                 write!(f, "event=server_draining server={server} source={source}")
             }
@@ -225,6 +218,20 @@
     }
 }
 
+fn write_added(f: &mut Formatter<'_>, registration: &Registration, source: &str) -> fmt::Result {
+    write!(
+        f,
+        "event=server_added server={} service={} domain={} address={} state={:?} build={:?} weights={:?} source={source}",
+        registration.id,
+        registration.service,
+        registration.domain,
+        registration.address,
+        registration.state,
+        registration.build,
+        registration.weights.values().collect::<Vec<_>>()
+    )
+}
+
 impl Display for RejectionsKnown<'_> {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -127,16 +127,11 @@
                 field,
                 reason,
                 rate_per_s,
-            } => {
-                write!(
-                    f,
-                    "event=quota_invalid version={version} workspace={workspace:?} field={field} reason={reason:?}"
-                )?;
-                match rate_per_s {
-                    Some(rate_per_s) => write!(f, " kept_rate_per_s={rate_per_s}"),
-                    None => write!(f, " kept_rate_per_s=none"),
-                }
-            }
+            } => write!(
+                f,
+                "event=quota_invalid version={version} workspace={workspace:?} field={field} reason={reason:?} kept_rate_per_s={}",
+                or_word(*rate_per_s, "none")
+            ),
             ViewEvent::QuotaAllocator { allocator, before } => {
                 write!(f, "event=quota_allocator allocator={allocator:?} before={before:?}")
             }
@@ -146,16 +141,11 @@
                 age_ms,
                 oldest_age_ms,
                 source,
-            } => {
-                write!(
-                    f,
-                    "event=weights_named model={model:?} version={version} age_ms={age_ms} "
-                )?;
-                match oldest_age_ms {
-                    Some(ms) => write!(f, "oldest_age_ms={ms} source={source}"),
-                    None => write!(f, "oldest_age_ms=unknown source={source}"),
-                }
-            }
+            } => write!(
+                f,
+                "event=weights_named model={model:?} version={version} age_ms={age_ms} oldest_age_ms={} source={source}",
+                or_word(*oldest_age_ms, "unknown")
+            ),
             ViewEvent::RouterAdded { peer, address } => {
                 write!(f, "event=router_added peer={peer:?} address={address}")
             }
@@ -170,3 +160,7 @@
         }
     }
 }
+
+fn or_word(number: Option<u64>, word: &str) -> String {
+    number.map_or_else(|| word.to_owned(), |number| number.to_string())
+}
