--- a/crates/gateway/src/build_records.rs
+++ b/crates/gateway/src/build_records.rs
@@ -161,7 +161,7 @@
         change,
     }
     .write();
-    let counter = &cx.metrics.servers.build_records;
+    let counter = &cx.metrics.streams.build_records;
     counter.with_label_values(&[change]).inc();
 }
 
--- a/crates/gateway/src/exchange_stream.rs
+++ b/crates/gateway/src/exchange_stream.rs
@@ -61,7 +61,7 @@
             builds: builds.len(),
             took_ms: now().millis_since(asked_at),
         };
-        let counter = &self.cx.metrics.servers.streams_taken_up;
+        let counter = &self.cx.metrics.streams.taken_up;
         counter.with_label_values(&[taken_up.source]).inc();
         RequestEvent::TakenUp(taken_up).write();
         let Some(build) = found.build else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -112,6 +112,7 @@
 mod stream_builds;
 mod stream_head;
 mod stream_lookup;
+mod stream_metrics;
 mod stream_record_task;
 mod stream_records;
 mod stream_relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 use crate::process_event::Step;
 use crate::quota_metrics::QuotaMetrics;
 use crate::server_metrics::ServerMetrics;
+use crate::stream_metrics::StreamMetrics;
 use crate::time_metrics::TimeMetrics;
 use crate::time_metrics::SECONDS;
 use crate::view_gauges::ViewGauges;
@@ -44,6 +45,8 @@
     pub quotas: QuotaMetrics,
     /// What concerns backend servers beyond single requests.
     pub servers: ServerMetrics,
+    /// Streams that callers take up.
+    pub streams: StreamMetrics,
     view_gauges: ViewGauges,
     /// Accepted connections, and what is held for them.
     pub connections: ConnectionMetrics,
@@ -85,6 +88,7 @@
             times: TimeMetrics::new(&registry),
             quotas: QuotaMetrics::new(&registry),
             servers: ServerMetrics::new(&registry),
+            streams: StreamMetrics::new(&registry),
             view_gauges: ViewGauges::new(&registry),
             connections: ConnectionMetrics::new(&registry),
             lines_dropped: gauge(&registry, "log_lines_dropped", "Log lines dropped"),
--- a/crates/gateway/src/server_metrics.rs
+++ b/crates/gateway/src/server_metrics.rs
@@ -21,12 +21,6 @@
     pub permits: IntCounterVec,
     /// Places asked for in backend servers that stand few rejections, by outcome.
     pub places: IntCounterVec,
-    /// Streams that callers take up, by how their build is known.
-    pub streams_taken_up: IntCounterVec,
-    /// Writes of streams to the store, by outcome.
-    pub stream_batches: IntCounterVec,
-    /// Records of builds that this router has written or deleted.
-    pub build_records: IntCounterVec,
     /// Connections to backend servers that this router holds for others.
     pub tunnels_open: IntGauge,
     /// Rejections by backend servers, by whether they follow another one and why.
@@ -66,24 +60,6 @@
                 "Places asked for in servers that stand few rejections",
                 &["outcome"],
             ),
-            streams_taken_up: counters(
-                registry,
-                "streams_taken_up",
-                "Streams that callers take up, by how the version of their server is known",
-                &["source"],
-            ),
-            stream_batches: counters(
-                registry,
-                "stream_batches",
-                "Writes of streams to the store",
-                &["outcome"],
-            ),
-            build_records: counters(
-                registry,
-                "build_records",
-                "Records of server versions in the store that were written or deleted",
-                &["change"],
-            ),
             tunnels_open: gauge(
                 registry,
                 "tunnels_open",
--- a/crates/gateway/src/stream_record_task.rs
+++ b/crates/gateway/src/stream_record_task.rs
@@ -167,7 +167,7 @@
             }
         };
         let outcome = if is_written { "written" } else { "failed" };
-        let counter = &cx.metrics.servers.stream_batches;
+        let counter = &cx.metrics.streams.batches;
         counter.with_label_values(&[outcome]).inc();
         let mut batches = cx.stream_records.batches.borrow_mut();
         batches.record_outcome(now(), is_written);
