gateway: types of the accounting of connections stand in modules of their own

Cause: connection_usage.rs held five types, four of which many other modules use. Change: Stage, ServiceKey, HeldFor and ProgressLimits move to connection_stage, service_key, held_for and progress_limits.

--- a/crates/gateway/src/buffer_hold.rs
+++ b/crates/gateway/src/buffer_hold.rs
@@ -1,6 +1,6 @@
 //! Bytes that are held for a caller.
 
-use crate::connection_usage::HeldFor;
+use crate::held_for::HeldFor;
 use crate::port_connections::PortConnections;
 use crate::port_usage::ConnectionKey;
 use crate::unbounded::UnboundedPart;
--- a/crates/gateway/src/buffer_limits.rs
+++ b/crates/gateway/src/buffer_limits.rs
@@ -1,7 +1,7 @@
 //! Limits on what is buffered of requests and responses: of all together, of each service and of large ones.
 
-use crate::connection_usage::HeldFor;
-use crate::connection_usage::ServiceKey;
+use crate::held_for::HeldFor;
+use crate::service_key::ServiceKey;
 use crate::service_usage::ServiceBytes;
 
 /// Part of the buffers that requests may take, in percent. The rest is for the responses of those that are
--- a/crates/gateway/src/connection_usage.rs
+++ b/crates/gateway/src/connection_usage.rs
@@ -3,6 +3,10 @@
 use policy::Time;
 
 use crate::buffer_limits::Shortage;
+use crate::connection_stage::Stage;
+use crate::held_for::HeldFor;
+use crate::progress_limits::ProgressLimits;
+use crate::service_key::ServiceKey;
 
 /// Memory of an open connection without what is read from it, in bytes.
 pub const CONNECTION_BYTES: u64 = 16 << 10;
@@ -17,60 +21,6 @@
 /// few milliseconds.
 const MOVED_AT_START_BYTES: u64 = 64 << 10;
 
-/// Bytes up to which a request and a response are small.
-const SMALL_REQUEST_BYTES: u64 = 128 << 10;
-const SMALL_RESPONSE_BYTES: u64 = 64 << 10;
-
-/// What a connection does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// No request has begun on it, or the latest one has ended.
-    Idle,
-    /// A part of a request's head has arrived.
-    Head,
-    /// A part of a request's body has arrived.
-    Body,
-    /// The request is with a backend server, or waits for one.
-    Running,
-    /// The response is sent, and its backend server or the caller is awaited.
-    Response,
-    /// The http library has all of the response, and the caller hasn't taken it.
-    Flushing,
-}
-
-/// A service whose requests are held: the hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServiceKey(pub u64);
-
-/// Which bytes of a caller are held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HeldFor {
-    /// A request's body, heads and state.
-    Request,
-    /// What the caller has yet to take of its response.
-    Response,
-}
-
-impl HeldFor {
-    /// Returns the bytes up to which it is small.
-    pub fn small_bytes(self) -> u64 {
-        match self {
-            HeldFor::Request => SMALL_REQUEST_BYTES,
-            HeldFor::Response => SMALL_RESPONSE_BYTES,
-        }
-    }
-}
-
-/// Times in which connections must move, by the configuration in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ProgressLimits {
-    /// Time from the first byte of a head to its end, in milliseconds.
-    pub head_ms: u64,
-    /// Time for which a connection may be idle, a body bring nothing and a response take nothing, in
-    /// milliseconds.
-    pub idle_ms: u64,
-}
-
 /// What the next bytes that are read belong to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reading {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -27,7 +27,6 @@
 use crate::caller_stream::CallerStream;
 use crate::close_reason::CloseReason;
 use crate::connection::error_chain;
-use crate::connection_usage::ProgressLimits;
 use crate::context::Context;
 use crate::context::Phase;
 use crate::early_refusal::refuse_early;
@@ -38,6 +37,7 @@
 use crate::port_usage::Opening;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
+use crate::progress_limits::ProgressLimits;
 use crate::timing::duration_until;
 
 /// Largest head of a request while no configuration is in force, in bytes.
--- a/crates/gateway/src/service_usage.rs
+++ b/crates/gateway/src/service_usage.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use crate::connection_usage::ConnectionUsage;
-use crate::connection_usage::HeldFor;
-use crate::connection_usage::ServiceKey;
+use crate::held_for::HeldFor;
+use crate::service_key::ServiceKey;
 
 /// Bytes that are buffered for requests of one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
