policy, relay, gateway: a complete response that waited for a paused router clears no later crashes

Requests with a part that crashes servers would reach more of them (BUDGET).

Cause: a router that was paused read in a message that had waited how long ago a request of the suspect had a complete response, and counted that from when it read it. The time was too late by as long as the message had waited. Crashes before it, and up to 2 s after it, count no longer; the time stands in all messages about the suspect, of which routers keep the latest. So all routers cleared a part that had crashed five servers. Nothing corrected it, as a true time is earlier.

Now the response counts from the earliest time at which the message can have arrived; the next message brings the true time. Strikes still count from the latest time, so that they count rather than not.

--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use policy::Arrival;
 use relay::RecordChange;
 use relay::StrikeUpdate;
 use relay::SuspectKey;
@@ -90,7 +91,8 @@
     };
     match parse(path, &record.value) {
         Ok((suspect, content)) => {
-            cx.merge_suspect(&content.update(suspect, record.revision.era), "store");
+            let update = content.update(suspect, record.revision.era);
+            cx.merge_suspect(Arrival::at(now()), &update, "store");
         }
         Err(reason) => ProcessEvent::EntryUnreadable {
             key: &record.name,
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,5 +1,6 @@
 //! What a router records about suspects, and what it lets through.
 
+use policy::Arrival;
 use policy::Time;
 use relay::Admission;
 use relay::SuspectKey;
@@ -60,10 +61,10 @@
 
     /// Merges the state of a suspect that another router (`peer`) sent or a record in the store
     /// (`store`) holds.
-    pub fn merge_suspect(&self, update: &SuspectUpdate, source: &str) {
+    pub fn merge_suspect(&self, message: Arrival, update: &SuspectUpdate, source: &str) {
         let is_hub = self.peers.topology.borrow_mut().is_hub(now());
         let evidence = &mut self.view.borrow_mut().crash_evidence;
-        if evidence.merge(now(), update, is_hub) {
+        if evidence.merge(message, update, is_hub) {
             let suspect = update.suspect;
             SuspectEvent::Blocked { suspect, source }.write();
         }
--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -16,6 +16,7 @@
 use crate::recent_times::RecentTimes;
 use crate::suspect_state::SuspectState;
 use crate::suspect_state::SuspectUpdate;
+use crate::Arrival;
 use crate::SuspectKey;
 
 /// Maximum number of suspects that are kept.
@@ -88,7 +89,8 @@
     /// Adds what another router knows of a suspect. What is new goes on to other routers if this
     /// one forwards, as hubs do, or if more than one strike counts. Returns whether the suspect is
     /// blocked by it.
-    pub fn merge(&mut self, now: Time, update: &SuspectUpdate, forwards: bool) -> bool {
+    pub fn merge(&mut self, message: Arrival, update: &SuspectUpdate, forwards: bool) -> bool {
+        let now = message.latest();
         let completed_at = self.completed.last(update.suspect.hash());
         let was_blocked = self.is_blocked(now, update.suspect);
         let is_known = self.suspects.contains_key(&update.suspect);
@@ -96,7 +98,7 @@
         if !is_known {
             state.sends = SENDS;
         }
-        let mut is_new = state.merge(now, update);
+        let mut is_new = state.merge(message, update);
         if let Some(at) = completed_at {
             is_new |= state.complete(now, at);
         }
--- a/crates/policy/src/suspect_state.rs
+++ b/crates/policy/src/suspect_state.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::age::age_ms;
-use crate::age::time_of;
+use crate::Arrival;
 use crate::SuspectKey;
 
 /// Number of strikes, each by another incarnation, from which a suspect is blocked.
@@ -56,7 +56,7 @@
     is_part: bool,
     /// Strikes of different incarnations, oldest first.
     strikes: Vec<Strike>,
-    /// When a request of the suspect last had a complete response.
+    /// Earliest time at which a request of the suspect can last have had a complete response.
     completed_at: Option<Time>,
     /// Number of trials, and when the latest began.
     trials: u32,
@@ -215,21 +215,25 @@
         Some(strike.at) > uncounted_until && now.millis_since(strike.at) < STRIKE_TTL_MS
     }
 
-    /// Adds what another router knows. Returns whether any of it is new.
-    pub(crate) fn merge(&mut self, now: Time, update: &SuspectUpdate) -> bool {
+    /// Adds what another router knows. Returns whether any of it is new. If the message may have waited,
+    /// strikes rather count than not: a complete response is taken as early, a strike as late.
+    pub(crate) fn merge(&mut self, message: Arrival, update: &SuspectUpdate) -> bool {
+        let now = message.latest();
         let before = self.counted(now);
         if let Some(age_ms) = update.completed_age_ms {
-            self.complete(now, time_of(now, age_ms));
+            self.complete(now, message.earliest_of(u64::from(age_ms)));
         }
         let mut is_new = false;
         for strike in &update.strikes {
-            let at = time_of(now, strike.age_ms);
-            let server = strike.server;
-            is_new |= self.add_peer_strike(now, Strike { server, at });
+            let strike = Strike {
+                server: strike.server,
+                at: message.latest_of(u64::from(strike.age_ms)),
+            };
+            is_new |= self.add_peer_strike(now, strike);
         }
         if update.trials > self.trials {
             self.trials = update.trials;
-            self.tried_at = time_of(now, update.tried_age_ms);
+            self.tried_at = message.latest_of(u64::from(update.tried_age_ms));
             is_new = true;
         }
         if self.has_enough_strikes(now) {
@@ -242,7 +246,7 @@
     /// the suspect is sound, or that some of them don't count.
     pub(crate) fn is_unknown_to_sender(&self, now: Time, update: &SuspectUpdate) -> bool {
         let mut other = SuspectState::new(update.suspect);
-        other.merge(now, update);
+        other.merge(Arrival::at(now), update);
         let is_cleared_here = self.completed_at.is_some() && other.completed_at.is_none();
         let sender_counts_more = other.counted(now) > self.counted(now);
         other.counted(now) > 1 && (is_cleared_here || sender_counts_more)
--- a/crates/relay/tests/crash_evidence.rs
+++ b/crates/relay/tests/crash_evidence.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::at;
+use policy::Arrival;
 use relay::Admission;
 use relay::CrashEvidence;
 use relay::RecordChange;
@@ -36,7 +37,7 @@
 fn send(from: &mut CrashEvidence, to: &mut CrashEvidence, ms: u64, messages: usize) {
     for _ in 0..messages {
         for update in from.next_updates(at(ms)) {
-            to.merge(at(ms), &update, false);
+            to.merge(Arrival::at(at(ms)), &update, false);
         }
     }
 }
--- a/crates/relay/tests/crashing_parts.rs
+++ b/crates/relay/tests/crashing_parts.rs
@@ -7,6 +7,7 @@
 mod common;
 
 use common::at;
+use policy::Arrival;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -115,7 +116,7 @@
             routers = vec![CrashEvidence::default(); storm.routers];
             for router in &mut routers {
                 for record in &records {
-                    router.merge(at(ms), record, false);
+                    router.merge(Arrival::at(at(ms)), record, false);
                 }
             }
             runs.clear();
@@ -141,7 +142,7 @@
         messages.retain(|(arrives_ms, to, update)| {
             if *arrives_ms <= ms {
                 let is_hub = storm.routers > 16 && *to == 0;
-                routers[*to].merge(at(ms), update, is_hub);
+                routers[*to].merge(Arrival::at(at(ms)), update, is_hub);
             }
             *arrives_ms > ms
         });
