--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -171,7 +171,7 @@
     cx.apply_statements(&message.statements);
     rejections::merge(cx, &message.rejections);
     for update in &message.suspects {
-        cx.merge_suspect(news, update, "peer");
+        cx.merge_suspect(arrival, update, "peer");
     }
     let own_region = message.region == Some(cx.peers.topology.borrow().region());
     let own_loads = cx.peers.sent_loads.borrow();
