policy: a strike that was told too late moves to its true time with a later message

A router that was paused would refuse sound requests for 30 s.

Cause: it counted strikes in messages that had waited from when it read them, and kept these times whatever came later. A complete response that came after the crashes, and before it read of them, then cleared nothing.

Now a message that gives a known strike an earlier time moves it there. An age in a message is never too large, so that times only approach the true one.

a_crash_is_cleared_by_a_complete_response_that_came_before_it_was_read failed before and passes.

--- a/crates/policy/src/suspect_state.rs
+++ b/crates/policy/src/suspect_state.rs
@@ -45,6 +45,7 @@
 struct Strike {
     /// Instance hash of the backend server.
     server: u64,
+    /// By when it had ended, as far as this router knows.
     at: Time,
 }
 
@@ -113,6 +114,15 @@
         self.strikes.iter().any(|strike| strike.server == server)
     }
 
+    /// Moves a known strike to an earlier time, as messages of it that waited gave it too late a one.
+    fn narrow_strike(&mut self, strike: Strike) {
+        let is_later = |known: &Strike| known.server == strike.server && known.at > strike.at;
+        if let Some(index) = self.strikes.iter().position(is_later) {
+            self.strikes.remove(index);
+            self.insert(strike);
+        }
+    }
+
     fn drop_uncounted_if_full(&mut self, now: Time) {
         if self.strikes.len() >= MAX_STRIKES {
             self.strikes = self.counted_strikes(now).copied().collect();
@@ -229,6 +239,7 @@
                 server: strike.server,
                 at: message.latest_of(u64::from(strike.age_ms)),
             };
+            self.narrow_strike(strike);
             is_new |= self.add_peer_strike(now, strike);
         }
         if update.trials > self.trials {
--- a/crates/relay/tests/waited_messages.rs
+++ b/crates/relay/tests/waited_messages.rs
@@ -34,3 +34,20 @@
     assert!(first.is_blocked(at(8_300), part));
     assert!(paused.is_blocked(at(8_300), part));
 }
+
+// Guards against sound requests that are refused by a router that was paused, as it takes the crashes of
+// servers for later ones than the complete response that cleared the request.
+#[test]
+fn a_crash_is_cleared_by_a_complete_response_that_came_before_it_was_read() {
+    let suspect = SuspectKey::Request(1);
+    let (mut first, mut paused) = (CrashEvidence::default(), CrashEvidence::default());
+    for server in 0..3 {
+        first.add_strike(at(0), suspect, server);
+    }
+    send(&mut first, &mut paused, 10, 5_000);
+    first.clear(at(500), suspect);
+
+    send(&mut first, &mut paused, 5_100, 5_100);
+
+    assert!(!paused.is_blocked(at(5_200), suspect));
+}
