gateway: the order lease is given back by its records, not by its number

Cause: a call that ends a lease may be executed seconds later, and the store may have come back from an older copy meanwhile. Numbers of leases are given again then: the call ended the order lease of another router, who orders for up to one time to live more, while the next one takes the lease. The same call was made for a lease that was granted and not used. Change: a take-over also writes a record with a name that is never given again. The lease is given back by a commit that deletes both records if that one has its revision. A lease that was granted and not used is left to expire. The store client has no call any more that ends a lease by its number.

--- a/crates/gateway/src/measured_store.rs
+++ b/crates/gateway/src/measured_store.rs
@@ -84,8 +84,4 @@
     fn renew(&self, lease: LeaseId) -> LocalBoxFuture<'_, Result<bool, StoreError>> {
         self.measure("renew", self.store.renew(lease)).boxed_local()
     }
-
-    fn end(&self, lease: LeaseId) -> LocalBoxFuture<'_, Result<(), StoreError>> {
-        self.measure("end", self.store.end(lease)).boxed_local()
-    }
 }
--- a/crates/gateway/src/order_lease_task.rs
+++ b/crates/gateway/src/order_lease_task.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use relay::LeaseBounds;
 use relay::LeaseTerm;
+use relay::Revision;
 use tokio::time::sleep;
 
 use crate::clock::now;
@@ -35,6 +36,19 @@
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Prefix of the names of the records that each stand for one lease term, and expire with it. Their names are
+/// never given again, in no era of the store.
+const TERM_RECORDS: &str = "orders/term/";
+
+/// The order lease while this router holds it.
+struct HeldLease {
+    lease: LeaseId,
+    /// Name of the record that stands for this term.
+    term_record: String,
+    /// Revision of that record.
+    revision: Revision,
+}
+
 /// Takes the order lease whenever it is free and this router may give orders, and holds
 /// it until this router stops, can't renew it or is fenced by a newer holder.
 pub async fn contend_for_order_lease(cx: Rc<Context>) {
@@ -57,7 +71,7 @@
             continue;
         }
         match take_over(&cx).await {
-            Ok(Some(lease)) => hold_order_lease(&cx, lease).await,
+            Ok(Some(held)) => hold_order_lease(&cx, held).await,
             Ok(None) => sleep(RETRY_PAUSE).await,
             Err(e) => {
                 log_failure(Step::OrderLease, &e);
@@ -67,22 +81,24 @@
     }
 }
 
-async fn take_over(cx: &Context) -> Result<Option<LeaseId>, StoreError> {
+/// Takes the order lease. If it is denied, or there is no answer, the lease that was granted is left to expire.
+async fn take_over(cx: &Context) -> Result<Option<HeldLease>, StoreError> {
     let ttl_ms = order_lease_ttl_ms(cx);
     let sent_at = now();
     let lease = cx.store.grant(ttl_ms).await?;
-    let write = RecordWrite {
-        name: ORDER_LEASE_RECORD.to_owned(),
+    let nonce: u128 = rand::random();
+    let term_record = format!("{TERM_RECORDS}{nonce:032x}");
+    let write = |name: &str| RecordWrite {
+        name: name.to_owned(),
         precondition: Precondition::Absent,
         value: Some(Bytes::from(cx.settings.name.to_string())),
         lease: Some(lease),
     };
-    let revision = match cx.store.commit(vec![write]).await? {
+    // A store may number each write of a commit; the revision of the commit is that of the last one.
+    let writes = vec![write(ORDER_LEASE_RECORD), write(&term_record)];
+    let revision = match cx.store.commit(writes).await? {
         CommitOutcome::Committed(revision) => revision,
-        CommitOutcome::Conflict | CommitOutcome::LeaseExpired => {
-            cx.store.end(lease).await?;
-            return Ok(None);
-        }
+        CommitOutcome::Conflict | CommitOutcome::LeaseExpired => return Ok(None),
     };
     note_era(cx, cx.store.era(), "store");
     // A lease that an earlier era granted does not hold the record.
@@ -103,7 +119,11 @@
     view.order_plan.clear();
     let wait_ms = from.millis_since(taken_at);
     OrderEvent::LeaseTermBegan { fence, wait_ms }.write();
-    Ok(Some(lease))
+    Ok(Some(HeldLease {
+        lease,
+        term_record,
+        revision,
+    }))
 }
 
 fn lease_bounds(cx: &Context) -> LeaseBounds {
@@ -114,7 +134,7 @@
     }
 }
 
-async fn hold_order_lease(cx: &Context, lease: LeaseId) {
+async fn hold_order_lease(cx: &Context, held: HeldLease) {
     let ttl_ms = order_lease_ttl_ms(cx);
     loop {
         let renewal_at = now().plus_millis(ttl_ms / 4);
@@ -122,10 +142,10 @@
             sleep(POLL_INTERVAL).await;
         }
         if cx.phase.get() != Phase::Serving {
-            return give_back(cx, lease).await;
+            return give_back(cx, held).await;
         }
         let sent_at = now();
-        let renewed = cx.store.renew(lease).await;
+        let renewed = cx.store.renew(held.lease).await;
         note_era(cx, cx.store.era(), "store");
         match renewed {
             Ok(true) => cx.view.borrow_mut().order_lease.renew(sent_at, ttl_ms),
@@ -140,7 +160,10 @@
 
 /// Gives the lease back, once no order of this router is under way. If the answer is lost, the lease
 /// expires by itself at the latest.
-async fn give_back(cx: &Context, lease: LeaseId) {
+///
+/// The call may be executed late, in another era of the store, where another lease may have the number of this one.
+/// So it names no lease, but deletes the records if that of this term is there.
+async fn give_back(cx: &Context, held: HeldLease) {
     let Some(orders_over_at) = cx.view.borrow_mut().order_lease.begin_end() else {
         return;
     };
@@ -150,8 +173,19 @@
     if !cx.view.borrow_mut().order_lease.send_end(now()) {
         return;
     }
-    match cx.store.end(lease).await {
-        Ok(()) => end_lease_term(cx, reason),
+    let delete = |name: &str, precondition| RecordWrite {
+        name: name.to_owned(),
+        precondition,
+        value: None,
+        lease: None,
+    };
+    let is_this_term = Precondition::LastWrite(held.revision.number);
+    let writes = vec![
+        delete(&held.term_record, is_this_term),
+        delete(ORDER_LEASE_RECORD, Precondition::None),
+    ];
+    match cx.store.commit(writes).await {
+        Ok(_) => end_lease_term(cx, reason),
         Err(e) => log_failure(Step::Release, &e),
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -152,14 +152,16 @@
     pub lease: Option<LeaseId>,
 }
 
-/// What must hold for a record that is written. No revision is compared: numbers of an earlier
-/// era may name other changes.
+/// What must hold for a record that is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Precondition {
     /// Nothing.
     None,
     /// The record must not exist.
     Absent,
+    /// The record's last write must have this number. It is compared for names that are given once
+    /// only: of another record, a number of an earlier era may name another write.
+    LastWrite(u64),
 }
 
 /// Outcome of an atomic set of writes.
@@ -201,7 +203,4 @@
 
     /// Renews a lease; returns `false` if it has expired.
     fn renew(&self, lease: LeaseId) -> LocalBoxFuture<'_, Result<bool, StoreError>>;
-
-    /// Ends a lease, and with it the records bound to it.
-    fn end(&self, lease: LeaseId) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 }
