--- a/crates/gateway/src/accepted_connection.rs
+++ b/crates/gateway/src/accepted_connection.rs
@@ -8,12 +8,12 @@
 use crate::buffer_hold::BufferHold;
 use crate::close_reason::CloseReason;
 use crate::close_request::CloseRequest;
+use crate::connection_key::ConnectionKey;
 use crate::connection_stage::Stage;
 use crate::held_for::HeldFor;
 use crate::port_connections::OpenedConnection;
 use crate::port_connections::PortConnections;
 use crate::port_connections::REQUEST_OVERHEAD_BYTES;
-use crate::port_usage::ConnectionKey;
 use crate::service_key::ServiceKey;
 
 /// Bytes of a connection to a backend server for another router, without the connections themselves: a buffer
--- a/crates/gateway/src/buffer_hold.rs
+++ b/crates/gateway/src/buffer_hold.rs
@@ -1,8 +1,8 @@
 //! Bytes that are held for a caller.
 
+use crate::connection_key::ConnectionKey;
 use crate::held_for::HeldFor;
 use crate::port_connections::PortConnections;
-use crate::port_usage::ConnectionKey;
 use crate::unbounded::UnboundedPart;
 
 /// Bytes that are held for a caller; dropping it frees them.
--- a/crates/gateway/src/eviction.rs
+++ b/crates/gateway/src/eviction.rs
@@ -6,8 +6,8 @@
 
 use policy::Time;
 
+use crate::connection_key::ConnectionKey;
 use crate::connection_usage::ConnectionUsage;
-use crate::port_usage::ConnectionKey;
 
 /// Time for which bytes wait for their caller before its connection may be evicted, in milliseconds.
 const MIN_WAITING_MS: u64 = 1_000;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -34,10 +34,10 @@
 use crate::intake::Aborted;
 use crate::liveness::set_keepalive;
 use crate::port_connections::PortConnections;
-use crate::port_usage::Opening;
 use crate::process_event::log_failure;
 use crate::process_event::Step;
 use crate::progress_limits::ProgressLimits;
+use crate::room::Opening;
 use crate::timing::duration_until;
 
 /// Largest head of a request while no configuration is in force, in bytes.
--- a/crates/gateway/src/port_usage.rs
+++ b/crates/gateway/src/port_usage.rs
@@ -11,12 +11,14 @@
 use crate::buffer_limits::BufferLimits;
 use crate::buffer_limits::Buffered;
 use crate::buffer_limits::Shortage;
+use crate::connection_key::ConnectionKey;
 use crate::connection_stage::Stage;
 use crate::connection_usage::ConnectionUsage;
 use crate::connection_usage::CONNECTION_BYTES;
 use crate::eviction;
 use crate::held_for::HeldFor;
 use crate::progress_limits::ProgressLimits;
+use crate::room::Room;
 use crate::service_key::ServiceKey;
 use crate::service_usage::Contribution;
 use crate::service_usage::ServiceUsage;
@@ -30,35 +32,6 @@
 /// milliseconds.
 const SEARCH_INTERVAL_MS: u64 = 20;
 
-/// Key of an open connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConnectionKey(u64);
-
-/// Room for something new.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Room {
-    /// There is room.
-    Free,
-    /// There is, once this connection is closed.
-    Closing(ConnectionKey),
-    /// There may be at this time.
-    At(Time),
-    /// There is none.
-    Full,
-}
-
-/// Outcome of opening a connection.
-pub enum Opening<C> {
-    /// It is open.
-    Open(C),
-    /// There is room once the task of another connection has run, which is being closed.
-    Closing,
-    /// There may be room for it at this time.
-    At(Time),
-    /// There is no room for it.
-    Full,
-}
-
 /// What all connections of one port hold.
 #[derive(Debug)]
 pub struct PortUsage {
