gateway: the accounting of connections uses the usual terms

Cause: 'behind a request', 'part of the buffers' and 'what it does' named pipelined bytes, shares and stages in private words; several comments had to be read twice. Change: pipelined_bytes, KERNEL_PIPELINED_BYTES, MIN_PIPELINED_BYTES; comments of the limits, of eviction and of the accounting say what is counted, when and why. No logic changes.

--- a/crates/gateway/src/buffer_limits.rs
+++ b/crates/gateway/src/buffer_limits.rs
@@ -1,30 +1,30 @@
-//! Limits on what is buffered of requests and responses: of all together, of each service and of large ones.
+//! Limits on the buffers of requests and responses: on their sum, on each service and on large ones.
 
 use crate::held_for::HeldFor;
 use crate::service_key::ServiceKey;
 use crate::service_usage::ServiceBytes;
 
-/// Part of the buffers that requests may take, in percent. The rest is for the responses of those that are
-/// accepted.
+/// Share of the buffers that requests may take, in percent. The rest is for the responses to accepted
+/// requests.
 const REQUESTS_PERCENT: u64 = 70;
 
-/// Parts of the buffers up to which requests are accepted and responses are read, whatever holds them, in
-/// percent. What responses don't take is for requests.
+/// Fill level of the buffers up to which requests are accepted, and up to which responses are read, in percent.
+/// The level for requests is higher, so that responses don't keep all of them out.
 const ACCEPTED_PERCENT: u64 = 96;
 const RESPONSES_PERCENT: u64 = 92;
 
-/// Part of the buffers, and of what requests may take of them, that one service may take, in percent. The rest
-/// is for the others, whatever its servers send.
+/// Share of the buffers, and of those for requests, that one service may take, in percent. The rest is left to
+/// the other services.
 const SERVICE_PERCENT: u64 = 85;
 
-/// Part of the buffers that all large requests may take, and that all large responses may, in percent; a
-/// single one may take more.
+/// Share of the buffers that all large requests may take together, and likewise all large responses, in
+/// percent. A single one may take more.
 const LARGE_PERCENT: u64 = 40;
 
-/// Part of the buffers that a single response may take, in percent.
+/// Share of the buffers that a single response may take, in percent.
 const SINGLE_PERCENT: u64 = 75;
 
-/// What is buffered at a port, as it concerns one connection that asks for more.
+/// What is buffered at a port when one of its connections needs more bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Buffered {
     /// Bytes of requests and responses.
@@ -37,14 +37,14 @@
     pub own: u64,
 }
 
-/// What more bytes would exceed.
+/// Limit that more bytes would exceed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shortage {
-    /// The part of all requests or responses.
+    /// That on all requests or responses.
     Sum,
-    /// The part of one service.
+    /// That on one service.
     Service(ServiceKey),
-    /// The part of large requests or responses.
+    /// That on large requests or responses.
     Large(HeldFor),
 }
 
@@ -61,8 +61,8 @@
         bytes > self.percent(SINGLE_PERCENT)
     }
 
-    /// Returns what `bytes` more bytes of a request or response would exceed. `large_others` returns the bytes
-    /// of other large ones.
+    /// Returns which limit `bytes` more bytes of a request or response would exceed, none if they fit.
+    /// `large_others` returns the bytes of the other large ones.
     pub fn shortage<F>(
         self,
         buffered: Buffered,
--- a/crates/gateway/src/close_request.rs
+++ b/crates/gateway/src/close_request.rs
@@ -6,8 +6,8 @@
 
 use crate::close_reason::CloseReason;
 
-/// Whether a connection is to be closed, and why. What keeps account of the connections makes the request, and
-/// the task that serves the connection carries it out.
+/// Whether a connection is to be closed, and why. The accounting of the port makes the request, and the task
+/// that serves the connection carries it out.
 #[derive(Debug, Default)]
 pub struct CloseRequest {
     reason: Cell<Option<CloseReason>>,
@@ -15,7 +15,7 @@
 }
 
 impl CloseRequest {
-    /// Requests that it is closed, for a reason that is kept if there is one already.
+    /// Requests that the connection is closed; the first reason counts.
     pub fn make(&self, reason: CloseReason) {
         if self.reason.get().is_none() {
             self.reason.set(Some(reason));
--- a/crates/gateway/src/connection_usage.rs
+++ b/crates/gateway/src/connection_usage.rs
@@ -11,14 +11,15 @@
 /// Memory of an open connection without what is read from it, in bytes.
 pub const CONNECTION_BYTES: u64 = 16 << 10;
 
-/// What the kernel may hold of bytes that a caller sends behind its request, in bytes.
-const PIPELINED_BYTES: u64 = 16 << 10;
+/// Most bytes that the kernel holds of pipelined requests: those that a caller sends before it has the response
+/// to the present one.
+const KERNEL_PIPELINED_BYTES: u64 = 16 << 10;
 
-/// Most bytes that the http library has read of a body and not passed on.
+/// Most bytes of a body that the http library has read and not passed on.
 const READ_AHEAD_BYTES: u64 = 16 << 10;
 
-/// Bytes that a caller is taken to have moved from the start, so that a new response isn't compared by a
-/// few milliseconds.
+/// Bytes that are added to those transferred when connections are compared by their rate, so that the rate of
+/// a new response isn't that of its first few milliseconds.
 const MOVED_AT_START_BYTES: u64 = 64 << 10;
 
 /// What the next bytes that are read belong to.
@@ -28,14 +29,15 @@
     Head,
     /// The body of the present request, with its framing.
     Body,
-    /// What follows the present request.
-    Behind,
+    /// Pipelined requests.
+    Pipelined,
 }
 
 /// What one connection holds.
 ///
-/// What it does is stated by the layer that serves it. Bytes that are read count for the part of a request to
-/// which they belong by that, and for nothing once that part is over, so that no count outlasts its request.
+/// The layer that serves the connection reports its stage and when a head, body or request ends. Bytes that are
+/// read count for the part of a request that is being read, and are uncounted when that part ends, so that no
+/// count remains after its request.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionUsage {
     stage: Stage,
@@ -57,8 +59,8 @@
     head_bytes: u64,
     /// Bytes that were read of the present request's body, with its framing.
     body_bytes: u64,
-    /// Bytes that were read behind the present request.
-    behind_bytes: u64,
+    /// Bytes that were read of pipelined requests.
+    pipelined_bytes: u64,
     /// Whether it is being closed.
     is_closing: bool,
 }
@@ -78,17 +80,17 @@
             reading: Reading::Head,
             head_bytes: 0,
             body_bytes: 0,
-            behind_bytes: 0,
+            pipelined_bytes: 0,
             is_closing: false,
         }
     }
 
-    /// Returns what it does.
+    /// Returns its present stage.
     pub fn stage(&self) -> Stage {
         self.stage
     }
 
-    /// Records what it does from now on.
+    /// Begins a stage.
     pub fn begin(&mut self, now: Time, stage: Stage) {
         self.stage = stage;
         self.stage_since = now;
@@ -115,22 +117,22 @@
         self.service
     }
 
-    /// Records that the body of the present request was read to its end: what is read from now on follows
-    /// it. A body that names its length as `len` shows how much of that was read with its end. Of one in
-    /// chunks that isn't known; it is at most what the http library reads at once, for which
-    /// each request has memory.
+    /// Records that the body of the present request was read to its end; what is read from now on is
+    /// pipelined. With a content length of `len`, bytes that were read beyond it are pipelined too. For a
+    /// chunked body these aren't known; they are at most what the http library reads at once, which the
+    /// memory of each request includes.
     pub fn end_request_body(&mut self, len: Option<u64>) {
-        self.reading = Reading::Behind;
-        self.behind_bytes = len.map_or(0, |len| self.body_bytes.saturating_sub(len));
+        self.reading = Reading::Pipelined;
+        self.pipelined_bytes = len.map_or(0, |len| self.body_bytes.saturating_sub(len));
         self.body_bytes = 0;
     }
 
-    /// Records that the present request is over. What was read behind it belongs to the next one.
+    /// Records that the present request is over. Pipelined bytes become those of the next request.
     pub fn end_request(&mut self, now: Time) {
         self.begin(now, Stage::Idle);
         self.reading = Reading::Head;
         self.body_bytes = 0;
-        self.head_bytes = std::mem::take(&mut self.behind_bytes);
+        self.head_bytes = std::mem::take(&mut self.pipelined_bytes);
     }
 
     /// Records bytes that were read from it.
@@ -139,7 +141,7 @@
         match self.reading {
             Reading::Head => self.head_bytes += bytes,
             Reading::Body => self.body_bytes += bytes,
-            Reading::Behind => self.behind_bytes += bytes,
+            Reading::Pipelined => self.pipelined_bytes += bytes,
         }
         match self.stage {
             Stage::Body => self.moved_bytes += bytes,
@@ -183,21 +185,21 @@
         self.is_closing = true;
     }
 
-    /// Returns the memory of the connection itself. While a body is read, the http library may hold the latest
-    /// bytes of it. If the caller sends on behind a request, the kernel may hold more of that.
+    /// Returns the memory of the connection itself, with what the http library may hold of a body that is
+    /// being read, and the kernel of pipelined requests.
     pub fn connection_bytes(&self) -> u64 {
-        let in_kernel = if self.behind_bytes > 0 {
-            PIPELINED_BYTES
+        let in_kernel = if self.pipelined_bytes > 0 {
+            KERNEL_PIPELINED_BYTES
         } else {
             0
         };
         let read_ahead = self.body_bytes.min(READ_AHEAD_BYTES);
-        CONNECTION_BYTES + self.head_bytes + read_ahead + self.behind_bytes + in_kernel
+        CONNECTION_BYTES + self.head_bytes + read_ahead + self.pipelined_bytes + in_kernel
     }
 
-    /// Returns the bytes that were read behind the present request.
-    pub fn behind_bytes(&self) -> u64 {
-        self.behind_bytes
+    /// Returns the bytes that were read of pipelined requests.
+    pub fn pipelined_bytes(&self) -> u64 {
+        self.pipelined_bytes
     }
 
     /// Returns whether its request is with a backend server, or waits for one, or has a response that isn't
@@ -249,7 +251,7 @@
         }
     }
 
-    /// Returns whether its end makes room of which there is a shortage.
+    /// Returns whether closing it frees what there is a shortage of.
     pub fn eases(&self, shortage: Shortage) -> bool {
         match shortage {
             Shortage::Sum => true,
@@ -285,7 +287,7 @@
         u128::from(bytes) * u128::from(now.micros_since(self.stage_since))
     }
 
-    /// Returns since when it does what it does.
+    /// Returns when its present stage began.
     pub fn stage_since(&self) -> Time {
         self.stage_since
     }
--- a/crates/gateway/src/eviction.rs
+++ b/crates/gateway/src/eviction.rs
@@ -1,8 +1,8 @@
-//! Which connection is closed when there is no room: decided on what each of them does and holds.
+//! Choice of the connection to close when there is no room.
 //!
-//! A request that a backend server may run is not the fault of its caller, nor is the wait for it. So
-//! connections that have none are closed first, and else those whose callers don't send or take what
-//! is held for them.
+//! The wait for a backend server isn't caused by the caller. For a new connection, one without a request that a
+//! backend server may run is closed first, then one whose caller doesn't send or take what is held for it, then
+//! the one with the most pipelined bytes. For more buffered bytes, only the second kind is closed.
 
 use policy::Time;
 
@@ -15,10 +15,10 @@
 /// Bytes that must wait for their caller before its connection may be evicted.
 const MIN_WAITING_BYTES: u64 = 4 << 10;
 
-/// Bytes that a caller must have sent on behind a request before its connection may be evicted.
-const MIN_BEHIND_BYTES: u64 = 4 << 10;
+/// Pipelined bytes from which on a connection with a running request may be evicted.
+const MIN_PIPELINED_BYTES: u64 = 4 << 10;
 
-/// Returns the idle connection to evict: that which holds the most for the longest.
+/// Returns the idle connection to evict: the one with the highest product of bytes and idle time.
 pub fn idle<'a, C>(connections: C, now: Time) -> Option<(ConnectionKey, &'a mut ConnectionUsage)>
 where
     C: Iterator<Item = (&'a ConnectionKey, &'a mut ConnectionUsage)>,
@@ -39,13 +39,13 @@
     chosen.map(|(key, usage)| (*key, usage))
 }
 
-/// Returns the connection to evict whose caller has sent the most behind a request that has no whole response.
+/// Returns the connection to evict with the most pipelined bytes.
 pub fn pipelining<'a, C>(connections: C) -> Option<(ConnectionKey, &'a mut ConnectionUsage)>
 where
     C: Iterator<Item = (&'a ConnectionKey, &'a mut ConnectionUsage)>,
 {
     let pipelining = connections
-        .filter(|(_, usage)| !usage.is_closing() && usage.behind_bytes() >= MIN_BEHIND_BYTES);
-    let chosen = pipelining.max_by_key(|(_, usage)| usage.behind_bytes());
+        .filter(|(_, usage)| !usage.is_closing() && usage.pipelined_bytes() >= MIN_PIPELINED_BYTES);
+    let chosen = pipelining.max_by_key(|(_, usage)| usage.pipelined_bytes());
     chosen.map(|(key, usage)| (*key, usage))
 }
--- a/crates/gateway/src/fleet_changes.rs
+++ b/crates/gateway/src/fleet_changes.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Logs which servers count as over since a later one is registered at their address.
+    /// Logs which servers are assumed to be over as a later one is registered at their address.
     fn log_replaced(&self, by: ServerKey) {
         let view = self.view.borrow();
         let Some(later) = view.fleet.get(by) else {
--- a/crates/gateway/src/held_for.rs
+++ b/crates/gateway/src/held_for.rs
@@ -1,10 +1,10 @@
-//! Purposes for which bytes of a caller are held.
+//! What buffered bytes are held for.
 
 /// Bytes up to which a request and a response are small.
 const SMALL_REQUEST_BYTES: u64 = 128 << 10;
 const SMALL_RESPONSE_BYTES: u64 = 64 << 10;
 
-/// Which bytes of a caller are held.
+/// What buffered bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeldFor {
     /// A request's body, heads and state.
--- a/crates/gateway/src/port_usage.rs
+++ b/crates/gateway/src/port_usage.rs
@@ -232,8 +232,8 @@
         overdue.collect()
     }
 
-    /// Returns what `bytes` more bytes would exceed, either now or once the connections that are being closed
-    /// hold nothing.
+    /// Returns which limit `bytes` more bytes would exceed, none if they fit. `without_closing` leaves out what
+    /// connections hold that are being closed.
     fn shortage(
         &self,
         key: ConnectionKey,
@@ -261,7 +261,7 @@
             })
     }
 
-    /// Takes off what is buffered for connections that are being closed.
+    /// Subtracts what is buffered for connections that are being closed.
     fn subtract_closing(&self, buffered: &mut Buffered) {
         for usage in self.connections.values().filter(|usage| usage.is_closing()) {
             let requests = usage.bytes_for(HeldFor::Request);
@@ -322,7 +322,7 @@
     }
 
     /// Chooses a connection with a request to evict: one whose caller doesn't take its response, or else one
-    /// whose caller sends on behind the request.
+    /// with pipelined requests.
     fn evict_busy(&mut self, now: Time) -> Room {
         let chosen = match eviction::slow(self.connections.iter_mut(), now) {
             Some((key, _)) => Some(key),
--- a/crates/gateway/src/server_end_event.rs
+++ b/crates/gateway/src/server_end_event.rs
@@ -19,8 +19,8 @@
         /// Its address.
         address: SocketAddr,
     },
-    /// An incarnation of a backend server counts as over, as a later one of its service is registered at
-    /// its address.
+    /// An incarnation of a backend server is assumed to be over, as a later one of its service is
+    /// registered at its address.
     Replaced {
         /// Its id.
         server: &'a str,
--- a/crates/gateway/src/service_key.rs
+++ b/crates/gateway/src/service_key.rs
@@ -1,5 +1,5 @@
 //! Key of a service.
 
-/// A service whose requests are held: the hash of its name.
+/// Key of a service by which buffered bytes are counted: the hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceKey(pub u64);
--- a/crates/gateway/src/service_usage.rs
+++ b/crates/gateway/src/service_usage.rs
@@ -23,7 +23,7 @@
 }
 
 impl Contribution {
-    /// Returns that of a connection; none if the service of its request isn't known.
+    /// Returns what a connection adds; none if the service of its request isn't known.
     pub fn of(usage: &ConnectionUsage) -> Option<Contribution> {
         Some(Contribution {
             service: usage.service()?,
@@ -45,7 +45,7 @@
         self.0.get(&service).copied().unwrap_or_default()
     }
 
-    /// Replaces what a connection adds.
+    /// Replaces what a connection added before a change by what it adds after it.
     pub fn replace(&mut self, before: Option<Contribution>, after: Option<Contribution>) {
         if before == after {
             return;
--- a/crates/gateway/src/usage_limits.rs
+++ b/crates/gateway/src/usage_limits.rs
@@ -1,4 +1,4 @@
-//! Limits on the connections of one port, and the totals that they hold for.
+//! Limits on the connections of one port, and the totals that they apply to.
 
 /// Limits on all connections of one port together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
