gateway: announcements to other routers have modules of their own

Cause: peers.rs (416 lines) held who the other routers are and what is announced to them. Change: Announced, SentPart and WeightsSwitch stand in a module each, and peer_announcements.rs has the methods of Peers that announce. peers.rs re-exports SentPart and WeightsSwitch as long as gossip_task imports them from there. Result: peers.rs has 311 lines; clippy and the tests of gateway pass.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -12,8 +12,8 @@
 use crate::codec::RetryAfter;
 use crate::exchange::Exchange;
 use crate::log_event::LogEvent;
-use crate::peers::SentPart;
 use crate::rejections;
+use crate::sent_part::SentPart;
 use crate::server_event::ServerEvent;
 
 /// Time for which a backend server is avoided after it rejected a request, in milliseconds.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accepted;
 mod accepted_connection;
+mod announced;
 mod attempt;
 mod attempt_failure;
 mod attempt_outcome;
@@ -73,6 +74,7 @@
 mod path_watch;
 mod path_watch_task;
 mod pause_watch;
+mod peer_announcements;
 mod peer_message;
 mod peer_sender;
 mod peers;
@@ -99,6 +101,7 @@
 mod room;
 mod router_entry;
 mod router_feed;
+mod sent_part;
 mod server_body;
 mod server_choice;
 mod server_end_event;
@@ -134,6 +137,7 @@
 mod usage_limits;
 mod view_event;
 mod view_gauges;
+mod weights_switch;
 
 pub use clock::now;
 pub use close_reason::CloseReason;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -20,8 +20,8 @@
 use crate::order_event::OrderEvent;
 use crate::order_event::OrderGiven;
 use crate::order_lease_task::end_lease_term;
-use crate::peers::WeightsSwitch;
 use crate::permits::may_send;
+use crate::weights_switch::WeightsSwitch;
 
 /// Interval at which due steps are carried out.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,14 +9,15 @@
 use policy::Time;
 use relay::ConfigurationSource;
 use relay::LoadUpdate;
-use relay::PartKey;
 use relay::ServerKey;
 use relay::Topology;
-use relay::Transfer;
 use tokio::sync::Notify;
 
+use crate::announced::Announced;
 use crate::clock::now;
 use crate::router_entry::RouterEntry;
+pub use crate::sent_part::SentPart;
+pub use crate::weights_switch::WeightsSwitch;
 
 /// Time without a message after which a router no longer counts as reachable, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 3_000;
@@ -24,18 +25,12 @@
 /// Time without a message after which a router is given nothing to do for others, in milliseconds.
 const REACHABLE_MS: u64 = 900;
 
-/// Time for which an announcement is repeated in messages, as datagrams get lost, in milliseconds.
-const ANNOUNCE_MS: u64 = 600;
-
 /// Time for which an unregistered router gets messages after it sent one, in milliseconds.
 const UNREGISTERED_MS: u64 = 1_000;
 
 /// Maximum number of unregistered routers that get messages.
 const MAX_UNREGISTERED: usize = 64;
 
-/// Time by which a switch must last longer than announced to be announced again, in milliseconds.
-const MIN_SWITCH_EXTENSION_MS: u64 = 500;
-
 #[derive(Clone, Debug)]
 struct Peer {
     entry: RouterEntry,
@@ -55,38 +50,6 @@
     valid_until: Time,
 }
 
-/// An announcement that is repeated in messages for a while.
-#[derive(Clone, Debug)]
-pub struct Announced<T> {
-    at: Time,
-    /// What is announced.
-    pub value: T,
-}
-
-/// A prompt part that was sent to an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SentPart {
-    /// Key of the part.
-    pub part: PartKey,
-    /// Engine to which it was sent.
-    pub server: ServerKey,
-    /// Transfer of the part between the engine and a prefix store, if the request causes one.
-    pub transfer: Option<Transfer>,
-}
-
-/// An engine that switches to new weights.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WeightsSwitch {
-    /// Engine that loads the weights.
-    pub server: ServerKey,
-    /// Name of the model.
-    pub model: String,
-    /// Version that it loads.
-    pub version: u64,
-    /// Time until which the engine is expected to reject requests.
-    pub until: Time,
-}
-
 /// Other routers, and what is to be announced to them.
 pub struct Peers {
     /// Hash of this router's name.
@@ -345,72 +308,4 @@
         let peer = peers.get(&hash);
         peer.is_some_and(|peer| now().millis_since(peer.last_message_at) < REACHABLE_MS)
     }
-
-    /// Announces a prompt part that was sent to an engine, in the next regular message.
-    pub fn announce_part(&self, sent: SentPart) {
-        announce(&self.parts, sent);
-    }
-
-    /// Announces at once that an engine switches to new weights. Does nothing while an
-    /// announcement for the engine with this or a newer version, and an end that is not
-    /// much earlier, is being repeated.
-    pub fn announce_switch(&self, switch: WeightsSwitch) {
-        let mut switches = self.switches.borrow_mut();
-        // The end of the same switch varies with the delay of the message that reported it.
-        let is_known = |known: &WeightsSwitch| {
-            known.server == switch.server
-                && known.version >= switch.version
-                && known.until.plus_millis(MIN_SWITCH_EXTENSION_MS) > switch.until
-        };
-        if switches.iter().any(|announced| is_known(&announced.value)) {
-            return;
-        }
-        switches.retain(|announced| announced.value.server != switch.server);
-        let value = switch;
-        switches.push(Announced { at: now(), value });
-        self.wake.notify_one();
-    }
-
-    /// Announces at once the weights that an engine reported, unless they are being
-    /// announced already.
-    pub fn announce_weights(&self, server: ServerKey, model: &str, version: u64) {
-        if announce(&self.weights, (server, model.to_owned(), version)) {
-            self.wake.notify_one();
-        }
-    }
-
-    /// Announces at once that an incarnation of a backend server is over, unless that is
-    /// being announced already.
-    pub fn announce_ended(&self, instance_hash: u64) {
-        if announce(&self.ended, instance_hash) {
-            self.wake.notify_one();
-        }
-    }
-
-    /// Removes announcements that were repeated long enough.
-    pub fn remove_expired(&self) {
-        let now = now();
-        let is_recent = |at: Time| now.millis_since(at) < ANNOUNCE_MS;
-        self.parts.borrow_mut().retain(|part| is_recent(part.at));
-        self.switches
-            .borrow_mut()
-            .retain(|switch| is_recent(switch.at));
-        self.weights
-            .borrow_mut()
-            .retain(|weights| is_recent(weights.at));
-        self.ended.borrow_mut().retain(|ended| is_recent(ended.at));
-    }
-}
-
-/// Adds an announcement unless it is already in the list; returns whether it was added.
-fn announce<T>(list: &RefCell<Vec<Announced<T>>>, value: T) -> bool
-where
-    T: PartialEq,
-{
-    let mut list = list.borrow_mut();
-    if list.iter().any(|announced| announced.value == value) {
-        return false;
-    }
-    list.push(Announced { at: now(), value });
-    true
 }
