standins: fixtures of the tests over sockets stand apart

Change: the fixtures move to tests/path_fixtures; begin_completion starts a stream and reads its first tokens. Names, bounds and assertions of the tests stay.

--- a/crates/standins/tests/path.rs
+++ b/crates/standins/tests/path.rs
@@ -1,34 +1,39 @@
 //! End-to-end tests over sockets: caller, router, engine or plain service, and platform.
 
+mod path_fixtures;
+
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use http::Method;
 use standins::time_after;
 use standins::Call;
-use standins::CallResponse;
 use standins::CallerError;
 use standins::CompletionRequest;
-use standins::Engine;
 use standins::EngineRecord;
-use standins::Fleet;
-use standins::FleetSettings;
 use standins::PromptHash;
-use standins::Received;
-use standins::MODEL;
 use standins::SERVICE;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-/// Prompt of most completions.
-const PROMPT: &str = "Which felt suits a wide brim?";
-/// Number of tokens of each completion.
-const TOKENS: u32 = 40;
-
-/// Text that crashes an engine when a prompt contains it.
-const CRASH_MARKER: &str = "crash the engine";
+use path_fixtures::begin_completion;
+use path_fixtures::booking;
+use path_fixtures::completion;
+use path_fixtures::expected_refusal;
+use path_fixtures::expected_text;
+use path_fixtures::finished_streams;
+use path_fixtures::has_new_weights;
+use path_fixtures::idempotency_key;
+use path_fixtures::poison_request;
+use path_fixtures::refusal;
+use path_fixtures::retry_until_booked;
+use path_fixtures::serving_engine;
+use path_fixtures::start_crashable_fleet;
+use path_fixtures::start_fleet;
+use path_fixtures::start_slow_fleet;
+use path_fixtures::started_streams;
+use path_fixtures::PROMPT;
+use path_fixtures::TOKENS;
 
 /// Number of requests that run on the same engines as a poison request.
 const CO_LOCATED_REQUESTS: usize = 40;
@@ -36,128 +41,6 @@
 /// Prefix of the keys of call records, which claim calls.
 const CLAIM_PREFIX: &str = "once/";
 
-/// Starts a fleet whose streams last long enough to inject faults while they run.
-async fn start_slow_fleet(engines: usize, routers: usize) -> Fleet {
-    let settings = FleetSettings::new(engines, routers).each_engine(|engine| engine.decode_ms = 20);
-    Fleet::start(settings).await.expect("starts")
-}
-
-/// Starts a fleet with default engines.
-async fn start_fleet(engines: usize, routers: usize) -> Fleet {
-    let settings = FleetSettings::new(engines, routers);
-    Fleet::start(settings).await.expect("starts")
-}
-
-/// Starts a fleet whose engines crash on prompts that contain [`CRASH_MARKER`].
-async fn start_crashable_fleet(engines: usize, routers: usize) -> Fleet {
-    let settings = FleetSettings::new(engines, routers).each_engine(|engine| {
-        engine.decode_ms = 20;
-        engine.crash_marker = Some(CRASH_MARKER.to_owned());
-    });
-    Fleet::start(settings).await.expect("starts")
-}
-
-/// Returns a completion request that crashes each engine that runs it.
-fn poison_request() -> CompletionRequest {
-    CompletionRequest {
-        prompt: format!("please {CRASH_MARKER} now"),
-        ..completion()
-    }
-}
-
-/// Returns a request for a completion of [`PROMPT`].
-fn completion() -> CompletionRequest {
-    CompletionRequest {
-        model: MODEL.to_owned(),
-        prompt: PROMPT.to_owned(),
-        max_tokens: TOKENS,
-        ..CompletionRequest::default()
-    }
-}
-
-/// Returns a call that adds an entry, which is not idempotent.
-fn booking(key: &str) -> Call {
-    Call {
-        method: Method::POST,
-        path: format!("{SERVICE}/blocks?day=3"),
-        key: Some(key.to_owned()),
-        body: Bytes::from("two blocks"),
-    }
-}
-
-/// Returns an idempotency key: a UUIDv7 of the current time with `number` in each random byte.
-fn idempotency_key(number: u8) -> String {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let ms = since_epoch.expect("after 1970").as_millis();
-    let ms = u64::try_from(ms).expect("fits in 64 bits");
-    let random = [number; 10];
-    uuid::Builder::from_unix_timestamp_millis(ms, &random)
-        .into_uuid()
-        .to_string()
-}
-
-/// Returns the text of a complete response to [`PROMPT`].
-fn expected_text() -> String {
-    PromptHash::new(PROMPT).text(TOKENS)
-}
-
-/// Returns the index of the first engine that ran a stream.
-fn serving_engine(fleet: &Fleet) -> usize {
-    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
-    let engines = fleet.engines.iter();
-    let mut ran_by_engine = engines.map(|engine| engine.ledger().iter().any(ran));
-    ran_by_engine
-        .position(|has_run| has_run)
-        .expect("an engine ran a stream")
-}
-
-/// Returns the number of streams that engines have started.
-fn started_streams(fleet: &Fleet) -> usize {
-    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
-    let ran = |record: &EngineRecord| matches!(record, EngineRecord::Ran { .. });
-    ledgers.filter(ran).count()
-}
-
-/// Returns whether an engine has loaded version 2 of the weights.
-fn has_new_weights(engine: &Engine) -> bool {
-    let weights = engine.load().and_then(|load| load.weights);
-    weights.is_some_and(|weights| weights.iter().any(|loaded| loaded.version == 2))
-}
-
-/// Returns the number of streams that engines have finished.
-fn finished_streams(fleet: &Fleet) -> usize {
-    let ledgers = fleet.engines.iter().flat_map(|engine| engine.ledger());
-    ledgers
-        .filter(|record| matches!(record, EngineRecord::Finished { .. }))
-        .count()
-}
-
-/// Retries a booking until it is not refused.
-async fn retry_until_booked(fleet: &Fleet, router: usize, booking: &Call) -> CallResponse {
-    loop {
-        match fleet.caller(router).call(booking).await {
-            Ok(response) => return response,
-            Err(CallerError::Refused { .. }) => sleep(Duration::from_millis(20)).await,
-            Err(e) => panic!("unexpected error: {e}"),
-        }
-    }
-}
-
-/// Returns reason and outcome of a refusal; panics on any other result.
-fn refusal<T>(result: Result<T, CallerError>) -> (String, String) {
-    match result {
-        Err(CallerError::Refused {
-            reason, outcome, ..
-        }) => (reason, outcome),
-        Err(e) => panic!("unexpected error: {e}"),
-        Ok(_) => panic!("expected a refusal"),
-    }
-}
-
-fn expected_refusal(reason: &str, outcome: &str) -> (String, String) {
-    (reason.to_owned(), outcome.to_owned())
-}
-
 #[tokio::test]
 async fn a_completion_is_complete_and_in_order() {
     let fleet = start_fleet(2, 1).await;
@@ -172,13 +55,7 @@
 #[tokio::test]
 async fn a_stream_continues_on_another_engine_after_a_crash() {
     let fleet = start_slow_fleet(2, 1).await;
-    let events = fleet.caller(0).complete(&completion()).await;
-    let mut events = events.expect("runs");
-    let mut received = Received::default();
-    events
-        .read_until(&mut received, 3)
-        .await
-        .expect("stream continues");
+    let (mut events, mut received) = begin_completion(&fleet).await;
 
     fleet.engines[serving_engine(&fleet)].kill().await;
     events
@@ -193,13 +70,7 @@
 #[tokio::test]
 async fn a_graceful_shutdown_finishes_streams_in_flight() {
     let mut fleet = start_slow_fleet(2, 1).await;
-    let events = fleet.caller(0).complete(&completion()).await;
-    let mut events = events.expect("runs");
-    let mut received = Received::default();
-    events
-        .read_until(&mut received, 3)
-        .await
-        .expect("stream continues");
+    let (mut events, mut received) = begin_completion(&fleet).await;
 
     let router = fleet.take_router(0);
     let deadline = time_after(Duration::from_secs(30));
@@ -212,13 +83,7 @@
 #[tokio::test]
 async fn a_stream_is_resumed_at_another_router() {
     let mut fleet = start_slow_fleet(2, 2).await;
-    let events = fleet.caller(0).complete(&completion()).await;
-    let mut events = events.expect("runs");
-    let mut received = Received::default();
-    events
-        .read_until(&mut received, 3)
-        .await
-        .expect("stream continues");
+    let (mut events, mut received) = begin_completion(&fleet).await;
 
     fleet.take_router(0).kill().await;
     let interrupted = events.read_all(&mut received).await;
@@ -241,13 +106,7 @@
 #[tokio::test]
 async fn a_stream_cannot_be_resumed_once_its_engine_has_restarted() {
     let mut fleet = start_slow_fleet(1, 2).await;
-    let events = fleet.caller(0).complete(&completion()).await;
-    let mut events = events.expect("runs");
-    let mut received = Received::default();
-    events
-        .read_until(&mut received, 3)
-        .await
-        .expect("stream continues");
+    let (_events, received) = begin_completion(&fleet).await;
     fleet.take_router(0).kill().await;
     fleet.engines[0].kill().await;
     fleet.engines[0].restart().await;
