gateway: announcements count from the end of an outage of the store, not from the last reading before it

After an outage engines with former weights were left unused too early: the last reading of the store was from before it, and nothing else bounds the age of what was announced since. The operators' limit counts from when the store is back, so a call that the store didn't serve bounds it too, unless this process was paused meanwhile or the store only limits the rate of calls. What other routers know still counts.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -172,6 +172,14 @@
     cx.view.borrow_mut().weights.confirm(response.earliest());
 }
 
+/// Records that nothing was announced before a call that the store didn't serve: announcements count from
+/// the end of an outage. A pause of this process since the last response may have made the call fail.
+fn confirm_in_outage(cx: &Context, position: WatchPosition, called_at: Time) {
+    if !cx.pause_watch.was_paused(position.responded_after, now()) {
+        cx.view.borrow_mut().weights.confirm(called_at);
+    }
+}
+
 /// Waits for changes, applies them and returns the position for the next watch;
 /// none if the topic must be listed again.
 async fn watch(cx: &Context, topic: Topic, position: WatchPosition) -> Option<WatchPosition> {
@@ -218,6 +226,9 @@
             None
         }
         Err(e) => {
+            if topic == Topic::Operators && e.shows_outage() {
+                confirm_in_outage(cx, position, called_at);
+            }
             record_failure(cx, topic, called_at, &e).await;
             Some(position)
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
+use http::StatusCode;
 use relay::Configuration;
 use relay::Registration;
 use relay::Revision;
@@ -45,6 +46,17 @@
     },
 }
 
+impl StoreError {
+    /// Returns whether the store doesn't serve this router at all. One that limits the rate of calls does.
+    pub fn shows_outage(&self) -> bool {
+        match self {
+            StoreError::Refused { status, .. } => *status != StatusCode::TOO_MANY_REQUESTS.as_u16(),
+            StoreError::Unanswered { .. } => true,
+            StoreError::TooLarge { .. } => false,
+        }
+    }
+}
+
 /// Part of the store's contents that is listed and watched as a unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Topic {
