relay, gateway: what a server said counts from the earliest time at which a message can have arrived

Routers would return to a limit that a server had lowered since, and send it more than it takes (LIMIT).

Cause: a router that was paused read in a message that had waited how long ago a server had named its limit, and counted that from when it read it. So the former limit seemed later than the one that replaced it while the router was paused. It ignored that one, and passed the former one on as young, which the other routers took for the later one too, until the next response of the server. The same holds for the rejections that it stands, and for the statements in questions for permits and places.

Now a statement counts from the earliest time; later messages bring the true time.

a_limit_that_was_replaced_does_not_come_back failed with the latest time in place of the earliest, as before, and passes.

--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -168,7 +168,7 @@
     }
     note_era(cx, message.era, "peer");
     cx.apply_announcements(arrival, &message.named, &message.completeness);
-    cx.apply_statements(&message.statements);
+    cx.apply_statements(arrival, &message.statements);
     rejections::merge(cx, &message.rejections);
     for update in &message.suspects {
         cx.merge_suspect(arrival, update, "peer");
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -120,7 +120,7 @@
     let Some(key) = key else {
         return update.value;
     };
-    cx.merge_limit(key, update);
+    cx.merge_limit(key, cx.pause_watch.arrival(now()), update);
     cx.view.borrow().fleet.get(key)?.limit()
 }
 
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -179,7 +179,7 @@
     let now = now();
     let key = cx.view.borrow().fleet.by_instance_hash(asked.server);
     if let Some(key) = key {
-        cx.merge_brittleness(key, asked.brittleness);
+        cx.merge_brittleness(key, cx.pause_watch.arrival(now), asked.brittleness);
     }
     let mut view = cx.view.borrow_mut();
     let view = &mut *view;
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -121,7 +121,7 @@
     pub fn apply(self, cx: &Context, response: Arrival) {
         let reading = self.reading.reading(response);
         cx.replace_registrations(self.registrations, reading, "peer");
-        cx.apply_statements(&self.statements);
+        cx.apply_statements(response, &self.statements);
     }
 }
 
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -1,5 +1,6 @@
 //! What backend servers say of themselves in responses, to this router or to others.
 
+use policy::Arrival;
 use policy::Time;
 use relay::BackendServer;
 use relay::Brittleness;
@@ -35,9 +36,9 @@
     }
 
     /// Merges what a backend server said of its limit to another router.
-    pub fn merge_limit(&self, key: ServerKey, update: LimitUpdate) {
+    pub fn merge_limit(&self, key: ServerKey, message: Arrival, update: LimitUpdate) {
         self.change_limit(key, "peer", |server| {
-            server.merge_limit(update.statement(now()))
+            server.merge_limit(update.statement(message))
         });
     }
 
@@ -55,14 +56,14 @@
     }
 
     /// Merges what a backend server said of rejections to another router.
-    pub fn merge_brittleness(&self, key: ServerKey, update: BrittlenessUpdate) {
+    pub fn merge_brittleness(&self, key: ServerKey, message: Arrival, update: BrittlenessUpdate) {
         self.change_brittleness(key, "peer", |server| {
-            server.merge_brittleness(update.statement(now()))
+            server.merge_brittleness(update.statement(message))
         });
     }
 
     /// Records what backend servers have said of themselves in responses to other routers.
-    pub fn apply_statements(&self, statements: &[ServerStatement]) {
+    pub fn apply_statements(&self, message: Arrival, statements: &[ServerStatement]) {
         for statement in statements {
             let key = self.view.borrow().fleet.by_instance_hash(statement.server);
             let Some(key) = key else {
@@ -72,10 +73,10 @@
                 self.mark_leaving(key, "peer");
             }
             if let Some(update) = statement.limit {
-                self.merge_limit(key, update);
+                self.merge_limit(key, message, update);
             }
             if let Some(update) = statement.brittleness {
-                self.merge_brittleness(key, update);
+                self.merge_brittleness(key, message, update);
             }
         }
     }
--- a/crates/relay/src/statement.rs
+++ b/crates/relay/src/statement.rs
@@ -1,7 +1,7 @@
 //! What a backend server last said of one of its properties.
 
 use policy::age_ms;
-use policy::time_of;
+use policy::Arrival;
 use policy::Time;
 use serde::Deserialize;
 use serde::Serialize;
@@ -98,11 +98,12 @@
         }
     }
 
-    /// Returns the statement that a message received at `now` describes.
-    pub fn statement(&self, now: Time) -> Statement<T> {
+    /// Returns the statement that a message describes. If the message may have waited, the statement
+    /// counts as old, so that it replaces no later one.
+    pub fn statement(&self, message: Arrival) -> Statement<T> {
         Statement {
             value: self.value,
-            said_at: time_of(now, self.age_ms),
+            said_at: message.earliest_of(u64::from(self.age_ms)),
         }
     }
 }
--- a/crates/relay/tests/waited_messages.rs
+++ b/crates/relay/tests/waited_messages.rs
@@ -6,6 +6,9 @@
 use common::at;
 use policy::Arrival;
 use relay::CrashEvidence;
+use relay::LimitStatement;
+use relay::LimitUpdate;
+use relay::RateLimit;
 use relay::SuspectKey;
 
 /// Delivers what a router knows of suspects to one that reads it later than it arrived.
@@ -51,3 +54,20 @@
 
     assert!(!paused.is_blocked(at(5_200), suspect));
 }
+
+// Guards against LIMIT: a router that was paused takes a limit for a later one than that which replaced
+// it, and all routers return to it.
+#[test]
+fn a_limit_that_was_replaced_does_not_come_back() {
+    let said = |per_second, ms| LimitStatement {
+        value: RateLimit::per_second(per_second),
+        said_at: at(ms),
+    };
+    let (former, known) = (said(50.0, 0), said(1.0, 3_000));
+
+    let waited = LimitUpdate::new(at(100), former).statement(Arrival::between(at(100), at(5_000)));
+    let passed_on = LimitUpdate::new(at(5_010), waited).statement(Arrival::at(at(5_020)));
+
+    assert_eq!(waited.merge(known), known);
+    assert_eq!(known.merge(passed_on), known);
+}
