relay, gateway: a row of rejections that has ended doesn't begin again at routers that were paused

A server that took requests again would get none of any router for up to 2 s and a turn (in force only where the room of servers is limited).

Cause: a router that was paused counted rejections in messages that had waited from when it read them, and passed them on as young. They then seemed later than the response that had ended the row. Now they count from the earliest time at which the message can have arrived.

rejections_that_have_ended_do_not_begin_again failed with the latest time in place of the earliest, as before, and passes.

--- a/crates/gateway/src/gossip_task.rs
+++ b/crates/gateway/src/gossip_task.rs
@@ -169,7 +169,7 @@
     note_era(cx, message.era, "peer");
     cx.apply_announcements(arrival, &message.named, &message.completeness);
     cx.apply_statements(arrival, &message.statements);
-    rejections::merge(cx, &message.rejections);
+    rejections::merge(cx, arrival, &message.rejections);
     for update in &message.suspects {
         cx.merge_suspect(arrival, update, "peer");
     }
--- a/crates/gateway/src/rejections.rs
+++ b/crates/gateway/src/rejections.rs
@@ -2,6 +2,7 @@
 //!
 //! In force only where the room of servers is limited.
 
+use policy::Arrival;
 use relay::turn_ms;
 use relay::BackendServer;
 use relay::Rejection;
@@ -74,7 +75,7 @@
 }
 
 /// Merges what another router knows. A hub passes news on at once.
-pub fn merge(cx: &Context, updates: &[RejectionsUpdate]) {
+pub fn merge(cx: &Context, message: Arrival, updates: &[RejectionsUpdate]) {
     if updates.is_empty() || !cx.limits_room() {
         return;
     }
@@ -89,7 +90,7 @@
             continue;
         };
         let turn_ms = turn(cx, server);
-        if server.rejections.merge(now, *update, turn_ms) {
+        if server.rejections.merge(message, *update, turn_ms) {
             log(server, "peer");
             has_news = true;
         }
--- a/crates/relay/src/rejections.rs
+++ b/crates/relay/src/rejections.rs
@@ -7,7 +7,7 @@
 //! router at once.
 
 use policy::age_ms;
-use policy::time_of;
+use policy::Arrival;
 use policy::Time;
 use serde::Deserialize;
 use serde::Serialize;
@@ -137,9 +137,10 @@
     }
 
     /// Merges what another router knows, and waits `turn_ms` after the back-off. Returns whether
-    /// it is news.
-    pub fn merge(&mut self, now: Time, update: RejectionsUpdate, turn_ms: u64) -> bool {
-        let at = time_of(now, update.age_ms);
+    /// it is news. If the message may have waited, it counts as old, so that no row begins again.
+    pub fn merge(&mut self, message: Arrival, update: RejectionsUpdate, turn_ms: u64) -> bool {
+        let now = message.latest();
+        let at = message.earliest_of(u64::from(update.age_ms));
         if now.millis_since(at) >= REMEMBERED_MS {
             return false;
         }
--- a/crates/relay/tests/overload/router.rs
+++ b/crates/relay/tests/overload/router.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use policy::Arrival;
 use policy::Time;
 use relay::turn_ms;
 use relay::Configuration;
@@ -249,7 +250,7 @@
             let key = self.fleet.by_instance_hash(update.server).unwrap();
             let turn_ms = self.turn_ms(now, key);
             let server = self.fleet.get_mut(key).unwrap();
-            is_news |= server.rejections.merge(now, *update, turn_ms);
+            is_news |= server.rejections.merge(Arrival::at(now), *update, turn_ms);
         }
         is_news
     }
--- a/crates/relay/tests/rejections.rs
+++ b/crates/relay/tests/rejections.rs
@@ -13,6 +13,7 @@
 use common::request;
 use common::LONG;
 use common::SERVICE;
+use policy::Arrival;
 use policy::Time;
 use relay::CallerLimits;
 use relay::Choice;
@@ -159,18 +160,18 @@
 #[test]
 fn a_router_learns_the_row_of_others_and_its_end() {
     let mut rejections = Rejections::default();
-    assert!(rejections.merge(at(1_000), update(2, 10), 40));
+    assert!(rejections.merge(Arrival::at(at(1_000)), update(2, 10), 40));
     assert_eq!(rejections.until(), at(990 + 500 + 40));
-    assert!(!rejections.merge(at(1_100), update(2, 110), 40));
-    assert!(rejections.merge(at(1_400), update(0, 5), 40));
+    assert!(!rejections.merge(Arrival::at(at(1_100)), update(2, 110), 40));
+    assert!(rejections.merge(Arrival::at(at(1_400)), update(0, 5), 40));
     assert_eq!(rejections.in_a_row(at(1_400)), 0);
 }
 
 #[test]
 fn an_older_message_does_not_undo_a_newer_one() {
     let mut rejections = rejected_at(&[1_000, 2_000]);
-    assert!(!rejections.merge(at(2_050), update(0, 500), 0));
-    assert!(!rejections.merge(at(2_050), update(1, 1_050), 0));
+    assert!(!rejections.merge(Arrival::at(at(2_050)), update(0, 500), 0));
+    assert!(!rejections.merge(Arrival::at(at(2_050)), update(1, 1_050), 0));
     assert_eq!(rejections.in_a_row(at(2_050)), 2);
 }
 
--- a/crates/relay/tests/waited_messages.rs
+++ b/crates/relay/tests/waited_messages.rs
@@ -4,11 +4,14 @@
 mod common;
 
 use common::at;
+use common::fleet;
+use common::keys;
 use policy::Arrival;
 use relay::CrashEvidence;
 use relay::LimitStatement;
 use relay::LimitUpdate;
 use relay::RateLimit;
+use relay::RejectionsUpdate;
 use relay::SuspectKey;
 
 /// Delivers what a router knows of suspects to one that reads it later than it arrived.
@@ -71,3 +74,30 @@
     assert_eq!(waited.merge(known), known);
     assert_eq!(known.merge(passed_on), known);
 }
+
+// Guards against a server that gets no requests of any router although it takes them again, as one that
+// was paused takes its rejections for later ones than the response that ended them.
+#[test]
+fn rejections_that_have_ended_do_not_begin_again() {
+    let mut routers = fleet(2, 1);
+    let [known, paused] = keys(&routers)[..] else {
+        panic!("two servers stand for one as two routers know it");
+    };
+    let said = |in_a_row, age_ms| RejectionsUpdate {
+        server: 1,
+        in_a_row,
+        age_ms,
+    };
+    let rejections = &mut routers.get_mut(known).unwrap().rejections;
+    rejections.merge(Arrival::at(at(100)), said(3, 0), 0);
+    rejections.merge(Arrival::at(at(2_000)), said(0, 0), 0);
+
+    let waited = Arrival::between(at(100), at(5_000));
+    let server = routers.get_mut(paused).unwrap();
+    server.rejections.merge(waited, said(3, 0), 0);
+    let passed_on = server.rejections_update(at(5_010)).unwrap();
+    let rejections = &mut routers.get_mut(known).unwrap().rejections;
+    rejections.merge(Arrival::at(at(5_020)), passed_on, 0);
+
+    assert_eq!(rejections.in_a_row(at(5_020)), 0);
+}
