--- a/crates/backend/src/connection_pool.rs
+++ b/crates/backend/src/connection_pool.rs
@@ -123,8 +123,8 @@
         }
     }
 
-    /// Returns the exchange, unless the response has a status that ends no request: the server is in
-    /// trouble and may have run it, whatever else the response says.
+    /// Returns the exchange, or an error if the status isn't that of a final response: such a server is
+    /// faulty and may have run the request, so nothing else in the response is used.
     fn exchange(
         &self,
         cx: CallContext,
--- a/crates/gateway/src/connection_usage.rs
+++ b/crates/gateway/src/connection_usage.rs
@@ -169,7 +169,7 @@
         *held = held.saturating_add(bytes);
     }
 
-    /// Counts bytes as gone that were held for it.
+    /// Uncounts bytes that were held for it.
     pub fn release(&mut self, bytes: u64, held_for: HeldFor) {
         let held = self.bytes_mut(held_for);
         *held = held.saturating_sub(bytes);
--- a/crates/gateway/src/port_connections.rs
+++ b/crates/gateway/src/port_connections.rs
@@ -234,7 +234,7 @@
         self.0.usage.borrow_mut().hold(now(), key, bytes, held_for);
     }
 
-    /// Counts bytes as gone that were held for a connection.
+    /// Uncounts bytes that were held for a connection.
     pub fn release(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
         self.0.usage.borrow_mut().release(key, bytes, held_for);
     }
--- a/crates/gateway/src/port_usage.rs
+++ b/crates/gateway/src/port_usage.rs
@@ -1,8 +1,8 @@
 //! Accounting of what the connections of callers hold, and whether there is room for more.
 //!
-//! A caller makes the router hold a descriptor, what has arrived of its request, and what it hasn't
-//! taken of its response. All of it counts from its arrival until it is gone. When there is no room
-//! left, a connection is evicted.
+//! For each caller the router holds a descriptor, the received part of its request, and the part of its
+//! response that the caller hasn't taken. All of it is counted for as long as it is held. When there is no
+//! room left, a connection is evicted.
 
 use std::collections::BTreeMap;
 
@@ -154,7 +154,7 @@
         self.update(key, |usage| usage.hold(now, bytes, held_for));
     }
 
-    /// Counts bytes as gone that were held for a connection.
+    /// Uncounts bytes that were held for a connection.
     pub fn release(&mut self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
         self.buffered_bytes = self.buffered_bytes.saturating_sub(bytes);
         if held_for == HeldFor::Request {
@@ -276,8 +276,8 @@
         }
     }
 
-    /// Returns whether there is room for `more` connections, at the latest once those are gone that are
-    /// being closed.
+    /// Returns whether there is room for `more` connections, now or once those are closed that are being
+    /// closed.
     fn has_room_for(&self, more: u64) -> bool {
         let wanted = self.wanted(more);
         wanted.fit(self.limits) || wanted.without(self.closing_totals()).fit(self.limits)
--- a/crates/relay/src/rendezvous.rs
+++ b/crates/relay/src/rendezvous.rs
@@ -4,7 +4,7 @@
 use crate::BackendServer;
 use crate::ServerKey;
 
-/// Number of ranks that are told apart; all lower-ranked engines count as equal.
+/// Number of distinct ranks; all lower-ranked engines count as equal.
 const MAX_RANK: usize = 4;
 
 /// The highest-ranked engines for one part.
--- a/crates/relay/src/residency.rs
+++ b/crates/relay/src/residency.rs
@@ -17,7 +17,7 @@
 /// Time for which a prefix store is expected to keep a part, in milliseconds.
 const SAVED_TTL_MS: u64 = 20_000;
 
-/// Time within which an update about the same part and engine is taken for a repetition,
+/// Time within which an update about the same part and engine counts as a repetition,
 /// in milliseconds. Routers repeat their updates for 600 ms.
 const REPEATED_UPDATE_MS: u64 = 800;
 
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -161,7 +161,7 @@
         self.add_held(&mut self.state(), key, bytes, held_for);
     }
 
-    /// Counts bytes as gone that were held for a connection.
+    /// Uncounts bytes that were held for a connection.
     pub fn release(&self, key: ConnectionKey, bytes: u64, held_for: HeldFor) {
         let mut state = self.state();
         state.usage.release(key, bytes, held_for);
