tests: comments of the last changes in plain terms

Cause: 'in trouble', 'told', 'nobody', 'says' and sentences that had to be read twice. Change: comments only; names, bounds and assertions stay.

--- a/crates/gateway/tests/buffer_shares.rs
+++ b/crates/gateway/tests/buffer_shares.rs
@@ -1,4 +1,4 @@
-//! What one service's requests and responses take of the buffers leaves room to those of the others.
+//! Requests and responses of one service leave room in the buffers for those of other services.
 
 use gateway::ConnectionKey;
 use gateway::HeldFor;
@@ -59,7 +59,7 @@
     assert!(try_request(&mut usage, OTHER, 64 * KIB).is_some());
 }
 
-// Guards against what the servers of one service send that keeps the requests of another out.
+// Guards against responses of one service that fill the buffers, so that requests of another are refused.
 #[test]
 fn responses_of_one_service_leave_room_to_another() {
     let mut usage = usage();
@@ -76,7 +76,7 @@
     assert!(try_response(&mut usage, other, 64 * KIB));
 }
 
-// Guards against a share that stays taken after its requests.
+// Guards against bytes that remain counted for a service after its requests.
 #[test]
 fn a_share_is_free_again_once_its_requests_are_over() {
     let mut usage = usage();
--- a/crates/router/tests/blocked_log.rs
+++ b/crates/router/tests/blocked_log.rs
@@ -1,4 +1,4 @@
-//! A forwarding router whose log nobody reads.
+//! A forwarding router whose log output is not read.
 
 use std::io::PipeWriter;
 use std::io::Write;
--- a/crates/router/tests/crowds/trial.rs
+++ b/crates/router/tests/crowds/trial.rs
@@ -1,8 +1,8 @@
 //! A router process with lowered limits, before a crowd of callers.
 //!
-//! Checked is what doesn't depend on the speed of the machine: the process lives, its memory and
-//! descriptors stay below their bounds, an ordinary request is answered while the crowd is there, and the
-//! process ends when told to. Each test holds a lock, so that one runs at a time.
+//! Checks don't depend on the speed of the machine: the process keeps running, its memory and descriptors
+//! stay below their bounds, an ordinary request is answered while the crowd is connected, and the process
+//! ends on a signal. Each test holds a lock, so that one runs at a time.
 #![allow(dead_code)]
 
 use std::future::Future;
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Adds `count` callers, each of which does what `act` says to its number.
+    /// Adds `count` callers, each of which runs `act` with its number.
     pub fn add_callers<F, A>(&mut self, count: usize, act: F)
     where
         F: Fn(usize) -> A,
--- a/crates/router/tests/crowds_of_endless_events.rs
+++ b/crates/router/tests/crowds_of_endless_events.rs
@@ -1,5 +1,5 @@
-//! Callers of a service whose servers send events without end, before one router as a process of its own: the
-//! requests of another service are served all the while.
+//! Callers of a service whose servers send events that never end, before one router as a process of its own.
+//! Requests of another service must be served meanwhile.
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
@@ -34,7 +34,7 @@
 use trial::Trial;
 use trial::MEMORY_MB;
 
-/// Servers of the service in trouble.
+/// Number of servers of the faulty service.
 const FAULTY_SERVERS: usize = 3;
 
 /// Slots of each.
@@ -50,7 +50,7 @@
 /// Pause of a caller before its next request.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Sends requests for streams, one after the other, and reads what comes as fast as it does.
+/// Sends requests for streams, one after the other, and reads each response as fast as it arrives.
 async fn read_streams(address: SocketAddr, caller: usize) {
     for request in 0.. {
         let _ = read_stream(address, &format!("crowd-{caller}-{request}")).await;
@@ -114,7 +114,7 @@
     });
 }
 
-// Guards against the buffers that events without end of one service take from the requests of others.
+// Guards against events without end of one service that fill the buffers, so that requests of others are refused.
 #[test]
 fn a_hundred_readers_of_events_without_end_leave_room_to_other_services() {
     check(100);
--- a/crates/router/tests/slow_callers_in_calm.rs
+++ b/crates/router/tests/slow_callers_in_calm.rs
@@ -1,4 +1,4 @@
-//! Honest callers that are slow while nobody else calls, before one router as a process of its own.
+//! Honest callers that are slow while there are no others, before one router as a process of its own.
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
