gateway: permits and places share the reply of their issuer

Cause: permits.rs and places.rs had the same time-outs, the same mapping of a permit to outcome and pause, the same reply of a router that isn't the issuer, and the same choice of a region. Change: issuer_reply.rs has them once. No logic changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod held_for;
 mod in_flight;
 mod intake;
+mod issuer_reply;
 mod limited_stream;
 mod listener;
 mod liveness;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,7 +1,6 @@
 //! Permits for requests to backend servers that limit them, asked of the router that issues them.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use relay::LimitUpdate;
 use relay::Permit;
@@ -11,21 +10,16 @@
 
 use crate::clock::now;
 use crate::context::Context;
+use crate::issuer_reply;
+use crate::issuer_reply::IssuerReply;
+use crate::issuer_reply::RESPONSE_TIMEOUT;
 use crate::log_event::LogEvent;
 use crate::peer_message::PeerMessage;
 use crate::peer_message::PermitRequest;
-use crate::peer_message::PermitResponse;
 use crate::pending_replies::reply_within;
 use crate::server_event::PermitDecision;
 use crate::server_event::ServerEvent;
 
-/// Time in which the issuer must respond, several times that of a message to another region and
-/// back.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// Time after which a router asks again if the issuer did not respond, in milliseconds.
-const NO_RESPONSE_RETRY_MS: u64 = 250;
-
 /// Returns whether the request `id` may be sent to a backend server now: always if that names no
 /// limit. Otherwise the server gets no request of this router until a permit may be due.
 pub async fn may_send(cx: &Context, id: &str, key: ServerKey, urgency: Urgency) -> bool {
@@ -39,11 +33,10 @@
     } else {
         ask(cx, issuer, request).await
     };
-    let (outcome, retry_after_ms) = match permit {
-        Some(Permit::Granted) => ("granted", 0),
-        Some(Permit::Denied { retry_after_ms }) => ("denied", retry_after_ms),
-        None => ("no_response", NO_RESPONSE_RETRY_MS),
-    };
+    let IssuerReply {
+        outcome,
+        retry_after_ms,
+    } = permit.into();
     cx.metrics
         .servers
         .permits
@@ -74,31 +67,17 @@
 /// mistake gets none.
 pub async fn answer(cx: &Context, from: SocketAddr, request: PermitRequest) {
     let issuer = cx.peers.permit_issuer(request.region, request.server);
-    let permit = if issuer == cx.peers.own_hash {
-        issue(cx, &request)
-    } else {
-        Permit::Denied {
-            retry_after_ms: NO_RESPONSE_RETRY_MS,
-        }
-    };
-    let response = PermitResponse {
-        id: request.id,
-        permit,
-    };
-    cx.send_to_peer(from, &PeerMessage::PermitResponse(response))
-        .await;
+    issuer_reply::reply(cx, from, request.id, issuer, || issue(cx, &request)).await;
 }
 
 fn permit_request(cx: &Context, key: ServerKey, urgency: Urgency) -> Option<PermitRequest> {
     let view = cx.view.borrow();
     let server = view.fleet.get(key)?;
     server.limit()?;
-    let domain = &server.registration.domain;
-    let region = cx.settings.regions.get(domain).unwrap_or(domain);
     Some(PermitRequest {
         id: 0,
         server: server.instance_hash,
-        region: policy::name_hash(region),
+        region: issuer_reply::region_hash(cx, server),
         limit: server.limit_update(now())?,
         urgency,
     })
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -4,7 +4,6 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use policy::Time;
 use relay::Permit;
@@ -15,23 +14,18 @@
 
 use crate::clock::now;
 use crate::context::Context;
+use crate::issuer_reply;
+use crate::issuer_reply::IssuerReply;
+use crate::issuer_reply::CANNOT_ISSUE;
+use crate::issuer_reply::RESPONSE_TIMEOUT;
 use crate::log_event::LogEvent;
 use crate::peer_message::PeerMessage;
-use crate::peer_message::PermitResponse;
 use crate::peer_message::PlaceAsked;
 use crate::peer_message::PlaceReleased;
 use crate::pending_replies::reply_within;
 use crate::server_event::PlaceDecision;
 use crate::server_event::ServerEvent;
 
-/// Time in which the issuer must respond, several times that of a message to another region and
-/// back.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// Time after which a router asks again if the issuer did not respond or may not grant places, in
-/// milliseconds.
-const NO_RESPONSE_RETRY_MS: u64 = 250;
-
 /// Number of messages that give a place back, as datagrams get lost.
 const RELEASES_SENT: usize = 2;
 
@@ -99,11 +93,10 @@
         id: asked.id,
         end: Cell::new(PlaceEnd::Taken),
     };
-    let (outcome, retry_after_ms) = match permit {
-        Some(Permit::Granted) => ("granted", 0),
-        Some(Permit::Denied { retry_after_ms }) => ("denied", retry_after_ms),
-        None => ("no_response", NO_RESPONSE_RETRY_MS),
-    };
+    let IssuerReply {
+        outcome,
+        retry_after_ms,
+    } = permit.into();
     let counter = &cx.metrics.servers.places;
     counter.with_label_values(&[outcome]).inc();
     let now = now();
@@ -132,19 +125,7 @@
 /// mistake gets none.
 pub async fn answer(cx: &Context, from: SocketAddr, asked: PlaceAsked) {
     let issuer = cx.peers.permit_issuer(asked.region, asked.server);
-    let permit = if issuer == cx.peers.own_hash {
-        grant(cx, &asked)
-    } else {
-        Permit::Denied {
-            retry_after_ms: NO_RESPONSE_RETRY_MS,
-        }
-    };
-    let response = PermitResponse {
-        id: asked.id.request,
-        permit,
-    };
-    cx.send_to_peer(from, &PeerMessage::PermitResponse(response))
-        .await;
+    issuer_reply::reply(cx, from, asked.id.request, issuer, || grant(cx, &asked)).await;
 }
 
 /// Takes a place back that this router granted.
@@ -157,8 +138,6 @@
     let view = cx.view.borrow();
     let server = view.fleet.get(key)?;
     server.brittleness()?;
-    let domain = &server.registration.domain;
-    let region = cx.settings.regions.get(domain).unwrap_or(domain);
     let (request, _) = cx.pending_permits.begin();
     let left_ms = until.millis_since(now());
     Some(PlaceAsked {
@@ -167,7 +146,7 @@
             request,
         },
         server: server.instance_hash,
-        region: policy::name_hash(region),
+        region: issuer_reply::region_hash(cx, server),
         slots: server.registration.slots,
         brittleness: server.brittleness_update(now())?,
         left_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
@@ -184,9 +163,7 @@
     let mut view = cx.view.borrow_mut();
     let view = &mut *view;
     if !view.permit_issuer.may_issue(now) {
-        return Permit::Denied {
-            retry_after_ms: NO_RESPONSE_RETRY_MS,
-        };
+        return CANNOT_ISSUE;
     }
     let server = key.and_then(|key| view.fleet.get(key));
     let brittleness = match server {
