--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -51,12 +51,7 @@
     /// Chooses an engine for a call, or queries the owner of the best cell.
     pub(crate) fn place(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let Some(cell) = self.best_cell(now, id) else {
-            let retry_at = now.plus_millis(RETRY_AFTER_MS);
-            self.refuse(
-                id,
-                RefusalCause::retryable(retry_at, Reason::NoBackendServer),
-                out,
-            );
+            self.refuse_without_engine(now, id, out);
             return;
         };
         let cell_id = self.cells.get(cell).id;
@@ -205,17 +200,19 @@
             Target::Stream { .. } | Target::Service(_) => None,
         });
         let Some(choice) = choice else {
-            let retry_at = now.plus_millis(RETRY_AFTER_MS);
-            self.refuse(
-                id,
-                RefusalCause::retryable(retry_at, Reason::NoBackendServer),
-                out,
-            );
+            self.refuse_without_engine(now, id, out);
             return;
         };
         self.send_to_choice(now, id, Some(cell), choice, out);
     }
 
+    /// Refuses a call for which there is no engine now.
+    fn refuse_without_engine(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let retry_at = now.plus_millis(RETRY_AFTER_MS);
+        let cause = RefusalCause::retryable(retry_at, Reason::NoBackendServer);
+        self.refuse(id, cause, out);
+    }
+
     /// Returns the engine of a peer's cell that its owner chose last for the
     /// prompt family, unless that engine is suspect, busy or not eligible.
     fn repeat_owner_choice(
