--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -53,6 +53,9 @@
 use crate::peers::Peers;
 use crate::pending_replies::PendingReplies;
 use crate::port_connections::PortConnections;
+use crate::port_limits::caller_connections;
+use crate::port_limits::page_connections;
+use crate::port_limits::router_connections;
 use crate::process_event::ProcessEvent;
 use crate::process_event::StopPhase;
 use crate::quota_task;
@@ -69,21 +72,6 @@
 use crate::store::Topic;
 use crate::stream_record_task;
 use crate::stream_records::StreamRecords;
-use crate::usage_limits::UsageLimits;
-
-/// Parts of the descriptors, in percent: connections of callers with those to backend servers for
-/// their requests, connections of other routers with those to servers for them, and connections to
-/// the pages of each port. The rest is for the store, files and idle connections to servers.
-const CALLERS_PERCENT: u64 = 65;
-const ROUTERS_PERCENT: u64 = 14;
-const PAGES_PERCENT: u64 = 2;
-
-/// Time for which a connection of a caller is idle before it may be evicted for a new one, in
-/// milliseconds.
-const CALLERS_MIN_IDLE_MS: u64 = 200;
-
-/// The same for the other ports, whose requests are small and come at once.
-const OTHER_PORTS_MIN_IDLE_MS: u64 = 10;
 
 /// Interval at which expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -161,11 +149,11 @@
             pending_streams: PendingReplies::default(),
             stream_records: StreamRecords::default(),
             seeds: RefCell::new(settings.seeds.clone()),
-            callers: open_callers(&settings, &metrics),
-            router_connections: open_routers(&settings, &metrics),
-            readiness_connections: open_pages(&settings, &metrics, "readiness"),
-            metrics_connections: open_pages(&settings, &metrics, "metrics"),
-            bootstrap_connections: open_pages(&settings, &metrics, "bootstrap"),
+            callers: caller_connections(&settings, &metrics),
+            router_connections: router_connections(&settings, &metrics),
+            readiness_connections: page_connections(&settings, &metrics, "readiness"),
+            metrics_connections: page_connections(&settings, &metrics, "metrics"),
+            bootstrap_connections: page_connections(&settings, &metrics, "bootstrap"),
             settings,
             codec: services.codec,
             store: Rc::new(store),
@@ -350,44 +338,6 @@
     }
 }
 
-fn open_callers(settings: &Settings, metrics: &Metrics) -> PortConnections {
-    let limits = UsageLimits {
-        buffer_bytes: settings.buffer_bytes,
-        connection_bytes: settings.connection_bytes,
-        connections: u64::MAX,
-        descriptors: descriptors(settings, CALLERS_PERCENT),
-        min_idle_ms: CALLERS_MIN_IDLE_MS,
-    };
-    PortConnections::new("callers", limits, metrics.connections.of_port("callers"))
-}
-
-fn descriptors(settings: &Settings, percent: u64) -> u64 {
-    settings.max_descriptors.saturating_mul(percent) / 100
-}
-
-fn open_routers(settings: &Settings, metrics: &Metrics) -> PortConnections {
-    let descriptors = descriptors(settings, ROUTERS_PERCENT);
-    let limits = port_limits(settings.router_bytes, descriptors);
-    PortConnections::new("routers", limits, metrics.connections.of_port("routers"))
-}
-
-fn open_pages(settings: &Settings, metrics: &Metrics, port: &'static str) -> PortConnections {
-    let limits = port_limits(settings.page_bytes, descriptors(settings, PAGES_PERCENT));
-    PortConnections::new(port, limits, metrics.connections.of_port(port))
-}
-
-/// Returns the limits of a port that isn't for callers. Its connections take one half of its memory, and
-/// what is held for them the other.
-fn port_limits(bytes: u64, descriptors: u64) -> UsageLimits {
-    UsageLimits {
-        buffer_bytes: bytes / 2,
-        connection_bytes: u64::MAX,
-        connections: bytes / 2 / page_frontend::CONNECTION_BYTES,
-        descriptors,
-        min_idle_ms: OTHER_PORTS_MIN_IDLE_MS,
-    }
-}
-
 fn peer_address(settings: &Settings) -> SocketAddr {
     let listen = &settings.listen;
     SocketAddr::new(listen.callers.ip(), listen.peer_port)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -83,6 +83,7 @@
 mod permits;
 mod places;
 mod port_connections;
+mod port_limits;
 mod port_usage;
 mod process_event;
 mod progress_limits;
