--- a/crates/standins/src/bench.rs
+++ b/crates/standins/src/bench.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 mod engine_reports;
 pub mod measures;
+mod oracle;
 pub mod router;
 pub mod setup;
 pub mod store;
