standins: what the soak does at backends stands in one module per kind of backend

Cause: soak/backends.rs (437 lines) held the events at engines, replicas and the platform, the check of the bound on crashes, and the reports to routers. Change: engine_events, replica_events, platform_events, crash_checks and backend_reports; next_call_id moves to callers, its only user. The soak was not run.

--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -4,16 +4,20 @@
 //! records what backend servers ran, what callers received and which configurations
 //! routers applied, and reports violated guarantees.
 
-mod backends;
+mod backend_reports;
 mod callers;
 mod checks;
 mod config;
+mod crash_checks;
 mod engine;
+mod engine_events;
 mod event_summary;
 mod faults;
 mod ledger;
 mod network;
 mod operators;
+mod platform_events;
+mod replica_events;
 mod request;
 mod router_actions;
 mod router_checks;
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -1,6 +1,7 @@
 //! Callers: which requests they make, when they submit them again, what they receive.
 
 use policy::AttemptId;
+use policy::CallId;
 use policy::CallRequest;
 use policy::Event;
 use policy::Generate;
@@ -270,6 +271,13 @@
     fn add_outcome(&mut self, outcome: String) {
         *self.outcomes.entry(outcome).or_default() += 1;
     }
+
+    /// Returns a new call id for a router's process.
+    fn next_call_id(&mut self, router: usize) -> CallId {
+        let vm = &mut self.vms[router];
+        vm.next_call_id += 1;
+        CallId(vm.next_call_id)
+    }
 }
 
 fn work_of(request: &Request) -> Work {
