gateway: a router whose entry is gone from the store writes it again

Cause: a write of a router's entry that has no answer may be executed seconds later, after the entry was written again under a new lease. It binds the entry to the earlier lease, which nobody renews. The entry went with that one; the router renewed the new lease, was told that it is there, and stayed missing.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -106,6 +106,8 @@
     pub view: RefCell<ClusterView>,
     /// Wakes the tasks that depend on the era of the store when one begins.
     pub era_began: Notify,
+    /// Wakes the task that keeps this router registered when its entry is missing in the store.
+    pub own_entry_removed: Notify,
     /// Makes the tasks that watch the store repeat their calls: one of them should have responded.
     pub watches_suspect: Notify,
     /// Wakes the requests that wait for room when a server may have some.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -166,6 +166,7 @@
             log: services.log,
             view: RefCell::new(view),
             era_began: Notify::new(),
+            own_entry_removed: Notify::new(),
             watches_suspect: Notify::new(),
             room_freed: Notify::new(),
             phase: Cell::new(Phase::Serving),
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -10,7 +10,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::context::Context;
 use crate::crash_records;
@@ -69,6 +68,10 @@
 /// Applies the deletion of a record.
 pub fn remove_record(cx: &Context, name: &str) {
     if let Some(name) = name.strip_prefix(MEMBER) {
+        // A late write may have bound the entry to an earlier lease, which has expired.
+        if name == &*cx.settings.name {
+            cx.own_entry_removed.notify_one();
+        }
         remove_router(cx, name);
     } else if name == ORDER_LEASE_RECORD {
         cx.view.borrow_mut().order_lease_revision = None;
@@ -214,11 +217,10 @@
 
 async fn renew_registration(cx: &Context, lease: LeaseId) {
     loop {
-        if timeout(MEMBER_RENEWAL, until_turn_to_rewrite(cx, lease.era))
-            .await
-            .is_ok()
-        {
-            return;
+        tokio::select! {
+            () = until_turn_to_rewrite(cx, lease.era) => return,
+            () = cx.own_entry_removed.notified() => return,
+            () = sleep(MEMBER_RENEWAL) => {}
         }
         match cx.store.renew(lease).await {
             Ok(true) => {}
