gateway: a stop after a pause counts from before it, whenever the signal is handled within 250 ms

Found by the review: notes that the process runs come every 50 ms now, so a signal that is handled more than 50 ms after a pause counted from its end, and the process could outlast its time to stop. The test asks 240 ms after the pause.

--- a/crates/gateway/src/pause_watch.rs
+++ b/crates/gateway/src/pause_watch.rs
@@ -11,8 +11,12 @@
 use crate::log_event::LogEvent;
 use crate::process_event::ProcessEvent;
 
-/// Interval at which a process notes that it runs. A stop ends earlier by up to twice this time.
-const ALIVE_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a process notes that it runs.
+const NOTE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time within which a signal to stop is handled after a pause, in milliseconds. A stop ends earlier by up
+/// to twice this time.
+const SIGNAL_DELAY_MS: u64 = 250;
 
 /// Time without a note after which the process counts as paused, in milliseconds.
 const MAX_GAP_MS: u64 = 500;
@@ -37,7 +41,8 @@
 pub struct PauseWatch {
     /// When the process last noted that it runs.
     noted_at: Cell<Time>,
-    /// The time noted before, at which no signal to stop had come.
+    /// A note some time ago, and one before that, at which no signal to stop had come.
+    marked_at: Cell<Time>,
     alive_at: Cell<Time>,
     /// When the latest pause ended; none if there was none.
     resumed_at: Cell<Option<Time>>,
@@ -50,6 +55,7 @@
     pub fn new(now: Time) -> PauseWatch {
         PauseWatch {
             noted_at: Cell::new(now),
+            marked_at: Cell::new(now),
             alive_at: Cell::new(now),
             resumed_at: Cell::new(None),
             gap: Cell::new(None),
@@ -62,15 +68,17 @@
             if let Some(paused_ms) = self.note(now()) {
                 ProcessEvent::Resumed { paused_ms }.write();
             }
-            sleep(ALIVE_INTERVAL).await;
+            sleep(NOTE_INTERVAL).await;
         }
     }
 
     /// Notes that the process runs. Returns the length in milliseconds of the pause that ends, if it was
-    /// paused. `alive_at` is a note late: after a pause this may come before the signal is handled.
+    /// paused. After a pause this may come before a signal is handled, so `alive_at` is late.
     pub fn note(&self, now: Time) -> Option<u64> {
         let noted_at = self.noted_at.replace(now);
-        self.alive_at.set(noted_at);
+        if now.millis_since(self.marked_at.get()) >= SIGNAL_DELAY_MS {
+            self.alive_at.set(self.marked_at.replace(now));
+        }
         let gap_ms = now.millis_since(noted_at);
         if gap_ms > MAX_WAIT_GAP_MS {
             self.gap.set(Some(Gap {
--- a/crates/gateway/tests/pause_watch.rs
+++ b/crates/gateway/tests/pause_watch.rs
@@ -49,6 +49,9 @@
     watch.note(at(1_900));
 
     assert_eq!(watch.alive_at(), at(1_000));
+    watch.note(at(1_950));
+    watch.note(at(2_140));
+    assert_eq!(watch.alive_at(), at(1_000), "the signal may be handled now");
 }
 
 // Guards against VERSION: what has waited in a pause counts as just arrived.
