--- a/crates/gateway/src/view_event.rs
+++ b/crates/gateway/src/view_event.rs
@@ -65,7 +65,7 @@
         version: u64,
         /// Least time since it was announced.
         age_ms: u64,
-        /// Longest time since it can have been announced; none if nothing tells.
+        /// Longest time since it can have been announced; none if unknown.
         oldest_age_ms: Option<u64>,
         /// Where it was learned: `store` or `peer`.
         source: &'a str,
--- a/crates/relay/src/weights.rs
+++ b/crates/relay/src/weights.rs
@@ -45,7 +45,7 @@
     current: [CurrentVersions; MAX_HOPS + 1],
     /// Time within which engines must load an announced version, in milliseconds.
     due_ms: u64,
-    /// Time from which replaced versions aren't used if nothing tells how long ago they were replaced.
+    /// Time from which replaced versions aren't used if it is unknown how long ago they were replaced.
     unknown_due_at: Time,
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Time from which routers don't use replaced weights if nothing tells how long ago they were replaced.
+/// Time from which routers don't use replaced weights if it is unknown how long ago they were replaced.
 pub const UNKNOWN_DUE_MS: u64 = 2_500;
 
 /// Returns the record of a router that started at 0 and knows no announced weights. Replaced ones are due
--- a/crates/relay/tests/lease_walk/mod.rs
+++ b/crates/relay/tests/lease_walk/mod.rs
@@ -7,14 +7,14 @@
 //!   every guard holds at its bound too (terms get one millisecond more, as `LeaseTerm` compares strictly). Each
 //!   run of such a system has one with the same events at whole steps, and with a smaller gap between two events
 //!   only if that is below a whole step as well (Henzinger, Manna and Pnueli, "What good are digital clocks?").
-//!   Times are relative to the present, and capped where no guard tells them apart any more.
+//!   Times are relative to the present, and capped where no guard distinguishes them any more.
 //! - **Late and repeated calls.** A renewal or an end that was sent may be executed at any later time, and any number
 //!   of times. For a renewal that is allowed whether it was sent or not. So calls under way are not a list, of
 //!   which the length would need a bound, but one bit for each lease that an end names.
-//! - **Records that nobody uses.** Where a take-over was executed and its router never knows of it (late, repeated,
+//! - **Records that no router uses.** Where a take-over was executed and its router never knows of it (late, repeated,
 //!   answer lost, router killed), no order is given under the lease, and the record only keeps others from taking
 //!   the lease for a while. The state without it allows all that the state with it allows, as a call for a lease
-//!   may get lost. So it is dropped, and a take-over that nobody waits for does nothing. The record of a term that
+//!   may get lost. So it is dropped, and a take-over that no router waits for does nothing. The record of a term that
 //!   had begun stays until it expires; to renew it would only keep others from the lease for longer.
 //! - **Expiry.** A take-over consists of a grant and a write; the lease runs from the grant. It is
 //!   taken to be granted when the take-over was sent, which ends it soonest; a renewal that may be executed at any
@@ -23,7 +23,7 @@
 //!   keep others from the lease, as no router uses a lease of an earlier era in a later one. Numbers of leases are
 //!   given again: a new lease may have the number of any earlier one, also one that an end under way names.
 //! - **Answers.** An answer that is denied, lost or late is covered by a router that gives up waiting,
-//!   or ends its term, at any time. One that arrives twice, or for a call that was given up, reaches nobody, as
+//!   or ends its term, at any time. One that arrives twice, or for a call that was given up, reaches no caller, as
 //!   HTTP binds an answer to its call.
 //! - **Pauses.** A router may do nothing for any time in each state.
 //! - **Symmetry.** The two routers may be exchanged.
@@ -80,7 +80,7 @@
     TrustsFirstEra,
     /// A term counts from the answer to its renewal.
     CountsFromAnswer,
-    /// An answer that arrives twice is taken for that of a later renewal.
+    /// An answer that arrives twice is used as that of a later renewal.
     MistakesAnswers,
 }
 
