--- a/crates/gateway/src/pause_watch.rs
+++ b/crates/gateway/src/pause_watch.rs
@@ -19,7 +19,7 @@
 const SIGNAL_DELAY_MS: u64 = 250;
 
 /// Time without a note after which the process counts as paused, in milliseconds.
-const MAX_GAP_MS: u64 = 500;
+const MAX_GAP_MS: u64 = 300;
 
 /// Time without a note after which what is read may have waited for as long, in milliseconds. With the
 /// time for which requests may wait at engines it stays below the margin of the weights' due time.
--- a/crates/gateway/tests/pause_watch.rs
+++ b/crates/gateway/tests/pause_watch.rs
@@ -32,6 +32,15 @@
     assert!(watch.was_paused(at(900), at(1_900)));
 }
 
+// Guards against the same after a short pause.
+#[test]
+fn a_pause_of_300_ms_is_noticed() {
+    let watch = running_until(1_000);
+
+    assert_eq!(watch.note(at(1_310)), Some(310));
+    assert!(watch.was_paused(at(1_100), at(1_400)));
+}
+
 #[test]
 fn a_pause_is_known_for_what_began_before_its_end() {
     let watch = running_until(1_000);
