relay: a new holder of the order lease waits no longer where the store names no eras

A router that has taken the lease has had a response of the store, so no noted era means that the store names none.

a_holder_does_not_wait_longer_where_the_store_names_no_eras failed before and passes; order_handover and the walk pass.

--- a/crates/relay/src/order_lease.rs
+++ b/crates/relay/src/order_lease.rs
@@ -44,7 +44,7 @@
 /// What a router knows of the beginning of the store's present era.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EraStart {
-    /// When it first noted the era; none before the first response.
+    /// When it first noted the era; none if the store names no eras.
     pub noted_at: Option<Time>,
     /// Whether it knew an earlier era, so that the present one began while it ran.
     pub knew_earlier: bool,
@@ -57,15 +57,21 @@
     /// time to live after the store's era has begun. A router that has just started doesn't know when that
     /// was. Engines that check fencing tokens reject these orders.
     pub fn first_order_at(&self, now: Time, era: EraStart) -> Time {
-        let noted_at = era.noted_at.unwrap_or(now);
-        if !self.fenced {
-            let earlier_over_at = noted_at.plus_millis(self.ttl_ms);
-            return now.max(earlier_over_at).plus_millis(self.holder_gap_ms);
-        }
-        let over_at = now.plus_millis(FENCED_WAIT_MS);
-        match era.knew_earlier {
-            true => over_at.max(noted_at.plus_millis(self.holder_gap_ms)),
-            false => over_at,
+        let wait_ms = match self.fenced {
+            true => FENCED_WAIT_MS,
+            false => self.holder_gap_ms,
+        };
+        let first_at = now.plus_millis(wait_ms);
+        let lost_term_until =
+            era.noted_at
+                .and_then(|noted_at| match (self.fenced, era.knew_earlier) {
+                    (false, _) => Some(noted_at.plus_millis(self.ttl_ms)),
+                    (true, true) => Some(noted_at),
+                    (true, false) => None,
+                });
+        match lost_term_until {
+            Some(until) => first_at.max(until.plus_millis(self.holder_gap_ms)),
+            None => first_at,
         }
     }
 }
--- a/crates/relay/tests/order_lease.rs
+++ b/crates/relay/tests/order_lease.rs
@@ -142,6 +142,13 @@
     }
 }
 
+// Guards against orders that come late: a store that names no eras doesn't come back from older copies.
+#[test]
+fn a_holder_does_not_wait_longer_where_the_store_names_no_eras() {
+    let from = LEASE_BOUNDS.first_order_at(at(500), EraStart::default());
+    assert_eq!(from, at(500 + 3_000));
+}
+
 #[test]
 fn a_holder_waits_less_where_engines_check_fencing_tokens() {
     let bounds = LeaseBounds {
